--- /dev/null
+++ b/swiftpin/__init__.py
@@ -0,0 +1,1 @@
+"""Router for servers that own keys exclusively."""
--- /dev/null
+++ b/swiftpin/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and fault experiments on loopback."""
--- /dev/null
+++ b/swiftpin/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/swiftpin/config/__init__.py
@@ -0,0 +1,1 @@
+"""Declarations: services, profiles and planned stops."""
--- /dev/null
+++ b/swiftpin/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Sending of requests to targets: queues, limits, retries and records."""
--- /dev/null
+++ b/swiftpin/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that stands between callers and targets."""
--- /dev/null
+++ b/swiftpin/helpers/__init__.py
@@ -0,0 +1,1 @@
+"""Tools that more than one package uses."""
--- /dev/null
+++ b/swiftpin/helpers/hashing.py
@@ -0,0 +1,10 @@
+"""Hash of keys to slices."""
+
+from __future__ import annotations
+
+from xxhash import xxh3_64_intdigest
+
+
+def slice_of(service: str, key: str, slices: int) -> int:
+    """Return the slice, 0 to `slices` - 1, that holds the key."""
+    return xxh3_64_intdigest(f"{service}\0{key}".encode()) % slices
--- /dev/null
+++ b/swiftpin/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership: the instance list, messages between instances and news."""
--- /dev/null
+++ b/swiftpin/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Ownership of keys: groups, lease holders, grants, moves and takeover."""
--- /dev/null
+++ b/swiftpin/ownership/group_record.py
@@ -0,0 +1,34 @@
+"""The record of a group: who holds its lease and which target owns each slice."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from swiftpin.ownership.group_id import GroupId
+from swiftpin.ownership.slice_assignment import SliceAssignment
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GroupRecord:
+    """One version of a group's record.
+
+    `term` grows by 2 with each change of holder or successor that the store
+    ordered; the odd step in between is reserved for a takeover without the store.
+    `revision` grows with each change within a term. `holder` and `successor` are
+    instance ids. `writer` is unique to the write, so that a writer whose answer was
+    lost recognises its own version when it reads the record back.
+    """
+
+    id: GroupId
+    term: int
+    revision: int
+    holder: str
+    successor: str | None
+    writer: str
+    reason: str
+    slices_by_id: dict[int, SliceAssignment] = field(default_factory=dict)
+    targets: frozenset[str] = frozenset()
+
+    def is_newer_than(self, other: GroupRecord) -> bool:
+        """Return whether this version comes after the other."""
+        return (self.term, self.revision) > (other.term, other.revision)
--- /dev/null
+++ b/swiftpin/result.py
@@ -0,0 +1,48 @@
+"""Numbered result codes of every answer swiftpin gives."""
+
+from __future__ import annotations
+
+from enum import IntEnum, StrEnum
+
+
+class Executed(StrEnum):
+    """Whether a target ran the request; `NO` is said only where it is certain."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+class ResultCode(IntEnum):
+    """Result of one caller's request, sent in `Swiftpin-Result`.
+
+    1xx answered by a target, 2xx the caller's mistake, 3xx not run and safe to
+    send again, 4xx outcome unknown, 5xx swiftpin's own fault.
+    """
+
+    ANSWERED = 100
+    REPLAYED = 101
+    UNKNOWN_SERVICE = 200
+    MISSING_KEY = 201
+    MISSING_IDEMPOTENCY_KEY = 202
+    IDEMPOTENCY_KEY_REUSED = 203
+    REQUEST_TOO_LARGE = 204
+    BODY_CUT_SHORT = 205
+    BAD_HEADER = 206
+    QUARANTINED = 207
+    NO_OWNER = 300
+    QUEUE_FULL = 301
+    DEADLINE_TOO_SHORT = 302
+    TARGET_REFUSED = 303
+    TARGET_UNREACHABLE = 304
+    HOLDER_UNREACHABLE = 305
+    STORE_UNAVAILABLE = 306
+    SHUTTING_DOWN = 307
+    OVERLOADED = 308
+    RETRY_BUDGET_SPENT = 309
+    ANSWER_LOST = 400
+    DEADLINE_EXCEEDED = 401
+    OUTCOME_UNKNOWN = 402
+    ANSWER_CUT_SHORT = 403
+    CALLER_LEFT = 404
+    INTERNAL = 500
--- /dev/null
+++ b/swiftpin/store/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's object store."""
--- /dev/null
+++ b/swiftpin/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the targets' control interface."""
--- /dev/null
+++ b/swiftpin/trace/__init__.py
@@ -0,0 +1,1 @@
+"""Recorded events and the checker that judges them."""
