--- /dev/null
+++ b/swiftpin/ownership/record_codec.py
@@ -0,0 +1,55 @@
+"""JSON form of group records."""
+
+from __future__ import annotations
+
+import orjson
+
+from swiftpin.exceptions import StoreError
+from swiftpin.ownership.group_id import GroupId
+from swiftpin.ownership.group_record import GroupRecord
+from swiftpin.ownership.slice_assignment import SliceAssignment
+
+
+def encode_record(record: GroupRecord) -> bytes:
+    """Return the record as stored; slices are [slice, target, term, standby]."""
+    slices = [
+        [slice_id, item.target, item.term, item.standby]
+        for slice_id, item in sorted(record.slices_by_id.items())
+    ]
+    return orjson.dumps(
+        {
+            "service": record.id.service,
+            "group": record.id.group,
+            "term": record.term,
+            "revision": record.revision,
+            "holder": record.holder,
+            "successor": record.successor,
+            "writer": record.writer,
+            "reason": record.reason,
+            "targets": sorted(record.targets),
+            "slices": slices,
+        }
+    )
+
+
+def decode_record(body: bytes) -> GroupRecord:
+    """Return the record; raise `StoreError` when the body is not one."""
+    try:
+        raw = orjson.loads(body)
+        slices_by_id = {
+            slice_id: SliceAssignment(target=target, term=term, standby=standby)
+            for slice_id, target, term, standby in raw["slices"]
+        }
+        return GroupRecord(
+            id=GroupId(service=raw["service"], group=raw["group"]),
+            term=raw["term"],
+            revision=raw["revision"],
+            holder=raw["holder"],
+            successor=raw["successor"],
+            writer=raw["writer"],
+            reason=raw["reason"],
+            targets=frozenset(raw["targets"]),
+            slices_by_id=slices_by_id,
+        )
+    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as err:
+        raise StoreError(f"not a group record: {err!r}") from err
