--- /dev/null
+++ b/swiftpin/config/models/__init__.py
@@ -0,0 +1,1 @@
+"""Validated models of declarations, used only at the border."""
