--- /dev/null
+++ b/swiftpin/ownership/record_changes.py
@@ -0,0 +1,87 @@
+"""Next versions of a group's record."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import replace
+from uuid import uuid4
+
+from swiftpin.ownership.group_record import GroupRecord
+from swiftpin.ownership.rules import next_slice_term, next_store_term
+from swiftpin.ownership.slice_assignment import SliceAssignment
+
+
+def new_writer(instance_id: str) -> str:
+    """Return an id by which one write is recognised when it is read back."""
+    return f"{instance_id}:{uuid4().hex}"
+
+
+def with_moves(
+    record: GroupRecord,
+    owners_by_slice: Mapping[int, str],
+    *,
+    revision: int,
+    writer: str,
+    reason: str,
+) -> GroupRecord:
+    """Return the record after slices moved to new owners."""
+    slices_by_id = dict(record.slices_by_id)
+    for slice_id, owner in owners_by_slice.items():
+        before = slices_by_id[slice_id]
+        standby = before.target if before.standby == owner else before.standby
+        slices_by_id[slice_id] = SliceAssignment(
+            target=owner,
+            term=next_slice_term(before.term, record.term),
+            standby=standby,
+        )
+    return replace(
+        record,
+        revision=revision,
+        writer=writer,
+        reason=reason,
+        slices_by_id=slices_by_id,
+    )
+
+
+def with_reported_owner(
+    record: GroupRecord, slice_id: int, owner: str, slice_term: int
+) -> GroupRecord:
+    """Return the record after a target reported a slice under a higher term."""
+    slices_by_id = dict(record.slices_by_id)
+    before = slices_by_id[slice_id]
+    slices_by_id[slice_id] = replace(before, target=owner, term=slice_term)
+    return replace(record, slices_by_id=slices_by_id)
+
+
+def with_lease(
+    record: GroupRecord,
+    *,
+    holder: str,
+    successor: str | None,
+    writer: str,
+    reason: str,
+) -> GroupRecord:
+    """Return the record under the next term that the store orders."""
+    return replace(
+        record,
+        term=next_store_term(record.term),
+        revision=0,
+        holder=holder,
+        successor=successor,
+        writer=writer,
+        reason=reason,
+    )
+
+
+def with_targets(
+    record: GroupRecord,
+    targets: frozenset[str],
+    *,
+    revision: int,
+    writer: str,
+    reason: str,
+) -> GroupRecord:
+    """Return the record with another set of targets."""
+    return replace(
+        record, targets=targets, revision=revision, writer=writer, reason=reason
+    )
