--- /dev/null
+++ b/swiftpin/bench/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load generator: callers that retry until they are answered."""
--- /dev/null
+++ b/swiftpin/bench/load/caller.py
@@ -0,0 +1,140 @@
+"""A caller that retries until it is answered."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+from typing import Final
+
+from aiohttp import (
+    ClientError,
+    ClientPayloadError,
+    ClientResponse,
+    ClientSession,
+    ClientTimeout,
+)
+from xxhash import xxh3_64_hexdigest
+
+from swiftpin.bench.load.backoff import retry_wait
+from swiftpin.bench.load.caller_trace import CallerTrace
+from swiftpin.bench.load.load_request import LoadRequest
+from swiftpin.bench.load.load_spec import LoadSpec
+from swiftpin.bench.load.recorder import Recorder
+from swiftpin.bench.load.request_kind import RequestKind
+from swiftpin.bench.load.try_answer import TryAnswer
+from swiftpin.bench.load.verdict import Verdict, judge
+from swiftpin.const import (
+    HEADER_IDEMPOTENCY_KEY,
+    HEADER_KEY,
+    HEADER_REQUEST_ID,
+    HEADER_RESULT,
+    HEADER_TIMEOUT,
+)
+from swiftpin.core import callback, monotonic_now
+
+HEADER_EXECUTED: Final = "Swiftpin-Executed"
+HEADER_WORK_MS: Final = "X-Work-Ms"
+MAX_UNKNOWN_TRIES: Final = 5
+"""Answers "outcome unknown" after which a caller takes that for the answer."""
+
+
+class Caller:
+    """Sends requests of one worker, each until it is answered or cancelled."""
+
+    def __init__(
+        self,
+        session: ClientSession,
+        load: LoadSpec,
+        recorder: Recorder,
+        random: Random,
+        trace: CallerTrace | None,
+    ) -> None:
+        self._session = session
+        self._load = load
+        self._recorder = recorder
+        self._random = random
+        self._trace = trace
+        self._timeout = ClientTimeout(total=load.attempt_timeout)
+
+    async def async_call(self, request: LoadRequest) -> None:
+        """Send the request until it is answered; cancel to give it up."""
+        self._recorder.begin(request, monotonic_now())
+        verdict = Verdict.RETRY
+        try:
+            verdict = await self._async_try_until_answered(request)
+        finally:
+            self._recorder.end(request, verdict, monotonic_now())
+
+    async def _async_try_until_answered(self, request: LoadRequest) -> Verdict:
+        """Try again and again, with growing waits in between."""
+        tries = 0
+        unknown = 0
+        while True:
+            tries += 1
+            verdict = await self._async_try(request)
+            if verdict in (Verdict.ANSWERED, Verdict.REFUSED):
+                return verdict
+            unknown += verdict is Verdict.UNKNOWN
+            if unknown >= MAX_UNKNOWN_TRIES:
+                return Verdict.UNKNOWN
+            await asyncio.sleep(retry_wait(tries, self._random))
+
+    async def _async_try(self, request: LoadRequest) -> Verdict:
+        """Send one try to a random entry and judge its answer."""
+        try:
+            answer = await self._async_send(request)
+        except (ClientError, TimeoutError, OSError) as err:
+            self._recorder.tried(request, type(err).__name__)
+            return Verdict.RETRY
+        result = answer.status if answer.result is None else answer.result
+        self._recorder.tried(request, str(result))
+        if self._trace is not None:
+            self._trace.record(request, answer)
+        return judge(answer)
+
+    async def _async_send(self, request: LoadRequest) -> TryAnswer:
+        """Return the answer to one try."""
+        load_class = request.load_class
+        entry = self._random.choice(self._load.entries)
+        method = "POST" if load_class.kind is RequestKind.BOOKING else "GET"
+        sent = monotonic_now()
+        async with self._session.request(
+            method,
+            f"http://{entry}/{load_class.service}/{load_class.path}",
+            data=request.body or None,
+            headers=self._headers(request),
+            timeout=self._timeout,
+        ) as response:
+            return await self._async_read(response, sent)
+
+    async def _async_read(self, response: ClientResponse, sent: float) -> TryAnswer:
+        """Return the answer with its whole body, or what came of it."""
+        whole = True
+        body = b""
+        try:
+            body = await response.read()
+        except ClientPayloadError:
+            whole = False
+        result = response.headers.get(HEADER_RESULT)
+        return TryAnswer(
+            status=response.status,
+            result=None if result is None else int(result),
+            executed=response.headers.get(HEADER_EXECUTED),
+            request_id=response.headers.get(HEADER_REQUEST_ID),
+            body_digest=xxh3_64_hexdigest(body),
+            whole=whole,
+            sent=sent,
+            at=monotonic_now(),
+        )
+
+    @callback
+    def _headers(self, request: LoadRequest) -> dict[str, str]:
+        """Return the headers of every try of the request."""
+        headers = {HEADER_TIMEOUT: str(self._load.request_timeout_ms)}
+        if request.key is not None:
+            headers[HEADER_KEY] = request.key
+        if request.idempotency_key is not None:
+            headers[HEADER_IDEMPOTENCY_KEY] = request.idempotency_key
+        if request.load_class.work_ms is not None:
+            headers[HEADER_WORK_MS] = str(request.load_class.work_ms)
+        return headers
--- /dev/null
+++ b/swiftpin/bench/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Processes started, signalled and ended for experiments, tests and the demo."""
