--- /dev/null
+++ b/swiftpin/membership/news_settings.py
@@ -0,0 +1,33 @@
+"""Settings of the news service."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class NewsSettings:
+    """Rates and limits; times are in seconds, sizes in bytes.
+
+    A body longer than `announce_size` is announced first and sent where asked for.
+    `watch_wait` is how long the store holds a watch open. An instance that does
+    not watch polls when nobody's contact with the store is known for
+    `silence_limit`; the fleet together makes at most `polls_per_second`.
+    """
+
+    fan_out: int = 3
+    push_interval: float = 0.01
+    push_size: int = 64 * 1024
+    announce_size: int = 1024
+    compare_interval: float = 1.0
+    catch_up_interval: float = 0.1
+    repair_size: int = 128 * 1024
+    repair_stamps: int = 1000
+    watchers_per_zone: int = 2
+    watch_wait: float = 5.0
+    read_delay: float = 0.2
+    silence_limit: float = 15.0
+    poll_interval: float = 10.0
+    polls_per_second: float = 20.0
+    backoff_initial: float = 0.1
+    backoff_limit: float = 10.0
--- a/swiftpin/membership/object_cache.py
+++ b/swiftpin/membership/object_cache.py
@@ -9,6 +9,7 @@
 from swiftpin.core import callback
 from swiftpin.membership.cached_object import CachedObject
 from swiftpin.membership.digest_table import DigestTable
+from swiftpin.membership.stamp import Stamp
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -47,6 +48,14 @@
             if name.startswith(prefix)
         }
 
+    @callback
+    def stamps_in(self, bucket: int) -> dict[str, Stamp]:
+        """Return the stamps by name of the objects in a bucket of the digests."""
+        return {
+            name: self._objects_by_name[name].stamp
+            for name in self.digests.names_in(bucket)
+        }
+
     @callback
     def adopt(self, obj: CachedObject) -> bool:
         """Take a version over if it is newer than the known one.
