--- a/swiftpin/config/models/planned_stop_spec_model.py
+++ b/swiftpin/config/models/planned_stop_spec_model.py
@@ -6,6 +6,7 @@
 
 from pydantic import Field, model_validator
 
+from swiftpin.config.models.contradiction import contradiction
 from swiftpin.config.models.field_types import Name
 from swiftpin.config.models.strict_model import StrictModel
 
@@ -45,4 +46,6 @@
             case (str(), None, None) | (None, str(), str()):
                 return self
             case _:
-                raise ValueError("either instance, or service and target must be given")
+                raise contradiction(
+                    (), "either instance, or service and target must be given"
+                )
--- a/swiftpin/config/models/profile_spec_model.py
+++ b/swiftpin/config/models/profile_spec_model.py
@@ -6,6 +6,7 @@
 
 from pydantic import Field, model_validator
 
+from swiftpin.config.models.contradiction import contradiction
 from swiftpin.config.models.key_rule_model import HeaderKeyRuleModel, KeyRuleModel
 from swiftpin.config.models.measure_weights_model import MeasureWeightsModel
 from swiftpin.config.models.request_class_model import RequestClassModel
@@ -117,9 +118,10 @@
         for position, name in enumerate(names):
             first = names.index(name)
             if first != position:
-                raise ValueError(
-                    f"classes[{position}].name: {name} is classes[{first}] already"
+                raise contradiction(
+                    ("classes", position, "name"),
+                    f"{name} is that of classes.{first} already",
                 )
         if self.default_timeout > self.max_timeout:
-            raise ValueError("default_timeout: is longer than max_timeout")
+            raise contradiction(("default_timeout",), "is longer than max_timeout")
         return self
--- a/swiftpin/config/models/service_spec_model.py
+++ b/swiftpin/config/models/service_spec_model.py
@@ -6,6 +6,7 @@
 
 from pydantic import Field, model_validator
 
+from swiftpin.config.models.contradiction import contradiction
 from swiftpin.config.models.field_types import Name
 from swiftpin.config.models.strict_model import StrictModel
 from swiftpin.config.models.target_model import TargetModel
@@ -59,23 +60,20 @@
     @model_validator(mode="after")
     def _check_targets(self) -> Self:
         """Refuse targets that share an id or an address, and groups without one."""
-        positions_by_id: dict[str, int] = {}
-        positions_by_address: dict[str, int] = {}
+        positions_by_value: dict[str, int] = {}
         for position, target in enumerate(self.targets):
-            first = positions_by_id.setdefault(target.id, position)
-            if first != position:
-                raise ValueError(
-                    f"targets[{position}].id: {target.id} is targets[{first}] already"
-                )
-            first = positions_by_address.setdefault(target.address, position)
-            if first != position:
-                raise ValueError(
-                    f"targets[{position}].address: {target.address} is that of "
-                    f"targets[{first}] already"
-                )
+            for field in ("id", "address"):
+                value = getattr(target, field)
+                first = positions_by_value.setdefault(value, position)
+                if first != position:
+                    raise contradiction(
+                        ("targets", position, field),
+                        f"{value} is that of targets.{first} already",
+                    )
         if self.keyed and self.groups > min(len(self.targets), self.slices):
-            raise ValueError(
-                f"groups: {self.groups} groups need as many targets and slices, "
-                f"there are {len(self.targets)} and {self.slices}"
+            raise contradiction(
+                ("groups",),
+                f"{self.groups} groups need as many targets and slices, "
+                f"there are {len(self.targets)} and {self.slices}",
             )
         return self
--- a/swiftpin/config/parse.py
+++ b/swiftpin/config/parse.py
@@ -7,6 +7,7 @@
 from pydantic import ValidationError
 
 from swiftpin.config.config_name import ConfigName
+from swiftpin.config.explain_errors import field_problems
 from swiftpin.config.models.declaration_models import MODELS_BY_KIND, Declaration
 from swiftpin.exceptions import ConfigurationError
 
@@ -16,12 +17,12 @@
 
     Raises `ConfigurationError` when it breaks a rule or names another declaration.
     """
+    model_type = MODELS_BY_KIND[config_name.kind]
     try:
-        model = MODELS_BY_KIND[config_name.kind].model_validate(document)
+        model = model_type.model_validate(document)
     except ValidationError as err:
         problems = "; ".join(
-            f"{'.'.join(str(part) for part in item['loc'])}: {item['msg']}"
-            for item in err.errors(include_url=False, include_input=False)
+            str(item) for item in field_problems(model_type, document, err)
         )
         raise ConfigurationError(f"{config_name.label}: {problems}") from err
     if model.metadata.name != config_name.name:
