--- a/swiftpin/ownership/holder_environment.py
+++ b/swiftpin/ownership/holder_environment.py
@@ -21,8 +21,9 @@
     """Shared parts and callbacks of one instance.
 
     `service_of` returns the declaration in force, None when it is retired;
-    `leaving_targets_of` the ids of targets with a planned stop; `publish` spreads a record
-    as news; `released` is called when the holder gave the group up;
+    `leaving_targets_of` the ids of targets with a planned stop; `publish` spreads a
+    record as news; `released` is called when the holder gave the group up;
+    `declared_targets_of` returns the targets that the declaration gives the group;
     `successor_for` names an instance id for the group, None when there is no other.
     """
 
@@ -33,6 +34,7 @@
     listener: GroupListener
     client_for: Callable[[TargetSpec], TargetClient]
     service_of: Callable[[str], Service | None]
+    declared_targets_of: Callable[[GroupId], frozenset[str] | None]
     leaving_targets_of: Callable[[str], frozenset[str]]
     publish: Callable[[GroupRecord], None]
     released: Callable[[GroupId], None]
--- a/swiftpin/ownership/record_writer.py
+++ b/swiftpin/ownership/record_writer.py
@@ -24,13 +24,24 @@
 class RecordWriter:
     """Writes one record; `version` is the store's version that it builds on.
 
+    After a takeover without the store the version is None until the store shows the
+    record that the takeover built on, whose writer is `base_writer`.
+
     A write whose answer was lost may take effect at any later time. Its record stays
-    in `_pending_by_writer`, so that it is recognised as ours when a later write meets it;
-    otherwise a holder would take its own write for another's takeover.
+    in `_pending_by_writer`, so that it is recognised as ours when a later write meets
+    it; otherwise a holder would take its own write for another's takeover.
     """
 
-    def __init__(self, store: StoreClient, group: GroupId, version: int) -> None:
+    def __init__(
+        self,
+        store: StoreClient,
+        group: GroupId,
+        version: int | None,
+        *,
+        base_writer: str = "",
+    ) -> None:
         self.version = version
+        self._base_writer = base_writer
         self._store = store
         self._name = group.store_name
         self._pending_by_writer: dict[str, GroupRecord] = {}
@@ -42,6 +53,10 @@
 
     async def async_write(self, record: GroupRecord) -> WriteResult:
         """Replace the version this writer knows."""
+        if self.version is None:
+            learnt = await self._async_learn_version()
+            if learnt is not None:
+                return learnt
         self._pending_by_writer[record.writer] = record
         try:
             version = await self._store.async_put(
@@ -68,6 +83,11 @@
 
     async def async_is_unchanged(self) -> bool | None:
         """Return whether the store still has our version, None if it is away."""
+        if self.version is None:
+            learnt = await self._async_learn_version()
+            if isinstance(learnt, WriteUnsettled):
+                return None
+            return learnt is None
         try:
             stored = await self._store.async_get(self._name)
         except StoreUnavailableError:
@@ -78,6 +98,20 @@
             return True
         return isinstance(self._judge(stored), WriteDone)
 
+    async def _async_learn_version(self) -> WriteResult | None:
+        """Find the version to build on; return what stands in the way, if anything."""
+        try:
+            stored = await self._store.async_get(self._name)
+        except StoreUnavailableError:
+            return WriteUnsettled()
+        if stored is None:
+            return WriteUnsettled()
+        record = decode_record(stored.body)
+        if record.writer != self._base_writer:
+            return WriteLost(record=record)
+        self.version = stored.version
+        return None
+
     def _judge(self, stored: StoredObject) -> WriteResult:
         """Tell our own version from another instance's."""
         record = decode_record(stored.body)
--- a/swiftpin/ownership/target_link.py
+++ b/swiftpin/ownership/target_link.py
@@ -36,6 +36,9 @@
     `acknowledged_at` is the time before the send of the last fence or renewal that
     was acknowledged. `counts` is False while a restart has not been checked against
     the store. `granted_terms_by_id` holds the slices that the target is known to hold.
+    `fenced_in_term` tells whether the target was ever fenced under the present term,
+    `answered_at` when it last answered anything,
+    `blocked_until` (our time) until when an earlier start of it may still hold slices.
     """
 
     def __init__(
@@ -55,7 +58,8 @@
         self.counts = True
         self.restarted_at = -math.inf
         self.granted_terms_by_id: dict[int, int] = {}
-        self.fence_reply: FenceReply | None = None
+        self.fenced_in_term = False
+        self.blocked_until = -math.inf
         self._client = client
         self._lease = lease
         self._timing = timing
@@ -63,7 +67,9 @@
         self._on_change = on_change
         self._on_fenced = on_fenced
         self._reading: ClockReading | None = None
+        self.answered_at = monotonic_now()
         self._lock = asyncio.Lock()
+        self._nudged = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
 
     @callback
@@ -81,13 +87,20 @@
             await self._task
         self._task = None
 
+    @callback
+    def stop_soon(self) -> None:
+        """Begin to end the link's task without waiting for it."""
+        if self._task is not None:
+            self._task.cancel()
+
     @callback
     def begin_term(self, lease: Lease) -> None:
         """Go on under a new term of the same holder; the target is fenced again."""
         self._lease = lease
         self.state = TargetState.NEW
-        self.fence_reply = None
+        self.fenced_in_term = False
         self.acknowledged_at = -math.inf
+        self._nudged.set()
 
     async def async_grant(self, terms_by_id: Mapping[int, int]) -> bool:
         """Grant slices; return whether the target acknowledged them."""
@@ -107,7 +120,11 @@
             answered = await self._async_exchange()
             self._judge(answered, monotonic_now())
             share = 1.0 if answered else RETRY_SHARE
-            await asyncio.sleep(self._timing.grant_interval * share)
+            self._nudged.clear()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(
+                    self._nudged.wait(), self._timing.grant_interval * share
+                )
 
     async def _async_exchange(self) -> bool:
         """Send the message that the state asks for; return whether it was answered.
@@ -147,7 +164,7 @@
             self._reading = ClockReading(
                 boot_id=reply.boot_id, clock=reply.clock, received_at=monotonic_now()
             )
-            self._adopt_report(reply)
+            self._adopt_report(reply, monotonic_now())
             self.acknowledged_at = sent_at
         if self.state is not TargetState.LIVE:
             self.state = TargetState.LIVE
@@ -235,9 +252,15 @@
             self.state = TargetState.NEW
 
     @callback
-    def _adopt_report(self, reply: FenceReply) -> None:
-        """Take over what the target says it holds."""
-        self.fence_reply = reply
+    def _adopt_report(self, reply: FenceReply, now: float) -> None:
+        """Take over what the target says it holds.
+
+        Earlier holders' grants there end within one time to live of the fence. A target
+        that falls silent right after it was fenced, before the first renewal, must not
+        count as lost earlier than that.
+        """
+        self.fenced_in_term = True
+        self.limit = max(self.limit, now + self._timing.grant_ttl)
         self.granted_terms_by_id = {
             slice_id: held.term for slice_id, held in reply.slices_by_id.items()
         }
@@ -257,7 +280,8 @@
         it does not count until the store showed that the lease is still ours.
         """
         self.granted_terms_by_id.clear()
-        self.fence_reply = None
+        self.blocked_until = self.limit
+        self.fenced_in_term = False
         self._reading = None
         self.counts = False
         self.restarted_at = seen_at
@@ -268,13 +292,14 @@
     def _judge(self, answered: bool, now: float) -> None:
         """Set the state after one exchange."""
         before = self.state
+        if answered:
+            self.answered_at = now
         if not answered and before is TargetState.LIVE:
             self.state = TargetState.SUSPECT
         elif answered and before is TargetState.SUSPECT:
             self.state = TargetState.LIVE
         if self.state is TargetState.SUSPECT and lapsed(self.limit, self._timing, now):
             self.granted_terms_by_id.clear()
-            self.fence_reply = None
             self.state = TargetState.LOST
         if self.state is not before:
             self._on_change()
