Add the request path of the gateway: parse, route, send, answer

Cause: nothing served callers' requests yet. Change: HTTP client on aiohttp's connection protocol (no automatic second sends, a gate right before each write), request parsing, header rules, answer writing, forwarding hop, decision log, metrics, settings.

--- /dev/null
+++ b/swiftpin/dispatch/http_answer.py
@@ -0,0 +1,78 @@
+"""The answer of a target or another instance."""
+
+from __future__ import annotations
+
+import asyncio
+
+from aiohttp import ClientError, StreamReader
+from aiohttp.http import RawResponseMessage
+from multidict import CIMultiDictProxy
+
+from swiftpin.core import callback
+from swiftpin.dispatch.http_connection import HttpConnection
+from swiftpin.exceptions import AnswerBrokenError
+
+
+class HttpAnswer:
+    """Head of an answer, and its body as it arrives.
+
+    Whoever gets one calls `finish` in the end: it gives the connection back after a
+    whole answer and closes it otherwise, so that the rest of an answer that was given
+    up can never be taken for the answer to the next request.
+    """
+
+    __slots__ = ("_connection", "_content", "_upload", "headers", "length", "status")
+
+    def __init__(
+        self,
+        message: RawResponseMessage,
+        content: StreamReader,
+        connection: HttpConnection,
+        *,
+        length: int | None,
+        upload: asyncio.Task[None] | None,
+    ) -> None:
+        self.status: int = message.code
+        self.headers: CIMultiDictProxy[str] = message.headers
+        self.length = length
+        self._content = content
+        self._connection = connection
+        self._upload = upload
+
+    async def async_read_chunk(self) -> bytes:
+        """Return the next piece of the body, empty at its end.
+
+        Raises `AnswerBrokenError` when the body ends before it is whole.
+        """
+        try:
+            return await self._content.readany()
+        except (ClientError, OSError) as err:
+            raise AnswerBrokenError(f"the answer broke off: {err!r}") from err
+
+    async def async_read_whole(self) -> bytes:
+        """Return the rest of the body in one piece."""
+        chunk = await self.async_read_chunk()
+        if self._content.at_eof():
+            return chunk
+        chunks = []
+        while chunk:
+            chunks.append(chunk)
+            chunk = await self.async_read_chunk()
+        return b"".join(chunks)
+
+    @callback
+    def finish(self, now: float) -> None:
+        """Give the connection back, or close it when the exchange is not complete."""
+        upload = self._upload
+        uploading = upload is not None and not upload.done()
+        if uploading or not self._content.is_eof():
+            self.abort()
+            return
+        self._connection.release(now)
+
+    @callback
+    def abort(self) -> None:
+        """Close the connection, whatever the answer still holds."""
+        if self._upload is not None:
+            self._upload.cancel()
+        self._connection.abort()
--- /dev/null
+++ b/swiftpin/dispatch/http_client.py
@@ -0,0 +1,266 @@
+"""HTTP exchanges with targets and other instances."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Final
+
+from aiohttp import ClientError, StreamReader
+from aiohttp.hdrs import CONTENT_LENGTH, METH_HEAD, TRANSFER_ENCODING
+from aiohttp.http import HttpProcessingError, RawResponseMessage, StreamWriter
+
+from swiftpin.core import callback, monotonic_now
+from swiftpin.dispatch.http_answer import HttpAnswer
+from swiftpin.dispatch.http_body import HttpBody
+from swiftpin.dispatch.http_connection import HttpConnection
+from swiftpin.dispatch.http_pool import HttpPool
+from swiftpin.dispatch.http_request import HttpRequest
+from swiftpin.dispatch.http_send_state import HttpSendState
+from swiftpin.exceptions import AnswerBrokenError, RequestError, RequestNotSentError
+from swiftpin.helpers.address import Address, parse_address
+
+DEFAULT_CONNECT_LIMIT: Final = 1.0
+DEFAULT_CONNECTIONS: Final = 100
+MAX_HEADER_SIZE: Final = 16 * 1024
+MAX_HEADERS: Final = 256
+READ_BUFFER: Final = 64 * 1024
+BODILESS_STATUSES: Final = frozenset(
+    {HTTPStatus.NO_CONTENT.value, HTTPStatus.NOT_MODIFIED.value}
+)
+METHODS_WITHOUT_BODY: Final = frozenset({"GET", "HEAD", "OPTIONS", "TRACE"})
+
+SendGate = Callable[[float], None]
+"""Called with the time right before a request is written; raises to hold it back."""
+
+
+class HttpClient:
+    """Pools of connections by address, and exchanges over them.
+
+    Nothing is ever sent a second time here: that is for callers to decide, who know
+    whether a request may repeat.
+    """
+
+    def __init__(self, *, connect_limit: float = DEFAULT_CONNECT_LIMIT) -> None:
+        self._connect_limit = connect_limit
+        self._pools_by_address: dict[str, HttpPool] = {}
+
+    async def async_exchange(
+        self,
+        address: str,
+        request: HttpRequest,
+        state: HttpSendState,
+        gate: SendGate,
+        *,
+        connections: int = DEFAULT_CONNECTIONS,
+    ) -> HttpAnswer:
+        """Send the request and return the head of its answer.
+
+        Raises `RequestNotSentError` when no byte was written, `AnswerBrokenError`
+        when the answer's head did not come, and whatever `gate` or the request's
+        body raise. A cancelled exchange closes its connection.
+        """
+        pool = self._pool(address, connections)
+        connection = pool.take_idle(monotonic_now())
+        if connection is None:
+            connection = await pool.async_connect()
+        try:
+            if request.body.whole is None:
+                return await _async_stream(connection, request, state, gate)
+            return await _async_send_whole(connection, request, state, gate)
+        except BaseException:
+            connection.abort()
+            raise
+
+    @callback
+    def close_idle(self, now: float) -> None:
+        """Close idle connections, and forget addresses that have none left."""
+        for address, pool in list(self._pools_by_address.items()):
+            pool.close_idle(now)
+            if not pool.open_count:
+                del self._pools_by_address[address]
+
+    @callback
+    def unload(self) -> None:
+        """Close every connection."""
+        for pool in self._pools_by_address.values():
+            pool.unload()
+        self._pools_by_address.clear()
+
+    @callback
+    def _pool(self, address: str, connections: int) -> HttpPool:
+        """Return the pool of the address."""
+        pool = self._pools_by_address.get(address)
+        if pool is None:
+            pool = HttpPool(
+                _parse(address), limit=connections, connect_limit=self._connect_limit
+            )
+            self._pools_by_address[address] = pool
+        pool.limit = connections
+        return pool
+
+
+def _parse(address: str) -> Address:
+    """Return the parsed address."""
+    try:
+        return parse_address(address)
+    except ValueError as err:
+        raise RequestNotSentError(str(err)) from err
+
+
+@callback
+def _prepare(connection: HttpConnection, request: HttpRequest) -> None:
+    """Make the connection ready to parse the answer."""
+    connection.protocol.set_response_params(
+        skip_payload=request.method == METH_HEAD,
+        read_until_eof=False,
+        auto_decompress=False,
+        read_bufsize=READ_BUFFER,
+        max_line_size=MAX_HEADER_SIZE,
+        max_field_size=MAX_HEADER_SIZE,
+        max_headers=MAX_HEADERS,
+    )
+
+
+@callback
+def _open_gate(
+    connection: HttpConnection, state: HttpSendState, gate: SendGate
+) -> None:
+    """Let the request go, unless it may not be sent or the connection is gone.
+
+    No await stands between these checks and the write, so nothing that they found
+    can change in between.
+    """
+    if not connection.protocol.is_connected():
+        raise RequestNotSentError("the connection was closed before use")
+    gate(monotonic_now())
+    state.written = True
+
+
+async def _async_send_whole(
+    connection: HttpConnection,
+    request: HttpRequest,
+    state: HttpSendState,
+    gate: SendGate,
+) -> HttpAnswer:
+    """Write head and body in one piece and read the answer's head."""
+    body = request.body.whole
+    assert body is not None
+    if body or request.method not in METHODS_WITHOUT_BODY:
+        request.headers[CONTENT_LENGTH] = str(len(body))
+    _prepare(connection, request)
+    writer = StreamWriter(connection.protocol, connection.loop)
+    await writer.write_headers(_request_line(request), request.headers)
+    _open_gate(connection, state, gate)
+    try:
+        await writer.write_eof(body)
+    except (ClientError, OSError) as err:
+        raise AnswerBrokenError(f"the request broke off: {err!r}") from err
+    return await _async_read_head(connection, request, None)
+
+
+async def _async_stream(
+    connection: HttpConnection,
+    request: HttpRequest,
+    state: HttpSendState,
+    gate: SendGate,
+) -> HttpAnswer:
+    """Write the body piece by piece while the answer's head is awaited."""
+    writer = StreamWriter(connection.protocol, connection.loop)
+    if request.body.length is None:
+        request.headers[TRANSFER_ENCODING] = "chunked"
+        writer.enable_chunking()
+    else:
+        request.headers[CONTENT_LENGTH] = str(request.body.length)
+    _prepare(connection, request)
+    await writer.write_headers(_request_line(request), request.headers)
+    _open_gate(connection, state, gate)
+    writer.send_headers()
+    upload = connection.loop.create_task(
+        _async_upload(connection, writer, request.body)
+    )
+    try:
+        return await _async_read_head(connection, request, upload)
+    except AnswerBrokenError:
+        _raise_upload_error(upload)
+        raise
+    except BaseException:
+        upload.cancel()
+        raise
+
+
+async def _async_upload(
+    connection: HttpConnection, writer: StreamWriter, body: HttpBody
+) -> None:
+    """Copy the body; close the connection when the body breaks off.
+
+    Without the close the server would wait for the rest, and might take the next
+    request's bytes for it.
+    """
+    try:
+        async for chunk in body.chunks():
+            await writer.write(chunk)
+        await writer.write_eof()
+    except (ClientError, OSError):
+        # The server closed its side. Its answer, if any, tells why.
+        return
+    except RequestError:
+        connection.protocol.abort()
+        raise
+
+
+@callback
+def _raise_upload_error(upload: asyncio.Task[None]) -> None:
+    """Raise the error that ended the upload, if one did."""
+    if not upload.done():
+        upload.cancel()
+        return
+    if not upload.cancelled() and (err := upload.exception()) is not None:
+        raise err
+
+
+async def _async_read_head(
+    connection: HttpConnection,
+    request: HttpRequest,
+    upload: asyncio.Task[None] | None,
+) -> HttpAnswer:
+    """Wait for the answer's head, passing over interim ones."""
+    try:
+        message, content = await connection.protocol.read()
+        while 100 <= message.code < HTTPStatus.OK:
+            if message.code == HTTPStatus.SWITCHING_PROTOCOLS:
+                raise AnswerBrokenError("the server changed the protocol unasked")
+            message, content = await connection.protocol.read()
+    except (ClientError, OSError) as err:
+        raise AnswerBrokenError(f"no answer: {err!r}") from err
+    except HttpProcessingError as err:
+        raise AnswerBrokenError(f"the answer is not HTTP: {err!r}") from err
+    length = _length(message, content, request)
+    return HttpAnswer(message, content, connection, length=length, upload=upload)
+
+
+@callback
+def _length(
+    message: RawResponseMessage, content: StreamReader, request: HttpRequest
+) -> int | None:
+    """Return the length of the answer's body, None when it comes in chunks.
+
+    An answer with neither a length nor chunks ends where the connection ends. A server
+    that dies while it writes such an answer looks like one that finished, so it can't
+    be told whole from cut short and is refused.
+    """
+    if request.method == METH_HEAD or message.code in BODILESS_STATUSES:
+        return 0
+    if message.chunked:
+        return None
+    length = message.headers.get(CONTENT_LENGTH)
+    if length is None:
+        raise AnswerBrokenError("the answer states neither its length nor chunks")
+    return int(length)
+
+
+@callback
+def _request_line(request: HttpRequest) -> str:
+    """Return the first line of the request."""
+    return f"{request.method} {request.path} HTTP/1.1"
--- /dev/null
+++ b/swiftpin/dispatch/http_connection.py
@@ -0,0 +1,56 @@
+"""One client connection that carries one exchange at a time.
+
+It stands on aiohttp's connection protocol and parser rather than on `ClientSession`.
+The session sends idempotent methods again by itself when a reused connection breaks,
+reuses a connection on which unasked bytes arrived, and gives no moment between getting
+a connection and writing to it. So with it a PUT that must not repeat could run twice,
+a late answer could reach another request, and a holder whose confirmation ran out while
+it was connecting would still send.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from aiohttp.client_proto import ResponseHandler
+
+from swiftpin.core import callback
+
+
+class HttpConnection:
+    """A connection of a pool; `idle_since` is monotonic, in seconds."""
+
+    __slots__ = ("_on_release", "idle_since", "loop", "protocol")
+
+    def __init__(
+        self,
+        protocol: ResponseHandler,
+        loop: asyncio.AbstractEventLoop,
+        on_release: Callable[[HttpConnection, float], None],
+    ) -> None:
+        self.protocol = protocol
+        self.loop = loop
+        self.idle_since = 0.0
+        self._on_release = on_release
+
+    @property
+    def is_clean(self) -> bool:
+        """Return whether a new exchange may start on the connection.
+
+        Bytes that arrived unasked make it unclean: they may be a late answer, and the
+        next request would otherwise receive them as its own.
+        """
+        protocol = self.protocol
+        return protocol.is_connected() and not protocol.should_close
+
+    @callback
+    def release(self, now: float) -> None:
+        """Hand the connection back after a complete exchange."""
+        self._on_release(self, now)
+
+    @callback
+    def abort(self) -> None:
+        """Close the connection at once, without sending what is still buffered."""
+        self.protocol.abort()
+        self._on_release(self, 0.0)
--- /dev/null
+++ b/swiftpin/dispatch/http_request.py
@@ -0,0 +1,23 @@
+"""A request to a target or another instance."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from multidict import CIMultiDict
+
+from swiftpin.dispatch.http_body import HttpBody
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HttpRequest:
+    """One request as it is written.
+
+    `path` holds the path and query as received, `headers` everything but the
+    framing (`Content-Length`, `Transfer-Encoding`), which follows from `body`.
+    """
+
+    method: str
+    path: str
+    headers: CIMultiDict[str]
+    body: HttpBody
--- a/swiftpin/exceptions.py
+++ b/swiftpin/exceptions.py
@@ -63,6 +63,18 @@
     """A message to another instance failed."""
 
 
+class ExchangeError(SwiftpinError):
+    """Base of errors of one HTTP exchange with a target or another instance."""
+
+
+class RequestNotSentError(ExchangeError):
+    """No byte of the request was written, so it was certainly not run."""
+
+
+class AnswerBrokenError(ExchangeError):
+    """The request was written and no whole answer came; it may have run."""
+
+
 class RequestError(SwiftpinError):
     """Base of errors that end one caller's request with a numbered result.
 
@@ -147,6 +159,12 @@
     code = ResultCode.BAD_HEADER
 
 
+class MalformedRequestError(CallerMistakeError):
+    """The request is not HTTP as swiftpin accepts it."""
+
+    code = ResultCode.MALFORMED_REQUEST
+
+
 class QuarantinedError(CallerMistakeError):
     """The request is refused because it crashed targets before."""
 
@@ -191,6 +209,12 @@
     code = ResultCode.HOLDER_UNREACHABLE
 
 
+class NotHolderError(NotRunError):
+    """A forwarded request met an instance that does not hold the group."""
+
+    code = ResultCode.NOT_HOLDER
+
+
 class JournalUnavailableError(NotRunError):
     """The store is away and the request must not run unrecorded."""
 
@@ -226,3 +250,17 @@
     """The deadline passed while the request may be running."""
 
     code = ResultCode.DEADLINE_EXCEEDED
+
+
+class AnswerCutShortError(OutcomeUnknownError):
+    """The answer began and ended before its stated length."""
+
+    code = ResultCode.ANSWER_CUT_SHORT
+    status = 502
+
+
+class CallerLeftError(OutcomeUnknownError):
+    """The caller closed its connection before the answer was whole."""
+
+    code = ResultCode.CALLER_LEFT
+    status = 499
--- /dev/null
+++ b/swiftpin/gateway/forwarder.py
@@ -0,0 +1,98 @@
+"""Forwarding of requests to the instance that holds their group."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from swiftpin.const import HEADER_RESULT
+from swiftpin.core import callback, monotonic_now
+from swiftpin.dispatch.http_answer import HttpAnswer
+from swiftpin.dispatch.http_client import HttpClient
+from swiftpin.dispatch.http_request import HttpRequest
+from swiftpin.dispatch.http_send_state import HttpSendState
+from swiftpin.exceptions import (
+    AnswerBrokenError,
+    AnswerLostError,
+    DeadlineTooShortError,
+    HolderUnreachableError,
+    NotHolderError,
+    RequestNotSentError,
+)
+from swiftpin.gateway.answer_writer import AnswerWriter
+from swiftpin.gateway.header_rules import forward_headers
+from swiftpin.gateway.incoming_request import IncomingRequest
+from swiftpin.gateway.request_body import RequestBody
+from swiftpin.result import ResultCode
+
+HOP_ALLOWANCE: Final = 0.005
+"""Seconds that the holder's answer may take on its way back. The holder's deadline is
+earlier by them, so that its answer, which knows whether the request ran, arrives
+before the entry instance has to answer "unknown"."""
+
+HOLDER_CONNECTIONS: Final = 500
+
+
+class Forwarder:
+    """Sends requests on to other instances."""
+
+    def __init__(self, client: HttpClient) -> None:
+        self._client = client
+
+    async def async_forward(
+        self,
+        incoming: IncomingRequest,
+        body: RequestBody,
+        address: str,
+        state: HttpSendState,
+        writer: AnswerWriter,
+    ) -> None:
+        """Forward the request and write the holder's answer.
+
+        Raises `HolderUnreachableError` and `NotHolderError` where the request was
+        certainly not run, and `AnswerLostError` where it may have been.
+        """
+        now = monotonic_now() + HOP_ALLOWANCE
+        if incoming.deadline <= now:
+            raise DeadlineTooShortError("no time is left to reach the holder")
+        request = HttpRequest(
+            method=incoming.method,
+            path=incoming.full_path,
+            headers=forward_headers(incoming, address, now),
+            body=body,
+        )
+        answer = await self._async_send(address, request, state)
+        try:
+            result = _result(answer)
+            if result == ResultCode.NOT_HOLDER.value:
+                state.written = False
+                raise NotHolderError("the holder has just changed", retry_after=1)
+            await writer.async_write_answer(answer, result)
+        finally:
+            answer.finish(monotonic_now())
+
+    async def _async_send(
+        self, address: str, request: HttpRequest, state: HttpSendState
+    ) -> HttpAnswer:
+        """Return the head of the holder's answer."""
+        try:
+            return await self._client.async_exchange(
+                address, request, state, _no_gate, connections=HOLDER_CONNECTIONS
+            )
+        except RequestNotSentError as err:
+            raise HolderUnreachableError("the holder took no connection") from err
+        except AnswerBrokenError as err:
+            raise AnswerLostError("the holder gave no answer") from err
+
+
+@callback
+def _no_gate(now: float) -> None:
+    """Let the request go: the holder itself checks whether it may send."""
+
+
+@callback
+def _result(answer: HttpAnswer) -> int:
+    """Return the holder's result code."""
+    value = answer.headers.get(HEADER_RESULT, "")
+    if not value.isascii() or not value.isdigit():
+        raise AnswerLostError("the holder's answer has no result code")
+    return int(value)
--- /dev/null
+++ b/swiftpin/gateway/header_rules.py
@@ -0,0 +1,106 @@
+"""Which headers go on, and which swiftpin sets itself."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Final
+
+from aiohttp.hdrs import CONNECTION, HOST
+from multidict import CIMultiDict
+
+from swiftpin.const import (
+    HEADER_CALLER,
+    HEADER_GROUP,
+    HEADER_HOLDER,
+    HEADER_HOPS,
+    HEADER_IDEMPOTENCY_KEY,
+    HEADER_KEY,
+    HEADER_PREFIX,
+    HEADER_REQUEST_ID,
+    HEADER_SERVICE,
+    HEADER_SLICE,
+    HEADER_TERM,
+    HEADER_TIMEOUT,
+)
+from swiftpin.gateway.incoming_request import IncomingRequest
+from swiftpin.gateway.request_parser import HOP_LIMIT, MILLISECONDS
+from swiftpin.ownership.route import Route
+
+HOP_BY_HOP: Final = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+REQUEST_DROPPED: Final = HOP_BY_HOP | {
+    "content-length",
+    "expect",
+    "host",
+    HEADER_IDEMPOTENCY_KEY.lower(),
+}
+ANSWER_DROPPED: Final = HOP_BY_HOP | {"content-length"}
+
+
+def target_headers(
+    incoming: IncomingRequest, route: Route | None, address: str, now: float
+) -> CIMultiDict[str]:
+    """Return the headers of a request to a target; no route means no owner."""
+    headers = _request_headers(incoming, address, now)
+    headers[HEADER_SERVICE] = incoming.service.name
+    if route is not None:
+        headers[HEADER_SLICE] = str(route.slice_id)
+        headers[HEADER_GROUP] = str(route.group.group)
+        headers[HEADER_TERM] = str(route.term)
+        headers[HEADER_HOLDER] = route.holder
+    return headers
+
+
+def forward_headers(
+    incoming: IncomingRequest, address: str, now: float
+) -> CIMultiDict[str]:
+    """Return the headers of a request to the instance that holds the group."""
+    headers = _request_headers(incoming, address, now)
+    headers[HEADER_SERVICE] = incoming.service.name
+    headers[HEADER_HOPS] = str(HOP_LIMIT)
+    headers[HEADER_CALLER] = incoming.caller
+    return headers
+
+
+def answer_headers(received: Mapping[str, str]) -> CIMultiDict[str]:
+    """Return the headers of an answer that go on to the caller."""
+    return _kept(received, ANSWER_DROPPED)
+
+
+def _request_headers(
+    incoming: IncomingRequest, address: str, now: float
+) -> CIMultiDict[str]:
+    """Return the headers that targets and other instances get alike."""
+    headers = _kept(incoming.headers, REQUEST_DROPPED)
+    headers[HOST] = address
+    if incoming.key:
+        headers[HEADER_KEY] = incoming.key
+    headers[HEADER_REQUEST_ID] = incoming.id
+    headers[HEADER_TIMEOUT] = str(int((incoming.deadline - now) * MILLISECONDS))
+    if incoming.idempotency_key is not None:
+        headers[HEADER_IDEMPOTENCY_KEY] = incoming.idempotency_key
+    return headers
+
+
+def _kept(received: Mapping[str, str], dropped: frozenset[str]) -> CIMultiDict[str]:
+    """Return the headers that neither end at this hop nor belong to swiftpin."""
+    named = received.get(CONNECTION)
+    if named is not None:
+        dropped = dropped | {name.strip().lower() for name in named.split(",")}
+    kept: CIMultiDict[str] = CIMultiDict()
+    for name, value in received.items():
+        lowered = name.lower()
+        if lowered not in dropped and not lowered.startswith(HEADER_PREFIX):
+            kept.add(name, value)
+    return kept
--- /dev/null
+++ b/swiftpin/gateway/http_listener.py
@@ -0,0 +1,127 @@
+"""Servers for callers and for other instances."""
+
+from __future__ import annotations
+
+import asyncio
+from asyncio import AbstractServer
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from aiohttp.http_exceptions import LineTooLong
+from aiohttp.web import (
+    BaseRequest,
+    Response,
+    Server,
+    StreamResponse,
+)
+from aiohttp.web import (
+    RequestHandler as HttpProtocol,
+)
+
+from swiftpin.const import HEADER_RESULT
+from swiftpin.core import callback
+from swiftpin.exceptions import (
+    MalformedRequestError,
+    RequestError,
+    RequestTooLargeError,
+)
+from swiftpin.gateway.error_answer import error_body, error_headers
+from swiftpin.helpers.address import Address
+
+HttpHandler = Callable[[BaseRequest], Awaitable[StreamResponse]]
+
+IDLE_LIMIT: Final = 60.0
+"""Seconds for which a connection may wait for a request's whole head, the time
+between two requests included; a caller that feeds its head byte by byte gets no
+more."""
+
+LINGER_LIMIT: Final = 5.0
+MAX_LINE: Final = 8 * 1024
+MAX_HEADERS: Final = 128
+FORWARD_LINE: Final = 16 * 1024
+FORWARD_HEADERS: Final = 192
+"""Above the limits for callers, since the entry instance adds headers."""
+
+BACKLOG: Final = 1024
+
+
+class GatewayProtocol(HttpProtocol):
+    """Connection whose requests that can't be parsed get a numbered answer too."""
+
+    def handle_error(
+        self,
+        request: BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> StreamResponse:
+        """Return the answer to a request that is not HTTP, and end the connection."""
+        err = _parse_error(exc)
+        headers = error_headers(err)
+        headers[HEADER_RESULT] = str(err.code.value)
+        response = Response(status=err.status, headers=headers, body=error_body(err))
+        response.force_close()
+        return response
+
+
+class GatewayServer(Server):
+    """Makes a `GatewayProtocol` for each connection."""
+
+    def __call__(self) -> HttpProtocol:
+        """Return the protocol of a new connection."""
+        return GatewayProtocol(self, loop=self._loop, **self._kwargs)
+
+
+class HttpListener:
+    """A listening socket and the connections that came through it."""
+
+    def __init__(
+        self, handler: HttpHandler, *, max_line: int, max_headers: int
+    ) -> None:
+        self._server = GatewayServer(
+            handler,
+            handler_cancellation=True,
+            access_log=None,
+            auto_decompress=False,
+            keepalive_timeout=IDLE_LIMIT,
+            lingering_time=LINGER_LIMIT,
+            max_line_size=max_line,
+            max_field_size=max_line,
+            max_headers=max_headers,
+        )
+        self._socket_server: AbstractServer | None = None
+
+    async def async_setup(self, address: Address) -> Address:
+        """Listen; return the address with the port that was taken.
+
+        Raises `OSError` when the address cannot be used.
+        """
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(
+            self._server, address.host, address.port, backlog=BACKLOG
+        )
+        self._socket_server = server
+        port = server.sockets[0].getsockname()[1]
+        return Address(host=address.host, port=port)
+
+    @callback
+    def stop_listening(self) -> None:
+        """Take no more connections."""
+        if self._socket_server is not None:
+            self._socket_server.close()
+            self._socket_server = None
+
+    async def async_unload(self) -> None:
+        """Close idle connections, and cut off what is still being served."""
+        self.stop_listening()
+        self._server.pre_shutdown()
+        await self._server.shutdown(0.0)
+
+
+def _parse_error(exc: BaseException | None) -> RequestError:
+    """Return the error for a request that could not be parsed."""
+    if isinstance(exc, LineTooLong):
+        err = RequestTooLargeError("a header or the path is too long")
+        err.status = 431
+        return err
+    return MalformedRequestError("the request is not valid HTTP/1.1")
--- /dev/null
+++ b/swiftpin/gateway/request_record.py
@@ -0,0 +1,30 @@
+"""What became of one request, for the decision log and the metrics."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from swiftpin.gateway.incoming_request import IncomingRequest
+from swiftpin.ownership.route import Route
+from swiftpin.result import Executed, ResultCode
+
+
+@dataclass(kw_only=True, slots=True)
+class RequestRecord:
+    """Facts gathered while a request is served.
+
+    `started_at` is monotonic, in seconds. `incoming` and `route` stay None for a
+    request that failed before they were known. `result` is the code as it was
+    sent, which for a forwarded request is that of the holder.
+    """
+
+    request_id: str
+    started_at: float
+    forwarded: bool
+    incoming: IncomingRequest | None = None
+    route: Route | None = None
+    attempts: int = 0
+    status: int = 0
+    result: int = ResultCode.INTERNAL.value
+    executed: Executed = Executed.UNKNOWN
+    hint: str = ""
--- /dev/null
+++ b/swiftpin/helpers/address.py
@@ -0,0 +1,34 @@
+"""Network addresses as settings and declarations write them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final
+
+MAX_PORT: Final = 65535
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Address:
+    """A TCP address; port 0 asks the system for a free one."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+def parse_address(text: str) -> Address:
+    """Return the address written as `host:port`.
+
+    Raises `ValueError` that says what is wrong with the text.
+    """
+    host, separator, port = text.rpartition(":")
+    if not separator or not host:
+        raise ValueError(f"{text!r} is not of the form host:port")
+    if not port.isascii() or not port.isdigit():
+        raise ValueError(f"{port!r} is not a port number")
+    if int(port) > MAX_PORT:
+        raise ValueError(f"port {port} is above {MAX_PORT}")
+    return Address(host=host, port=int(port))
--- /dev/null
+++ b/swiftpin/helpers/logging_destination.py
@@ -0,0 +1,69 @@
+"""Destination of eliot's messages."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Final
+
+from swiftpin.core import callback
+from swiftpin.helpers.logging_format import format_pairs, format_time, format_value
+from swiftpin.helpers.logging_writer import LineWriter
+
+LEVELS_BY_NAME: Final = {"debug": 10, "info": 20, "warning": 30, "error": 40}
+LEVEL_FIELD: Final = "level"
+ELIOT_FIELDS: Final = frozenset(
+    {"timestamp", "task_uuid", "task_level", "message_type", "action_type", "level"}
+)
+TRACEBACK_TYPE: Final = "eliot:traceback"
+STATUS_FIELD: Final = "action_status"
+STATUS_FAILED: Final = "failed"
+
+
+class KeyValueDestination:
+    """Writes each message as one line of pairs.
+
+    A message may carry the field `level`; failures are errors, the rest is info.
+    `write_line` takes a line that is already formed: one eliot message costs more
+    than the rest of the routing of a request, so the line for each request
+    is formed by hand and comes this way.
+    """
+
+    def __init__(self, writer: LineWriter, level: str) -> None:
+        self._writer = writer
+        self._lowest = LEVELS_BY_NAME[level]
+
+    def __call__(self, message: Mapping[str, object]) -> None:
+        """Write one message of eliot."""
+        level = _level(message)
+        if not self.is_enabled(level):
+            return
+        at = message.get("timestamp", 0.0)
+        head = f"time={format_time(at if isinstance(at, float) else 0.0)}"
+        event = format_value(message.get("message_type") or message.get("action_type"))
+        fields = {
+            name: value for name, value in message.items() if name not in ELIOT_FIELDS
+        }
+        self._writer.write(
+            f"{head} level={level} event={event} {format_pairs(fields)}".rstrip()
+        )
+
+    @callback
+    def is_enabled(self, level: str) -> bool:
+        """Return whether lines of the level are written."""
+        return LEVELS_BY_NAME.get(level, LEVELS_BY_NAME["info"]) >= self._lowest
+
+    @callback
+    def write_line(self, line: str) -> None:
+        """Write a formed line."""
+        self._writer.write(line)
+
+
+def _level(message: Mapping[str, object]) -> str:
+    """Return the level of a message."""
+    level = message.get(LEVEL_FIELD)
+    if isinstance(level, str) and level in LEVELS_BY_NAME:
+        return level
+    failed = message.get(STATUS_FIELD) == STATUS_FAILED
+    if failed or message.get("message_type") == TRACEBACK_TYPE:
+        return "error"
+    return "info"
--- a/swiftpin/result.py
+++ b/swiftpin/result.py
@@ -30,6 +30,7 @@
     BODY_CUT_SHORT = 205
     BAD_HEADER = 206
     QUARANTINED = 207
+    MALFORMED_REQUEST = 208
     NO_OWNER = 300
     QUEUE_FULL = 301
     DEADLINE_TOO_SHORT = 302
@@ -40,9 +41,21 @@
     SHUTTING_DOWN = 307
     OVERLOADED = 308
     RETRY_BUDGET_SPENT = 309
+    NOT_HOLDER = 310
     ANSWER_LOST = 400
     DEADLINE_EXCEEDED = 401
     OUTCOME_UNKNOWN = 402
     ANSWER_CUT_SHORT = 403
     CALLER_LEFT = 404
     INTERNAL = 500
+
+
+def executed_by_result(code: int) -> Executed:
+    """Return what a result code alone says about the request's execution."""
+    match code // 100:
+        case 1:
+            return Executed.YES
+        case 2 | 3:
+            return Executed.NO
+        case _:
+            return Executed.UNKNOWN
--- /dev/null
+++ b/tests/gateway/fake_ownership.py
@@ -0,0 +1,35 @@
+"""Ownership whose answers a test chooses."""
+
+from __future__ import annotations
+
+from swiftpin.config.service import Service
+from swiftpin.exceptions import NoOwnerError
+from swiftpin.membership.group_heartbeat import GroupHeartbeat
+from swiftpin.ownership.group_id import GroupId
+from swiftpin.ownership.route import Route
+
+
+class FakeOwnership:
+    """Gives the routes in `routes`, the last one for ever."""
+
+    def __init__(self) -> None:
+        self.routes: list[Route] = []
+        self.holding = True
+        self.sends_allowed: int | None = None
+
+    def resolve(self, service: Service, key: str, now: float) -> Route:
+        """Return the next route."""
+        if not self.routes:
+            raise NoOwnerError("no route", retry_after=1)
+        return self.routes.pop(0) if len(self.routes) > 1 else self.routes[0]
+
+    def send_until(self, group: GroupId, now: float) -> float | None:
+        """Return a time a little ahead while the lease is held."""
+        return now + 1.0 if self.holding else None
+
+    def held_groups(self) -> list[GroupHeartbeat]:
+        """Return one group while the lease is held."""
+        if not self.holding or not self.routes:
+            return []
+        route = self.routes[0]
+        return [GroupHeartbeat(group=route.group, term=route.term, revision=1)]
