Plan moves with the placement package

Cause: a first planner of the holder duplicated what placement decides. Change: the holder asks plan_moves; restarted targets are told from fenced ones by their boot id. Conclusion: one planner.

--- a/swiftpin/ownership/coordinator.py
+++ b/swiftpin/ownership/coordinator.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 import contextlib
 import math
 from typing import Any, Final
@@ -65,6 +65,7 @@
         store: StoreClient,
         session: ClientSession,
         cache: ObjectCache,
+        publish: Callable[[CachedObject], None],
         catalog: Catalog,
         directory: InstanceDirectory,
         peers: PeerClients,
@@ -78,7 +79,7 @@
         self._zone = zone
         self._store = store
         self._session = session
-        self._cache = cache
+        self._publish_object = publish
         self._catalog = catalog
         self._directory = directory
         self._peers = peers
@@ -422,7 +423,7 @@
     @callback
     def _publish(self, record: GroupRecord) -> None:
         """Spread a record to this and other instances."""
-        self._cache.adopt(
+        self._publish_object(
             CachedObject(
                 name=record.id.store_name,
                 stamp=Stamp(record.term, record.revision),
--- a/swiftpin/ownership/group_holder.py
+++ b/swiftpin/ownership/group_holder.py
@@ -18,9 +18,16 @@
 from swiftpin.ownership.holder_environment import HolderEnvironment
 from swiftpin.ownership.holder_links import HolderLinks, Link
 from swiftpin.ownership.lease import Lease
-from swiftpin.ownership.loss import owners_after_loss
 from swiftpin.ownership.majority_confirmation import MajorityConfirmation
 from swiftpin.ownership.ownership_decision import OwnershipDecision
+from swiftpin.ownership.placement.move import Move
+from swiftpin.ownership.placement.planner import plan_moves
+from swiftpin.ownership.placement.policy import (
+    MoveOnLeave,
+    MoveOnLoss,
+    PlacementPolicy,
+)
+from swiftpin.ownership.placement_inputs import placement_view
 from swiftpin.ownership.predecessor import Predecessor
 from swiftpin.ownership.record_changes import (
     new_writer,
@@ -332,18 +339,32 @@
         )
         if not lost:
             return
-        live = self.links.live() & self.record.targets
-        leaving = self._env.leaving_targets_of(self.id.service)
-        owners = owners_after_loss(
-            self.record.slices_by_id, lost, (live - leaving) or live
-        )
-        if not owners:
+        moves = self._plan(MoveOnLoss(), lost)
+        if not moves:
             return
-        record = self._with_moves(owners, f"lost {','.join(sorted(lost))}")
-        self._decide("move_on_loss", record.reason, slices=len(owners))
+        record = self._with_moves(moves, f"lost {','.join(sorted(lost))}")
+        self._decide("move_on_loss", record.reason, slices=len(moves))
         if not await self._async_write(record) and not self._stopped:
             self._adopt_unsaved(record)
-        self._served.update(owners)
+        self._served.update(move.slice_id for move in moves)
+
+    @callback
+    def _plan(self, policy: PlacementPolicy, lost: frozenset[str]) -> list[Move]:
+        """Return the moves that a policy asks for."""
+        service = self._env.service_of(self.id.service)
+        if service is None:
+            return []
+        view = placement_view(
+            self.record,
+            self.links.by_target,
+            service.targets_by_id,
+            lost=lost,
+            leaving=self._env.leaving_targets_of(self.id.service),
+        )
+        moves = plan_moves(view, policy, monotonic_now())
+        if not isinstance(policy, MoveOnLoss):
+            return moves
+        return [move for move in moves if move.source in lost]
 
     @callback
     def _is_lost(self, link: Link | None, now: float) -> bool:
@@ -414,40 +435,30 @@
 
     async def _async_move_planned(self, now: float) -> None:
         """Move slices off leaving targets, a batch at a time."""
-        service = self._env.service_of(self.id.service)
-        if service is None or self._store_is_away(now):
+        if self._store_is_away(now):
             return
-        leaving = self._env.leaving_targets_of(self.id.service) & self.record.targets
-        leaving |= self.record.targets - frozenset(service.targets_by_id)
-        batch = self._moves_off(leaving)
+        batch = self._plan(MoveOnLeave(), frozenset())[:MOVE_BATCH]
         if batch:
             await self.async_move(batch, "target leaving")
             self.wake()
 
-    @callback
-    def _moves_off(self, leaving: frozenset[str]) -> dict[int, str]:
-        """Return the next moves off targets that are leaving."""
-        live = (self.links.live() & self.record.targets) - leaving
-        owners = owners_after_loss(self.record.slices_by_id, leaving, live)
-        return dict(list(owners.items())[:MOVE_BATCH])
-
-    async def async_move(self, owners_by_slice: dict[int, str], reason: str) -> None:
+    async def async_move(self, moves: list[Move], reason: str) -> None:
         """Move slices in order: revoke, write, grant."""
-        revoked = await self._async_revoke_for_move(owners_by_slice)
-        if not revoked:
+        revoked = await self._async_revoke_for_move(moves)
+        done = [move for move in moves if move.slice_id in revoked]
+        if not done:
             return
-        owners = {slice_id: owners_by_slice[slice_id] for slice_id in revoked}
-        record = self._with_moves(owners, reason)
-        self._decide("move", reason, slices=len(owners))
+        record = self._with_moves(done, reason)
+        self._decide("move", reason, slices=len(done))
         if await self._async_write(record):
             await self._async_grant_missing(monotonic_now())
 
-    async def _async_revoke_for_move(self, owners_by_slice: dict[int, str]) -> set[int]:
+    async def _async_revoke_for_move(self, moves: list[Move]) -> set[int]:
         """Take the slices back; return those that nobody serves any more."""
         by_owner: dict[str, set[int]] = {}
-        for slice_id in owners_by_slice:
-            owner = self.record.slices_by_id[slice_id].target
-            by_owner.setdefault(owner, set()).add(slice_id)
+        for move in moves:
+            owner = self.record.slices_by_id[move.slice_id].target
+            by_owner.setdefault(owner, set()).add(move.slice_id)
         revoked: set[int] = set()
         for owner, slices in by_owner.items():
             link = self.links.by_target.get(owner)
@@ -492,12 +503,12 @@
         )
 
     @callback
-    def _with_moves(self, owners: dict[int, str], reason: str) -> GroupRecord:
+    def _with_moves(self, moves: list[Move], reason: str) -> GroupRecord:
         """Return the next version with slices moved."""
         self._revision += 1
         return with_moves(
             self.record,
-            owners,
+            moves,
             revision=self._revision,
             writer=new_writer(self._env.instance_id),
             reason=reason,
--- /dev/null
+++ b/swiftpin/ownership/placement_inputs.py
@@ -0,0 +1,52 @@
+"""What placement needs to know of a held group."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from swiftpin.config.target_spec import TargetSpec
+from swiftpin.ownership.group_record import GroupRecord
+from swiftpin.ownership.holder_links import Link
+from swiftpin.ownership.placement.placement_view import PlacementView
+from swiftpin.ownership.placement.target_state import TargetState as PlacementState
+from swiftpin.ownership.placement.target_view import TargetView
+from swiftpin.ownership.target_state import TargetState
+
+
+def placement_view(
+    record: GroupRecord,
+    links_by_target: Mapping[str, Link],
+    specs_by_id: Mapping[str, TargetSpec],
+    *,
+    lost: frozenset[str],
+    leaving: frozenset[str],
+) -> PlacementView:
+    """Return the group's record and the state of its targets.
+
+    A target that does not answer but may still serve also counts as lost, so that
+    nothing is given to it; the caller moves slices of `lost` ones only.
+    """
+    targets_by_id = {
+        target: TargetView(
+            spec=specs_by_id[target],
+            state=_state(target, links_by_target.get(target), lost, leaving),
+        )
+        for target in sorted(record.targets)
+        if target in specs_by_id
+    }
+    return PlacementView(
+        group=record.id,
+        slices_by_id=record.slices_by_id,
+        targets_by_id=targets_by_id,
+    )
+
+
+def _state(
+    target: str, link: Link | None, lost: frozenset[str], leaving: frozenset[str]
+) -> PlacementState:
+    """Return a target's state in the terms of placement."""
+    if target in lost or link is None or link.state is not TargetState.LIVE:
+        return PlacementState.LOST
+    if target in leaving:
+        return PlacementState.LEAVING
+    return PlacementState.LIVE
--- a/swiftpin/ownership/record_changes.py
+++ b/swiftpin/ownership/record_changes.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable
 from dataclasses import replace
 from uuid import uuid4
 
 from swiftpin.ownership.group_record import GroupRecord
+from swiftpin.ownership.placement.move import Move
 from swiftpin.ownership.rules import next_slice_term, next_store_term
 from swiftpin.ownership.slice_assignment import SliceAssignment
 
@@ -18,7 +19,7 @@
 
 def with_moves(
     record: GroupRecord,
-    owners_by_slice: Mapping[int, str],
+    moves: Iterable[Move],
     *,
     revision: int,
     writer: str,
@@ -26,13 +27,12 @@
 ) -> GroupRecord:
     """Return the record after slices moved to new owners."""
     slices_by_id = dict(record.slices_by_id)
-    for slice_id, owner in owners_by_slice.items():
-        before = slices_by_id[slice_id]
-        standby = before.target if before.standby == owner else before.standby
-        slices_by_id[slice_id] = SliceAssignment(
-            target=owner,
+    for move in moves:
+        before = slices_by_id[move.slice_id]
+        slices_by_id[move.slice_id] = SliceAssignment(
+            target=move.destination,
             term=next_slice_term(before.term, record.term),
-            standby=standby,
+            standby=move.standby,
         )
     return replace(
         record,
--- a/swiftpin/targets/client.py
+++ b/swiftpin/targets/client.py
@@ -95,7 +95,7 @@
             "revoke_wait": round(update.revoke_wait * MILLISECONDS),
         }
         timeout = self._timeout + update.revoke_wait
-        raw = await self._async_call("POST", "grants", body, timeout)
+        raw = await self._async_call("POST", "grants", body, timeout, update.boot_id)
         try:
             return GrantReply(
                 clock=raw["clock"], held=raw["held"], busy=frozenset(raw["busy"])
@@ -104,9 +104,14 @@
             raise TargetError(f"{self.spec.id} sent a bad grant reply") from err
 
     async def _async_call(
-        self, method: str, name: str, body: object, timeout: float
+        self,
+        method: str,
+        name: str,
+        body: object,
+        timeout: float,
+        boot_id: str | None = None,
     ) -> Any:  # noqa: ANN401 - a decoded JSON document
-        """Make one call and return its decoded answer."""
+        """Make one call, to a given start of the target if it matters."""
         url = f"http://{self.spec.address}/_target/{name}"
         data = None if body is None else orjson.dumps(body)
         try:
@@ -118,15 +123,25 @@
         except (ClientError, TimeoutError, OSError, orjson.JSONDecodeError) as err:
             raise TargetUnreachableError(f"{self.spec.id}: {err!r}") from err
         if status == HTTPStatus.CONFLICT:
-            self._raise_conflict(answer)
+            self._raise_conflict(answer, boot_id)
         if status != HTTPStatus.OK:
             raise TargetUnreachableError(f"{self.spec.id} answered {status}")
         return answer
 
-    def _raise_conflict(self, answer: Any) -> None:  # noqa: ANN401 - JSON
+    def _raise_conflict(
+        self,
+        answer: Any,  # noqa: ANN401 - a decoded JSON document
+        boot_id: str | None,
+    ) -> None:
         """Tell a restarted target from one that follows another holder."""
-        if not isinstance(answer, dict) or "term" not in answer:
-            raise TargetRestartedError(f"{self.spec.id} was restarted")
-        raise TargetFencedError(
-            self.spec.id, int(answer["term"]), str(answer.get("holder", ""))
-        )
+        try:
+            answering, term, holder = (
+                answer["boot_id"],
+                answer["term"],
+                answer["holder"],
+            )
+        except (KeyError, TypeError) as err:
+            raise TargetError(f"{self.spec.id} sent a bad refusal") from err
+        if boot_id is not None and answering != boot_id:
+            raise TargetRestartedError(f"{self.spec.id} runs as {answering}")
+        raise TargetFencedError(self.spec.id, int(term), str(holder))
