--- a/swiftpin/membership/peer_server.py
+++ b/swiftpin/membership/peer_server.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Final
 
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
 from grpclib.server import Server, Stream
 
 from swiftpin.core import callback, monotonic_now
 from swiftpin.exceptions import ConfigurationError
+from swiftpin.helpers.address import parse_address
 from swiftpin.membership.directory import InstanceDirectory
 from swiftpin.membership.instance_id import is_meant
 from swiftpin.membership.news_handler import NewsHandler
@@ -28,8 +30,6 @@
 
 PeerStream = Stream[Message, Message]
 
-_MAX_PORT: Final = 65535
-
 
 class PeerServer(PeerBase):  # type: ignore[misc]  # generated code has no types
     """Answers other instances, if they mean this incarnation of this one."""
@@ -51,6 +51,7 @@
         self._counters = counters
         self._clock = clock
         self._server: Server | None = None
+        self._is_closed = False
 
     @callback
     def attach_handler(self, handler: PeerHandler) -> None:
@@ -59,16 +60,17 @@
 
     async def async_setup(self, listen: str) -> None:
         """Listen on `host:port`; raises `ConfigurationError` when that fails."""
-        host, port = _parse_address(listen)
         server = Server([self])
         try:
-            await server.start(host, port)
-        except OSError as err:
+            address = parse_address(listen)
+            await server.start(address.host, address.port)
+        except (OSError, ValueError) as err:
             raise ConfigurationError(f"cannot listen on {listen}: {err}") from err
         self._server = server
 
     async def async_unload(self) -> None:
-        """Stop listening and end the calls under way."""
+        """Stop listening, end the calls under way and refuse further ones."""
+        self._is_closed = True
         if self._server is None:
             return
         self._server.close()
@@ -152,7 +154,13 @@
         await self._async_reply(stream, reply)
 
     async def _async_receive(self, stream: PeerStream) -> Message:
-        """Return the request and count it."""
+        """Return the request and count it.
+
+        The library's server goes on answering on connections that are open when it
+        is closed; a peer would take this instance for a working one.
+        """
+        if self._is_closed:
+            raise GRPCError(Status.UNAVAILABLE, "this instance has stopped")
         request = await stream.recv_message()
         assert request is not None
         self._counters.note_received(request.ByteSize())
@@ -177,11 +185,3 @@
             return True
         self._counters.refused += 1
         return False
-
-
-def _parse_address(address: str) -> tuple[str, int]:
-    """Return host and port of `host:port`."""
-    host, separator, port = address.rpartition(":")
-    if not separator or not port.isdigit() or int(port) > _MAX_PORT:
-        raise ConfigurationError(f"{address!r} is not host:port")
-    return host, int(port)
