--- /dev/null
+++ b/swiftpin/bench/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""A store, an instance list, targets and gateways on loopback."""
--- a/swiftpin/bench/load/caller.py
+++ b/swiftpin/bench/load/caller.py
@@ -13,14 +13,14 @@
     ClientSession,
     ClientTimeout,
 )
-from xxhash import xxh3_64_hexdigest
 
+from swiftpin.bench.load.answer_event import answer_event
 from swiftpin.bench.load.backoff import retry_wait
-from swiftpin.bench.load.caller_trace import CallerTrace
 from swiftpin.bench.load.load_request import LoadRequest
 from swiftpin.bench.load.load_spec import LoadSpec
 from swiftpin.bench.load.recorder import Recorder
 from swiftpin.bench.load.request_kind import RequestKind
+from swiftpin.bench.load.stated_execution import stated_execution
 from swiftpin.bench.load.try_answer import TryAnswer
 from swiftpin.bench.load.verdict import Verdict, judge
 from swiftpin.const import (
@@ -31,8 +31,9 @@
     HEADER_TIMEOUT,
 )
 from swiftpin.core import callback, monotonic_now
+from swiftpin.trace.digest import body_digest
+from swiftpin.trace.writer import TraceWriter
 
-HEADER_EXECUTED: Final = "Swiftpin-Executed"
 HEADER_WORK_MS: Final = "X-Work-Ms"
 MAX_UNKNOWN_TRIES: Final = 5
 """Answers "outcome unknown" after which a caller takes that for the answer."""
@@ -47,7 +48,7 @@
         load: LoadSpec,
         recorder: Recorder,
         random: Random,
-        trace: CallerTrace | None,
+        trace: TraceWriter | None,
     ) -> None:
         self._session = session
         self._load = load
@@ -89,7 +90,7 @@
         result = answer.status if answer.result is None else answer.result
         self._recorder.tried(request, str(result))
         if self._trace is not None:
-            self._trace.record(request, answer)
+            self._trace.write(answer_event(request, answer))
         return judge(answer)
 
     async def _async_send(self, request: LoadRequest) -> TryAnswer:
@@ -115,13 +116,14 @@
             body = await response.read()
         except ClientPayloadError:
             whole = False
-        result = response.headers.get(HEADER_RESULT)
+        header = response.headers.get(HEADER_RESULT)
+        result = None if header is None else int(header)
         return TryAnswer(
             status=response.status,
-            result=None if result is None else int(result),
-            executed=response.headers.get(HEADER_EXECUTED),
+            result=result,
+            executed=stated_execution(result, body),
             request_id=response.headers.get(HEADER_REQUEST_ID),
-            body_digest=xxh3_64_hexdigest(body),
+            body_digest=body_digest(body),
             whole=whole,
             sent=sent,
             at=monotonic_now(),
--- a/swiftpin/bench/load/try_answer.py
+++ b/swiftpin/bench/load/try_answer.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from swiftpin.result import Executed
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TryAnswer:
@@ -17,7 +19,7 @@
 
     status: int
     result: int | None
-    executed: str | None
+    executed: Executed | None
     request_id: str | None
     body_digest: str
     whole: bool
--- a/swiftpin/bench/load/worker.py
+++ b/swiftpin/bench/load/worker.py
@@ -12,13 +12,13 @@
 
 from swiftpin.bench.load.arrivals import arrival_times
 from swiftpin.bench.load.caller import Caller
-from swiftpin.bench.load.caller_trace import CallerTrace
 from swiftpin.bench.load.load_mode import ClosedLoop, OpenLoop
 from swiftpin.bench.load.recorder import Recorder
 from swiftpin.bench.load.request_factory import RequestFactory
 from swiftpin.bench.load.worker_result import WorkerResult
 from swiftpin.bench.load.worker_spec import WorkerSpec
 from swiftpin.core import monotonic_now
+from swiftpin.trace.writer import TraceWriter
 
 MAX_CONNECTIONS: Final = 1_000
 MAX_OPEN_REQUESTS: Final = 20_000
@@ -59,11 +59,11 @@
             index=self._spec.index, started=self._start, cpu=_cpu_seconds()
         )
 
-    def _open_trace(self) -> CallerTrace | None:
+    def _open_trace(self) -> TraceWriter | None:
         """Return the trace that the specification asks for."""
         if self._spec.trace_path is None:
             return None
-        return CallerTrace(Path(self._spec.trace_path))
+        return TraceWriter(Path(self._spec.trace_path))
 
     async def _async_send_all(self, caller: Caller) -> None:
         """Send everything that becomes due."""
--- a/swiftpin/bench/processes/supervisor.py
+++ b/swiftpin/bench/processes/supervisor.py
@@ -15,11 +15,11 @@
 from swiftpin.bench.processes.limits import check_limits
 from swiftpin.bench.processes.managed_process import ManagedProcess
 from swiftpin.bench.processes.polling import async_poll
-from swiftpin.bench.processes.process_event import ProcessEvent
 from swiftpin.bench.processes.process_spec import ProcessSpec
 from swiftpin.bench.processes.readiness import async_wait_ready
-from swiftpin.bench.processes.supervisor_trace import SupervisorTrace
 from swiftpin.core import callback, monotonic_now
+from swiftpin.trace.supervisor_event import SupervisorEvent
+from swiftpin.trace.writer import TraceWriter
 
 DEFAULT_READY_TIMEOUT: Final = 30.0
 END_GRACE: Final = 2.0
@@ -35,7 +35,8 @@
 
     def __init__(self, directory: Path) -> None:
         self.directory = directory
-        self.trace = SupervisorTrace(directory / TRACE_FILE)
+        self.trace_path = directory / TRACE_FILE
+        self._trace = TraceWriter(self.trace_path)
         self._processes_by_name: dict[str, ManagedProcess] = {}
 
     async def __aenter__(self) -> Self:
@@ -55,7 +56,7 @@
         finally:
             self.kill_all()
             atexit.unregister(self.kill_all)
-            self.trace.close()
+            self._trace.close()
 
     @property
     def running(self) -> list[ManagedProcess]:
@@ -75,7 +76,9 @@
             raise ValueError(f"{spec.name} runs already")
         process = ManagedProcess(spec, self.directory / f"{spec.name}.log")
         self._processes_by_name[spec.name] = process
-        self._record(ProcessEvent.STARTED, spec.name)
+        self._trace.write(
+            SupervisorEvent(kind="started", name=spec.name, at=monotonic_now())
+        )
         return process
 
     async def async_wait_ready(
@@ -99,22 +102,28 @@
     @callback
     def kill(self, name: str) -> float:
         """Kill a process outright and return when, in monotonic seconds."""
-        return self._signal(name, signal.SIGKILL, ProcessEvent.KILLED)
+        now = self._signal(name, signal.SIGKILL)
+        self._trace.write(SupervisorEvent(kind="killed", name=name, at=now))
+        return now
 
     @callback
     def freeze(self, name: str) -> float:
         """Stop a process in its tracks and return when."""
-        return self._signal(name, signal.SIGSTOP, ProcessEvent.FROZEN)
+        now = self._signal(name, signal.SIGSTOP)
+        self._trace.write(SupervisorEvent(kind="frozen", name=name, at=now))
+        return now
 
     @callback
     def thaw(self, name: str) -> float:
         """Let a frozen process go on and return when."""
-        return self._signal(name, signal.SIGCONT, ProcessEvent.THAWED)
+        now = self._signal(name, signal.SIGCONT)
+        self._trace.write(SupervisorEvent(kind="thawed", name=name, at=now))
+        return now
 
     @callback
     def terminate(self, name: str) -> float:
         """Ask a process to stop gracefully and return when."""
-        return self._signal(name, signal.SIGTERM, ProcessEvent.TERMINATED)
+        return self._signal(name, signal.SIGTERM)
 
     async def async_wait_ended(self, name: str, timeout: float) -> int:
         """Return the exit code once the process has ended; raises `TimeoutError`."""
@@ -139,13 +148,8 @@
         for process in running:
             process.wait(REAP_TIMEOUT)
 
-    def _signal(self, name: str, number: signal.Signals, event: ProcessEvent) -> float:
-        """Send the signal and record it, stamped just before the send."""
+    def _signal(self, name: str, number: signal.Signals) -> float:
+        """Send the signal and return the time just before."""
         now = monotonic_now()
         self.process(name).signal(number)
-        self.trace.record(event, name, now)
         return now
-
-    def _record(self, event: ProcessEvent, name: str) -> None:
-        """Write a line of the trace."""
-        self.trace.record(event, name, monotonic_now())
--- /dev/null
+++ b/tests/bench/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of clusters on loopback."""
--- a/tests/bench/load/test_verdict.py
+++ b/tests/bench/load/test_verdict.py
@@ -8,11 +8,12 @@
 
 from swiftpin.bench.load.try_answer import TryAnswer
 from swiftpin.bench.load.verdict import Verdict, judge
+from swiftpin.result import Executed
 
 ANSWER = TryAnswer(
     status=200,
     result=100,
-    executed="yes",
+    executed=Executed.YES,
     request_id="r",
     body_digest="d",
     whole=True,
--- a/tests/bench/processes/test_supervisor.py
+++ b/tests/bench/processes/test_supervisor.py
@@ -50,7 +50,7 @@
 
 def trace_kinds(supervisor: Supervisor) -> list[str]:
     """Return the kinds of the trace's lines."""
-    lines = supervisor.trace.path.read_bytes().splitlines()
+    lines = supervisor.trace_path.read_bytes().splitlines()
     return [orjson.loads(line)["kind"] for line in lines]
 
 
