--- /dev/null
+++ b/swiftpin/ownership/placement/const.py
@@ -0,0 +1,32 @@
+"""Constants of placement; docs/design/placement.md gives the reason for each."""
+
+from __future__ import annotations
+
+from typing import Final
+
+# Load in slots (mean number of busy slots) that an idle slice counts for, so that
+# slices without load are spread by their number.
+IDLE_SLICE_LOAD: Final = 1e-4
+
+# Keys that a slice counts for when the view does not say how many are active in it.
+DEFAULT_ACTIVE_KEYS: Final = 100
+
+# Seconds for which a better placement is expected to stay better: hot keys change
+# within minutes.
+DEFAULT_HORIZON: Final = 300.0
+
+# Slot-seconds that the move of one active key costs: its state is read again by
+# the new owner.
+DEFAULT_KEY_MOVE_COST: Final = 0.01
+
+# Seconds during which a moving slice is served by nobody (revoke, then grant).
+DEFAULT_MOVE_PAUSE: Final = 0.05
+
+# Seconds in which a cold target comes to its full share, and the share that it
+# starts with.
+RAMP_SECONDS: Final = 60.0
+RAMP_FLOOR: Final = 0.1
+
+# How far above its fair share (ratio) a standby may come by a loss before its
+# slices go to the least loaded target instead.
+STANDBY_TOLERANCE: Final = 1.05
--- /dev/null
+++ b/swiftpin/ownership/placement/load_table.py
@@ -0,0 +1,64 @@
+"""Working copy of the targets' load during one decision."""
+
+from __future__ import annotations
+
+from swiftpin.ownership.placement.placement_view import PlacementView
+
+
+class LoadTable:
+    """Load of all targets and capacity of the usable ones, while slices move.
+
+    Loads and capacities are in slots, utilisation is their ratio.
+    """
+
+    def __init__(self, view: PlacementView, now: float) -> None:
+        self.capacity_by_target = _capacities(view, now)
+        self.load_by_target = _loads(view)
+        self._total_capacity = sum(self.capacity_by_target.values())
+        self._total_load = sum(self.load_by_target.values())
+
+    @property
+    def fair_utilisation(self) -> float:
+        """Return the utilisation if all load were spread over the usable targets."""
+        if not self._total_capacity:
+            return 0.0
+        return self._total_load / self._total_capacity
+
+    def utilisation(self, target_id: str, extra: float = 0.0) -> float:
+        """Return the target's utilisation with `extra` slots of load more."""
+        load = self.load_by_target.get(target_id, 0.0) + extra
+        return load / self.capacity_by_target[target_id]
+
+    def share(self, target_id: str) -> float:
+        """Return the load that would be the target's fair share."""
+        return self.fair_utilisation * self.capacity_by_target[target_id]
+
+    def shift(self, source: str | None, destination: str, load: float) -> None:
+        """Count the load for the destination and no longer for the source."""
+        if source is None:
+            self._total_load += load
+        else:
+            self.load_by_target[source] -= load
+        self.load_by_target[destination] += load
+
+
+def _capacities(view: PlacementView, now: float) -> dict[str, float]:
+    """Return the capacity of each usable target."""
+    return {
+        target_id: target.capacity(now)
+        for target_id, target in view.targets_by_id.items()
+        if target.state.is_usable
+    }
+
+
+def _loads(view: PlacementView) -> dict[str, float]:
+    """Return the load of each target, the larger of its slices' sum and its own."""
+    load_by_target = dict.fromkeys(view.targets_by_id, 0.0)
+    for slice_id, assignment in view.slices_by_id.items():
+        load = view.slice_load(slice_id)
+        owner = assignment.target
+        load_by_target[owner] = load_by_target.get(owner, 0.0) + load
+    for target_id, load in view.load_by_target.items():
+        if load > load_by_target.get(target_id, 0.0):
+            load_by_target[target_id] = load
+    return load_by_target
