--- a/swiftpin/dispatch/exceptions.py
+++ b/swiftpin/dispatch/exceptions.py
@@ -7,6 +7,7 @@
     NoOwnerError,
     OutcomeUnknownError,
     OverloadedError,
+    StoreError,
 )
 
 
@@ -47,3 +48,11 @@
     ) -> None:
         super().__init__(hint, retry_after=retry_after)
         self.ticket = ticket
+
+
+class PageTakenError(StoreError):
+    """An object that only one writer may change was changed by another writer."""
+
+
+class PageCorruptError(StoreError):
+    """An object in the store cannot be read as what its name says."""
--- /dev/null
+++ b/swiftpin/dispatch/journal_writer.py
@@ -0,0 +1,221 @@
+"""Group commit of a journal's records."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from contextlib import suppress
+from random import Random
+from typing import Final
+
+from swiftpin.core import callback
+from swiftpin.dispatch.archive_ref import ArchiveRef
+from swiftpin.dispatch.backoff import Backoff
+from swiftpin.dispatch.clock import Clock
+from swiftpin.dispatch.commit import Commit
+from swiftpin.dispatch.conditional_object import ConditionalObject
+from swiftpin.dispatch.exceptions import PageTakenError
+from swiftpin.dispatch.head_page import HeadPage
+from swiftpin.dispatch.journal_settings import JournalSettings
+from swiftpin.dispatch.journal_store import JournalStore
+from swiftpin.dispatch.page_codec import encode_archive
+from swiftpin.dispatch.wall_clock import CLOCK_SKEW, WallClock
+from swiftpin.exceptions import StoreError
+from swiftpin.store.client import ABSENT
+
+RETRY_BASE: Final = 0.1
+RETRY_CAP: Final = 1.0
+
+
+class JournalWriter:
+    """Writes the head page again and again, each time with all new records.
+
+    While one write is in flight the next batch gathers. After a failed write it
+    goes on trying, which also finds out when the store is back.
+    """
+
+    def __init__(
+        self,
+        store: JournalStore,
+        page: ConditionalObject,
+        settings: JournalSettings,
+        rng: Random,
+        *,
+        holder: str,
+        clock: Clock,
+        wall: WallClock,
+    ) -> None:
+        self.head = HeadPage()
+        self.available = True
+        self.deposed = False
+        self.term = 0
+        self._active = False
+        self._nonce = f"{rng.getrandbits(64):016x}"
+        self.writes = 0
+        self.bytes_written = 0
+        self._store = store
+        self._page = page
+        self._settings = settings
+        self._backoff = Backoff(RETRY_BASE, RETRY_CAP, rng)
+        self._holder = holder
+        self._clock = clock
+        self._wall = wall
+        self._lock = asyncio.Lock()
+        self._wake = asyncio.Event()
+        self._next: Commit | None = None
+        self._failures = 0
+        self._last_start = float("-inf")
+        self._attempts = 0
+        self._archive_count = 0
+        self._garbage: list[str] = []
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def lock(self) -> asyncio.Lock:
+        """Return the lock that keeps writes out while the journal is opened."""
+        return self._lock
+
+    @property
+    def is_dirty(self) -> bool:
+        """Return whether something waits to be written."""
+        return self._next is not None
+
+    @callback
+    def touch(self) -> Commit:
+        """Return the next batch, which carries everything put so far."""
+        if not self._active:
+            commit = Commit()
+            commit.done.set_result(False)
+            return commit
+        if self._next is None:
+            self._next = Commit()
+        self._wake.set()
+        return self._next
+
+    @callback
+    def next_writer_id(self) -> str:
+        """Return an id that no other write of this or another holder has."""
+        self._attempts += 1
+        return f"{self._holder}:{self._nonce}:{self._attempts}"
+
+    @callback
+    def start(self, term: int) -> None:
+        """Write for a term from now on; the store has just answered."""
+        self.term = term
+        self.available = True
+        self.deposed = False
+        self._active = True
+        self._failures = 0
+        if self._task is None:
+            self._task = asyncio.create_task(self._async_run())
+            # Were the task to end by a fault of its own, requests would wait for
+            # records that nobody writes; as deposed they are refused at once.
+            self._task.add_done_callback(lambda _: self._depose())
+
+    @callback
+    def suspend(self) -> None:
+        """Write nothing until the next start; batches that wait end as not durable."""
+        self._active = False
+        if self._next is not None and not self._next.done.done():
+            self._next.done.set_result(False)
+        self._next = None
+
+    @callback
+    def discard(self, names: Iterable[str]) -> None:
+        """Delete pages that nothing refers to when there is time."""
+        self._garbage.extend(names)
+
+    async def async_stop(self) -> None:
+        """Stop writing; batches that wait end as not durable."""
+        if self._task is not None:
+            self._task.cancel()
+            with suppress(asyncio.CancelledError):
+                await self._task
+            self._task = None
+        self._depose()
+
+    async def _async_run(self) -> None:
+        """Write batch after batch."""
+        while True:
+            await self._wake.wait()
+            await asyncio.sleep(self._pause(self._clock()))
+            async with self._lock:
+                self._wake.clear()
+                if self._active:
+                    await self._async_commit()
+            await self._async_delete_garbage()
+
+    def _pause(self, now: float) -> float:
+        """Return how long to wait before the next write in seconds."""
+        if self._failures:
+            return self._backoff.delay(self._failures)
+        return max(self._last_start + self._settings.min_interval - now, 0.0)
+
+    async def _async_commit(self) -> None:
+        """Write one batch and tell those who wait for it."""
+        commit = self._next or Commit()
+        self._next = None
+        self._last_start = self._clock()
+        durable = False
+        try:
+            await self._async_archive()
+            await self._async_write_head()
+            durable = True
+            self._failures = 0
+            self.available = True
+        except PageTakenError:
+            self._depose()
+        except StoreError:
+            self._failures += 1
+            self.available = False
+            self._wake.set()
+        finally:
+            if not commit.done.done():
+                commit.done.set_result(durable)
+
+    async def _async_write_head(self) -> None:
+        """Replace the head page."""
+        oldest = self._clock() - self._settings.retention - CLOCK_SKEW
+        expired = self.head.take_expired(self._wall.to_wall(oldest))
+        writer = self.next_writer_id()
+        body = self.head.body(self.term, self._holder, writer)
+        self.writes += 1
+        self.bytes_written += len(body)
+        await self._page.async_write(writer, body)
+        self._garbage.extend(expired)
+
+    async def _async_archive(self) -> None:
+        """Move final records out of a head page that has grown large.
+
+        The page is written before the head refers to it. When the head's write
+        then fails, the old head still holds the records, and nothing is lost.
+        """
+        while self.head.final_bytes > self._settings.page_limit:
+            finals_by_key = self.head.oldest_finals(self._settings.page_limit)
+            body = encode_archive(final.line for final in finals_by_key.values())
+            name = self._next_archive_name()
+            self.writes += 1
+            self.bytes_written += len(body)
+            await self._store.async_put(name, body, expect=ABSENT)
+            newest = max(final.changed_at for final in finals_by_key.values())
+            self.head.archived(ArchiveRef(name=name, newest_at=newest), finals_by_key)
+
+    def _next_archive_name(self) -> str:
+        """Return a name that was never used, not even by a try whose answer was lost.
+
+        The term in it tells a later holder which pages an earlier one left behind.
+        """
+        self._archive_count += 1
+        return f"{self._page.name}/{self.term}-{self._nonce}-{self._archive_count}"
+
+    async def _async_delete_garbage(self) -> None:
+        """Delete a page to which the head refers no longer, one after each write."""
+        if self._garbage and self.available and self._active:
+            name = self._garbage.pop()
+            with suppress(StoreError):
+                await self._store.async_delete(name)
+
+    def _depose(self) -> None:
+        """Stop: another holder owns the journal, or it was closed."""
+        self.deposed = True
+        self.suspend()
--- /dev/null
+++ b/tests/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of queues, limits, retries and records."""
--- /dev/null
+++ b/tests/dispatch/conftest.py
@@ -0,0 +1,123 @@
+"""Fixtures of the tests of dispatch."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field, replace
+from random import Random
+
+import pytest
+import pytest_asyncio
+
+from swiftpin.dispatch.answered import Answered
+from swiftpin.dispatch.begin_request import BeginRequest
+from swiftpin.dispatch.journal import IdempotencyJournal
+from swiftpin.dispatch.journal_settings import JournalSettings
+from swiftpin.dispatch.wall_clock import WallClock
+from swiftpin.ownership.group_id import GroupId
+from tests.dispatch.fake_store import FakeStore
+
+GROUP = GroupId(service="desk", group=1)
+PAGE = "journal/desk/1"
+WALL = WallClock(offset=1_000_000.0)
+TURNS = 50
+
+
+@dataclass(kw_only=True, slots=True)
+class FakeClock:
+    """Monotonic seconds that only the test moves."""
+
+    now: float = 1000.0
+
+    def __call__(self) -> float:
+        """Return the present time."""
+        return self.now
+
+
+@dataclass(kw_only=True, slots=True)
+class JournalMaker:
+    """Makes journals of one group on one store, and closes them at the end."""
+
+    store: FakeStore
+    clock: FakeClock
+    settings: JournalSettings = field(
+        default_factory=lambda: JournalSettings(
+            min_interval=0.0, begin_limit=60.0, finish_limit=60.0
+        )
+    )
+    made: list[IdempotencyJournal] = field(default_factory=list)
+
+    def make(self, holder: str, **changes: object) -> IdempotencyJournal:
+        """Return a journal that is not open yet."""
+        settings = replace(self.settings, **changes)  # type: ignore[arg-type]
+        journal = IdempotencyJournal(
+            self.store,
+            GROUP,
+            holder,
+            settings,
+            Random(holder),
+            wall=WALL,
+            clock=self.clock,
+        )
+        self.made.append(journal)
+        return journal
+
+    async def async_open(
+        self, holder: str, term: int, **changes: object
+    ) -> IdempotencyJournal:
+        """Return a journal opened at a term."""
+        journal = self.make(holder, **changes)
+        await journal.async_open(term, self.clock.now)
+        return journal
+
+    async def async_close(self) -> None:
+        """Stop all journals."""
+        self.store.gate = None
+        for journal in self.made:
+            await journal._writer.async_stop()
+
+
+@pytest.fixture
+def clock() -> FakeClock:
+    """Return a clock that stands still."""
+    return FakeClock()
+
+
+@pytest.fixture
+def store() -> FakeStore:
+    """Return an empty store."""
+    return FakeStore()
+
+
+@pytest_asyncio.fixture
+async def journals(store: FakeStore, clock: FakeClock) -> AsyncIterator[JournalMaker]:
+    """Return a maker of journals."""
+    maker = JournalMaker(store=store, clock=clock)
+    yield maker
+    await maker.async_close()
+
+
+def begin_request(key: str = "key-1", **changes: object) -> BeginRequest:
+    """Return a request to begin."""
+    request = BeginRequest(
+        key=key, fingerprint=f"print-{key}", request_id="r-1", deadline=2000.0
+    )
+    return replace(request, **changes)  # type: ignore[arg-type]
+
+
+def answered(body: bytes = b"booked") -> Answered:
+    """Return the outcome of a request that a target answered."""
+    return Answered(
+        status=201,
+        headers=(("Content-Type", "text/plain"),),
+        body=body,
+        body_digest="0f",
+        body_length=len(body),
+    )
+
+
+async def async_turns(count: int = TURNS) -> None:
+    """Let all tasks that are ready run."""
+    for _ in range(count):
+        await asyncio.sleep(0)
