Split the group holder into lease, grants and moves

Change: group_lease, slice_grants, slice_moves; narrow protocols to peers and instance list. Conclusion: each part can be read and tested alone.

--- a/swiftpin/ownership/coordinator.py
+++ b/swiftpin/ownership/coordinator.py
@@ -17,12 +17,10 @@
 from swiftpin.exceptions import NoOwnerError, PeerError
 from swiftpin.helpers.hashing import slice_of
 from swiftpin.membership.cached_object import CachedObject
-from swiftpin.membership.directory import InstanceDirectory
 from swiftpin.membership.group_heartbeat import GroupHeartbeat
 from swiftpin.membership.instance_id import name_of
 from swiftpin.membership.instance_info import InstanceInfo
 from swiftpin.membership.object_cache import ObjectCache
-from swiftpin.membership.peer_clients import PeerClients
 from swiftpin.membership.stamp import Stamp
 from swiftpin.ownership.group_holder import GroupHolder
 from swiftpin.ownership.group_id import GroupId
@@ -32,6 +30,7 @@
 from swiftpin.ownership.heartbeats import Heartbeats
 from swiftpin.ownership.holder_environment import HolderEnvironment
 from swiftpin.ownership.ownership_events import OwnershipEvents
+from swiftpin.ownership.peers import Peers
 from swiftpin.ownership.record_codec import encode_record
 from swiftpin.ownership.record_view import RecordView
 from swiftpin.ownership.route import Route
@@ -67,8 +66,8 @@
         cache: ObjectCache,
         publish: Callable[[CachedObject], None],
         catalog: Catalog,
-        directory: InstanceDirectory,
-        peers: PeerClients,
+        directory: Instances,
+        peers: Peers,
         events: OwnershipEvents,
         listener: GroupListener,
         timing: Timing,
@@ -364,7 +363,7 @@
         successor = holder.record.successor
         if successor is None or not await self._async_answers(successor):
             successor = self._successor_for(holder.id)
-        if successor is not None and await holder.async_release(successor):
+        if successor is not None and await holder.async_hand_over(successor):
             with contextlib.suppress(PeerError):
                 await self._peers.async_hand_over(
                     successor, holder.id, holder.record.term
--- /dev/null
+++ b/swiftpin/ownership/group_lease.py
@@ -0,0 +1,289 @@
+"""The lease of one group: what confirms it, its record and the writes of it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+import math
+from typing import Final
+
+from swiftpin.core import callback, monotonic_now
+from swiftpin.exceptions import TargetFencedError
+from swiftpin.ownership.cooperative_confirmation import CooperativeConfirmation
+from swiftpin.ownership.group_id import GroupId
+from swiftpin.ownership.group_record import GroupRecord
+from swiftpin.ownership.holder_environment import HolderEnvironment
+from swiftpin.ownership.holder_links import HolderLinks
+from swiftpin.ownership.lease import Lease
+from swiftpin.ownership.lease_start import LeaseStart
+from swiftpin.ownership.majority_confirmation import MajorityConfirmation
+from swiftpin.ownership.ownership_decision import OwnershipDecision
+from swiftpin.ownership.predecessor import Predecessor
+from swiftpin.ownership.record_changes import new_writer, with_lease
+from swiftpin.ownership.record_writer import RecordWriter
+from swiftpin.ownership.rules import (
+    Confirmation,
+    confirmed_until,
+    predecessor_lapsed,
+)
+from swiftpin.ownership.write_result import WriteDone, WriteLost, WriteUnsettled
+
+STORE_RETRY: Final = 1.0
+"""Seconds after a failed store call in which no other is made without need."""
+
+SUCCESSOR_PATIENCE: Final = 2.0
+"""Seconds without an acknowledged heartbeat after which a successor is replaced."""
+
+
+class GroupLease:
+    """The lease that this instance holds, and when it may act on it.
+
+    `record` is the version that the holder acts on; `stopped` is set once it gave the
+    lease up. `on_term` is called after the holder's own term grew.
+    """
+
+    def __init__(
+        self,
+        env: HolderEnvironment,
+        start: LeaseStart,
+        *,
+        links: HolderLinks,
+        on_term: Callable[[], None],
+    ) -> None:
+        self.record = start.record
+        self.next_target_set: frozenset[str] | None = None
+        self.stopped = False
+        self._env = env
+        self._links = links
+        self._on_term = on_term
+        self._fenced_group = start.fenced_group
+        self._writer = RecordWriter(
+            env.store, start.record.id, start.version, base_writer=start.base_writer
+        )
+        self._predecessor = start.predecessor
+        self._cooperative = CooperativeConfirmation(
+            at=start.store_read_at, store_at=start.store_read_at
+        )
+        self._saved = start.version is not None
+        self._revision = start.record.revision
+        self._store_failed_at = -math.inf
+        self._successor_heard_at = monotonic_now()
+
+    @property
+    def id(self) -> GroupId:
+        """Return the group's name."""
+        return self.record.id
+
+    @callback
+    def as_lease(self) -> Lease:
+        """Return the lease as targets see it."""
+        return Lease(group=self.id, term=self.record.term, holder=self._env.instance_id)
+
+    # Confirmation
+
+    @callback
+    def confirmed_until(self) -> float:
+        """Return the time (seconds) after which nothing may be granted or sent."""
+        return confirmed_until(self._confirmation(), self._env.timing)
+
+    @callback
+    def may_grant(self, now: float) -> bool:
+        """Return whether grants may be renewed or given at `now`."""
+        return not self.stopped and now < self.confirmed_until()
+
+    @callback
+    def predecessors_ended(self, now: float) -> bool:
+        """Return whether no earlier holder's grant can be in force."""
+        if self._predecessor is None:
+            return True
+        return predecessor_lapsed(self._predecessor, self._env.timing, now)
+
+    @callback
+    def note_disabled(self, now: float) -> None:
+        """Note when earlier holders can no longer be confirmed by a majority."""
+        if self._predecessor is None or self._predecessor.disabled_at < math.inf:
+            return
+        if now < self.confirmed_until():
+            self._predecessor = replace(self._predecessor, disabled_at=now)
+
+    @callback
+    def successor_acknowledged(self, sent_at: float) -> None:
+        """Note a heartbeat, sent at that time, that the successor acknowledged."""
+        self._successor_heard_at = max(self._successor_heard_at, sent_at)
+        self._cooperative = self._cooperative.by_successor(sent_at)
+
+    async def async_keep_confirmed(self, now: float) -> None:
+        """Ask the store where targets or the successor do not confirm us."""
+        late = now > self.confirmed_until() - self._env.timing.holder_limit / 2
+        wanted = self._links.uncounted() or (late and not self._fenced_group)
+        if not wanted or self.store_is_away(now):
+            return
+        unchanged = await self._writer.async_is_unchanged()
+        if unchanged is None:
+            self._store_failed_at = monotonic_now()
+            return
+        if not unchanged:
+            self.step_down("the store shows another holder's record")
+            return
+        self._cooperative = self._cooperative.by_store(now)
+        self._links.count_restarted_before(now)
+
+    @callback
+    def on_fenced(self, err: TargetFencedError) -> None:
+        """Step down: a target follows a holder of a higher term."""
+        if err.term >= self.record.term:
+            self.step_down(f"target {err.target} follows {err.holder} at {err.term}")
+
+    @callback
+    def step_down(self, reason: str) -> None:
+        """Stop granting and sending at once; the instance ends the rest."""
+        if self.stopped:
+            return
+        self.stopped = True
+        self.decide("step_down", reason)
+        self._env.released(self.id)
+
+    @callback
+    def _confirmation(self) -> Confirmation:
+        """Return what confirms this holder at the moment."""
+        if not self._fenced_group:
+            return self._cooperative
+        present = self.record.targets
+        return MajorityConfirmation(
+            acknowledged_at_by_target=self._links.acknowledged_at_by_target(),
+            target_sets=(present, self.next_target_set or present),
+        )
+
+    # The record
+
+    @callback
+    def next_version(self, reason: str) -> GroupRecord:
+        """Return the record with the next revision."""
+        self._revision += 1
+        return replace(
+            self.record,
+            revision=self._revision,
+            writer=new_writer(self._env.instance_id),
+            reason=reason,
+        )
+
+    async def async_write(self, record: GroupRecord) -> bool:
+        """Write a version and act on it; return whether it took effect."""
+        match await self._writer.async_write(record):
+            case WriteDone(record=written) if written is record:
+                self._adopt_saved(record)
+                return True
+            case WriteDone():
+                self._saved = False
+                return False
+            case WriteLost(record=other):
+                self.step_down(f"the store shows {other.holder} at term {other.term}")
+                return False
+            case WriteUnsettled():
+                self._store_failed_at = monotonic_now()
+                return False
+
+    @callback
+    def adopt_unsaved(self, record: GroupRecord) -> None:
+        """Act on a version that waits for the store."""
+        self.record = record
+        self._saved = False
+        self._env.publish(record)
+
+    async def async_save(self, now: float) -> None:
+        """Write what was decided while the store was away."""
+        if self._saved or self.store_is_away(now):
+            return
+        if self.record.term % 2:
+            await self._async_renew("saved a takeover made in a store outage")
+            return
+        await self.async_write(self.next_version("saved after a store outage"))
+
+    async def async_replace_successor(self, now: float) -> None:
+        """Name another successor when there is none or it is silent."""
+        if not self._saved or self.store_is_away(now):
+            return
+        silent = now - self._successor_heard_at > SUCCESSOR_PATIENCE
+        if self.record.successor is not None and not silent:
+            return
+        successor = self._env.successor_for(self.id)
+        if successor is None or successor == self.record.successor:
+            return
+        await self._async_renew(f"successor {self.record.successor} is silent")
+
+    async def async_hand_over(self, successor: str) -> bool:
+        """Write the lease over to an instance; return whether that took effect."""
+        record = with_lease(
+            self.record,
+            holder=successor,
+            successor=None,
+            writer=new_writer(self._env.instance_id),
+            reason="planned hand-over",
+        )
+        result = await self._writer.async_write(record)
+        if not isinstance(result, WriteDone) or result.record is not record:
+            return False
+        self._env.events.assigned(record, monotonic_now())
+        self._env.publish(record)
+        return True
+
+    @callback
+    def store_is_away(self, now: float) -> bool:
+        """Return whether the store failed so recently that we do not ask again."""
+        return now - self._store_failed_at < STORE_RETRY
+
+    @callback
+    def decide(
+        self, event: str, reason: str, *, target: str | None = None, slices: int = 0
+    ) -> None:
+        """Report one decision."""
+        self._env.events.decided(
+            OwnershipDecision(
+                event=event,
+                group=self.id,
+                term=self.record.term,
+                reason=reason,
+                target=target,
+                slices=slices,
+            )
+        )
+
+    async def _async_renew(self, reason: str) -> None:
+        """Write the lease under the next term, with a fresh successor."""
+        record = with_lease(
+            self.record,
+            holder=self._env.instance_id,
+            successor=self._env.successor_for(self.id),
+            writer=new_writer(self._env.instance_id),
+            reason=reason,
+        )
+        self.decide("renew_lease", reason)
+        self._successor_heard_at = monotonic_now()
+        await self.async_write(record)
+
+    @callback
+    def _adopt_saved(self, record: GroupRecord) -> None:
+        """Act on a version that is in the store."""
+        term_grew = record.term > self.record.term
+        self.record = record
+        self.next_target_set = None
+        self._saved = True
+        self._env.events.assigned(record, monotonic_now())
+        self._env.publish(record)
+        if term_grew:
+            self._begin_term()
+
+    @callback
+    def _begin_term(self) -> None:
+        """Fence again under a new term of ours.
+
+        The replaced successor may have taken over without the store meanwhile, so it
+        counts as a predecessor until a majority follows the new term.
+        """
+        self._revision = self.record.revision
+        if self._fenced_group:
+            self._predecessor = Predecessor(
+                disabled_at=math.inf, patience=self._env.timing.holder_limit
+            )
+        self._links.begin_term(self.as_lease())
+        self._on_term()
--- a/swiftpin/ownership/heartbeats.py
+++ b/swiftpin/ownership/heartbeats.py
@@ -8,9 +8,9 @@
 from swiftpin.core import callback, monotonic_now
 from swiftpin.exceptions import PeerError
 from swiftpin.membership.group_heartbeat import GroupHeartbeat
-from swiftpin.membership.peer_clients import PeerClients
 from swiftpin.ownership.group_holder import GroupHolder
 from swiftpin.ownership.group_id import GroupId
+from swiftpin.ownership.peers import Peers
 
 
 class Heartbeats:
@@ -18,7 +18,7 @@
 
     def __init__(
         self,
-        peers: PeerClients,
+        peers: Peers,
         holders_by_group: Mapping[GroupId, GroupHolder],
         interval: float,
     ) -> None:
--- a/swiftpin/ownership/record_changes.py
+++ b/swiftpin/ownership/record_changes.py
@@ -17,14 +17,7 @@
     return f"{instance_id}:{uuid4().hex}"
 
 
-def with_moves(
-    record: GroupRecord,
-    moves: Iterable[Move],
-    *,
-    revision: int,
-    writer: str,
-    reason: str,
-) -> GroupRecord:
+def with_moves(record: GroupRecord, moves: Iterable[Move]) -> GroupRecord:
     """Return the record after slices moved to new owners."""
     slices_by_id = dict(record.slices_by_id)
     for move in moves:
@@ -34,13 +27,7 @@
             term=next_slice_term(before.term, record.term),
             standby=move.standby,
         )
-    return replace(
-        record,
-        revision=revision,
-        writer=writer,
-        reason=reason,
-        slices_by_id=slices_by_id,
-    )
+    return replace(record, slices_by_id=slices_by_id)
 
 
 def with_reported_owner(
@@ -71,17 +58,3 @@
         writer=writer,
         reason=reason,
     )
-
-
-def with_targets(
-    record: GroupRecord,
-    targets: frozenset[str],
-    *,
-    revision: int,
-    writer: str,
-    reason: str,
-) -> GroupRecord:
-    """Return the record with another set of targets."""
-    return replace(
-        record, targets=targets, revision=revision, writer=writer, reason=reason
-    )
--- /dev/null
+++ b/swiftpin/ownership/slice_moves.py
@@ -0,0 +1,176 @@
+"""Moves of a held group: off lost and leaving targets, and target sets."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Final
+
+from swiftpin.core import callback, monotonic_now
+from swiftpin.ownership.group_lease import GroupLease
+from swiftpin.ownership.group_record import GroupRecord
+from swiftpin.ownership.holder_environment import HolderEnvironment
+from swiftpin.ownership.holder_links import HolderLinks, Link
+from swiftpin.ownership.placement.move import Move
+from swiftpin.ownership.placement.planner import plan_moves
+from swiftpin.ownership.placement.policy import (
+    MoveOnLeave,
+    MoveOnLoss,
+    PlacementPolicy,
+)
+from swiftpin.ownership.placement_inputs import placement_view
+from swiftpin.ownership.record_changes import with_moves
+from swiftpin.ownership.rules import lapsed
+from swiftpin.ownership.slice_grants import SliceGrants
+from swiftpin.ownership.target_state import TargetState
+
+MOVE_BATCH: Final = 32
+"""Slices that one planned move takes off their owner at a time."""
+
+
+class SliceMoves:
+    """Moves slices between the group's targets."""
+
+    def __init__(
+        self,
+        env: HolderEnvironment,
+        lease: GroupLease,
+        links: HolderLinks,
+        grants: SliceGrants,
+    ) -> None:
+        self._env = env
+        self._lease = lease
+        self._links = links
+        self._grants = grants
+
+    async def async_replace_lost(self, now: float) -> None:
+        """Give the slices of lost targets to live ones.
+
+        The record is written first; only when the store cannot be reached do the
+        new owners get their slices without it.
+        """
+        lost = frozenset(
+            target
+            for target in self._lease.record.targets
+            if self._is_lost(self._links.by_target.get(target), now)
+        )
+        if not lost:
+            return
+        moves = self._plan(MoveOnLoss(), lost, now)
+        if not moves:
+            return
+        record = self._with_moves(moves, f"lost {','.join(sorted(lost))}")
+        self._lease.decide("move_on_loss", record.reason, slices=len(moves))
+        if not await self._lease.async_write(record) and not self._lease.stopped:
+            self._lease.adopt_unsaved(record)
+        self._grants.note_free({move.slice_id for move in moves})
+
+    async def async_move_planned(self, now: float) -> bool:
+        """Move a batch of slices off leaving targets; return whether there was one."""
+        if self._lease.store_is_away(now):
+            return False
+        batch = self._plan(MoveOnLeave(), frozenset(), now)[:MOVE_BATCH]
+        if batch:
+            await self._async_move(batch, "target leaving")
+        return bool(batch)
+
+    async def async_change_targets(self, now: float) -> bool:
+        """Follow the declaration, one target a write; return whether it changed."""
+        changed = self._next_target_set()
+        if changed is None or self._lease.store_is_away(now):
+            return False
+        self._lease.next_target_set = changed
+        version = self._lease.next_version("targets changed")
+        if await self._lease.async_write(replace(version, targets=changed)):
+            await self._links.async_drop_all_but(changed)
+            return True
+        return False
+
+    async def _async_move(self, moves: list[Move], reason: str) -> None:
+        """Move slices in order: revoke, write, grant."""
+        revoked = await self._async_revoke(moves)
+        done = [move for move in moves if move.slice_id in revoked]
+        if not done:
+            return
+        record = self._with_moves(done, reason)
+        self._lease.decide("move", reason, slices=len(done))
+        if await self._lease.async_write(record):
+            await self._grants.async_grant_missing(monotonic_now())
+
+    async def _async_revoke(self, moves: list[Move]) -> set[int]:
+        """Take the slices back; return those that nobody serves any more."""
+        by_owner: dict[str, set[int]] = {}
+        for move in moves:
+            owner = self._lease.record.slices_by_id[move.slice_id].target
+            by_owner.setdefault(owner, set()).add(move.slice_id)
+        revoked: set[int] = set()
+        for owner, slices in by_owner.items():
+            link = self._links.by_target.get(owner)
+            if link is None or link.state is not TargetState.LIVE:
+                continue
+            wait = self._env.timing.revoke_wait
+            await link.async_revoke(frozenset(slices), wait)
+            revoked.update(slices - link.granted_terms_by_id.keys())
+        return revoked
+
+    @callback
+    def _is_lost(self, link: Link | None, now: float) -> bool:
+        """Return whether every grant on the target has ended (rule `lapsed`)."""
+        if link is None:
+            return self._lease.predecessors_ended(now)
+        if link.state is TargetState.LOST:
+            return link.fenced_in_term or self._lease.predecessors_ended(now)
+        if link.state is not TargetState.NEW:
+            return False
+        silent = now - link.answered_at > self._env.timing.holder_limit
+        own_ended = lapsed(link.limit, self._env.timing, now)
+        return silent and own_ended and self._lease.predecessors_ended(now)
+
+    @callback
+    def _plan(
+        self, policy: PlacementPolicy, lost: frozenset[str], now: float
+    ) -> list[Move]:
+        """Return the moves that a policy asks for."""
+        service = self._env.service_of(self._lease.id.service)
+        if service is None:
+            return []
+        view = placement_view(
+            self._lease.record,
+            self._links.by_target,
+            service.targets_by_id,
+            lost=lost,
+            leaving=self._leaving(),
+        )
+        moves = plan_moves(view, policy, now)
+        if not isinstance(policy, MoveOnLoss):
+            return moves
+        return [move for move in moves if move.source in lost]
+
+    @callback
+    def _leaving(self) -> frozenset[str]:
+        """Return the targets that shall give up their slices."""
+        leaving = self._env.leaving_targets_of(self._lease.id.service)
+        declared = self._env.declared_targets_of(self._lease.id)
+        if declared is None:
+            return leaving
+        return leaving | (self._lease.record.targets - declared)
+
+    @callback
+    def _next_target_set(self) -> frozenset[str] | None:
+        """Return the record's targets with one change towards the declaration."""
+        wanted = self._env.declared_targets_of(self._lease.id)
+        if wanted is None:
+            return None
+        record = self._lease.record
+        missing = sorted(wanted - record.targets)
+        if missing:
+            return record.targets | {missing[0]}
+        owners = {item.target for item in record.slices_by_id.values()}
+        unused = sorted(record.targets - wanted - owners)
+        if unused:
+            return record.targets - {unused[0]}
+        return None
+
+    @callback
+    def _with_moves(self, moves: list[Move], reason: str) -> GroupRecord:
+        """Return the next version of the record with slices moved."""
+        return with_moves(self._lease.next_version(reason), moves)
--- a/swiftpin/ownership/takeover.py
+++ b/swiftpin/ownership/takeover.py
@@ -13,6 +13,7 @@
 from swiftpin.ownership.group_id import GroupId
 from swiftpin.ownership.group_record import GroupRecord
 from swiftpin.ownership.holder_environment import HolderEnvironment
+from swiftpin.ownership.lease_start import LeaseStart
 from swiftpin.ownership.ownership_decision import OwnershipDecision
 from swiftpin.ownership.placement.groups import assign_targets_to_groups
 from swiftpin.ownership.placement.initial import initial_assignment
@@ -195,16 +196,16 @@
         base_writer: str = "",
     ) -> GroupHolder:
         """Return a holder that is ready to start."""
-        return GroupHolder(
-            self._env,
-            record,
+        start = LeaseStart(
+            record=record,
             version=version,
+            base_writer=base_writer,
             fenced_group=self._is_fenced(service, record),
             checks_grants=service.checks_grants,
             predecessor=predecessor,
             store_read_at=store_read_at,
-            base_writer=base_writer,
         )
+        return GroupHolder(self._env, start)
 
     @callback
     def _is_fenced(self, service: Service, record: GroupRecord) -> bool:
--- a/swiftpin/store/client.py
+++ b/swiftpin/store/client.py
@@ -27,6 +27,9 @@
 
 DEFAULT_CALL_TIMEOUT: Final = 1.0
 WATCH_GRACE: Final = 5.0
+HEADER_INSTANCE: Final = "Swiftpin-Instance"
+"""Tells the store which instance calls."""
+
 ABSENT: Final = 0
 """Version to expect of an object that must not exist yet."""
 
@@ -50,10 +53,12 @@
         url: str,
         *,
         timeout: float = DEFAULT_CALL_TIMEOUT,
+        instance_id: str = "",
     ) -> None:
         self._session = session
         self._url = url.rstrip("/")
         self._timeout = ClientTimeout(total=timeout)
+        self._headers = {HEADER_INSTANCE: instance_id} if instance_id else {}
         self.calls = 0
 
     async def async_get(self, name: str) -> StoredObject | None:
@@ -61,7 +66,9 @@
         self.calls += 1
         try:
             async with self._session.get(
-                f"{self._url}/v1/objects/{name}", timeout=self._timeout
+                f"{self._url}/v1/objects/{name}",
+                headers=self._headers,
+                timeout=self._timeout,
             ) as response:
                 if response.status == HTTPStatus.NOT_FOUND:
                     return None
@@ -150,7 +157,10 @@
         self.calls += 1
         try:
             async with self._session.get(
-                f"{self._url}{path}", params=params, timeout=timeout
+                f"{self._url}{path}",
+                params=params,
+                headers=self._headers,
+                timeout=timeout,
             ) as response:
                 if response.status == HTTPStatus.GONE:
                     return None
@@ -159,14 +169,13 @@
         except (ClientError, TimeoutError) as err:
             raise StoreUnavailableError(f"reading {path}: {err!r}") from err
 
-    @staticmethod
-    def _condition(expect: int | None) -> dict[str, str]:
-        """Return the header of a conditional write."""
+    def _condition(self, expect: int | None) -> dict[str, str]:
+        """Return the headers of a conditional write."""
         if expect is None:
-            return {}
+            return self._headers
         if expect == ABSENT:
-            return {"If-None-Match": "*"}
-        return {"If-Match": f'"{expect}"'}
+            return {**self._headers, "If-None-Match": "*"}
+        return {**self._headers, "If-Match": f'"{expect}"'}
 
     @staticmethod
     def _raise_for_read(response: ClientResponse) -> None:
