--- a/swiftpin/standins/http_standin.py
+++ b/swiftpin/standins/http_standin.py
@@ -7,19 +7,28 @@
 import socket
 from typing import Any, Final, Generic, TypeVar
 
-from aiohttp.web import BaseRequest, Response, Server, ServerRunner, SockSite
+from aiohttp.web import (
+    BaseRequest,
+    RequestHandler,
+    Response,
+    Server,
+    ServerRunner,
+    SockSite,
+)
 from aiohttp.web_response import StreamResponse
 import orjson
 from pydantic import TypeAdapter, ValidationError
 
 from swiftpin.core import callback, monotonic_now
-from swiftpin.standins.address import Address
+from swiftpin.helpers.address import Address
 from swiftpin.standins.base_faults import BaseFaults
 from swiftpin.standins.call_counters import CallCounters
 
 PATH_STANDIN: Final = "/_standin/"
 PATH_FAULTS: Final = "/_standin/faults"
 PATH_COUNTERS: Final = "/_standin/counters"
+ANY_PORT: Final = Address(host="127.0.0.1", port=0)
+"""Loopback address with a free port."""
 CONTENT_TYPE_JSON: Final = "application/json"
 STOP_TIMEOUT: Final = 1.0
 """Seconds that calls in flight may take to finish at a stop."""
@@ -147,9 +156,9 @@
         if self._faults.latency_ms:
             await asyncio.sleep(self._faults.latency_ms / 1000)
         if self._faults.hang:
-            await self._async_wait_hang(request)
+            await self.async_wait_hang(request)
 
-    async def _async_wait_hang(self, request: BaseRequest) -> None:
+    async def async_wait_hang(self, request: BaseRequest) -> None:
         """Wait until the fault `hang` is cleared.
 
         A caller that left does not cancel its call: after a freeze the bytes that
@@ -165,12 +174,22 @@
                 left = True
 
     @callback
-    def _drop(self, request: BaseRequest) -> Response:
+    def drop(self, request: BaseRequest) -> Response:
         """Drop the call's connection; the answer returned is never sent."""
         if request.transport is not None:
             request.transport.abort()
         return Response()
 
+    @callback
+    def cut(self, request: BaseRequest) -> None:
+        """Close the call's connection once what was written so far is sent."""
+        if request.transport is not None:
+            request.transport.close()
+
+    def open_connections(self) -> list[RequestHandler]:
+        """Return the open connections."""
+        return [] if self._server is None else self._server.connections
+
     def _bind(self) -> socket.socket:
         """Return a socket bound to the address and note the chosen port."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/swiftpin/standins/instances_standin.py
+++ b/swiftpin/standins/instances_standin.py
@@ -12,8 +12,8 @@
 from pydantic import TypeAdapter, ValidationError
 
 from swiftpin.core import callback, monotonic_now
-from swiftpin.standins.address import Address
-from swiftpin.standins.http_standin import HttpStandin, json_response
+from swiftpin.helpers.address import Address
+from swiftpin.standins.http_standin import ANY_PORT, HttpStandin, json_response
 from swiftpin.standins.instance_change import InstanceChange
 from swiftpin.standins.instance_state import InstanceState
 from swiftpin.standins.instances_faults import InstancesFaults
@@ -39,7 +39,7 @@
         lag: float = 0.0,
         instances: Iterable[ListedInstance] = (),
     ) -> None:
-        super().__init__(InstancesFaults(), address or Address())
+        super().__init__(InstancesFaults(), address or ANY_PORT)
         self._lag = lag
         self._listed_by_name = {item.name: item for item in instances}
         self._latest_by_name = dict(self._listed_by_name)
--- a/swiftpin/standins/store_standin.py
+++ b/swiftpin/standins/store_standin.py
@@ -10,8 +10,9 @@
 from aiohttp.web_response import StreamResponse
 
 from swiftpin.core import callback, monotonic_now
-from swiftpin.standins.address import Address
+from swiftpin.helpers.address import Address
 from swiftpin.standins.http_standin import (
+    ANY_PORT,
     CONTENT_TYPE_JSON,
     HttpStandin,
     json_response,
@@ -55,7 +56,7 @@
         seed: int = 0,
         history: int = DEFAULT_HISTORY,
     ) -> None:
-        super().__init__(StoreFaults(), address or Address())
+        super().__init__(StoreFaults(), address or ANY_PORT)
         self._latency = latency
         self._random = Random(seed)
         self._changed = asyncio.Event()
@@ -78,7 +79,7 @@
     async def _async_handle(self, request: BaseRequest) -> StreamResponse:
         """Drop calls of blocked clients, answer others."""
         if self._is_blocked(request):
-            return self._drop(request)
+            return self.drop(request)
         response = await super()._async_handle(request)
         if isinstance(response, Response) and isinstance(response.body, bytes):
             self._count(COUNT_BYTES_OUT, len(response.body))
@@ -172,9 +173,9 @@
         ends_at = monotonic_now() + min(wait, MAX_WAIT)
         while True:
             if self._is_blocked(request):
-                return self._drop(request)
+                return self.drop(request)
             if self._faults.hang:
-                await self._async_wait_hang(request)
+                await self.async_wait_hang(request)
             if self._faults.outage:
                 return json_response({"error": "outage"}, 503)
             changes = self.state.changes_after(prefix, after)
@@ -210,10 +211,10 @@
         """Return the answer of a write that took effect, or lose it."""
         if self._faults.lose_answer_next > 0:
             self._faults.lose_answer_next -= 1
-            return self._drop(request)
+            return self.drop(request)
         share = self._faults.lose_answer_share
         if share and self._random.random() < share:
-            return self._drop(request)
+            return self.drop(request)
         return response
 
     @callback
