--- a/swiftpin/ownership/placement/const.py
+++ b/swiftpin/ownership/placement/const.py
@@ -15,6 +15,9 @@
 # within minutes.
 DEFAULT_HORIZON: Final = 300.0
 
+# The same for a target that joins: it stays a day rather than minutes.
+DEFAULT_JOIN_HORIZON: Final = 86_400.0
+
 # Slot-seconds that the move of one active key costs: its state is read again by
 # the new owner.
 DEFAULT_KEY_MOVE_COST: Final = 0.01
@@ -30,3 +33,7 @@
 # How far above its fair share (ratio) a standby may come by a loss before its
 # slices go to the least loaded target instead.
 STANDBY_TOLERANCE: Final = 1.05
+
+# Overload (ratio above the fair share) that rebalancing leaves alone: loads are
+# measured over a window and vary by a few per cent from one to the next.
+DEFAULT_DEADBAND: Final = 0.05
--- a/swiftpin/ownership/placement/evacuation.py
+++ b/swiftpin/ownership/placement/evacuation.py
@@ -8,7 +8,7 @@
 from swiftpin.ownership.placement.const import STANDBY_TOLERANCE
 from swiftpin.ownership.placement.cost import move_cost
 from swiftpin.ownership.placement.hashing import tie_hash
-from swiftpin.ownership.placement.least_loaded import LeastLoaded
+from swiftpin.ownership.placement.load_heap import LoadHeap
 from swiftpin.ownership.placement.load_table import LoadTable
 from swiftpin.ownership.placement.move import Move
 from swiftpin.ownership.placement.move_reason import MoveReason
@@ -50,26 +50,23 @@
         if not self._table.capacity_by_target:
             return []
         ordered = sorted(slice_ids, key=self._order)
-        least_loaded = LeastLoaded(self._table)
-        return [self._move(slice_id, least_loaded) for slice_id in ordered]
+        least = LoadHeap(self._table)
+        return [self._move(slice_id, least) for slice_id in ordered]
 
     def _order(self, slice_id: int) -> tuple[float, int, int]:
         """Return the sort key: heavier slices first, ties by hash."""
         load = self._view.slice_load(slice_id)
         return (-load, tie_hash(self._view.group.service, slice_id), slice_id)
 
-    def _move(self, slice_id: int, least_loaded: LeastLoaded) -> Move:
+    def _move(self, slice_id: int, least: LoadHeap) -> Move:
         """Decide where the slice goes and count its load there."""
         assignment = self._view.slices_by_id.get(slice_id)
         source = assignment.target if assignment else None
         load = self._view.slice_load(slice_id)
         standby = assignment.standby if assignment else None
-        if standby is not None and self._has_room(standby, load):
-            destination = standby
-        else:
-            destination = least_loaded.choose()
+        destination = self._destination(standby, load, least)
         self._table.shift(source, destination, load)
-        least_loaded.note(destination)
+        least.note(destination)
         return Move(
             slice_id=slice_id,
             source=source,
@@ -79,6 +76,14 @@
             cost=move_cost(self._view, slice_id, self._weights, self._costs),
         )
 
+    def _destination(self, standby: str | None, load: float, least: LoadHeap) -> str:
+        """Return the standby if it has room, else the least utilised target."""
+        if standby is not None and self._has_room(standby, load):
+            return standby
+        first = least.first()
+        assert first is not None, "plan() saw a usable target and none is dropped"
+        return first
+
     def _has_room(self, standby: str, load: float) -> bool:
         """Return whether the standby can take the load within its fair share."""
         if not self._view.is_usable(standby):
--- a/swiftpin/ownership/placement/load_table.py
+++ b/swiftpin/ownership/placement/load_table.py
@@ -33,6 +33,22 @@
         """Return the load that would be the target's fair share."""
         return self.fair_utilisation * self.capacity_by_target[target_id]
 
+    def overload(self, target_id: str, extra: float = 0.0) -> float:
+        """Return the load above the target's fair share, 0 if below it."""
+        load = self.load_by_target[target_id] + extra
+        return max(0.0, load - self.share(target_id))
+
+    def penalty(self, target_id: str, extra: float = 0.0) -> float:
+        """Return the overload times its ratio to the fair share, in slots.
+
+        The square makes a small overload nearly free and one high peak worse than
+        several low ones, as waiting in a queue does.
+        """
+        overload = self.overload(target_id, extra)
+        if overload <= 0.0:
+            return 0.0
+        return overload * overload / self.share(target_id)
+
     def shift(self, source: str | None, destination: str, load: float) -> None:
         """Count the load for the destination and no longer for the source."""
         if source is None:
--- a/swiftpin/ownership/placement/planner.py
+++ b/swiftpin/ownership/placement/planner.py
@@ -8,10 +8,13 @@
 from swiftpin.ownership.placement.placement_view import PlacementView
 from swiftpin.ownership.placement.policy import (
     InitialSpread,
+    MoveOnJoin,
     MoveOnLeave,
+    MoveOnLoad,
     MoveOnLoss,
     PlacementPolicy,
 )
+from swiftpin.ownership.placement.rebalance import Rebalance
 from swiftpin.ownership.placement.target_state import TargetState
 
 
@@ -23,35 +26,76 @@
     """
     match policy:
         case InitialSpread():
-            slice_ids = [
-                slice_id
-                for slice_id in policy.slice_ids
-                if slice_id not in view.slices_by_id
-            ]
-            reason = MoveReason.INITIAL
+            return _evacuate(view, policy, now, MoveReason.INITIAL)
         case MoveOnLoss():
-            slice_ids = _slices_in_state(view, TargetState.LOST)
-            reason = MoveReason.LOSS
+            return _evacuate(view, policy, now, MoveReason.LOSS)
         case MoveOnLeave():
-            slice_ids = _slices_in_state(view, TargetState.LEAVING)
-            reason = MoveReason.LEAVE
+            return _evacuate(view, policy, now, MoveReason.LEAVE)
+        case MoveOnJoin():
+            if not view.is_usable(policy.target):
+                return []
+            rebalance = _rebalance(view, policy, now, MoveReason.JOIN)
+            return rebalance.plan(policy.move_limit, destination=policy.target)
+        case MoveOnLoad():
+            rebalance = _rebalance(view, policy, now, MoveReason.LOAD)
+            return rebalance.plan(policy.move_limit, deadband=policy.deadband)
+
+
+def _evacuate(
+    view: PlacementView,
+    policy: InitialSpread | MoveOnLoss | MoveOnLeave,
+    now: float,
+    reason: MoveReason,
+) -> list[Move]:
+    """Return moves of the slices that need a new owner."""
     evacuation = Evacuation(
         view, now, reason=reason, weights=policy.weights, costs=policy.costs
     )
-    return evacuation.plan(slice_ids)
+    match policy:
+        case InitialSpread():
+            return evacuation.plan(policy.slice_ids - view.slices_by_id.keys())
+        case MoveOnLoss():
+            return evacuation.plan(_slices_of_lost(view))
+        case MoveOnLeave():
+            return evacuation.plan(_slices_in_state(view, TargetState.LEAVING))
+
+
+def _rebalance(
+    view: PlacementView,
+    policy: MoveOnJoin | MoveOnLoad,
+    now: float,
+    reason: MoveReason,
+) -> Rebalance:
+    """Return the decision with the policy's costs."""
+    return Rebalance(
+        view,
+        now,
+        reason=reason,
+        horizon=policy.horizon,
+        weights=policy.weights,
+        costs=policy.costs,
+    )
+
+
+def _slices_of_lost(view: PlacementView) -> list[int]:
+    """Return the slices of lost owners and of owners no longer declared."""
+    undeclared = [
+        slice_id
+        for slice_id, assignment in view.slices_by_id.items()
+        if assignment.target not in view.targets_by_id
+    ]
+    return undeclared + _slices_in_state(view, TargetState.LOST)
 
 
 def _slices_in_state(view: PlacementView, state: TargetState) -> list[int]:
-    """Return the slices whose owner is in the state; unknown owners count as lost."""
+    """Return the slices whose owner is in the state."""
     owners = {
         target_id
         for target_id, target in view.targets_by_id.items()
         if target.state is state
     }
-    includes_unknown = state is TargetState.LOST
     return [
         slice_id
         for slice_id, assignment in view.slices_by_id.items()
         if assignment.target in owners
-        or (includes_unknown and assignment.target not in view.targets_by_id)
     ]
--- a/swiftpin/ownership/placement/policy.py
+++ b/swiftpin/ownership/placement/policy.py
@@ -6,6 +6,9 @@
 
 from swiftpin.config.measure_weights import MeasureWeights
 from swiftpin.ownership.placement.const import (
+    DEFAULT_DEADBAND,
+    DEFAULT_HORIZON,
+    DEFAULT_JOIN_HORIZON,
     DEFAULT_KEY_MOVE_COST,
     DEFAULT_MOVE_PAUSE,
 )
@@ -27,7 +30,7 @@
 class InitialSpread:
     """Give owners to slices that have none; `slice_ids` are all of the group."""
 
-    slice_ids: tuple[int, ...]
+    slice_ids: frozenset[int]
     weights: MeasureWeights = field(default_factory=MeasureWeights)
     costs: MoveCosts = field(default_factory=MoveCosts)
 
@@ -48,4 +51,33 @@
     costs: MoveCosts = field(default_factory=MoveCosts)
 
 
-PlacementPolicy = InitialSpread | MoveOnLoss | MoveOnLeave
+@dataclass(frozen=True, kw_only=True, slots=True)
+class MoveOnJoin:
+    """Bring `target` towards its share with `move_limit` moves at most.
+
+    `horizon` is how many seconds a new target is expected to stay.
+    """
+
+    target: str
+    move_limit: int
+    horizon: float = DEFAULT_JOIN_HORIZON
+    weights: MeasureWeights = field(default_factory=MeasureWeights)
+    costs: MoveCosts = field(default_factory=MoveCosts)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class MoveOnLoad:
+    """Even out load where the gain over `horizon` seconds outweighs the moves.
+
+    `move_limit` is how many moves the budget still allows. Targets at most
+    `deadband` (ratio) above their share are left alone.
+    """
+
+    move_limit: int
+    horizon: float = DEFAULT_HORIZON
+    deadband: float = DEFAULT_DEADBAND
+    weights: MeasureWeights = field(default_factory=MeasureWeights)
+    costs: MoveCosts = field(default_factory=MoveCosts)
+
+
+PlacementPolicy = InitialSpread | MoveOnLoss | MoveOnLeave | MoveOnJoin | MoveOnLoad
--- a/tests/ownership/placement/test_evacuation.py
+++ b/tests/ownership/placement/test_evacuation.py
@@ -114,7 +114,7 @@
     view = PlacementView(
         group=GROUP, slices_by_id=kept, targets_by_id=full.targets_by_id
     )
-    moves = plan_moves(view, InitialSpread(slice_ids=tuple(full.slices_by_id)), 0.0)
+    moves = plan_moves(view, InitialSpread(slice_ids=frozenset(full.slices_by_id)), 0.0)
     assert {move.slice_id for move in moves} == full.slices_by_id.keys() - kept.keys()
     assert {move.source for move in moves} == {None}
     counts = owned_count(kept, moves)
