--- a/swiftpin/config/inventory.py
+++ b/swiftpin/config/inventory.py
@@ -3,11 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 from swiftpin.config.config_kind import ConfigKind
 from swiftpin.config.config_name import ConfigName
-from swiftpin.config.models.declaration_models import ServiceModel
+from swiftpin.config.models.declaration_models import (
+    Declaration,
+    PlannedStopModel,
+    ServiceModel,
+)
 from swiftpin.config.parse import parse_document
 from swiftpin.config.stored_config import StoredConfig
 from swiftpin.exceptions import ConfigurationError
@@ -33,15 +38,26 @@
         """Return the names in force of one kind."""
         return [stored.change.id.name for stored in self.in_force(kind)]
 
-    def services(self) -> Iterator[ServiceModel]:
-        """Yield the services in force whose documents are sound."""
-        for stored in self.in_force(ConfigKind.SERVICE):
-            try:
-                model = parse_document(stored.change.id, stored.change.document)
-            except ConfigurationError:
-                continue
-            if isinstance(model, ServiceModel):
-                yield model
+    def models(self, kind: ConfigKind) -> Iterator[Declaration]:
+        """Yield the declarations in force of one kind that are sound."""
+        for stored in self.in_force(kind):
+            with suppress(ConfigurationError):
+                yield parse_document(stored.change.id, stored.change.document)
+
+    def services(self) -> list[ServiceModel]:
+        """Return the services in force whose documents are sound."""
+        models = self.models(ConfigKind.SERVICE)
+        return [model for model in models if isinstance(model, ServiceModel)]
+
+    def stopping_targets(self, service: str) -> set[str]:
+        """Return the targets of a service that have a planned stop."""
+        return {
+            model.spec.target
+            for model in self.models(ConfigKind.PLANNED_STOP)
+            if isinstance(model, PlannedStopModel)
+            and model.spec.service == service
+            and model.spec.target is not None
+        }
 
     def users_of(self, profile: str) -> list[str]:
         """Return the services in force that name the profile."""
--- a/swiftpin/config/repository.py
+++ b/swiftpin/config/repository.py
@@ -14,10 +14,12 @@
 from swiftpin.config.inventory import Inventory
 from swiftpin.config.lost_race_error import LostRaceError
 from swiftpin.config.stored_config import StoredConfig
+from swiftpin.config.write_outcome import WriteOutcome
 from swiftpin.const import STORE_PREFIX_CONFIG
 from swiftpin.exceptions import (
     ConfigurationError,
     StoreConflictError,
+    StoreError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
@@ -76,7 +78,7 @@
 
     async def async_write(
         self, change: ConfigObject, replaced: StoredConfig | None
-    ) -> None:
+    ) -> WriteOutcome:
         """Make a change; return once it is known to have taken effect.
 
         Raises `LostRaceError` and `StoreUnavailableError` when it certainly had no
@@ -87,12 +89,15 @@
         expect = ABSENT if replaced is None else replaced.version
         try:
             await self._async_put(change, expect)
+            outcome = WriteOutcome.ANSWERED
         except (StoreConflictError, StoreOutcomeUnknownError):
             # An HTTP client may send a PUT again when a kept connection breaks; the
             # second one then loses against the first. One would notice an operator
             # told of a race with himself. So a conflict is looked into as well.
             await self._async_settle(change, expect)
+            outcome = WriteOutcome.READ_BACK
         await self._async_forget_oldest(change)
+        return outcome
 
     async def _async_put(self, change: ConfigObject, expect: int) -> None:
         """Send the conditional write."""
@@ -107,14 +112,17 @@
         keeps the same bytes.
         """
         name = change.id.history_name(change.generation)
-        try:
-            await self._store.async_put(
-                name, encode_config_object(change), expect=ABSENT
-            )
-        except StoreConflictError:
-            return
-        except StoreOutcomeUnknownError as err:
-            raise StoreUnavailableError(f"keeping {name}: {err}") from err
+        body = encode_config_object(change)
+        for delay in self._settle_delays:
+            try:
+                await self._store.async_put(name, body, expect=ABSENT)
+            except StoreConflictError:
+                return
+            except StoreOutcomeUnknownError:
+                await asyncio.sleep(delay)
+            else:
+                return
+        raise StoreUnavailableError(f"no answer about {name}")
 
     async def _async_settle(self, change: ConfigObject, expect: int) -> None:
         """Find out what became of a write, sending it again where that is safe."""
@@ -122,15 +130,19 @@
             try:
                 if await self._async_took_effect(change, expect):
                     return
-            except (StoreUnavailableError, StoreOutcomeUnknownError):
-                await asyncio.sleep(delay)
-            except StoreConflictError:
-                continue
+            except (
+                StoreConflictError,
+                StoreOutcomeUnknownError,
+                StoreUnavailableError,
+            ):
+                pass
+            await asyncio.sleep(delay)
         raise ChangeUnsettledError(change)
 
     async def _async_took_effect(self, change: ConfigObject, expect: int) -> bool:
-        """Return True once the change is in the store; raise when it lost a race.
+        """Return whether the change is in the store; raise when it lost a race.
 
+        False, and any error of the store, mean that it is not known yet.
         An unchanged object does not show that the write failed: it may be under way
         and take effect after the operator was told otherwise. Sending it again with
         the same condition settles it, since only one of both can take effect.
@@ -141,6 +153,10 @@
             return True
         if item is None:
             raise LostRaceError(change.id, None)
+        if item.version < expect:
+            # A slow replica answered with a state from before the write. To judge by
+            # it would tell an operator of a race although the change is in force.
+            return False
         present = _decode(change.id, item).change
         if present.writer == change.writer:
             return True
@@ -171,7 +187,7 @@
             for name in listing.objects_by_name:
                 if int(name.removeprefix(prefix)) <= newest_to_delete:
                     await self._store.async_delete(name)
-        except (StoreUnavailableError, StoreOutcomeUnknownError):
+        except StoreError:
             return
 
 
