--- a/swiftpin/ownership/coordinator.py
+++ b/swiftpin/ownership/coordinator.py
@@ -29,6 +29,7 @@
 from swiftpin.ownership.group_watch import GroupWatch
 from swiftpin.ownership.heartbeats import Heartbeats
 from swiftpin.ownership.holder_environment import HolderEnvironment
+from swiftpin.ownership.instances import Instances
 from swiftpin.ownership.ownership_events import OwnershipEvents
 from swiftpin.ownership.peers import Peers
 from swiftpin.ownership.record_codec import encode_record
@@ -104,10 +105,19 @@
         self._unloading = True
         holders = list(self.holders_by_group.values())
         await asyncio.gather(*(self._async_hand_over(holder) for holder in holders))
+        await self.async_abort()
+
+    async def async_abort(self) -> None:
+        """Stop at once; other instances find out by the missing heartbeats."""
+        self._unloading = True
         await self._heartbeats.async_unload()
-        for task in list(self._tasks):
+        tasks = list(self._tasks)
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
+        holders = list(self.holders_by_group.values())
+        self.holders_by_group.clear()
+        await asyncio.gather(*(holder.async_stop() for holder in holders))
         self.records.unload()
 
     # Answers to the request path
