--- a/swiftpin/cli/output.py
+++ b/swiftpin/cli/output.py
@@ -4,13 +4,16 @@
 
 from collections.abc import Iterable, Sequence
 from datetime import UTC, datetime
-from typing import Any, assert_never
+from typing import Any, Final, assert_never
 
 import orjson
 import yaml
 
 from swiftpin.cli.output_format import OutputFormat
 
+MAX_WIDTH: Final = 1000
+"""Characters of a line of YAML; shorter ones would break sentences."""
+
 
 def table_text(heading: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
     """Return rows in columns under a heading, without blanks at the ends of lines."""
@@ -34,7 +37,9 @@
         case OutputFormat.JSON:
             return orjson.dumps(value, option=orjson.OPT_INDENT_2).decode() + "\n"
         case OutputFormat.YAML | OutputFormat.TABLE:
-            return yaml.safe_dump(value, sort_keys=False, allow_unicode=True)
+            return yaml.safe_dump(
+                value, sort_keys=False, allow_unicode=True, width=MAX_WIDTH
+            )
         case _:
             assert_never(output_format)
 
