--- a/swiftpin/dispatch/http_answer.py
+++ b/swiftpin/dispatch/http_answer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from aiohttp import ClientError, StreamReader
 from aiohttp.http import RawResponseMessage
@@ -18,10 +19,19 @@
 
     Whoever gets one calls `finish` in the end: it gives the connection back after a
     whole answer and closes it otherwise, so that the rest of an answer that was given
-    up can never be taken for the answer to the next request.
+    up can never be taken for the answer to the next request. `on_chunk` is called with
+    each piece of the body that is read.
     """
 
-    __slots__ = ("_connection", "_content", "_upload", "headers", "length", "status")
+    __slots__ = (
+        "_connection",
+        "_content",
+        "_upload",
+        "headers",
+        "length",
+        "on_chunk",
+        "status",
+    )
 
     def __init__(
         self,
@@ -35,6 +45,7 @@
         self.status: int = message.code
         self.headers: CIMultiDictProxy[str] = message.headers
         self.length = length
+        self.on_chunk: Callable[[bytes], None] | None = None
         self._content = content
         self._connection = connection
         self._upload = upload
@@ -45,9 +56,12 @@
         Raises `AnswerBrokenError` when the body ends before it is whole.
         """
         try:
-            return await self._content.readany()
+            chunk = await self._content.readany()
         except (ClientError, OSError) as err:
             raise AnswerBrokenError(f"the answer broke off: {err!r}") from err
+        if self.on_chunk is not None:
+            self.on_chunk(chunk)
+        return chunk
 
     async def async_read_whole(self) -> bytes:
         """Return the rest of the body in one piece."""
@@ -60,6 +74,11 @@
             chunk = await self.async_read_chunk()
         return b"".join(chunks)
 
+    async def async_read_rest(self) -> None:
+        """Read what is left of the body and forget it."""
+        while await self.async_read_chunk():
+            pass
+
     @callback
     def finish(self, now: float) -> None:
         """Give the connection back, or close it when the exchange is not complete."""
--- a/swiftpin/gateway/answer_writer.py
+++ b/swiftpin/gateway/answer_writer.py
@@ -30,7 +30,7 @@
 from swiftpin.gateway.header_rules import answer_headers
 from swiftpin.gateway.request_record import RequestRecord
 from swiftpin.gateway.sent_response import CLOSED, KEPT
-from swiftpin.result import ResultCode, executed_by_result
+from swiftpin.result import Executed, ResultCode, executed_by_result
 
 WHOLE_ANSWER_LIMIT: Final = 64 * 1024
 """Answers up to this many bytes are awaited whole, then written in one piece."""
@@ -73,9 +73,7 @@
         """
         headers = answer_headers(answer.headers)
         headers[HEADER_RESULT] = str(result)
-        self._record.status = answer.status
-        self._record.result = result
-        self._record.executed = executed_by_result(result)
+        self._note(answer.status, result, executed_by_result(result))
         try:
             if answer.length is not None and answer.length <= WHOLE_ANSWER_LIMIT:
                 await self._async_write_small(answer, headers)
@@ -90,6 +88,7 @@
     ) -> None:
         """Write an answer that is in memory."""
         headers[HEADER_RESULT] = str(result.value)
+        self._note(status, result.value, executed_by_result(result.value))
         await self._async_write(status, headers, body)
 
     async def async_write_error(self, err: RequestError) -> None:
@@ -100,9 +99,10 @@
         """
         if not self._request.content.is_eof():
             self._may_keep_alive = False
-        await self.async_write_whole(
-            err.status, error_headers(err), err.code, error_body(err)
-        )
+        headers = error_headers(err)
+        headers[HEADER_RESULT] = str(err.code.value)
+        self._note(err.status, err.code.value, err.executed)
+        await self._async_write(err.status, headers, error_body(err))
 
     def cut(self) -> None:
         """Break the caller's connection off, if the answer has begun.
@@ -118,6 +118,12 @@
             raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         transport.abort()
 
+    def _note(self, status: int, result: int, executed: Executed) -> None:
+        """Record what the caller is told."""
+        self._record.status = status
+        self._record.result = result
+        self._record.executed = executed
+
     async def _async_write_small(
         self, answer: HttpAnswer, headers: CIMultiDict[str]
     ) -> None:
--- /dev/null
+++ b/swiftpin/gateway/app.py
@@ -0,0 +1,271 @@
+"""Composition of one instance."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from random import Random
+import time
+from typing import Final
+
+from aiohttp import ClientSession, DummyCookieJar
+from eliot import log_message
+
+from swiftpin.config.catalog import Catalog
+from swiftpin.config.config_name import ConfigName
+from swiftpin.const import STORE_PREFIX_CONFIG
+from swiftpin.core import callback, monotonic_now
+from swiftpin.dispatch.journal import IdempotencyJournal
+from swiftpin.dispatch.journal_settings import JournalSettings
+from swiftpin.dispatch.wall_clock import WallClock
+from swiftpin.exceptions import ConfigurationError
+from swiftpin.gateway.admin_server import AdminServer
+from swiftpin.gateway.decision_log import DecisionLog
+from swiftpin.gateway.held_groups import HeldGroups
+from swiftpin.gateway.instance_status import InstanceStatus
+from swiftpin.gateway.listeners import Listeners
+from swiftpin.gateway.metrics import Metrics
+from swiftpin.gateway.ownership_log import OwnershipLog
+from swiftpin.gateway.request_serving import RequestServing
+from swiftpin.gateway.result_trace import ResultTrace
+from swiftpin.gateway.route_explainer import RouteExplainer
+from swiftpin.gateway.settings import Settings
+from swiftpin.gateway.target_queues import TargetQueues
+from swiftpin.helpers.logging_setup import LoggingSetup
+from swiftpin.membership.cached_object import CachedObject
+from swiftpin.membership.coordinator import MembershipCoordinator
+from swiftpin.ownership.coordinator import OwnershipCoordinator
+from swiftpin.ownership.group_id import GroupId
+from swiftpin.ownership.timing import Timing
+from swiftpin.store.client import StoreClient
+from swiftpin.trace.writer import TraceWriter
+
+INCARNATION_BYTES: Final = 4
+HOUSEKEEPING_INTERVAL: Final = 5.0
+LEAVING_TIME: Final = 1.0
+"""Seconds for which a leaving instance still takes requests, so that the balancer and
+other instances have learnt of it before its ports close."""
+
+
+class Gateway:
+    """One instance, from its settings to its stop.
+
+    The coordinators are made here and nowhere else.
+    """
+
+    def __init__(self, settings: Settings, logging: LoggingSetup) -> None:
+        self.settings = settings
+        self.instance_id = f"{settings.name}/{os.urandom(INCARNATION_BYTES).hex()}"
+        self.stop_wanted = asyncio.Event()
+        self._logging = logging
+        self._rng = Random(self.instance_id)
+        self._wall = WallClock.from_times(wall=time.time(), monotonic=monotonic_now())
+        self._trace = _open_trace(settings)
+        self._session = ClientSession(cookie_jar=DummyCookieJar())
+        self._store = StoreClient(self._session, settings.store_url)
+        self._metrics = Metrics()
+        self._catalog = Catalog()
+        self._queues = TargetQueues(self._rng)
+        self._groups = HeldGroups(
+            self._make_journal,
+            self._queues,
+            self._rng,
+            stop_limit=settings.stop_limit,
+        )
+        self._membership = self._make_membership()
+        self._ownership = self._make_ownership()
+        self._serving = self._make_serving()
+        self._status = InstanceStatus(
+            instance_id=self.instance_id,
+            zone=settings.zone,
+            catalog=self._catalog,
+            ownership=self._ownership,
+            log_writer=logging.writer,
+        )
+        self._admin = AdminServer(
+            self._metrics,
+            self._status,
+            RouteExplainer(self._catalog, self._ownership),
+        )
+        self._listeners = Listeners(settings, self._serving.handler, self._admin)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def async_setup(self) -> None:
+        """Listen and start; return before the store was read.
+
+        Raises `ConfigurationError` when a port cannot be used.
+        """
+        await self._listeners.async_setup()
+        cache = self._membership.cache
+        cache.subscribe(STORE_PREFIX_CONFIG, self._adopt_config)
+        self._catalog.subscribe(self._note_change)
+        await self._membership.async_setup()
+        await self._ownership.async_setup()
+        self._tasks.append(asyncio.create_task(self._async_become_ready()))
+        self._tasks.append(asyncio.create_task(self._async_keep_house()))
+        log_message(
+            message_type="instance_started",
+            instance=self.instance_id,
+            zone=self.settings.zone,
+            listen=str(self.settings.listen),
+        )
+
+    async def async_stop(self) -> None:
+        """Leave gracefully: hand over, let requests in flight end, then unload.
+
+        What still runs after the stop limit is cut off.
+        """
+        limit = self._stop_limit()
+        log_message(message_type="instance_leaving", limit=limit)
+        handler = self._serving.handler
+        self._status.leaving = True
+        handler.closing = True
+        try:
+            async with asyncio.timeout(limit):
+                await self._ownership.async_unload()
+                await asyncio.sleep(LEAVING_TIME)
+                self._listeners.stop_listening()
+                await handler.async_wait_idle()
+        except TimeoutError:
+            log_message(
+                message_type="stop_limit_passed",
+                level="error",
+                in_flight=handler.in_flight,
+            )
+        await self.async_unload()
+
+    async def async_unload(self) -> None:
+        """Stop everything at once, in the opposite order of the set-up."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._listeners.async_unload()
+        await self._serving.async_unload()
+        await self._groups.async_unload()
+        await self._membership.async_unload()
+        await self._session.close()
+        if self._trace is not None:
+            self._trace.close()
+        log_message(message_type="instance_stopped", instance=self.instance_id)
+
+    # Making of the parts
+
+    def _make_membership(self) -> MembershipCoordinator:
+        """Return what knows of the store and of other instances."""
+        return MembershipCoordinator(
+            instance_id=self.instance_id,
+            zone=self.settings.zone,
+            store=self._store,
+            session=self._session,
+            instances_url=self.settings.instances_url,
+            peer_listen=str(self.settings.peer_listen),
+            seed=self._rng.getrandbits(32),
+        )
+
+    def _make_ownership(self) -> OwnershipCoordinator:
+        """Return what holds groups, and let it answer other instances."""
+        settings = self.settings
+        ownership = OwnershipCoordinator(
+            instance_id=self.instance_id,
+            zone=settings.zone,
+            store=self._store,
+            session=self._session,
+            cache=self._membership.cache,
+            publish=self._membership.publish,
+            catalog=self._catalog,
+            directory=self._membership.directory,
+            peers=self._membership.clients,
+            events=OwnershipLog(self.instance_id, self._trace),
+            listener=self._groups,
+            timing=Timing(
+                heartbeat_interval=settings.heartbeat_interval,
+                holder_limit=settings.holder_limit,
+                grant_interval=settings.grant_interval,
+                grant_ttl=settings.grant_ttl,
+                outage_limit=settings.outage_limit,
+            ),
+        )
+        self._membership.attach_handler(ownership)
+        return ownership
+
+    def _make_serving(self) -> RequestServing:
+        """Return the request path."""
+        return RequestServing(
+            catalog=self._catalog,
+            ownership=self._ownership,
+            groups=self._groups,
+            queues=self._queues,
+            decisions=DecisionLog(self._logging.destination, self.settings.log_sample),
+            metrics=self._metrics,
+            trace=ResultTrace(self.instance_id, self._trace),
+            rng=self._rng,
+            request_limit=self.settings.request_limit,
+        )
+
+    def _make_journal(self, group: GroupId) -> IdempotencyJournal:
+        """Return the journal of a group that this instance holds."""
+        service = self._catalog.service(group.service)
+        settings = JournalSettings()
+        if service is not None:
+            settings = JournalSettings.from_profile(self._catalog.profile_of(service))
+        return IdempotencyJournal(
+            self._store,
+            group,
+            self.instance_id,
+            settings,
+            self._rng,
+            is_confirmed=lambda now: self._may_send(group, now),
+            wall=self._wall,
+        )
+
+    @callback
+    def _may_send(self, group: GroupId, now: float) -> bool:
+        """Return whether the group's lease is certainly held."""
+        until = self._ownership.send_until(group, now)
+        return until is not None and now < until
+
+    # While it runs
+
+    @callback
+    def _adopt_config(self, obj: CachedObject) -> None:
+        """Put a declaration in force that came from the store or as news."""
+        self._catalog.adopt_stored(obj.name, obj.body)
+
+    @callback
+    def _note_change(self, name: ConfigName) -> None:
+        """Begin to leave when a planned stop names this instance."""
+        for stop in self._catalog.planned_stops_by_name.values():
+            if stop.instance == self.settings.name:
+                self.stop_wanted.set()
+
+    def _stop_limit(self) -> float:
+        """Return the seconds that requests in flight may take."""
+        limits = [
+            stop.limit
+            for stop in self._catalog.planned_stops_by_name.values()
+            if stop.instance == self.settings.name
+        ]
+        return min(limits, default=self.settings.stop_limit)
+
+    async def _async_become_ready(self) -> None:
+        """Take requests once the declarations are known."""
+        await self._membership.async_wait_loaded()
+        self._serving.handler.ready = True
+        self._status.loaded = True
+        log_message(message_type="instance_ready", instance=self.instance_id)
+
+    async def _async_keep_house(self) -> None:
+        """Close connections that nobody uses."""
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_INTERVAL)
+            self._serving.close_idle(monotonic_now())
+
+
+def _open_trace(settings: Settings) -> TraceWriter | None:
+    """Return the writer of the trace file, None when none was asked for."""
+    if settings.trace is None:
+        return None
+    try:
+        return TraceWriter(settings.trace)
+    except OSError as err:
+        raise ConfigurationError(f"--trace {str(settings.trace)!r}: {err}") from err
--- a/swiftpin/gateway/forwarder.py
+++ b/swiftpin/gateway/forwarder.py
@@ -51,13 +51,13 @@
         Raises `HolderUnreachableError` and `NotHolderError` where the request was
         certainly not run, and `AnswerLostError` where it may have been.
         """
-        now = monotonic_now() + HOP_ALLOWANCE
-        if incoming.deadline <= now:
+        left = incoming.deadline - monotonic_now() - HOP_ALLOWANCE
+        if left <= 0:
             raise DeadlineTooShortError("no time is left to reach the holder")
         request = HttpRequest(
             method=incoming.method,
             path=incoming.full_path,
-            headers=forward_headers(incoming, address, now),
+            headers=forward_headers(incoming, address, left),
             body=body,
         )
         answer = await self._async_send(address, request, state)
--- a/swiftpin/gateway/header_rules.py
+++ b/swiftpin/gateway/header_rules.py
@@ -20,6 +20,7 @@
     HEADER_SERVICE,
     HEADER_SLICE,
     HEADER_TERM,
+    HEADER_TICKET,
     HEADER_TIMEOUT,
 )
 from swiftpin.gateway.incoming_request import IncomingRequest
@@ -49,12 +50,11 @@
 
 
 def target_headers(
-    incoming: IncomingRequest, route: Route | None, address: str, now: float
+    incoming: IncomingRequest, route: Route, left: float
 ) -> CIMultiDict[str]:
-    """Return the headers of a request to a target; no route means no owner."""
-    headers = _request_headers(incoming, address, now)
-    headers[HEADER_SERVICE] = incoming.service.name
-    if route is not None:
+    """Return the headers of a request to a target, with `left` seconds to go."""
+    headers = _request_headers(incoming, route.target.address, left)
+    if incoming.service.keyed:
         headers[HEADER_SLICE] = str(route.slice_id)
         headers[HEADER_GROUP] = str(route.group.group)
         headers[HEADER_TERM] = str(route.term)
@@ -63,23 +63,31 @@
 
 
 def forward_headers(
-    incoming: IncomingRequest, address: str, now: float
+    incoming: IncomingRequest, address: str, left: float
 ) -> CIMultiDict[str]:
     """Return the headers of a request to the instance that holds the group."""
-    headers = _request_headers(incoming, address, now)
-    headers[HEADER_SERVICE] = incoming.service.name
+    headers = _request_headers(incoming, address, left)
     headers[HEADER_HOPS] = str(HOP_LIMIT)
     headers[HEADER_CALLER] = incoming.caller
+    if incoming.ticket is not None:
+        headers[HEADER_TICKET] = incoming.ticket
     return headers
 
 
 def answer_headers(received: Mapping[str, str]) -> CIMultiDict[str]:
-    """Return the headers of an answer that go on to the caller."""
-    return _kept(received, ANSWER_DROPPED)
+    """Return the headers of an answer that go on to the caller.
+
+    Of swiftpin's own only the ticket goes on, which the holder gave.
+    """
+    headers = _kept(received, ANSWER_DROPPED)
+    ticket = received.get(HEADER_TICKET)
+    if ticket is not None:
+        headers[HEADER_TICKET] = ticket
+    return headers
 
 
 def _request_headers(
-    incoming: IncomingRequest, address: str, now: float
+    incoming: IncomingRequest, address: str, left: float
 ) -> CIMultiDict[str]:
     """Return the headers that targets and other instances get alike."""
     headers = _kept(incoming.headers, REQUEST_DROPPED)
@@ -87,7 +95,8 @@
     if incoming.key:
         headers[HEADER_KEY] = incoming.key
     headers[HEADER_REQUEST_ID] = incoming.id
-    headers[HEADER_TIMEOUT] = str(int((incoming.deadline - now) * MILLISECONDS))
+    headers[HEADER_TIMEOUT] = str(int(left * MILLISECONDS))
+    headers[HEADER_SERVICE] = incoming.service.name
     if incoming.idempotency_key is not None:
         headers[HEADER_IDEMPOTENCY_KEY] = incoming.idempotency_key
     return headers
--- a/swiftpin/gateway/incoming_request.py
+++ b/swiftpin/gateway/incoming_request.py
@@ -15,10 +15,11 @@
 class IncomingRequest:
     """What a request asks for, without its body.
 
-    `key` is empty for services that are not divided by key. `full_path` is the path
-    and query as received, `path` the same without the service. `deadline` is
-    monotonic, in seconds. `forwarded` tells whether another instance sent it on;
-    `caller` is the address of the caller where the request entered.
+    `key` is empty for services that are not divided by key. `ticket` is the value
+    of `Swiftpin-Ticket`, if any. `full_path` is the path and query as received, `path`
+    the same without the service. `deadline` is monotonic, in seconds. `forwarded`
+    tells whether another instance sent it on; `caller` is the address of the caller
+    where the request entered.
     """
 
     id: str
@@ -27,6 +28,7 @@
     request_class: RequestClass
     key: str
     idempotency_key: str | None
+    ticket: str | None
     method: str
     full_path: str
     path: str
--- a/swiftpin/gateway/metrics.py
+++ b/swiftpin/gateway/metrics.py
@@ -53,7 +53,7 @@
             registry=self.registry,
             buckets=DURATION_BUCKETS,
         )
-        self.retries = Counter(
+        self._retries = Counter(
             "request_retries",
             "Times that swiftpin sent a request again.",
             ("service",),
@@ -79,6 +79,11 @@
         self._count(service, name, entry, record.result).inc()
         self._duration(service, entry).observe(now - record.started_at)
 
+    @callback
+    def count_retry(self, service: str) -> None:
+        """Count a request that swiftpin sends again."""
+        self._retries.labels(service).inc()
+
     def _request_counter(
         self, service: str, name: str, entry: str, result: int
     ) -> Counter:
--- /dev/null
+++ b/swiftpin/gateway/once_dispatcher.py
@@ -0,0 +1,201 @@
+"""Requests that are not repeatable."""
+
+from __future__ import annotations
+
+import asyncio
+from hashlib import blake2b
+from typing import Final
+
+from multidict import CIMultiDict
+
+from swiftpin.core import callback, monotonic_now
+from swiftpin.dispatch.answered import Answered
+from swiftpin.dispatch.begin_request import BeginRequest
+from swiftpin.dispatch.begun import Begun
+from swiftpin.dispatch.http_answer import HttpAnswer
+from swiftpin.dispatch.http_send_state import HttpSendState
+from swiftpin.dispatch.joined import Joined
+from swiftpin.dispatch.journal import IdempotencyJournal
+from swiftpin.dispatch.not_run import NotRun
+from swiftpin.dispatch.replayed import Replayed
+from swiftpin.dispatch.unknown import Unknown
+from swiftpin.exceptions import (
+    AnswerNotKeptError,
+    NotHolderError,
+    OutcomeUnknownError,
+)
+from swiftpin.gateway.answer_writer import AnswerWriter
+from swiftpin.gateway.held_groups import HeldGroups
+from swiftpin.gateway.incoming_request import IncomingRequest
+from swiftpin.gateway.once_run import OnceRun, WholeAnswer
+from swiftpin.gateway.request_body import RequestBody
+from swiftpin.gateway.request_record import RequestRecord
+from swiftpin.gateway.target_dispatcher import TargetDispatcher, queued_request
+from swiftpin.ownership.route import Route
+from swiftpin.result import ResultCode
+
+DIGEST_BYTES: Final = 16
+
+
+class OnceDispatcher:
+    """Lets each request run at most once, and resends share its outcome."""
+
+    def __init__(self, dispatcher: TargetDispatcher, groups: HeldGroups) -> None:
+        self._dispatcher = dispatcher
+        self._groups = groups
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def async_dispatch(
+        self,
+        incoming: IncomingRequest,
+        body: RequestBody,
+        route: Route,
+        state: HttpSendState,
+        writer: AnswerWriter,
+        record: RequestRecord,
+    ) -> None:
+        """Run the request, or answer with the outcome of an earlier attempt."""
+        journal = self._groups.journal(route.group)
+        if journal is None:
+            raise NotHolderError("the group is being handed over", retry_after=1)
+        begin = begin_request(incoming, body)
+        outcome: Answered | Unknown | NotRun = NotRun()
+        while isinstance(outcome, NotRun):
+            match await self._async_begin(journal, begin, incoming, route, record):
+                case Begun():
+                    await self._async_run(
+                        journal, begin.key, incoming, body, route, state, writer
+                    )
+                    return
+                case Replayed(answer=answer):
+                    outcome = answer
+                case Joined() as joined:
+                    state.written = True
+                    outcome = await joined.async_outcome()
+                    state.written = False
+        await _async_replay(outcome, writer)
+
+    async def async_unload(self) -> None:
+        """End the runs that still go on; their outcome stays unknown."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _async_begin(
+        self,
+        journal: IdempotencyJournal,
+        begin: BeginRequest,
+        incoming: IncomingRequest,
+        route: Route,
+        record: RequestRecord,
+    ) -> Begun | Replayed | Joined:
+        """Return what is known of the request, or record that it begins."""
+        now = monotonic_now()
+        known = journal.lookup(begin, now)
+        if known is not None:
+            return known
+        record.looked_up = True
+        # What the queue would refuse anyway is not worth a write to the store.
+        queue = self._dispatcher.queue_of(incoming, route)
+        queue.check(queued_request(incoming, route), now)
+        return await journal.async_begin(begin, now)
+
+    async def _async_run(
+        self,
+        journal: IdempotencyJournal,
+        journal_key: str,
+        incoming: IncomingRequest,
+        body: RequestBody,
+        route: Route,
+        state: HttpSendState,
+        writer: AnswerWriter,
+    ) -> None:
+        """Run a request that has begun and write its answer."""
+        run = OnceRun(
+            self._dispatcher,
+            journal,
+            journal_key,
+            incoming=incoming,
+            body=body,
+            route=route,
+            state=state,
+        )
+        task = self._start(run, route)
+        try:
+            answer = await run.async_answer()
+        except asyncio.CancelledError:
+            run.abandon(task)
+            raise
+        match answer:
+            case WholeAnswer():
+                await writer.async_write_whole(
+                    answer.status, answer.headers, ResultCode.ANSWERED, answer.body
+                )
+            case HttpAnswer():
+                try:
+                    await writer.async_write_answer(answer, ResultCode.ANSWERED.value)
+                finally:
+                    run.streamed()
+
+    @callback
+    def _start(self, run: OnceRun, route: Route) -> asyncio.Task[None]:
+        """Start the run's task and count it in its group."""
+        group = route.group
+        task = asyncio.create_task(run.async_run(), name="once-run")
+        self._tasks.add(task)
+        self._groups.runs.begin(group)
+
+        def ended(task: asyncio.Task[None]) -> None:
+            """Count the run out."""
+            self._tasks.discard(task)
+            self._groups.runs.end(group)
+
+        task.add_done_callback(ended)
+        return task
+
+
+@callback
+def begin_request(incoming: IncomingRequest, body: RequestBody) -> BeginRequest:
+    """Return the request as the journal sees it.
+
+    The idempotency key counts within the request's key, so that callers need not
+    make theirs differ between keys.
+    """
+    key = _digest(incoming.key, incoming.idempotency_key or "")
+    fingerprint = _digest(
+        incoming.method, incoming.full_path, str(body.known_length), body.digest()
+    )
+    return BeginRequest(
+        key=key,
+        fingerprint=fingerprint,
+        request_id=incoming.id,
+        deadline=incoming.deadline,
+        ticket=incoming.ticket,
+    )
+
+
+async def _async_replay(outcome: Answered | Unknown, writer: AnswerWriter) -> None:
+    """Answer with a recorded outcome."""
+    match outcome:
+        case Unknown():
+            raise OutcomeUnknownError("an earlier try of the request may have run")
+        case Answered(body=None):
+            raise AnswerNotKeptError(
+                f"the request ran before; the target answered {outcome.status} with"
+                f" {outcome.body_length} bytes, which were not kept"
+            )
+        case Answered(body=bytes() as body):
+            await writer.async_write_whole(
+                outcome.status, CIMultiDict(outcome.headers), ResultCode.REPLAYED, body
+            )
+
+
+@callback
+def _digest(*parts: str) -> str:
+    """Return a digest of the parts in their order."""
+    digest = blake2b(digest_size=DIGEST_BYTES)
+    for part in parts:
+        data = part.encode()
+        digest.update(len(data).to_bytes(8))
+        digest.update(data)
+    return digest.hexdigest()
--- a/swiftpin/gateway/request_body.py
+++ b/swiftpin/gateway/request_body.py
@@ -8,7 +8,9 @@
 
 from aiohttp.hdrs import EXPECT
 from aiohttp.web import BaseRequest, RequestPayloadError
+from xxhash import xxh3_128
 
+from swiftpin.core import callback
 from swiftpin.exceptions import (
     BodyCutShortError,
     OutcomeUnknownError,
@@ -35,6 +37,7 @@
         self._request = request
         self._limit = limit
         self._read = 0
+        self._streaming = False
         self._head: list[bytes] = []
         self.whole: bytes | None = None
         self.length: int | None = request.content_length
@@ -56,12 +59,33 @@
                 return
             self._head.append(chunk)
 
+    @property
+    def known_length(self) -> int | None:
+        """Return the length in bytes as far as it is known."""
+        return self.length if self.whole is None else len(self.whole)
+
+    @property
+    def can_be_sent(self) -> bool:
+        """Return whether the body, or all of a streamed one, is still to be had."""
+        return self.whole is not None or not self._streaming
+
+    @callback
+    def digest(self) -> str:
+        """Return a digest of the body's first `WHOLE_LIMIT` bytes.
+
+        How much has been read of a longer body depends on how it came in, and a
+        resend of the same body must have the same digest.
+        """
+        head = b"".join(self._head) if self.whole is None else self.whole
+        return xxh3_128(head[:WHOLE_LIMIT]).hexdigest()
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Give the pieces of a body that is not held whole, once.
 
         Raises `OutcomeUnknownError` when the body breaks off, since a part of it
         has been sent by then.
         """
+        self._streaming = True
         for chunk in self._head:
             yield chunk
         self._head.clear()
--- a/swiftpin/gateway/request_handler.py
+++ b/swiftpin/gateway/request_handler.py
@@ -13,6 +13,7 @@
     CallerLeftError,
     DeadlineExceededError,
     DeadlineTooShortError,
+    NotReadyError,
     OverloadedError,
     RequestError,
 )
@@ -24,6 +25,8 @@
 from swiftpin.gateway.request_parser import RequestParser
 from swiftpin.gateway.request_record import RequestRecord
 from swiftpin.gateway.request_router import RequestRouter
+from swiftpin.gateway.result_trace import ResultTrace
+from swiftpin.gateway.truthful import truthful
 from swiftpin.result import Executed
 
 
@@ -31,7 +34,9 @@
     """Answers requests of callers and, on another port, of other instances.
 
     `limit` bounds the requests served at once. While `closing` is set, each answer
-    also ends its connection, so that callers come back through the balancer.
+    also ends its connection, so that callers come back through the balancer. Before
+    `ready` is set every request is refused: the declarations are not known yet, and a
+    service would be called unknown that is not.
     """
 
     def __init__(
@@ -40,14 +45,17 @@
         router: RequestRouter,
         decisions: DecisionLog,
         metrics: Metrics,
+        trace: ResultTrace,
         *,
         limit: int,
     ) -> None:
+        self.ready = False
         self.closing = False
         self._parser = parser
         self._router = router
         self._decisions = decisions
         self._metrics = metrics
+        self._trace = trace
         self._limit = limit
         self._ids = RequestIds()
         self._in_flight = 0
@@ -87,7 +95,7 @@
         try:
             await self._async_serve(request, record, state, writer)
         except RequestError as err:
-            await _async_fail(err, writer, record)
+            await _async_fail(truthful(err, request, record), writer, record)
         except asyncio.CancelledError:
             _note(record, _left(state))
             raise
@@ -106,6 +114,8 @@
         writer: AnswerWriter,
     ) -> None:
         """Read the request, get it answered, and end it at its deadline."""
+        if not self.ready:
+            raise NotReadyError("the instance has just started")
         if self._in_flight > self._limit:
             raise OverloadedError("the instance serves as many requests as it may")
         if record.forwarded:
@@ -137,6 +147,7 @@
         now = monotonic_now()
         self._metrics.observe(record, now)
         self._decisions.write(record, now)
+        self._trace.write(record, now)
 
 
 async def _async_fail(
--- a/swiftpin/gateway/request_parser.py
+++ b/swiftpin/gateway/request_parser.py
@@ -15,6 +15,7 @@
     HEADER_HOPS,
     HEADER_IDEMPOTENCY_KEY,
     HEADER_REQUEST_ID,
+    HEADER_TICKET,
     HEADER_TIMEOUT,
 )
 from swiftpin.exceptions import (
@@ -91,6 +92,7 @@
             request_class=request_class,
             key=key,
             idempotency_key=_idempotency_key(headers, request_class),
+            ticket=headers.get(HEADER_TICKET),
             method=request.method,
             full_path=request.raw_path,
             path=path.path,
--- a/swiftpin/gateway/request_record.py
+++ b/swiftpin/gateway/request_record.py
@@ -15,7 +15,9 @@
 
     `started_at` is monotonic, in seconds. `incoming` and `route` stay None for a
     request that failed before they were known. `result` is the code as it was
-    sent, which for a forwarded request is that of the holder.
+    sent, which for a forwarded request is that of the holder. `looked_up` tells
+    whether the records of earlier attempts were asked; until then nobody knows
+    whether a request that is not repeatable ran before.
     """
 
     request_id: str
@@ -23,6 +25,7 @@
     forwarded: bool
     incoming: IncomingRequest | None = None
     route: Route | None = None
+    looked_up: bool = False
     attempts: int = 0
     status: int = 0
     result: int = ResultCode.INTERNAL.value
--- /dev/null
+++ b/swiftpin/gateway/request_serving.py
@@ -0,0 +1,72 @@
+"""Composition of the request path."""
+
+from __future__ import annotations
+
+from random import Random
+
+from swiftpin.config.catalog import Catalog
+from swiftpin.core import callback
+from swiftpin.dispatch.http_client import HttpClient
+from swiftpin.dispatch.target_sender import TargetSender
+from swiftpin.gateway.decision_log import DecisionLog
+from swiftpin.gateway.forwarder import Forwarder
+from swiftpin.gateway.held_groups import HeldGroups
+from swiftpin.gateway.metrics import Metrics
+from swiftpin.gateway.once_dispatcher import OnceDispatcher
+from swiftpin.gateway.ports import Ownership
+from swiftpin.gateway.request_handler import RequestHandler
+from swiftpin.gateway.request_parser import RequestParser
+from swiftpin.gateway.request_router import RequestRouter
+from swiftpin.gateway.result_trace import ResultTrace
+from swiftpin.gateway.retry_policy import RetryPolicy
+from swiftpin.gateway.target_dispatcher import TargetDispatcher
+from swiftpin.gateway.target_queues import TargetQueues
+
+
+class RequestServing:
+    """Everything between a request's arrival and its answer."""
+
+    def __init__(
+        self,
+        *,
+        catalog: Catalog,
+        ownership: Ownership,
+        groups: HeldGroups,
+        queues: TargetQueues,
+        decisions: DecisionLog,
+        metrics: Metrics,
+        trace: ResultTrace,
+        rng: Random,
+        request_limit: int,
+    ) -> None:
+        self.client = HttpClient()
+        dispatcher = TargetDispatcher(ownership, queues, TargetSender(self.client))
+        self._once_dispatcher = OnceDispatcher(dispatcher, groups)
+        self._queues = queues
+        router = RequestRouter(
+            ownership,
+            dispatcher,
+            self._once_dispatcher,
+            Forwarder(self.client),
+            RetryPolicy(rng),
+            metrics,
+        )
+        self.handler = RequestHandler(
+            RequestParser(catalog),
+            router,
+            decisions,
+            metrics,
+            trace,
+            limit=request_limit,
+        )
+
+    async def async_unload(self) -> None:
+        """End what still goes on and close every connection."""
+        self._queues.unload()
+        await self._once_dispatcher.async_unload()
+        self.client.unload()
+
+    @callback
+    def close_idle(self, now: float) -> None:
+        """Close connections that nobody uses."""
+        self.client.close_idle(now)
--- a/swiftpin/gateway/target_dispatcher.py
+++ b/swiftpin/gateway/target_dispatcher.py
@@ -5,25 +5,37 @@
 from functools import partial
 
 from swiftpin.core import callback, monotonic_now
+from swiftpin.dispatch.http_answer import HttpAnswer
 from swiftpin.dispatch.http_request import HttpRequest
 from swiftpin.dispatch.http_send_state import HttpSendState
+from swiftpin.dispatch.queued_request import QueuedRequest
+from swiftpin.dispatch.slot import Slot
+from swiftpin.dispatch.target_queue import TargetQueue
 from swiftpin.dispatch.target_sender import TargetSender
-from swiftpin.exceptions import NotHolderError
+from swiftpin.exceptions import (
+    DeadlineTooShortError,
+    NotHolderError,
+    TargetConnectError,
+    TargetRefusedError,
+)
 from swiftpin.gateway.answer_writer import AnswerWriter
 from swiftpin.gateway.header_rules import target_headers
 from swiftpin.gateway.incoming_request import IncomingRequest
 from swiftpin.gateway.ports import Ownership
 from swiftpin.gateway.request_body import RequestBody
-from swiftpin.ownership.group_id import GroupId
+from swiftpin.gateway.target_queues import TargetQueues
 from swiftpin.ownership.route import Route
 from swiftpin.result import ResultCode
 
 
 class TargetDispatcher:
-    """Runs requests at their targets."""
+    """Runs requests at their targets, each when the target has a free slot."""
 
-    def __init__(self, ownership: Ownership, sender: TargetSender) -> None:
+    def __init__(
+        self, ownership: Ownership, queues: TargetQueues, sender: TargetSender
+    ) -> None:
         self._ownership = ownership
+        self._queues = queues
         self._sender = sender
 
     async def async_dispatch(
@@ -34,31 +46,93 @@
         state: HttpSendState,
         writer: AnswerWriter,
     ) -> None:
-        """Send the request to the route's target and write the answer."""
+        """Run a repeatable request and write its answer."""
+        now = monotonic_now()
+        queue = self.queue_of(incoming, route)
+        async with queue.async_slot(queued_request(incoming, route), now) as slot:
+            answer = await self.async_send(incoming, body, route, state, slot)
+            try:
+                await writer.async_write_answer(answer, ResultCode.ANSWERED.value)
+            finally:
+                answer.finish(monotonic_now())
+
+    @callback
+    def queue_of(self, incoming: IncomingRequest, route: Route) -> TargetQueue:
+        """Return the queue of the route's target."""
+        return self._queues.queue_of(
+            incoming.service.name, route.target, incoming.profile, route.group
+        )
+
+    async def async_send(
+        self,
+        incoming: IncomingRequest,
+        body: RequestBody,
+        route: Route,
+        state: HttpSendState,
+        slot: Slot,
+    ) -> HttpAnswer:
+        """Send the request to the route's target; return the head of its answer."""
+        now = monotonic_now()
+        deadline = self._deadline(incoming, route, now)
         request = HttpRequest(
             method=incoming.method,
             path=incoming.path,
-            headers=target_headers(
-                incoming, route, route.target.address, monotonic_now()
-            ),
+            headers=target_headers(incoming, route, deadline - now),
             body=body,
         )
-        answer = await self._sender.async_send(
-            route.target, request, state, partial(self._check_lease, route.group)
-        )
         try:
-            await writer.async_write_answer(answer, ResultCode.ANSWERED.value)
-        finally:
-            answer.finish(monotonic_now())
+            return await self._sender.async_send(
+                route.target,
+                request,
+                state,
+                partial(self._check_route, incoming, route),
+            )
+        except (TargetRefusedError, TargetConnectError):
+            slot.ignore_time()
+            raise
+
+    def _deadline(self, incoming: IncomingRequest, route: Route, now: float) -> float:
+        """Return when the target must have ended the request.
+
+        A target that does not check grants can't be told that another holder took
+        over. So its work must end while this instance is certainly the holder;
+        otherwise two targets could work on one key at once.
+        """
+        if incoming.service.checks_grants:
+            return incoming.deadline
+        until = self._ownership.send_until(route.group, now)
+        if until is None or until <= now:
+            raise NotHolderError("this instance may not send for the group any more")
+        return min(incoming.deadline, until)
 
     @callback
-    def _check_lease(self, group: GroupId, now: float) -> None:
-        """Raise unless this instance may send for the group at this moment.
+    def _check_route(self, incoming: IncomingRequest, route: Route, now: float) -> None:
+        """Raise unless the route holds at this very moment.
 
-        A process that was paused, or waited for a connection, may have lost the
-        lease since the route was resolved. Its target may serve the key for
-        nobody or belong to another holder by now.
+        Since it was resolved, the request may have waited for a slot or a connection,
+        or the whole process was paused. The lease may have ended, or the slice may
+        have moved to another target.
         """
-        until = self._ownership.send_until(group, now)
+        if now >= incoming.deadline:
+            raise DeadlineTooShortError(
+                "the deadline passed before the request was sent"
+            )
+        until = self._ownership.send_until(route.group, now)
         if until is None or until <= now:
             raise NotHolderError("this instance may not send for the group any more")
+        present = self._ownership.resolve(incoming.service, incoming.key, now)
+        if present.target.id != route.target.id or present.term != route.term:
+            raise NotHolderError("the key has just moved to another target")
+
+
+@callback
+def queued_request(incoming: IncomingRequest, route: Route) -> QueuedRequest:
+    """Return the request as the target's queue sees it."""
+    return QueuedRequest(
+        request_id=incoming.id,
+        caller=incoming.caller,
+        class_name=incoming.request_class.name,
+        priority=incoming.request_class.priority,
+        deadline=incoming.deadline,
+        slice_id=route.slice_id,
+    )
--- /dev/null
+++ b/swiftpin/gateway/truthful.py
@@ -0,0 +1,47 @@
+"""What may be said of a request that was refused."""
+
+from __future__ import annotations
+
+from aiohttp.web import BaseRequest
+
+from swiftpin.const import HEADER_IDEMPOTENCY_KEY
+from swiftpin.core import callback
+from swiftpin.exceptions import (
+    AttemptNotRunError,
+    NotHolderError,
+    NotRunError,
+    RequestError,
+)
+from swiftpin.gateway.request_record import RequestRecord
+
+
+@callback
+def truthful(
+    err: RequestError, request: BaseRequest, record: RequestRecord
+) -> RequestError:
+    """Return the error as it may be told to the caller.
+
+    A refused resend would be told "not run" although an earlier attempt, whose answer
+    the caller did not get, did run; the caller would take the work for undone. Until
+    the records of earlier attempts were looked at, only this attempt is known not to
+    have run. The word to the entry instance that this one is not the holder
+    stays as it is: that instance goes on with the request.
+    """
+    if record.looked_up or not isinstance(err, NotRunError):
+        return err
+    if record.forwarded and isinstance(err, NotHolderError):
+        return err
+    if _is_repeatable(request, record):
+        return err
+    return AttemptNotRunError(
+        f"{err.hint}; this attempt was not run, an earlier one may have been:"
+        f" send again with the same {HEADER_IDEMPOTENCY_KEY}",
+        retry_after=err.retry_after,
+    )
+
+
+def _is_repeatable(request: BaseRequest, record: RequestRecord) -> bool:
+    """Return whether the request may run more than once."""
+    if record.incoming is None:
+        return HEADER_IDEMPOTENCY_KEY not in request.headers
+    return record.incoming.request_class.repeatable
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
-import io
 
 import pytest
 import pytest_asyncio
@@ -13,22 +12,10 @@
 from swiftpin.config.request_class import RequestClass
 from swiftpin.config.service import Service
 from swiftpin.config.target_spec import TargetSpec
-from swiftpin.dispatch.http_client import HttpClient
-from swiftpin.dispatch.target_sender import TargetSender
-from swiftpin.gateway.decision_log import DecisionLog
-from swiftpin.gateway.forwarder import Forwarder
-from swiftpin.gateway.http_listener import MAX_HEADERS, MAX_LINE, HttpListener
-from swiftpin.gateway.metrics import Metrics
-from swiftpin.gateway.request_handler import RequestHandler
-from swiftpin.gateway.request_parser import RequestParser
-from swiftpin.gateway.request_router import RequestRouter
-from swiftpin.gateway.target_dispatcher import TargetDispatcher
-from swiftpin.helpers.address import Address
-from swiftpin.helpers.logging_destination import KeyValueDestination
-from swiftpin.helpers.logging_writer import LineWriter
 from swiftpin.ownership.group_id import GroupId
 from swiftpin.ownership.route import Route
 from tests.gateway.fake_ownership import FakeOwnership
+from tests.gateway.gateway_fixture import GatewayFixture
 from tests.gateway.raw_caller import RawCaller
 from tests.gateway.scripted_server import ScriptedServer
 
@@ -55,53 +42,6 @@
 )
 
 
-class GatewayFixture:
-    """A running request path and what it wrote."""
-
-    def __init__(self, ownership: FakeOwnership, catalog: Catalog) -> None:
-        self.client = HttpClient()
-        self.metrics = Metrics()
-        self.writer = LineWriter(io.BytesIO())
-        self.handler = RequestHandler(
-            RequestParser(catalog),
-            RequestRouter(
-                ownership,
-                TargetDispatcher(ownership, TargetSender(self.client)),
-                Forwarder(self.client),
-            ),
-            DecisionLog(KeyValueDestination(self.writer, "info"), 1.0),
-            self.metrics,
-            limit=100,
-        )
-        self.address = ""
-        self.forward_address = ""
-        self._listener = HttpListener(
-            self.handler.async_handle_caller, max_line=MAX_LINE, max_headers=MAX_HEADERS
-        )
-        self._forward_listener = HttpListener(
-            self.handler.async_handle_forwarded,
-            max_line=MAX_LINE,
-            max_headers=MAX_HEADERS,
-        )
-
-    @property
-    def lines(self) -> list[str]:
-        """Return the log lines so far."""
-        return list(self.writer._lines)
-
-    async def async_setup(self) -> None:
-        """Listen on free ports."""
-        anywhere = Address(host="127.0.0.1", port=0)
-        self.address = str(await self._listener.async_setup(anywhere))
-        self.forward_address = str(await self._forward_listener.async_setup(anywhere))
-
-    async def async_unload(self) -> None:
-        """Close everything."""
-        await self._listener.async_unload()
-        await self._forward_listener.async_unload()
-        self.client.unload()
-
-
 @pytest.fixture
 def catalog() -> Catalog:
     """Return declarations of one keyed service."""
--- /dev/null
+++ b/tests/gateway/gateway_fixture.py
@@ -0,0 +1,97 @@
+"""A running request path for tests."""
+
+from __future__ import annotations
+
+import io
+from random import Random
+
+from swiftpin.config.catalog import Catalog
+from swiftpin.dispatch.journal import IdempotencyJournal
+from swiftpin.dispatch.journal_settings import JournalSettings
+from swiftpin.dispatch.wall_clock import WallClock
+from swiftpin.gateway.decision_log import DecisionLog
+from swiftpin.gateway.held_groups import HeldGroups
+from swiftpin.gateway.http_listener import (
+    FORWARD_HEADERS,
+    FORWARD_LINE,
+    MAX_HEADERS,
+    MAX_LINE,
+    HttpListener,
+)
+from swiftpin.gateway.metrics import Metrics
+from swiftpin.gateway.request_serving import RequestServing
+from swiftpin.gateway.result_trace import ResultTrace
+from swiftpin.gateway.target_queues import TargetQueues
+from swiftpin.helpers.address import Address
+from swiftpin.helpers.logging_destination import KeyValueDestination
+from swiftpin.helpers.logging_writer import LineWriter
+from swiftpin.ownership.group_id import GroupId
+from tests.dispatch.fake_store import FakeStore
+from tests.gateway.fake_ownership import FakeOwnership
+
+
+class GatewayFixture:
+    """A running request path and what it wrote."""
+
+    def __init__(self, ownership: FakeOwnership, catalog: Catalog) -> None:
+        self.store = FakeStore()
+        self.metrics = Metrics()
+        self.writer = LineWriter(io.BytesIO())
+        self.queues = TargetQueues(Random(1))
+        self.groups = HeldGroups(
+            self._make_journal, self.queues, Random(1), stop_limit=5.0
+        )
+        self.ownership = ownership
+        self.serving = RequestServing(
+            catalog=catalog,
+            ownership=ownership,
+            groups=self.groups,
+            queues=self.queues,
+            decisions=DecisionLog(KeyValueDestination(self.writer, "info"), 1.0),
+            metrics=self.metrics,
+            trace=ResultTrace("g1/aa", None),
+            rng=Random(1),
+            request_limit=100,
+        )
+        self.handler = self.serving.handler
+        self.handler.ready = True
+        self.address = ""
+        self.forward_address = ""
+        self._listener = HttpListener(
+            self.handler.async_handle_caller, max_line=MAX_LINE, max_headers=MAX_HEADERS
+        )
+        self._forward_listener = HttpListener(
+            self.handler.async_handle_forwarded,
+            max_line=FORWARD_LINE,
+            max_headers=FORWARD_HEADERS,
+        )
+
+    @property
+    def lines(self) -> list[str]:
+        """Return the log lines so far."""
+        return list(self.writer._lines)
+
+    async def async_setup(self) -> None:
+        """Listen on free ports."""
+        anywhere = Address(host="127.0.0.1", port=0)
+        self.address = str(await self._listener.async_setup(anywhere))
+        self.forward_address = str(await self._forward_listener.async_setup(anywhere))
+
+    async def async_unload(self) -> None:
+        """Close everything."""
+        await self._listener.async_unload()
+        await self._forward_listener.async_unload()
+        await self.serving.async_unload()
+        await self.groups.async_unload()
+
+    def _make_journal(self, group: GroupId) -> IdempotencyJournal:
+        """Return a journal over the store in memory."""
+        return IdempotencyJournal(
+            self.store,
+            group,
+            "g1/aa",
+            JournalSettings(min_interval=0.001),
+            Random(1),
+            is_confirmed=lambda now: self.ownership.holding,
+            wall=WallClock(offset=0.0),
+        )
--- a/tests/gateway/test_request_path.py
+++ b/tests/gateway/test_request_path.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from tests.gateway.conftest import GatewayFixture
+from tests.gateway.gateway_fixture import GatewayFixture
 from tests.gateway.raw_caller import RawCaller
 from tests.gateway.scripted_server import (
     ScriptedConnection,
