Balance held groups: moves on load, joining targets, slices for hot keys

Cause: a restarted target stayed empty and a hot key could not move without its slice. Change: load meter from answered work, planner calls within the moves-a-minute limit, key exceptions in the record; a split revokes the home first so that no request of the key still runs under it.

--- a/swiftpin/ownership/coordinator.py
+++ b/swiftpin/ownership/coordinator.py
@@ -125,10 +125,11 @@
     @callback
     def resolve(self, service: Service, key: str, now: float) -> Route:
         """Return where requests for the key go; raise `NoOwnerError` if nowhere."""
-        slice_id = slice_of(service.name, key, service.slices)
-        group = GroupId(service=service.name, group=slice_id % service.groups)
+        home = slice_of(service.name, key, service.slices)
+        group = GroupId(service=service.name, group=home % service.groups)
         holder = self.holders_by_group.get(group)
         if holder is not None:
+            slice_id = holder.record.slice_of_key(key, home)
             return Route(
                 group=group,
                 slice_id=slice_id,
@@ -138,7 +139,7 @@
                 forward_address=None,
                 reason="held here",
             )
-        return self._remote_route(service, group, slice_id)
+        return self._remote_route(service, group, key, home)
 
     @callback
     def send_until(self, group: GroupId, now: float) -> float | None:
@@ -146,13 +147,22 @@
         holder = self.holders_by_group.get(group)
         return None if holder is None else holder.send_until(now)
 
+    @callback
+    def record_work(self, route: Route, key: str, busy: float, now: float) -> None:
+        """Count a request that kept a slot of its target busy for `busy` seconds."""
+        holder = self.holders_by_group.get(route.group)
+        if holder is not None:
+            holder.record_work(route.slice_id, key, busy, now)
+
     @callback
     def held_groups(self) -> list[GroupHeartbeat]:
         """Return the groups whose lease this instance holds."""
         return [holder.heartbeat() for holder in self.holders_by_group.values()]
 
     @callback
-    def _remote_route(self, service: Service, group: GroupId, slice_id: int) -> Route:
+    def _remote_route(
+        self, service: Service, group: GroupId, key: str, home: int
+    ) -> Route:
         """Return the way through the group's holder."""
         record = self.records.get(group)
         if record is None:
@@ -161,6 +171,7 @@
                 retry_after=RETRY_AFTER_NO_RECORD,
             )
         info = self._directory.info_of(record.holder)
+        slice_id = record.slice_of_key(key, home)
         owner = record.slices_by_id[slice_id].target
         target = service.targets_by_id.get(owner)
         if info is None or target is None or self._is_me(record.holder):
@@ -400,6 +411,7 @@
             listener=listener,
             client_for=self._client_for,
             service_of=self._catalog.service,
+            profile_of=self._catalog.profile_of,
             declared_targets_of=self._declared_targets_of,
             leaving_targets_of=self._leaving_targets_of,
             publish=self._publish,
--- a/swiftpin/ownership/group_holder.py
+++ b/swiftpin/ownership/group_holder.py
@@ -16,6 +16,7 @@
 from swiftpin.ownership.holder_environment import HolderEnvironment
 from swiftpin.ownership.holder_links import HolderLinks
 from swiftpin.ownership.lease_start import LeaseStart
+from swiftpin.ownership.slice_balance import SliceBalance
 from swiftpin.ownership.slice_grants import SliceGrants
 from swiftpin.ownership.slice_moves import SliceMoves
 from swiftpin.ownership.target_state import TargetState
@@ -47,6 +48,7 @@
         self._grants = SliceGrants(env, self._lease, self._links)
         self._moves = SliceMoves(env, self._lease, self._links, self._grants)
         self._started_at = monotonic_now()
+        self._balance = SliceBalance(env, self._lease, self._moves, self._started_at)
         self._releasing = False
         self._wake = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
@@ -119,6 +121,11 @@
         until = self._lease.confirmed_until()
         return until if now < until else None
 
+    @callback
+    def record_work(self, slice_id: int, key: str, busy: float, now: float) -> None:
+        """Count a request that kept a slot of its target busy for `busy` seconds."""
+        self._balance.meter.record(slice_id, key, busy, now)
+
     @callback
     def target_of(self, slice_id: int, now: float) -> TargetSpec:
         """Return the target that serves the slice; raise `NoOwnerError` if none."""
@@ -155,6 +162,7 @@
         await self._lease.async_replace_successor(monotonic_now())
         moved = await self._moves.async_move_planned(monotonic_now())
         changed = await self._moves.async_change_targets(monotonic_now())
+        await self._balance.async_balance(monotonic_now())
         if moved or changed:
             self.wake()
 
--- a/swiftpin/ownership/group_record.py
+++ b/swiftpin/ownership/group_record.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from swiftpin.ownership.group_id import GroupId
+from swiftpin.ownership.placement.key_exception import KeyException
 from swiftpin.ownership.slice_assignment import SliceAssignment
 
 
@@ -16,7 +17,8 @@
     ordered; the odd step in between is reserved for a takeover without the store.
     `revision` grows with each change within a term. `holder` and `successor` are
     instance ids. `writer` is unique to the write, so that a writer whose answer was
-    lost recognises its own version when it reads the record back.
+    lost recognises its own version when it reads the record back. `exceptions_by_key`
+    holds hot keys with a slice of their own, numbered above the declared slices.
     """
 
     id: GroupId
@@ -28,6 +30,12 @@
     reason: str
     slices_by_id: dict[int, SliceAssignment] = field(default_factory=dict)
     targets: frozenset[str] = frozenset()
+    exceptions_by_key: dict[str, KeyException] = field(default_factory=dict)
+
+    def slice_of_key(self, key: str, home: int) -> int:
+        """Return the slice of a key whose hash gives the slice `home`."""
+        exception = self.exceptions_by_key.get(key)
+        return home if exception is None else exception.slice_id
 
     def is_newer_than(self, other: GroupRecord) -> bool:
         """Return whether this version comes after the other."""
--- a/swiftpin/ownership/holder_environment.py
+++ b/swiftpin/ownership/holder_environment.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from swiftpin.config.profile import Profile
 from swiftpin.config.service import Service
 from swiftpin.config.target_spec import TargetSpec
 from swiftpin.ownership.group_id import GroupId
@@ -20,7 +21,8 @@
 class HolderEnvironment:
     """Shared parts and callbacks of one instance.
 
-    `service_of` returns the declaration in force, None when it is retired;
+    `service_of` returns the declaration in force, None when it is retired,
+    `profile_of` its profile;
     `leaving_targets_of` the ids of targets with a planned stop; `publish` spreads a
     record as news; `released` is called when the holder gave the group up;
     `declared_targets_of` returns the targets that the declaration gives the group;
@@ -34,6 +36,7 @@
     listener: GroupListener
     client_for: Callable[[TargetSpec], TargetClient]
     service_of: Callable[[str], Service | None]
+    profile_of: Callable[[Service], Profile]
     declared_targets_of: Callable[[GroupId], frozenset[str] | None]
     leaving_targets_of: Callable[[str], frozenset[str]]
     publish: Callable[[GroupRecord], None]
--- a/swiftpin/ownership/placement/matching.py
+++ b/swiftpin/ownership/placement/matching.py
@@ -45,11 +45,14 @@
     targets: list[str], groups: int, room_by_group: dict[int, int]
 ) -> list[_Edge]:
     """Return a fixed number of hashed pairs for each target, best first."""
+    # The number of the candidate is part of the hashed text. As a seed it would make
+    # hashes of short names collide (t10 with seed 3, t11 with seed 2), which shows as
+    # targets that always compete for the same groups.
+    suffixes = [f"\0{number}" for number in range(CANDIDATES)]
     edges: list[_Edge] = []
     for target in targets:
-        name = target.encode()
-        for seed in range(CANDIDATES):
-            digest = xxh3_64_intdigest(name, seed)
+        for suffix in suffixes:
+            digest = xxh3_64_intdigest(target + suffix)
             group = (digest >> _LOW_BITS) % groups
             if room_by_group.get(group, 0) > 0:
                 edges.append((digest & 0xFFFFFFFF, target, group))
--- a/swiftpin/ownership/placement_inputs.py
+++ b/swiftpin/ownership/placement_inputs.py
@@ -20,6 +20,7 @@
     *,
     lost: frozenset[str],
     leaving: frozenset[str],
+    load_by_slice: Mapping[int, float] | None = None,
 ) -> PlacementView:
     """Return the group's record and the state of its targets.
 
@@ -38,6 +39,7 @@
         group=record.id,
         slices_by_id=record.slices_by_id,
         targets_by_id=targets_by_id,
+        load_by_slice=load_by_slice or {},
     )
 
 
--- a/swiftpin/ownership/record_changes.py
+++ b/swiftpin/ownership/record_changes.py
@@ -7,6 +7,7 @@
 from uuid import uuid4
 
 from swiftpin.ownership.group_record import GroupRecord
+from swiftpin.ownership.placement.key_exception import KeyException
 from swiftpin.ownership.placement.move import Move
 from swiftpin.ownership.rules import next_slice_term, next_store_term
 from swiftpin.ownership.slice_assignment import SliceAssignment
@@ -30,6 +31,27 @@
     return replace(record, slices_by_id=slices_by_id)
 
 
+def with_split(record: GroupRecord, exception: KeyException) -> GroupRecord:
+    """Return the record with a slice for one key, owned by its home's owner."""
+    home = record.slices_by_id[exception.home]
+    slices_by_id = {**record.slices_by_id, exception.slice_id: home}
+    exceptions_by_key = {**record.exceptions_by_key, exception.key: exception}
+    return replace(
+        record, slices_by_id=slices_by_id, exceptions_by_key=exceptions_by_key
+    )
+
+
+def with_merge(record: GroupRecord, exception: KeyException) -> GroupRecord:
+    """Return the record without the slice of one key."""
+    slices_by_id = dict(record.slices_by_id)
+    del slices_by_id[exception.slice_id]
+    exceptions_by_key = dict(record.exceptions_by_key)
+    del exceptions_by_key[exception.key]
+    return replace(
+        record, slices_by_id=slices_by_id, exceptions_by_key=exceptions_by_key
+    )
+
+
 def with_reported_owner(
     record: GroupRecord, slice_id: int, owner: str, slice_term: int
 ) -> GroupRecord:
--- a/swiftpin/ownership/record_codec.py
+++ b/swiftpin/ownership/record_codec.py
@@ -7,11 +7,15 @@
 from swiftpin.exceptions import StoreError
 from swiftpin.ownership.group_id import GroupId
 from swiftpin.ownership.group_record import GroupRecord
+from swiftpin.ownership.placement.key_exception import KeyException
 from swiftpin.ownership.slice_assignment import SliceAssignment
 
 
 def encode_record(record: GroupRecord) -> bytes:
-    """Return the record as stored; slices are [slice, target, term, standby]."""
+    """Return the record as stored; slices are [slice, target, term, standby].
+
+    Key exceptions are [key, slice, home slice].
+    """
     slices = [
         [slice_id, item.target, item.term, item.standby]
         for slice_id, item in sorted(record.slices_by_id.items())
@@ -28,6 +32,10 @@
             "reason": record.reason,
             "targets": sorted(record.targets),
             "slices": slices,
+            "exceptions": [
+                [item.key, item.slice_id, item.home]
+                for _, item in sorted(record.exceptions_by_key.items())
+            ],
         }
     )
 
@@ -40,6 +48,10 @@
             slice_id: SliceAssignment(target=target, term=term, standby=standby)
             for slice_id, target, term, standby in raw["slices"]
         }
+        exceptions_by_key = {
+            key: KeyException(key=key, slice_id=slice_id, home=home)
+            for key, slice_id, home in raw.get("exceptions", [])
+        }
         return GroupRecord(
             id=GroupId(service=raw["service"], group=raw["group"]),
             term=raw["term"],
@@ -50,6 +62,7 @@
             reason=raw["reason"],
             targets=frozenset(raw["targets"]),
             slices_by_id=slices_by_id,
+            exceptions_by_key=exceptions_by_key,
         )
     except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as err:
         raise StoreError(f"not a group record: {err!r}") from err
--- a/swiftpin/ownership/slice_moves.py
+++ b/swiftpin/ownership/slice_moves.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import replace
 from typing import Final
 
@@ -10,7 +11,9 @@
 from swiftpin.ownership.group_record import GroupRecord
 from swiftpin.ownership.holder_environment import HolderEnvironment
 from swiftpin.ownership.holder_links import HolderLinks, Link
+from swiftpin.ownership.placement.key_exception import KeyException
 from swiftpin.ownership.placement.move import Move
+from swiftpin.ownership.placement.placement_view import PlacementView
 from swiftpin.ownership.placement.planner import plan_moves
 from swiftpin.ownership.placement.policy import (
     MoveOnLeave,
@@ -18,7 +21,7 @@
     PlacementPolicy,
 )
 from swiftpin.ownership.placement_inputs import placement_view
-from swiftpin.ownership.record_changes import with_moves
+from swiftpin.ownership.record_changes import with_merge, with_moves, with_split
 from swiftpin.ownership.rules import lapsed
 from swiftpin.ownership.slice_grants import SliceGrants
 from swiftpin.ownership.target_state import TargetState
@@ -70,7 +73,7 @@
             return False
         batch = self._plan(MoveOnLeave(), frozenset(), now)[:MOVE_BATCH]
         if batch:
-            await self._async_move(batch, "target leaving")
+            await self.async_move(batch, "target leaving")
         return bool(batch)
 
     async def async_change_targets(self, now: float) -> bool:
@@ -85,9 +88,9 @@
             return True
         return False
 
-    async def _async_move(self, moves: list[Move], reason: str) -> None:
+    async def async_move(self, moves: list[Move], reason: str) -> None:
         """Move slices in order: revoke, write, grant."""
-        revoked = await self._async_revoke(moves)
+        revoked = await self._async_revoke({move.slice_id for move in moves})
         done = [move for move in moves if move.slice_id in revoked]
         if not done:
             return
@@ -96,12 +99,52 @@
         if await self._lease.async_write(record):
             await self._grants.async_grant_missing(monotonic_now())
 
-    async def _async_revoke(self, moves: list[Move]) -> set[int]:
+    async def async_split(self, exception: KeyException) -> None:
+        """Give a key a slice of its own, at the owner of its home.
+
+        The home is revoked first, so that no request of the key is still running
+        under it: the new slice could else move while its key is in use.
+        """
+        if not await self._async_revoke({exception.home}):
+            return
+        version = self._lease.next_version(f"split hot key out of {exception.home}")
+        self._lease.decide("split", version.reason, slices=1)
+        if await self._lease.async_write(with_split(version, exception)):
+            self._grants.note_free({exception.slice_id})
+        await self._grants.async_grant_missing(monotonic_now())
+
+    async def async_merge(self, exception: KeyException) -> None:
+        """Put a key that is no longer hot back into its home, at the same owner."""
+        if not await self._async_revoke({exception.slice_id}):
+            return
+        version = self._lease.next_version(f"merged a key into {exception.home}")
+        self._lease.decide("merge", version.reason, slices=1)
+        await self._lease.async_write(with_merge(version, exception))
+        await self._grants.async_grant_missing(monotonic_now())
+
+    @callback
+    def view(
+        self, now: float, load_by_slice: Mapping[int, float]
+    ) -> PlacementView | None:
+        """Return what placement decides from; None once the service is retired."""
+        service = self._env.service_of(self._lease.id.service)
+        if service is None:
+            return None
+        return placement_view(
+            self._lease.record,
+            self._links.by_target,
+            service.targets_by_id,
+            lost=frozenset(),
+            leaving=self._leaving(),
+            load_by_slice=load_by_slice,
+        )
+
+    async def _async_revoke(self, slices_to_revoke: set[int]) -> set[int]:
         """Take the slices back; return those that nobody serves any more."""
         by_owner: dict[str, set[int]] = {}
-        for move in moves:
-            owner = self._lease.record.slices_by_id[move.slice_id].target
-            by_owner.setdefault(owner, set()).add(move.slice_id)
+        for slice_id in slices_to_revoke:
+            owner = self._lease.record.slices_by_id[slice_id].target
+            by_owner.setdefault(owner, set()).add(slice_id)
         revoked: set[int] = set()
         for owner, slices in by_owner.items():
             link = self._links.by_target.get(owner)
