Add swiftpin-bench with the experiments passthrough and slopes, and the report page

Cause: the gateway's cost and the control cost of an instance must be measured the same way every time.

Figures: none measured; the gateway does not serve yet in this tree.

--- a/swiftpin/bench/cluster/cluster.py
+++ b/swiftpin/bench/cluster/cluster.py
@@ -40,6 +40,7 @@
 
     def __init__(self, spec: ClusterSpec, directory: Path) -> None:
         self.spec = spec
+        directory.mkdir(parents=True, exist_ok=True)
         self.directory = directory
         self.layout = ClusterLayout.allocate(spec, PortAllocator())
         self.supervisor = Supervisor(directory)
--- a/swiftpin/bench/cluster/cluster_commands.py
+++ b/swiftpin/bench/cluster/cluster_commands.py
@@ -10,6 +10,7 @@
 from swiftpin.bench.cluster.gateway_place import GatewayPlace
 from swiftpin.bench.cluster.target_place import TargetPlace
 from swiftpin.bench.processes.process_spec import ProcessSpec
+from swiftpin.standins.http_standin import PATH_COUNTERS
 
 MODULE_STANDINS: Final = "swiftpin.standins"
 MODULE_GATEWAY: Final = "swiftpin.gateway"
@@ -33,7 +34,7 @@
             f"--latency-ms={spec.store_latency_ms:g}",
             f"--seed={spec.seed}",
         ),
-        ready_url=f"{layout.store_url}/healthz",
+        ready_url=f"{layout.store_url}{PATH_COUNTERS}",
     )
 
 
@@ -52,7 +53,7 @@
             f"--lag-ms={spec.instances_lag_ms:g}",
             *listed,
         ),
-        ready_url=f"{layout.instances_url}/healthz",
+        ready_url=f"{layout.instances_url}{PATH_COUNTERS}",
     )
 
 
@@ -79,7 +80,7 @@
             *unchecked,
             *trace,
         ),
-        ready_url=f"http://{place.address}/healthz",
+        ready_url=f"http://{place.address}{PATH_COUNTERS}",
     )
 
 
--- a/swiftpin/bench/cluster/platform_control.py
+++ b/swiftpin/bench/cluster/platform_control.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-
 from aiohttp import ClientSession
 import orjson
 
 from swiftpin.bench.cluster.cluster_layout import ClusterLayout
+from swiftpin.bench.cluster.store_calls import StoreCalls
 from swiftpin.standins.http_standin import PATH_COUNTERS, PATH_FAULTS, PATH_STANDIN
 from swiftpin.standins.instance_change import InstanceChange
 from swiftpin.standins.store_faults import StoreFaults
+from swiftpin.standins.store_standin import COUNT_READS, COUNT_WATCHES, COUNT_WRITES
 from swiftpin.standins.target_faults import TargetFaults
 
 
@@ -43,14 +43,17 @@
         given = {key: value for key, value in document.items() if value is not None}
         await self._async_put(f"{base}/{name}", given)
 
-    async def async_store_calls(self) -> Mapping[str, int]:
-        """Return how many calls of each kind the store has had."""
+    async def async_store_calls(self) -> StoreCalls:
+        """Return how many calls the store has carried out."""
         url = f"{self._layout.store_url}{PATH_COUNTERS}"
         async with self._session.get(url) as response:
             response.raise_for_status()
-            document = orjson.loads(await response.read())
-        totals: dict[str, int] = document["totals"]
-        return totals
+            totals = orjson.loads(await response.read())["totals"]
+        return StoreCalls(
+            reads=totals[COUNT_READS],
+            writes=totals[COUNT_WRITES],
+            watches=totals[COUNT_WATCHES],
+        )
 
     async def _async_put(self, url: str, document: object) -> None:
         """Send a JSON document; raises `ClientResponseError` when it is refused."""
--- /dev/null
+++ b/swiftpin/bench/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""The named experiments."""
--- /dev/null
+++ b/swiftpin/bench/experiments/slope_point.py
@@ -0,0 +1,25 @@
+"""One measurement of the slopes experiment."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SlopePoint:
+    """Control cost at rest with so many gateways and targets.
+
+    Means over the gateways: `cpu_percent` of one core, `resident_mb` in MB,
+    `sent_bytes` a second written to sockets, HTTP and gRPC framing included.
+    `store_calls` are the whole cluster's calls a second.
+    """
+
+    gateways: int
+    targets: int
+    cpu_percent: float
+    cpu_percent_max: float
+    resident_mb: float
+    resident_mb_max: float
+    sent_bytes: float
+    store_calls: float
+    store_writes: float
--- /dev/null
+++ b/swiftpin/bench/registry.py
@@ -0,0 +1,13 @@
+"""The experiments by name."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from swiftpin.bench.experiment import Experiment
+from swiftpin.bench.experiments.passthrough import PASSTHROUGH
+from swiftpin.bench.experiments.slopes import SLOPES
+
+EXPERIMENTS_BY_NAME: Final[dict[str, Experiment]] = {
+    item.name: item for item in (PASSTHROUGH, SLOPES)
+}
--- /dev/null
+++ b/swiftpin/bench/report/__init__.py
@@ -0,0 +1,1 @@
+"""HTML page with plots of recorded results."""
