--- a/swiftpin/cli/apply.py
+++ b/swiftpin/cli/apply.py
@@ -22,9 +22,6 @@
         action="store_true",
         help="also retire the services and profiles that no file declares",
     )
-    parser.add_argument(
-        "--yes", action="store_true", help="has no effect, nothing is asked"
-    )
     add_change_arguments(parser)
 
 
--- a/swiftpin/cli/exit_status.py
+++ b/swiftpin/cli/exit_status.py
@@ -6,7 +6,7 @@
 
 
 class ExitStatus(IntEnum):
-    """What the command tells the shell; `docs/operators/declarations-how-to.md`."""
+    """What the command tells the shell; see docs/operators/declarations-how-to.md."""
 
     OK = 0
     DEGRADED = 1
--- a/tests/config/test_repository.py
+++ b/tests/config/test_repository.py
@@ -174,7 +174,7 @@
 
     Sequence: a write is delayed in the network; it is sent again and accepted; then
     the delayed one arrives.
-    Cause: a second sending without the first one's condition.
+    Cause: a second sending that leaves the first one's condition true.
     """
     await repository.async_write(first, None)
     seen = await repository.async_read(NAME)
@@ -183,6 +183,36 @@
     assert client.late_conflicts == 1
 
 
+async def test_second_sending_replaces_nobody(
+    repository: ConfigRepository,
+    client: FaultyStoreClient,
+    rival: ConfigRepository,
+    first: ConfigObject,
+    second: ConfigObject,
+    rivals_second: ConfigObject,
+) -> None:
+    """Symptom: an accepted change of a rival vanishes.
+
+    Sequence: a write is lost; it is read back as absent; a rival writes; then it is
+    sent again.
+    Cause: a second sending without the first one's condition.
+    """
+    await repository.async_write(first, None)
+    seen = await repository.async_read(NAME)
+
+    async def async_rival() -> None:
+        await rival.async_write(rivals_second, seen)
+
+    async def async_before_first() -> None:
+        client.before_put_by_name[NAME.store_name] = async_rival
+
+    client.before_put_by_name[NAME.store_name] = async_before_first
+    client.faults_by_name[NAME.store_name].append(Fault.REQUEST_LOST)
+    with pytest.raises(LostRaceError):
+        await repository.async_write(second, seen)
+    assert await generations(repository) == [(1, "writer-1"), (2, "rival")]
+
+
 @pytest.mark.parametrize("fault", [Fault.ANSWER_LOST, Fault.REQUEST_LOST])
 async def test_lost_answer_and_a_rival(
     repository: ConfigRepository,
