--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -12,10 +12,9 @@
 from swiftpin.config.request_class import RequestClass
 from swiftpin.config.service import Service
 from swiftpin.config.target_spec import TargetSpec
-from swiftpin.ownership.group_id import GroupId
 from swiftpin.ownership.route import Route
 from tests.gateway.fake_ownership import FakeOwnership
-from tests.gateway.gateway_fixture import GatewayFixture
+from tests.gateway.gateway_fixture import GROUP, TERM, GatewayFixture
 from tests.gateway.raw_caller import RawCaller
 from tests.gateway.scripted_server import ScriptedServer
 
@@ -29,6 +28,13 @@
             priority=0,
             repeatable=False,
         ),
+        RequestClass(
+            name="once",
+            methods=frozenset({"PUT"}),
+            path="/once*",
+            priority=0,
+            repeatable=False,
+        ),
         RequestClass(
             name="lookup",
             methods=frozenset(),
@@ -89,14 +95,16 @@
     await connected.async_unload()
 
 
-def local_route(address: str, *, forward_address: str | None = None) -> Route:
+def local_route(
+    address: str, *, forward_address: str | None = None, holder: str = "g1/aa"
+) -> Route:
     """Return a route to the target at the address."""
     return Route(
-        group=GroupId(service="desk", group=1),
+        group=GROUP,
         slice_id=7,
         target=TargetSpec(id="t1", address=address, zone="a"),
-        term=4,
-        holder="g1/aa",
+        term=TERM,
+        holder=holder,
         forward_address=forward_address,
         reason="owner",
     )
--- a/tests/gateway/gateway_fixture.py
+++ b/tests/gateway/gateway_fixture.py
@@ -4,6 +4,7 @@
 
 import io
 from random import Random
+from typing import Final
 
 from swiftpin.config.catalog import Catalog
 from swiftpin.dispatch.journal import IdempotencyJournal
@@ -29,6 +30,9 @@
 from tests.dispatch.fake_store import FakeStore
 from tests.gateway.fake_ownership import FakeOwnership
 
+GROUP: Final = GroupId(service="desk", group=1)
+TERM: Final = 4
+
 
 class GatewayFixture:
     """A running request path and what it wrote."""
@@ -76,6 +80,12 @@
         anywhere = Address(host="127.0.0.1", port=0)
         self.address = str(await self._listener.async_setup(anywhere))
         self.forward_address = str(await self._forward_listener.async_setup(anywhere))
+        await self.async_acquire()
+
+    async def async_acquire(self) -> None:
+        """Hold the group, with an open journal."""
+        self.groups.group_acquired(GROUP, TERM)
+        await self.groups._openings_by_group[GROUP]
 
     async def async_unload(self) -> None:
         """Close everything."""
--- a/tests/gateway/scripted_server.py
+++ b/tests/gateway/scripted_server.py
@@ -73,10 +73,14 @@
 
 
 class ScriptedServer:
-    """Reads requests and lets the script answer each."""
+    """Reads requests and lets the script answer each.
+
+    `on_connect` may serve a connection before its requests are read.
+    """
 
     def __init__(self) -> None:
         self.script: Script = async_answer_ok
+        self.on_connect: Callable[[ScriptedConnection], Awaitable[None]] | None = None
         self.seen: list[SeenRequest] = []
         self.connections = 0
         self.arrived = asyncio.Event()
@@ -113,12 +117,14 @@
         self.connections += 1
         connection = ScriptedConnection(reader, writer)
         try:
+            if self.on_connect is not None:
+                await self.on_connect(connection)
             while True:
                 request = await _async_read_request(reader)
                 self.seen.append(request)
                 self.arrived.set()
                 await self.script(connection, request)
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
             pass
         finally:
             self._tasks.discard(task)
