--- a/swiftpin/exceptions.py
+++ b/swiftpin/exceptions.py
@@ -227,6 +227,12 @@
     code = ResultCode.SHUTTING_DOWN
 
 
+class NotReadyError(NotRunError):
+    """The instance has just started and does not know the declarations yet."""
+
+    code = ResultCode.NOT_READY
+
+
 class OverloadedError(NotRunError):
     """The instance has no room for another request."""
 
@@ -246,6 +252,25 @@
     status = 502
 
 
+class AttemptNotRunError(OutcomeUnknownError):
+    """This attempt was not run, but one with its idempotency key may have been.
+
+    A request that is not repeatable was refused before the records of earlier
+    attempts were looked at.
+    """
+
+    code = ResultCode.ATTEMPT_NOT_RUN
+    status = 503
+
+
+class AnswerNotKeptError(RequestError):
+    """The request ran before, and its answer was too large to be recorded."""
+
+    code = ResultCode.ANSWER_NOT_KEPT
+    status = 409
+    executed = Executed.YES
+
+
 class DeadlineExceededError(OutcomeUnknownError):
     """The deadline passed while the request may be running."""
 
