--- /dev/null
+++ b/tests/trace/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of traces and their checker."""
