Measure the pass-through on a service whose targets check nothing

Cause: the bare proxy sends no grant headers, and unchecked targets report no held slices, so a gateway that grants serves nothing there. Change: the service is declared without checks. Conclusion: both contenders face the same targets.

--- a/swiftpin/bench/experiments/passthrough.py
+++ b/swiftpin/bench/experiments/passthrough.py
@@ -44,7 +44,12 @@
     # do, so that neither they nor their queues are what is measured.
     services=(
         ServiceSpec(
-            name=SERVICE, targets=4, refuses_orders=False, slots=100, work_ms=0.0
+            name=SERVICE,
+            targets=4,
+            checks_grants=False,
+            refuses_orders=False,
+            slots=100,
+            work_ms=0.0,
         ),
     ),
     gateways=1,
