Show an instance's reason for no owner; pass over leaving instances in status

Cause: explain hid the reason when an instance answered with an error, and status called an instance that leaves a fault until the instance list showed it. Change: explain takes errors with a JSON body as answers; an instance that says that it leaves is not judged. Conclusion: planned stops no longer look like faults.

--- a/swiftpin/cli/build_status.py
+++ b/swiftpin/cli/build_status.py
@@ -68,13 +68,18 @@
 def _instance_problems(
     findings: Findings, accepted_by_label: Mapping[str, int]
 ) -> Iterator[str]:
-    """Yield what is not well with instances; a leaving one may be silent."""
+    """Yield what is not well with instances; a leaving one is passed over.
+
+    The list lags, so an instance that itself says that it leaves counts as leaving.
+    """
     if findings.reports is None:
         return
     live = [item for item in findings.reports if not item.info.leaving]
     if not live:
         yield "no live instance is listed"
     for report in live:
+        if report.status is not None and report.status.leaving:
+            continue
         yield from missing_generations(report, accepted_by_label)
         if report.status is not None and not report.status.ready:
             yield f"instance {report.info.name}: is not ready"
--- a/swiftpin/cli/instances_client.py
+++ b/swiftpin/cli/instances_client.py
@@ -54,9 +54,13 @@
         return await asyncio.gather(*(self._async_report(info) for info in infos))
 
     async def async_explain(self, info: InstanceInfo, service: str, key: str) -> Any:  # noqa: ANN401 - JSON of the instance, shown as it is
-        """Return what an instance says about a key; raise `PeerError` if nothing."""
+        """Return what an instance says about a key; raise `PeerError` if nothing.
+
+        Its errors count as answers: why a key has no owner is an explanation too.
+        """
         url = f"http://{info.admin}/v1/explain"
-        body = await self._async_get(url, {"service": service, "key": key})
+        params = {"service": service, "key": key}
+        body = await self._async_get(url, params, any_status=True)
         try:
             return orjson.loads(body)
         except orjson.JSONDecodeError as err:
@@ -75,7 +79,9 @@
             return InstanceReport(info=info, error=f"{url} answered no status")
         return InstanceReport(info=info, status=model.to_status())
 
-    async def _async_get(self, url: str, params: dict[str, str]) -> bytes:
+    async def _async_get(
+        self, url: str, params: dict[str, str], *, any_status: bool = False
+    ) -> bytes:
         """Return the body of an answer; raise `PeerError` when there is none."""
         try:
             async with self._session.get(
@@ -87,6 +93,6 @@
             raise PeerError(f"{url} did not answer in time") from err
         except ClientError as err:
             raise PeerError(f"{url}: {err}") from err
-        if status != HTTPStatus.OK:
+        if status != HTTPStatus.OK and not any_status:
             raise PeerError(f"{url} answered {status}")
         return body
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -67,6 +67,16 @@
     assert "takeover" in shown["why"][2]
 
 
+async def test_error_of_the_instance_is_an_explanation(
+    run: RunCommand, instance: FakeInstance
+) -> None:
+    """Why an instance finds no owner is shown as it says it."""
+    instance.explains = {"name": "NO_OWNER", "hint": "the holder is unknown"}
+    instance.explain_status = 503
+    shown = yaml.safe_load((await run("explain", "desk", KEY)).out)
+    assert shown["instance_says"]["hint"] == "the holder is unknown"
+
+
 async def test_instance_that_says_nothing(
     run: RunCommand, store: StoreStandin, instance: FakeInstance
 ) -> None:
--- a/tests/cli/test_status.py
+++ b/tests/cli/test_status.py
@@ -130,6 +130,18 @@
     assert (await run("status")).status is ExitStatus.OK
 
 
+async def test_instance_that_leaves_before_the_list_shows_it(
+    run: RunCommand, well: FakeInstance
+) -> None:
+    """Symptom: every planned stop looks like a fault.
+
+    Sequence: an instance begins its planned stop; the list still calls it live.
+    Cause: believing the list, which lags, over the instance.
+    """
+    well.leaving, well.ready = True, False
+    assert (await run("status")).status is ExitStatus.OK
+
+
 async def test_silent_instance(
     run: RunCommand, well: FakeInstance, instances: InstancesStandin
 ) -> None:
