Test news, the following of the store and the instance directory

Cause: news must survive loss, partitions, stale reads and restarts. Change: tests; a watch that cannot resume waits before it lists again (a store that answered 410 each time was listed without a pause, found by the test of it).

--- a/swiftpin/membership/store_follower.py
+++ b/swiftpin/membership/store_follower.py
@@ -66,6 +66,9 @@
         self._backoff = Backoff(
             random, settings.backoff_initial, settings.backoff_limit
         )
+        self._relist_backoff = Backoff(
+            random, settings.backoff_initial, settings.backoff_limit
+        )
         self._clock = clock
         self._revision: int | None = None
         self._task = BackgroundTask("store follower")
@@ -117,8 +120,9 @@
         )
         self._contact.note(self._clock())
         if result is None:
-            self._revision = None
+            await self._async_start_over()
             return
+        self._relist_backoff.reset()
         self._revision = result.revision
         for event in result.events:
             if event.deleted:
@@ -126,6 +130,15 @@
             elif self._source.covers(event.name):
                 self._fetcher.want(event.name, event.version)
 
+    async def _async_start_over(self) -> None:
+        """Have the source listed again, since the watch cannot resume.
+
+        A store that forgets its revisions faster than they are listed would be
+        listed without a pause; each further time waits longer.
+        """
+        self._revision = None
+        await asyncio.sleep(self._relist_backoff.next_delay())
+
     async def _async_rest(self) -> None:
         """Sleep a while, then list the source if that is due."""
         await asyncio.sleep(_IDLE_INTERVAL)
--- a/tests/membership/fake_store.py
+++ b/tests/membership/fake_store.py
@@ -42,7 +42,7 @@
 
     async def async_get(self, name: str) -> StoredObject | None:
         """Return the object, an earlier version of it while reads are stale."""
-        self._check()
+        await self._async_check()
         self.gets += 1
         history = self.history_by_name.get(name, [])
         if self.stale_reads > 0:
@@ -52,7 +52,7 @@
 
     async def async_list(self, prefix: str, *, bodies: bool = False) -> Listing:
         """Return the objects under the prefix."""
-        self._check()
+        await self._async_check()
         self.lists += 1
         newest = [history[-1] for history in self.history_by_name.values()]
         return Listing(
@@ -72,7 +72,7 @@
         self, prefix: str, after: int, wait: float
     ) -> WatchResult | None:
         """Wait for changes after a revision."""
-        self._check()
+        await self._async_check()
         self.watches += 1
         if after < self.oldest_revision:
             return None
@@ -80,7 +80,9 @@
             try:
                 await asyncio.wait_for(self.changed.wait(), wait)
             except TimeoutError:
-                self._check()
+                await self._async_check()
+        if after < self.oldest_revision:
+            return None
         return WatchResult(revision=self.revision, events=self._events(prefix, after))
 
     def _events(self, prefix: str, after: int) -> list[WatchEvent]:
@@ -91,7 +93,8 @@
             if event.version > after and event.name.startswith(prefix)
         ]
 
-    def _check(self) -> None:
+    async def _async_check(self) -> None:
         """Fail during an outage."""
+        await asyncio.sleep(0)
         if self.is_out:
             raise StoreUnavailableError("the store is out")
