--- a/swiftpin/gateway/app.py
+++ b/swiftpin/gateway/app.py
@@ -42,6 +42,9 @@
 
 INCARNATION_BYTES: Final = 4
 HOUSEKEEPING_INTERVAL: Final = 5.0
+LEASE_STORE_TIMEOUT: Final = 0.3
+"""Seconds for a store call about a lease: while a store hangs, a lost target's keys
+wait for it before they move without it, and are to be served again within 2 s."""
 LEAVING_TIME: Final = 1.0
 """Seconds for which a leaving instance still takes requests, so that the balancer and
 other instances have learnt of it before its ports close."""
@@ -62,7 +65,9 @@
         self._wall = WallClock.from_times(wall=time.time(), monotonic=monotonic_now())
         self._trace = _open_trace(settings)
         self._session = ClientSession(cookie_jar=DummyCookieJar())
-        self._store = StoreClient(self._session, settings.store_url)
+        self._store = StoreClient(
+            self._session, settings.store_url, instance_id=self.instance_id
+        )
         self._metrics = Metrics()
         self._catalog = Catalog()
         self._queues = TargetQueues(self._rng)
@@ -87,7 +92,7 @@
             self._status,
             RouteExplainer(self._catalog, self._ownership),
         )
-        self._listeners = Listeners(settings, self._serving.handler, self._admin)
+        self.listeners = Listeners(settings, self._serving.handler, self._admin)
         self._tasks: list[asyncio.Task[None]] = []
 
     async def async_setup(self) -> None:
@@ -95,11 +100,11 @@
 
         Raises `ConfigurationError` when a port cannot be used.
         """
-        await self._listeners.async_setup()
+        await self.listeners.async_setup()
         cache = self._membership.cache
         cache.subscribe(STORE_PREFIX_CONFIG, self._adopt_config)
         self._catalog.subscribe(self._note_change)
-        await self._membership.async_setup()
+        await self._async_set_up_membership()
         await self._ownership.async_setup()
         self._tasks.append(asyncio.create_task(self._async_become_ready()))
         self._tasks.append(asyncio.create_task(self._async_keep_house()))
@@ -107,7 +112,7 @@
             message_type="instance_started",
             instance=self.instance_id,
             zone=self.settings.zone,
-            listen=str(self.settings.listen),
+            listen=str(self.listeners.callers),
         )
 
     async def async_stop(self) -> None:
@@ -124,7 +129,7 @@
             async with asyncio.timeout(limit):
                 await self._ownership.async_unload()
                 await asyncio.sleep(LEAVING_TIME)
-                self._listeners.stop_listening()
+                self.listeners.stop_listening()
                 await handler.async_wait_idle()
         except TimeoutError:
             log_message(
@@ -139,7 +144,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self._listeners.async_unload()
+        await self.listeners.async_unload()
         await self._serving.async_unload()
         await self._groups.async_unload()
         await self._membership.async_unload()
@@ -168,7 +173,12 @@
         ownership = OwnershipCoordinator(
             instance_id=self.instance_id,
             zone=settings.zone,
-            store=self._store,
+            store=StoreClient(
+                self._session,
+                settings.store_url,
+                timeout=LEASE_STORE_TIMEOUT,
+                instance_id=self.instance_id,
+            ),
             session=self._session,
             cache=self._membership.cache,
             publish=self._membership.publish,
@@ -226,6 +236,14 @@
 
     # While it runs
 
+    async def _async_set_up_membership(self) -> None:
+        """Listen for other instances, and name the flag when that fails."""
+        try:
+            await self._membership.async_setup()
+        except ConfigurationError as err:
+            listen = str(self.settings.peer_listen)
+            raise ConfigurationError(f"--peer-listen {listen!r}: {err}") from err
+
     @callback
     def _adopt_config(self, obj: CachedObject) -> None:
         """Put a declaration in force that came from the store or as news."""
