--- a/swiftpin/bench/placement/rendezvous.py
+++ b/swiftpin/bench/placement/rendezvous.py
@@ -12,8 +12,8 @@
 
 _MASK: Final = 2**64 - 1
 _MIX: Final = 0x9E3779B97F4A7C15
-# Pairs of key and target that are hashed; keys beyond that are drawn.
-_PAIR_LIMIT: Final = 8_000_000
+# Pairs of key and place that are hashed; keys beyond that are drawn.
+_PAIR_LIMIT: Final = 16_000_000
 
 
 class Rendezvous:
@@ -29,10 +29,12 @@
 
     def place(self, loads: KeyLoads, targets: Sequence[str]) -> KeyPlacement:
         """Return the placement on the targets."""
-        exact = max(loads.hot, _PAIR_LIMIT // len(targets))
+        table = _table(targets)
+        # The table's length stays the same when one target comes or goes. Counted by
+        # the targets themselves, some keys would change from one way to the other.
+        exact = max(loads.hot, _PAIR_LIMIT // len(table))
         seeds = [xxh3_64_intdigest(name) for name in targets]
         owners = [_highest(key_hash, seeds) for key_hash in loads.hashes[:exact]]
-        table = _table(targets)
         owners += [_drawn(key_hash, table) for key_hash in loads.hashes[exact:]]
         count = len(targets)
         return add_up(loads, targets, owners, [1.0 / count] * count)
