Explain keys that have a slice of their own

Cause: records can give a hot key a slice of its own, which explain did not know. Change: explain looks the key up in the record before it names the owner. Conclusion: explain names the target that serves the key.

--- a/swiftpin/cli/build_explanation.py
+++ b/swiftpin/cli/build_explanation.py
@@ -42,7 +42,8 @@
     record: GroupRecord | None,
 ) -> Explanation:
     """Return the explanation for a key; `record` is that of the key's group."""
-    slice_id = slice_of(service.name, key, service.slices)
+    home = slice_of(service.name, key, service.slices)
+    slice_id = home if record is None else record.slice_of_key(key, home)
     group = group_of(service, key).group
     assignment = None if record is None else record.slices_by_id.get(slice_id)
     owner = None if assignment is None else assignment.target
@@ -64,13 +65,21 @@
         holder=None if record is None else record.holder,
         successor=None if record is None else record.successor,
         why=(
-            f"the key is in slice {slice_id}: its hash modulo {service.slices} slices",
-            f"the slice is in group {group}: its number modulo {service.groups} groups",
+            f"the key's hash modulo {service.slices} slices gives slice {home}",
+            f"slice {home} modulo {service.groups} groups gives group {group}",
+            *_split(home, slice_id),
             *_ownership(service, slice_id, record),
         ),
     )
 
 
+def _split(home: int, slice_id: int) -> tuple[str, ...]:
+    """Return why the key is in another slice than its hash gives."""
+    if slice_id == home:
+        return ()
+    return (f"the record gives this key, which is or was hot, slice {slice_id}",)
+
+
 def _ownership(
     service: Service, slice_id: int, record: GroupRecord | None
 ) -> tuple[str, ...]:
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -12,6 +12,7 @@
 from swiftpin.helpers.hashing import slice_of
 from swiftpin.ownership.group_id import GroupId
 from swiftpin.ownership.group_record import GroupRecord
+from swiftpin.ownership.placement.key_exception import KeyException
 from swiftpin.ownership.record_codec import encode_record
 from swiftpin.ownership.slice_assignment import SliceAssignment
 from swiftpin.standins.store_standin import StoreStandin
@@ -23,7 +24,11 @@
 SLICE = slice_of("desk", KEY, 8)
 
 
-async def put_record(store: StoreStandin, slices: dict[int, SliceAssignment]) -> None:
+async def put_record(
+    store: StoreStandin,
+    slices: dict[int, SliceAssignment],
+    *exceptions: KeyException,
+) -> None:
     """Write the record of the service's only group."""
     record = GroupRecord(
         id=GroupId(service="desk", group=0),
@@ -34,6 +39,7 @@
         writer="w",
         reason="takeover",
         slices_by_id=slices,
+        exceptions_by_key={item.key: item for item in exceptions},
     )
     async with ClientSession() as session:
         client = StoreClient(session, store.url)
@@ -67,6 +73,24 @@
     assert "takeover" in shown["why"][2]
 
 
+async def test_hot_key_with_a_slice_of_its_own(
+    run: RunCommand, store: StoreStandin
+) -> None:
+    """Symptom: explain names a target that does not serve the key.
+
+    Sequence: a hot key was split out of its slice; then an operator asks for it.
+    Cause: going by the hash alone.
+    """
+    slices = {
+        SLICE: SliceAssignment(target="desk-9", term=1),
+        8: SliceAssignment(target="desk-1", term=9),
+    }
+    await put_record(store, slices, KeyException(key=KEY, slice_id=8, home=SLICE))
+    shown = yaml.safe_load((await run("explain", "desk", KEY)).out)
+    assert (shown["slice_id"], shown["owner"]) == (8, "desk-1")
+    assert "slice 8" in shown["why"][2]
+
+
 async def test_error_of_the_instance_is_an_explanation(
     run: RunCommand, instance: FakeInstance
 ) -> None:
