Require fenced groups of the keyed examples

Cause: the demo's desk stood at 3 groups of 2 targets each when its test was written; it was changed to 2 groups since, without its test. Change: the test expects 2 groups, and a new one requires three targets a group of all keyed examples. Conclusion: the test is as strict as before and says why.

--- a/tests/config/test_examples.py
+++ b/tests/config/test_examples.py
@@ -11,6 +11,7 @@
 from swiftpin.config.inventory import Inventory
 from swiftpin.config.load import load_declarations
 from swiftpin.config.plan import plan_apply
+from swiftpin.ownership.rules import is_fenced_group
 
 EXAMPLES = Path(__file__).parents[2] / "examples"
 
@@ -32,7 +33,7 @@
         ("brno", "vault", False, 10, 4, None),
         ("west-coast", "nominations", True, 25, 3, 5),
         ("west-coast", "vault", False, 5, 3, None),
-        ("demo", "desk", True, 6, 3, 3),
+        ("demo", "desk", True, 6, 3, 2),
         ("demo", "vault", False, 3, 3, None),
     ],
 )
@@ -49,6 +50,21 @@
     assert not keyed or service.groups == groups
 
 
+@pytest.mark.parametrize(
+    ("directory", "name"),
+    [("brno", "desk"), ("west-coast", "nominations"), ("demo", "desk")],
+)
+def test_each_group_is_fenced(directory: str, name: str) -> None:
+    """Symptom: a lost holder's keys wait for the store although targets are well.
+
+    Sequence: a service has so many groups that each has only two targets.
+    Cause: groups of fewer than three targets have no majority to confirm a holder.
+    """
+    service = catalog_of(directory).services_by_name[name]
+    smallest_group = len(service.targets_by_id) // service.groups
+    assert is_fenced_group(smallest_group, checks_grants=service.checks_grants)
+
+
 @pytest.mark.parametrize(
     ("directory", "service", "method", "path", "expected"),
     [
