Do not call an instance after its planned stop a fault

Cause: in a trial with three gateways, status was degraded after a planned stop while the lagging list still named the instance. Change: a silent instance that has a planned stop is passed over. Conclusion: planned stops leave status at 0.

--- a/swiftpin/cli/build_status.py
+++ b/swiftpin/cli/build_status.py
@@ -70,8 +70,11 @@
 ) -> Iterator[str]:
     """Yield what is not well with instances; a leaving one is passed over.
 
-    The list lags, so an instance that itself says that it leaves counts as leaving.
+    The list lags, so an instance that itself says that it leaves counts as leaving,
+    and a silent one with a planned stop as stopped.
     """
+    inventory = findings.inventory
+    stopping = set() if inventory is None else inventory.stopping_instances()
     if findings.reports is None:
         return
     live = [item for item in findings.reports if not item.info.leaving]
@@ -80,6 +83,8 @@
     for report in live:
         if report.status is not None and report.status.leaving:
             continue
+        if report.status is None and report.info.name in stopping:
+            continue
         yield from missing_generations(report, accepted_by_label)
         if report.status is not None and not report.status.ready:
             yield f"instance {report.info.name}: is not ready"
--- a/swiftpin/config/inventory.py
+++ b/swiftpin/config/inventory.py
@@ -49,6 +49,14 @@
         models = self.models(ConfigKind.SERVICE)
         return [model for model in models if isinstance(model, ServiceModel)]
 
+    def stopping_instances(self) -> set[str]:
+        """Return the instances that have a planned stop."""
+        return {
+            model.spec.instance
+            for model in self.models(ConfigKind.PLANNED_STOP)
+            if isinstance(model, PlannedStopModel) and model.spec.instance is not None
+        }
+
     def stopping_targets(self, service: str) -> set[str]:
         """Return the targets of a service that have a planned stop."""
         return {
--- a/tests/cli/test_status.py
+++ b/tests/cli/test_status.py
@@ -142,6 +142,23 @@
     assert (await run("status")).status is ExitStatus.OK
 
 
+async def test_stopped_instance_that_is_still_listed(
+    run: RunCommand, well: FakeInstance, instances: InstancesStandin
+) -> None:
+    """Symptom: every planned stop ends in a fault.
+
+    Sequence: an instance ends after its planned stop; the list still calls it live.
+    Cause: expecting an answer from an instance that was ordered to stop.
+    """
+    other = FakeInstance(name="brno-b-1", generations=well.generations)
+    await other.async_start()
+    instances.change(other.listed(), monotonic_now())
+    await run("stop", "plan", "--instance", "brno-b-1")
+    well.generations = {**well.generations, "plannedstop/stop-brno-b-1": 1}
+    await other.async_stop()
+    assert (await run("status")).status is ExitStatus.OK
+
+
 async def test_silent_instance(
     run: RunCommand, well: FakeInstance, instances: InstancesStandin
 ) -> None:
