--- a/swiftpin/gateway/admin_server.py
+++ b/swiftpin/gateway/admin_server.py
@@ -71,9 +71,10 @@
 
     async def _async_ready(self, _request: web.Request) -> web.Response:
         """Answer whether the balancer should send callers here."""
-        if self._status.ready:
+        lifecycle = self._status.lifecycle
+        if lifecycle.ready:
             return web.Response(text="ready\n")
-        text = "leaving\n" if self._status.leaving else "starting\n"
+        text = "leaving\n" if lifecycle.leaving else "starting\n"
         return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE, text=text)
 
     async def _async_status(self, _request: web.Request) -> web.Response:
--- a/swiftpin/gateway/answer_writer.py
+++ b/swiftpin/gateway/answer_writer.py
@@ -28,6 +28,7 @@
 )
 from swiftpin.gateway.error_answer import error_body, error_headers
 from swiftpin.gateway.header_rules import answer_headers
+from swiftpin.gateway.lifecycle import Lifecycle
 from swiftpin.gateway.request_record import RequestRecord
 from swiftpin.gateway.sent_response import CLOSED, KEPT
 from swiftpin.result import Executed, ResultCode, executed_by_result
@@ -53,14 +54,22 @@
     that fails can only be cut short.
     """
 
-    __slots__ = ("_may_keep_alive", "_record", "_request", "begun", "response")
+    __slots__ = (
+        "_lifecycle",
+        "_may_keep_alive",
+        "_record",
+        "_request",
+        "begun",
+        "response",
+    )
 
     def __init__(
-        self, request: BaseRequest, record: RequestRecord, *, may_keep_alive: bool
+        self, request: BaseRequest, record: RequestRecord, lifecycle: Lifecycle
     ) -> None:
         self._request = request
         self._record = record
-        self._may_keep_alive = may_keep_alive
+        self._lifecycle = lifecycle
+        self._may_keep_alive = True
         self.begun = False
         self.response: StreamResponse = CLOSED
 
@@ -184,7 +193,8 @@
     def _finish_head(self, status: int, headers: CIMultiDict[str]) -> str:
         """Set the last headers and return the status line."""
         headers[HEADER_REQUEST_ID] = self._record.request_id
-        keep_alive = self._may_keep_alive and self._request.keep_alive
+        may_keep_alive = self._may_keep_alive and not self._lifecycle.leaving
+        keep_alive = may_keep_alive and self._request.keep_alive
         framed = CONTENT_LENGTH in headers or TRANSFER_ENCODING in headers
         if not framed and status not in BODILESS_STATUSES:
             keep_alive = False
--- a/swiftpin/gateway/app.py
+++ b/swiftpin/gateway/app.py
@@ -21,8 +21,10 @@
 from swiftpin.exceptions import ConfigurationError
 from swiftpin.gateway.admin_server import AdminServer
 from swiftpin.gateway.decision_log import DecisionLog
+from swiftpin.gateway.graceful_stop import GracefulStop
 from swiftpin.gateway.held_groups import HeldGroups
 from swiftpin.gateway.instance_status import InstanceStatus
+from swiftpin.gateway.lifecycle import Lifecycle
 from swiftpin.gateway.listeners import Listeners
 from swiftpin.gateway.metrics import Metrics
 from swiftpin.gateway.ownership_log import OwnershipLog
@@ -45,9 +47,6 @@
 LEASE_STORE_TIMEOUT: Final = 0.3
 """Seconds for a store call about a lease: while a store hangs, a lost target's keys
 wait for it before they move without it, and are to be served again within 2 s."""
-LEAVING_TIME: Final = 1.0
-"""Seconds for which a leaving instance still takes requests, so that the balancer and
-other instances have learnt of it before its ports close."""
 
 
 class Gateway:
@@ -68,6 +67,7 @@
         self._store = StoreClient(
             self._session, settings.store_url, instance_id=self.instance_id
         )
+        self._lifecycle = Lifecycle()
         self._metrics = Metrics()
         self._catalog = Catalog()
         self._queues = TargetQueues(self._rng)
@@ -85,6 +85,7 @@
             zone=settings.zone,
             catalog=self._catalog,
             ownership=self._ownership,
+            lifecycle=self._lifecycle,
             log_writer=logging.writer,
         )
         self._admin = AdminServer(
@@ -93,6 +94,16 @@
             RouteExplainer(self._catalog, self._ownership),
         )
         self.listeners = Listeners(settings, self._serving.handler, self._admin)
+        self._stop = GracefulStop(
+            name=settings.name,
+            limit=settings.stop_limit,
+            lifecycle=self._lifecycle,
+            catalog=self._catalog,
+            directory=self._membership.directory,
+            ownership=self._ownership,
+            listeners=self.listeners,
+            serving=self._serving,
+        )
         self._tasks: list[asyncio.Task[None]] = []
 
     async def async_setup(self) -> None:
@@ -116,27 +127,8 @@
         )
 
     async def async_stop(self) -> None:
-        """Leave gracefully: hand over, let requests in flight end, then unload.
-
-        What still runs after the stop limit is cut off.
-        """
-        limit = self._stop_limit()
-        log_message(message_type="instance_leaving", limit=limit)
-        handler = self._serving.handler
-        self._status.leaving = True
-        handler.closing = True
-        try:
-            async with asyncio.timeout(limit):
-                await self._ownership.async_unload()
-                await asyncio.sleep(LEAVING_TIME)
-                self.listeners.stop_listening()
-                await handler.async_wait_idle()
-        except TimeoutError:
-            log_message(
-                message_type="stop_limit_passed",
-                level="error",
-                in_flight=handler.in_flight,
-            )
+        """Leave gracefully, then unload; what passed the limit is cut off."""
+        await self._stop.async_stop()
         await self.async_unload()
 
     async def async_unload(self) -> None:
@@ -203,6 +195,7 @@
         return RequestServing(
             catalog=self._catalog,
             ownership=self._ownership,
+            lifecycle=self._lifecycle,
             groups=self._groups,
             queues=self._queues,
             decisions=DecisionLog(self._logging.destination, self.settings.log_sample),
@@ -252,24 +245,13 @@
     @callback
     def _note_change(self, name: ConfigName) -> None:
         """Begin to leave when a planned stop names this instance."""
-        for stop in self._catalog.planned_stops_by_name.values():
-            if stop.instance == self.settings.name:
-                self.stop_wanted.set()
-
-    def _stop_limit(self) -> float:
-        """Return the seconds that requests in flight may take."""
-        limits = [
-            stop.limit
-            for stop in self._catalog.planned_stops_by_name.values()
-            if stop.instance == self.settings.name
-        ]
-        return min(limits, default=self.settings.stop_limit)
+        if self._stop.is_planned:
+            self.stop_wanted.set()
 
     async def _async_become_ready(self) -> None:
         """Take requests once the declarations are known."""
         await self._membership.async_wait_loaded()
-        self._serving.handler.ready = True
-        self._status.loaded = True
+        self._lifecycle.loaded = True
         log_message(message_type="instance_ready", instance=self.instance_id)
 
     async def _async_keep_house(self) -> None:
--- a/swiftpin/gateway/instance_status.py
+++ b/swiftpin/gateway/instance_status.py
@@ -6,16 +6,14 @@
 
 from swiftpin.config.catalog import Catalog
 from swiftpin.core import callback
+from swiftpin.gateway.lifecycle import Lifecycle
 from swiftpin.gateway.metrics import Metrics
 from swiftpin.gateway.ports import Ownership
 from swiftpin.helpers.logging_writer import LineWriter
 
 
 class InstanceStatus:
-    """Whether the instance takes requests, and what it holds.
-
-    `loaded` is set once the declarations are known, `leaving` once a stop began.
-    """
+    """Whether the instance takes requests, and what it holds."""
 
     def __init__(
         self,
@@ -24,29 +22,24 @@
         zone: str,
         catalog: Catalog,
         ownership: Ownership,
+        lifecycle: Lifecycle,
         log_writer: LineWriter,
     ) -> None:
-        self.loaded = False
-        self.leaving = False
+        self.lifecycle = lifecycle
         self._instance_id = instance_id
         self._zone = zone
         self._catalog = catalog
         self._ownership = ownership
         self._log_writer = log_writer
 
-    @property
-    def ready(self) -> bool:
-        """Return whether callers should be sent here."""
-        return self.loaded and not self.leaving
-
     @callback
     def document(self) -> dict[str, Any]:
         """Return the JSON document of `/v1/status`."""
         return {
             "instance": self._instance_id,
             "zone": self._zone,
-            "ready": self.ready,
-            "leaving": self.leaving,
+            "ready": self.lifecycle.ready,
+            "leaving": self.lifecycle.leaving,
             "generations": dict(self._catalog.generations_by_name),
             "groups_held": [
                 {
@@ -61,6 +54,6 @@
     @callback
     def update(self, metrics: Metrics) -> None:
         """Set the gauges that are read from elsewhere."""
-        metrics.ready.set(self.ready)
+        metrics.ready.set(self.lifecycle.ready)
         metrics.groups_held.set(len(self._ownership.held_groups()))
         metrics.log_lines_dropped.set(self._log_writer.dropped)
--- a/swiftpin/gateway/listeners.py
+++ b/swiftpin/gateway/listeners.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from typing import Final
 
 from swiftpin.core import callback
 from swiftpin.exceptions import ConfigurationError
@@ -18,13 +19,23 @@
 from swiftpin.gateway.settings import Settings
 from swiftpin.helpers.address import Address
 
+FLAG_CALLERS: Final = "--listen"
+FLAG_FORWARD: Final = "--forward-listen"
+FLAG_ADMIN: Final = "--admin-listen"
+
 
 class Listeners:
-    """Listens for callers, for forwarded requests and for operators."""
+    """Listens for callers, for forwarded requests and for operators.
+
+    The addresses hold the ports that were taken, once it is set up.
+    """
 
     def __init__(
         self, settings: Settings, handler: RequestHandler, admin: AdminServer
     ) -> None:
+        self.callers = settings.listen
+        self.forwards = settings.forward_listen
+        self.admin = settings.admin_listen
         self._settings = settings
         self._admin = admin
         self._callers = HttpListener(
@@ -39,13 +50,15 @@
     async def async_setup(self) -> None:
         """Listen on all ports; raise `ConfigurationError` when one can't be used."""
         settings = self._settings
-        await _async_listen(
-            "--admin-listen", settings.admin_listen, self._admin.async_setup
+        self.admin = await _async_listen(
+            FLAG_ADMIN, settings.admin_listen, self._admin.async_setup
+        )
+        self.forwards = await _async_listen(
+            FLAG_FORWARD, settings.forward_listen, self._forwards.async_setup
         )
-        await _async_listen(
-            "--forward-listen", settings.forward_listen, self._forwards.async_setup
+        self.callers = await _async_listen(
+            FLAG_CALLERS, settings.listen, self._callers.async_setup
         )
-        await _async_listen("--listen", settings.listen, self._callers.async_setup)
 
     @callback
     def stop_listening(self) -> None:
@@ -62,10 +75,10 @@
 
 async def _async_listen(
     flag: str, address: Address, listen: Callable[[Address], Awaitable[Address]]
-) -> None:
+) -> Address:
     """Listen on one address and name its flag when that fails."""
     try:
-        await listen(address)
+        return await listen(address)
     except OSError as err:
         reason = err.strerror or str(err)
         raise ConfigurationError(f"{flag} {str(address)!r}: {reason}") from err
--- a/swiftpin/gateway/once_dispatcher.py
+++ b/swiftpin/gateway/once_dispatcher.py
@@ -75,6 +75,11 @@
                     state.written = False
         await _async_replay(outcome, writer)
 
+    async def async_wait_idle(self) -> None:
+        """Wait until every run has ended, those without a caller too."""
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+
     async def async_unload(self) -> None:
         """End the runs that still go on; their outcome stays unknown."""
         for task in self._tasks:
--- a/swiftpin/gateway/once_run.py
+++ b/swiftpin/gateway/once_run.py
@@ -20,6 +20,7 @@
 from swiftpin.exceptions import (
     AnswerBrokenError,
     AnswerLostError,
+    NoOwnerError,
     OutcomeUnknownError,
     RequestError,
 )
@@ -27,7 +28,11 @@
 from swiftpin.gateway.header_rules import answer_headers
 from swiftpin.gateway.incoming_request import IncomingRequest
 from swiftpin.gateway.request_body import RequestBody
-from swiftpin.gateway.target_dispatcher import TargetDispatcher, queued_request
+from swiftpin.gateway.target_dispatcher import (
+    TargetDispatcher,
+    left_route,
+    queued_request,
+)
 from swiftpin.ownership.route import Route
 
 RECORD_GRACE: Final = 2.0
@@ -103,6 +108,8 @@
         try:
             async with asyncio.timeout(self._time_left()):
                 outcome = await self._async_exchange()
+        except NoOwnerError as err:
+            outcome, error = self._outcome(), left_route(err)
         except RequestError as err:
             outcome, error = self._outcome(), err
         except TimeoutError as err:
--- a/swiftpin/gateway/request_handler.py
+++ b/swiftpin/gateway/request_handler.py
@@ -19,6 +19,7 @@
 )
 from swiftpin.gateway.answer_writer import AnswerWriter
 from swiftpin.gateway.decision_log import DecisionLog
+from swiftpin.gateway.lifecycle import Lifecycle
 from swiftpin.gateway.metrics import Metrics
 from swiftpin.gateway.request_body import RequestBody
 from swiftpin.gateway.request_ids import RequestIds
@@ -33,10 +34,7 @@
 class RequestHandler:
     """Answers requests of callers and, on another port, of other instances.
 
-    `limit` bounds the requests served at once. While `closing` is set, each answer
-    also ends its connection, so that callers come back through the balancer. Before
-    `ready` is set every request is refused: the declarations are not known yet, and a
-    service would be called unknown that is not.
+    `limit` bounds the requests served at once.
     """
 
     def __init__(
@@ -46,11 +44,11 @@
         decisions: DecisionLog,
         metrics: Metrics,
         trace: ResultTrace,
+        lifecycle: Lifecycle,
         *,
         limit: int,
     ) -> None:
-        self.ready = False
-        self.closing = False
+        self._lifecycle = lifecycle
         self._parser = parser
         self._router = router
         self._decisions = decisions
@@ -90,7 +88,7 @@
     ) -> StreamResponse:
         """Serve a request and record how it ended."""
         state = HttpSendState()
-        writer = AnswerWriter(request, record, may_keep_alive=not self.closing)
+        writer = AnswerWriter(request, record, self._lifecycle)
         self._begin()
         try:
             await self._async_serve(request, record, state, writer)
@@ -114,7 +112,7 @@
         writer: AnswerWriter,
     ) -> None:
         """Read the request, get it answered, and end it at its deadline."""
-        if not self.ready:
+        if not self._lifecycle.loaded:
             raise NotReadyError("the instance has just started")
         if self._in_flight > self._limit:
             raise OverloadedError("the instance serves as many requests as it may")
--- a/swiftpin/gateway/request_router.py
+++ b/swiftpin/gateway/request_router.py
@@ -7,6 +7,7 @@
 from swiftpin.core import callback, monotonic_now
 from swiftpin.dispatch.http_send_state import HttpSendState
 from swiftpin.exceptions import (
+    NoOwnerError,
     NotHolderError,
     NotRunError,
     RequestError,
@@ -107,16 +108,28 @@
         """Return the route for another attempt; raise the error when there is none."""
         if not self._retries.allows(err, incoming):
             raise err
-        if record.attempts >= incoming.profile.max_attempts:
-            raise err
-        delay = self._retries.delay(record.attempts)
-        if monotonic_now() + delay >= incoming.deadline:
-            raise err
-        await asyncio.sleep(delay)
-        fresh = self._ownership.resolve(incoming.service, incoming.key, monotonic_now())
-        if self._retries.needs_other_route(err) and _is_same(fresh, route):
-            raise err
-        return fresh
+        while record.attempts < incoming.profile.max_attempts:
+            delay = self._retries.delay(record.attempts)
+            if monotonic_now() + delay >= incoming.deadline:
+                break
+            await asyncio.sleep(delay)
+            fresh = self._fresh_route(incoming)
+            if fresh is not None and (
+                not self._retries.needs_other_route(err) or not _is_same(fresh, route)
+            ):
+                return fresh
+            record.attempts += 1
+        raise err
+
+    @callback
+    def _fresh_route(self, incoming: IncomingRequest) -> Route | None:
+        """Return the present route, None while there is none."""
+        try:
+            return self._ownership.resolve(
+                incoming.service, incoming.key, monotonic_now()
+            )
+        except NoOwnerError:
+            return None
 
 
 @callback
--- a/swiftpin/gateway/request_serving.py
+++ b/swiftpin/gateway/request_serving.py
@@ -11,6 +11,7 @@
 from swiftpin.gateway.decision_log import DecisionLog
 from swiftpin.gateway.forwarder import Forwarder
 from swiftpin.gateway.held_groups import HeldGroups
+from swiftpin.gateway.lifecycle import Lifecycle
 from swiftpin.gateway.metrics import Metrics
 from swiftpin.gateway.once_dispatcher import OnceDispatcher
 from swiftpin.gateway.ports import Ownership
@@ -31,6 +32,7 @@
         *,
         catalog: Catalog,
         ownership: Ownership,
+        lifecycle: Lifecycle,
         groups: HeldGroups,
         queues: TargetQueues,
         decisions: DecisionLog,
@@ -57,9 +59,15 @@
             decisions,
             metrics,
             trace,
+            lifecycle,
             limit=request_limit,
         )
 
+    async def async_wait_idle(self) -> None:
+        """Wait until nothing is in flight, with or without its caller."""
+        await self.handler.async_wait_idle()
+        await self._once_dispatcher.async_wait_idle()
+
     async def async_unload(self) -> None:
         """End what still goes on and close every connection."""
         self._queues.unload()
--- a/swiftpin/gateway/retry_policy.py
+++ b/swiftpin/gateway/retry_policy.py
@@ -8,7 +8,7 @@
 from swiftpin.config.profile import Profile
 from swiftpin.core import callback
 from swiftpin.dispatch.backoff import Backoff
-from swiftpin.dispatch.exceptions import JournalDeposedError, SliceMovedError
+from swiftpin.dispatch.exceptions import JournalDeposedError
 from swiftpin.dispatch.retry_budget import RetryBudget
 from swiftpin.exceptions import (
     AnswerLostError,
@@ -25,7 +25,6 @@
 
 ROUTE_MUST_CHANGE: Final = (
     NotHolderError,
-    SliceMovedError,
     TargetRefusedError,
     JournalDeposedError,
 )
--- a/swiftpin/gateway/target_dispatcher.py
+++ b/swiftpin/gateway/target_dispatcher.py
@@ -14,6 +14,7 @@
 from swiftpin.dispatch.target_sender import TargetSender
 from swiftpin.exceptions import (
     DeadlineTooShortError,
+    NoOwnerError,
     NotHolderError,
     TargetConnectError,
     TargetRefusedError,
@@ -49,12 +50,15 @@
         """Run a repeatable request and write its answer."""
         now = monotonic_now()
         queue = self.queue_of(incoming, route)
-        async with queue.async_slot(queued_request(incoming, route), now) as slot:
-            answer = await self.async_send(incoming, body, route, state, slot)
-            try:
-                await writer.async_write_answer(answer, ResultCode.ANSWERED.value)
-            finally:
-                answer.finish(monotonic_now())
+        try:
+            async with queue.async_slot(queued_request(incoming, route), now) as slot:
+                answer = await self.async_send(incoming, body, route, state, slot)
+                try:
+                    await writer.async_write_answer(answer, ResultCode.ANSWERED.value)
+                finally:
+                    answer.finish(monotonic_now())
+        except NoOwnerError as err:
+            raise left_route(err) from err
 
     @callback
     def queue_of(self, incoming: IncomingRequest, route: Route) -> TargetQueue:
@@ -125,6 +129,16 @@
             raise NotHolderError("the key has just moved to another target")
 
 
+@callback
+def left_route(err: NoOwnerError) -> NotHolderError:
+    """Return the error of a request whose route ended while it waited for a slot.
+
+    Told "no owner", the entry instance would give up; told that this instance is not
+    the holder any more, it looks for the new one.
+    """
+    return NotHolderError(err.hint, retry_after=err.retry_after)
+
+
 @callback
 def queued_request(incoming: IncomingRequest, route: Route) -> QueuedRequest:
     """Return the request as the target's queue sees it."""
