Tell lost answers from lost races; wait out grants that the network held back

Cause: (1) aiohttp sends PUT and DELETE again by itself when a kept connection ends without an answer, so the second try met the first one's effect and a successful write was reported as a conflict. (2) A grant whose answer was lost could arrive after a later revoke was acknowledged. Ruled out: resending in our own code (there is none).

--- a/swiftpin/ownership/coordinator.py
+++ b/swiftpin/ownership/coordinator.py
@@ -50,6 +50,9 @@
 BOOTSTRAP_STEP: Final = 0.5
 """Seconds that each instance waits for those before it to create a group."""
 
+GREETING_PATIENCE: Final = 0.3
+"""Seconds for which a new group waits until a successor for it is known."""
+
 TAKEOVER_RETRY: Final = 0.5
 RETRY_AFTER_NO_RECORD: Final = 0.2
 
@@ -256,7 +259,10 @@
             watch.absent_since = now
         names = {name_of(self._instance_id), *self._live_by_name()}
         rank = spread_rank(group, name_of(self._instance_id), names)
-        if now - watch.absent_since < rank * BOOTSTRAP_STEP:
+        waited = now - watch.absent_since
+        if waited < rank * BOOTSTRAP_STEP:
+            return
+        if waited < GREETING_PATIENCE and self._successor_for(group) is None:
             return
         if now - watch.tried_at < TAKEOVER_RETRY:
             return
--- a/swiftpin/ownership/group_lease.py
+++ b/swiftpin/ownership/group_lease.py
@@ -209,7 +209,10 @@
         successor = self._env.successor_for(self.id)
         if successor is None or successor == self.record.successor:
             return
-        await self._async_renew(f"successor {self.record.successor} is silent")
+        if self.record.successor is None:
+            await self._async_renew("there was no successor")
+        else:
+            await self._async_renew(f"successor {self.record.successor} is silent")
 
     async def async_hand_over(self, successor: str) -> bool:
         """Write the lease over to an instance; return whether that took effect."""
--- a/swiftpin/ownership/slice_grants.py
+++ b/swiftpin/ownership/slice_grants.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from swiftpin.core import callback
+from swiftpin.core import callback, monotonic_now
 from swiftpin.ownership.group_lease import GroupLease
 from swiftpin.ownership.holder_environment import HolderEnvironment
 from swiftpin.ownership.holder_links import HolderLinks, Link
@@ -93,8 +93,10 @@
         left: set[int] = set()
         for target, link in self._links.by_target.items():
             strays = self._strays_of(target, link)
-            if strays and not await link.async_revoke(strays, 0.0):
-                left.update(strays)
+            if strays:
+                await link.async_revoke(strays, 0.0)
+                now = monotonic_now()
+                left.update(item for item in strays if link.may_hold(item, now))
         return left
 
     @callback
--- a/swiftpin/ownership/slice_moves.py
+++ b/swiftpin/ownership/slice_moves.py
@@ -152,7 +152,8 @@
                 continue
             wait = self._env.timing.revoke_wait
             await link.async_revoke(frozenset(slices), wait)
-            revoked.update(slices - link.granted_terms_by_id.keys())
+            now = monotonic_now()
+            revoked.update(item for item in slices if not link.may_hold(item, now))
         return revoked
 
     @callback
--- a/swiftpin/ownership/target_link.py
+++ b/swiftpin/ownership/target_link.py
@@ -68,6 +68,7 @@
         self._on_fenced = on_fenced
         self._reading: ClockReading | None = None
         self.answered_at = monotonic_now()
+        self._unsettled_until_by_slice: dict[int, float] = {}
         self._lock = asyncio.Lock()
         self._nudged = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
@@ -102,6 +103,18 @@
         self.acknowledged_at = -math.inf
         self._nudged.set()
 
+    @callback
+    def may_hold(self, slice_id: int, now: float) -> bool:
+        """Return whether the target holds the slice or may come to hold it.
+
+        A grant that the network held back may arrive after a later revoke was
+        acknowledged. The slice would then have two owners until that grant ends.
+        """
+        if slice_id in self.granted_terms_by_id:
+            return True
+        unsettled_until = self._unsettled_until_by_slice.get(slice_id, -math.inf)
+        return not lapsed(unsettled_until, self._timing, now)
+
     async def async_grant(self, terms_by_id: Mapping[int, int]) -> bool:
         """Grant slices; return whether the target acknowledged them."""
         if not terms_by_id:
@@ -109,7 +122,10 @@
         return await self._async_update(grant=terms_by_id)
 
     async def async_revoke(self, slices: frozenset[int], wait: float) -> bool:
-        """Take slices back; return whether none of them is in use any more."""
+        """Take slices back; return whether none of them is in use any more.
+
+        `may_hold` tells which of them the target may still come to hold.
+        """
         if not slices:
             return True
         return await self._async_update(revoke=slices, revoke_wait=wait)
@@ -206,6 +222,7 @@
                 self._forget_grants(now)
                 return False
             except TargetError:
+                self._note_unsettled(update)
                 return False
             if lease is not self._lease:
                 return False
@@ -241,6 +258,12 @@
             revoke_wait=revoke_wait,
         )
 
+    @callback
+    def _note_unsettled(self, update: GrantUpdate) -> None:
+        """Remember a grant whose answer was lost until it can no longer bind."""
+        for slice_id in update.grant_terms_by_id:
+            self._unsettled_until_by_slice[slice_id] = self.limit
+
     @callback
     def _check_held(self, held: int) -> None:
         """Fence again when the target holds another number of slices than we think.
--- a/swiftpin/ownership/unchecked_link.py
+++ b/swiftpin/ownership/unchecked_link.py
@@ -73,6 +73,11 @@
     def begin_term(self, lease: Lease) -> None:
         """Nothing to tell: the target does not know terms."""
 
+    @callback
+    def may_hold(self, slice_id: int, now: float) -> bool:
+        """Return whether requests for the slice are routed to the target."""
+        return slice_id in self.granted_terms_by_id
+
     async def async_grant(self, terms_by_id: Mapping[int, int]) -> bool:
         """Route these slices to the target from now on."""
         if not self._may_grant(monotonic_now()):
--- a/swiftpin/store/client.py
+++ b/swiftpin/store/client.py
@@ -8,9 +8,13 @@
 from aiohttp import (
     ClientConnectorError,
     ClientError,
+    ClientHandlerType,
+    ClientOSError,
+    ClientRequest,
     ClientResponse,
     ClientSession,
     ClientTimeout,
+    ServerDisconnectedError,
 )
 import orjson
 
@@ -34,6 +38,26 @@
 """Version to expect of an object that must not exist yet."""
 
 
+async def _async_send_once(
+    request: ClientRequest, handler: ClientHandlerType
+) -> ClientResponse:
+    """Send a write without the second try that aiohttp makes by itself.
+
+    A session sends PUT and DELETE again when the connection ends without an answer.
+    The second try of a conditional write then meets the first one's effect, and a
+    write that succeeded would be reported as a lost race.
+    """
+    try:
+        return await handler(request)
+    except (ServerDisconnectedError, ClientOSError) as err:
+        if isinstance(err, ClientConnectorError):
+            raise
+        raise StoreOutcomeUnknownError(f"the connection broke: {err!r}") from err
+
+
+_SEND_ONCE: Final = (_async_send_once,)
+
+
 def _version(response: ClientResponse) -> int:
     """Return the version in the `ETag` header, 0 when there is none."""
     return int(response.headers.get("ETag", '"0"').strip('"'))
@@ -125,6 +149,7 @@
                 data=body,
                 headers=self._condition(expect),
                 timeout=self._timeout,
+                middlewares=_SEND_ONCE,
             ) as response:
                 self._raise_for_write(name, response)
                 return _version(response)
@@ -141,6 +166,7 @@
                 f"{self._url}/v1/objects/{name}",
                 headers=self._condition(expect),
                 timeout=self._timeout,
+                middlewares=_SEND_ONCE,
             ) as response:
                 if response.status == HTTPStatus.NOT_FOUND:
                     return
