--- /dev/null
+++ b/swiftpin/bench/news/__init__.py
@@ -0,0 +1,1 @@
+"""Measurement of news between instances: time to reach all, cost at rest."""
--- a/swiftpin/membership/peer_clients.py
+++ b/swiftpin/membership/peer_clients.py
@@ -37,7 +37,7 @@
 from swiftpin.ownership.group_id import GroupId
 
 DEFAULT_CALL_TIMEOUT: Final = 0.5
-MAX_CHANNELS: Final = 64
+MAX_CHANNELS: Final = 32
 """Connections kept open; the least recently used ones are closed beyond it."""
 
 _CALL_ERRORS: Final = (
