Compress bodies between instances

Cause: a group's record of 1,024 slices has 32,694 bytes and travels at each move. Change: zlib level 1 from 512 bytes on; expansion is limited to the store's largest body.

--- a/swiftpin/membership/peer_clients.py
+++ b/swiftpin/membership/peer_clients.py
@@ -17,6 +17,7 @@
 from swiftpin.membership.group_heartbeat import GroupHeartbeat
 from swiftpin.membership.heartbeat_reply import HeartbeatReply
 from swiftpin.membership.instance_id import is_meant, name_of
+from swiftpin.membership.malformed_object_error import MalformedObjectError
 from swiftpin.membership.news_item import NewsItem
 from swiftpin.membership.peer_channel import PeerChannel
 from swiftpin.membership.peer_counters import PeerCounters
@@ -129,10 +130,11 @@
         stamps = [encode_stamp(name, stamp) for name, stamp in stamps_by_name.items()]
         request = pb.RepairRequest(buckets=buckets, stamps=stamps)
         reply = await self._async_call(instance_id, "Repair", request)
-        return RepairReply(
-            items=[decode_item(item) for item in reply.objects],
-            wanted=frozenset(reply.wanted),
-        )
+        try:
+            items = [decode_item(item) for item in reply.objects]
+        except MalformedObjectError as err:
+            raise PeerError(f"{instance_id} sent a malformed object") from err
+        return RepairReply(items=items, wanted=frozenset(reply.wanted))
 
     async def async_unload(self) -> None:
         """Close every connection."""
--- a/swiftpin/membership/peer_server.py
+++ b/swiftpin/membership/peer_server.py
@@ -13,7 +13,9 @@
 from swiftpin.helpers.address import parse_address
 from swiftpin.membership.directory import InstanceDirectory
 from swiftpin.membership.instance_id import is_meant
+from swiftpin.membership.malformed_object_error import MalformedObjectError
 from swiftpin.membership.news_handler import NewsHandler
+from swiftpin.membership.news_item import NewsItem
 from swiftpin.membership.peer_counters import PeerCounters
 from swiftpin.membership.peer_handler import PeerHandler
 from swiftpin.membership.proto import peer_pb2 as pb
@@ -123,7 +125,7 @@
         request = await self._async_receive(stream)
         reply = pb.PushNewsReply()
         if self._is_meant(request):
-            items = [decode_item(item) for item in request.objects]
+            items = _decode_items(request)
             outcome = self._news.handle_push(request.sender, items, self._clock())
             reply.adopted.extend(sorted(outcome.adopted))
             reply.wanted.extend(sorted(outcome.wanted))
@@ -185,3 +187,11 @@
             return True
         self._counters.refused += 1
         return False
+
+
+def _decode_items(request: Message) -> list[NewsItem]:
+    """Return the objects of a request; refuse it when one is malformed."""
+    try:
+        return [decode_item(item) for item in request.objects]
+    except MalformedObjectError as err:
+        raise GRPCError(Status.INVALID_ARGUMENT, str(err)) from err
--- a/swiftpin/membership/wire.py
+++ b/swiftpin/membership/wire.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from typing import Any
+from typing import Any, Final
 
+from swiftpin.membership.compression import compress_body, expand_body
 from swiftpin.membership.group_heartbeat import GroupHeartbeat
 from swiftpin.membership.news_item import NewsItem
 from swiftpin.membership.proto import peer_pb2 as pb
@@ -14,8 +15,10 @@
 Message = Any
 """A generated message class's object; the generated code carries no types."""
 
-_MILLISECONDS = 1000.0
-_MAX_AGE_MS = 2**32 - 1
+_MILLISECONDS: Final = 1000.0
+_MAX_AGE_MS: Final = 2**32 - 1
+_COMPRESS_FROM: Final = 512
+"""Size in bytes from which a body is compressed."""
 
 
 def encode_beat(beat: GroupHeartbeat) -> Message:
@@ -42,19 +45,27 @@
 
 def encode_item(item: NewsItem) -> Message:
     """Return the message form of one version of an object."""
+    compresses = item.body is not None and len(item.body) >= _COMPRESS_FROM
     return pb.StoreObject(
         stamp=encode_stamp(item.name, item.stamp),
-        body=item.body,
+        body=compress_body(item.body or b"") if compresses else item.body,
         version=item.version,
+        compressed=compresses,
     )
 
 
 def decode_item(message: Message) -> NewsItem:
-    """Return the version of an object that a message carries."""
+    """Return the version of an object that a message carries.
+
+    Raises `MalformedObjectError` when its body cannot be read.
+    """
+    body = message.body if message.HasField("body") else None
+    if body is not None and message.compressed:
+        body = expand_body(body)
     return NewsItem(
         name=message.stamp.name,
         stamp=Stamp(message.stamp.major, message.stamp.minor),
-        body=message.body if message.HasField("body") else None,
+        body=body,
         version=message.version,
     )
 
