--- a/swiftpin/gateway/admin_server.py
+++ b/swiftpin/gateway/admin_server.py
@@ -59,7 +59,6 @@
 
     async def _async_metrics(self, _request: web.Request) -> web.Response:
         """Answer with the metrics in Prometheus' text form."""
-        self._status.update(self._metrics)
         return web.Response(
             body=generate_latest(self._metrics.registry),
             headers={"Content-Type": CONTENT_TYPE_LATEST},
--- a/swiftpin/gateway/app.py
+++ b/swiftpin/gateway/app.py
@@ -26,6 +26,7 @@
 from swiftpin.gateway.instance_status import InstanceStatus
 from swiftpin.gateway.lifecycle import Lifecycle
 from swiftpin.gateway.listeners import Listeners
+from swiftpin.gateway.live_collector import LiveCollector
 from swiftpin.gateway.metrics import Metrics
 from swiftpin.gateway.ownership_log import OwnershipLog
 from swiftpin.gateway.request_serving import RequestServing
@@ -39,7 +40,7 @@
 from swiftpin.ownership.coordinator import OwnershipCoordinator
 from swiftpin.ownership.group_id import GroupId
 from swiftpin.ownership.timing import Timing
-from swiftpin.store.client import StoreClient
+from swiftpin.store.client import DEFAULT_CALL_TIMEOUT, StoreClient
 from swiftpin.trace.writer import TraceWriter
 
 INCARNATION_BYTES: Final = 4
@@ -64,9 +65,8 @@
         self._wall = WallClock.from_times(wall=time.time(), monotonic=monotonic_now())
         self._trace = _open_trace(settings)
         self._session = ClientSession(cookie_jar=DummyCookieJar())
-        self._store = StoreClient(
-            self._session, settings.store_url, instance_id=self.instance_id
-        )
+        self._store = self._make_store(DEFAULT_CALL_TIMEOUT)
+        self._lease_store = self._make_store(LEASE_STORE_TIMEOUT)
         self._lifecycle = Lifecycle()
         self._metrics = Metrics()
         self._catalog = Catalog()
@@ -86,8 +86,8 @@
             catalog=self._catalog,
             ownership=self._ownership,
             lifecycle=self._lifecycle,
-            log_writer=logging.writer,
         )
+        self._metrics.registry.register(self._make_collector())
         self._admin = AdminServer(
             self._metrics,
             self._status,
@@ -147,6 +147,28 @@
 
     # Making of the parts
 
+    def _make_store(self, timeout: float) -> StoreClient:
+        """Return a client of the store with a time limit in seconds."""
+        return StoreClient(
+            self._session,
+            self.settings.store_url,
+            timeout=timeout,
+            instance_id=self.instance_id,
+        )
+
+    def _make_collector(self) -> LiveCollector:
+        """Return what reads metrics from the other parts."""
+        return LiveCollector(
+            lifecycle=self._lifecycle,
+            handler=self._serving.handler,
+            queues=self._queues,
+            groups=self._groups,
+            ownership=self._ownership,
+            stores=(self._store, self._lease_store),
+            peers=self._membership.counters,
+            log_writer=self._logging.writer,
+        )
+
     def _make_membership(self) -> MembershipCoordinator:
         """Return what knows of the store and of other instances."""
         return MembershipCoordinator(
@@ -165,12 +187,7 @@
         ownership = OwnershipCoordinator(
             instance_id=self.instance_id,
             zone=settings.zone,
-            store=StoreClient(
-                self._session,
-                settings.store_url,
-                timeout=LEASE_STORE_TIMEOUT,
-                instance_id=self.instance_id,
-            ),
+            store=self._lease_store,
             session=self._session,
             cache=self._membership.cache,
             publish=self._membership.publish,
--- a/swiftpin/gateway/held_groups.py
+++ b/swiftpin/gateway/held_groups.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from random import Random
+from types import MappingProxyType
 from typing import Final
 
 from eliot import log_message
@@ -50,6 +51,11 @@
         self._releasing: set[GroupId] = set()
         self._closings: set[asyncio.Task[None]] = set()
 
+    @property
+    def journals_by_group(self) -> Mapping[GroupId, IdempotencyJournal]:
+        """Return the journals of held groups."""
+        return MappingProxyType(self._journals_by_group)
+
     @callback
     def journal(self, group: GroupId) -> IdempotencyJournal | None:
         """Return the group's journal, None while none may begin under it."""
--- a/swiftpin/gateway/instance_status.py
+++ b/swiftpin/gateway/instance_status.py
@@ -7,9 +7,7 @@
 from swiftpin.config.catalog import Catalog
 from swiftpin.core import callback
 from swiftpin.gateway.lifecycle import Lifecycle
-from swiftpin.gateway.metrics import Metrics
 from swiftpin.gateway.ports import Ownership
-from swiftpin.helpers.logging_writer import LineWriter
 
 
 class InstanceStatus:
@@ -23,14 +21,12 @@
         catalog: Catalog,
         ownership: Ownership,
         lifecycle: Lifecycle,
-        log_writer: LineWriter,
     ) -> None:
         self.lifecycle = lifecycle
         self._instance_id = instance_id
         self._zone = zone
         self._catalog = catalog
         self._ownership = ownership
-        self._log_writer = log_writer
 
     @callback
     def document(self) -> dict[str, Any]:
@@ -50,10 +46,3 @@
                 for beat in self._ownership.held_groups()
             ],
         }
-
-    @callback
-    def update(self, metrics: Metrics) -> None:
-        """Set the gauges that are read from elsewhere."""
-        metrics.ready.set(self.lifecycle.ready)
-        metrics.groups_held.set(len(self._ownership.held_groups()))
-        metrics.log_lines_dropped.set(self._log_writer.dropped)
--- a/swiftpin/gateway/metrics.py
+++ b/swiftpin/gateway/metrics.py
@@ -5,7 +5,12 @@
 from functools import cache
 from typing import Final
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Histogram,
+    ProcessCollector,
+)
 
 from swiftpin.core import callback
 from swiftpin.gateway.request_record import RequestRecord
@@ -38,6 +43,7 @@
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
+        ProcessCollector(registry=self.registry)
         self._requests = Counter(
             "requests",
             "Requests answered, by result code.",
@@ -60,12 +66,6 @@
             namespace=NAMESPACE,
             registry=self.registry,
         )
-        self.in_flight = self._gauge("requests_in_flight", "Requests being served.")
-        self.ready = self._gauge("ready", "1 when the instance takes requests.")
-        self.groups_held = self._gauge("groups_held", "Groups held by the instance.")
-        self.log_lines_dropped = self._gauge(
-            "log_lines_dropped", "Log lines lost because their reader stalled."
-        )
         self._count = cache(self._request_counter)
         self._duration = cache(self._duration_histogram)
 
@@ -93,7 +93,3 @@
     def _duration_histogram(self, service: str, entry: str) -> Histogram:
         """Return the histogram of one label set."""
         return self._durations.labels(service, entry)
-
-    def _gauge(self, name: str, text: str) -> Gauge:
-        """Return a new gauge without labels."""
-        return Gauge(name, text, namespace=NAMESPACE, registry=self.registry)
--- a/swiftpin/helpers/logging_setup.py
+++ b/swiftpin/helpers/logging_setup.py
@@ -20,10 +20,12 @@
         self.writer = LineWriter(stream)
         self.destination = KeyValueDestination(self.writer, level)
         self._handler = LineHandler(self.destination)
+        self._is_set_up = False
 
     @callback
     def setup(self) -> None:
         """Begin to take messages."""
+        self._is_set_up = True
         self.writer.start()
         add_destinations(self.destination)
         root = logging.getLogger()
@@ -32,7 +34,10 @@
 
     @callback
     def unload(self) -> None:
-        """Stop taking messages and write those that wait."""
+        """Stop taking messages and write those that wait; once is enough."""
+        if not self._is_set_up:
+            return
+        self._is_set_up = False
         logging.getLogger().removeHandler(self._handler)
         remove_destination(self.destination)
         self.writer.unload()
--- a/tests/gateway/gateway_fixture.py
+++ b/tests/gateway/gateway_fixture.py
@@ -20,6 +20,7 @@
     HttpListener,
 )
 from swiftpin.gateway.lifecycle import Lifecycle
+from swiftpin.gateway.live_collector import LiveCollector
 from swiftpin.gateway.metrics import Metrics
 from swiftpin.gateway.request_serving import RequestServing
 from swiftpin.gateway.result_trace import ResultTrace
@@ -27,6 +28,7 @@
 from swiftpin.helpers.address import Address
 from swiftpin.helpers.logging_destination import KeyValueDestination
 from swiftpin.helpers.logging_writer import LineWriter
+from swiftpin.membership.peer_counters import PeerCounters
 from swiftpin.ownership.group_id import GroupId
 from tests.dispatch.fake_store import FakeStore
 from tests.gateway.fake_ownership import FakeOwnership
@@ -77,6 +79,19 @@
         """Return the log lines so far."""
         return list(self.writer._lines)
 
+    def collector(self) -> LiveCollector:
+        """Return what reads metrics from the parts."""
+        return LiveCollector(
+            lifecycle=self.lifecycle,
+            handler=self.handler,
+            queues=self.queues,
+            groups=self.groups,
+            ownership=self.ownership,
+            stores=(),
+            peers=PeerCounters(),
+            log_writer=self.writer,
+        )
+
     async def async_setup(self) -> None:
         """Listen on free ports."""
         anywhere = Address(host="127.0.0.1", port=0)
