--- a/swiftpin/dispatch/begin_request.py
+++ b/swiftpin/dispatch/begin_request.py
@@ -19,3 +19,8 @@
     request_id: str
     deadline: float
     ticket: str | None = None
+
+    @property
+    def size(self) -> int:
+        """Return the length of the recorded texts."""
+        return len(self.key) + len(self.fingerprint) + len(self.request_id)
--- a/swiftpin/dispatch/journal.py
+++ b/swiftpin/dispatch/journal.py
@@ -26,6 +26,7 @@
 from swiftpin.dispatch.journal_status import JournalStatus
 from swiftpin.dispatch.journal_store import JournalStore
 from swiftpin.dispatch.journal_writer import JournalWriter
+from swiftpin.dispatch.lease_check import LeaseCheck
 from swiftpin.dispatch.not_run import NotRun
 from swiftpin.dispatch.outcome import Outcome
 from swiftpin.dispatch.page_codec import encode_record, writer_of
@@ -46,7 +47,8 @@
     """The idempotency keys of one group, kept by the group's holder.
 
     A request is recorded durably before `async_begin` lets it run, so whatever
-    happens to this process, a resend finds the record. `holder` is the instance id.
+    happens to this process, a resend finds the record. `holder` is the instance id;
+    `is_confirmed` tells whether it certainly holds the group's lease at a time.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         settings: JournalSettings,
         rng: Random,
         *,
+        is_confirmed: LeaseCheck,
         wall: WallClock,
         clock: Clock = monotonic_now,
     ) -> None:
@@ -64,6 +67,7 @@
         self._settings = settings
         self._holder = holder
         self._errors = JournalErrors(rng)
+        self._is_confirmed = is_confirmed
         self._wall = wall
         self._clock = clock
         self._page = ConditionalObject(store, name, writer_of)
@@ -107,8 +111,7 @@
     async def async_close(self) -> None:
         """Write what waits, within the limit for outcomes, and stop."""
         self._loaded = False
-        if self._writer.available and self._writer.is_dirty:
-            await self._writer.touch().async_wait(self._settings.finish_limit)
+        await self._writer.async_flush(self._settings.finish_limit)
         await self._writer.async_stop()
 
     @callback
@@ -118,7 +121,7 @@
         A refusal that says "not run" is true of a resend only after this returned
         None. Raises as `async_begin` does.
         """
-        self._require_loaded()
+        self._require_owned(now)
         self._prune(now)
         entry = self._index.get(request.key)
         if entry is not None:
@@ -167,7 +170,10 @@
                 final: Answered | Unknown = outcome.trimmed(self._settings.answer_limit)
             case Unknown():
                 final = outcome
-        self._end(entry, final, outcome, now)
+        self._index.end(entry, final, now)
+        line = final_line(record_of(entry, self._wall))
+        self._writer.head.put_final(key, line)
+        entry.tell(outcome)
         commit = self._writer.touch()
         return await commit.async_wait(self._settings.finish_limit)
 
@@ -208,15 +214,20 @@
         # next write leaves it out; a holder that takes over in between answers a
         # resend with "unknown", and never runs it.
         self._erase(entry)
-        self._require_loaded()
+        self._require_owned(self._clock())
         raise self._unavailable(request)
 
-    def _require_loaded(self) -> None:
-        """Raise unless the records of the group are known."""
+    def _require_owned(self, now: float) -> None:
+        """Raise unless the records of the group are known, and no one adds to them.
+
+        A holder that was paused past its lease knows nothing of what the next one
+        ran. Without the check of the lease it would say "not run" of that work while
+        the store is away, when no write can show it that it was deposed.
+        """
         if not self._loaded:
             raise self._errors.not_loaded()
-        if self._writer.deposed:
-            raise JournalDeposedError("the group has another lease holder")
+        if self._writer.deposed or not self._is_confirmed(now):
+            raise JournalDeposedError("the group may have another lease holder")
 
     def _prune(self, now: float) -> None:
         """Forget what is past the retention."""
@@ -254,8 +265,7 @@
 
     def _add(self, request: BeginRequest, now: float) -> JournalEntry:
         """Add an entry that runs."""
-        size = len(request.key) + len(request.fingerprint) + len(request.request_id)
-        if size > self._settings.key_limit:
+        if request.size > self._settings.key_limit:
             raise RequestTooLargeError("the idempotency key is too long")
         if not self._index.has_room():
             raise self._errors.full()
@@ -268,19 +278,6 @@
         self._index.add(entry)
         return entry
 
-    def _end(
-        self,
-        entry: JournalEntry,
-        final: Answered | Unknown,
-        outcome: Outcome,
-        now: float,
-    ) -> None:
-        """Give an entry its outcome, in memory and in the next batch."""
-        self._index.end(entry, final, now)
-        line = final_line(record_of(entry, self._wall))
-        self._writer.head.put_final(entry.key, line)
-        entry.tell(outcome)
-
     def _erase(self, entry: JournalEntry) -> None:
         """Forget a request that was not run, also in the next batch."""
         self._index.remove_running(entry)
--- a/swiftpin/dispatch/journal_writer.py
+++ b/swiftpin/dispatch/journal_writer.py
@@ -6,7 +6,6 @@
 from collections.abc import Iterable
 from contextlib import suppress
 from random import Random
-from typing import Final
 
 from swiftpin.core import callback
 from swiftpin.dispatch.archive_ref import ArchiveRef
@@ -23,9 +22,6 @@
 from swiftpin.exceptions import StoreError
 from swiftpin.store.client import ABSENT
 
-RETRY_BASE: Final = 0.1
-RETRY_CAP: Final = 1.0
-
 
 class JournalWriter:
     """Writes the head page again and again, each time with all new records.
@@ -56,7 +52,7 @@
         self._store = store
         self._page = page
         self._settings = settings
-        self._backoff = Backoff(RETRY_BASE, RETRY_CAP, rng)
+        self._backoff = Backoff(settings.retry_base, settings.retry_cap, rng)
         self._holder = holder
         self._clock = clock
         self._wall = wall
@@ -75,11 +71,6 @@
         """Return the lock that keeps writes out while the journal is opened."""
         return self._lock
 
-    @property
-    def is_dirty(self) -> bool:
-        """Return whether something waits to be written."""
-        return self._next is not None
-
     @callback
     def touch(self) -> Commit:
         """Return the next batch, which carries everything put so far."""
@@ -125,6 +116,11 @@
         """Delete pages that nothing refers to when there is time."""
         self._garbage.extend(names)
 
+    async def async_flush(self, limit: float) -> None:
+        """Wait up to a limit in seconds until everything put so far is durable."""
+        if self.available and (self._next is not None or self._lock.locked()):
+            await self.touch().async_wait(limit)
+
     async def async_stop(self) -> None:
         """Stop writing; batches that wait end as not durable."""
         if self._task is not None:
--- a/tests/dispatch/conftest.py
+++ b/tests/dispatch/conftest.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field, replace
 from random import Random
 
@@ -21,7 +21,7 @@
 GROUP = GroupId(service="desk", group=1)
 PAGE = "journal/desk/1"
 WALL = WallClock(offset=1_000_000.0)
-TURNS = 50
+MAX_TURNS = 10_000
 
 
 @dataclass(kw_only=True, slots=True)
@@ -43,9 +43,14 @@
     clock: FakeClock
     settings: JournalSettings = field(
         default_factory=lambda: JournalSettings(
-            min_interval=0.0, begin_limit=60.0, finish_limit=60.0
+            min_interval=0.0,
+            begin_limit=60.0,
+            finish_limit=60.0,
+            retry_base=0.0,
+            retry_cap=0.0,
         )
     )
+    lease_end: float = float("inf")
     made: list[IdempotencyJournal] = field(default_factory=list)
 
     def make(self, holder: str, **changes: object) -> IdempotencyJournal:
@@ -57,6 +62,7 @@
             holder,
             settings,
             Random(holder),
+            is_confirmed=lambda now: now < self.lease_end,
             wall=WALL,
             clock=self.clock,
         )
@@ -73,7 +79,6 @@
 
     async def async_close(self) -> None:
         """Stop all journals."""
-        self.store.gate = None
         for journal in self.made:
             await journal._writer.async_stop()
 
@@ -117,7 +122,10 @@
     )
 
 
-async def async_turns(count: int = TURNS) -> None:
-    """Let all tasks that are ready run."""
-    for _ in range(count):
+async def async_until(reached: Callable[[], bool]) -> None:
+    """Let tasks run until a condition holds; fail when they never reach it."""
+    for _ in range(MAX_TURNS):
+        if reached():
+            return
         await asyncio.sleep(0)
+    raise AssertionError("the condition was never reached")
--- a/tests/dispatch/fake_store.py
+++ b/tests/dispatch/fake_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 from swiftpin.exceptions import (
@@ -19,16 +20,16 @@
     """Objects with versions.
 
     `down` refuses every call. `lost_answers` is the number of writes to come that
-    take effect and lose their answer, `lost_writes` of those that do not even take
-    effect. While `gate` is set, writes wait for it before they take effect.
+    take effect and lose their answer, `delayed_writes` of those that are reported
+    as unknown and take effect at `release_delayed`, if their condition still holds.
     """
 
     objects_by_name: dict[str, StoredObject] = field(default_factory=dict)
     revision: int = 0
     down: bool = False
     lost_answers: int = 0
-    lost_writes: int = 0
-    gate: asyncio.Event | None = None
+    delayed_writes: int = 0
+    delayed: list[tuple[str, bytes, int | None]] = field(default_factory=list)
     puts: list[str] = field(default_factory=list)
 
     async def async_get(self, name: str) -> StoredObject | None:
@@ -54,12 +55,11 @@
         """Write the object and return its new version."""
         await asyncio.sleep(0)
         self.puts.append(name)
-        if self.gate is not None:
-            await self.gate.wait()
         self._raise_if_down()
-        if self.lost_writes:
-            self.lost_writes -= 1
-            raise StoreOutcomeUnknownError("the request was lost")
+        if self.delayed_writes:
+            self.delayed_writes -= 1
+            self.delayed.append((name, body, expect))
+            raise StoreOutcomeUnknownError("the request is late")
         version = self.apply(name, body, expect)
         if self.lost_answers:
             self.lost_answers -= 1
@@ -72,6 +72,13 @@
         self._raise_if_down()
         self.objects_by_name.pop(name, None)
 
+    def release_delayed(self) -> None:
+        """Carry out the delayed writes whose condition still holds."""
+        for name, body, expect in self.delayed:
+            with suppress(StoreConflictError):
+                self.apply(name, body, expect)
+        self.delayed.clear()
+
     def apply(self, name: str, body: bytes, expect: int | None) -> int:
         """Carry a write out at once."""
         present = self.objects_by_name.get(name)
