Add the failover experiment

Cause: losses of targets, gateways and the store must be measured with real processes and judged by the trace checker.

--- a/swiftpin/bench/load/class_recorder.py
+++ b/swiftpin/bench/load/class_recorder.py
@@ -32,10 +32,14 @@
         self._scheduled = 0
 
     @callback
-    def begin(self, request: LoadRequest) -> None:
-        """Note a request that became due."""
+    def begin(self) -> None:
+        """Count a request that became due."""
         self._scheduled += 1
-        self._meter.begin(meter_key(request), request.scheduled)
+
+    @callback
+    def wait(self, request: LoadRequest, since: float) -> None:
+        """Note that the request waits for its key."""
+        self._meter.begin(meter_key(request), since)
 
     @callback
     def tried(self, result: str) -> None:
@@ -46,11 +50,15 @@
     def end(self, request: LoadRequest, verdict: Verdict, now: float) -> None:
         """Note how a request ended; `RETRY` means that it was left unanswered."""
         self._ends_by_verdict[verdict] += 1
-        if verdict is not Verdict.ANSWERED:
-            self._meter.abandoned(meter_key(request), now)
-            return
-        self._latency.record(now - request.scheduled)
-        self._meter.answered(meter_key(request), now)
+        if verdict is Verdict.ANSWERED:
+            self._latency.record(now - request.scheduled)
+
+    @callback
+    def end_wait(self, request: LoadRequest, verdict: Verdict, now: float) -> None:
+        """Note that the request waits for its key no longer."""
+        self._meter.end(
+            meter_key(request), now, is_answered=verdict is Verdict.ANSWERED
+        )
 
     def tally(self) -> ClassTally:
         """Return the counts so far."""
--- a/swiftpin/bench/load/recorder.py
+++ b/swiftpin/bench/load/recorder.py
@@ -31,11 +31,19 @@
     @callback
     def begin(self, request: LoadRequest, now: float) -> None:
         """Note a request that became due and is sent at `now`."""
-        if not self._is_measured(request):
-            return
-        self._send_lag.record(now - request.scheduled)
-        self._meter.begin(meter_key(request), request.scheduled)
-        self._classes_by_name[request.load_class.name].begin(request)
+        if self._is_measured(request):
+            self._send_lag.record(now - request.scheduled)
+            self._classes_by_name[request.load_class.name].begin()
+
+    @callback
+    def wait(self, request: LoadRequest, since: float) -> None:
+        """Note that the request waits for its key at an entry that works.
+
+        A request stuck at an entry that was lost says nothing about its key.
+        """
+        if self._is_measured(request):
+            self._meter.begin(meter_key(request), since)
+            self._classes_by_name[request.load_class.name].wait(request, since)
 
     @callback
     def tried(self, request: LoadRequest, result: str) -> None:
@@ -44,15 +52,19 @@
             self._classes_by_name[request.load_class.name].tried(result)
 
     @callback
-    def end(self, request: LoadRequest, verdict: Verdict, now: float) -> None:
-        """Note how a request ended."""
+    def end(
+        self, request: LoadRequest, verdict: Verdict, now: float, *, waited: bool
+    ) -> None:
+        """Note how a request ended; `waited` tells whether `wait` was called."""
         if not self._is_measured(request):
             return
-        self._classes_by_name[request.load_class.name].end(request, verdict, now)
-        if verdict is Verdict.ANSWERED:
-            self._meter.answered(meter_key(request), now)
-        else:
-            self._meter.abandoned(meter_key(request), now)
+        recorder = self._classes_by_name[request.load_class.name]
+        recorder.end(request, verdict, now)
+        if waited:
+            self._meter.end(
+                meter_key(request), now, is_answered=verdict is Verdict.ANSWERED
+            )
+            recorder.end_wait(request, verdict, now)
 
     def result(self, *, index: int, started: float, cpu: float) -> WorkerResult:
         """Return everything that was counted."""
--- a/swiftpin/bench/report/page.py
+++ b/swiftpin/bench/report/page.py
@@ -11,8 +11,10 @@
 
 from swiftpin.bench.exceptions import BenchError
 from swiftpin.bench.experiment_report import ExperimentReport
+from swiftpin.bench.experiments.failover_result import FailoverResult
 from swiftpin.bench.experiments.passthrough_result import PassthroughResult
 from swiftpin.bench.experiments.slopes_result import SlopesResult
+from swiftpin.bench.report.failover_section import failover_section
 from swiftpin.bench.report.passthrough_section import passthrough_section
 from swiftpin.bench.report.section import Section
 from swiftpin.bench.report.slopes_section import slopes_section
@@ -41,6 +43,7 @@
 
 
 SECTIONS_BY_EXPERIMENT: Final = {
+    "failover": _section_maker(FailoverResult, failover_section),
     "passthrough": _section_maker(PassthroughResult, passthrough_section),
     "slopes": _section_maker(SlopesResult, slopes_section),
 }
