--- a/swiftpin/dispatch/service_times.py
+++ b/swiftpin/dispatch/service_times.py
@@ -30,6 +30,13 @@
         self._average_by_class[class_name] = average + WEIGHT * (seconds - average)
         self._sampled_at_by_class[class_name] = now
 
+    @callback
+    def keep_only(self, class_names: frozenset[str]) -> None:
+        """Forget all others."""
+        for class_name in self._average_by_class.keys() - class_names:
+            del self._average_by_class[class_name]
+            del self._sampled_at_by_class[class_name]
+
     @callback
     def estimate(self, class_name: str, now: float) -> float:
         """Return the expected service time; 0 when nothing is known."""
