Replace neighbours that fail; send lost bodies once more

Ports for the measurement came from the range of outgoing connections, so that one run ended in 'address in use'. Change: up to three spare neighbours, one more try for bodies; ports from below that range.

--- a/swiftpin/bench/news/bench_fleet.py
+++ b/swiftpin/bench/news/bench_fleet.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import closing
-import socket
 from typing import Final
 
 from aiohttp import ClientSession, TCPConnector
 
 from swiftpin.bench.news.bench_instance import BenchInstance
 from swiftpin.bench.news.way import Way
+from swiftpin.bench.processes.port_allocator import PortAllocator
 from swiftpin.standins.instances_standin import InstancesStandin
 from swiftpin.standins.listed_instance import ListedInstance
 from swiftpin.standins.store_standin import StoreStandin
@@ -18,16 +17,8 @@
 ZONES: Final = 4
 
 
-def _free_address() -> str:
-    """Return an address that nobody listens on."""
-    with closing(socket.socket()) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
-
-
-def _listed(number: int) -> ListedInstance:
+def _listed(number: int, address: str) -> ListedInstance:
     """Return the list's entry of one instance."""
-    address = _free_address()
     return ListedInstance(
         name=f"i{number}",
         zone=f"z{number % ZONES}",
@@ -45,7 +36,8 @@
         self._way = way
         self._loss = loss
         self._seed = seed
-        self._listed = [_listed(number) for number in range(size)]
+        ports = PortAllocator()
+        self._listed = [_listed(number, ports.allocate()) for number in range(size)]
         self._platform = InstancesStandin(instances=self._listed)
         self._store = StoreStandin()
         self._session: ClientSession | None = None
--- a/swiftpin/bench/news/way.py
+++ b/swiftpin/bench/news/way.py
@@ -25,13 +25,15 @@
     for way in (
         Way(name="announce", settings=_CHOSEN),
         Way(name="eager", settings=replace(_CHOSEN, announce_size=1 << 30)),
-        Way(name="digest-only", settings=replace(_CHOSEN, fan_out=0)),
+        Way(name="no-spares", settings=replace(_CHOSEN, spares=0)),
+        Way(name="digest-only", settings=replace(_CHOSEN, fan_out=0, spares=0)),
         Way(name="push-only", settings=replace(_CHOSEN, compare_interval=_NEVER)),
         Way(
             name="store-only",
             settings=replace(
                 _CHOSEN,
                 fan_out=0,
+                spares=0,
                 compare_interval=_NEVER,
                 watchers_per_zone=_EVERYBODY,
             ),
--- a/swiftpin/membership/news_settings.py
+++ b/swiftpin/membership/news_settings.py
@@ -9,13 +9,15 @@
 class NewsSettings:
     """Rates and limits; times are in seconds, sizes in bytes.
 
-    A body longer than `announce_size` is announced first and sent where asked for.
-    `watch_wait` is how long the store holds a watch open. An instance that does
-    not watch polls when nobody's contact with the store is known for
+    News goes to `fan_out` neighbours, in place of failing ones to up to `spares`
+    others. A body longer than `announce_size` is announced first and sent where it
+    is asked for. `watch_wait` is how long the store holds a watch open. An instance
+    that does not watch polls when nobody's contact with the store is known for
     `silence_limit`; the fleet together makes at most `polls_per_second`.
     """
 
     fan_out: int = 3
+    spares: int = 3
     push_interval: float = 0.01
     push_size: int = 64 * 1024
     announce_size: int = 1024
--- a/swiftpin/membership/pusher.py
+++ b/swiftpin/membership/pusher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 import logging
 from random import Random
 from typing import Final
@@ -90,16 +91,20 @@
         sources_by_name = self._take_batch()
         if not sources_by_name:
             return
-        peers_by_name = dict(self._directory.instances_by_name)
-        peers_by_name.pop(self._name, None)
-        neighbours = choose_neighbours(
-            self._random, self._zone, peers_by_name, self._settings.fan_out
-        )
+        neighbours = self._choose(self._settings.fan_out)
+        others = self._choose(self._settings.fan_out + self._settings.spares)
+        spares = deque(name for name in others if name not in neighbours)
         for neighbour in neighbours:
             names = [
                 name for name, source in sources_by_name.items() if source != neighbour
             ]
-            self._start_send(neighbour, self._objects(names))
+            self._start_send(neighbour, self._objects(names), spares)
+
+    def _choose(self, count: int) -> list[str]:
+        """Return the names of other instances, chosen by chance."""
+        peers_by_name = dict(self._directory.instances_by_name)
+        peers_by_name.pop(self._name, None)
+        return choose_neighbours(self._random, self._zone, peers_by_name, count)
 
     def _take_batch(self) -> dict[str, str | None]:
         """Return the oldest added names with their sources, up to a message's size."""
@@ -122,28 +127,50 @@
             return NewsItem.announcement(obj)
         return NewsItem.whole(obj)
 
-    def _start_send(self, neighbour: str, objects: list[CachedObject]) -> None:
+    def _start_send(
+        self, neighbour: str, objects: list[CachedObject], spares: deque[str]
+    ) -> None:
         """Send in a task of its own, so that a frozen neighbour delays no other."""
         if not objects:
             return
         if len(self._sends) >= MAX_SENDS:
             self._counters.news_dropped += 1
             return
-        task = asyncio.create_task(self._async_send(neighbour, objects))
+        task = asyncio.create_task(self._async_send(neighbour, objects, spares))
         self._sends.add(task)
         task.add_done_callback(self._sends.discard)
 
-    async def _async_send(self, neighbour: str, objects: list[CachedObject]) -> None:
+    async def _async_send(
+        self, neighbour: str, objects: list[CachedObject], spares: deque[str]
+    ) -> None:
+        """Send objects to a neighbour, to a spare one when that fails.
+
+        The list lags, so that some neighbours are gone; were they not replaced,
+        news would reach the fewer instances the more have just been lost.
+        """
+        while True:
+            try:
+                await self._async_send_to(neighbour, objects)
+            except PeerError as err:
+                _LOGGER.debug("event=push_failed to=%s error=%s", neighbour, err)
+            else:
+                return
+            if not spares:
+                return
+            neighbour = spares.popleft()
+
+    async def _async_send_to(self, neighbour: str, objects: list[CachedObject]) -> None:
         """Send objects to a neighbour, then the bodies that it asks for."""
         items = [self._item(obj) for obj in objects]
-        try:
-            reply = await self._clients.async_push_news(neighbour, items)
-            await self.async_send_bodies(neighbour, reply.wanted)
-        except PeerError as err:
-            _LOGGER.debug("event=push_failed to=%s error=%s", neighbour, err)
-            return
+        reply = await self._clients.async_push_news(neighbour, items)
         known = len(items) - len(reply.adopted) - len(reply.wanted)
         self._counters.news_duplicates += known
+        try:
+            await self.async_send_bodies(neighbour, reply.wanted)
+        except PeerError:
+            # The neighbour asks nobody else for a while, so a body lost once would
+            # hold it back until a comparison; the first loss is made good here.
+            await self.async_send_bodies(neighbour, reply.wanted)
 
     async def async_send_bodies(self, peer: str, names: frozenset[str]) -> None:
         """Send the newest versions in whole, a limited size a message.
--- a/tests/membership/fleet.py
+++ b/tests/membership/fleet.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import closing
-import socket
 
 from aiohttp import ClientSession
 
+from swiftpin.bench.processes.port_allocator import PortAllocator
 from swiftpin.core import monotonic_now
 from swiftpin.exceptions import PeerError
 from swiftpin.membership.cached_object import CachedObject
@@ -34,13 +33,6 @@
 """Nothing is compared unless the test says so."""
 
 
-def free_address() -> str:
-    """Return an address that nobody listens on."""
-    with closing(socket.socket()) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
-
-
 def make_object(name: str, major: int, minor: int = 0, size: int = 0) -> CachedObject:
     """Return a version whose body follows from its stamp."""
     body = f"{major}.{minor}".encode().ljust(size)
@@ -71,6 +63,7 @@
     def __init__(self, session: ClientSession, platform: InstancesStandin) -> None:
         self._session = session
         self._platform = platform
+        self._ports = PortAllocator()
         self.store = FakeStore()
         self.members: dict[str, MembershipCoordinator] = {}
         self.handlers: dict[str, FakeHandler] = {}
@@ -93,7 +86,7 @@
 
     def list_instance(self, name: str) -> None:
         """List an instance that need not run."""
-        address = self.addresses.setdefault(name, free_address())
+        address = self.addresses.setdefault(name, self._ports.allocate())
         instance = ListedInstance(
             name=name,
             zone=name.partition("-")[0],
--- a/tests/membership/test_directory.py
+++ b/tests/membership/test_directory.py
@@ -7,9 +7,9 @@
 from aiohttp import ClientSession, web
 import pytest
 
+from swiftpin.bench.processes.port_allocator import PortAllocator
 from swiftpin.membership.directory import InstanceDirectory
 from swiftpin.membership.instance_info import InstanceInfo
-from tests.membership.fleet import free_address
 
 
 class Platform:
@@ -51,7 +51,7 @@
     app.router.add_get("/v1/instances", listing.async_answer)
     runner = web.AppRunner(app)
     await runner.setup()
-    address = free_address()
+    address = PortAllocator().allocate()
     host, _, port = address.partition(":")
     await web.TCPSite(runner, host, int(port)).start()
     yield InstanceDirectory(session=session, url=f"http://{address}/", seed=1)
@@ -105,7 +105,7 @@
     session: ClientSession,
 ) -> None:
     """An instance starts although nobody listens at the list's address."""
-    url = f"http://{free_address()}"
+    url = f"http://{PortAllocator().allocate()}"
     directory = InstanceDirectory(session=session, url=url, seed=1)
     await directory.async_setup()
     assert directory.instances_by_name == {}
--- a/tests/membership/test_news.py
+++ b/tests/membership/test_news.py
@@ -47,7 +47,7 @@
     await fleet.async_add("a-1", "b-1")
     fleet.members["b-1"].publish(make_object(RECORD, 4, 0))
     late = fleet.members["a-1"]
-    await late.news._pusher._async_send("b-1", [make_object(RECORD, 2, 9)])
+    await late.news._pusher._async_send_to("b-1", [make_object(RECORD, 2, 9)])
     known = fleet.members["b-1"].cache.get(RECORD)
     assert known is not None
     assert known.stamp == Stamp(4, 0)
@@ -70,6 +70,23 @@
     await async_known(fleet.members["c-1"].cache, RECORD, Stamp(2, 1))
 
 
+async def test_unreachable_neighbour_is_replaced(fleet: Fleet) -> None:
+    """News reaches fewer instances after the loss of some.
+
+    Some listed instances are lost and the list lags; the only neighbour chosen may
+    be one of them. A spare one gets the news in its place.
+    """
+    settings = replace(NOBODY_WATCHES, fan_out=1, spares=3)
+    await fleet.async_add("a-1", "b-1", settings=settings)
+    for lost in ("c-1", "d-1", "e-1"):
+        fleet.list_instance(lost)
+    await fleet.async_refresh()
+    for number in range(5):
+        name = f"groups/desk/{number}"
+        fleet.members["a-1"].publish(make_object(name, 2, 1))
+        await async_known(fleet.members["b-1"].cache, name, Stamp(2, 1))
+
+
 async def test_both_sides_of_a_healed_partition_agree(fleet: Fleet) -> None:
     """Two halves keep different versions after a partition.
 
