--- a/swiftpin/dispatch/head_page.py
+++ b/swiftpin/dispatch/head_page.py
@@ -21,6 +21,7 @@
         self._final_lines_by_key: dict[str, FinalLine] = {}
         self._final_bytes = 0
         self._archives: list[ArchiveRef] = []
+        self._dropped: list[str] = []
 
     @property
     def final_bytes(self) -> int:
@@ -60,10 +61,19 @@
         return finals_by_key
 
     @callback
-    def archived(self, ref: ArchiveRef, finals_by_key: dict[str, FinalLine]) -> None:
-        """Refer to a written page in place of the records that it holds."""
+    def archived(
+        self,
+        ref: ArchiveRef,
+        moved_by_key: dict[str, FinalLine],
+        *,
+        replaced: ArchiveRef | None,
+    ) -> None:
+        """Refer to a written page in place of records, and of a page it contains."""
+        if replaced is not None and replaced in self._archives:
+            self._archives.remove(replaced)
+            self._dropped.append(replaced.name)
         self._archives.append(ref)
-        for key, line in finals_by_key.items():
+        for key, line in moved_by_key.items():
             # Expired and begun anew while the page was being written: keep that one.
             if self._final_lines_by_key.get(key) is line:
                 self.drop(key)
@@ -74,11 +84,21 @@
         self._archives = list(archives)
 
     @callback
-    def take_expired(self, before: int) -> list[str]:
-        """Drop the pages whose newest record is older (wall ms); return their names."""
-        expired = [ref.name for ref in self._archives if ref.newest_at < before]
-        self._archives = [ref for ref in self._archives if ref.newest_at >= before]
-        return expired
+    def drop_expired_archives(self, before: int) -> None:
+        """Refer no longer to pages whose newest record is older (wall ms)."""
+        expired = [ref for ref in self._archives if ref.newest_at < before]
+        for ref in expired:
+            self._archives.remove(ref)
+            self._dropped.append(ref.name)
+
+    @callback
+    def take_dropped(self) -> list[str]:
+        """Return names of pages that the body refers to no longer, each once.
+
+        They may be deleted once the body is known to be stored.
+        """
+        dropped, self._dropped = self._dropped, []
+        return dropped
 
     @callback
     def body(self, term: int, holder: str, writer: str) -> bytes:
--- a/swiftpin/dispatch/journal_settings.py
+++ b/swiftpin/dispatch/journal_settings.py
@@ -17,22 +17,25 @@
 
     Outcomes are kept for `retention` after their last change, which must not be
     shorter than the longest timeout of a request. `min_interval` is the least time
-    between the starts of two writes; after failed ones it grows from `retry_base` up
-    to `retry_cap`, with jitter. A beginning request waits up to `begin_limit`
-    for its record, an ended one up to `finish_limit` for its outcome. `page_limit`
-    is the size at which records move from the head page to a page of their own.
-    `answer_limit` bounds the recorded answer. `max_records` and `max_bytes` bound
-    the memory; `max_running` requests of up to `key_limit` bytes of key, fingerprint
-    and request id fit into the head page, which the store bounds to 1 MiB.
+    between writes on average, from which `write_burst` writes may depart; after
+    failed ones it grows from `retry_base` up to `retry_cap`, with jitter. A beginning
+    request waits up to `begin_limit` for its record, an ended one up to
+    `finish_limit` for its outcome. Above `page_limit` records move from the head
+    page to pages of up to `archive_limit`. `answer_limit` bounds the recorded answer.
+    `max_records` and `max_bytes` bound the memory; `max_running` requests of up to
+    `key_limit` bytes of key, fingerprint and request id fit into the head page, which
+    the store bounds to 1 MiB.
     """
 
     retention: float = 3600.0
     min_interval: float = 0.02
+    write_burst: int = 10
     begin_limit: float = 2.0
     finish_limit: float = 0.5
     retry_base: float = 0.1
     retry_cap: float = 1.0
-    page_limit: int = 128 * 1024
+    page_limit: int = 32 * 1024
+    archive_limit: int = 512 * 1024
     answer_limit: int = 4096 + ANSWER_HEADERS_LIMIT
     key_limit: int = 512
     max_running: int = 1000
--- a/swiftpin/dispatch/journal_writer.py
+++ b/swiftpin/dispatch/journal_writer.py
@@ -8,7 +8,7 @@
 from random import Random
 
 from swiftpin.core import callback
-from swiftpin.dispatch.archive_ref import ArchiveRef
+from swiftpin.dispatch.archiver import Archiver
 from swiftpin.dispatch.backoff import Backoff
 from swiftpin.dispatch.clock import Clock
 from swiftpin.dispatch.commit import Commit
@@ -17,10 +17,9 @@
 from swiftpin.dispatch.head_page import HeadPage
 from swiftpin.dispatch.journal_settings import JournalSettings
 from swiftpin.dispatch.journal_store import JournalStore
-from swiftpin.dispatch.page_codec import encode_archive
 from swiftpin.dispatch.wall_clock import CLOCK_SKEW, WallClock
+from swiftpin.dispatch.write_pace import WritePace
 from swiftpin.exceptions import StoreError
-from swiftpin.store.client import ABSENT
 
 
 class JournalWriter:
@@ -47,8 +46,8 @@
         self.term = 0
         self._active = False
         self._nonce = f"{rng.getrandbits(64):016x}"
-        self.writes = 0
-        self.bytes_written = 0
+        self._head_writes = 0
+        self._head_bytes = 0
         self._store = store
         self._page = page
         self._settings = settings
@@ -60,12 +59,22 @@
         self._wake = asyncio.Event()
         self._next: Commit | None = None
         self._failures = 0
-        self._last_start = float("-inf")
+        self._pace = WritePace(settings.min_interval, settings.write_burst)
         self._attempts = 0
-        self._archive_count = 0
+        self._archiver = Archiver(store, page.name, settings, self._nonce)
         self._garbage: list[str] = []
         self._task: asyncio.Task[None] | None = None
 
+    @property
+    def writes(self) -> int:
+        """Return how many writes were started."""
+        return self._head_writes + self._archiver.writes
+
+    @property
+    def bytes_written(self) -> int:
+        """Return the bytes of the writes that were started."""
+        return self._head_bytes + self._archiver.bytes_written
+
     @property
     def lock(self) -> asyncio.Lock:
         """Return the lock that keeps writes out while the journal is opened."""
@@ -107,6 +116,7 @@
     def suspend(self) -> None:
         """Write nothing until the next start; batches that wait end as not durable."""
         self._active = False
+        self._archiver.reset()
         if self._next is not None and not self._next.done.done():
             self._next.done.set_result(False)
         self._next = None
@@ -145,16 +155,18 @@
         """Return how long to wait before the next write in seconds."""
         if self._failures:
             return self._backoff.delay(self._failures)
-        return max(self._last_start + self._settings.min_interval - now, 0.0)
+        return self._pace.pause(now)
 
     async def _async_commit(self) -> None:
         """Write one batch and tell those who wait for it."""
         commit = self._next or Commit()
         self._next = None
-        self._last_start = self._clock()
+        self._pace.record_write(self._clock())
         durable = False
         try:
-            await self._async_archive()
+            oldest = self._oldest()
+            await self._archiver.async_shrink(self.head, self.term, oldest)
+            self.head.drop_expired_archives(oldest)
             await self._async_write_head()
             durable = True
             self._failures = 0
@@ -171,38 +183,18 @@
 
     async def _async_write_head(self) -> None:
         """Replace the head page."""
-        oldest = self._clock() - self._settings.retention - CLOCK_SKEW
-        expired = self.head.take_expired(self._wall.to_wall(oldest))
+        dropped = self.head.take_dropped()
         writer = self.next_writer_id()
         body = self.head.body(self.term, self._holder, writer)
-        self.writes += 1
-        self.bytes_written += len(body)
+        self._head_writes += 1
+        self._head_bytes += len(body)
         await self._page.async_write(writer, body)
-        self._garbage.extend(expired)
-
-    async def _async_archive(self) -> None:
-        """Move final records out of a head page that has grown large.
-
-        The page is written before the head refers to it. When the head's write
-        then fails, the old head still holds the records, and nothing is lost.
-        """
-        while self.head.final_bytes > self._settings.page_limit:
-            finals_by_key = self.head.oldest_finals(self._settings.page_limit)
-            body = encode_archive(final.line for final in finals_by_key.values())
-            name = self._next_archive_name()
-            self.writes += 1
-            self.bytes_written += len(body)
-            await self._store.async_put(name, body, expect=ABSENT)
-            newest = max(final.changed_at for final in finals_by_key.values())
-            self.head.archived(ArchiveRef(name=name, newest_at=newest), finals_by_key)
-
-    def _next_archive_name(self) -> str:
-        """Return a name that was never used, not even by a try whose answer was lost.
-
-        The term in it tells a later holder which pages an earlier one left behind.
-        """
-        self._archive_count += 1
-        return f"{self._page.name}/{self.term}-{self._nonce}-{self._archive_count}"
+        self._garbage.extend(dropped)
+
+    def _oldest(self) -> int:
+        """Return the wall time in ms before which records are forgotten."""
+        kept = self._settings.retention + CLOCK_SKEW
+        return self._wall.to_wall(self._clock() - kept)
 
     async def _async_delete_garbage(self) -> None:
         """Delete a page to which the head refers no longer, one after each write."""
--- a/tests/dispatch/conftest.py
+++ b/tests/dispatch/conftest.py
@@ -14,6 +14,7 @@
 from swiftpin.dispatch.begin_request import BeginRequest
 from swiftpin.dispatch.journal import IdempotencyJournal
 from swiftpin.dispatch.journal_settings import JournalSettings
+from swiftpin.dispatch.journal_store import JournalStore
 from swiftpin.dispatch.wall_clock import WallClock
 from swiftpin.ownership.group_id import GroupId
 from tests.dispatch.fake_store import FakeStore
@@ -39,7 +40,7 @@
 class JournalMaker:
     """Makes journals of one group on one store, and closes them at the end."""
 
-    store: FakeStore
+    store: JournalStore
     clock: FakeClock
     settings: JournalSettings = field(
         default_factory=lambda: JournalSettings(
