Let only the sender limit the time of a call between instances

Cause: a deadline sent along counts from when the receiver reads it, so it never stops stale work, and an overloaded receiver logged a traceback for each (seen in a trial with 100 instances in one process). Change: the sender resets the call when its limit ends, which cancels the handler.

--- a/swiftpin/membership/peer_clients.py
+++ b/swiftpin/membership/peer_clients.py
@@ -171,7 +171,7 @@
     ) -> Message:
         """Send a request within the time limit, which includes connecting."""
         async with asyncio.timeout(self._timeout):
-            return await call(request, timeout=self._timeout)
+            return await call(request)
 
     @callback
     def _channel(self, instance_id: str) -> PeerChannel:
