--- /dev/null
+++ b/swiftpin/gateway/deadline_watch.py
@@ -0,0 +1,120 @@
+"""Deadlines of the requests being served."""
+
+from __future__ import annotations
+
+import asyncio
+from heapq import heappop, heappush
+from types import TracebackType
+from typing import Final, Self
+
+from swiftpin.core import callback
+
+TICK: Final = 0.01
+"""Seconds by which a deadline may be noticed late."""
+
+
+class DeadlineWatch:
+    """Ends requests at their deadlines with one timer for all of them.
+
+    `asyncio.timeout` makes a timer for each request, which hardly ever fires and costs
+    several times what a set entry does. Here deadlines are collected in sets by
+    tick; the timer runs only while any set has entries.
+    """
+
+    def __init__(self) -> None:
+        self._deadlines_by_tick: dict[int, set[Deadline]] = {}
+        self._ticks: list[int] = []
+        self._timer: asyncio.TimerHandle | None = None
+
+    @callback
+    def until(self, at: float) -> Deadline:
+        """Return a context manager that ends its task at a monotonic time."""
+        return Deadline(self, at)
+
+    @callback
+    def add(self, deadline: Deadline) -> None:
+        """Watch a deadline."""
+        deadlines = self._deadlines_by_tick.get(deadline.tick)
+        if deadlines is None:
+            deadlines = self._deadlines_by_tick[deadline.tick] = set()
+            heappush(self._ticks, deadline.tick)
+        deadlines.add(deadline)
+        if self._timer is None:
+            self._arm()
+
+    @callback
+    def discard(self, deadline: Deadline) -> None:
+        """Watch a deadline no longer."""
+        deadlines = self._deadlines_by_tick.get(deadline.tick)
+        if deadlines is not None:
+            deadlines.discard(deadline)
+
+    @callback
+    def unload(self) -> None:
+        """Stop the timer; what is still watched ends by other means."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    @callback
+    def expire(self, now: float) -> None:
+        """End what is due at a monotonic time."""
+        present = int(now / TICK)
+        while self._ticks and self._ticks[0] < present:
+            for deadline in self._deadlines_by_tick.pop(heappop(self._ticks)):
+                deadline.expire()
+
+    def _arm(self) -> None:
+        """Look again after one tick."""
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(TICK, self._on_timer)
+
+    def _on_timer(self) -> None:
+        """End what is due, and go on while anything is watched."""
+        self._timer = None
+        self.expire(asyncio.get_running_loop().time())
+        if self._ticks:
+            self._arm()
+
+
+class Deadline:
+    """Raises `TimeoutError` out of its block once the deadline has passed."""
+
+    __slots__ = ("_cancelling", "_expired", "_task", "_watch", "tick")
+
+    def __init__(self, watch: DeadlineWatch, at: float) -> None:
+        self.tick = int(at / TICK)
+        self._watch = watch
+        self._task: asyncio.Task[object] | None = None
+        self._cancelling = 0
+        self._expired = False
+
+    @callback
+    def expire(self) -> None:
+        """End the block."""
+        if self._task is not None:
+            self._expired = True
+            self._task.cancel()
+
+    def __enter__(self) -> Self:
+        self._task = asyncio.current_task()
+        assert self._task is not None
+        self._cancelling = self._task.cancelling()
+        self._watch.add(self)
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        if not self._expired:
+            self._watch.discard(self)
+            return
+        # The task may have been cancelled by others too, for instance because the
+        # caller left; that cancellation must go on.
+        assert self._task is not None
+        cancelled_by_others = self._task.uncancel() > self._cancelling
+        if isinstance(exc, asyncio.CancelledError) and not cancelled_by_others:
+            raise TimeoutError from exc
--- a/swiftpin/gateway/header_rules.py
+++ b/swiftpin/gateway/header_rules.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from functools import lru_cache
 from typing import Final
 
 from aiohttp.hdrs import CONNECTION, HOST
@@ -46,6 +47,9 @@
     "host",
     HEADER_IDEMPOTENCY_KEY.lower(),
 }
+NAME_CACHE: Final = 1024
+"""Header names whose treatment is remembered; the same few come with every request."""
+
 ANSWER_DROPPED: Final = HOP_BY_HOP | {"content-length"}
 
 
@@ -79,7 +83,7 @@
 
     Of swiftpin's own only the ticket goes on, which the holder gave.
     """
-    headers = _kept(received, ANSWER_DROPPED)
+    headers = _kept(received, _is_answer_dropped)
     ticket = received.get(HEADER_TICKET)
     if ticket is not None:
         headers[HEADER_TICKET] = ticket
@@ -90,7 +94,7 @@
     incoming: IncomingRequest, address: str, left: float
 ) -> CIMultiDict[str]:
     """Return the headers that targets and other instances get alike."""
-    headers = _kept(incoming.headers, REQUEST_DROPPED)
+    headers = _kept(incoming.headers, _is_request_dropped)
     headers[HOST] = address
     if incoming.key:
         headers[HEADER_KEY] = incoming.key
@@ -102,14 +106,27 @@
     return headers
 
 
-def _kept(received: Mapping[str, str], dropped: frozenset[str]) -> CIMultiDict[str]:
+def _kept(
+    received: Mapping[str, str], is_dropped: Callable[[str], bool]
+) -> CIMultiDict[str]:
     """Return the headers that neither end at this hop nor belong to swiftpin."""
+    kept = CIMultiDict([item for item in received.items() if not is_dropped(item[0])])
     named = received.get(CONNECTION)
     if named is not None:
-        dropped = dropped | {name.strip().lower() for name in named.split(",")}
-    kept: CIMultiDict[str] = CIMultiDict()
-    for name, value in received.items():
-        lowered = name.lower()
-        if lowered not in dropped and not lowered.startswith(HEADER_PREFIX):
-            kept.add(name, value)
+        for name in named.split(","):
+            kept.popall(name.strip(), None)
     return kept
+
+
+@lru_cache(maxsize=NAME_CACHE)
+def _is_request_dropped(name: str) -> bool:
+    """Return whether a request's header ends here."""
+    lowered = name.lower()
+    return lowered in REQUEST_DROPPED or lowered.startswith(HEADER_PREFIX)
+
+
+@lru_cache(maxsize=NAME_CACHE)
+def _is_answer_dropped(name: str) -> bool:
+    """Return whether an answer's header ends here."""
+    lowered = name.lower()
+    return lowered in ANSWER_DROPPED or lowered.startswith(HEADER_PREFIX)
--- a/swiftpin/gateway/incoming_request.py
+++ b/swiftpin/gateway/incoming_request.py
@@ -11,9 +11,12 @@
 from swiftpin.config.service import Service
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
+@dataclass(kw_only=True, slots=True)
 class IncomingRequest:
-    """What a request asks for, without its body.
+    """What a request asks for, without its body; nobody changes it.
+
+    It is not frozen, as making a frozen one takes several microseconds longer, and one
+    is made for each request.
 
     `key` is empty for services that are not divided by key. `ticket` is the value
     of `Swiftpin-Ticket`, if any. `full_path` is the path and query as received, `path`
--- a/swiftpin/gateway/request_handler.py
+++ b/swiftpin/gateway/request_handler.py
@@ -18,6 +18,7 @@
     RequestError,
 )
 from swiftpin.gateway.answer_writer import AnswerWriter
+from swiftpin.gateway.deadline_watch import DeadlineWatch
 from swiftpin.gateway.decision_log import DecisionLog
 from swiftpin.gateway.lifecycle import Lifecycle
 from swiftpin.gateway.metrics import Metrics
@@ -56,6 +57,7 @@
         self._trace = trace
         self._limit = limit
         self._ids = RequestIds()
+        self._deadlines = DeadlineWatch()
         self._in_flight = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -124,12 +126,17 @@
         record.incoming = incoming
         body = RequestBody(request, incoming.profile.body_limit)
         try:
-            async with asyncio.timeout(incoming.deadline - record.started_at):
+            with self._deadlines.until(incoming.deadline):
                 await body.async_prefetch()
                 await self._router.async_serve(incoming, body, state, writer, record)
         except TimeoutError as err:
             raise _late(state) from err
 
+    @callback
+    def unload(self) -> None:
+        """Stop watching deadlines."""
+        self._deadlines.unload()
+
     @callback
     def _begin(self) -> None:
         """Count a request in."""
--- a/swiftpin/gateway/request_serving.py
+++ b/swiftpin/gateway/request_serving.py
@@ -70,6 +70,7 @@
 
     async def async_unload(self) -> None:
         """End what still goes on and close every connection."""
+        self.handler.unload()
         self._queues.unload()
         await self._once_dispatcher.async_unload()
         self.client.unload()
--- a/swiftpin/gateway/target_dispatcher.py
+++ b/swiftpin/gateway/target_dispatcher.py
@@ -124,6 +124,9 @@
         until = self._ownership.send_until(route.group, now)
         if until is None or until <= now:
             raise NotHolderError("this instance may not send for the group any more")
+        if incoming.service.checks_grants:
+            # The target itself refuses a slice or a term that it was not granted.
+            return
         present = self._ownership.resolve(incoming.service, incoming.key, now)
         if present.target.id != route.target.id or present.term != route.term:
             raise NotHolderError("the key has just moved to another target")
