--- /dev/null
+++ b/swiftpin/bench/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration on one machine: real requests through a small cluster."""
--- a/swiftpin/bench/load/worker.py
+++ b/swiftpin/bench/load/worker.py
@@ -104,7 +104,9 @@
         """Send requests one after another until the end of the run."""
         end = self._start + self._load.duration
         while (now := monotonic_now()) < end:
-            await caller.async_call(self._factory.make(now))
+            # Timers of uvloop may fire up to a millisecond early; a request from before
+            # the start would be left out of the counts, as one of the warm-up.
+            await caller.async_call(self._factory.make(max(now, self._start)))
 
     async def _async_drain(self) -> None:
         """Wait for open requests, then give up the rest."""
--- /dev/null
+++ b/tests/bench/report/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the page of results."""
--- /dev/null
+++ b/tests/bench/report/test_page.py
@@ -0,0 +1,82 @@
+"""Tests of the page of results."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import orjson
+import pytest
+
+from swiftpin.bench.exceptions import BenchError
+from swiftpin.bench.experiment_report import ExperimentReport
+from swiftpin.bench.experiments.slope_point import SlopePoint
+from swiftpin.bench.experiments.slopes_result import SlopesResult, fit_points
+from swiftpin.bench.machine_facts import read_machine_facts
+from swiftpin.bench.report.page import read_report, render_report, write_page
+
+
+def slope_point(gateways: int, targets: int) -> SlopePoint:
+    """Return a point whose costs are linear in both numbers."""
+    return SlopePoint(
+        gateways=gateways,
+        targets=targets,
+        cpu_percent=1.0 + 0.5 * gateways + 0.1 * targets,
+        cpu_percent_max=9.0,
+        resident_mb=60.0,
+        resident_mb_max=61.0,
+        sent_bytes=1000.0 * gateways,
+        store_calls=2.0 * gateways,
+        store_writes=0.0,
+    )
+
+
+@pytest.fixture
+def report() -> ExperimentReport:
+    """Return the report of a small slopes experiment."""
+    points = [slope_point(*size) for size in ((3, 10), (9, 10), (9, 20), (18, 10))]
+    result = SlopesResult(
+        targets_per_group=5,
+        seconds_per_point=5.0,
+        points=points,
+        fits=fit_points(points, 9, 10),
+    )
+    return ExperimentReport(
+        experiment="slopes",
+        seed=1,
+        quick=True,
+        started_at="2026-01-01T00:00:00+00:00",
+        seconds=60.0,
+        machine=read_machine_facts(),
+        result=result,
+    )
+
+
+def test_page_shows_recorded_result(report: ExperimentReport, tmp_path: Path) -> None:
+    """The page made of a written JSON result has its figures and plots."""
+    path = tmp_path / "slopes.json"
+    path.write_bytes(orjson.dumps(report))
+    write_page([path], tmp_path / "bench.html")
+    page = (tmp_path / "bench.html").read_text()
+    assert page.count("<svg") == 4
+    assert "<td>18</td>" in page
+
+
+def test_unknown_experiment_is_refused(
+    report: ExperimentReport, tmp_path: Path
+) -> None:
+    """A result that no page is made for is told, not left out."""
+    path = tmp_path / "other.json"
+    path.write_bytes(orjson.dumps(report).replace(b'"slopes"', b'"other"'))
+    with pytest.raises(BenchError, match="other"):
+        render_report(read_report(path))
+
+
+def test_fits_find_the_lines(report: ExperimentReport) -> None:
+    """Slopes come out of points on a line, over gateways and over targets."""
+    fits_by_name = {(fit.x, fit.value): fit for fit in report.result.fits}
+    over_gateways = fits_by_name["gateways", "cpu_percent"]
+    assert over_gateways.slope == pytest.approx(0.5)
+    assert over_gateways.intercept == pytest.approx(2.0)
+    assert over_gateways.r2 == pytest.approx(1.0)
+    assert fits_by_name["targets", "cpu_percent"].slope == pytest.approx(0.1)
+    assert fits_by_name["targets", "resident_mb"].r2 == 1.0
--- /dev/null
+++ b/tests/script/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the developers' scripts."""
