Keep news going after unforeseen errors, unreadable objects and starts in an outage

Change: tasks start anew, new wishes end the wait, only loaded peers count. Conclusion: tests for each.

--- a/swiftpin/membership/comparer.py
+++ b/swiftpin/membership/comparer.py
@@ -45,7 +45,7 @@
         pusher: NewsPusher,
         contact: StoreContact,
         adopt_repaired: Callable[[CachedObject, str], None],
-        note_same: Callable[[], None],
+        note_level: Callable[[], None],
         settings: NewsSettings,
         random: Random,
         clock: Callable[[], float] = monotonic_now,
@@ -57,7 +57,7 @@
         self._pusher = pusher
         self._contact = contact
         self._adopt_repaired = adopt_repaired
-        self._note_same = note_same
+        self._note_level = note_level
         self._settings = settings
         self._random = random
         self._clock = clock
@@ -66,7 +66,7 @@
 
     async def async_setup(self) -> None:
         """Start comparing."""
-        self._task.start(self._async_run())
+        self._task.start(self._async_run)
 
     async def async_unload(self) -> None:
         """Stop comparing."""
@@ -100,12 +100,16 @@
         asked_at = self._clock()
         reply = await self._clients.async_compare(peer, self._cache.digests.root)
         self._contact.merge(reply.store_age, asked_at)
-        if reply.buckets is None:
-            self._note_same()
-            return
-        if len(reply.buckets) != BUCKETS:
-            raise PeerError(f"{peer} divides objects into {len(reply.buckets)} buckets")
-        await self._async_repair(peer, self._cache.digests.differing(reply.buckets))
+        if reply.buckets is not None:
+            await self._async_repair(peer, self._differing(peer, reply.buckets))
+        if reply.loaded and not self._has_more:
+            self._note_level()
+
+    def _differing(self, peer: str, digests: tuple[int, ...]) -> list[int]:
+        """Return the buckets in which a peer's objects differ."""
+        if len(digests) != BUCKETS:
+            raise PeerError(f"{peer} divides objects into {len(digests)} buckets")
+        return self._cache.digests.differing(digests)
 
     async def _async_repair(self, peer: str, differing: list[int]) -> None:
         """Exchange what differs in some of the buckets."""
--- a/swiftpin/membership/directory.py
+++ b/swiftpin/membership/directory.py
@@ -70,7 +70,7 @@
     async def async_setup(self) -> None:
         """Read the list once, if it can be read, and start to follow it."""
         await self.async_refresh()
-        self._task.start(self._async_follow())
+        self._task.start(self._async_follow)
 
     async def async_unload(self) -> None:
         """Stop following the list."""
--- a/swiftpin/membership/news.py
+++ b/swiftpin/membership/news.py
@@ -84,7 +84,7 @@
             pusher=self._pusher,
             contact=self.contact,
             adopt_repaired=self._adopt_repaired,
-            note_same=self._note_same,
+            note_level=self._note_level,
             settings=settings,
             random=self._random,
             clock=clock,
@@ -180,6 +180,7 @@
         return CompareReply(
             buckets=None if digests.root == root else digests.digests,
             store_age=self.contact.age(now),
+            loaded=self.is_loaded,
         )
 
     @callback
@@ -271,10 +272,14 @@
         if all(follower.has_read for follower in self._followers):
             self._loaded.set()
 
-    def _note_same(self) -> None:
-        """Count this instance as loaded if it knows the same as a peer."""
-        if len(self._cache) > 0:
-            self._loaded.set()
+    def _note_level(self) -> None:
+        """Count this instance as loaded, since it knows all that a loaded peer does.
+
+        A peer that is not loaded does not count: two that have just started during
+        an outage would take the few objects that both know for all there are, and
+        tell callers that services do not exist.
+        """
+        self._loaded.set()
 
     def _schedule(self) -> PollSchedule:
         """Return a schedule of polls."""
--- a/swiftpin/membership/object_fetcher.py
+++ b/swiftpin/membership/object_fetcher.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 import logging
 from random import Random
 from typing import Final
@@ -63,7 +64,7 @@
 
     async def async_setup(self) -> None:
         """Start reading."""
-        self._task.start(self._async_run())
+        self._task.start(self._async_run)
 
     async def async_unload(self) -> None:
         """Stop reading."""
@@ -87,15 +88,23 @@
     async def _async_run(self) -> None:
         """Read what is wanted, after a delay in which news may bring it."""
         while True:
-            await self._wake.wait()
-            self._wake.clear()
+            await self._async_wait()
             await asyncio.sleep(self._random.uniform(0, self._settings.read_delay))
             await self._async_read_wanted()
-            if self._versions_by_name:
-                await asyncio.sleep(self._backoff.next_delay())
-                self._wake.set()
-            else:
-                self._backoff.reset()
+
+    async def _async_wait(self) -> None:
+        """Wait for something wanted, or for the next try of what is left.
+
+        What is wanted anew ends the wait: one object that can't be read would
+        otherwise hold all others back for the longest delay.
+        """
+        if self._versions_by_name:
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self._wake.wait(), self._backoff.next_delay())
+        else:
+            self._backoff.reset()
+            await self._wake.wait()
+        self._wake.clear()
 
     async def _async_read_wanted(self) -> None:
         """Read each wanted object once."""
--- a/swiftpin/membership/peer_clients.py
+++ b/swiftpin/membership/peer_clients.py
@@ -120,7 +120,9 @@
         request = pb.CompareDigestRequest(root=root)
         reply = await self._async_call(instance_id, "CompareDigest", request)
         return CompareReply(
-            buckets=tuple(reply.buckets) or None, store_age=decode_age(reply)
+            buckets=tuple(reply.buckets) or None,
+            store_age=decode_age(reply),
+            loaded=reply.loaded,
         )
 
     async def async_repair(
--- a/swiftpin/membership/peer_server.py
+++ b/swiftpin/membership/peer_server.py
@@ -138,6 +138,7 @@
         if self._is_meant(request):
             outcome = self._news.handle_compare(request.root, self._clock())
             reply.buckets.extend(outcome.buckets or ())
+            reply.loaded = outcome.loaded
             age = encode_age(outcome.store_age)
             if age is not None:
                 reply.store_age_ms = age
--- a/swiftpin/membership/pusher.py
+++ b/swiftpin/membership/pusher.py
@@ -61,7 +61,7 @@
 
     async def async_setup(self) -> None:
         """Start sending."""
-        self._task.start(self._async_run())
+        self._task.start(self._async_run)
 
     async def async_unload(self) -> None:
         """Stop sending."""
--- a/swiftpin/membership/store_follower.py
+++ b/swiftpin/membership/store_follower.py
@@ -76,7 +76,7 @@
 
     async def async_setup(self) -> None:
         """Start following."""
-        self._task.start(self._async_run())
+        self._task.start(self._async_run)
 
     async def async_unload(self) -> None:
         """Stop following."""
--- a/tests/membership/fake_store.py
+++ b/tests/membership/fake_store.py
@@ -15,7 +15,8 @@
     """Implements `StoreReader`.
 
     `is_out` fails each call. `stale_reads` is how many of the next reads of one
-    object show its state before the last write.
+    object show its state before the last write; an object in `hidden` is never
+    found, though it is listed.
     """
 
     def __init__(self) -> None:
@@ -25,6 +26,7 @@
         self.oldest_revision = 0
         self.is_out = False
         self.stale_reads = 0
+        self.hidden: set[str] = set()
         self.gets = 0
         self.lists = 0
         self.watches = 0
@@ -45,6 +47,8 @@
         await self._async_check()
         self.gets += 1
         history = self.history_by_name.get(name, [])
+        if name in self.hidden:
+            return None
         if self.stale_reads > 0:
             self.stale_reads -= 1
             history = history[:-1]
--- a/tests/membership/test_news.py
+++ b/tests/membership/test_news.py
@@ -5,6 +5,9 @@
 import asyncio
 from dataclasses import replace
 
+import pytest
+
+from swiftpin.membership.background_task import BackgroundTask
 from swiftpin.membership.instance_id import name_of
 from swiftpin.membership.stamp import Stamp
 from tests.membership.fleet import (
@@ -155,17 +158,32 @@
     """
     fleet.store.put(CONFIG)
     await fleet.async_add("a-1", "a-2", "a-3")
-    await async_known(fleet.members["a-1"].cache, CONFIG, Stamp(1, 0))
+    await asyncio.wait_for(fleet.members["a-1"].async_wait_loaded(), PATIENCE)
     fleet.store.is_out = True
     await fleet.async_add("b-1")
     started = fleet.members["b-1"]
     assert not started.is_loaded
     await started.news.comparer.async_compare_with("a-1")
-    await started.news.comparer.async_compare_with("a-1")
     assert started.is_loaded
     assert started.cache.get(CONFIG) is not None
 
 
+async def test_peer_that_has_just_started_does_not_make_an_instance_loaded(
+    fleet: Fleet,
+) -> None:
+    """Callers are told that a service does not exist, although it does.
+
+    Two instances start while the store is out and both know the same one object;
+    equal digests alone would make them take it for everything there is.
+    """
+    fleet.store.is_out = True
+    await fleet.async_add("a-1", "b-1")
+    for member in fleet.members.values():
+        member.cache.adopt(make_object(CONFIG, 1))
+    await fleet.members["a-1"].news.comparer.async_compare_with("b-1")
+    assert not fleet.members["a-1"].is_loaded
+
+
 async def test_start_during_an_outage_reads_the_store_when_it_is_back(
     fleet: Fleet,
 ) -> None:
@@ -229,6 +247,29 @@
     assert not pusher._sends
 
 
+async def test_task_that_fails_starts_again(caplog: pytest.LogCaptureFixture) -> None:
+    """No news arrives any more, and nothing shows why.
+
+    A task meets an error that nobody foresaw, such as nonsense in a list, and
+    ends. The error is logged and the task starts anew.
+    """
+    runs: list[int] = []
+    done = asyncio.Event()
+
+    async def async_run() -> None:
+        runs.append(1)
+        if len(runs) == 1:
+            raise KeyError("unforeseen")
+        done.set()
+        await asyncio.Event().wait()
+
+    task = BackgroundTask("test", restart_delay=0.0)
+    task.start(async_run)
+    await asyncio.wait_for(done.wait(), PATIENCE)
+    await task.async_stop()
+    assert "event=task_failed task=test" in caplog.text
+
+
 def test_name_of_an_instance_id() -> None:
     """An id names the instance before its incarnation."""
     assert name_of("a-1/f00") == "a-1"
--- a/tests/membership/test_store_follower.py
+++ b/tests/membership/test_store_follower.py
@@ -46,6 +46,24 @@
     assert watcher.store.stale_reads == 0
 
 
+async def test_object_that_cannot_be_read_does_not_hold_back_others(
+    fleet: Fleet,
+) -> None:
+    """A declaration is in force late although the store has it.
+
+    Another object is listed but can't be read; its next try is far off by now. The
+    change of a declaration ends that wait.
+    """
+    settings = replace(BY_HAND, backoff_initial=3600.0, backoff_limit=3600.0)
+    await fleet.async_add("a-1", settings=settings)
+    member = fleet.members["a-1"]
+    await asyncio.wait_for(member.async_wait_loaded(), PATIENCE)
+    fleet.store.hidden = {RECORD}
+    fleet.store.put(RECORD)
+    for _ in range(2):
+        await async_known(member.cache, CONFIG, Stamp(fleet.store.put(CONFIG), 0))
+
+
 async def test_stale_read_does_not_undo_news(watcher: Fleet) -> None:
     """A record goes back after a peer brought its newer version.
 
