--- a/swiftpin/bench/__main__.py
+++ b/swiftpin/bench/__main__.py
@@ -47,6 +47,7 @@
                 repeats=arguments.repeats,
                 quick=arguments.quick,
                 directory=directory,
+                only=arguments.only,
             )
             experiment = EXPERIMENTS_BY_NAME[arguments.command]
             report = uvloop.run(async_run_experiment(experiment, options, progress))
--- a/swiftpin/bench/arguments.py
+++ b/swiftpin/bench/arguments.py
@@ -40,11 +40,17 @@
         "--seed", type=int, default=DEFAULT_SEED, help="seed of load and choices"
     )
     parser.add_argument(
-        "--repeats", type=int, help="how often to measure (the experiment's default)"
+        "--repeats",
+        "--seeds",
+        type=int,
+        help="how often to measure, or with how many seeds (experiment's default)",
     )
     parser.add_argument(
         "--quick", action="store_true", help="about a minute; figures only indicate"
     )
+    parser.add_argument(
+        "--only", default="", metavar="TEXT", help="only parts with it in their name"
+    )
     parser.add_argument(
         "--keep", type=Path, metavar="DIR", help="keep logs and traces there"
     )
--- a/swiftpin/bench/experiments/failover.py
+++ b/swiftpin/bench/experiments/failover.py
@@ -159,6 +159,8 @@
     runs = []
     for repeat in range(options.repeats or 1):
         for scenario in failover_scenarios(quick=options.quick):
+            if options.only not in scenario.name:
+                continue
             progress.show(f"{scenario.name}, repeat {repeat + 1}")
             name = f"{scenario.name.replace(' ', '-')}-{repeat}"
             async with Cluster(SPEC, options.directory / name) as cluster:
--- a/tests/bench/report/test_page.py
+++ b/tests/bench/report/test_page.py
@@ -9,25 +9,10 @@
 
 from swiftpin.bench.exceptions import BenchError
 from swiftpin.bench.experiment_report import ExperimentReport
-from swiftpin.bench.experiments.slope_point import SlopePoint
 from swiftpin.bench.experiments.slopes_result import SlopesResult, fit_points
 from swiftpin.bench.machine_facts import read_machine_facts
 from swiftpin.bench.report.page import read_report, render_report, write_page
-
-
-def slope_point(gateways: int, targets: int) -> SlopePoint:
-    """Return a point whose costs are linear in both numbers."""
-    return SlopePoint(
-        gateways=gateways,
-        targets=targets,
-        cpu_percent=1.0 + 0.5 * gateways + 0.1 * targets,
-        cpu_percent_max=9.0,
-        resident_mb=60.0,
-        resident_mb_max=61.0,
-        sent_bytes=1000.0 * gateways,
-        store_calls=2.0 * gateways,
-        store_writes=0.0,
-    )
+from tests.bench.slope_points import slope_point
 
 
 @pytest.fixture
