--- a/swiftpin/bench/placement/least_moves.py
+++ b/swiftpin/bench/placement/least_moves.py
@@ -41,16 +41,26 @@
     """Return the least moves by which one target gives away its excess."""
     others = [other for other in units_by_target if other != target]
     rooms = {other: limit - load_by_target[other] for other in others}
+    widest = max(rooms.values(), default=0.0)
     costs = [
-        1
-        + min(
-            (_made_room(units_by_target[o], rooms[o], unit) for o in others), default=0
-        )
+        1 if unit <= widest else 1 + _cheapest_room(units_by_target, rooms, unit)
         for unit in units_by_target[target]
     ]
     return _cover(units_by_target[target], costs, excess)
 
 
+def _cheapest_room(
+    units_by_target: Mapping[str, Sequence[float]],
+    rooms: Mapping[str, float],
+    wanted: float,
+) -> int:
+    """Return how many units some target must give away to take the wanted load."""
+    return min(
+        (_made_room(units_by_target[other], rooms[other], wanted) for other in rooms),
+        default=0,
+    )
+
+
 def _made_room(units: Sequence[float], room: float, wanted: float) -> int:
     """Return how many units a target gives away to take one of the wanted load."""
     if wanted <= room:
--- a/swiftpin/ownership/placement/groups.py
+++ b/swiftpin/ownership/placement/groups.py
@@ -45,20 +45,18 @@
 def _room_by_zone(
     targets: int, groups: int, zones: list[str]
 ) -> dict[str, list[dict[int, int]]]:
-    """Return the places meant for each zone, in rounds, as room by group.
+    """Return the places meant for each zone, in two rounds, as room by group.
 
     Place p of group g is meant for zone g + p, so that consecutive places of a group
     are of different zones. The first round holds the first place of each zone in
     each group: a zone with few targets serves every group once before any twice.
     """
-    rounds = -(-targets // (groups * len(zones))) if zones else 0
-    room_by_zone: dict[str, list[dict[int, int]]] = {
-        zone: [{} for _ in range(rounds)] for zone in zones
-    }
+    room_by_zone: dict[str, list[dict[int, int]]] = {zone: [{}, {}] for zone in zones}
     for index in range(targets):
         place, group = divmod(index, groups)
         zone = zones[(group + place) % len(zones)]
-        room_by_zone[zone][place // len(zones)][group] = 1
+        room_by_group = room_by_zone[zone][min(place // len(zones), 1)]
+        room_by_group[group] = room_by_group.get(group, 0) + 1
     return room_by_zone
 
 
