Let callers of the load send tickets back

Cause: during a store outage a refusal names a ticket with which a booking runs without the store; callers ignored it and waited for the end of the outage. Change: the last ticket named goes with every later try.

--- a/swiftpin/bench/load/caller.py
+++ b/swiftpin/bench/load/caller.py
@@ -29,6 +29,7 @@
     HEADER_KEY,
     HEADER_REQUEST_ID,
     HEADER_RESULT,
+    HEADER_TICKET,
     HEADER_TIMEOUT,
 )
 from swiftpin.core import callback, monotonic_now
@@ -61,7 +62,10 @@
         self._steady_entries = [item for item in load.entries if item not in lossy]
 
     async def async_call(self, request: LoadRequest) -> None:
-        """Send the request until it is answered; cancel to give it up."""
+        """Send the request until it is answered or tried as often as it may be.
+
+        Cancel to give it up.
+        """
         self._recorder.begin(request, monotonic_now())
         tries = RequestTries()
         verdict = Verdict.RETRY
@@ -77,13 +81,15 @@
         """Try again and again, with growing waits in between."""
         while True:
             entry = self._choose_entry(request, tries)
-            verdict = await self._async_try(request, entry)
+            verdict = await self._async_try(request, entry, tries)
             tries.count += 1
             if verdict in (Verdict.ANSWERED, Verdict.REFUSED):
                 return verdict
             tries.unknown += verdict is Verdict.UNKNOWN
             if tries.unknown >= MAX_UNKNOWN_TRIES:
                 return Verdict.UNKNOWN
+            if tries.count == self._load.max_tries:
+                return Verdict.RETRY
             await asyncio.sleep(retry_wait(tries.count, self._random))
 
     @callback
@@ -97,10 +103,12 @@
             self._recorder.wait(request, since)
         return entry
 
-    async def _async_try(self, request: LoadRequest, entry: str) -> Verdict:
+    async def _async_try(
+        self, request: LoadRequest, entry: str, tries: RequestTries
+    ) -> Verdict:
         """Send one try and judge its answer."""
         try:
-            answer = await self._async_send(request, entry)
+            answer = await self._async_send(request, entry, tries)
         except (ClientError, TimeoutError, OSError) as err:
             self._recorder.tried(request, type(err).__name__)
             return Verdict.RETRY
@@ -110,18 +118,24 @@
             self._trace.write(answer_event(request, answer))
         return judge(answer)
 
-    async def _async_send(self, request: LoadRequest, entry: str) -> TryAnswer:
-        """Return the answer to one try."""
+    async def _async_send(
+        self, request: LoadRequest, entry: str, tries: RequestTries
+    ) -> TryAnswer:
+        """Return the answer to one try, and keep the ticket that it may name."""
         load_class = request.load_class
         method = "POST" if load_class.kind is RequestKind.BOOKING else "GET"
+        headers = self._headers(request)
+        if tries.ticket is not None:
+            headers[HEADER_TICKET] = tries.ticket
         sent = monotonic_now()
         async with self._session.request(
             method,
             f"http://{entry}/{load_class.service}/{load_class.path}",
             data=request.body or None,
-            headers=self._headers(request),
+            headers=headers,
             timeout=self._timeout,
         ) as response:
+            tries.ticket = response.headers.get(HEADER_TICKET, tries.ticket)
             return await self._async_read(response, sent)
 
     async def _async_read(self, response: ClientResponse, sent: float) -> TryAnswer:
--- a/swiftpin/bench/load/load_spec.py
+++ b/swiftpin/bench/load/load_spec.py
@@ -18,7 +18,8 @@
     requests scheduled in the first `warmup` of `duration` are not measured,
     `attempt_timeout` ends one try, `drain` bounds the wait for answers after the last
     arrival. `zipf_exponent` is 0 for keys that are asked for alike. Unserved times
-    shorter than `unserved_threshold` are not counted.
+    shorter than `unserved_threshold` are not counted. Callers give a request up after
+    `max_tries`, never if that is None.
     """
 
     entries: tuple[str, ...]
@@ -34,6 +35,7 @@
     seed: int = 1
     attempt_timeout: float = 2.0
     request_timeout_ms: int = 10_000
+    max_tries: int | None = None
     drain: float = 10.0
     unserved_threshold: float = 0.1
     traced: bool = False
--- a/tests/bench/load/test_load_driver.py
+++ b/tests/bench/load/test_load_driver.py
@@ -30,16 +30,18 @@
     def __init__(self) -> None:
         self.tries_by_key: Counter[str] = Counter()
         self.bodies_by_key: dict[str, set[bytes]] = {}
+        self.tickets: list[str | None] = []
 
     async def async_book(self, request: web.Request) -> web.Response:
         """Answer one try."""
         key = request.headers["Idempotency-Key"]
         self.tries_by_key[key] += 1
         self.bodies_by_key.setdefault(key, set()).add(await request.read())
+        self.tickets.append(request.headers.get("Swiftpin-Ticket"))
         if self.tries_by_key[key] == 1:
             return web.Response(
                 status=HTTPStatus.SERVICE_UNAVAILABLE,
-                headers={"Swiftpin-Result": "301"},
+                headers={"Swiftpin-Result": "301", "Swiftpin-Ticket": f"for {key}"},
             )
         return web.Response(text="booked", headers={"Swiftpin-Result": "100"})
 
@@ -89,6 +91,8 @@
         "100": booking.scheduled,
     }
     assert set(desk.tries_by_key.values()) == {2}
+    tickets = {f"for {key}" for key in desk.tries_by_key}
+    assert set(desk.tickets) == {None, *tickets}
     assert all(len(bodies) == 1 for bodies in desk.bodies_by_key.values())
     lines = [
         orjson.loads(line)
