Do not deny an earlier attempt with what a refused retry knows

Cause: a lookup was sent to its holder, ran, the holder was killed, and the retry found no connection; the caller was told 305 executed=no although the target's trace shows the run. Only the last attempt's knowledge was told. Change: a request remembers that an attempt ended without certainty; later 'not run' answers become 405, unknown.

--- a/swiftpin/exceptions.py
+++ b/swiftpin/exceptions.py
@@ -253,10 +253,11 @@
 
 
 class AttemptNotRunError(OutcomeUnknownError):
-    """This attempt was not run, but one with its idempotency key may have been.
+    """This attempt was not run, but an earlier one may have been.
 
-    A request that is not repeatable was refused before the records of earlier
-    attempts were looked at.
+    Either a request that is not repeatable was refused before the records of earlier
+    attempts were looked at, or an earlier attempt within this request lost its
+    answer.
     """
 
     code = ResultCode.ATTEMPT_NOT_RUN
--- a/swiftpin/gateway/request_router.py
+++ b/swiftpin/gateway/request_router.py
@@ -24,6 +24,7 @@
 from swiftpin.gateway.retry_policy import RetryPolicy
 from swiftpin.gateway.target_dispatcher import TargetDispatcher
 from swiftpin.ownership.route import Route
+from swiftpin.result import Executed
 
 
 class RequestRouter:
@@ -66,6 +67,7 @@
             try:
                 await self._async_try(incoming, body, route, state, writer, record)
             except RequestError as err:
+                record.may_have_run |= err.executed is not Executed.NO
                 if writer.begun or not body.can_be_sent:
                     raise
                 route = await self._async_next_route(err, incoming, route, record)
--- a/swiftpin/gateway/truthful.py
+++ b/swiftpin/gateway/truthful.py
@@ -13,6 +13,7 @@
     RequestError,
 )
 from swiftpin.gateway.request_record import RequestRecord
+from swiftpin.result import Executed
 
 
 @callback
@@ -27,12 +28,14 @@
     have run. The word to the entry instance that this one is not the holder
     stays as it is: that instance goes on with the request.
     """
+    if err.executed is not Executed.NO:
+        return err
+    if _is_repeatable(request, record):
+        return _after_unsure_attempt(err) if record.may_have_run else err
     if record.looked_up or not isinstance(err, NotRunError):
         return err
     if record.forwarded and isinstance(err, NotHolderError):
         return err
-    if _is_repeatable(request, record):
-        return err
     return AttemptNotRunError(
         f"{err.hint}; this attempt was not run, an earlier one may have been:"
         f" send again with the same {HEADER_IDEMPOTENCY_KEY}",
@@ -40,6 +43,14 @@
     )
 
 
+def _after_unsure_attempt(err: RequestError) -> RequestError:
+    """Return the error of a retry that was not run after an attempt that may have."""
+    return AttemptNotRunError(
+        f"{err.hint}; the retry was not run, an earlier attempt may have been",
+        retry_after=err.retry_after,
+    )
+
+
 def _is_repeatable(request: BaseRequest, record: RequestRecord) -> bool:
     """Return whether the request may run more than once."""
     if record.incoming is None:
