Serve services without keys, and quarantine requests that crash targets

Cause: services without owners had no path, and nothing guarded targets from a request that crashes each of them. Change: balanced dispatch by the TargetBalancer with probes; a crash guard that feeds the quarantine from boot ids; one runner for every way to a target; permits that are asked before the send; a refusal over the hop, or at another target, no longer denies an earlier attempt whose answer was lost.

--- a/swiftpin/exceptions.py
+++ b/swiftpin/exceptions.py
@@ -165,6 +165,16 @@
     code = ResultCode.MALFORMED_REQUEST
 
 
+class OnceNotSupportedError(CallerMistakeError):
+    """Work that must not run twice was sent to a service that is not divided by key.
+
+    Nobody keeps records for such a service, so a resend could not be told apart.
+    """
+
+    code = ResultCode.ONCE_NOT_SUPPORTED
+    status = 501
+
+
 class QuarantinedError(CallerMistakeError):
     """The request is refused because it crashed targets before."""
 
--- a/swiftpin/gateway/app.py
+++ b/swiftpin/gateway/app.py
@@ -5,7 +5,6 @@
 import asyncio
 import os
 from random import Random
-import time
 from typing import Final
 
 from aiohttp import ClientSession, DummyCookieJar
@@ -14,25 +13,26 @@
 from swiftpin.config.catalog import Catalog
 from swiftpin.config.config_name import ConfigName
 from swiftpin.const import STORE_PREFIX_CONFIG
-from swiftpin.core import callback, monotonic_now
-from swiftpin.dispatch.journal import IdempotencyJournal
-from swiftpin.dispatch.journal_settings import JournalSettings
-from swiftpin.dispatch.wall_clock import WallClock
+from swiftpin.core import callback
 from swiftpin.exceptions import ConfigurationError
 from swiftpin.gateway.admin_server import AdminServer
+from swiftpin.gateway.crash_guard import CrashGuard
 from swiftpin.gateway.decision_log import DecisionLog
 from swiftpin.gateway.graceful_stop import GracefulStop
 from swiftpin.gateway.held_groups import HeldGroups
+from swiftpin.gateway.housekeeping import Housekeeping
 from swiftpin.gateway.instance_status import InstanceStatus
 from swiftpin.gateway.lifecycle import Lifecycle
 from swiftpin.gateway.listeners import Listeners
 from swiftpin.gateway.live_collector import LiveCollector
 from swiftpin.gateway.metrics import Metrics
 from swiftpin.gateway.ownership_log import OwnershipLog
+from swiftpin.gateway.record_factory import RecordFactory
 from swiftpin.gateway.request_serving import RequestServing
 from swiftpin.gateway.result_trace import ResultTrace
 from swiftpin.gateway.route_explainer import RouteExplainer
 from swiftpin.gateway.settings import Settings
+from swiftpin.gateway.target_lives import TargetLives
 from swiftpin.gateway.target_queues import TargetQueues
 from swiftpin.helpers.logging_setup import LoggingSetup
 from swiftpin.membership.cached_object import CachedObject
@@ -41,10 +41,10 @@
 from swiftpin.ownership.group_id import GroupId
 from swiftpin.ownership.timing import Timing
 from swiftpin.store.client import DEFAULT_CALL_TIMEOUT, StoreClient
+from swiftpin.targets.client import TargetClient
 from swiftpin.trace.writer import TraceWriter
 
 INCARNATION_BYTES: Final = 4
-HOUSEKEEPING_INTERVAL: Final = 5.0
 LEASE_STORE_TIMEOUT: Final = 0.3
 """Seconds for a store call about a lease: while a store hangs, a lost target's keys
 wait for it before they move without it, and are to be served again within 2 s."""
@@ -62,7 +62,6 @@
         self.stop_wanted = asyncio.Event()
         self._logging = logging
         self._rng = Random(self.instance_id)
-        self._wall = WallClock.from_times(wall=time.time(), monotonic=monotonic_now())
         self._trace = _open_trace(settings)
         self._session = ClientSession(cookie_jar=DummyCookieJar())
         self._store = self._make_store(DEFAULT_CALL_TIMEOUT)
@@ -70,11 +69,15 @@
         self._lifecycle = Lifecycle()
         self._metrics = Metrics()
         self._catalog = Catalog()
+        self._records = self._make_records()
         self._queues = TargetQueues(self._rng)
+        self._lives = TargetLives(lambda spec: TargetClient(self._session, spec))
+        self._crashes = CrashGuard(self._records.quarantine, self._lives)
         self._groups = HeldGroups(
-            self._make_journal,
+            self._records.journal,
             self._queues,
             self._rng,
+            async_prepare=self._async_prepare_group,
             stop_limit=settings.stop_limit,
         )
         self._membership = self._make_membership()
@@ -104,7 +107,8 @@
             listeners=self.listeners,
             serving=self._serving,
         )
-        self._tasks: list[asyncio.Task[None]] = []
+        self._housekeeping = Housekeeping(self._serving, self._lives, self._crashes)
+        self._ready_task: asyncio.Task[None] | None = None
 
     async def async_setup(self) -> None:
         """Listen and start; return before the store was read.
@@ -117,8 +121,8 @@
         self._catalog.subscribe(self._note_change)
         await self._async_set_up_membership()
         await self._ownership.async_setup()
-        self._tasks.append(asyncio.create_task(self._async_become_ready()))
-        self._tasks.append(asyncio.create_task(self._async_keep_house()))
+        self._ready_task = asyncio.create_task(self._async_become_ready())
+        self._housekeeping.setup()
         log_message(
             message_type="instance_started",
             instance=self.instance_id,
@@ -133,9 +137,10 @@
 
     async def async_unload(self) -> None:
         """Stop everything at once, in the opposite order of the set-up."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._ready_task is not None:
+            self._ready_task.cancel()
+            await asyncio.gather(self._ready_task, return_exceptions=True)
+        await self._housekeeping.async_unload()
         await self.listeners.async_unload()
         await self._serving.async_unload()
         await self._groups.async_unload()
@@ -156,6 +161,16 @@
             instance_id=self.instance_id,
         )
 
+    def _make_records(self) -> RecordFactory:
+        """Return what makes journals and quarantines."""
+        return RecordFactory(
+            instance_id=self.instance_id,
+            store=self._store,
+            catalog=self._catalog,
+            send_until=lambda group, now: self._ownership.send_until(group, now),
+            rng=self._rng,
+        )
+
     def _make_collector(self) -> LiveCollector:
         """Return what reads metrics from the other parts."""
         return LiveCollector(
@@ -208,41 +223,23 @@
         return ownership
 
     def _make_serving(self) -> RequestServing:
-        """Return the request path."""
-        return RequestServing(
+        """Return the request path, and let it hear of targets' lives."""
+        serving = RequestServing(
             catalog=self._catalog,
             ownership=self._ownership,
             lifecycle=self._lifecycle,
             groups=self._groups,
             queues=self._queues,
+            crashes=self._crashes,
             decisions=DecisionLog(self._logging.destination, self.settings.log_sample),
             metrics=self._metrics,
             trace=ResultTrace(self.instance_id, self._trace),
             rng=self._rng,
             request_limit=self.settings.request_limit,
         )
-
-    def _make_journal(self, group: GroupId) -> IdempotencyJournal:
-        """Return the journal of a group that this instance holds."""
-        service = self._catalog.service(group.service)
-        settings = JournalSettings()
-        if service is not None:
-            settings = JournalSettings.from_profile(self._catalog.profile_of(service))
-        return IdempotencyJournal(
-            self._store,
-            group,
-            self.instance_id,
-            settings,
-            self._rng,
-            is_confirmed=lambda now: self._may_send(group, now),
-            wall=self._wall,
-        )
-
-    @callback
-    def _may_send(self, group: GroupId, now: float) -> bool:
-        """Return whether the group's lease is certainly held."""
-        until = self._ownership.send_until(group, now)
-        return until is not None and now < until
+        self._lives.on_start = self._queues.start_ramp
+        self._lives.on_probe = serving.balanced_dispatcher.record_probe
+        return serving
 
     # While it runs
 
@@ -254,6 +251,12 @@
             listen = str(self.settings.peer_listen)
             raise ConfigurationError(f"--peer-listen {listen!r}: {err}") from err
 
+    async def _async_prepare_group(self, group: GroupId) -> None:
+        """Learn, before the group's requests run, which of them are suspected."""
+        service = self._catalog.service(group.service)
+        if service is not None:
+            await self._crashes.async_sync(service)
+
     @callback
     def _adopt_config(self, obj: CachedObject) -> None:
         """Put a declaration in force that came from the store or as news."""
@@ -271,12 +274,6 @@
         self._lifecycle.loaded = True
         log_message(message_type="instance_ready", instance=self.instance_id)
 
-    async def _async_keep_house(self) -> None:
-        """Close connections that nobody uses."""
-        while True:
-            await asyncio.sleep(HOUSEKEEPING_INTERVAL)
-            self._serving.close_idle(monotonic_now())
-
 
 def _open_trace(settings: Settings) -> TraceWriter | None:
     """Return the writer of the trace file, None when none was asked for."""
--- a/swiftpin/gateway/decision_log.py
+++ b/swiftpin/gateway/decision_log.py
@@ -83,7 +83,9 @@
     """Return the pairs about where the request went."""
     route = record.route
     if route is None:
-        return ""
+        if record.target is None:
+            return ""
+        return f" target={cached_text(record.target)} reason=balanced"
     return (
         f" slice={route.slice_id} group={route.group.group}"
         f" target={cached_text(route.target.id)} term={route.term}"
--- a/swiftpin/gateway/forwarder.py
+++ b/swiftpin/gateway/forwarder.py
@@ -13,16 +13,15 @@
 from swiftpin.exceptions import (
     AnswerBrokenError,
     AnswerLostError,
+    AttemptNotRunError,
     DeadlineTooShortError,
     HolderUnreachableError,
     NotHolderError,
     RequestNotSentError,
 )
-from swiftpin.gateway.answer_writer import AnswerWriter
+from swiftpin.gateway.exchange import Exchange
 from swiftpin.gateway.header_rules import forward_headers
-from swiftpin.gateway.incoming_request import IncomingRequest
-from swiftpin.gateway.request_body import RequestBody
-from swiftpin.result import ResultCode
+from swiftpin.result import Executed, ResultCode, executed_by_result
 
 HOP_ALLOWANCE: Final = 0.005
 """Seconds that the holder's answer may take on its way back. The holder's deadline is
@@ -39,19 +38,13 @@
     def __init__(self, client: HttpClient) -> None:
         self._client = client
 
-    async def async_forward(
-        self,
-        incoming: IncomingRequest,
-        body: RequestBody,
-        address: str,
-        state: HttpSendState,
-        writer: AnswerWriter,
-    ) -> None:
-        """Forward the request and write the holder's answer.
+    async def async_forward(self, exchange: Exchange, address: str) -> None:
+        """Forward the request to an instance's address and write its answer.
 
         Raises `HolderUnreachableError` and `NotHolderError` where the request was
         certainly not run, and `AnswerLostError` where it may have been.
         """
+        incoming, state = exchange.incoming, exchange.state
         left = incoming.deadline - monotonic_now() - HOP_ALLOWANCE
         if left <= 0:
             raise DeadlineTooShortError("no time is left to reach the holder")
@@ -59,7 +52,7 @@
             method=incoming.method,
             path=incoming.full_path,
             headers=forward_headers(incoming, address, left),
-            body=body,
+            body=exchange.body,
         )
         answer = await self._async_send(address, request, state)
         try:
@@ -67,7 +60,8 @@
             if result == NOT_HOLDER:
                 state.written = False
                 raise NotHolderError("the holder has just changed", retry_after=1)
-            await writer.async_write_answer(answer, result)
+            _check_refusal(result, exchange)
+            await exchange.writer.async_write_answer(answer, result)
         finally:
             answer.finish(monotonic_now())
 
@@ -85,6 +79,25 @@
             raise AnswerLostError("the holder gave no answer") from err
 
 
+@callback
+def _check_refusal(result: int, exchange: Exchange) -> None:
+    """Raise when the holder's "not run" is not true of the whole request.
+
+    The holder speaks of the attempt that it got. An earlier attempt, whose answer was
+    lost on the way, may have run; only for requests that are not repeatable does
+    the holder look that up.
+    """
+    if not exchange.record.may_have_run:
+        return
+    if not exchange.incoming.request_class.repeatable:
+        return
+    if executed_by_result(result) is Executed.NO:
+        raise AttemptNotRunError(
+            f"the retry was refused with {result}; an earlier attempt may have run",
+            retry_after=1,
+        )
+
+
 @callback
 def _no_gate(now: float) -> None:
     """Let the request go: the holder itself checks whether it may send."""
--- a/swiftpin/gateway/header_rules.py
+++ b/swiftpin/gateway/header_rules.py
@@ -9,6 +9,7 @@
 from aiohttp.hdrs import CONNECTION, HOST
 from multidict import CIMultiDict
 
+from swiftpin.config.target_spec import TargetSpec
 from swiftpin.const import (
     HEADER_CALLER,
     HEADER_GROUP,
@@ -54,11 +55,11 @@
 
 
 def target_headers(
-    incoming: IncomingRequest, route: Route, left: float
+    incoming: IncomingRequest, target: TargetSpec, route: Route | None, left: float
 ) -> CIMultiDict[str]:
     """Return the headers of a request to a target, with `left` seconds to go."""
-    headers = _request_headers(incoming, route.target.address, left)
-    if incoming.service.keyed:
+    headers = _request_headers(incoming, target.address, left)
+    if route is not None:
         headers[HEADER_SLICE] = str(route.slice_id)
         headers[HEADER_GROUP] = str(route.group.group)
         headers[HEADER_TERM] = str(route.term)
--- a/swiftpin/gateway/held_groups.py
+++ b/swiftpin/gateway/held_groups.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from random import Random
 from types import MappingProxyType
 from typing import Final
@@ -29,8 +29,9 @@
 class HeldGroups:
     """Opens and closes the journals and queues of held groups (`GroupListener`).
 
-    `stop_limit` bounds, in seconds, how long a planned hand-over waits for
-    requests that are not repeatable.
+    `async_prepare` is awaited before a group's journal is opened. `stop_limit` bounds,
+    in seconds, how long a planned hand-over waits for requests that are not
+    repeatable.
     """
 
     def __init__(
@@ -39,12 +40,14 @@
         queues: TargetQueues,
         rng: Random,
         *,
+        async_prepare: Callable[[GroupId], Awaitable[None]],
         stop_limit: float,
     ) -> None:
         self.runs: Final = RunCounter()
         self._make_journal = make_journal
         self._queues = queues
         self._backoff = Backoff(OPEN_BACKOFF, OPEN_BACKOFF_CAP, rng)
+        self._async_prepare = async_prepare
         self._stop_limit = stop_limit
         self._journals_by_group: dict[GroupId, IdempotencyJournal] = {}
         self._openings_by_group: dict[GroupId, asyncio.Task[None]] = {}
@@ -113,6 +116,7 @@
         self, group: GroupId, journal: IdempotencyJournal, term: int
     ) -> None:
         """Open the journal, again and again while the store is away."""
+        await self._async_prepare(group)
         attempt = 0
         while True:
             try:
--- a/swiftpin/gateway/once_dispatcher.py
+++ b/swiftpin/gateway/once_dispatcher.py
@@ -13,7 +13,6 @@
 from swiftpin.dispatch.begin_request import BeginRequest
 from swiftpin.dispatch.begun import Begun
 from swiftpin.dispatch.http_answer import HttpAnswer
-from swiftpin.dispatch.http_send_state import HttpSendState
 from swiftpin.dispatch.joined import Joined
 from swiftpin.dispatch.journal import IdempotencyJournal
 from swiftpin.dispatch.not_run import NotRun
@@ -25,12 +24,13 @@
     OutcomeUnknownError,
 )
 from swiftpin.gateway.answer_writer import AnswerWriter
+from swiftpin.gateway.exchange import Exchange
 from swiftpin.gateway.held_groups import HeldGroups
-from swiftpin.gateway.incoming_request import IncomingRequest
-from swiftpin.gateway.once_run import OnceRun, WholeAnswer
-from swiftpin.gateway.request_body import RequestBody
+from swiftpin.gateway.once_run import OnceRun
 from swiftpin.gateway.request_record import RequestRecord
-from swiftpin.gateway.target_dispatcher import TargetDispatcher, queued_request
+from swiftpin.gateway.target_dispatcher import TargetDispatcher
+from swiftpin.gateway.target_job import TargetJob
+from swiftpin.gateway.whole_answer import WholeAnswer
 from swiftpin.ownership.route import Route
 from swiftpin.result import ResultCode
 
@@ -45,35 +45,26 @@
         self._groups = groups
         self._tasks: set[asyncio.Task[None]] = set()
 
-    async def async_dispatch(
-        self,
-        incoming: IncomingRequest,
-        body: RequestBody,
-        route: Route,
-        state: HttpSendState,
-        writer: AnswerWriter,
-        record: RequestRecord,
-    ) -> None:
+    async def async_dispatch(self, exchange: Exchange, route: Route) -> None:
         """Run the request, or answer with the outcome of an earlier attempt."""
         journal = self._groups.journal(route.group)
         if journal is None:
             raise NotHolderError("the group is being handed over", retry_after=1)
-        begin = begin_request(incoming, body)
+        job = self._dispatcher.job(exchange, route)
+        begin = _begin_request(job)
         outcome: Answered | Unknown | NotRun = NotRun()
         while isinstance(outcome, NotRun):
-            match await self._async_begin(journal, begin, incoming, route, record):
+            match await self._async_begin(journal, begin, job, exchange.record):
                 case Begun():
-                    await self._async_run(
-                        journal, begin.key, incoming, body, route, state, writer
-                    )
+                    await self._async_run(journal, begin.key, job, exchange.writer)
                     return
                 case Replayed(answer=answer):
                     outcome = answer
                 case Joined() as joined:
-                    state.written = True
+                    exchange.state.written = True
                     outcome = await joined.async_outcome()
-                    state.written = False
-        await _async_replay(outcome, writer)
+                    exchange.state.written = False
+        await _async_replay(outcome, exchange.writer)
 
     async def async_wait_idle(self) -> None:
         """Wait until every run has ended, those without a caller too."""
@@ -90,8 +81,7 @@
         self,
         journal: IdempotencyJournal,
         begin: BeginRequest,
-        incoming: IncomingRequest,
-        route: Route,
+        job: TargetJob,
         record: RequestRecord,
     ) -> Begun | Replayed | Joined:
         """Return what is known of the request, or record that it begins."""
@@ -101,31 +91,19 @@
             return known
         record.looked_up = True
         # What the queue would refuse anyway is not worth a write to the store.
-        queue = self._dispatcher.queue_of(incoming, route)
-        queue.check(queued_request(incoming, route), now)
+        self._dispatcher.runner.check(job, now)
         return await journal.async_begin(begin, now)
 
     async def _async_run(
         self,
         journal: IdempotencyJournal,
         journal_key: str,
-        incoming: IncomingRequest,
-        body: RequestBody,
-        route: Route,
-        state: HttpSendState,
+        job: TargetJob,
         writer: AnswerWriter,
     ) -> None:
         """Run a request that has begun and write its answer."""
-        run = OnceRun(
-            self._dispatcher,
-            journal,
-            journal_key,
-            incoming=incoming,
-            body=body,
-            route=route,
-            state=state,
-        )
-        task = self._start(run, route)
+        run = OnceRun(self._dispatcher.runner, journal, journal_key, job)
+        task = self._start(run, job)
         try:
             answer = await run.async_answer()
         except asyncio.CancelledError:
@@ -143,9 +121,10 @@
                     run.streamed()
 
     @callback
-    def _start(self, run: OnceRun, route: Route) -> asyncio.Task[None]:
+    def _start(self, run: OnceRun, job: TargetJob) -> asyncio.Task[None]:
         """Start the run's task and count it in its group."""
-        group = route.group
+        assert job.route is not None
+        group = job.route.group
         task = asyncio.create_task(run.async_run(), name="once-run")
         self._tasks.add(task)
         self._groups.runs.begin(group)
@@ -160,19 +139,16 @@
 
 
 @callback
-def begin_request(incoming: IncomingRequest, body: RequestBody) -> BeginRequest:
+def _begin_request(job: TargetJob) -> BeginRequest:
     """Return the request as the journal sees it.
 
     The idempotency key counts within the request's key, so that callers need not
     make theirs differ between keys.
     """
-    key = _digest(incoming.key, incoming.idempotency_key or "")
-    fingerprint = _digest(
-        incoming.method, incoming.full_path, str(body.known_length), body.digest()
-    )
+    incoming = job.incoming
     return BeginRequest(
-        key=key,
-        fingerprint=fingerprint,
+        key=_digest(incoming.key, incoming.idempotency_key or ""),
+        fingerprint=job.fingerprint,
         request_id=incoming.id,
         deadline=incoming.deadline,
         ticket=incoming.ticket,
--- a/swiftpin/gateway/request_body.py
+++ b/swiftpin/gateway/request_body.py
@@ -8,9 +8,7 @@
 
 from aiohttp.hdrs import EXPECT
 from aiohttp.web import BaseRequest, RequestPayloadError
-from xxhash import xxh3_128
 
-from swiftpin.core import callback
 from swiftpin.exceptions import (
     BodyCutShortError,
     OutcomeUnknownError,
@@ -69,15 +67,16 @@
         """Return whether the body, or all of a streamed one, is still to be had."""
         return self.whole is not None or not self._streaming
 
-    @callback
-    def digest(self) -> str:
-        """Return a digest of the body's first `WHOLE_LIMIT` bytes.
+    @property
+    def head(self) -> bytes:
+        """Return the body's first `WHOLE_LIMIT` bytes, as long as it is not sent.
 
         How much has been read of a longer body depends on how it came in, and a
-        resend of the same body must have the same digest.
+        resend of the same body must have the same beginning.
         """
-        head = b"".join(self._head) if self.whole is None else self.whole
-        return xxh3_128(head[:WHOLE_LIMIT]).hexdigest()
+        if self.whole is not None:
+            return self.whole
+        return b"".join(self._head)[:WHOLE_LIMIT]
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Give the pieces of a body that is not held whole, once.
--- a/swiftpin/gateway/request_handler.py
+++ b/swiftpin/gateway/request_handler.py
@@ -20,6 +20,7 @@
 from swiftpin.gateway.answer_writer import AnswerWriter
 from swiftpin.gateway.deadline_watch import DeadlineWatch
 from swiftpin.gateway.decision_log import DecisionLog
+from swiftpin.gateway.exchange import Exchange
 from swiftpin.gateway.lifecycle import Lifecycle
 from swiftpin.gateway.metrics import Metrics
 from swiftpin.gateway.request_body import RequestBody
@@ -97,11 +98,11 @@
         except RequestError as err:
             await _async_fail(truthful(err, request, record), writer, record)
         except asyncio.CancelledError:
-            _note(record, _left(state))
+            _note(record, _left(record, state))
             raise
         except Exception:  # noqa: BLE001 - one request's fault must not go unanswered
             write_traceback()
-            await _async_fail(_internal(state), writer, record)
+            await _async_fail(_internal(record, state), writer, record)
         finally:
             self._end(record)
         return writer.response
@@ -125,10 +126,13 @@
             incoming = self._parser.parse(request, record.request_id, record.started_at)
         record.incoming = incoming
         body = RequestBody(request, incoming.profile.body_limit)
+        exchange = Exchange(
+            incoming=incoming, body=body, state=state, writer=writer, record=record
+        )
         try:
             with self._deadlines.until(incoming.deadline):
                 await body.async_prefetch()
-                await self._router.async_serve(incoming, body, state, writer, record)
+                await self._router.async_serve(exchange)
         except TimeoutError as err:
             raise _late(state) from err
 
@@ -187,18 +191,26 @@
 
 
 @callback
-def _left(state: HttpSendState) -> RequestError:
+def _left(record: RequestRecord, state: HttpSendState) -> RequestError:
     """Return the error of a request whose caller left, or whose instance stops."""
     err = CallerLeftError("the caller closed its connection")
-    if not state.written:
-        err.executed = Executed.NO
+    err.executed = _executed(record, state)
     return err
 
 
 @callback
-def _internal(state: HttpSendState) -> RequestError:
+def _internal(record: RequestRecord, state: HttpSendState) -> RequestError:
     """Return the error of a fault in swiftpin itself."""
     err = RequestError("swiftpin failed; its log tells more")
-    if not state.written:
-        err.executed = Executed.NO
+    err.executed = _executed(record, state)
     return err
+
+
+@callback
+def _executed(record: RequestRecord, state: HttpSendState) -> Executed:
+    """Return what is known of a request that ended at an arbitrary moment."""
+    if state.written or record.may_have_run or record.incoming is None:
+        return Executed.UNKNOWN
+    if record.looked_up or record.incoming.request_class.repeatable:
+        return Executed.NO
+    return Executed.UNKNOWN
--- a/swiftpin/gateway/request_record.py
+++ b/swiftpin/gateway/request_record.py
@@ -15,10 +15,11 @@
 
     `started_at` is monotonic, in seconds. `incoming` and `route` stay None for a
     request that failed before they were known. `result` is the code as it was
-    sent, which for a forwarded request is that of the holder. `looked_up` tells
-    whether the records of earlier attempts were asked; until then nobody knows
-    whether a request that is not repeatable ran before. `may_have_run` is set once
-    an attempt ended without it being certain that it was not run.
+    sent, which for a forwarded request is that of the holder. `target` is set instead
+    of `route` for services without owners. `looked_up` tells whether the records of
+    earlier attempts were asked; until then nobody knows whether a request that is
+    not repeatable ran before. `may_have_run` is set once an attempt ended without it
+    being certain that it was not run.
     """
 
     request_id: str
@@ -26,6 +27,7 @@
     forwarded: bool
     incoming: IncomingRequest | None = None
     route: Route | None = None
+    target: str | None = None
     looked_up: bool = False
     may_have_run: bool = False
     attempts: int = 0
--- a/swiftpin/gateway/request_router.py
+++ b/swiftpin/gateway/request_router.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from swiftpin.core import callback, monotonic_now
-from swiftpin.dispatch.http_send_state import HttpSendState
+from swiftpin.dispatch.retry_budget import RetryBudget
 from swiftpin.exceptions import (
     NoOwnerError,
     NotHolderError,
@@ -13,14 +13,13 @@
     RequestError,
     RetryBudgetSpentError,
 )
-from swiftpin.gateway.answer_writer import AnswerWriter
+from swiftpin.gateway.balanced_dispatcher import BalancedDispatcher
+from swiftpin.gateway.exchange import Exchange
 from swiftpin.gateway.forwarder import Forwarder
 from swiftpin.gateway.incoming_request import IncomingRequest
 from swiftpin.gateway.metrics import Metrics
 from swiftpin.gateway.once_dispatcher import OnceDispatcher
 from swiftpin.gateway.ports import Ownership
-from swiftpin.gateway.request_body import RequestBody
-from swiftpin.gateway.request_record import RequestRecord
 from swiftpin.gateway.retry_policy import RetryPolicy
 from swiftpin.gateway.target_dispatcher import TargetDispatcher
 from swiftpin.ownership.route import Route
@@ -35,6 +34,7 @@
         ownership: Ownership,
         dispatcher: TargetDispatcher,
         once_dispatcher: OnceDispatcher,
+        balanced_dispatcher: BalancedDispatcher,
         forwarder: Forwarder,
         retries: RetryPolicy,
         metrics: Metrics,
@@ -42,86 +42,106 @@
         self._ownership = ownership
         self._dispatcher = dispatcher
         self._once_dispatcher = once_dispatcher
+        self._balanced_dispatcher = balanced_dispatcher
         self._forwarder = forwarder
         self._retries = retries
         self._metrics = metrics
 
-    async def async_serve(
-        self,
-        incoming: IncomingRequest,
-        body: RequestBody,
-        state: HttpSendState,
-        writer: AnswerWriter,
-        record: RequestRecord,
-    ) -> None:
+    async def async_serve(self, exchange: Exchange) -> None:
         """Get the request answered, or raise a `RequestError`."""
         now = monotonic_now()
-        service = incoming.service.name
-        budget = self._retries.budget(service, incoming.profile, now)
-        budget.record_first_try()
+        incoming = exchange.incoming
+        self._budget(incoming, now).record_first_try()
+        if not incoming.service.keyed:
+            await self._async_serve_balanced(exchange)
+            return
         route = self._ownership.resolve(incoming.service, incoming.key, now)
         while True:
-            record.route = route
-            record.attempts += 1
-            record.looked_up = False
+            exchange.record.route = route
+            exchange.record.attempts += 1
+            exchange.record.looked_up = False
+            try:
+                await self._async_try(exchange, route)
+            except RequestError as err:
+                self._check_retry(err, exchange)
+                route = await self._async_next_route(err, exchange, route)
+                self._spend_retry(err, incoming)
+            else:
+                return
+
+    async def _async_serve_balanced(self, exchange: Exchange) -> None:
+        """Get a request answered for which any target will do."""
+        tried: set[str] = set()
+        while True:
+            exchange.record.attempts += 1
             try:
-                await self._async_try(incoming, body, route, state, writer, record)
+                await self._balanced_dispatcher.async_dispatch(exchange, tried)
             except RequestError as err:
-                record.may_have_run |= err.executed is not Executed.NO
-                if writer.begun or not body.can_be_sent:
+                self._check_retry(err, exchange)
+                if len(tried) >= len(exchange.incoming.service.targets_by_id):
                     raise
-                route = await self._async_next_route(err, incoming, route, record)
-                if not budget.spend(monotonic_now()):
-                    raise _budget_spent(err) from err
-                self._metrics.count_retry(service)
+                await self._async_back_off(err, exchange)
+                self._spend_retry(err, exchange.incoming)
             else:
                 return
 
-    async def _async_try(
-        self,
-        incoming: IncomingRequest,
-        body: RequestBody,
-        route: Route,
-        state: HttpSendState,
-        writer: AnswerWriter,
-        record: RequestRecord,
-    ) -> None:
+    async def _async_try(self, exchange: Exchange, route: Route) -> None:
         """Send the request along the route, once."""
+        incoming = exchange.incoming
         if route.forward_address is not None:
             if incoming.forwarded:
                 raise NotHolderError("this instance does not hold the group")
-            await self._forwarder.async_forward(
-                incoming, body, route.forward_address, state, writer
-            )
+            await self._forwarder.async_forward(exchange, route.forward_address)
         elif incoming.request_class.repeatable:
-            await self._dispatcher.async_dispatch(incoming, body, route, state, writer)
+            await self._dispatcher.async_dispatch(exchange, route)
         else:
-            await self._once_dispatcher.async_dispatch(
-                incoming, body, route, state, writer, record
-            )
+            await self._once_dispatcher.async_dispatch(exchange, route)
+
+    @callback
+    def _check_retry(self, err: RequestError, exchange: Exchange) -> None:
+        """Raise the error when the request can't or mustn't be sent again."""
+        exchange.record.may_have_run |= err.executed is not Executed.NO
+        if exchange.writer.begun or not exchange.body.can_be_sent:
+            raise err
+        if not self._retries.allows(err, exchange.incoming):
+            raise err
 
     async def _async_next_route(
-        self,
-        err: RequestError,
-        incoming: IncomingRequest,
-        route: Route,
-        record: RequestRecord,
+        self, err: RequestError, exchange: Exchange, route: Route
     ) -> Route:
         """Return the route for another attempt; raise the error when there is none."""
-        if not self._retries.allows(err, incoming):
-            raise err
-        while record.attempts < incoming.profile.max_attempts:
-            delay = self._retries.delay(record.attempts)
-            if monotonic_now() + delay >= incoming.deadline:
-                break
-            await asyncio.sleep(delay)
-            fresh = self._fresh_route(incoming)
+        while True:
+            await self._async_back_off(err, exchange)
+            fresh = self._fresh_route(exchange.incoming)
             if fresh is not None and (
                 not self._retries.needs_other_route(err) or not _is_same(fresh, route)
             ):
                 return fresh
-            record.attempts += 1
-        raise err
+            exchange.record.attempts += 1
+
+    async def _async_back_off(self, err: RequestError, exchange: Exchange) -> None:
+        """Wait before another attempt; raise the error when none is left."""
+        attempts = exchange.record.attempts
+        incoming = exchange.incoming
+        if attempts >= incoming.profile.max_attempts:
+            raise err
+        delay = self._retries.delay(attempts)
+        if monotonic_now() + delay >= incoming.deadline:
+            raise err
+        await asyncio.sleep(delay)
+
+    @callback
+    def _spend_retry(self, err: RequestError, incoming: IncomingRequest) -> None:
+        """Take the retry out of the service's budget; raise when it is spent."""
+        now = monotonic_now()
+        if not self._budget(incoming, now).spend(now):
+            raise _budget_spent(err) from err
+        self._metrics.count_retry(incoming.service.name)
+
+    @callback
+    def _budget(self, incoming: IncomingRequest, now: float) -> RetryBudget:
+        """Return the retry budget of the request's service."""
+        return self._retries.budget(incoming.service.name, incoming.profile, now)
 
     @callback
     def _fresh_route(self, incoming: IncomingRequest) -> Route | None:
--- a/swiftpin/gateway/request_serving.py
+++ b/swiftpin/gateway/request_serving.py
@@ -8,6 +8,8 @@
 from swiftpin.core import callback
 from swiftpin.dispatch.http_client import HttpClient
 from swiftpin.dispatch.target_sender import TargetSender
+from swiftpin.gateway.balanced_dispatcher import BalancedDispatcher
+from swiftpin.gateway.crash_guard import CrashGuard
 from swiftpin.gateway.decision_log import DecisionLog
 from swiftpin.gateway.forwarder import Forwarder
 from swiftpin.gateway.held_groups import HeldGroups
@@ -22,6 +24,7 @@
 from swiftpin.gateway.retry_policy import RetryPolicy
 from swiftpin.gateway.target_dispatcher import TargetDispatcher
 from swiftpin.gateway.target_queues import TargetQueues
+from swiftpin.gateway.target_runner import TargetRunner
 
 
 class RequestServing:
@@ -35,6 +38,7 @@
         lifecycle: Lifecycle,
         groups: HeldGroups,
         queues: TargetQueues,
+        crashes: CrashGuard,
         decisions: DecisionLog,
         metrics: Metrics,
         trace: ResultTrace,
@@ -42,13 +46,16 @@
         request_limit: int,
     ) -> None:
         self.client = HttpClient()
-        dispatcher = TargetDispatcher(ownership, queues, TargetSender(self.client))
+        runner = TargetRunner(queues, TargetSender(self.client), crashes)
+        dispatcher = TargetDispatcher(ownership, runner)
+        self.balanced_dispatcher = BalancedDispatcher(catalog, runner, rng)
         self._once_dispatcher = OnceDispatcher(dispatcher, groups)
         self._queues = queues
         router = RequestRouter(
             ownership,
             dispatcher,
             self._once_dispatcher,
+            self.balanced_dispatcher,
             Forwarder(self.client),
             RetryPolicy(rng),
             metrics,
--- a/swiftpin/gateway/target_queues.py
+++ b/swiftpin/gateway/target_queues.py
@@ -7,7 +7,7 @@
 
 from swiftpin.config.profile import Profile
 from swiftpin.config.target_spec import TargetSpec
-from swiftpin.core import callback
+from swiftpin.core import callback, monotonic_now
 from swiftpin.dispatch.close_reason import CloseReason
 from swiftpin.dispatch.queue_settings import QueueSettings
 from swiftpin.dispatch.target_queue import TargetQueue
@@ -60,6 +60,13 @@
         )
         return queue
 
+    @callback
+    def start_ramp(self, name: TargetName) -> None:
+        """Give a target that has just started its work step by step."""
+        entry = self._entries_by_name.get(name)
+        if entry is not None:
+            entry.queue.start_ramp(monotonic_now())
+
     @callback
     def close_group(self, group: GroupId, reason: CloseReason) -> None:
         """Refuse what waits for the group's targets, and forget their queues."""
--- a/tests/gateway/gateway_fixture.py
+++ b/tests/gateway/gateway_fixture.py
@@ -6,10 +6,15 @@
 from random import Random
 from typing import Final
 
+from aiohttp import ClientSession
+
 from swiftpin.config.catalog import Catalog
+from swiftpin.config.service import Service
 from swiftpin.dispatch.journal import IdempotencyJournal
 from swiftpin.dispatch.journal_settings import JournalSettings
+from swiftpin.dispatch.quarantine import Quarantine
 from swiftpin.dispatch.wall_clock import WallClock
+from swiftpin.gateway.crash_guard import CrashGuard
 from swiftpin.gateway.decision_log import DecisionLog
 from swiftpin.gateway.held_groups import HeldGroups
 from swiftpin.gateway.http_listener import (
@@ -24,12 +29,14 @@
 from swiftpin.gateway.metrics import Metrics
 from swiftpin.gateway.request_serving import RequestServing
 from swiftpin.gateway.result_trace import ResultTrace
+from swiftpin.gateway.target_lives import TargetLives
 from swiftpin.gateway.target_queues import TargetQueues
 from swiftpin.helpers.address import Address
 from swiftpin.helpers.logging_destination import KeyValueDestination
 from swiftpin.helpers.logging_writer import LineWriter
 from swiftpin.membership.peer_counters import PeerCounters
 from swiftpin.ownership.group_id import GroupId
+from swiftpin.targets.client import TargetClient
 from tests.dispatch.fake_store import FakeStore
 from tests.gateway.fake_ownership import FakeOwnership
 
@@ -42,12 +49,19 @@
 
     def __init__(self, ownership: FakeOwnership, catalog: Catalog) -> None:
         self.store = FakeStore()
+        self.session = ClientSession()
         self.lifecycle = Lifecycle(loaded=True)
         self.metrics = Metrics()
         self.writer = LineWriter(io.BytesIO())
         self.queues = TargetQueues(Random(1))
+        self.lives = TargetLives(lambda spec: TargetClient(self.session, spec))
+        self.crashes = CrashGuard(self._make_quarantine, self.lives)
         self.groups = HeldGroups(
-            self._make_journal, self.queues, Random(1), stop_limit=5.0
+            self._make_journal,
+            self.queues,
+            Random(1),
+            async_prepare=self._async_prepare,
+            stop_limit=5.0,
         )
         self.ownership = ownership
         self.serving = RequestServing(
@@ -56,6 +70,7 @@
             lifecycle=self.lifecycle,
             groups=self.groups,
             queues=self.queues,
+            crashes=self.crashes,
             decisions=DecisionLog(KeyValueDestination(self.writer, "info"), 1.0),
             metrics=self.metrics,
             trace=ResultTrace("g1/aa", None),
@@ -110,6 +125,17 @@
         await self._forward_listener.async_unload()
         await self.serving.async_unload()
         await self.groups.async_unload()
+        await self.lives.async_unload()
+        await self.session.close()
+
+    async def _async_prepare(self, group: GroupId) -> None:
+        """Have nothing to prepare."""
+
+    def _make_quarantine(self, service: Service) -> Quarantine:
+        """Return a quarantine over the store in memory."""
+        return Quarantine(
+            self.store, service.name, exclusive=True, wall=WallClock(offset=0.0)
+        )
 
     def _make_journal(self, group: GroupId) -> IdempotencyJournal:
         """Return a journal over the store in memory."""
--- a/tests/gateway/scripted_server.py
+++ b/tests/gateway/scripted_server.py
@@ -5,9 +5,11 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+import json
 import socket
 import struct
 
+PATH_STATUS = "/_target/status"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -73,7 +75,7 @@
 
 
 class ScriptedServer:
-    """Reads requests and lets the script answer each.
+    """Reads requests and lets the script answer each, but for probes.
 
     `on_connect` may serve a connection before its requests are read.
     """
@@ -83,6 +85,7 @@
         self.on_connect: Callable[[ScriptedConnection], Awaitable[None]] | None = None
         self.seen: list[SeenRequest] = []
         self.connections = 0
+        self.boot_id = "boot-1"
         self.arrived = asyncio.Event()
         self.address = ""
         self._server: asyncio.Server | None = None
@@ -107,6 +110,13 @@
         if self._server is not None:
             self._server.close()
 
+    def _status(self) -> bytes:
+        """Return the answer to a probe."""
+        document = {"boot_id": self.boot_id, "clock": 0.0, "slots": 2, "busy": 0}
+        return json.dumps(
+            {**document, "queued": 0, "draining": False, "cold": False}
+        ).encode()
+
     async def _async_serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -114,13 +124,18 @@
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
-        self.connections += 1
         connection = ScriptedConnection(reader, writer)
+        fresh = True
         try:
             if self.on_connect is not None:
                 await self.on_connect(connection)
             while True:
                 request = await _async_read_request(reader)
+                if request.path == PATH_STATUS:
+                    await connection.async_answer(self._status())
+                    continue
+                self.connections += fresh
+                fresh = False
                 self.seen.append(request)
                 self.arrived.set()
                 await self.script(connection, request)
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -173,6 +173,37 @@
     await holder.async_unload()
 
 
+async def test_refused_retry_over_the_hop_does_not_deny_the_first_attempt(
+    entry_caller: RawCaller, entry: GatewayFixture, target: ScriptedServer
+) -> None:
+    """Symptom: a caller is told "not run" of a lookup that a target had run.
+
+    The first attempt over the hop ran and its answer was lost; the second one is
+    refused by a holder that knows nothing of the first.
+    """
+    holder = ScriptedServer()
+    await holder.async_setup()
+
+    async def async_script(
+        connection: ScriptedConnection, request: SeenRequest
+    ) -> None:
+        if len(holder.seen) == 1:
+            connection.reset()
+            return
+        await connection.async_answer(
+            status="503 Busy", headers="Swiftpin-Result: 301\r\n"
+        )
+
+    holder.script = async_script
+    entry.ownership.routes = [
+        local_route(target.address, forward_address=holder.address)
+    ]
+    answer = await entry_caller.async_call()
+    assert answer.result == ResultCode.ATTEMPT_NOT_RUN
+    assert answer.error["executed"] == "unknown"
+    await holder.async_unload()
+
+
 async def test_caller_that_leaves_cancels_the_hop_and_the_target(
     entry_caller: RawCaller, entry: GatewayFixture, target: ScriptedServer
 ) -> None:
--- /dev/null
+++ b/tests/gateway/test_request_body.py
@@ -0,0 +1,81 @@
+"""Bodies that break off, stall or grow too large."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from swiftpin.gateway import request_body
+from swiftpin.result import ResultCode
+from tests.gateway.gateway_fixture import GatewayFixture
+from tests.gateway.raw_caller import RawCaller
+from tests.gateway.scripted_server import ScriptedServer
+
+HEAD = b"POST /desk/a HTTP/1.1\r\nHost: h\r\nSwiftpin-Key: k1\r\n"
+
+
+async def test_body_cut_short_is_not_run(
+    caller: RawCaller, target: ScriptedServer, gateway: GatewayFixture
+) -> None:
+    """A caller that leaves within its body has nothing run for it."""
+    await caller.async_send_raw(HEAD + b"Content-Length: 100\r\n\r\npart")
+    await caller.async_unload()
+    while not gateway.lines:
+        await asyncio.sleep(0.001)
+    assert f"result={ResultCode.CALLER_LEFT.value} executed=no" in gateway.lines[-1]
+    assert not target.seen
+
+
+async def test_slow_body_is_not_run(
+    caller: RawCaller, target: ScriptedServer, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Symptom: callers that feed bodies byte by byte hold all places.
+
+    A body that makes no progress is given up long before the request's deadline.
+    """
+    monkeypatch.setattr(request_body, "STALL_LIMIT", 0.05)
+    await caller.async_send_raw(HEAD + b"Content-Length: 100\r\n\r\npart")
+    answer = await caller.async_read()
+    assert answer.result == ResultCode.BODY_CUT_SHORT
+    assert answer.error["executed"] == "no"
+    assert not target.seen
+
+
+async def test_broken_chunk_is_not_run(
+    caller: RawCaller, target: ScriptedServer
+) -> None:
+    """A body whose framing is wrong has nothing run for it."""
+    await caller.async_send_raw(HEAD + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n")
+    answer = await caller.async_read()
+    assert answer.result in (ResultCode.BODY_CUT_SHORT, ResultCode.MALFORMED_REQUEST)
+    assert answer.error["executed"] == "no"
+    assert not target.seen
+
+
+async def test_chunked_body_above_the_limit_does_not_claim_too_much(
+    caller: RawCaller, target: ScriptedServer
+) -> None:
+    """A body found too large after a part was sent on may have run."""
+    await caller.async_send_raw(HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
+    chunk = b"10000\r\n" + b"x" * 0x10000 + b"\r\n"
+    for _ in range(17):
+        await caller.async_send_raw(chunk)
+    answer = await caller.async_read()
+    assert answer.result == ResultCode.OUTCOME_UNKNOWN
+    assert not target.seen
+
+
+async def test_caller_that_waits_is_asked_for_its_body(
+    caller: RawCaller, target: ScriptedServer
+) -> None:
+    """`Expect: 100-continue` is answered before the body is read."""
+    await caller.async_send_raw(
+        HEAD + b"Expect: 100-continue\r\nContent-Length: 4\r\n\r\n"
+    )
+    interim = await caller.reader.readuntil(b"\r\n\r\n")
+    assert interim == b"HTTP/1.1 100 Continue\r\n\r\n"
+    await caller.async_send_raw(b"body")
+    assert (await caller.async_read()).result == ResultCode.ANSWERED
+    assert target.seen[0].body == b"body"
+    assert "expect" not in target.seen[0].headers_by_name
