--- a/tests/gateway/test_request_body.py
+++ b/tests/gateway/test_request_body.py
@@ -21,7 +21,7 @@
     """A caller that leaves within its body has nothing run for it."""
     await caller.async_send_raw(HEAD + b"Content-Length: 100\r\n\r\npart")
     await caller.async_unload()
-    while not gateway.lines:
+    while not gateway.lines:  # noqa: ASYNC110 - nothing tells of an end
         await asyncio.sleep(0.001)
     assert f"result={ResultCode.CALLER_LEFT.value} executed=no" in gateway.lines[-1]
     assert not target.seen
