--- a/swiftpin/dispatch/const.py
+++ b/swiftpin/dispatch/const.py
@@ -4,9 +4,6 @@
 
 from typing import Final
 
-HEADER_TICKET: Final = "Swiftpin-Ticket"
-"""Carries a ticket to the caller and back; see `swiftpin.dispatch.ticket`."""
-
 DEFAULT_QUEUE_LENGTH: Final = 200
 DEFAULT_BROWNOUT_WAIT: Final = 0.25
 DEFAULT_RAMP_TIME: Final = 5.0
