Repair sooner after failed comparisons; pause watches while changes stream

Cause: a lost zone that is still listed made every fifth comparison cost a whole interval; each write ended every watcher's watch, so that several hundred writes a second would use up the store's reads by watches alone.

--- a/swiftpin/membership/comparer.py
+++ b/swiftpin/membership/comparer.py
@@ -14,12 +14,12 @@
 from swiftpin.membership.cached_object import CachedObject
 from swiftpin.membership.digest_table import BUCKETS
 from swiftpin.membership.directory import InstanceDirectory
-from swiftpin.membership.news_item import NewsItem
 from swiftpin.membership.news_settings import NewsSettings
 from swiftpin.membership.object_cache import ObjectCache
 from swiftpin.membership.peer_clients import PeerClients
 from swiftpin.membership.pusher import NewsPusher
 from swiftpin.membership.repair_reply import RepairReply
+from swiftpin.membership.round_share import choose_share
 from swiftpin.membership.stamp import Stamp
 from swiftpin.membership.store_contact import StoreContact
 
@@ -62,6 +62,7 @@
         self._random = random
         self._clock = clock
         self._has_more = False
+        self._has_failed = False
         self._task = BackgroundTask("digest comparer")
 
     async def async_setup(self) -> None:
@@ -73,25 +74,41 @@
         await self._task.async_stop()
 
     async def _async_run(self) -> None:
-        """Compare with a peer chosen by chance, again and again."""
+        """Compare again and again."""
         while True:
             await asyncio.sleep(self._next_delay())
-            instances = self._directory.instances_by_name
-            peers = [name for name in instances if name != self._name]
-            if not peers:
-                continue
-            peer = self._random.choice(peers)
-            try:
-                await self.async_compare_with(peer)
-            except PeerError as err:
-                _LOGGER.debug("event=compare_failed with=%s error=%s", peer, err)
+            await self.async_run_once()
+
+    async def async_run_once(self) -> None:
+        """Compare with one peer chosen by chance, if there is any."""
+        peer = self._choose_peer()
+        if peer is None:
+            return
+        self._has_failed = False
+        try:
+            await self.async_compare_with(peer)
+        except PeerError as err:
+            self._has_failed = True
+            _LOGGER.debug("event=compare_failed with=%s error=%s", peer, err)
+
+    def _choose_peer(self) -> str | None:
+        """Return the name of another instance, None when there is none."""
+        instances = self._directory.instances_by_name
+        peers = [name for name in instances if name != self._name]
+        return self._random.choice(peers) if peers else None
 
     def _next_delay(self) -> float:
-        """Return the time in seconds until the next comparison."""
+        """Return the jittered time in seconds until the next comparison.
+
+        After a failure it is shorter: while a lost zone is still listed, the others
+        would else repair the more slowly just when most has to be repaired.
+        """
         settings = self._settings
-        interval = (
-            settings.catch_up_interval if self._has_more else settings.compare_interval
-        )
+        interval = settings.compare_interval
+        if self._has_failed:
+            interval = settings.retry_interval
+        if self._has_more:
+            interval = settings.catch_up_interval
         return interval * self._random.uniform(1 - _JITTER, 1 + _JITTER)
 
     async def async_compare_with(self, peer: str) -> None:
@@ -119,7 +136,9 @@
             obj = item.to_object()
             if obj is not None:
                 self._adopt_repaired(obj, peer)
-        wanted = self._limit(reply.wanted)
+        limit = self._settings.repair_size
+        share = choose_share(self._cache, reply.wanted, limit, self._random)
+        wanted = frozenset(obj.name for obj in share)
         self._has_more = len(buckets) < len(differing) or self._was_cut(reply, wanted)
         await self._pusher.async_send_bodies(peer, wanted)
 
@@ -141,20 +160,6 @@
             stamps_by_name |= self._cache.stamps_in(bucket)
         return buckets, stamps_by_name
 
-    def _limit(self, names: frozenset[str]) -> frozenset[str]:
-        """Return as many of the names as fit into one round, at least one."""
-        chosen: set[str] = set()
-        size = 0
-        for name in self._random.sample(sorted(names), len(names)):
-            obj = self._cache.get(name)
-            if obj is None:
-                continue
-            size += NewsItem.whole(obj).size
-            if chosen and size > self._settings.repair_size:
-                break
-            chosen.add(name)
-        return frozenset(chosen)
-
     def _was_cut(self, reply: RepairReply, sent: frozenset[str]) -> bool:
         """Return whether the limit of a round left something to repair."""
         received = sum(item.size for item in reply.items)
--- a/swiftpin/membership/news.py
+++ b/swiftpin/membership/news.py
@@ -25,6 +25,7 @@
 from swiftpin.membership.push_reply import PushReply
 from swiftpin.membership.pusher import NewsPusher
 from swiftpin.membership.repair_reply import RepairReply
+from swiftpin.membership.round_share import choose_share
 from swiftpin.membership.stamp import Stamp
 from swiftpin.membership.store_contact import StoreContact
 from swiftpin.membership.store_follower import StoreFollower
@@ -202,26 +203,10 @@
             for name, stamp in stamps_by_name.items()
             if is_cached(name) and self._is_newer(name, stamp)
         )
-        return RepairReply(items=self._limited_items(newer), wanted=wanted)
-
-    def _limited_items(self, names: list[str]) -> list[NewsItem]:
-        """Return as many objects, in an order of chance, as fit into one round.
-
-        In a fixed order an object too large to arrive in time would keep those
-        after it from ever being repaired.
-        """
-        items: list[NewsItem] = []
-        size = 0
-        for name in self._random.sample(names, len(names)):
-            obj = self._cache.get(name)
-            if obj is None:
-                continue
-            item = NewsItem.whole(obj)
-            size += item.size
-            if items and size > self._settings.repair_size:
-                break
-            items.append(item)
-        return items
+        share = choose_share(
+            self._cache, newer, self._settings.repair_size, self._random
+        )
+        return RepairReply(items=[NewsItem.whole(obj) for obj in share], wanted=wanted)
 
     def _wants(self, item: NewsItem, now: float) -> bool:
         """Return whether to ask for an announced body, which one instance sends."""
--- a/swiftpin/membership/store_follower.py
+++ b/swiftpin/membership/store_follower.py
@@ -22,6 +22,7 @@
 from swiftpin.membership.store_reader import StoreReader
 from swiftpin.membership.store_source import StoreSource
 from swiftpin.store.listing import Listing
+from swiftpin.store.watch_event import WatchEvent
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -124,7 +125,16 @@
             return
         self._relist_backoff.reset()
         self._revision = result.revision
-        for event in result.events:
+        if result.events:
+            self._take_events(result.events)
+            # Each write would otherwise end every watcher's watch: at several
+            # hundred writes a second the watches alone would use up the store's
+            # rate of reads. Changes in between come together with the next watch.
+            await asyncio.sleep(self._settings.watch_pause)
+
+    def _take_events(self, events: list[WatchEvent]) -> None:
+        """Ask for the objects that have changed."""
+        for event in events:
             if event.deleted:
                 self._fetcher.forget(event.name)
             elif self._source.covers(event.name):
--- a/tests/membership/fleet.py
+++ b/tests/membership/fleet.py
@@ -27,6 +27,7 @@
     push_interval=0.0,
     compare_interval=3600.0,
     read_delay=0.0,
+    watch_pause=0.0,
     backoff_initial=0.001,
     backoff_limit=0.01,
 )
--- a/tests/membership/test_news.py
+++ b/tests/membership/test_news.py
@@ -129,6 +129,20 @@
     assert sizes[-1] == 20
 
 
+async def test_failed_comparison_is_followed_by_another_soon(fleet: Fleet) -> None:
+    """Repair slows down just when a zone is lost.
+
+    The lost zone is still listed, so that many comparisons go to instances that are
+    gone; each one would cost a whole interval, here an hour.
+    """
+    fleet.list_instance("b-1")
+    await fleet.async_add("a-1", settings=NOBODY_WATCHES)
+    comparer = fleet.members["a-1"].news.comparer
+    assert comparer._next_delay() > 600.0
+    await comparer.async_run_once()
+    assert comparer._next_delay() < 1.0
+
+
 async def test_object_beyond_the_limit_of_a_round_is_still_sent(fleet: Fleet) -> None:
     """A body larger than a round's limit travels alone."""
     settings = replace(NOBODY_WATCHES, repair_size=100)
