Watch the deadlines of unchecked targets with the shared timer

Cause: sampling showed asyncio.timeout and the crash guard's labels. Change: the runner uses the shared deadline watch; labels are made for broken runs only.

--- a/swiftpin/gateway/crash_guard.py
+++ b/swiftpin/gateway/crash_guard.py
@@ -110,10 +110,9 @@
         self._run: SuspectRun
 
     def __enter__(self) -> None:
-        incoming = self._job.incoming
-        label = f"{incoming.method} {incoming.path} key={incoming.key}"
+        job = self._job
         self._run = self._quarantine.begin(
-            self._job.target.id, self._job.fingerprint, label[:LABEL_LENGTH]
+            job.target.id, job.fingerprint, job.incoming.full_path[:LABEL_LENGTH]
         )
 
     def __exit__(
@@ -123,11 +122,19 @@
         traceback: TracebackType | None,
     ) -> None:
         ending = self._ending(exc)
+        if ending is RunEnding.BROKEN:
+            self._run.label = self._label()
         self._quarantine.end(self._run, ending, monotonic_now())
         if ending is RunEnding.BROKEN:
             name = TargetName(self._job.incoming.service.name, self._job.target.id)
             self._lives.look(name)
 
+    def _label(self) -> str:
+        """Return what names the request to operators."""
+        incoming = self._job.incoming
+        label = f"{incoming.method} {incoming.path} key={incoming.key}"
+        return label[:LABEL_LENGTH]
+
     def _ending(self, exc: BaseException | None) -> RunEnding:
         """Return how the run ended, as far as the target's life is concerned."""
         if exc is None:
--- a/swiftpin/gateway/request_handler.py
+++ b/swiftpin/gateway/request_handler.py
@@ -47,6 +47,7 @@
         metrics: Metrics,
         trace: ResultTrace,
         lifecycle: Lifecycle,
+        deadlines: DeadlineWatch,
         *,
         limit: int,
     ) -> None:
@@ -58,7 +59,7 @@
         self._trace = trace
         self._limit = limit
         self._ids = RequestIds()
-        self._deadlines = DeadlineWatch()
+        self._deadlines = deadlines
         self._in_flight = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -136,11 +137,6 @@
         except TimeoutError as err:
             raise _late(state) from err
 
-    @callback
-    def unload(self) -> None:
-        """Stop watching deadlines."""
-        self._deadlines.unload()
-
     @callback
     def _begin(self) -> None:
         """Count a request in."""
--- a/swiftpin/gateway/request_serving.py
+++ b/swiftpin/gateway/request_serving.py
@@ -10,6 +10,7 @@
 from swiftpin.dispatch.target_sender import TargetSender
 from swiftpin.gateway.balanced_dispatcher import BalancedDispatcher
 from swiftpin.gateway.crash_guard import CrashGuard
+from swiftpin.gateway.deadline_watch import DeadlineWatch
 from swiftpin.gateway.decision_log import DecisionLog
 from swiftpin.gateway.forwarder import Forwarder
 from swiftpin.gateway.held_groups import HeldGroups
@@ -46,7 +47,10 @@
         request_limit: int,
     ) -> None:
         self.client = HttpClient()
-        runner = TargetRunner(queues, TargetSender(self.client), crashes)
+        self._deadlines = DeadlineWatch()
+        runner = TargetRunner(
+            queues, TargetSender(self.client), crashes, self._deadlines
+        )
         dispatcher = TargetDispatcher(ownership, runner)
         self.balanced_dispatcher = BalancedDispatcher(catalog, runner, rng)
         self._once_dispatcher = OnceDispatcher(dispatcher, groups)
@@ -67,6 +71,7 @@
             metrics,
             trace,
             lifecycle,
+            self._deadlines,
             limit=request_limit,
         )
 
@@ -77,7 +82,7 @@
 
     async def async_unload(self) -> None:
         """End what still goes on and close every connection."""
-        self.handler.unload()
+        self._deadlines.unload()
         self._queues.unload()
         await self._once_dispatcher.async_unload()
         self.client.unload()
--- a/swiftpin/gateway/target_runner.py
+++ b/swiftpin/gateway/target_runner.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
@@ -16,6 +15,7 @@
 from swiftpin.dispatch.target_sender import TargetSender
 from swiftpin.exceptions import TargetConnectError, TargetRefusedError
 from swiftpin.gateway.crash_guard import CrashGuard
+from swiftpin.gateway.deadline_watch import DeadlineWatch
 from swiftpin.gateway.header_rules import target_headers
 from swiftpin.gateway.target_job import TargetJob
 from swiftpin.gateway.target_queues import TargetQueues
@@ -29,11 +29,16 @@
     """Waits for a slot, sends, and lets the answer be received."""
 
     def __init__(
-        self, queues: TargetQueues, sender: TargetSender, crashes: CrashGuard
+        self,
+        queues: TargetQueues,
+        sender: TargetSender,
+        crashes: CrashGuard,
+        deadlines: DeadlineWatch,
     ) -> None:
         self._queues = queues
         self._sender = sender
         self._crashes = crashes
+        self._deadlines = deadlines
 
     @callback
     def check(self, job: TargetJob, now: float) -> None:
@@ -53,7 +58,7 @@
             deadline = job.permit.deadline(now)
             if deadline >= job.incoming.deadline:
                 return await self._async_send(job, slot, deadline - now, receive)
-            async with asyncio.timeout(deadline - now):
+            with self._deadlines.until(deadline):
                 return await self._async_send(job, slot, deadline - now, receive)
 
     async def _async_send(
