Tell refusals at rest from those during stops

Cause: on a busy machine leases are lost without any stop. Conclusion: a run on a busy machine can be read.

--- a/swiftpin/bench/experiments/stops_counts.py
+++ b/swiftpin/bench/experiments/stops_counts.py
@@ -56,6 +56,16 @@
     )
 
 
+def count_refused(events: Iterable[TraceEvent], since: float, until: float) -> int:
+    """Return how many answers between two times came from no target."""
+    return sum(
+        isinstance(item, AnswerEvent)
+        and item.executed is not Executed.YES
+        and since <= item.at < until
+        for item in events
+    )
+
+
 def new_work(
     events: Sequence[TraceEvent], target: str, ordered_at: float, until: float
 ) -> NewWork:
--- a/swiftpin/bench/experiments/stops_result.py
+++ b/swiftpin/bench/experiments/stops_result.py
@@ -54,7 +54,9 @@
     `cut_off` counts answers that were not whole and tries whose connection broke or
     ran out of time, by error in `broken_by_error`. `refused` counts answers by which
     swiftpin turned a request away or could not tell, by result code in
-    `refused_by_result`: every request of the load was in order. `doubled` counts
+    `refused_by_result`: every request of the load was in order. `refused_at_rest`
+    counts those of the `seconds_at_rest` in which nothing was stopped; they cannot
+    come from a stop. `doubled` counts
     bookings that ran twice, `late_starts` the requests begun by targets more than
     `new_work_limit` seconds after their order, `left_open` requests without any
     answer in the end.
@@ -69,6 +71,8 @@
     broken_by_error: dict[str, int]
     refused_by_result: dict[str, int]
     cut_executions: int
+    refused_at_rest: int
+    seconds_at_rest: float
     seconds: float
     gateways: list[GatewayStop]
     targets: list[TargetStop]
