--- a/swiftpin/gateway/once_dispatcher.py
+++ b/swiftpin/gateway/once_dispatcher.py
@@ -12,6 +12,7 @@
 from swiftpin.dispatch.answered import Answered
 from swiftpin.dispatch.begin_request import BeginRequest
 from swiftpin.dispatch.begun import Begun
+from swiftpin.dispatch.exceptions import JournalDeposedError
 from swiftpin.dispatch.http_answer import HttpAnswer
 from swiftpin.dispatch.joined import Joined
 from swiftpin.dispatch.journal import IdempotencyJournal
@@ -84,7 +85,25 @@
         job: TargetJob,
         record: RequestRecord,
     ) -> Begun | Replayed | Joined:
-        """Return what is known of the request, or record that it begins."""
+        """Return what is known of the request, or record that it begins.
+
+        Raises `NotHolderError` when another holder has sealed the journal: that one
+        knows what became of earlier attempts.
+        """
+        try:
+            return await self._async_look_up(journal, begin, job, record)
+        except JournalDeposedError as err:
+            record.looked_up = False
+            raise NotHolderError(err.hint, retry_after=err.retry_after) from err
+
+    async def _async_look_up(
+        self,
+        journal: IdempotencyJournal,
+        begin: BeginRequest,
+        job: TargetJob,
+        record: RequestRecord,
+    ) -> Begun | Replayed | Joined:
+        """Return what this holder's journal says."""
         now = monotonic_now()
         known = journal.lookup(begin, now)
         if known is not None:
--- a/swiftpin/gateway/request_router.py
+++ b/swiftpin/gateway/request_router.py
@@ -55,7 +55,7 @@
         if not incoming.service.keyed:
             await self._async_serve_balanced(exchange)
             return
-        route = self._ownership.resolve(incoming.service, incoming.key, now)
+        route = await self._async_first_route(exchange)
         while True:
             exchange.record.route = route
             exchange.record.attempts += 1
@@ -106,6 +106,22 @@
         if not self._retries.allows(err, exchange.incoming):
             raise err
 
+    async def _async_first_route(self, exchange: Exchange) -> Route:
+        """Return the key's route; wait a little while there is none.
+
+        When a lease is renewed or handed over, keys have no owner for some
+        milliseconds; refused at once, callers would stay away for a whole second.
+        """
+        incoming = exchange.incoming
+        while True:
+            try:
+                return self._ownership.resolve(
+                    incoming.service, incoming.key, monotonic_now()
+                )
+            except NoOwnerError as err:
+                exchange.record.attempts += 1
+                await self._async_back_off(err, exchange)
+
     async def _async_next_route(
         self, err: RequestError, exchange: Exchange, route: Route
     ) -> Route:
--- a/swiftpin/gateway/retry_policy.py
+++ b/swiftpin/gateway/retry_policy.py
@@ -8,7 +8,7 @@
 from swiftpin.config.profile import Profile
 from swiftpin.core import callback
 from swiftpin.dispatch.backoff import Backoff
-from swiftpin.dispatch.exceptions import JournalDeposedError
+from swiftpin.dispatch.exceptions import JournalNotLoadedError
 from swiftpin.dispatch.retry_budget import RetryBudget
 from swiftpin.exceptions import (
     AnswerLostError,
@@ -26,11 +26,14 @@
 ROUTE_MUST_CHANGE: Final = (
     NotHolderError,
     TargetRefusedError,
-    JournalDeposedError,
 )
 """Errors after which only another route helps; nothing ran in this attempt."""
 
-NOT_SENT: Final = (HolderUnreachableError, TargetConnectError)
+NOT_SENT: Final = (
+    HolderUnreachableError,
+    JournalNotLoadedError,
+    TargetConnectError,
+)
 """Errors after which the same route may do; nothing ran in this attempt."""
 
 
--- a/swiftpin/gateway/truthful.py
+++ b/swiftpin/gateway/truthful.py
@@ -6,12 +6,14 @@
 
 from swiftpin.const import HEADER_IDEMPOTENCY_KEY
 from swiftpin.core import callback
+from swiftpin.dispatch.exceptions import JournalNotLoadedError
 from swiftpin.exceptions import (
     AttemptNotRunError,
     NotHolderError,
     NotRunError,
     RequestError,
 )
+from swiftpin.gateway.error_answer import DEFAULT_RETRY_AFTER
 from swiftpin.gateway.request_record import RequestRecord
 from swiftpin.result import Executed
 
@@ -28,6 +30,8 @@
     have run. The word to the entry instance that this one is not the holder
     stays as it is: that instance goes on with the request.
     """
+    if isinstance(err, JournalNotLoadedError):
+        return _attempt_not_run(err)
     if err.executed is not Executed.NO:
         return err
     if _is_repeatable(request, record):
@@ -36,10 +40,15 @@
         return err
     if record.forwarded and isinstance(err, NotHolderError):
         return err
+    return _attempt_not_run(err)
+
+
+def _attempt_not_run(err: RequestError) -> RequestError:
+    """Return the error of an attempt that nobody could look up."""
     return AttemptNotRunError(
         f"{err.hint}; this attempt was not run, an earlier one may have been:"
         f" send again with the same {HEADER_IDEMPOTENCY_KEY}",
-        retry_after=err.retry_after,
+        retry_after=err.retry_after or DEFAULT_RETRY_AFTER,
     )
 
 
--- a/tests/gateway/fake_ownership.py
+++ b/tests/gateway/fake_ownership.py
@@ -10,16 +10,20 @@
 
 
 class FakeOwnership:
-    """Gives the routes in `routes`, the last one for ever."""
+    """Gives the routes in `routes`, the last one for ever.
+
+    `gaps` is the number of times to come that it knows no owner.
+    """
 
     def __init__(self) -> None:
         self.routes: list[Route] = []
         self.holding = True
-        self.sends_allowed: int | None = None
+        self.gaps = 0
 
     def resolve(self, service: Service, key: str, now: float) -> Route:
         """Return the next route."""
-        if not self.routes:
+        if self.gaps > 0 or not self.routes:
+            self.gaps -= 1
             raise NoOwnerError("no route", retry_after=1)
         return self.routes.pop(0) if len(self.routes) > 1 else self.routes[0]
 
--- a/tests/gateway/test_once.py
+++ b/tests/gateway/test_once.py
@@ -279,3 +279,26 @@
         assert (await each.async_read()).result == ResultCode.ANSWERED
         await each.async_unload()
     await callers[2].async_unload()
+
+
+async def test_records_that_are_not_read_yet_are_waited_for(
+    caller: RawCaller, target: ScriptedServer, gateway: GatewayFixture
+) -> None:
+    """Symptom: bookings fail as "unknown" at each change of a holder.
+
+    A new holder takes some milliseconds to read the records of the last one. A
+    booking that comes in between is tried again; while the store stays away it
+    is told that this attempt was not run.
+    """
+    journal = gateway.groups.journal(GROUP)
+    assert journal is not None
+    journal._loaded = False
+    answer = await async_book(caller)
+    assert (answer.status, answer.result) == (503, ResultCode.ATTEMPT_NOT_RUN)
+    assert answer.error["executed"] == "unknown"
+    await caller.async_send("POST", "/desk/bookings", headers=KEY, body=b"order")
+    while not gateway.handler.in_flight:  # noqa: ASYNC110 - nothing tells of a begin
+        await asyncio.sleep(0)
+    journal._loaded = True
+    assert (await caller.async_read()).result == ResultCode.ANSWERED
+    assert len(target.seen) == 1
--- a/tests/gateway/test_request_path.py
+++ b/tests/gateway/test_request_path.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from swiftpin.result import ResultCode
+from tests.gateway.fake_ownership import FakeOwnership
 from tests.gateway.gateway_fixture import GatewayFixture
 from tests.gateway.raw_caller import RawCaller
 from tests.gateway.scripted_server import (
@@ -119,3 +121,25 @@
         "result=100 executed=yes",
     ):
         assert all(part in line.split() for part in pair.split())
+
+
+async def test_short_time_without_an_owner_is_waited_for(
+    caller: RawCaller, target: ScriptedServer, ownership: FakeOwnership
+) -> None:
+    """Symptom: each renewal of a lease refuses some requests for a second.
+
+    Between two terms a key has no owner for some milliseconds.
+    """
+    ownership.gaps = 1
+    answer = await caller.async_call()
+    assert answer.result == ResultCode.ANSWERED
+
+
+async def test_no_owner_is_told_soon(
+    caller: RawCaller, target: ScriptedServer, ownership: FakeOwnership
+) -> None:
+    """A key without an owner is refused after a few looks, as not run."""
+    ownership.routes.clear()
+    answer = await caller.async_call()
+    assert (answer.status, answer.result) == (503, ResultCode.NO_OWNER)
+    assert answer.error["executed"] == "no"
