Show the generator's own lag in the failover table

Cause: a busy machine delays the load generator itself, which reads like unserved time. Change: one more column. Conclusion: rows with a lag of more than some 50 ms are to be measured again.

--- a/swiftpin/bench/report/failover_section.py
+++ b/swiftpin/bench/report/failover_section.py
@@ -31,6 +31,7 @@
             "unknown",
             "store calls/s before",
             "after",
+            "generator's lag p99 ms",
         ),
         rows=tuple(_row(run) for run in result.runs),
     )
@@ -64,6 +65,7 @@
         sum(item.unknown for item in classes),
         run.calls_at_rest,
         run.calls_after_fault,
+        run.load.send_lag_p99_ms,
     )
 
 
