--- a/swiftpin/gateway/app.py
+++ b/swiftpin/gateway/app.py
@@ -252,7 +252,7 @@
             raise ConfigurationError(f"--peer-listen {listen!r}: {err}") from err
 
     async def _async_prepare_group(self, group: GroupId) -> None:
-        """Learn, before the group's requests run, which of them are suspected."""
+        """Learn which of the group's requests earlier holders suspected."""
         service = self._catalog.service(group.service)
         if service is not None:
             await self._crashes.async_sync(service)
@@ -264,7 +264,8 @@
 
     @callback
     def _note_change(self, name: ConfigName) -> None:
-        """Begin to leave when a planned stop names this instance."""
+        """Drop removed targets; leave when a planned stop names this instance."""
+        self._queues.forget_removed(self._catalog.services_by_name)
         if self._stop.is_planned:
             self.stop_wanted.set()
 
--- a/swiftpin/gateway/held_groups.py
+++ b/swiftpin/gateway/held_groups.py
@@ -29,7 +29,7 @@
 class HeldGroups:
     """Opens and closes the journals and queues of held groups (`GroupListener`).
 
-    `async_prepare` is awaited before a group's journal is opened. `stop_limit` bounds,
+    `async_prepare` is awaited after a group's journal was opened. `stop_limit` bounds,
     in seconds, how long a planned hand-over waits for requests that are not
     repeatable.
     """
@@ -116,7 +116,6 @@
         self, group: GroupId, journal: IdempotencyJournal, term: int
     ) -> None:
         """Open the journal, again and again while the store is away."""
-        await self._async_prepare(group)
         attempt = 0
         while True:
             try:
@@ -130,6 +129,7 @@
                 await asyncio.sleep(self._backoff.delay(attempt))
             else:
                 self._log(group, term, "journal_opened", None)
+                await self._async_prepare(group)
                 return
 
     @callback
--- a/swiftpin/gateway/target_queues.py
+++ b/swiftpin/gateway/target_queues.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from random import Random
 
 from swiftpin.config.profile import Profile
+from swiftpin.config.service import Service
 from swiftpin.config.target_spec import TargetSpec
 from swiftpin.core import callback, monotonic_now
 from swiftpin.dispatch.close_reason import CloseReason
@@ -75,6 +77,15 @@
                 del self._entries_by_name[name]
                 entry.queue.close(reason)
 
+    @callback
+    def forget_removed(self, services_by_name: Mapping[str, Service]) -> None:
+        """Refuse what waits for targets that are not declared any more."""
+        for name, entry in list(self._entries_by_name.items()):
+            service = services_by_name.get(name.service)
+            if service is None or name.target not in service.targets_by_id:
+                del self._entries_by_name[name]
+                entry.queue.close(CloseReason.TARGET_LEAVING)
+
     @callback
     def unload(self) -> None:
         """Refuse everything that waits."""
