Take over sooner from a holder whose targets can tell two holders apart

Cause: a successor waited out the promise of its last acknowledgement (1.0 s + margin), which only cooperative groups need; in a fenced group the targets decide, so acting on a suspicion costs at most a needless change of holder. Change: fenced groups: takeover after 0.7 s of silence, and at once when a probe after 0.3 s finds the holder's process gone.

--- a/swiftpin/ownership/coordinator.py
+++ b/swiftpin/ownership/coordinator.py
@@ -31,7 +31,7 @@
 from swiftpin.ownership.holder_environment import HolderEnvironment
 from swiftpin.ownership.instances import Instances
 from swiftpin.ownership.ownership_events import OwnershipEvents
-from swiftpin.ownership.peers import Peers
+from swiftpin.ownership.peers import Peers, is_gone
 from swiftpin.ownership.record_codec import encode_record
 from swiftpin.ownership.record_view import RecordView
 from swiftpin.ownership.route import Route
@@ -281,14 +281,48 @@
 
     @callback
     def _watch_holder(self, group: GroupId, record: GroupRecord, now: float) -> None:
-        """Take over as successor once the holder is silent for too long."""
+        """Take over as successor once the holder is silent for too long.
+
+        The targets of a fenced group decide between two holders, so a successor may
+        act on a mere suspicion; that of a cooperative group has a promise to keep.
+        """
         watch = self._watch(group)
         if watch.term != record.term:
             watch.term = record.term
             watch.acknowledged_at = now
-        if not successor_may_take_over(watch.acknowledged_at, self._timing, now):
+        if not self._takeover.is_fenced(record):
+            late = successor_may_take_over(watch.acknowledged_at, self._timing, now)
+        else:
+            silence = now - watch.acknowledged_at
+            late = silence > self._timing.silence_limit
+            if not late and silence > self._timing.probe_after:
+                self._suspect(group, record, watch, now)
+        if late:
+            self._try_takeover(group, record, watch, third_party=False, now=now)
+
+    @callback
+    def _suspect(
+        self, group: GroupId, record: GroupRecord, watch: GroupWatch, now: float
+    ) -> None:
+        """Ask a holder that missed a heartbeat for a sign of life."""
+        if now - watch.probed_at < self._timing.probe_after:
             return
-        self._try_takeover(group, record, watch, third_party=False, now=now)
+        watch.probed_at = now
+        self._spawn(
+            self._async_probe_holder(group, record, watch), "ownership-suspicion"
+        )
+
+    async def _async_probe_holder(
+        self, group: GroupId, record: GroupRecord, watch: GroupWatch
+    ) -> None:
+        """Take over at once when the holder's process is gone."""
+        try:
+            await self._peers.async_heartbeat(record.holder, [])
+        except PeerError as err:
+            if not is_gone(err) or self.records.get(group) is not record:
+                return
+            now = monotonic_now()
+            self._try_takeover(group, record, watch, third_party=False, now=now)
 
     @callback
     def _watch_as_third(self, group: GroupId, record: GroupRecord, now: float) -> None:
--- a/swiftpin/ownership/peers.py
+++ b/swiftpin/ownership/peers.py
@@ -4,8 +4,10 @@
 
 from typing import Protocol
 
+from swiftpin.exceptions import PeerError
 from swiftpin.membership.group_heartbeat import GroupHeartbeat
 from swiftpin.membership.heartbeat_reply import HeartbeatReply
+from swiftpin.membership.peer_restarted_error import PeerRestartedError
 from swiftpin.ownership.group_id import GroupId
 
 
@@ -21,3 +23,13 @@
         self, instance_id: str, group: GroupId, term: int
     ) -> bool:
         """Ask an instance to hold a group that was written over to it."""
+
+
+def is_gone(err: PeerError) -> bool:
+    """Return whether the error shows that the instance's process ended.
+
+    Its address refuses connections, or another incarnation answers there.
+    """
+    if isinstance(err, PeerRestartedError):
+        return True
+    return isinstance(err.__cause__, ConnectionRefusedError)
--- a/swiftpin/ownership/takeover.py
+++ b/swiftpin/ownership/takeover.py
@@ -45,6 +45,12 @@
         groups = assign_targets_to_groups(service.targets_by_id, service.groups)
         return groups.get(group.group, frozenset())
 
+    @callback
+    def is_fenced(self, record: GroupRecord) -> bool:
+        """Return whether the targets of the record's group confirm its holder."""
+        service = self._env.service_of(record.id.service)
+        return service is not None and self._is_fenced(service, record)
+
     async def async_create(
         self, service: Service, group: GroupId
     ) -> GroupHolder | None:
--- a/swiftpin/ownership/timing.py
+++ b/swiftpin/ownership/timing.py
@@ -11,6 +11,8 @@
 
     `drift` and `margin` cover clocks that run at different rates: a limit on one
     clock counts as passed on another only after `margin` plus `drift` of its length.
+    `silence_limit` is how long a fenced group's holder may be silent before its
+    successor takes over; after `probe_after` the successor asks it for a sign of life.
     """
 
     heartbeat_interval: float = 0.25
@@ -22,6 +24,8 @@
     margin: float = 0.02
     control_timeout: float = 0.3
     reserved_term_memory: float = 10.0
+    silence_limit: float = 0.7
+    probe_after: float = 0.3
     watch_interval: float = 0.1
     third_party_interval: float = 1.0
     third_party_patience: float = 3.0
--- a/tests/ownership/world.py
+++ b/tests/ownership/world.py
@@ -53,6 +53,8 @@
     third_party_patience=0.3,
     watch_interval=0.02,
     revoke_wait=0.2,
+    silence_limit=0.4,
+    probe_after=0.15,
 )
 
 
