Measure the processor time of a change of news

Cause: times with 100 instances in one process may be bound by its one core. Change: processor time a change in the result. Conclusion: tells the two apart.

--- a/swiftpin/bench/news/__main__.py
+++ b/swiftpin/bench/news/__main__.py
@@ -51,6 +51,7 @@
             f"all_ms={1000 * spread.reached_all_median:.0f} "
             f"all_max_ms={1000 * spread.reached_all_max:.0f} "
             f"wire_bytes={spread.wire_bytes_per_change:.0f} "
+            f"cpu_ms={1000 * spread.cpu_per_change:.0f} "
             f"store_calls={spread.store_calls_per_change:.1f} "
             f"duplicates={spread.duplicates_per_change:.1f} "
             f"repaired={spread.repaired_per_change:.1f}",
--- a/swiftpin/bench/news/spread_result.py
+++ b/swiftpin/bench/news/spread_result.py
@@ -14,7 +14,7 @@
     """Times in seconds from the write until a share of the instances knew it.
 
     Costs are for one change beyond those at rest: bytes an instance, store calls of
-    the fleet. `missed` counts changes that had not reached all within the limit.
+    the fleet, `cpu_per_change` seconds of the whole process. `missed` counts changes that had not reached all within the limit.
     """
 
     kind: str
@@ -25,6 +25,7 @@
     reached_all_median: float
     reached_all_max: float
     wire_bytes_per_change: float
+    cpu_per_change: float
     store_calls_per_change: float
     duplicates_per_change: float
     repaired_per_change: float
@@ -49,6 +50,7 @@
         changes = len(times)
         seconds = last.at - first.at
         wire = (last.wire_bytes - first.wire_bytes) / size
+        cpu = last.cpu - first.cpu
         calls = last.store_calls - first.store_calls
         return cls(
             kind=kind,
@@ -60,6 +62,7 @@
             reached_all_max=max(max(item) for item in times),
             wire_bytes_per_change=(wire - seconds * rest.wire_bytes_per_second)
             / changes,
+            cpu_per_change=(cpu - seconds * rest.cpu_share * size) / changes,
             store_calls_per_change=(calls - seconds * rest.store_calls_per_second)
             / changes,
             duplicates_per_change=(last.duplicates - first.duplicates) / changes,
