--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Models of the ownership protocol, checked exhaustively with `python -m spec`."""
--- /dev/null
+++ b/spec/cases.py
@@ -0,0 +1,42 @@
+"""The models that `python -m spec` checks."""
+
+from __future__ import annotations
+
+from spec.cooperative.model import cooperative_group
+from spec.cooperative.weakness import CooperativeWeakness
+from spec.fenced.model import fenced_group
+from spec.fenced.scope import Scope
+from spec.fenced.scopes import (
+    CORE,
+    OUTAGE,
+    OUTAGE_ENDS,
+    OWNER_RESTARTS,
+    PLANNED,
+    RENEWAL,
+    THIRD_RESTARTS,
+)
+from spec.fenced.weakness import Weakness
+from spec.model_case import ModelCase
+
+
+def all_cases() -> list[ModelCase]:
+    """Return every model, with the rules as they are."""
+    return [
+        _fenced("core", CORE, "takeover by the store, move of a lost target"),
+        _fenced("outage", OUTAGE, "takeover without the store, late grants"),
+        _fenced("outage ends", OUTAGE_ENDS, "the successor saves its takeover"),
+        _fenced("renewal", RENEWAL, "the holder's own next lease"),
+        _fenced("planned", PLANNED, "planned move, lost answers, late grants"),
+        _fenced("third restarts", THIRD_RESTARTS, "M forgets its fence"),
+        _fenced("owner restarts", OWNER_RESTARTS, "T forgets fence and grants"),
+        ModelCase(
+            protocol=cooperative_group("cooperative", CooperativeWeakness()),
+            covers="four instances, up to three leases, no target checks grants",
+        ),
+    ]
+
+
+def _fenced(name: str, scope: Scope, covers: str) -> ModelCase:
+    """Return a model of a fenced group."""
+    protocol = fenced_group(name, scope, Weakness())
+    return ModelCase(protocol=protocol, covers=covers)
--- /dev/null
+++ b/spec/cooperative/__init__.py
@@ -0,0 +1,1 @@
+"""Model of cooperative groups: the successor's acknowledgements confirm the holder."""
--- /dev/null
+++ b/spec/fenced/lease_kind.py
@@ -0,0 +1,22 @@
+"""How a lease begins."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+
+class LeaseKind(IntEnum):
+    """The first lease is in force at the start of each model."""
+
+    FIRST = 0
+    RESERVED = 1
+    """The successor's, taken without the store under the odd term."""
+
+    STORED = 2
+    """Another instance's, by a conditional write."""
+
+    RENEWED_FIRST = 3
+    """The first holder's own next one, by a conditional write."""
+
+    RENEWED_RESERVED = 4
+    """The successor's own next one, written when it reaches the store again."""
--- /dev/null
+++ b/tests/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the models of the ownership protocol."""
