--- a/swiftpin/bench/placement/fleet.py
+++ b/swiftpin/bench/placement/fleet.py
@@ -168,7 +168,7 @@
         moved = sum(self._merge(group, item) for item in plan.merges)
         for item in plan.splits:
             self._split(group, item)
-        return MoveCount(keys=moved, splits=len(plan.splits))
+        return MoveCount(merges=moved, splits=len(plan.splits))
 
     def rebalance(self, group: int, now: float, move_limit: int = 10**9) -> MoveCount:
         """Decide and make the moves on load of one group."""
--- a/swiftpin/bench/placement/swiftpin_rows.py
+++ b/swiftpin/bench/placement/swiftpin_rows.py
@@ -127,6 +127,7 @@
             keys_least=slices_least / fleet.slices,
             moves=count.moves,
             moves_least=moves_least,
+            merges=count.merges,
             splits=count.splits,
         )
 
--- a/swiftpin/bench/placement/tables.py
+++ b/swiftpin/bench/placement/tables.py
@@ -18,6 +18,7 @@
     "least",
     "moves",
     "least moves",
+    "merges",
     "splits",
 )
 _DECISION_COLUMNS = (
@@ -59,6 +60,7 @@
             f"{row.keys_least:.3%}",
             _optional(row.moves),
             _optional(row.moves_least),
+            _optional(row.merges),
             _optional(row.splits),
         )
         for row in report.events
--- a/swiftpin/ownership/placement/planner.py
+++ b/swiftpin/ownership/placement/planner.py
@@ -62,7 +62,7 @@
         case MoveOnLoss():
             return evacuation.plan(_slices_of_lost(view))
         case MoveOnLeave():
-            return evacuation.plan(_slices_in_state(view, TargetState.LEAVING))
+            return evacuation.plan(_slices_of_leaving(view))
 
 
 def _rebalance(
@@ -84,20 +84,24 @@
 
 def _slices_of_lost(view: PlacementView) -> list[int]:
     """Return the slices of lost owners and of owners no longer declared."""
-    undeclared = [
+    kept = {
+        target_id
+        for target_id, target in view.targets_by_id.items()
+        if target.state is not TargetState.LOST
+    }
+    return [
         slice_id
         for slice_id, assignment in view.slices_by_id.items()
-        if assignment.target not in view.targets_by_id
+        if assignment.target not in kept
     ]
-    return undeclared + _slices_in_state(view, TargetState.LOST)
 
 
-def _slices_in_state(view: PlacementView, state: TargetState) -> list[int]:
-    """Return the slices whose owner is in the state."""
+def _slices_of_leaving(view: PlacementView) -> list[int]:
+    """Return the slices of leaving owners."""
     owners = {
         target_id
         for target_id, target in view.targets_by_id.items()
-        if target.state is state
+        if target.state is TargetState.LEAVING
     }
     return [
         slice_id
