--- a/swiftpin/bench/news/spread_result.py
+++ b/swiftpin/bench/news/spread_result.py
@@ -14,7 +14,8 @@
     """Times in seconds from the write until a share of the instances knew it.
 
     Costs are for one change beyond those at rest: bytes an instance, store calls of
-    the fleet, `cpu_per_change` seconds of the whole process. `missed` counts changes that had not reached all within the limit.
+    the fleet, `cpu_per_change` seconds of the whole process. `missed` counts changes
+    that had not reached all within the limit.
     """
 
     kind: str
