Count goodput by when answers came

Cause: goodput of 1.07 times the capacity in a measured run: requests due in the measured time were counted although some were answered after it. Change: answers are counted by their time in the callers' traces.

--- a/swiftpin/bench/experiments/overload.py
+++ b/swiftpin/bench/experiments/overload.py
@@ -6,6 +6,10 @@
 
 from swiftpin.bench.experiment import Experiment
 from swiftpin.bench.experiment_options import ExperimentOptions
+from swiftpin.bench.experiments.overload_answers import (
+    answer_times,
+    answers_between,
+)
 from swiftpin.bench.experiments.overload_burst import async_burst
 from swiftpin.bench.experiments.overload_contender import OverloadContender
 from swiftpin.bench.experiments.overload_entries import (
@@ -63,6 +67,7 @@
         request_timeout_ms=DEADLINE_MS,
         max_tries=1,
         drain=DRAIN,
+        traced=True,
     )
     run = await entries.driver.async_start(load)
     await run.async_sleep_until(WARMUP)
@@ -71,11 +76,13 @@
     now = monotonic_now()
     busiest = max(meter.window(now).cores for meter in meters)
     result = await run.async_result()
+    times = answer_times(run.trace_paths)
+    goodput = answers_between(times, run.measure_from, run.end) / measure
     return OverloadPoint(
         contender=entries.contender,
         factor=factor,
-        goodput=result.rate,
-        goodput_share=result.rate / CAPACITY,
+        goodput=goodput,
+        goodput_share=goodput / CAPACITY,
         busiest_entry=busiest,
         load=result,
     )
--- a/swiftpin/bench/experiments/overload_burst.py
+++ b/swiftpin/bench/experiments/overload_burst.py
@@ -2,20 +2,17 @@
 
 from __future__ import annotations
 
-from collections import Counter
-from collections.abc import Iterable
-from pathlib import Path
 from typing import Final
 
+from swiftpin.bench.experiments.overload_answers import (
+    answer_times,
+    answers_by_second,
+)
 from swiftpin.bench.experiments.overload_entries import OverloadEntries
 from swiftpin.bench.experiments.overload_result import OverloadBurst
 from swiftpin.bench.experiments.overload_site import CAPACITY, LOAD_CLASSES
 from swiftpin.bench.load.load_mode import OpenLoop
-from swiftpin.bench.load.load_run import LoadRun
 from swiftpin.bench.load.load_spec import LoadSpec
-from swiftpin.result import Executed, executed_by_result
-from swiftpin.trace.answer_event import AnswerEvent
-from swiftpin.trace.reader import read_traces
 
 STEADY_FACTOR: Final = 0.6
 BURST_FACTOR: Final = 2.4
@@ -59,7 +56,8 @@
     )
     burst_result = await burst.async_result()
     steady_result = await steady.async_result()
-    answers = _answers_by_second(steady, burst)
+    times = answer_times([*steady.trace_paths, *burst.trace_paths])
+    answers = answers_by_second(times, steady.start)
     end = int(duration)
     last = sum(answers.get(second, 0) for second in range(end - LAST, end)) / LAST
     classes = [
@@ -104,19 +102,3 @@
         drain=drain,
         traced=True,
     )
-
-
-def _answers_by_second(steady: LoadRun, burst: LoadRun) -> Counter[int]:
-    """Return the answers of targets in each second of the steady load."""
-    return count_answers([*steady.trace_paths, *burst.trace_paths], steady.start)
-
-
-def count_answers(paths: Iterable[Path], start: float) -> Counter[int]:
-    """Return how many answers of targets came in each second after `start`."""
-    answers: Counter[int] = Counter()
-    for event in read_traces(paths):
-        if not isinstance(event, AnswerEvent) or event.result is None:
-            continue
-        if executed_by_result(event.result) is Executed.YES:
-            answers[int(event.at - start)] += 1
-    return answers
--- a/swiftpin/bench/experiments/overload_result.py
+++ b/swiftpin/bench/experiments/overload_result.py
@@ -18,8 +18,8 @@
 class OverloadPoint:
     """One contender at `factor` times the capacity.
 
-    `goodput` counts requests answered in time a second, `goodput_share` relates it to
-    the capacity. `busiest_entry` is in processor cores. `load` has the classes.
+    `goodput` is answers in time a second, by when they came; `goodput_share` relates
+    it to the capacity. `busiest_entry` is in processor cores. `load` has the classes.
     """
 
     contender: OverloadContender
--- a/tests/bench/experiments/test_overload.py
+++ b/tests/bench/experiments/test_overload.py
@@ -7,7 +7,11 @@
 
 import pytest
 
-from swiftpin.bench.experiments.overload_burst import count_answers
+from swiftpin.bench.experiments.overload_answers import (
+    answer_times,
+    answers_between,
+    answers_by_second,
+)
 from swiftpin.bench.experiments.overload_contender import OverloadContender
 from swiftpin.bench.experiments.overload_result import OverloadPoint, reached_goals
 from swiftpin.bench.load.class_result import ClassResult
@@ -105,7 +109,7 @@
     assert goals.lookup_p99_ratio == pytest.approx(2.5)
 
 
-def test_only_answers_of_targets_count_after_a_burst(tmp_path: Path) -> None:
+def test_only_answers_of_targets_count(tmp_path: Path) -> None:
     """Refusals are answers too, but nobody is served by them."""
     path = tmp_path / "load.trace"
     writer = TraceWriter(path)
@@ -131,4 +135,11 @@
             )
         )
     writer.close()
-    assert count_answers([path], 10.0) == {0: 1, 2: 1}
+    assert answer_times([path]) == [10.5, 12.1]
+
+
+def test_answers_are_counted_by_when_they_came() -> None:
+    """The end of a time belongs to the next one."""
+    times = [10.0, 10.9, 11.0, 12.5]
+    assert answers_between(times, 10.0, 11.0) == 2
+    assert answers_by_second(times, 10.0) == {0: 2, 1: 1, 2: 1}
