Give up what runs at a lost target; tell placement of the work

Cause: callers of a frozen target waited until their deadlines although its keys had moved; and the holder's load meter got no work, so that balancing could not act. The runner counts each request's time at its target. One interrupt serves deadlines and losses.

--- a/swiftpin/gateway/deadline_watch.py
+++ b/swiftpin/gateway/deadline_watch.py
@@ -8,6 +8,7 @@
 from typing import Final, Self
 
 from swiftpin.core import callback
+from swiftpin.gateway.task_interrupt import TaskInterrupt
 
 TICK: Final = 0.01
 """Seconds by which a deadline may be noticed late."""
@@ -62,7 +63,7 @@
         present = int(now / TICK)
         while self._ticks and self._ticks[0] < present:
             for deadline in self._deadlines_by_tick.pop(heappop(self._ticks)):
-                deadline.expire()
+                deadline.interrupt()
 
     def _arm(self) -> None:
         """Look again after one tick."""
@@ -77,29 +78,18 @@
             self._arm()
 
 
-class Deadline:
+class Deadline(TaskInterrupt):
     """Raises `TimeoutError` out of its block once the deadline has passed."""
 
-    __slots__ = ("_cancelling", "_expired", "_task", "_watch", "tick")
+    __slots__ = ("_watch", "tick")
 
     def __init__(self, watch: DeadlineWatch, at: float) -> None:
+        super().__init__()
         self.tick = int(at / TICK)
         self._watch = watch
-        self._task: asyncio.Task[object] | None = None
-        self._cancelling = 0
-        self._expired = False
-
-    @callback
-    def expire(self) -> None:
-        """End the block."""
-        if self._task is not None:
-            self._expired = True
-            self._task.cancel()
 
     def __enter__(self) -> Self:
-        self._task = asyncio.current_task()
-        assert self._task is not None
-        self._cancelling = self._task.cancelling()
+        super().__enter__()
         self._watch.add(self)
         return self
 
@@ -109,12 +99,5 @@
         exc: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        if not self._expired:
-            self._watch.discard(self)
-            return
-        # The task may have been cancelled by others too, for instance because the
-        # caller left; that cancellation must go on.
-        assert self._task is not None
-        cancelled_by_others = self._task.uncancel() > self._cancelling
-        if isinstance(exc, asyncio.CancelledError) and not cancelled_by_others:
-            raise TimeoutError from exc
+        self._watch.discard(self)
+        super().__exit__(exc_type, exc, traceback)
--- a/swiftpin/gateway/held_groups.py
+++ b/swiftpin/gateway/held_groups.py
@@ -17,6 +17,7 @@
 from swiftpin.dispatch.journal import IdempotencyJournal
 from swiftpin.exceptions import StoreError
 from swiftpin.gateway.run_counter import RunCounter
+from swiftpin.gateway.target_loss import TargetLoss
 from swiftpin.gateway.target_queues import TargetQueues
 from swiftpin.ownership.group_id import GroupId
 
@@ -44,6 +45,7 @@
         stop_limit: float,
     ) -> None:
         self.runs: Final = RunCounter()
+        self.losses: Final = TargetLoss()
         self._make_journal = make_journal
         self._queues = queues
         self._backoff = Backoff(OPEN_BACKOFF, OPEN_BACKOFF_CAP, rng)
@@ -93,6 +95,18 @@
         if journal is not None:
             await journal.async_close()
 
+    @callback
+    def target_lost(self, group: GroupId, target: str) -> None:
+        """End the wait for answers of a target whose slices move."""
+        ended = self.losses.target_lost(group.service, target)
+        log_message(
+            message_type="target_lost",
+            service=group.service,
+            group=group.group,
+            target=target,
+            in_flight=ended,
+        )
+
     @callback
     def group_lost(self, group: GroupId) -> None:
         """Stop working for the group."""
--- a/swiftpin/gateway/ports.py
+++ b/swiftpin/gateway/ports.py
@@ -23,5 +23,8 @@
         been paused since the last time.
         """
 
+    def record_work(self, route: Route, key: str, busy: float, now: float) -> None:
+        """Count a request that kept a slot of its target busy for `busy` seconds."""
+
     def held_groups(self) -> list[GroupHeartbeat]:
         """Return the groups whose lease this instance holds."""
--- a/swiftpin/gateway/request_serving.py
+++ b/swiftpin/gateway/request_serving.py
@@ -49,7 +49,12 @@
         self.client = HttpClient()
         self._deadlines = DeadlineWatch()
         runner = TargetRunner(
-            queues, TargetSender(self.client), crashes, self._deadlines
+            queues,
+            TargetSender(self.client),
+            crashes,
+            self._deadlines,
+            groups.losses,
+            ownership.record_work,
         )
         dispatcher = TargetDispatcher(ownership, runner)
         self.balanced_dispatcher = BalancedDispatcher(catalog, runner, rng)
--- a/swiftpin/gateway/target_runner.py
+++ b/swiftpin/gateway/target_runner.py
@@ -18,7 +18,12 @@
 from swiftpin.gateway.deadline_watch import DeadlineWatch
 from swiftpin.gateway.header_rules import target_headers
 from swiftpin.gateway.target_job import TargetJob
+from swiftpin.gateway.target_loss import TargetLoss
 from swiftpin.gateway.target_queues import TargetQueues
+from swiftpin.ownership.route import Route
+
+RecordWork = Callable[[Route, str, float, float], None]
+"""Takes a route, its key, the seconds that a slot was busy, and the time."""
 
 ReceivedT = TypeVar("ReceivedT")
 Receive = Callable[[HttpAnswer], Awaitable[ReceivedT]]
@@ -34,11 +39,15 @@
         sender: TargetSender,
         crashes: CrashGuard,
         deadlines: DeadlineWatch,
+        losses: TargetLoss,
+        record_work: RecordWork,
     ) -> None:
         self._queues = queues
         self._sender = sender
         self._crashes = crashes
         self._deadlines = deadlines
+        self._losses = losses
+        self._record_work = record_work
 
     @callback
     def check(self, job: TargetJob, now: float) -> None:
@@ -56,10 +65,34 @@
         async with queue.async_slot(queued, monotonic_now()) as slot:
             now = monotonic_now()
             deadline = job.permit.deadline(now)
-            if deadline >= job.incoming.deadline:
-                return await self._async_send(job, slot, deadline - now, receive)
-            with self._deadlines.until(deadline):
-                return await self._async_send(job, slot, deadline - now, receive)
+            try:
+                if deadline >= job.incoming.deadline:
+                    return await self._async_at_target(job, slot, deadline, receive)
+                with self._deadlines.until(deadline):
+                    return await self._async_at_target(job, slot, deadline, receive)
+            finally:
+                self._count_work(job, now)
+
+    async def _async_at_target(
+        self, job: TargetJob, slot: Slot, deadline: float, receive: Receive[ReceivedT]
+    ) -> ReceivedT:
+        """Send the job and receive its answer, unless the target is lost."""
+        service = job.incoming.service.name
+        wait = self._losses.begin(service, job.target.id)
+        try:
+            with wait:
+                left = deadline - monotonic_now()
+                return await self._async_send(job, slot, left, receive)
+        finally:
+            self._losses.end(service, job.target.id, wait)
+
+    @callback
+    def _count_work(self, job: TargetJob, started_at: float) -> None:
+        """Tell placement how long a request kept a slot busy."""
+        if job.route is None:
+            return
+        now = monotonic_now()
+        self._record_work(job.route, job.incoming.key, now - started_at, now)
 
     async def _async_send(
         self, job: TargetJob, slot: Slot, left: float, receive: Receive[ReceivedT]
--- a/swiftpin/ownership/group_listener.py
+++ b/swiftpin/ownership/group_listener.py
@@ -16,5 +16,8 @@
     async def async_group_releasing(self, group: GroupId) -> None:
         """Finish, before a planned hand-over, what must not be cut off."""
 
+    def target_lost(self, group: GroupId, target: str) -> None:
+        """Give up what runs at a target whose slices are about to move."""
+
     def group_lost(self, group: GroupId) -> None:
         """Stop working for a group that another instance may hold now."""
--- a/swiftpin/ownership/slice_moves.py
+++ b/swiftpin/ownership/slice_moves.py
@@ -66,6 +66,8 @@
             return
         record = self._with_moves(moves, f"lost {','.join(sorted(lost))}")
         self._lease.decide("move_on_loss", record.reason, slices=len(moves))
+        for target in sorted(lost):
+            self._env.listener.target_lost(self._lease.id, target)
         if await self._lease.async_write(record) or self._lease.adopt_unsaved(record):
             self._grants.note_free({move.slice_id for move in moves})
 
--- a/tests/gateway/fake_ownership.py
+++ b/tests/gateway/fake_ownership.py
@@ -31,6 +31,9 @@
         """Return a time a little ahead while the lease is held."""
         return now + 1.0 if self.holding else None
 
+    def record_work(self, route: Route, key: str, busy: float, now: float) -> None:
+        """Ignore the work."""
+
     def held_groups(self) -> list[GroupHeartbeat]:
         """Return one group while the lease is held."""
         if not self.holding or not self.routes:
--- a/tests/ownership/world.py
+++ b/tests/ownership/world.py
@@ -83,6 +83,9 @@
     async def async_group_releasing(self, group: GroupId) -> None:
         """Have nothing to finish."""
 
+    def target_lost(self, group: GroupId, target: str) -> None:
+        """Ignore it."""
+
     def group_lost(self, group: GroupId) -> None:
         """Ignore it."""
 
