Count changes of news that did not reach all

Cause: an instance that did not know a change within the limit was counted at 19.999 s, just within it. Change: such instances are kept apart.

--- a/swiftpin/bench/news/news_run.py
+++ b/swiftpin/bench/news/news_run.py
@@ -105,8 +105,11 @@
             size=self._size,
         )
 
-    async def _async_change(self, kind: str, number: int) -> list[float]:
-        """Change one object and return when each instance knew it."""
+    async def _async_change(self, kind: str, number: int) -> list[float | None]:
+        """Change one object and return how long it took to each instance.
+
+        None stands for an instance that did not know it within the limit.
+        """
         name = _name(kind)
         body = _body(kind, number)
         writer = self._random.choice(self._fleet.instances)
@@ -123,14 +126,14 @@
                 CachedObject(name=name, stamp=stamp, body=body, version=version)
             )
         known_at = await asyncio.gather(*waits)
-        return [at - started for at in known_at]
+        return [None if at is None else at - started for at in known_at]
 
     async def _async_known(
         self, instance: BenchInstance, name: str, body: bytes
-    ) -> float:
-        """Return when the instance knew the body, or the end of the limit."""
+    ) -> float | None:
+        """Return when the instance knew the body, None when not within the limit."""
         known = asyncio.Event()
-        known_at = time.monotonic() + _REACH_LIMIT
+        known_at: float | None = None
 
         def check(obj: CachedObject) -> None:
             """Note the time at which the body was adopted."""
@@ -143,7 +146,7 @@
         try:
             await asyncio.wait_for(known.wait(), _REACH_LIMIT)
         except TimeoutError:
-            return known_at
+            return None
         finally:
             unsubscribe()
         return known_at
--- a/swiftpin/bench/news/spread_result.py
+++ b/swiftpin/bench/news/spread_result.py
@@ -37,7 +37,7 @@
         *,
         kind: str,
         body_bytes: int,
-        times: list[list[float]],
+        times: list[list[float | None]],
         limit: float,
         counts: tuple[UsageCount, UsageCount],
         rest: RestResult,
@@ -45,8 +45,10 @@
     ) -> SpreadResult:
         """Return the result of several changes.
 
-        `times` has, for each change, how long it took to each instance.
+        `times` has, for each change, how long it took to each instance, None where
+        it was not known within the limit.
         """
+        limited = [[limit if t is None else t for t in item] for item in times]
         first, last = counts
         changes = len(times)
         seconds = last.at - first.at
@@ -57,10 +59,10 @@
             kind=kind,
             body_bytes=body_bytes,
             changes=changes,
-            missed=sum(max(item) >= limit for item in times),
-            reached_90_median=median(sorted(i)[int(0.9 * len(i))] for i in times),
-            reached_all_median=median(max(item) for item in times),
-            reached_all_max=max(max(item) for item in times),
+            missed=sum(None in item for item in times),
+            reached_90_median=median(sorted(i)[int(0.9 * len(i))] for i in limited),
+            reached_all_median=median(max(item) for item in limited),
+            reached_all_max=max(max(item) for item in limited),
             wire_bytes_per_change=(wire - seconds * rest.wire_bytes_per_second)
             / changes,
             cpu_per_change=(cpu - seconds * rest.cpu_share * size) / changes,
