Renew at once what a new holder found at the targets

Cause: after a takeover the first renewal came one grant interval (0.3 s) after the fence; what the targets had reported lapsed in between, was noticed as a mismatch, fenced again and granted anew 0.6 s later (seen in the log of a frozen holder: took_over at 43.465, grants at 44.2). Change: a link renews right after its fence and when the holder becomes confirmed; a mismatch is settled after a quarter interval. Ruled out: the store (5 ms a write there), the succession itself (took_over came in time).

--- a/swiftpin/ownership/group_holder.py
+++ b/swiftpin/ownership/group_holder.py
@@ -53,6 +53,7 @@
         self._started_at = monotonic_now()
         self._balance = SliceBalance(env, self._lease, self._moves, self._started_at)
         self._releasing = False
+        self._was_confirmed = False
         self._wake = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
 
@@ -158,7 +159,7 @@
         self._lease.note_disabled(now)
         if self._releasing:
             return
-        if not self._may_grant(now):
+        if not self._note_confirmed(now):
             await self._async_meet_targets(now)
             return
         self._grants.adopt_reports()
@@ -173,6 +174,15 @@
         if moved or changed:
             self.wake()
 
+    @callback
+    def _note_confirmed(self, now: float) -> bool:
+        """Return whether grants may be given; renew at once when that begins."""
+        confirmed = self._may_grant(now)
+        if confirmed and not self._was_confirmed:
+            self._links.nudge()
+        self._was_confirmed = confirmed
+        return confirmed
+
     async def _async_meet_targets(self, now: float) -> None:
         """Name the starts of targets when too few of them are named to confirm us."""
         waited = now - self._started_at
--- a/swiftpin/ownership/target_link.py
+++ b/swiftpin/ownership/target_link.py
@@ -148,7 +148,8 @@
             self._judge(answered, monotonic_now())
             if nudged and answered:
                 self._on_change()
-            share = 1.0 if answered else RETRY_SHARE
+            settled = answered and self.state is not TargetState.NEW
+            share = 1.0 if settled else RETRY_SHARE
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(
                     self._nudged.wait(), self._timing.grant_interval * share
@@ -198,6 +199,9 @@
         if self.state is not TargetState.LIVE:
             self.state = TargetState.LIVE
             self._on_change()
+            # What the target reported may end any moment, since nobody has renewed it
+            # after the last holder; waiting for the interval would let it lapse.
+            self.nudge()
         return True
 
     async def _async_status(self) -> bool:
