--- a/swiftpin/bench/experiments/slope_point.py
+++ b/swiftpin/bench/experiments/slope_point.py
@@ -11,11 +11,13 @@
 
     Means over the gateways: `cpu_percent` of one core, `resident_mb` in MB,
     `sent_bytes` a second written to sockets, HTTP and gRPC framing included.
-    `store_calls` are the whole cluster's calls a second.
+    `store_calls` are the whole cluster's calls a second. `groups_per_gateway` is how
+    many leases a gateway holds on average.
     """
 
     gateways: int
     targets: int
+    groups_per_gateway: float
     cpu_percent: float
     cpu_percent_max: float
     resident_mb: float
--- a/swiftpin/bench/experiments/slopes.py
+++ b/swiftpin/bench/experiments/slopes.py
@@ -89,6 +89,7 @@
     return SlopePoint(
         gateways=len(windows),
         targets=len(cluster.layout.targets_by_id),
+        groups_per_gateway=cluster.spec.services[0].groups / len(windows),
         cpu_percent=mean(cpu),
         cpu_percent_max=max(cpu),
         resident_mb=mean(resident),
--- a/swiftpin/bench/experiments/slopes_result.py
+++ b/swiftpin/bench/experiments/slopes_result.py
@@ -11,11 +11,12 @@
 VALUES: Final = ("cpu_percent", "resident_mb", "sent_bytes", "store_calls")
 X_GATEWAYS: Final = "gateways"
 X_TARGETS: Final = "targets"
+X_GROUPS: Final = "groups_per_gateway"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class SlopesResult:
-    """The points, and lines over gateways and over targets, the other one fixed.
+    """The points; lines over gateways and over targets, the other one fixed.
 
     Targets are divided into groups of `targets_per_group`.
     """
@@ -29,7 +30,11 @@
 def fit_points(
     points: list[SlopePoint], base_gateways: int, base_targets: int
 ) -> list[LinearFit]:
-    """Return the lines through the points at the base of the other number."""
+    """Return lines through the points at the base of the other number.
+
+    Lines over the leases that a gateway holds go through all points: what an
+    instance costs at rest follows them more than the sizes by themselves.
+    """
     fits = []
     for x, fixed, base in (
         (X_GATEWAYS, X_TARGETS, base_targets),
@@ -37,6 +42,7 @@
     ):
         chosen = [point for point in points if getattr(point, fixed) == base]
         fits += [_fit(chosen, x, value) for value in VALUES]
+    fits += [_fit(points, X_GROUPS, value) for value in VALUES]
     return [fit for fit in fits if fit is not None]
 
 
--- a/swiftpin/bench/report/slopes_section.py
+++ b/swiftpin/bench/report/slopes_section.py
@@ -30,6 +30,7 @@
         titles=(
             "gateways",
             "targets",
+            "groups a gateway",
             "CPU %",
             "CPU % max",
             "MB",
@@ -58,6 +59,7 @@
     return (
         point.gateways,
         point.targets,
+        point.groups_per_gateway,
         point.cpu_percent,
         point.cpu_percent_max,
         point.resident_mb,
--- a/tests/bench/slope_points.py
+++ b/tests/bench/slope_points.py
@@ -10,6 +10,7 @@
     return SlopePoint(
         gateways=gateways,
         targets=targets,
+        groups_per_gateway=targets / 5 / gateways,
         cpu_percent=1.0 + 0.5 * gateways + 0.1 * targets,
         cpu_percent_max=9.0,
         resident_mb=60.0,
