--- a/swiftpin/bench/report/page.py
+++ b/swiftpin/bench/report/page.py
@@ -42,7 +42,7 @@
     return make_section
 
 
-SECTIONS_BY_EXPERIMENT: Final = {
+SECTIONS_BY_EXPERIMENT: Final[dict[str, Callable[[Any], Section]]] = {
     "failover": _section_maker(FailoverResult, failover_section),
     "passthrough": _section_maker(PassthroughResult, passthrough_section),
     "slopes": _section_maker(SlopesResult, slopes_section),
