--- a/swiftpin/bench/report/page.py
+++ b/swiftpin/bench/report/page.py
@@ -56,14 +56,21 @@
 
 def render_report(report: ExperimentReport) -> str:
     """Return the HTML of one result."""
-    make_section = SECTIONS_BY_EXPERIMENT.get(report.experiment, generic_section)
-    section = make_section(report.result)
+    section = _make_section(report)
     parts = [f"<h2>{escape(report.experiment)}</h2>", _facts_table(report).html()]
     parts += [table.html() for table in section.tables]
     parts += section.plots
     return "\n".join(parts)
 
 
+def _make_section(report: ExperimentReport) -> Section:
+    """Return the part of the page about one result."""
+    make_section = SECTIONS_BY_EXPERIMENT.get(report.experiment)
+    if make_section is None:
+        return generic_section(report.result)
+    return make_section(report.result)
+
+
 def render_page(reports: list[ExperimentReport]) -> str:
     """Return the whole page."""
     body = "\n".join(render_report(report) for report in reports)
