--- a/spec/cases.py
+++ b/spec/cases.py
@@ -17,6 +17,8 @@
 )
 from spec.fenced.weakness import Weakness
 from spec.model_case import ModelCase
+from spec.wide.model import wide_group
+from spec.wide.weakness import WideWeakness
 
 
 def all_cases() -> list[ModelCase]:
@@ -29,6 +31,10 @@
         _fenced("planned", PLANNED, "planned move, lost answers, late grants"),
         _fenced("third restarts", THIRD_RESTARTS, "M forgets its fence"),
         _fenced("owner restarts", OWNER_RESTARTS, "T forgets fence and grants"),
+        ModelCase(
+            protocol=wide_group("wide", WideWeakness()),
+            covers="five targets, takeover without the store, loss moves",
+        ),
         ModelCase(
             protocol=cooperative_group("cooperative", CooperativeWeakness()),
             covers="four instances, up to three leases, no target checks grants",
