--- a/swiftpin/ownership/group_lease.py
+++ b/swiftpin/ownership/group_lease.py
@@ -128,9 +128,10 @@
 
     @property
     def starts_changed(self) -> bool:
-        """Return whether this term names another start of some target than before.
+        """Return whether another start of some target was named of late.
 
-        The earlier start may still hold slices that nobody can ask it about.
+        The earlier start may still hold slices that nobody can ask it about, until the
+        grants of earlier holders have ended.
         """
         return self._starts_changed
 
@@ -369,7 +370,9 @@
         that named no starts nobody could be confirmed.
         """
         self._revision = self.record.revision
-        self._starts_changed = any(
+        if self.predecessors_ended(monotonic_now()):
+            self._starts_changed = False
+        self._starts_changed |= any(
             self.record.boots_by_target.get(target) != boot
             for target, boot in before.boots_by_target.items()
         )
--- a/swiftpin/ownership/group_record.py
+++ b/swiftpin/ownership/group_record.py
@@ -21,7 +21,8 @@
     holds hot keys with a slice of their own, numbered above the declared slices.
     `boots_by_target` names the start of each target that counts under this lease.
     `waits_outage` is set while a third instance that took a cooperative group over
-    waits for the outage limit.
+    waits for the outage limit. `fenced` tells what confirms the group's holders; it
+    never changes, since two holders must not go by different rules.
     """
 
     id: GroupId
@@ -36,6 +37,7 @@
     exceptions_by_key: dict[str, KeyException] = field(default_factory=dict)
     boots_by_target: dict[str, str] = field(default_factory=dict)
     waits_outage: bool = False
+    fenced: bool = False
 
     def slice_of_key(self, key: str, home: int) -> int:
         """Return the slice of a key whose hash gives the slice `home`."""
--- a/swiftpin/ownership/record_codec.py
+++ b/swiftpin/ownership/record_codec.py
@@ -34,6 +34,7 @@
             "slices": slices,
             "boots": dict(sorted(record.boots_by_target.items())),
             "waits_outage": record.waits_outage,
+            "fenced": record.fenced,
             "exceptions": [
                 [item.key, item.slice_id, item.home]
                 for _, item in sorted(record.exceptions_by_key.items())
@@ -67,6 +68,7 @@
             exceptions_by_key=exceptions_by_key,
             boots_by_target=dict(raw.get("boots", {})),
             waits_outage=bool(raw.get("waits_outage", False)),
+            fenced=bool(raw.get("fenced", False)),
         )
     except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as err:
         raise StoreError(f"not a group record: {err!r}") from err
--- a/swiftpin/ownership/slice_grants.py
+++ b/swiftpin/ownership/slice_grants.py
@@ -41,6 +41,23 @@
         """Note slices that nobody holds, because their owner was lost or revoked."""
         self._served.update(slices)
 
+    @callback
+    def is_served(self, slice_id: int) -> bool:
+        """Return whether the slice was served under the present term."""
+        return slice_id in self._served
+
+    @callback
+    def may_leave_lost(self, slice_id: int, now: float) -> bool:
+        """Return whether a slice of a lost target is certainly held by nobody.
+
+        That the target's grants ended does not show that it was the owner: an earlier
+        holder may have moved the slice without the store, to a target that we have
+        not fenced. Found by `spec/wide`.
+        """
+        if slice_id in self._served or self._lease.predecessors_ended(now):
+            return True
+        return self._nobody_reports(slice_id)
+
     @callback
     def adopt_reports(self) -> None:
         """Learn of moves that earlier holders made while the store was away."""
@@ -119,16 +136,28 @@
             return False
         if slice_id in self._served or self._lease.predecessors_ended(now):
             return True
+        return self._nobody_reports(slice_id)
+
+    @callback
+    def _nobody_reports(self, slice_id: int) -> bool:
+        """Return whether every target was asked and none holds the slice."""
         if not self._links.checks_grants or self._lease.starts_changed:
             return False
-        return self._links.all_fenced(self._lease.record.targets)
+        if not self._links.all_fenced(self._lease.record.targets):
+            return False
+        return not any(
+            slice_id in link.granted_terms_by_id
+            for link in self._links.by_target.values()
+        )
 
     async def _async_revoke_strays(self) -> set[int]:
         """Revoke what targets hold beside the record; return what they still hold."""
         left: set[int] = set()
         for target, link in self._links.by_target.items():
             strays = self._strays_of(target, link)
-            if strays:
+            if strays and link.state is TargetState.LOST:
+                left.update(strays)
+            elif strays:
                 await link.async_revoke(strays, 0.0)
                 now = monotonic_now()
                 left.update(item for item in strays if link.may_hold(item, now))
--- a/swiftpin/ownership/slice_moves.py
+++ b/swiftpin/ownership/slice_moves.py
@@ -21,7 +21,7 @@
 )
 from swiftpin.ownership.placement_inputs import placement_view
 from swiftpin.ownership.record_changes import with_merge, with_moves, with_split
-from swiftpin.ownership.rules import lapse_end
+from swiftpin.ownership.rules import MIN_FENCED_TARGETS, lapse_end
 from swiftpin.ownership.slice_grants import SliceGrants
 from swiftpin.ownership.target_state import TargetState
 
@@ -61,7 +61,13 @@
         if not lost:
             self._hurry(now)
             return
-        moves = self._plan(MoveOnLoss(), lost, now)
+        for target in lost & self._links.by_target.keys():
+            self._links.by_target[target].forget_lapsed()
+        moves = [
+            move
+            for move in self._plan(MoveOnLoss(), lost, now)
+            if self._grants.may_leave_lost(move.slice_id, now)
+        ]
         if not moves:
             return
         record = self._with_moves(moves, f"lost {','.join(sorted(lost))}")
@@ -114,6 +120,8 @@
         The home is revoked first, so that no request of the key is still running
         under it: the new slice could else move while its key is in use.
         """
+        if not self._grants.is_served(exception.home):
+            return
         if not await self._async_revoke({exception.home}):
             return
         version = self._lease.next_version(f"split hot key out of {exception.home}")
@@ -124,6 +132,8 @@
 
     async def async_merge(self, exception: KeyException) -> None:
         """Put a key that is no longer hot back into its home, at the same owner."""
+        if not self._grants.is_served(exception.slice_id):
+            return
         if not await self._async_revoke({exception.slice_id}):
             return
         version = self._lease.next_version(f"merged a key into {exception.home}")
@@ -231,6 +241,8 @@
         missing = sorted(wanted - record.targets)
         if missing:
             return record.targets | {missing[0]}
+        if record.fenced and len(record.targets) <= MIN_FENCED_TARGETS:
+            return None
         owners = {item.target for item in record.slices_by_id.values()}
         unused = sorted(record.targets - wanted - owners)
         if unused:
--- a/swiftpin/ownership/successors.py
+++ b/swiftpin/ownership/successors.py
@@ -27,16 +27,6 @@
     )
 
 
-def spread_rank(group: GroupId, name: str, names: Iterable[str]) -> int:
-    """Return how many instances come before `name` for a group that nobody holds.
-
-    The groups of a service take turns, so that each instance gets its share.
-    """
-    order = sorted(names)
-    offset = xxh3_64_intdigest(group.service) + group.group
-    return (order.index(name) - offset) % len(order)
-
-
 def roles_by_name(records: Iterable[GroupRecord]) -> dict[str, int]:
     """Return how many leases each instance holds or is to take over."""
     roles: dict[str, int] = {}
--- a/swiftpin/ownership/takeover.py
+++ b/swiftpin/ownership/takeover.py
@@ -35,9 +35,8 @@
 class Takeover:
     """Makes this instance the holder of a group, by the store or the reserved term."""
 
-    def __init__(self, env: HolderEnvironment, *, zone: str) -> None:
+    def __init__(self, env: HolderEnvironment) -> None:
         self._env = env
-        self._zone = zone
         self._acted_terms_by_group: dict[GroupId, int] = {}
         self._attempted_terms_by_group: dict[GroupId, int] = {}
 
@@ -47,12 +46,6 @@
         groups = assign_targets_to_groups(service.targets_by_id, service.groups)
         return groups.get(group.group, frozenset())
 
-    @callback
-    def is_fenced(self, record: GroupRecord) -> bool:
-        """Return whether the targets of the record's group confirm its holder."""
-        service = self._env.service_of(record.id.service)
-        return service is not None and self._is_fenced(service, record)
-
     async def async_create(
         self, service: Service, group: GroupId
     ) -> GroupHolder | None:
@@ -89,7 +82,7 @@
         fresh = await self._async_fresh_term(record, writer)
         if fresh is None:
             return None
-        predecessor = self._predecessor(service, fresh, third_party=False)
+        predecessor = self._predecessor(fresh, third_party=False)
         return self._holder(service, fresh, writer.version, predecessor, sent_at)
 
     @callback
@@ -152,7 +145,6 @@
             self._env.publish(current)
             return None
         writer = RecordWriter(self._env.store, known.id, stored.version)
-        fenced = self._is_fenced(service, known)
         record = with_lease(
             replace(current, term=max(current.term, known.term)),
             holder=self._env.instance_id,
@@ -160,15 +152,13 @@
             writer=new_writer(self._env.instance_id),
             reason=f"{known.holder} is silent",
         )
-        if not fenced:
+        if not known.fenced:
             self._attempted_terms_by_group[known.id] = known.term
             record = replace(record, waits_outage=third_party or record.waits_outage)
         match await writer.async_write(record):
             case WriteDone():
                 self._assigned(record, "took over")
-                predecessor = self._predecessor(
-                    service, record, third_party=third_party
-                )
+                predecessor = self._predecessor(record, third_party=third_party)
                 return self._holder(
                     service, record, writer.version, predecessor, sent_at
                 )
@@ -184,7 +174,7 @@
     ) -> GroupHolder | None:
         """Take over without the store, as the successor of a recent holder."""
         now = monotonic_now()
-        if not self._is_fenced(service, known) or known.term % 2:
+        if not known.fenced or known.term % 2:
             return None
         if not may_use_reserved_term(last_heard, self._env.timing, now):
             return None
@@ -198,7 +188,7 @@
             reason=f"{known.holder} is silent and the store is away",
         )
         self._decide(record, "took over without the store")
-        predecessor = self._predecessor(service, record, third_party=False)
+        predecessor = self._predecessor(record, third_party=False)
         return self._holder(
             service, record, None, predecessor, now, base_writer=known.writer
         )
@@ -218,18 +208,17 @@
             writer=new_writer(self._env.instance_id),
             reason="created",
             targets=targets,
+            fenced=is_fenced_group(len(targets), checks_grants=service.checks_grants),
             slices_by_id=initial_assignment(
                 group, service.slices, service.groups, targets_by_id
             ),
         )
 
     @callback
-    def _predecessor(
-        self, service: Service, record: GroupRecord, *, third_party: bool
-    ) -> Predecessor:
+    def _predecessor(self, record: GroupRecord, *, third_party: bool) -> Predecessor:
         """Return what must be waited out before unreported slices are served."""
         timing = self._env.timing
-        if self._is_fenced(service, record):
+        if record.fenced:
             return Predecessor(disabled_at=math.inf, patience=timing.holder_limit)
         waits_outage = third_party or record.waits_outage
         patience = timing.outage_limit if waits_outage else timing.holder_limit
@@ -251,18 +240,13 @@
             record=record,
             version=version,
             base_writer=base_writer,
-            fenced_group=self._is_fenced(service, record),
+            fenced_group=record.fenced,
             checks_grants=service.checks_grants,
             predecessor=predecessor,
             store_read_at=store_read_at,
         )
         return GroupHolder(self._env, start)
 
-    @callback
-    def _is_fenced(self, service: Service, record: GroupRecord) -> bool:
-        """Return whether the group's targets confirm its holder."""
-        return is_fenced_group(len(record.targets), checks_grants=service.checks_grants)
-
     @callback
     def _assigned(self, record: GroupRecord, event: str) -> None:
         """Report a lease that the store acknowledged."""
--- a/swiftpin/ownership/target_link.py
+++ b/swiftpin/ownership/target_link.py
@@ -124,6 +124,15 @@
         unsettled_until = self._unsettled_until_by_slice.get(slice_id, -math.inf)
         return not lapsed(unsettled_until, self._timing, now)
 
+    @callback
+    def forget_lapsed(self) -> None:
+        """Note that every grant on the target has ended.
+
+        Only the holder knows: what a silent target reported may have been extended by
+        a later holder, as long as no majority acknowledged after the limit.
+        """
+        self.granted_terms_by_id = {}
+
     async def async_grant(self, terms_by_id: Mapping[int, int]) -> bool:
         """Grant slices; return whether the target acknowledged them."""
         if not terms_by_id:
@@ -353,7 +362,6 @@
         elif answered and before is TargetState.SUSPECT:
             self.state = TargetState.LIVE
         if self.state is TargetState.SUSPECT and lapsed(self.limit, self._timing, now):
-            self.granted_terms_by_id = {}
             self.renewed_terms_by_id = {}
             self.state = TargetState.LOST
         if self.state is not before:
--- a/swiftpin/ownership/unchecked_link.py
+++ b/swiftpin/ownership/unchecked_link.py
@@ -86,6 +86,11 @@
         """Return whether requests for the slice are routed to the target."""
         return slice_id in self.granted_terms_by_id
 
+    @callback
+    def forget_lapsed(self) -> None:
+        """Route nothing to the target any more."""
+        self.granted_terms_by_id.clear()
+
     async def async_grant(self, terms_by_id: Mapping[int, int]) -> bool:
         """Route these slices to the target from now on."""
         if not self._may_grant(monotonic_now()):
--- a/tests/ownership/world.py
+++ b/tests/ownership/world.py
@@ -30,6 +30,7 @@
 from swiftpin.standins.target_options import TargetOptions
 from swiftpin.standins.target_standin import TargetStandin
 from swiftpin.store.client import StoreClient
+from swiftpin.trace.owned_event import OwnedEvent
 from swiftpin.trace.release_reason import ReleaseReason
 from swiftpin.trace.released_event import ReleasedEvent
 from swiftpin.trace.trace_event import TraceEvent
@@ -327,6 +328,16 @@
             )
         )
 
+    def holds(self, targets: set[str], slices: set[int]) -> bool:
+        """Return whether the targets reported to hold all the slices by now."""
+        held = {
+            item.slice_id
+            for event in self.trace
+            if isinstance(event, OwnedEvent) and event.target in targets
+            for item in event.slices
+        }
+        return slices <= held
+
     def overlaps(self) -> list[str]:
         """Return the slices that two targets held at one time."""
         return overlaps(self.trace, self.killed_at_by_target)
