Secure the edges of an instance by certificates and a token

Cause: requests, control messages and writes to the store went in clear, and whoever reached the forward or peer port was taken for an instance. Change: settings name PEM files for callers, peers (mutual), store and targets, and a token for the store; they are read again when they change, a broken file keeps the one before. Errors name flag and file in words of our own. An error of the store client no longer repeats the request's headers. Conclusion: without the new settings nothing changes.

--- a/swiftpin/cli/__main__.py
+++ b/swiftpin/cli/__main__.py
@@ -44,6 +44,10 @@
             author=args.author,
             store_url=args.store_url,
             instances_url=args.instances_url,
+            store_tls_ca=args.store_tls_ca,
+            store_tls_cert=args.store_tls_cert,
+            store_tls_key=args.store_tls_key,
+            store_token_file=args.store_token_file,
         )
         try:
             status: ExitStatus = await args.run(args, context)
--- a/swiftpin/cli/context.py
+++ b/swiftpin/cli/context.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from functools import cached_property
+from pathlib import Path
 from typing import Final, TextIO
 
 from aiohttp import ClientSession
@@ -11,6 +12,7 @@
 from swiftpin.cli.instances_client import InstancesClient
 from swiftpin.cli.usage_error import UsageError
 from swiftpin.config.repository import ConfigRepository
+from swiftpin.security.store_files import check_store_files, load_store_access
 from swiftpin.store.client import StoreClient
 
 STORE_TIMEOUT: Final = 3.0
@@ -22,7 +24,8 @@
     """Session, addresses and streams of one run.
 
     `author` names the operator in what is written. Clients are made when they are
-    asked for, since some commands need none; an absent address raises `UsageError`.
+    asked for, since some commands need none; an absent address raises `UsageError`,
+    a wrong file of certificates or the token `ConfigurationError`.
     """
 
     session: ClientSession
@@ -31,13 +34,29 @@
     author: str
     store_url: str | None = None
     instances_url: str | None = None
+    store_tls_ca: Path | None = None
+    store_tls_cert: Path | None = None
+    store_tls_key: Path | None = None
+    store_token_file: Path | None = None
 
     @cached_property
     def store(self) -> StoreClient:
         """Return the client of the store."""
         if not self.store_url:
             raise UsageError("--store-url or SWIFTPIN_STORE_URL is needed")
-        return StoreClient(self.session, self.store_url, timeout=STORE_TIMEOUT)
+        ca, cert, key = self.store_tls_ca, self.store_tls_cert, self.store_tls_key
+        try:
+            check_store_files(self.store_url, ca=ca, cert=cert, key=key)
+        except ValueError as err:
+            raise UsageError(str(err)) from err
+        return StoreClient(
+            self.session,
+            self.store_url,
+            timeout=STORE_TIMEOUT,
+            access=load_store_access(
+                ca=ca, cert=cert, key=key, token=self.store_token_file
+            ),
+        )
 
     @cached_property
     def repository(self) -> ConfigRepository:
--- a/swiftpin/cli/parser.py
+++ b/swiftpin/cli/parser.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 import getpass
 import os
+from pathlib import Path
 import socket
 from types import ModuleType
 from typing import Final
@@ -22,6 +23,12 @@
     status,
     stop,
 )
+from swiftpin.security.store_files import (
+    FLAG_STORE_CA,
+    FLAG_STORE_CERT,
+    FLAG_STORE_KEY,
+    FLAG_STORE_TOKEN,
+)
 
 MODULES_BY_COMMAND: Final[dict[str, ModuleType]] = {
     "apply": apply,
@@ -36,6 +43,13 @@
     "schema": schema,
 }
 
+STORE_FILES_BY_FLAG: Final = {
+    FLAG_STORE_CA: "CA of the store's certificate, needed for https://",
+    FLAG_STORE_CERT: "certificate shown to the store",
+    FLAG_STORE_KEY: "key of that certificate",
+    FLAG_STORE_TOKEN: "token sent to the store as Bearer",
+}
+
 EPILOG: Final = (
     "exit status: 0 all well, 1 degraded or not in force everywhere or differences, "
     "2 wrong use or wrong declarations, 3 lost a race, 4 store unreachable, "
@@ -58,6 +72,15 @@
         default=environment.get("SWIFTPIN_INSTANCES_URL"),
         help="instance list (environment: SWIFTPIN_INSTANCES_URL)",
     )
+    for flag, text in STORE_FILES_BY_FLAG.items():
+        variable = "SWIFTPIN_" + flag[2:].replace("-", "_").upper()
+        parser.add_argument(
+            flag,
+            metavar="FILE",
+            type=Path,
+            default=environment.get(variable),
+            help=f"{text} (environment: {variable})",
+        )
     parser.add_argument(
         "--author",
         default=environment.get("SWIFTPIN_AUTHOR") or _default_author(),
--- a/swiftpin/dispatch/http_client.py
+++ b/swiftpin/dispatch/http_client.py
@@ -20,6 +20,7 @@
 from swiftpin.dispatch.http_send_state import HttpSendState
 from swiftpin.exceptions import AnswerBrokenError, RequestError, RequestNotSentError
 from swiftpin.helpers.address import Address, parse_address
+from swiftpin.security.client_tls import ClientTls
 
 DEFAULT_CONNECT_LIMIT: Final = 1.0
 DEFAULT_CONNECTIONS: Final = 100
@@ -39,11 +40,17 @@
     """Pools of connections by address, and exchanges over them.
 
     Nothing is ever sent a second time here: that is for callers to decide, who know
-    whether a request may repeat.
+    whether a request may repeat. With `tls` every connection is secured.
     """
 
-    def __init__(self, *, connect_limit: float = DEFAULT_CONNECT_LIMIT) -> None:
+    def __init__(
+        self,
+        *,
+        connect_limit: float = DEFAULT_CONNECT_LIMIT,
+        tls: ClientTls | None = None,
+    ) -> None:
         self._connect_limit = connect_limit
+        self._tls = tls
         self._pools_by_address: dict[str, HttpPool] = {}
 
     async def async_exchange(
@@ -94,7 +101,10 @@
         pool = self._pools_by_address.get(address)
         if pool is None:
             pool = HttpPool(
-                _parse(address), limit=connections, connect_limit=self._connect_limit
+                _parse(address),
+                limit=connections,
+                connect_limit=self._connect_limit,
+                tls=self._tls,
             )
             self._pools_by_address[address] = pool
         pool.limit = connections
--- a/swiftpin/dispatch/http_pool.py
+++ b/swiftpin/dispatch/http_pool.py
@@ -11,6 +11,7 @@
 from swiftpin.dispatch.http_connection import HttpConnection
 from swiftpin.exceptions import RequestNotSentError
 from swiftpin.helpers.address import Address
+from swiftpin.security.client_tls import CLOSE_LIMIT, ClientTls
 
 IDLE_LIMIT: Final = 15.0
 """Seconds; well under the time after which servers close idle connections, since a
@@ -20,10 +21,18 @@
 class HttpPool:
     """Open connections to one address, at most `limit`; the newest is used first."""
 
-    def __init__(self, address: Address, *, limit: int, connect_limit: float) -> None:
+    def __init__(
+        self,
+        address: Address,
+        *,
+        limit: int,
+        connect_limit: float,
+        tls: ClientTls | None = None,
+    ) -> None:
         self.address = address
         self.limit = limit
         self._connect_limit = connect_limit
+        self._tls = tls
         self._idle: list[HttpConnection] = []
         self._open: set[HttpConnection] = set()
 
@@ -49,12 +58,15 @@
                 f"all {self.limit} connections to {self.address} are in use"
             )
         loop = asyncio.get_running_loop()
+        tls = self._tls
         try:
             async with asyncio.timeout(self._connect_limit):
                 _, protocol = await loop.create_connection(
                     lambda: ResponseHandler(loop),
                     self.address.host,
                     self.address.port,
+                    ssl=None if tls is None else tls.context,
+                    ssl_shutdown_timeout=None if tls is None else CLOSE_LIMIT,
                 )
         except (OSError, TimeoutError) as err:
             raise RequestNotSentError(
--- a/swiftpin/gateway/app.py
+++ b/swiftpin/gateway/app.py
@@ -7,7 +7,6 @@
 from random import Random
 from typing import Final
 
-from aiohttp import ClientSession, DummyCookieJar
 from eliot import log_message
 
 from swiftpin.config.catalog import Catalog
@@ -36,11 +35,12 @@
 from swiftpin.gateway.target_queues import TargetQueues
 from swiftpin.helpers.logging_setup import LoggingSetup
 from swiftpin.membership.cached_object import CachedObject
-from swiftpin.membership.coordinator import MembershipCoordinator
 from swiftpin.ownership.coordinator import OwnershipCoordinator
 from swiftpin.ownership.group_id import GroupId
 from swiftpin.ownership.timing import Timing
-from swiftpin.store.client import DEFAULT_CALL_TIMEOUT, StoreClient
+from swiftpin.security.edge_security import EdgeSecurity
+from swiftpin.security.secured_membership import SecuredMembership
+from swiftpin.store.client import DEFAULT_CALL_TIMEOUT
 from swiftpin.targets.client import TargetClient
 from swiftpin.trace.writer import TraceWriter
 
@@ -63,15 +63,17 @@
         self._logging = logging
         self._rng = Random(self.instance_id)
         self._trace = _open_trace(settings)
-        self._session = ClientSession(cookie_jar=DummyCookieJar())
-        self._store = self._make_store(DEFAULT_CALL_TIMEOUT)
-        self._lease_store = self._make_store(LEASE_STORE_TIMEOUT)
+        self._security = security = EdgeSecurity(settings)
+        self._store = security.make_store(self.instance_id, DEFAULT_CALL_TIMEOUT)
+        self._lease_store = security.make_store(self.instance_id, LEASE_STORE_TIMEOUT)
         self._lifecycle = Lifecycle()
         self._metrics = Metrics()
         self._catalog = Catalog()
         self._records = self._make_records()
         self._queues = TargetQueues(self._rng)
-        self._lives = TargetLives(lambda spec: TargetClient(self._session, spec))
+        self._lives = TargetLives(
+            lambda spec: TargetClient(security.target_session, spec)
+        )
         self._crashes = CrashGuard(self._records.quarantine, self._lives)
         self._groups = HeldGroups(
             self._records.journal,
@@ -96,7 +98,9 @@
             self._status,
             RouteExplainer(self._catalog, self._ownership),
         )
-        self.listeners = Listeners(settings, self._serving.handler, self._admin)
+        self.listeners = Listeners(
+            settings, self._serving.handler, self._admin, security
+        )
         self._stop = GracefulStop(
             name=settings.name,
             limit=settings.stop_limit,
@@ -123,6 +127,7 @@
         await self._ownership.async_setup()
         self._ready_task = asyncio.create_task(self._async_become_ready())
         self._housekeeping.setup()
+        self._security.setup()
         log_message(
             message_type="instance_started",
             instance=self.instance_id,
@@ -145,22 +150,13 @@
         await self._serving.async_unload()
         await self._groups.async_unload()
         await self._membership.async_unload()
-        await self._session.close()
+        await self._security.async_unload()
         if self._trace is not None:
             self._trace.close()
         log_message(message_type="instance_stopped", instance=self.instance_id)
 
     # Making of the parts
 
-    def _make_store(self, timeout: float) -> StoreClient:
-        """Return a client of the store with a time limit in seconds."""
-        return StoreClient(
-            self._session,
-            self.settings.store_url,
-            timeout=timeout,
-            instance_id=self.instance_id,
-        )
-
     def _make_records(self) -> RecordFactory:
         """Return what makes journals and quarantines."""
         return RecordFactory(
@@ -184,17 +180,19 @@
             log_writer=self._logging.writer,
         )
 
-    def _make_membership(self) -> MembershipCoordinator:
+    def _make_membership(self) -> SecuredMembership:
         """Return what knows of the store and of other instances."""
-        return MembershipCoordinator(
+        membership = SecuredMembership(
             instance_id=self.instance_id,
             zone=self.settings.zone,
             store=self._store,
-            session=self._session,
+            session=self._security.session,
             instances_url=self.settings.instances_url,
             peer_listen=str(self.settings.peer_listen),
             seed=self._rng.getrandbits(32),
         )
+        membership.secure(self._security.peer_client, self._security.peers)
+        return membership
 
     def _make_ownership(self) -> OwnershipCoordinator:
         """Return what holds groups, and let it answer other instances."""
@@ -203,7 +201,7 @@
             instance_id=self.instance_id,
             zone=settings.zone,
             store=self._lease_store,
-            session=self._session,
+            session=self._security.target_session,
             cache=self._membership.cache,
             publish=self._membership.publish,
             catalog=self._catalog,
@@ -236,6 +234,8 @@
             trace=ResultTrace(self.instance_id, self._trace),
             rng=self._rng,
             request_limit=self.settings.request_limit,
+            target_tls=self._security.target_client,
+            peer_tls=self._security.peer_client,
         )
         self._lives.on_start = self._queues.start_ramp
         self._lives.on_probe = serving.balanced_dispatcher.record_probe
--- a/swiftpin/gateway/arguments.py
+++ b/swiftpin/gateway/arguments.py
@@ -49,6 +49,7 @@
     _add_platform(parser)
     _add_logging(parser)
     _add_limits(parser)
+    _add_security(parser)
     return parser
 
 
@@ -74,7 +75,7 @@
 def _add_platform(parser: ArgumentParser) -> None:
     """Add where the platform's services are."""
     group = parser.add_argument_group("platform (all needed)")
-    group.add_argument("--store-url", metavar="URL", help="object store, http://H:P")
+    group.add_argument("--store-url", metavar="URL", help="object store, http[s]://H:P")
     group.add_argument(
         "--instances-url", metavar="URL", help="instance list, http://H:P"
     )
@@ -114,3 +115,25 @@
         metavar="COUNT",
         help=f"requests served at once ({DEFAULT_REQUEST_LIMIT})",
     )
+
+
+def _add_security(parser: ArgumentParser) -> None:
+    """Add files of certificates, keys and the token."""
+    group = parser.add_argument_group(
+        "security (PEM files, read again when they change; none: no TLS)"
+    )
+    for flag, text in (
+        ("--listen-tls-cert", "shown to callers"),
+        ("--listen-tls-key", "key of --listen-tls-cert"),
+        ("--peer-tls-cert", "shown to other instances, as client and as server"),
+        ("--peer-tls-key", "key of --peer-tls-cert"),
+        ("--peer-tls-ca", "CA that other instances' certificates must be of"),
+        ("--store-tls-ca", "CA of the object store's certificate"),
+        ("--store-tls-cert", "shown to the object store"),
+        ("--store-tls-key", "key of --store-tls-cert"),
+        ("--store-token-file", "token sent to the object store as Bearer"),
+        ("--targets-tls-ca", "CA of targets' certificates; turns TLS to them on"),
+        ("--targets-tls-cert", "shown to targets"),
+        ("--targets-tls-key", "key of --targets-tls-cert"),
+    ):
+        group.add_argument(flag, metavar="FILE", help=text)
--- a/swiftpin/gateway/http_listener.py
+++ b/swiftpin/gateway/http_listener.py
@@ -27,6 +27,8 @@
 )
 from swiftpin.gateway.error_answer import error_body, error_headers
 from swiftpin.helpers.address import Address
+from swiftpin.security.client_tls import CLOSE_LIMIT
+from swiftpin.security.server_tls import HANDSHAKE_LIMIT, ServerTls
 
 HttpHandler = Callable[[BaseRequest], Awaitable[StreamResponse]]
 
@@ -76,8 +78,14 @@
     """A listening socket and the connections that came through it."""
 
     def __init__(
-        self, handler: HttpHandler, *, max_line: int, max_headers: int
+        self,
+        handler: HttpHandler,
+        *,
+        max_line: int,
+        max_headers: int,
+        tls: ServerTls | None = None,
     ) -> None:
+        self._tls = tls
         self._server = GatewayServer(
             handler,
             handler_cancellation=True,
@@ -97,8 +105,15 @@
         Raises `OSError` when the address cannot be used.
         """
         loop = asyncio.get_running_loop()
+        tls = self._tls
         server = await loop.create_server(
-            self._server, address.host, address.port, backlog=BACKLOG
+            self._server,
+            address.host,
+            address.port,
+            backlog=BACKLOG,
+            ssl=None if tls is None else tls.listen_context,
+            ssl_handshake_timeout=None if tls is None else HANDSHAKE_LIMIT,
+            ssl_shutdown_timeout=None if tls is None else CLOSE_LIMIT,
         )
         self._socket_server = server
         port = server.sockets[0].getsockname()[1]
--- a/swiftpin/gateway/listeners.py
+++ b/swiftpin/gateway/listeners.py
@@ -18,6 +18,7 @@
 from swiftpin.gateway.request_handler import RequestHandler
 from swiftpin.gateway.settings import Settings
 from swiftpin.helpers.address import Address
+from swiftpin.security.edge_security import EdgeSecurity
 
 FLAG_CALLERS: Final = "--listen"
 FLAG_FORWARD: Final = "--forward-listen"
@@ -31,7 +32,11 @@
     """
 
     def __init__(
-        self, settings: Settings, handler: RequestHandler, admin: AdminServer
+        self,
+        settings: Settings,
+        handler: RequestHandler,
+        admin: AdminServer,
+        security: EdgeSecurity,
     ) -> None:
         self.callers = settings.listen
         self.forwards = settings.forward_listen
@@ -39,12 +44,16 @@
         self._settings = settings
         self._admin = admin
         self._callers = HttpListener(
-            handler.async_handle_caller, max_line=MAX_LINE, max_headers=MAX_HEADERS
+            handler.async_handle_caller,
+            max_line=MAX_LINE,
+            max_headers=MAX_HEADERS,
+            tls=security.callers,
         )
         self._forwards = HttpListener(
             handler.async_handle_forwarded,
             max_line=FORWARD_LINE,
             max_headers=FORWARD_HEADERS,
+            tls=security.forwards,
         )
 
     async def async_setup(self) -> None:
--- a/swiftpin/gateway/request_serving.py
+++ b/swiftpin/gateway/request_serving.py
@@ -26,6 +26,7 @@
 from swiftpin.gateway.target_dispatcher import TargetDispatcher
 from swiftpin.gateway.target_queues import TargetQueues
 from swiftpin.gateway.target_runner import TargetRunner
+from swiftpin.security.client_tls import ClientTls
 
 
 class RequestServing:
@@ -45,8 +46,11 @@
         trace: ResultTrace,
         rng: Random,
         request_limit: int,
+        target_tls: ClientTls | None = None,
+        peer_tls: ClientTls | None = None,
     ) -> None:
-        self.client = HttpClient()
+        self.client = HttpClient(tls=target_tls)
+        self._peer_client = HttpClient(tls=peer_tls)
         self._deadlines = DeadlineWatch()
         runner = TargetRunner(
             queues,
@@ -65,7 +69,7 @@
             dispatcher,
             self._once_dispatcher,
             self.balanced_dispatcher,
-            Forwarder(self.client),
+            Forwarder(self._peer_client),
             RetryPolicy(rng),
             metrics,
         )
@@ -91,8 +95,10 @@
         self._queues.unload()
         await self._once_dispatcher.async_unload()
         self.client.unload()
+        self._peer_client.unload()
 
     @callback
     def close_idle(self, now: float) -> None:
         """Close connections that nobody uses."""
         self.client.close_idle(now)
+        self._peer_client.close_idle(now)
--- a/swiftpin/gateway/settings.py
+++ b/swiftpin/gateway/settings.py
@@ -26,7 +26,8 @@
     `listen` takes callers, `forward_listen` requests from other instances,
     `peer_listen` their control messages, `admin_listen` metrics and health.
     `log_sample` is the share of successful requests that are logged, 0 to 1.
-    `request_limit` bounds the requests served at once.
+    `request_limit` bounds the requests served at once. Files of certificates, keys
+    and the token are None where that border has none.
     """
 
     name: str
@@ -47,3 +48,15 @@
     outage_limit: float = DEFAULT_OUTAGE_LIMIT
     stop_limit: float = DEFAULT_STOP_LIMIT
     request_limit: int = DEFAULT_REQUEST_LIMIT
+    listen_tls_cert: Path | None = None
+    listen_tls_key: Path | None = None
+    peer_tls_cert: Path | None = None
+    peer_tls_key: Path | None = None
+    peer_tls_ca: Path | None = None
+    store_tls_ca: Path | None = None
+    store_tls_cert: Path | None = None
+    store_tls_key: Path | None = None
+    store_token_file: Path | None = None
+    targets_tls_ca: Path | None = None
+    targets_tls_cert: Path | None = None
+    targets_tls_key: Path | None = None
--- a/swiftpin/gateway/settings_model.py
+++ b/swiftpin/gateway/settings_model.py
@@ -27,6 +27,8 @@
     Settings,
 )
 from swiftpin.helpers.address import Address, parse_address
+from swiftpin.security.file_rules import check_needs_ca, check_together
+from swiftpin.security.store_files import check_store_files
 
 Name = Annotated[
     str, StringConstraints(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$", max_length=64)
@@ -34,6 +36,7 @@
 """The instance id is `<name>/<incarnation>`, so a name holds no slash or space."""
 
 Url = Annotated[str, StringConstraints(pattern=r"^http://[^\s/?#]+/?$")]
+StoreUrl = Annotated[str, StringConstraints(pattern=r"^https?://[^\s/?#]+/?$")]
 ListenAddress = Annotated[Address, BeforeValidator(parse_address)]
 Seconds = Annotated[float, Field(gt=0, le=86_400, allow_inf_nan=False)]
 
@@ -49,7 +52,7 @@
     peer_listen: ListenAddress
     forward_listen: ListenAddress
     admin_listen: ListenAddress
-    store_url: Url
+    store_url: StoreUrl
     instances_url: Url
     log_level: LogLevel = LogLevel.INFO
     log_sample: Annotated[float, Field(ge=0, le=1)] = DEFAULT_LOG_SAMPLE
@@ -61,6 +64,18 @@
     outage_limit: Seconds = DEFAULT_OUTAGE_LIMIT
     stop_limit: Seconds = DEFAULT_STOP_LIMIT
     request_limit: Annotated[int, Field(ge=1, le=1_000_000)] = DEFAULT_REQUEST_LIMIT
+    listen_tls_cert: Path | None = None
+    listen_tls_key: Path | None = None
+    peer_tls_cert: Path | None = None
+    peer_tls_key: Path | None = None
+    peer_tls_ca: Path | None = None
+    store_tls_ca: Path | None = None
+    store_tls_cert: Path | None = None
+    store_tls_key: Path | None = None
+    store_token_file: Path | None = None
+    targets_tls_ca: Path | None = None
+    targets_tls_cert: Path | None = None
+    targets_tls_key: Path | None = None
 
     @model_validator(mode="after")
     def _check_intervals(self) -> Self:
@@ -71,6 +86,29 @@
             raise ValueError("--grant-interval must be below --grant-ttl")
         return self
 
+    @model_validator(mode="after")
+    def _check_files(self) -> Self:
+        """Refuse files of which one is of no use without another."""
+        check_together(
+            ("--listen-tls-cert", self.listen_tls_cert),
+            ("--listen-tls-key", self.listen_tls_key),
+        )
+        check_together(
+            ("--peer-tls-cert", self.peer_tls_cert),
+            ("--peer-tls-key", self.peer_tls_key),
+            ("--peer-tls-ca", self.peer_tls_ca),
+        )
+        targets_cert = ("--targets-tls-cert", self.targets_tls_cert)
+        check_together(targets_cert, ("--targets-tls-key", self.targets_tls_key))
+        check_needs_ca(targets_cert, ("--targets-tls-ca", self.targets_tls_ca))
+        check_store_files(
+            self.store_url,
+            ca=self.store_tls_ca,
+            cert=self.store_tls_cert,
+            key=self.store_tls_key,
+        )
+        return self
+
     def to_settings(self) -> Settings:
         """Return the settings as the rest of swiftpin sees them."""
         return Settings(**dict(self))
--- a/swiftpin/membership/peer_channel.py
+++ b/swiftpin/membership/peer_channel.py
@@ -9,6 +9,7 @@
 
 from swiftpin.core import callback
 from swiftpin.membership.proto import peer_grpc
+from swiftpin.security.client_tls import ClientTls
 
 
 class PeerChannel:
@@ -17,10 +18,11 @@
     Times are monotonic seconds.
     """
 
-    def __init__(self, address: str, now: float) -> None:
+    def __init__(self, address: str, now: float, tls: ClientTls | None = None) -> None:
         host, _, port = address.rpartition(":")
         self.address = address
-        self.stub = peer_grpc.PeerStub(Channel(host, int(port)))
+        ssl = None if tls is None else tls.context
+        self.stub = peer_grpc.PeerStub(Channel(host, int(port), ssl=ssl))
         self.calls = 0
         self.used_at = now
         self.answered_at = now
--- a/swiftpin/membership/peer_clients.py
+++ b/swiftpin/membership/peer_clients.py
@@ -36,6 +36,7 @@
     encode_stamp,
 )
 from swiftpin.ownership.group_id import GroupId
+from swiftpin.security.client_tls import ClientTls
 
 DEFAULT_CALL_TIMEOUT: Final = 0.5
 MAX_CHANNELS: Final = 32
@@ -57,7 +58,7 @@
     An instance is addressed by its id, or by its bare name where any incarnation
     will do. Every call raises `PeerError` when no answer came, after which it may
     or may not have been handled, and `PeerRestartedError` when the incarnation
-    addressed is gone.
+    addressed is gone. `tls` may be set before the first call.
     """
 
     def __init__(
@@ -74,6 +75,7 @@
         self._counters = counters
         self._timeout = timeout
         self._clock = clock
+        self.tls: ClientTls | None = None
         self._channels_by_name: dict[str, PeerChannel] = {}
 
     async def async_heartbeat(
@@ -187,7 +189,7 @@
             return channel
         if channel is not None:
             channel.close()
-        channel = PeerChannel(info.peer, self._clock())
+        channel = PeerChannel(info.peer, self._clock(), self.tls)
         self._channels_by_name[name] = channel
         self._close_unused()
         return channel
--- a/swiftpin/membership/peer_server.py
+++ b/swiftpin/membership/peer_server.py
@@ -29,12 +29,17 @@
     encode_age,
     encode_item,
 )
+from swiftpin.security.server_tls import ServerTls
 
 PeerStream = Stream[Message, Message]
 
 
 class PeerServer(PeerBase):  # type: ignore[misc]  # generated code has no types
-    """Answers other instances, if they mean this incarnation of this one."""
+    """Answers other instances, if they mean this incarnation of this one.
+
+    `tls` may be set before the set-up; then only instances with a certificate of its
+    CA get in.
+    """
 
     def __init__(
         self,
@@ -52,6 +57,7 @@
         self._directory = directory
         self._counters = counters
         self._clock = clock
+        self.tls: ServerTls | None = None
         self._server: Server | None = None
         self._is_closed = False
 
@@ -63,9 +69,10 @@
     async def async_setup(self, listen: str) -> None:
         """Listen on `host:port`; raises `ConfigurationError` when that fails."""
         server = Server([self])
+        ssl = None if self.tls is None else self.tls.listen_context
         try:
             address = parse_address(listen)
-            await server.start(address.host, address.port)
+            await server.start(address.host, address.port, ssl=ssl)
         except (OSError, ValueError) as err:
             raise ConfigurationError(f"cannot listen on {listen}: {err}") from err
         self._server = server
--- /dev/null
+++ b/swiftpin/security/__init__.py
@@ -0,0 +1,1 @@
+"""Certificates and tokens at the borders of an instance."""
--- /dev/null
+++ b/swiftpin/security/client_tls.py
@@ -0,0 +1,28 @@
+"""TLS towards servers."""
+
+from __future__ import annotations
+
+from ssl import SSLContext
+from typing import Final
+
+from swiftpin.core import callback
+from swiftpin.security.reloadable import Reloadable
+from swiftpin.security.tls_context import client_context
+from swiftpin.security.tls_files import TlsFiles
+
+CLOSE_LIMIT: Final = 1.0
+"""Seconds that the other side has to confirm a close; the default of 30 would keep
+sockets of a peer that is gone."""
+
+
+class ClientTls(Reloadable[SSLContext]):
+    """Certificates for connections that are opened here."""
+
+    def __init__(self, files: TlsFiles) -> None:
+        super().__init__(files.given, lambda: client_context(files))
+
+    @property
+    @callback
+    def context(self) -> SSLContext:
+        """Return the context for the next connection."""
+        return self.value
--- /dev/null
+++ b/swiftpin/security/file_rules.py
@@ -0,0 +1,30 @@
+"""Which files settings must name together."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from swiftpin.security.named_file import NamedFile
+
+
+def named_file(flag: str, path: Path | None) -> NamedFile | None:
+    """Return the file of a flag, None when none was given."""
+    return None if path is None else NamedFile(flag=flag, path=path)
+
+
+def check_together(*files: tuple[str, Path | None]) -> None:
+    """Raise `ValueError` unless all flags have a file or none has."""
+    given = [named_file(flag, path) for flag, path in files]
+    first = next((file for file in given if file is not None), None)
+    if first is None:
+        return
+    for flag, path in files:
+        if path is None:
+            raise ValueError(f"{first}: {flag} is needed too")
+
+
+def check_needs_ca(cert: tuple[str, Path | None], ca: tuple[str, Path | None]) -> None:
+    """Raise `ValueError` for a client's certificate without a CA for the server."""
+    file = named_file(*cert)
+    if file is not None and ca[1] is None:
+        raise ValueError(f"{file}: {ca[0]} is needed too")
--- /dev/null
+++ b/swiftpin/security/reloader.py
@@ -0,0 +1,43 @@
+"""Looks for changed files while an instance runs."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from typing import Any, Final
+
+from swiftpin.core import callback
+from swiftpin.membership.background_task import BackgroundTask
+from swiftpin.security.reloadable import Reloadable
+
+RELOAD_INTERVAL: Final = 2.0
+"""Seconds between two looks at the files."""
+
+
+class Reloader:
+    """Refreshes everything that is made from files."""
+
+    def __init__(self, reloadables: Sequence[Reloadable[Any]]) -> None:
+        self._reloadables = reloadables
+        self._task = BackgroundTask("reloader")
+
+    @callback
+    def setup(self) -> None:
+        """Begin, if there is anything to look for."""
+        if self._reloadables:
+            self._task.start(self._async_run)
+
+    async def async_unload(self) -> None:
+        """End."""
+        await self._task.async_stop()
+
+    async def async_refresh(self) -> None:
+        """Look once."""
+        for reloadable in self._reloadables:
+            await reloadable.async_refresh()
+
+    async def _async_run(self) -> None:
+        """Look again and again."""
+        while True:
+            await asyncio.sleep(RELOAD_INTERVAL)
+            await self.async_refresh()
--- /dev/null
+++ b/swiftpin/security/secured_membership.py
@@ -0,0 +1,18 @@
+"""Membership whose instances know each other by certificates."""
+
+from __future__ import annotations
+
+from swiftpin.core import callback
+from swiftpin.membership.coordinator import MembershipCoordinator
+from swiftpin.security.client_tls import ClientTls
+from swiftpin.security.server_tls import ServerTls
+
+
+class SecuredMembership(MembershipCoordinator):
+    """`MembershipCoordinator` with TLS on its port and in its calls."""
+
+    @callback
+    def secure(self, client: ClientTls | None, server: ServerTls | None) -> None:
+        """Use the certificates; to be called before the set-up."""
+        self.clients.tls = client
+        self._server.tls = server
--- /dev/null
+++ b/swiftpin/security/store_access.py
@@ -0,0 +1,37 @@
+"""What a client of the store shows and demands."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from ssl import SSLContext
+from typing import Final
+
+from aiohttp.hdrs import AUTHORIZATION
+
+from swiftpin.core import callback
+from swiftpin.security.bearer_token import BearerToken
+from swiftpin.security.client_tls import ClientTls
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StoreAccess:
+    """Certificates and token for calls of the store; None where there is none."""
+
+    tls: ClientTls | None = None
+    token: BearerToken | None = None
+
+    @callback
+    def headers(self) -> dict[str, str]:
+        """Return the headers that say who calls."""
+        if self.token is None:
+            return {}
+        return {AUTHORIZATION: f"Bearer {self.token.value}"}
+
+    @callback
+    def ssl(self) -> SSLContext | bool:
+        """Return what aiohttp takes as `ssl`; True stands for its default."""
+        return True if self.tls is None else self.tls.context
+
+
+OPEN_ACCESS: Final = StoreAccess()
+"""Neither certificates nor a token."""
--- a/swiftpin/standins/http_standin.py
+++ b/swiftpin/standins/http_standin.py
@@ -5,6 +5,7 @@
 from abc import ABC, abstractmethod
 import asyncio
 import socket
+from ssl import SSLContext
 from typing import Any, Final, Generic, TypeVar
 
 from aiohttp.web import (
@@ -58,7 +59,8 @@
 
     `faults` may be changed directly; over HTTP `PUT /_standin/faults` replaces it.
     Paths under `/_standin/` are never hit by faults. A stopped stand-in may be
-    started again and keeps its port.
+    started again and keeps its port. With `ssl_context` set before the start it
+    answers by TLS only.
     """
 
     def __init__(self, faults: FaultsT, address: Address) -> None:
@@ -68,6 +70,7 @@
         self._runner: ServerRunner | None = None
         self._server: Server | None = None
         self.counters = CallCounters()
+        self.ssl_context: SSLContext | None = None
 
     @property
     def address(self) -> Address:
@@ -77,7 +80,8 @@
     @property
     def url(self) -> str:
         """Return the base URL."""
-        return f"http://{self._address}"
+        scheme = "http" if self.ssl_context is None else "https"
+        return f"{scheme}://{self._address}"
 
     @property
     def faults(self) -> FaultsT:
@@ -97,7 +101,8 @@
         runner = ServerRunner(self._server, shutdown_timeout=STOP_TIMEOUT)
         await runner.setup()
         try:
-            await SockSite(runner, sock, backlog=BACKLOG).start()
+            site = SockSite(runner, sock, backlog=BACKLOG, ssl_context=self.ssl_context)
+            await site.start()
         except OSError:
             await runner.cleanup()
             sock.close()
--- a/swiftpin/store/client.py
+++ b/swiftpin/store/client.py
@@ -12,6 +12,7 @@
     ClientOSError,
     ClientRequest,
     ClientResponse,
+    ClientResponseError,
     ClientSession,
     ClientTimeout,
     ServerDisconnectedError,
@@ -24,6 +25,7 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
+from swiftpin.security.store_access import OPEN_ACCESS, StoreAccess
 from swiftpin.store.listing import Listing
 from swiftpin.store.stored_object import StoredObject
 from swiftpin.store.watch_event import WatchEvent
@@ -52,12 +54,25 @@
     except (ServerDisconnectedError, ClientOSError) as err:
         if isinstance(err, ClientConnectorError):
             raise
-        raise StoreOutcomeUnknownError(f"the connection broke: {err!r}") from err
+        raise StoreOutcomeUnknownError(
+            f"the connection broke: {_describe(err)}"
+        ) from err
 
 
 _SEND_ONCE: Final = (_async_send_once,)
 
 
+def _describe(err: Exception) -> str:
+    """Return what to say of an error.
+
+    The library's own text of an answer that is no HTTP, or of one redirect too many,
+    repeats the request's headers, and with them the token.
+    """
+    if isinstance(err, ClientResponseError):
+        return f"{type(err).__name__}({err.status}, {err.message!r})"
+    return repr(err)
+
+
 def _version(response: ClientResponse) -> int:
     """Return the version in the `ETag` header, 0 when there is none."""
     return int(response.headers.get("ETag", '"0"').strip('"'))
@@ -78,11 +93,13 @@
         *,
         timeout: float = DEFAULT_CALL_TIMEOUT,
         instance_id: str = "",
+        access: StoreAccess = OPEN_ACCESS,
     ) -> None:
         self._session = session
         self._url = url.rstrip("/")
         self._timeout = ClientTimeout(total=timeout)
-        self._headers = {HEADER_INSTANCE: instance_id} if instance_id else {}
+        self._instance_id = instance_id
+        self._access = access
         self.calls = 0
 
     async def async_get(self, name: str) -> StoredObject | None:
@@ -91,8 +108,9 @@
         try:
             async with self._session.get(
                 f"{self._url}/v1/objects/{name}",
-                headers=self._headers,
+                headers=self._headers(),
                 timeout=self._timeout,
+                ssl=self._access.ssl(),
             ) as response:
                 if response.status == HTTPStatus.NOT_FOUND:
                     return None
@@ -100,7 +118,7 @@
                 body = await response.read()
                 return StoredObject(name=name, version=_version(response), body=body)
         except (ClientError, TimeoutError) as err:
-            raise StoreUnavailableError(f"reading {name}: {err!r}") from err
+            raise StoreUnavailableError(f"reading {name}: {_describe(err)}") from err
 
     async def async_list(self, prefix: str, *, bodies: bool = False) -> Listing:
         """Return the objects under the prefix."""
@@ -149,14 +167,15 @@
                 data=body,
                 headers=self._condition(expect),
                 timeout=self._timeout,
+                ssl=self._access.ssl(),
                 middlewares=_SEND_ONCE,
             ) as response:
                 self._raise_for_write(name, response)
                 return _version(response)
         except ClientConnectorError as err:
-            raise StoreUnavailableError(f"writing {name}: {err!r}") from err
+            raise StoreUnavailableError(f"writing {name}: {_describe(err)}") from err
         except (ClientError, TimeoutError) as err:
-            raise StoreOutcomeUnknownError(f"writing {name}: {err!r}") from err
+            raise StoreOutcomeUnknownError(f"writing {name}: {_describe(err)}") from err
 
     async def async_delete(self, name: str, *, expect: int | None = None) -> None:
         """Remove the object; an absent one is no error."""
@@ -166,15 +185,18 @@
                 f"{self._url}/v1/objects/{name}",
                 headers=self._condition(expect),
                 timeout=self._timeout,
+                ssl=self._access.ssl(),
                 middlewares=_SEND_ONCE,
             ) as response:
                 if response.status == HTTPStatus.NOT_FOUND:
                     return
                 self._raise_for_write(name, response)
         except ClientConnectorError as err:
-            raise StoreUnavailableError(f"deleting {name}: {err!r}") from err
+            raise StoreUnavailableError(f"deleting {name}: {_describe(err)}") from err
         except (ClientError, TimeoutError) as err:
-            raise StoreOutcomeUnknownError(f"deleting {name}: {err!r}") from err
+            raise StoreOutcomeUnknownError(
+                f"deleting {name}: {_describe(err)}"
+            ) from err
 
     async def _async_read_json(
         self, path: str, params: dict[str, str], timeout: ClientTimeout
@@ -185,23 +207,32 @@
             async with self._session.get(
                 f"{self._url}{path}",
                 params=params,
-                headers=self._headers,
+                headers=self._headers(),
                 timeout=timeout,
+                ssl=self._access.ssl(),
             ) as response:
                 if response.status == HTTPStatus.GONE:
                     return None
                 self._raise_for_read(response)
                 return orjson.loads(await response.read())
         except (ClientError, TimeoutError) as err:
-            raise StoreUnavailableError(f"reading {path}: {err!r}") from err
+            raise StoreUnavailableError(f"reading {path}: {_describe(err)}") from err
+
+    def _headers(self) -> dict[str, str]:
+        """Return the headers of every call."""
+        headers = self._access.headers()
+        if self._instance_id:
+            headers[HEADER_INSTANCE] = self._instance_id
+        return headers
 
     def _condition(self, expect: int | None) -> dict[str, str]:
         """Return the headers of a conditional write."""
-        if expect is None:
-            return self._headers
+        headers = self._headers()
         if expect == ABSENT:
-            return {**self._headers, "If-None-Match": "*"}
-        return {**self._headers, "If-Match": f'"{expect}"'}
+            headers["If-None-Match"] = "*"
+        elif expect is not None:
+            headers["If-Match"] = f'"{expect}"'
+        return headers
 
     @staticmethod
     def _raise_for_read(response: ClientResponse) -> None:
--- a/swiftpin/targets/client.py
+++ b/swiftpin/targets/client.py
@@ -15,6 +15,7 @@
     TargetRestartedError,
     TargetUnreachableError,
 )
+from swiftpin.security.tls_connector import tls_of
 from swiftpin.targets.fence_reply import FenceReply
 from swiftpin.targets.fence_request import FenceRequest
 from swiftpin.targets.grant_reply import GrantReply
@@ -31,7 +32,8 @@
 
     Each call raises `TargetUnreachableError` when no answer came in time,
     `TargetFencedError` when the target follows another holder, and
-    `TargetRestartedError` when it runs under another boot id.
+    `TargetRestartedError` when it runs under another boot id. Calls use TLS if the
+    session was made for it.
     """
 
     def __init__(
@@ -44,6 +46,9 @@
         self.spec = spec
         self._session = session
         self._timeout = timeout
+        self._tls = tls_of(session)
+        scheme = "http" if self._tls is None else "https"
+        self._url = f"{scheme}://{spec.address}/_target"
 
     async def async_status(self) -> TargetStatus:
         """Ask the target for its state."""
@@ -112,11 +117,16 @@
         boot_id: str | None = None,
     ) -> Any:  # noqa: ANN401 - a decoded JSON document
         """Make one call, to a given start of the target if it matters."""
-        url = f"http://{self.spec.address}/_target/{name}"
+        url = f"{self._url}/{name}"
+        ssl = True if self._tls is None else self._tls.context
         data = None if body is None else orjson.dumps(body)
         try:
             async with self._session.request(
-                method, url, data=data, timeout=ClientTimeout(total=timeout)
+                method,
+                url,
+                data=data,
+                timeout=ClientTimeout(total=timeout),
+                ssl=ssl,
             ) as response:
                 answer = orjson.loads(await response.read())
                 status = response.status
--- /dev/null
+++ b/tests/security/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of certificates and tokens at the borders."""
