--- /dev/null
+++ b/tests/security/secured_world.py
@@ -0,0 +1,170 @@
+"""Two whole instances with TLS at every border, and the platform they need."""
+
+from __future__ import annotations
+
+import io
+from pathlib import Path
+from typing import Any
+
+from aiohttp import ClientResponse, ClientSession
+
+from swiftpin.bench.processes.port_allocator import PortAllocator
+from swiftpin.config.config_kind import ConfigKind
+from swiftpin.config.config_name import ConfigName
+from swiftpin.config.config_object import ConfigObject
+from swiftpin.config.envelope import encode_config_object
+from swiftpin.core import monotonic_now
+from swiftpin.gateway.app import Gateway
+from swiftpin.gateway.settings import Settings
+from swiftpin.helpers.address import parse_address
+from swiftpin.helpers.logging_setup import LoggingSetup
+from swiftpin.result import ResultCode
+from swiftpin.security.tls_context import server_context
+from swiftpin.standins.instances_standin import InstancesStandin
+from swiftpin.standins.listed_instance import ListedInstance
+from swiftpin.standins.target_options import TargetOptions
+from swiftpin.standins.target_standin import TargetStandin
+from swiftpin.store.client import StoreClient
+from tests.security.certificates import Certificates
+from tests.security.test_store_access import SECRET, GuardedStore
+
+INSTANCES = ("g1", "g2")
+TARGETS = ("t1", "t2", "t3")
+
+
+class SecuredWorld:
+    """Stand-ins that answer by TLS only, two instances and what they logged.
+
+    Platform and targets demand certificates too; each border has a CA of its own.
+    """
+
+    def __init__(self, session: ClientSession, directory: Path) -> None:
+        self.session = session
+        self.token_path = directory / "token"
+        self.token_path.write_text(SECRET)
+        self.peers = Certificates(directory / "peers")
+        self.stores = Certificates(directory / "stores")
+        self.of_targets = Certificates(directory / "targets")
+        self.of_callers = Certificates(directory / "callers")
+        self.store = GuardedStore()
+        self.store.ssl_context = server_context(self.stores.files, "http/1.1")
+        self.instances = InstancesStandin()
+        self.targets = [TargetStandin(TargetOptions(name=name)) for name in TARGETS]
+        for target in self.targets:
+            target.ssl_context = server_context(self.of_targets.files, "http/1.1")
+        self.caller_context = self.of_callers.bare_client()
+        self.gateways: list[Gateway] = []
+        self.logs: list[io.BytesIO] = []
+        self._ports = PortAllocator()
+
+    async def async_setup(self) -> None:
+        """Start the stand-ins and both instances, and declare a service."""
+        await self.store.async_start()
+        await self.instances.async_start()
+        for target in self.targets:
+            await target.async_start()
+        for name in INSTANCES:
+            await self._async_start(name)
+        await self._async_apply_desk()
+
+    async def async_unload(self) -> None:
+        """Stop everything."""
+        for gateway in self.gateways:
+            await gateway.async_unload()
+            gateway._logging.unload()
+        for target in self.targets:
+            await target.async_stop()
+        await self.instances.async_stop()
+        await self.store.async_stop()
+
+    def read_logs(self) -> str:
+        """Stop logging and return what was logged."""
+        for gateway in self.gateways:
+            gateway._logging.unload()
+        return b"".join(log.getvalue() for log in self.logs).decode()
+
+    async def async_call(self, gateway: Gateway, key: str) -> ClientResponse:
+        """Return the whole answer to a lookup."""
+        async with self.session.get(
+            f"https://{gateway.listeners.callers}/desk/a",
+            headers={"Swiftpin-Key": key},
+            ssl=self.caller_context,
+        ) as answer:
+            await answer.read()
+            return answer
+
+    async def async_is_served(self) -> bool:
+        """Return whether both instances get a lookup answered by a target."""
+        answered = str(ResultCode.ANSWERED.value)
+        for gateway in self.gateways:
+            answer = await self.async_call(gateway, "k1")
+            if answer.headers["Swiftpin-Result"] != answered:
+                return False
+        return True
+
+    async def _async_start(self, name: str) -> None:
+        """List and start one instance."""
+        peer, forward, admin, listen = (self._ports.allocate() for _ in range(4))
+        instance = ListedInstance(
+            name=name, zone=name, peer=peer, forward=forward, admin=admin
+        )
+        self.instances.change(instance, monotonic_now())
+        log = io.BytesIO()
+        self.logs.append(log)
+        settings = Settings(
+            name=name,
+            zone=name,
+            listen=parse_address(listen),
+            peer_listen=parse_address(peer),
+            forward_listen=parse_address(forward),
+            admin_listen=parse_address(admin),
+            store_url=self.store.url,
+            instances_url=self.instances.url,
+            stop_limit=10.0,
+            listen_tls_cert=self.of_callers.cert_path,
+            listen_tls_key=self.of_callers.key_path,
+            peer_tls_cert=self.peers.cert_path,
+            peer_tls_key=self.peers.key_path,
+            peer_tls_ca=self.peers.ca_path,
+            store_tls_ca=self.stores.ca_path,
+            store_tls_cert=self.stores.cert_path,
+            store_tls_key=self.stores.key_path,
+            store_token_file=self.token_path,
+            targets_tls_ca=self.of_targets.ca_path,
+            targets_tls_cert=self.of_targets.cert_path,
+            targets_tls_key=self.of_targets.key_path,
+        )
+        logging = LoggingSetup(log, "info")
+        logging.setup()
+        gateway = Gateway(settings, logging)
+        self.gateways.append(gateway)
+        await gateway.async_setup()
+
+    async def _async_apply_desk(self) -> None:
+        """Declare a keyed service by the store client of an instance."""
+        name = ConfigName(kind=ConfigKind.SERVICE, name="desk")
+        document: dict[str, Any] = {
+            "apiVersion": "swiftpin/v1",
+            "kind": "Service",
+            "metadata": {"name": "desk"},
+            "spec": {
+                "profile": "default",
+                "keyed": True,
+                "slices": 8,
+                "groups": 1,
+                "targets": [
+                    {"id": target_name, "address": str(target.address), "zone": "z1"}
+                    for target_name, target in zip(TARGETS, self.targets, strict=True)
+                ],
+            },
+        }
+        config_object = ConfigObject(
+            id=name,
+            generation=1,
+            writer="test",
+            author="test",
+            written_at=0.0,
+            document=document,
+        )
+        store: StoreClient = self.gateways[0]._store
+        await store.async_put(name.store_name, encode_config_object(config_object))
--- /dev/null
+++ b/tests/security/test_whole_instance.py
@@ -0,0 +1,75 @@
+"""Whole instances with TLS at every border."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+from aiohttp import ClientError, ClientSession
+import pytest
+
+from tests.gateway.test_app import async_until
+from tests.security.certificates import put
+from tests.security.secured_world import SecuredWorld
+from tests.security.test_store_access import SECRET
+
+
+@pytest.fixture
+async def world(session: ClientSession, tmp_path: Path) -> AsyncIterator[SecuredWorld]:
+    """Return two instances that serve."""
+    running = SecuredWorld(session, tmp_path)
+    await running.async_setup()
+    await async_until(running.async_is_served)
+    yield running
+    await running.async_unload()
+
+
+async def test_requests_pass_every_border(world: SecuredWorld) -> None:
+    """Both instances answer, the one without the lease by way of the other."""
+    held = [gateway._status.document()["groups_held"] for gateway in world.gateways]
+    assert sorted(len(groups) for groups in held) == [0, 1]
+    for gateway in world.gateways:
+        answer = await world.async_call(gateway, "k2")
+        assert answer.status == 200
+        assert answer.headers["Swiftpin-Result"] == "100"
+    assert all(gateway._membership.counters.received for gateway in world.gateways)
+    assert "entry=forward" in world.read_logs()
+
+
+async def test_rotation_goes_unnoticed(world: SecuredWorld) -> None:
+    """Symptom: after a rotation instances answer only once they are restarted.
+
+    Every certificate of instances is replaced by one of a new CA, and the store's
+    token by another; both instances look at their files; requests and writes go on.
+    """
+    world.peers.change_authority()
+    world.of_callers.change_authority()
+    world.store.token = "another"
+    put(world.token_path, b"another")
+    for gateway in world.gateways:
+        await gateway._security.reloader.async_refresh()
+        gateway._serving._peer_client.unload()
+    world.caller_context = world.of_callers.bare_client()
+    await async_until(world.async_is_served)
+    await world.gateways[0]._store.async_put("x", b"1")
+
+
+async def test_strangers_do_not_get_in(world: SecuredWorld) -> None:
+    """Neither port for instances answers without a certificate."""
+    for gateway in world.gateways:
+        for address in (gateway.listeners.forwards, gateway.settings.peer_listen):
+            for url in (f"http://{address}/desk/a", f"https://{address}/desk/a"):
+                with pytest.raises(ClientError):
+                    await world.session.get(url, ssl=world.peers.bare_client())
+
+
+async def test_log_holds_neither_token_nor_key(world: SecuredWorld) -> None:
+    """What was logged until the stop holds no secret."""
+    key_line = world.peers.key_path.read_text().splitlines()[1]
+    put(world.peers.key_path, b"broken")
+    for gateway in world.gateways:
+        await gateway._security.reloader.async_refresh()
+    written = world.read_logs()
+    assert "event=credentials_kept" in written
+    assert SECRET not in written
+    assert key_line not in written
