--- /dev/null
+++ b/tests/bench/hop/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the comparison of ways to forward."""
