--- a/swiftpin/bench/experiments/faults.py
+++ b/swiftpin/bench/experiments/faults.py
@@ -70,8 +70,8 @@
             await self._async_faults(driver, run)
         load = await run.async_result()
         await self._cluster.supervisor.async_end()
-        traces = [*self._cluster.trace_paths(), *run.trace_paths, trace_path]
-        return self._result(driver, load, traces)
+        traces = [*self._cluster.trace_paths(), *run.trace_paths]
+        return self._result(driver, load, traces, trace_path)
 
     async def _async_faults(self, driver: FaultsDriver, run: LoadRun) -> None:
         """Let the faults happen and wait until everything is up again."""
@@ -113,9 +113,16 @@
         )
 
     def _result(
-        self, driver: FaultsDriver, load: LoadResult, traces: list[Path]
+        self,
+        driver: FaultsDriver,
+        load: LoadResult,
+        traces: list[Path],
+        crash_trace: Path,
     ) -> FaultsRun:
-        """Return the result with the traces' judgements."""
+        """Return the result with the traces' judgements.
+
+        Requests that are meant to crash their target count as nobody's booking.
+        """
         return FaultsRun(
             seed=self._seed,
             site=self._site.name,
@@ -128,7 +135,7 @@
             bookings=summarize_bookings(
                 load.classes_by_name[CLASS_BOOKING], read_traces(traces)
             ),
-            judgements=judge_traces(traces),
+            judgements=judge_traces([*traces, crash_trace]),
         )
 
 
