--- a/tests/security/test_whole_instance.py
+++ b/tests/security/test_whole_instance.py
@@ -36,6 +36,14 @@
     assert "entry=forward" in world.read_logs()
 
 
+async def test_large_answers_arrive_whole(world: SecuredWorld) -> None:
+    """What does not fit one record of TLS, or one read, is put together again."""
+    for gateway in world.gateways:
+        answer = await world.async_call(gateway, "k1", "/desk/bundle/1000000")
+        assert answer.headers["Swiftpin-Result"] == "100"
+        assert len(await answer.read()) == 1_000_000
+
+
 async def test_rotation_goes_unnoticed(world: SecuredWorld) -> None:
     """Symptom: after a rotation instances answer only once they are restarted.
 
