--- a/swiftpin/membership/pusher.py
+++ b/swiftpin/membership/pusher.py
@@ -31,8 +31,9 @@
 class NewsPusher:
     """Sends each object that was new here to neighbours chosen by chance.
 
-    Best effort: a message that fails is not sent again, since the comparison of
-    digests repairs what it would have brought.
+    Best effort: a message that fails goes to a spare peer while there are any, and
+    is then given up, since the comparison of digests repairs what it would have
+    brought.
     """
 
     def __init__(
