--- a/tests/ownership/placement/test_rebalance.py
+++ b/tests/ownership/placement/test_rebalance.py
@@ -164,8 +164,8 @@
 def test_a_relieved_target_is_left_alone_by_the_next_decision() -> None:
     """Symptom: slices move in every decision although the load hardly changes.
 
-    Sequence: an overloaded target is relieved, its load is measured 2% higher, placement
-    is decided again. Cause: a target relieved only to the trigger is above it again.
+    Sequence: an overloaded target is relieved, its load is measured 2% higher and
+    placement decided again. Cause: relieved only to the trigger, it is above it again.
     """
     load = _skewed_load(make_view(make_specs(5, 5)), "t1", 1.4)
     view = make_view(make_specs(5, 5), load_by_slice=load)
