Bring the models to the fourth version; refute its rule 5 (b)

Cause: the fenced models stated the third version. Modelled, the fourth has one hole: (b) is on again for the holder after the one that named another start of a target, while the earlier start still has a grant. Adopting a landed write was unlike the code; modelled as the code does it, an unanswered grant of the old owner is overlooked.

Change: mended rule 4; strays of lost targets, renewed and forgotten; earlier starts keep their grants; the record says that starts changed (the mending); landed writes are adopted. Four weakenings more, each refuted, and four models more. A target that follows a lease acknowledges it all the time, since an older acknowledgement only forbids.

Changes of the target set are not modelled yet.

--- a/spec/cases.py
+++ b/spec/cases.py
@@ -8,8 +8,12 @@
 from spec.fenced.scope import Scope
 from spec.fenced.scopes import (
     CORE,
+    NAMED_THEN_RENEWED,
+    NAMED_THEN_RESERVED,
+    NAMED_THEN_STORED,
     OUTAGE,
     OUTAGE_ENDS,
+    OWNER_NAMED,
     OWNER_RESTARTS,
     PLANNED,
     RENEWAL,
@@ -31,6 +35,10 @@
         _fenced("planned", PLANNED, "planned move, lost answers, late grants"),
         _fenced("third restarts", THIRD_RESTARTS, "M forgets its fence"),
         _fenced("owner restarts", OWNER_RESTARTS, "T forgets fence and grants"),
+        _fenced("owner named", OWNER_NAMED, "a takeover names T's new start"),
+        _fenced("named, store", NAMED_THEN_STORED, "then another by the store"),
+        _fenced("named, outage", NAMED_THEN_RESERVED, "then N without the store"),
+        _fenced("named twice", NAMED_THEN_RENEWED, "then the holder's own next lease"),
         ModelCase(
             protocol=wide_group("wide", WideWeakness()),
             covers="five targets, takeover without the store, loss moves",
--- a/spec/fenced/changes.py
+++ b/spec/fenced/changes.py
@@ -41,6 +41,8 @@
 def with_holder(world: World, lease: int, holder: Holder) -> World:
     """Return the world with what a holder knows, noting when its waits begin."""
     holder = with_predecessors_noted(holder)
+    if not holder.reports[1 - holder.owner] and holder.stray_limit != LONG_ENDED:
+        holder = holder._replace(stray_limit=LONG_ENDED)
     if holder.served:
         holder = _without_needless(holder)
     holders = world.holders
@@ -51,9 +53,9 @@
     """Forget what no rule asks for any more, so that equal states are one."""
     if holder.fenced != EVERYBODY or holder.reports != NO_REPORTS:
         holder = holder._replace(fenced=EVERYBODY, reports=NO_REPORTS)
-    if not holder.moves_left and (holder.limit or holder.wait != LONG_ENDED):
-        holder = holder._replace(limit=0, wait=LONG_ENDED)
-    return holder
+    if holder.moves_left or holder.starts_changed or holder.wait == LONG_ENDED:
+        return holder
+    return holder._replace(wait=LONG_ENDED)
 
 
 def acknowledged(holder: Holder, target: int, *, counts: bool) -> Holder:
--- a/spec/fenced/context.py
+++ b/spec/fenced/context.py
@@ -34,12 +34,11 @@
     @cached_property
     def renewed(self) -> frozenset[int]:
         """Return the leases whose holders may begin their own next one."""
-        leases = set()
-        if LeaseKind.RENEWED_FIRST in self.scope.leases:
-            leases.add(0)
-        if LeaseKind.RENEWED_RESERVED in self.scope.leases:
-            leases.add(1)
-        return frozenset(leases)
+        return frozenset(
+            lease - 1
+            for lease, kind in enumerate(self.scope.leases)
+            if kind is LeaseKind.RENEWED
+        )
 
     def knows(self, world: World, holder: Holder, target: int) -> bool:
         """Return whether the target runs under the start that the lease names.
@@ -60,6 +59,12 @@
         reserved = self.scope.leases[lease] is LeaseKind.RESERVED
         return world.record.lease == (0 if reserved else lease)
 
+    def follows(self, world: World, lease: int, target: int) -> bool:
+        """Return whether the target goes on to acknowledge the lease."""
+        if world.targets[target].fence != lease:
+            return False
+        return self.counts(world, lease, world.holders[lease], target)
+
     def obeys(self, target: Target, lease: int) -> bool:
         """Return whether the target carries out grants of the lease."""
         return target.fence == lease or self.weakness.no_term_check
--- a/spec/fenced/invariants.py
+++ b/spec/fenced/invariants.py
@@ -11,15 +11,20 @@
     RECORD_WENT_BACK,
     SLICE_TERM_FELL,
 )
-from spec.fenced.target import OWNER, STANDBY
+from spec.fenced.target import OWNER, STANDBY, Target
 
 State = Mapping[str, Any]
 
 
 def one_owner(state: State) -> bool:
     """Return whether at most one target would execute for the slice."""
-    targets = state["targets"]
-    return not (targets[OWNER].held and targets[STANDBY].held)
+    return owners(state["targets"], state["ghost"]) <= 1
+
+
+def owners(targets: tuple[Target, ...], ghost: int) -> int:
+    """Return how many targets, and earlier starts of one, would execute."""
+    held = (targets[OWNER].held, targets[STANDBY].held, ghost)
+    return sum(ticks > 0 for ticks in held)
 
 
 def slice_terms_grow(state: State) -> bool:
--- a/spec/fenced/lease_kind.py
+++ b/spec/fenced/lease_kind.py
@@ -15,8 +15,5 @@
     STORED = 2
     """Another instance's, by a conditional write."""
 
-    RENEWED_FIRST = 3
-    """The first holder's own next one, by a conditional write."""
-
-    RENEWED_RESERVED = 4
-    """The successor's own next one, written when it reaches the store again."""
+    RENEWED = 3
+    """The next one of the holder of the lease before, by a conditional write."""
--- a/spec/fenced/messages.py
+++ b/spec/fenced/messages.py
@@ -54,11 +54,15 @@
         reports=in_two(holder.reports, target, 1 if state.held else 0)
     )
     if state.held and state.slice_term > holder.slice_term:
+        if target != holder.owner:
+            holder = holder._replace(stray_limit=holder.limit)
         holder = holder._replace(owner=target, slice_term=state.slice_term)
         first_time = True
-    if first_time and target == holder.owner:
-        holder = holder._replace(limit=GRANT_TTL)
-    return holder
+    if not first_time:
+        return holder
+    if target == holder.owner:
+        return holder._replace(limit=GRANT_TTL)
+    return holder._replace(stray_limit=GRANT_TTL)
 
 
 def may_send(context: Context, holder: Holder) -> bool:
@@ -101,7 +105,7 @@
     holder = world.holders[lease]
     if holder.revoked or not may_send(context, holder):
         return
-    if not rules.serve(holder, context.weakness):
+    if rules.stray(holder) or not rules.serve(holder, context.weakness):
         return
     owner = holder.owner
     if not context.knows(world, holder, owner):
@@ -146,12 +150,44 @@
     yield f"{lease} revokes stray at {NAMES[other]}", with_holder(changed, lease, after)
 
 
+def stray_renewals(context: Context, world: World, lease: int) -> Iterator[Step]:
+    """Renew what a target holds beside the record, with all else that it holds."""
+    holder = world.holders[lease]
+    other = 1 - holder.owner
+    if holder.served or not holder.reports[other] or not may_send(context, holder):
+        return
+    target = world.targets[other]
+    if not context.obeys(target, lease) or not context.knows(world, holder, other):
+        return
+    after = holder._replace(stray_limit=GRANT_TTL)
+    changed = extended(world, other) if target.held else world
+    yield f"{lease} renews stray at {NAMES[other]}", with_holder(changed, lease, after)
+
+
+def forgets(context: Context, world: World, lease: int) -> Iterator[Step]:
+    """Forget what a lost target reported, once every grant on it has ended."""
+    holder = world.holders[lease]
+    if holder.served or not may_send(context, holder):
+        return
+    for target, held in enumerate(holder.reports):
+        limit = holder.limit if target == holder.owner else holder.stray_limit
+        if held and rules.own_ended(holder, limit, context.weakness):
+            after = holder._replace(reports=in_two(holder.reports, target, 0))
+            label = f"{lease} forgets what {NAMES[target]} reported"
+            yield label, with_holder(world, lease, after)
+
+
 def restarts(context: Context, world: World) -> Iterator[Step]:
-    """Restart the one target that may: it forgets its fence and its grants."""
+    """Restart the one target that may: it forgets its fence and its grants.
+
+    The process of the earlier start may still run until its grant ends.
+    """
     target = context.scope.restarts
     if target is None or world.boot:
         return
-    world = with_target(world._replace(boot=1), target, Target(UNFENCED, 0, 0))
+    before = world.targets[target]
+    world = world._replace(boot=1, ghost=before.held)
+    world = with_target(world, target, Target(UNFENCED, 0, 0))
     if target != THIRD:
         world = with_late(world, target, None)
     yield f"{NAMES[target]} restarts", world
--- a/spec/fenced/model.py
+++ b/spec/fenced/model.py
@@ -17,18 +17,26 @@
     NO_REPORTS,
     Holder,
 )
-from spec.fenced.invariants import INVARIANTS
+from spec.fenced.invariants import INVARIANTS, owners
 from spec.fenced.leases import FIRST_RECORD, takeovers
 from spec.fenced.messages import (
     Step,
     deliveries,
     fences,
+    forgets,
     grants,
     renewals,
     restarts,
+    stray_renewals,
     stray_revokes,
 )
-from spec.fenced.moves import late_writes, loss_moves, planned_moves, saves
+from spec.fenced.moves import (
+    late_writes,
+    loss_moves,
+    planned_moves,
+    saves,
+    settles,
+)
 from spec.fenced.rules import confirmed
 from spec.fenced.scope import Scope
 from spec.fenced.target import OWNER, Target
@@ -56,6 +64,7 @@
         phase=ACTIVE,
         acks=(HOLDER_LIMIT, HOLDER_LIMIT, HOLDER_LIMIT),
         limit=GRANT_TTL,
+        stray_limit=LONG_ENDED,
         wait=LONG_ENDED,
         fenced=EVERYBODY,
         reports=NO_REPORTS,
@@ -64,6 +73,7 @@
         served=1,
         moves_left=scope.moves[0],
         boot=0,
+        starts_changed=0,
         revoked=0,
         base=0,
     )
@@ -75,6 +85,7 @@
         late=(None, None),
         pending=None,
         boot=0,
+        ghost=0,
         last_owner=OWNER,
         last_slice_term=0,
         done=0,
@@ -84,11 +95,9 @@
 
 def _steps(context: Context, world: World) -> Iterator[Step]:
     """Return every step that may come next; none follows a violation."""
-    if world.faults & ~MOVE_NOT_RECORDED or (
-        world.targets[0].held and world.targets[1].held
-    ):
+    if world.faults & ~MOVE_NOT_RECORDED or owners(world.targets, world.ghost) > 1:
         return
-    yield "tick", _tidy(context, tick(world))
+    yield "tick", _tidy(context, tick(context, world))
     for label, after in _events(context, world):
         same_targets = after.targets is world.targets
         yield label, after if same_targets else _tidy(context, after)
@@ -102,9 +111,12 @@
             continue
         yield from fences(context, world, lease)
         yield from renewals(context, world, lease)
+        yield from stray_renewals(context, world, lease)
         yield from grants(context, world, lease)
         yield from stray_revokes(context, world, lease)
+        yield from forgets(context, world, lease)
         yield from saves(context, world, lease)
+        yield from settles(context, world, lease)
         if context.scope.planned:
             yield from planned_moves(context, world, lease)
         else:
--- a/spec/fenced/moves.py
+++ b/spec/fenced/moves.py
@@ -22,6 +22,7 @@
 
 REVOKED = 1
 WRITE_UNKNOWN = 2
+LANDED = 3
 
 
 def loss_moves(context: Context, world: World, lease: int) -> Iterator[Step]:
@@ -65,7 +66,14 @@
 
 def _record_of(world: World, lease: int, holder: Holder) -> Record:
     """Return the record that the holder would write."""
-    return Record(lease, holder.base + 1, holder.owner, holder.slice_term, holder.boot)
+    return Record(
+        lease,
+        holder.base + 1,
+        holder.owner,
+        holder.slice_term,
+        holder.boot,
+        holder.starts_changed,
+    )
 
 
 def _saved(world: World, lease: int, holder: Holder) -> World:
@@ -84,15 +92,31 @@
         yield f"{lease} saves", _saved(world, lease, holder)
 
 
+def settles(context: Context, world: World, lease: int) -> Iterator[Step]:
+    """Write that all grants from before a change of the named start have ended."""
+    holder = world.holders[lease]
+    if not holder.starts_changed or not may_send(context, holder):
+        return
+    if holder.revoked or not _may_write(context, world, lease, holder):
+        return
+    if rules.predecessors_lapsed(holder, context.weakness):
+        after = holder._replace(starts_changed=0)
+        yield f"{lease} settles the starts", _saved(world, lease, after)
+
+
 def planned_moves(context: Context, world: World, lease: int) -> Iterator[Step]:
     """Move the slice in order: revoke, write, grant."""
     holder = world.holders[lease]
     if holder.revoked == REVOKED:
         yield from _writes(context, world, lease)
+    elif holder.revoked == LANDED:
+        yield from _after_landing(context, world, lease)
     elif holder.revoked == WRITE_UNKNOWN:
         yield from _read_back(context, world, lease)
-    elif holder.served and holder.moves_left and may_send(context, holder):
-        yield from _revokes(context, world, lease)
+    else:
+        yield from _landings(context, world, lease)
+        if holder.served and holder.moves_left and may_send(context, holder):
+            yield from _revokes(context, world, lease)
 
 
 def _revokes(context: Context, world: World, lease: int) -> Iterator[Step]:
@@ -110,15 +134,59 @@
         return
     revoked = with_target(world, owner, Target(target.fence, 0, 0))
     yield f"{NAMES[owner]} gets a revoke, answer lost", revoked
-    late = world.late[owner]
-    unanswered = late is not None and late.lease == lease
-    if unanswered and not context.weakness.late_grant_forgotten:
+    if _unanswered(world, lease) and not context.weakness.late_grant_forgotten:
         return
     counts = context.counts(world, lease, holder, owner)
     after = acknowledged(holder, owner, counts=counts)._replace(revoked=REVOKED)
     yield f"{lease} revokes {NAMES[owner]}", with_holder(revoked, lease, after)
 
 
+def _landings(context: Context, world: World, lease: int) -> Iterator[Step]:
+    """Adopt an earlier write of ours that took effect after it was read back.
+
+    Any later write meets it. The old owner may have been granted the slice anew.
+    """
+    holder = world.holders[lease]
+    record = world.record
+    if record.lease != lease or record.revision <= holder.base:
+        return
+    overlooked = context.weakness.landed_serves and _unanswered(world, lease)
+    after = holder._replace(
+        owner=record.owner,
+        slice_term=record.slice_term,
+        base=record.revision,
+        revoked=0 if overlooked else LANDED,
+    )
+    changed = done(world, record.revision)
+    yield f"{lease} adopts its landed write", with_holder(changed, lease, after)
+
+
+def _unanswered(world: World, lease: int) -> bool:
+    """Return whether a grant of the lease to its present owner was not answered."""
+    late = world.late[world.holders[lease].owner]
+    return late is not None and late.lease == lease
+
+
+def _after_landing(context: Context, world: World, lease: int) -> Iterator[Step]:
+    """Revoke what the old owner holds, or wait until its grants have ended."""
+    holder = world.holders[lease]
+    if not may_send(context, holder):
+        return
+    free = holder._replace(revoked=0)
+    if rules.own_ended(holder, holder.limit, context.weakness):
+        yield (
+            f"{lease} has waited after its landed write",
+            with_holder(world, lease, free),
+        )
+    old = 1 - holder.owner
+    target = world.targets[old]
+    late = world.late[old]
+    if not context.obeys(target, lease) or (late and late.lease == lease):
+        return
+    changed = with_target(world, old, Target(target.fence, 0, 0))
+    yield f"{lease} revokes stray at {NAMES[old]}", with_holder(changed, lease, free)
+
+
 def _writes(context: Context, world: World, lease: int) -> Iterator[Step]:
     """Write a move whose slice was revoked."""
     holder = world.holders[lease]
--- a/spec/fenced/record.py
+++ b/spec/fenced/record.py
@@ -8,7 +8,9 @@
 class Record(NamedTuple):
     """`lease` is the index of the lease that wrote it, `boot` the start it names.
 
-    Leases are numbered in the order of their terms, so an index stands for the term.
+    `starts_changed` is 1 until a holder wrote that all grants from before a change of
+    the named start have ended. Leases are numbered in the order of their terms, so an
+    index stands for the term.
     """
 
     lease: int
@@ -16,3 +18,4 @@
     owner: int
     slice_term: int
     boot: int
+    starts_changed: int
--- a/spec/fenced/rules.py
+++ b/spec/fenced/rules.py
@@ -50,16 +50,23 @@
     return confirmed_since(holder, holder.wait)
 
 
-def lapsed(holder: Holder, weakness: Weakness) -> bool:
-    """Return whether every grant on the owner, which seems lost, has ended."""
+def own_ended(holder: Holder, limit: int, weakness: Weakness) -> bool:
+    """Return whether what the holder granted or found at a target has ended."""
     if weakness.stale_majority:
-        own_ended = holder.limit <= 0
-    else:
-        own_ended = confirmed_since(holder, holder.limit)
-    if not own_ended:
+        return limit <= 0
+    return confirmed_since(holder, limit)
+
+
+def lapsed(holder: Holder, weakness: Weakness) -> bool:
+    """Return whether the slice of its owner, which seems lost, is held by nobody.
+
+    That every grant on the owner has ended is not enough: an earlier holder may have
+    moved the slice to a target that this holder has not fenced.
+    """
+    if not own_ended(holder, holder.limit, weakness):
         return False
     if holder.fenced[holder.owner]:
-        return True
+        return serve(holder, weakness)
     return predecessors_lapsed(holder, weakness)
 
 
@@ -67,11 +74,26 @@
     """Return whether the slice may be granted to its owner anew."""
     if holder.served or weakness.serve_at_once:
         return True
-    if holder.fenced == EVERYBODY and holder.reports == NO_REPORTS:
+    if _nobody_reports(holder, weakness):
         return True
     return predecessors_lapsed(holder, weakness)
 
 
+def stray(holder: Holder) -> bool:
+    """Return whether another target than the owner reported the slice."""
+    return not holder.served and holder.reports[1 - holder.owner] == 1
+
+
+def _nobody_reports(holder: Holder, weakness: Weakness) -> bool:
+    """Return whether every target was asked and none holds the slice.
+
+    The earlier start of a target that was named anew cannot be asked.
+    """
+    if holder.starts_changed and not weakness.changed_starts_asked:
+        return False
+    return holder.fenced == EVERYBODY and holder.reports == NO_REPORTS
+
+
 def slice_terms_grow(slice_term: int, lease: int) -> int:
     """Return the slice's term after a move under the lease."""
     return max(slice_term + 1, lease * SLICE_TERMS_PER_LEASE)
--- a/spec/fenced/scopes.py
+++ b/spec/fenced/scopes.py
@@ -13,10 +13,10 @@
     leases=(LeaseKind.FIRST, LeaseKind.RESERVED), moves=(1, 1), late=1
 )
 OUTAGE_ENDS: Final = Scope(
-    leases=(LeaseKind.FIRST, LeaseKind.RESERVED, LeaseKind.RENEWED_RESERVED),
+    leases=(LeaseKind.FIRST, LeaseKind.RESERVED, LeaseKind.RENEWED),
     moves=(0, 1, 0),
 )
-RENEWAL: Final = Scope(leases=(LeaseKind.FIRST, LeaseKind.RENEWED_FIRST), moves=(1, 1))
+RENEWAL: Final = Scope(leases=(LeaseKind.FIRST, LeaseKind.RENEWED), moves=(1, 1))
 PLANNED: Final = Scope(
     leases=(LeaseKind.FIRST, LeaseKind.STORED),
     moves=(1, 0),
@@ -29,3 +29,21 @@
 OWNER_RESTARTS: Final = Scope(
     leases=(LeaseKind.FIRST, LeaseKind.RESERVED), moves=(1, 1), restarts=OWNER
 )
+OWNER_NAMED: Final = Scope(
+    leases=(LeaseKind.FIRST, LeaseKind.STORED), moves=(1, 1), restarts=OWNER
+)
+NAMED_THEN_STORED: Final = Scope(
+    leases=(LeaseKind.FIRST, LeaseKind.RENEWED, LeaseKind.STORED),
+    moves=(0, 0, 0),
+    restarts=OWNER,
+)
+NAMED_THEN_RESERVED: Final = Scope(
+    leases=(LeaseKind.FIRST, LeaseKind.RENEWED, LeaseKind.RESERVED),
+    moves=(0, 0, 0),
+    restarts=OWNER,
+)
+NAMED_THEN_RENEWED: Final = Scope(
+    leases=(LeaseKind.FIRST, LeaseKind.RENEWED, LeaseKind.RENEWED),
+    moves=(0, 0, 1),
+    restarts=OWNER,
+)
--- a/spec/fenced/weakness.py
+++ b/spec/fenced/weakness.py
@@ -39,6 +39,16 @@
     report_serves: bool = False
     """`serve`: a report alone, without a renewal, shows the owner (second version)."""
 
+    changed_starts_asked: bool = False
+    """`serve`: (b) stays on in a term that names another start of a target."""
+
+    starts_change_forgotten: bool = False
+    """`serve`: (b) is on again in the holder's next own term (third version)."""
+
+    starts_change_unrecorded: bool = False
+    """`serve`: the record does not tell the next holder that (b) is off (fourth
+    version)."""
+
     grant_first: bool = False
     """`record_first`: the new owner is granted before the old one is revoked and the
     move is written."""
@@ -46,6 +56,10 @@
     no_read_back: bool = False
     """`record_first`: a write whose answer was lost counts as done."""
 
+    landed_serves: bool = False
+    """`lapsed`: a landed write is adopted and the new owner granted, although the old
+    one was granted the slice anew and did not answer."""
+
     unconditional_write: bool = False
     """`takeover`, `terms_grow`: writes replace whatever is in the store."""
 
--- a/spec/fenced/world.py
+++ b/spec/fenced/world.py
@@ -15,8 +15,10 @@
     """`holders` are in the order of their leases' terms.
 
     `late` has one message for each possible owner. `boot` counts the starts of the one
-    target that may restart. `last_owner`, `last_slice_term`, `done` (revision of the
-    newest write known as done to its writer) and `faults` only serve the invariants.
+    target that may restart, `ghost` the ticks left of the grant of its earlier start,
+    whose process may still run. `last_owner`, `last_slice_term`, `done` (revision of
+    the newest write known as done to its writer) and `faults` only serve the
+    invariants.
     """
 
     targets: tuple[Target, Target, Target]
@@ -25,6 +27,7 @@
     late: tuple[LateGrant | None, LateGrant | None]
     pending: PendingWrite | None
     boot: int
+    ghost: int
     last_owner: int
     last_slice_term: int
     done: int
--- a/tests/spec/test_fenced_weaknesses.py
+++ b/tests/spec/test_fenced_weaknesses.py
@@ -12,6 +12,9 @@
 from spec.fenced.scope import Scope
 from spec.fenced.scopes import (
     CORE,
+    NAMED_THEN_RENEWED,
+    NAMED_THEN_RESERVED,
+    NAMED_THEN_STORED,
     OUTAGE,
     OWNER_RESTARTS,
     PLANNED,
@@ -35,9 +38,15 @@
     (PLANNED, Weakness(unconditional_write=True), "terms_grow"),
     (PLANNED, Weakness(late_grant_forgotten=True), "one_owner"),
     (PLANNED, Weakness(unanswered_revoke=True), "one_owner"),
+    (PLANNED, Weakness(landed_serves=True), "one_owner"),
+    (PLANNED, Weakness(stale_majority=True), "one_owner"),
     (THIRD_RESTARTS, Weakness(counted_at_once=True), "one_owner"),
     (THIRD_RESTARTS, Weakness(counted_by_read=True), "one_owner"),
     (OWNER_RESTARTS, Weakness(counted_by_read=True), "one_owner"),
+    (NAMED_THEN_RENEWED, Weakness(changed_starts_asked=True), "one_owner"),
+    (NAMED_THEN_RENEWED, Weakness(starts_change_forgotten=True), "one_owner"),
+    (NAMED_THEN_STORED, Weakness(starts_change_unrecorded=True), "one_owner"),
+    (NAMED_THEN_RESERVED, Weakness(starts_change_unrecorded=True), "one_owner"),
 ]
 
 
