Build on the last lease's last write; never go back behind a landed one

Ruled out: keeping a ticket issuer over the holder's own terms (tried, reverted: test_ticket_of_earlier_term is right, another holder may have run the request in between).

--- a/swiftpin/ownership/coordinator.py
+++ b/swiftpin/ownership/coordinator.py
@@ -222,7 +222,14 @@
         self, sender: str, group: GroupId, term: int, now: float
     ) -> bool:
         """Begin to hold a group that a stopping instance wrote over to this one."""
-        return await self._watcher.async_hold_own(group)
+        # The sender stops waiting after half a second, which would cancel this call
+        # in the middle of the work.
+        self._tasks.spawn(self._async_accept(group), "ownership-hand-over")
+        return not self._unloading
+
+    async def _async_accept(self, group: GroupId) -> None:
+        """Hold a group that was written over to this instance."""
+        await self._watcher.async_hold_own(group)
 
     # Holding
 
--- a/swiftpin/ownership/group_lease.py
+++ b/swiftpin/ownership/group_lease.py
@@ -19,7 +19,11 @@
 from swiftpin.ownership.majority_confirmation import MajorityConfirmation
 from swiftpin.ownership.ownership_decision import OwnershipDecision
 from swiftpin.ownership.predecessor import Predecessor
-from swiftpin.ownership.record_changes import new_writer, with_lease
+from swiftpin.ownership.record_changes import (
+    new_writer,
+    with_lease,
+    with_newer_slices,
+)
 from swiftpin.ownership.record_writer import RecordWriter
 from swiftpin.ownership.rules import (
     Confirmation,
@@ -27,7 +31,14 @@
     confirmed_until,
     predecessor_end,
 )
-from swiftpin.ownership.write_result import WriteDone, WriteLost, WriteUnsettled
+from swiftpin.ownership.write_outcome import WriteOutcome
+from swiftpin.ownership.write_result import (
+    StillOurs,
+    WriteBehind,
+    WriteDone,
+    WriteLost,
+    WriteUnsettled,
+)
 
 STORE_RETRY: Final = 1.0
 """Seconds after a failed store call in which no other is made without need."""
@@ -59,7 +70,11 @@
         self._on_term = on_term
         self._fenced_group = start.fenced_group
         self._writer = RecordWriter(
-            env.store, start.record.id, start.version, base_writer=start.base_writer
+            env.store,
+            start.record.id,
+            start.version,
+            base_writer=start.base_writer,
+            base_term=start.record.term - 1,
         )
         self._predecessor = start.predecessor
         self._cooperative = CooperativeConfirmation(
@@ -69,7 +84,6 @@
         self._revision = start.record.revision
         self._store_failed_at = -math.inf
         self._successor_heard_at = monotonic_now()
-        self._starts_changed = False
         self._confirmed_at_change = -1
         self._confirmed_until = -math.inf
 
@@ -133,7 +147,7 @@
         The earlier start may still hold slices that nobody can ask it about, until the
         grants of earlier holders have ended.
         """
-        return self._starts_changed
+        return self.record.starts_changed
 
     @callback
     def note_disabled(self, now: float) -> None:
@@ -154,14 +168,16 @@
         late = now > self.confirmed_until() - self._env.timing.holder_limit / 2
         if self._fenced_group or not late or self.store_is_away(now):
             return
-        unchanged = await self._writer.async_is_unchanged()
-        if unchanged is None:
-            self._store_failed_at = monotonic_now()
-            return
-        if not unchanged:
-            self.step_down("the store shows another holder's record")
-            return
-        self._cooperative = self._cooperative.by_store(now)
+        match await self._writer.async_check():
+            case StillOurs():
+                self._cooperative = self._cooperative.by_store(now)
+            case WriteDone(record=record):
+                self._adopt_landed(record)
+                self._cooperative = self._cooperative.by_store(now)
+            case WriteLost(record=other):
+                self._step_down_for(other)
+            case WriteBehind() | WriteUnsettled():
+                self._store_failed_at = monotonic_now()
 
     @callback
     def on_fenced(self, err: TargetFencedError) -> None:
@@ -202,31 +218,46 @@
             reason=reason,
         )
 
-    async def async_write(self, record: GroupRecord) -> bool:
-        """Write a version and act on it; return whether it took effect."""
+    async def async_write(self, record: GroupRecord) -> WriteOutcome:
+        """Write a version and act on it, if it took effect."""
         match await self._writer.async_write(record):
             case WriteDone(record=written) if written is record:
                 self._adopt_saved(record)
-                return True
+                return WriteOutcome.SAVED
             case WriteDone(record=earlier):
                 self._adopt_landed(earlier)
-                return False
+            case WriteBehind(record=other):
+                self._merge(other)
             case WriteLost(record=other):
-                self.step_down(f"the store shows {other.holder} at term {other.term}")
-                return False
+                self._step_down_for(other)
             case WriteUnsettled():
                 self._store_failed_at = monotonic_now()
+                return WriteOutcome.UNSETTLED
+        return WriteOutcome.SUPERSEDED
+
+    async def async_write_or_act(self, record: GroupRecord) -> bool:
+        """Write a version; without the store, act on it unsaved where that is allowed.
+
+        Return whether the version is in force. Nothing stops another holder of a
+        cooperative group but the store's order, so such a group changes nothing
+        without it. A version that a landed write made old is never acted on: the record
+        would go back to a term that the targets have left.
+        """
+        match await self.async_write(record):
+            case WriteOutcome.SAVED:
+                return True
+            case WriteOutcome.UNSETTLED:
+                return self.adopt_unsaved(record)
+            case WriteOutcome.SUPERSEDED:
                 return False
 
     @callback
     def adopt_unsaved(self, record: GroupRecord) -> bool:
-        """Act on a version that waits for the store; return whether that is allowed.
-
-        Nothing stops another holder of a cooperative group but the store's order, so
-        such a group changes nothing without it.
-        """
+        """Act on a version that waits for the store; return whether that is allowed."""
         if not self._fenced_group or self.stopped:
             return False
+        if not record.is_newer_than(self.record):
+            return False
         self.record = record
         self._saved = False
         self._env.publish(record)
@@ -256,12 +287,15 @@
 
     async def async_save(self, now: float) -> None:
         """Write what was decided while the store was away."""
-        wait_over = self.record.waits_outage and self.predecessors_ended(now)
+        waiting = self.record.waits_outage or self.record.starts_changed
+        wait_over = waiting and self.predecessors_ended(now)
         if (self._saved and not wait_over) or self.store_is_away(now):
             return
         if wait_over:
-            version = self.next_version("the wait of a third instance is over")
-            await self.async_write(replace(version, waits_outage=False))
+            version = self.next_version("earlier holders' grants have ended")
+            await self.async_write(
+                replace(version, waits_outage=False, starts_changed=False)
+            )
             return
         if self.record.term % 2:
             await self._async_renew("saved a takeover made in a store outage")
@@ -339,7 +373,18 @@
         )
         self.decide("renew_lease", reason)
         self._successor_heard_at = monotonic_now()
-        return await self.async_write(record)
+        return await self.async_write(record) is WriteOutcome.SAVED
+
+    @callback
+    def _merge(self, other: GroupRecord) -> None:
+        """Take over what the holder before us wrote last, unknown to us."""
+        merged = with_newer_slices(self.next_version("found a later write"), other)
+        self.adopt_unsaved(merged)
+
+    @callback
+    def _step_down_for(self, other: GroupRecord) -> None:
+        """Make way for the holder that the store shows."""
+        self.step_down(f"the store shows {other.holder} at term {other.term}")
 
     @callback
     def _adopt_landed(self, record: GroupRecord) -> None:
@@ -370,12 +415,6 @@
         that named no starts nobody could be confirmed.
         """
         self._revision = self.record.revision
-        if self.predecessors_ended(monotonic_now()):
-            self._starts_changed = False
-        self._starts_changed |= any(
-            self.record.boots_by_target.get(target) != boot
-            for target, boot in before.boots_by_target.items()
-        )
         if self._fenced_group and (before.boots_by_target or not self.is_first):
             self._predecessor = Predecessor(
                 disabled_at=math.inf, patience=self._env.timing.holder_limit
--- a/swiftpin/ownership/group_record.py
+++ b/swiftpin/ownership/group_record.py
@@ -21,8 +21,10 @@
     holds hot keys with a slice of their own, numbered above the declared slices.
     `boots_by_target` names the start of each target that counts under this lease.
     `waits_outage` is set while a third instance that took a cooperative group over
-    waits for the outage limit. `fenced` tells what confirms the group's holders; it
-    never changes, since two holders must not go by different rules.
+    waits for the outage limit, `starts_changed` while an earlier start of a target,
+    which no lease names any more, may still hold slices. `fenced` tells what confirms
+    the group's holders; it never changes, since two holders must not go by different
+    rules.
     """
 
     id: GroupId
@@ -37,6 +39,7 @@
     exceptions_by_key: dict[str, KeyException] = field(default_factory=dict)
     boots_by_target: dict[str, str] = field(default_factory=dict)
     waits_outage: bool = False
+    starts_changed: bool = False
     fenced: bool = False
 
     def slice_of_key(self, key: str, home: int) -> int:
--- a/swiftpin/ownership/record_changes.py
+++ b/swiftpin/ownership/record_changes.py
@@ -84,6 +84,20 @@
     return replace(record, slices_by_id=slices_by_id)
 
 
+def with_newer_slices(record: GroupRecord, other: GroupRecord) -> GroupRecord:
+    """Return the record with the assignments of `other` that have higher terms."""
+    slices_by_id = dict(record.slices_by_id)
+    for slice_id, assignment in other.slices_by_id.items():
+        known = slices_by_id.get(slice_id)
+        if known is None or known.term < assignment.term:
+            slices_by_id[slice_id] = assignment
+    return replace(
+        record,
+        slices_by_id=slices_by_id,
+        exceptions_by_key={**record.exceptions_by_key, **other.exceptions_by_key},
+    )
+
+
 def with_lease(
     record: GroupRecord,
     *,
@@ -100,6 +114,9 @@
     """
     targets = record.targets if targets is None else targets
     boots = record.boots_by_target if boots_by_target is None else boots_by_target
+    changed = any(
+        boots.get(target) != boot for target, boot in record.boots_by_target.items()
+    )
     return replace(
         record,
         term=next_store_term(record.term),
@@ -112,4 +129,5 @@
         boots_by_target={
             target: boot for target, boot in boots.items() if target in targets
         },
+        starts_changed=record.starts_changed or changed,
     )
--- a/swiftpin/ownership/record_codec.py
+++ b/swiftpin/ownership/record_codec.py
@@ -34,6 +34,7 @@
             "slices": slices,
             "boots": dict(sorted(record.boots_by_target.items())),
             "waits_outage": record.waits_outage,
+            "starts_changed": record.starts_changed,
             "fenced": record.fenced,
             "exceptions": [
                 [item.key, item.slice_id, item.home]
@@ -68,6 +69,7 @@
             exceptions_by_key=exceptions_by_key,
             boots_by_target=dict(raw.get("boots", {})),
             waits_outage=bool(raw.get("waits_outage", False)),
+            starts_changed=bool(raw.get("starts_changed", False)),
             fenced=bool(raw.get("fenced", False)),
         )
     except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as err:
--- a/swiftpin/ownership/record_writer.py
+++ b/swiftpin/ownership/record_writer.py
@@ -12,6 +12,9 @@
 from swiftpin.ownership.group_record import GroupRecord
 from swiftpin.ownership.record_codec import decode_record, encode_record
 from swiftpin.ownership.write_result import (
+    CheckResult,
+    StillOurs,
+    WriteBehind,
     WriteDone,
     WriteLost,
     WriteResult,
@@ -25,7 +28,8 @@
     """Writes one record; `version` is the store's version that it builds on.
 
     After a takeover without the store the version is None until the store shows the
-    record that the takeover built on, whose writer is `base_writer`.
+    record that the takeover built on, whose writer is `base_writer`, or a newer version
+    of the same lease, whose term is `base_term`.
 
     A write whose answer was lost may take effect at any later time. Its record stays
     in `_pending_by_writer`, so that it is recognised as ours when a later write meets
@@ -39,8 +43,10 @@
         version: int | None,
         *,
         base_writer: str = "",
+        base_term: int = -1,
     ) -> None:
         self.version = version
+        self._base_term = base_term
         self._base_writer = base_writer
         self._store = store
         self._name = group.store_name
@@ -55,7 +61,7 @@
         """Replace the version this writer knows."""
         if self.version is None:
             learnt = await self._async_learn_version()
-            if learnt is not None:
+            if not isinstance(learnt, StillOurs):
                 return learnt
         self._pending_by_writer[record.writer] = record
         try:
@@ -81,25 +87,30 @@
             return WriteUnsettled()
         return self._judge(stored)
 
-    async def async_is_unchanged(self) -> bool | None:
-        """Return whether the store still has our version, None if it is away."""
+    async def async_check(self) -> CheckResult:
+        """Find out whether the store still has the version that this writer knows."""
         if self.version is None:
-            learnt = await self._async_learn_version()
-            if isinstance(learnt, WriteUnsettled):
-                return None
-            return learnt is None
+            return await self._async_learn_version()
         try:
             stored = await self._store.async_get(self._name)
         except StoreUnavailableError:
-            return None
+            return WriteUnsettled()
+        present = ABSENT if stored is None else stored.version
+        if present == self.version:
+            return StillOurs()
         if stored is None:
-            return self.version == ABSENT
-        if stored.version == self.version:
-            return True
-        return isinstance(self._judge(stored), WriteDone)
+            return WriteUnsettled()
+        return self._judge(stored)
 
-    async def _async_learn_version(self) -> WriteResult | None:
-        """Find the version to build on; return what stands in the way, if anything."""
+    async def _async_learn_version(
+        self,
+    ) -> StillOurs | WriteUnsettled | WriteLost | WriteBehind:
+        """Find the version to build on after a takeover without the store.
+
+        The holder before us may have written once more than we had heard of. That
+        lease ended with our fence, so its last version is built on; to step down
+        would leave a group that nobody holds and everybody takes for held.
+        """
         try:
             stored = await self._store.async_get(self._name)
         except StoreUnavailableError:
@@ -107,10 +118,13 @@
         if stored is None:
             return WriteUnsettled()
         record = decode_record(stored.body)
-        if record.writer != self._base_writer:
-            return WriteLost(record=record)
-        self.version = stored.version
-        return None
+        if record.writer == self._base_writer:
+            self.version = stored.version
+            return StillOurs()
+        if record.term == self._base_term:
+            self.version = stored.version
+            return WriteBehind(record=record)
+        return WriteLost(record=record)
 
     def _judge(self, stored: StoredObject) -> WriteResult:
         """Tell our own version from another instance's."""
--- a/swiftpin/ownership/slice_grants.py
+++ b/swiftpin/ownership/slice_grants.py
@@ -117,10 +117,7 @@
         if not low:
             return True
         version = self._lease.next_version("granted slices that nobody reported")
-        raised = with_raised_terms(version, low)
-        return await self._lease.async_write(raised) or self._lease.adopt_unsaved(
-            raised
-        )
+        return await self._lease.async_write_or_act(with_raised_terms(version, low))
 
     async def _async_grant(self, target: str, terms_by_id: dict[int, int]) -> None:
         """Grant slices to one target and note that they are served."""
@@ -151,24 +148,25 @@
         )
 
     async def _async_revoke_strays(self) -> set[int]:
-        """Revoke what targets hold beside the record; return what they still hold."""
+        """Revoke what targets hold beside the record; return what they may still hold.
+
+        A grant whose answer was lost counts as held too: it may arrive later.
+        """
         left: set[int] = set()
         for target, link in self._links.by_target.items():
-            strays = self._strays_of(target, link)
-            if strays and link.state is TargetState.LOST:
-                left.update(strays)
-            elif strays:
+            strays = self._strays_of(target, link, monotonic_now())
+            if strays and link.state is not TargetState.LOST:
                 await link.async_revoke(strays, 0.0)
-                now = monotonic_now()
-                left.update(item for item in strays if link.may_hold(item, now))
+            now = monotonic_now()
+            left.update(item for item in strays if link.may_hold(item, now))
         return left
 
     @callback
-    def _strays_of(self, target: str, link: Link) -> frozenset[int]:
-        """Return the slices that a target holds without being their owner."""
+    def _strays_of(self, target: str, link: Link, now: float) -> frozenset[int]:
+        """Return the slices that a target may hold without being their owner."""
         slices_by_id = self._lease.record.slices_by_id
         return frozenset(
             slice_id
-            for slice_id in link.granted_terms_by_id
+            for slice_id in link.possible_slices(now)
             if slice_id not in slices_by_id or slices_by_id[slice_id].target != target
         )
--- a/swiftpin/ownership/slice_moves.py
+++ b/swiftpin/ownership/slice_moves.py
@@ -24,6 +24,7 @@
 from swiftpin.ownership.rules import MIN_FENCED_TARGETS, lapse_end
 from swiftpin.ownership.slice_grants import SliceGrants
 from swiftpin.ownership.target_state import TargetState
+from swiftpin.ownership.write_outcome import WriteOutcome
 
 SILENT: Final = (TargetState.NEW, TargetState.LOST, TargetState.UNNAMED)
 """States of targets that may have lost their slices."""
@@ -74,7 +75,7 @@
         self._lease.decide("move_on_loss", record.reason, slices=len(moves))
         for target in sorted(lost):
             self._env.listener.target_lost(self._lease.id, target)
-        if await self._lease.async_write(record) or self._lease.adopt_unsaved(record):
+        if await self._lease.async_write_or_act(record):
             self._grants.note_free({move.slice_id for move in moves})
 
     async def async_move_planned(self, now: float) -> bool:
@@ -111,7 +112,7 @@
             return
         record = self._with_moves(done, reason)
         self._lease.decide("move", reason, slices=len(done))
-        if await self._lease.async_write(record):
+        if await self._lease.async_write(record) is WriteOutcome.SAVED:
             await self._grants.async_grant_missing(monotonic_now())
 
     async def async_split(self, exception: KeyException) -> None:
@@ -126,7 +127,8 @@
             return
         version = self._lease.next_version(f"split hot key out of {exception.home}")
         self._lease.decide("split", version.reason, slices=1)
-        if await self._lease.async_write(with_split(version, exception)):
+        outcome = await self._lease.async_write(with_split(version, exception))
+        if outcome is WriteOutcome.SAVED:
             self._grants.note_free({exception.slice_id})
         await self._grants.async_grant_missing(monotonic_now())
 
--- a/swiftpin/ownership/target_link.py
+++ b/swiftpin/ownership/target_link.py
@@ -124,6 +124,16 @@
         unsettled_until = self._unsettled_until_by_slice.get(slice_id, -math.inf)
         return not lapsed(unsettled_until, self._timing, now)
 
+    @callback
+    def possible_slices(self, now: float) -> frozenset[int]:
+        """Return the slices that the target holds or may come to hold."""
+        unsettled = {
+            slice_id
+            for slice_id, limit in self._unsettled_until_by_slice.items()
+            if not lapsed(limit, self._timing, now)
+        }
+        return frozenset(self.granted_terms_by_id.keys() | unsettled)
+
     @callback
     def forget_lapsed(self) -> None:
         """Note that every grant on the target has ended.
--- a/swiftpin/ownership/unchecked_link.py
+++ b/swiftpin/ownership/unchecked_link.py
@@ -86,6 +86,11 @@
         """Return whether requests for the slice are routed to the target."""
         return slice_id in self.granted_terms_by_id
 
+    @callback
+    def possible_slices(self, now: float) -> frozenset[int]:
+        """Return the slices that are routed to the target."""
+        return frozenset(self.granted_terms_by_id)
+
     @callback
     def forget_lapsed(self) -> None:
         """Route nothing to the target any more."""
--- a/swiftpin/ownership/write_result.py
+++ b/swiftpin/ownership/write_result.py
@@ -26,4 +26,20 @@
     """The store cannot be reached; the write may still take effect."""
 
 
-WriteResult = WriteDone | WriteLost | WriteUnsettled
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WriteBehind:
+    """The store has a newer version of the lease that a reserved term followed.
+
+    The write was not tried; the next one builds on this version.
+    """
+
+    record: GroupRecord
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StillOurs:
+    """The store shows the version that the writer knows."""
+
+
+WriteResult = WriteDone | WriteLost | WriteUnsettled | WriteBehind
+CheckResult = StillOurs | WriteDone | WriteLost | WriteUnsettled | WriteBehind
--- a/tests/ownership/test_coordinator.py
+++ b/tests/ownership/test_coordinator.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 import math
 
 import pytest
@@ -309,3 +310,43 @@
     assert coordinator.send_until(GROUP, resumed) is None
     with pytest.raises(NoOwnerError):
         coordinator.resolve(world.service, "key", resumed)
+
+
+async def test_a_late_write_of_the_last_holder_does_not_strand_the_group(
+    world: World,
+) -> None:
+    """Symptom: a group is unserved for ever although everything is up again.
+
+    Events: the holder's last write takes effect, its news do not get out; the store
+    goes away; the holder dies; its successor takes over by the reserved term; the
+    store comes back with a record that the successor had not heard of.
+    Cause: the successor steps down for a lease that ended with its fence. Found by
+    `swiftpin-bench faults`, seed 2.
+    """
+    first = await world.async_served()
+    await world.async_until(lambda: world.successor_acknowledged(first))
+    world.write_behind_the_news()
+    world.store.faults.outage = True
+    await world.async_kill_instance(first)
+    second = await world.async_served()
+    world.store.faults.outage = False
+    await world.async_until(lambda: world.stored_holder() == second)
+    await world.async_served()
+    assert world.overlaps() == []
+
+
+async def test_a_holder_does_not_go_back_to_a_term_that_targets_left(
+    world: World,
+) -> None:
+    """Symptom: a holder that raised its own term is refused everywhere as stale.
+
+    Events: a renewal of the lease is pending while the store hangs; a move built on
+    the older term meets it; the move is acted on unsaved.
+    Cause: taking "superseded" for "the store is away". Found by `swiftpin-bench
+    faults`, seed 1 (tests/traces/bad_assignment_reverted_to_an_older_term.jsonl).
+    """
+    first = await world.async_served()
+    holder = world.network.coordinators_by_name[first].holders_by_group[GROUP]
+    older = replace(holder.record, term=holder.record.term - 2, revision=99)
+    assert holder._lease.adopt_unsaved(older) is False
+    assert holder.record.term > older.term
--- a/tests/ownership/world.py
+++ b/tests/ownership/world.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from aiohttp import ClientSession
 import orjson
@@ -24,11 +24,12 @@
 from swiftpin.ownership.group_id import GroupId
 from swiftpin.ownership.group_record import GroupRecord
 from swiftpin.ownership.ownership_decision import OwnershipDecision
-from swiftpin.ownership.record_codec import decode_record
+from swiftpin.ownership.record_codec import decode_record, encode_record
 from swiftpin.ownership.timing import Timing
 from swiftpin.standins.store_standin import StoreStandin
 from swiftpin.standins.target_options import TargetOptions
 from swiftpin.standins.target_standin import TargetStandin
+from swiftpin.standins.write_condition import parse_condition
 from swiftpin.store.client import StoreClient
 from swiftpin.trace.owned_event import OwnedEvent
 from swiftpin.trace.release_reason import ReleaseReason
@@ -270,6 +271,20 @@
         assert stored is not None
         return decode_record(stored.body)
 
+    def write_behind_the_news(self) -> None:
+        """Store a later revision of the record that no instance hears of."""
+        stored = self.store.state.get(GROUP.store_name, float("inf"))
+        assert stored is not None
+        record = decode_record(stored.body)
+        later = replace(record, revision=record.revision + 1, writer="unheard")
+        version = self.store.state.put(
+            GROUP.store_name,
+            encode_record(later),
+            parse_condition({"If-Match": f'"{stored.version}"'}),
+            monotonic_now(),
+        )
+        assert version is not None
+
     def stored_owners(self) -> set[str]:
         """Return the owners in the stored record."""
         return {item.target for item in self.stored_record().slices_by_id.values()}
