Look through a group's slices only when something changed

Change: once every slice is held by its owner the look is repeated only after a change, or once a second. Ruled out by count: renewals (17 small HTTP calls a second for five targets) remain.

--- a/swiftpin/ownership/group_holder.py
+++ b/swiftpin/ownership/group_holder.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 from typing import Final
 
 from swiftpin.config.target_spec import TargetSpec
@@ -30,6 +31,9 @@
 MEETING_PATIENCE: Final = 0.3
 """Seconds that a new holder waits for all targets before it names those it met."""
 
+SCAN_INTERVAL: Final = 1.0
+"""Seconds between looks at all slices of a group at rest."""
+
 RETRY_AFTER_NO_OWNER: Final = 0.1
 
 
@@ -54,6 +58,8 @@
         self._balance = SliceBalance(env, self._lease, self._moves, self._started_at)
         self._releasing = False
         self._was_confirmed = False
+        self._settled_record: GroupRecord | None = None
+        self._scanned_at = -math.inf
         self._wake = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
 
@@ -146,12 +152,13 @@
     async def _async_run(self) -> None:
         """Look at the group at each change and each tick."""
         while not self._lease.stopped:
+            woken = self._wake.is_set()
             self._wake.clear()
-            await self._async_step()
+            await self._async_step(woken)
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._wake.wait(), TICK)
 
-    async def _async_step(self) -> None:
+    async def _async_step(self, woken: bool) -> None:
         """Do what the group needs now, most urgent first."""
         self._ensure_links()
         await self._lease.async_keep_confirmed(monotonic_now())
@@ -162,9 +169,7 @@
         if not self._note_confirmed(now):
             await self._async_meet_targets(now)
             return
-        self._grants.adopt_reports()
-        await self._moves.async_replace_lost(now)
-        await self._grants.async_grant_missing(monotonic_now())
+        await self._async_look_at_slices(now, woken)
         await self._moves.async_name_starts(monotonic_now())
         await self._lease.async_save(monotonic_now())
         await self._lease.async_replace_successor(monotonic_now())
@@ -174,6 +179,24 @@
         if moved or changed:
             self.wake()
 
+    async def _async_look_at_slices(self, now: float, woken: bool) -> None:
+        """Grant and move what must be.
+
+        A group whose slices are all held is looked through again only when something
+        changed, or a second passed: at rest that look was most of a holder's work.
+        """
+        settled = self.record is self._settled_record and not woken
+        if settled and now - self._scanned_at < SCAN_INTERVAL:
+            await self._moves.async_replace_lost(now)
+            return
+        self._scanned_at = now
+        # Reports go first: a slice that an earlier holder moved must not be taken for
+        # one that its recorded, lost owner leaves behind.
+        self._grants.adopt_reports()
+        await self._moves.async_replace_lost(now)
+        all_held = await self._grants.async_grant_missing(monotonic_now())
+        self._settled_record = self.record if all_held else None
+
     @callback
     def _note_confirmed(self, now: float) -> bool:
         """Return whether grants may be given; renew at once when that begins."""
--- a/swiftpin/ownership/slice_grants.py
+++ b/swiftpin/ownership/slice_grants.py
@@ -73,18 +73,24 @@
         version = self._lease.next_version("targets reported newer slice terms")
         self._lease.adopt_unsaved(with_reported_owners(version, reports))
 
-    async def async_grant_missing(self, now: float) -> None:
-        """Grant each slice whose owner does not hold it and may."""
+    async def async_grant_missing(self, now: float) -> bool:
+        """Grant each slice whose owner does not hold it and may.
+
+        Return whether there was nothing to do: every slice is served by its owner.
+        """
         strays = await self._async_revoke_strays()
         missing = self._missing(strays, now)
+        if not missing and not strays:
+            return self._served.issuperset(self._lease.record.slices_by_id)
         if not await self._async_raise_terms(missing):
-            return
+            return False
         wanted: dict[str, dict[int, int]] = {}
         for slice_id in missing:
             item = self._lease.record.slices_by_id[slice_id]
             wanted.setdefault(item.target, {})[slice_id] = item.term
         for target, terms_by_id in wanted.items():
             await self._async_grant(target, terms_by_id)
+        return False
 
     @callback
     def _missing(self, strays: set[int], now: float) -> list[int]:
