Remove the message NoteMove

Cause: it belonged to the first version of the ownership protocol; under the present rules a later holder learns of unsaved moves from the targets, so the message had no caller. Change: message, handler and its test removed (the test covered only the transport of what is gone). Conclusion: one message less to keep.

--- a/swiftpin/membership/no_peer_handler.py
+++ b/swiftpin/membership/no_peer_handler.py
@@ -15,10 +15,6 @@
         """Acknowledge no group."""
         return frozenset()
 
-    def handle_note_move(self, sender: str, record: bytes, now: float) -> bool:
-        """Note no move."""
-        return False
-
     async def async_handle_hand_over(
         self, sender: str, group: GroupId, term: int, now: float
     ) -> bool:
--- a/swiftpin/membership/peer_clients.py
+++ b/swiftpin/membership/peer_clients.py
@@ -92,12 +92,6 @@
         )
         return HeartbeatReply(receiver=reply.receiver, accepted=accepted)
 
-    async def async_note_move(self, instance_id: str, record: bytes) -> bool:
-        """Tell of the record after a move; return whether it was noted."""
-        request = pb.NoteMoveRequest(record=record)
-        reply = await self._async_call(instance_id, "NoteMove", request)
-        return bool(reply.accepted)
-
     async def async_hand_over(
         self, instance_id: str, group: GroupId, term: int
     ) -> bool:
--- a/swiftpin/membership/peer_handler.py
+++ b/swiftpin/membership/peer_handler.py
@@ -20,9 +20,6 @@
     ) -> frozenset[GroupId]:
         """Return the groups whose heartbeat is acknowledged."""
 
-    def handle_note_move(self, sender: str, record: bytes, now: float) -> bool:
-        """Return whether the record after a move, in JSON, was noted."""
-
     async def async_handle_hand_over(
         self, sender: str, group: GroupId, term: int, now: float
     ) -> bool:
--- a/swiftpin/membership/peer_server.py
+++ b/swiftpin/membership/peer_server.py
@@ -104,16 +104,6 @@
                     )
         await self._async_reply(stream, reply)
 
-    async def NoteMove(self, stream: PeerStream) -> None:  # noqa: N802
-        """Note a move that the store does not know yet."""
-        request = await self._async_receive(stream)
-        reply = pb.NoteMoveReply()
-        if self._is_meant(request):
-            reply.accepted = self._handler.handle_note_move(
-                request.sender, request.record, self._clock()
-            )
-        await self._async_reply(stream, reply)
-
     async def HandOver(self, stream: PeerStream) -> None:  # noqa: N802
         """Take a group over from a holder that stops."""
         request = await self._async_receive(stream)
--- a/swiftpin/membership/proto/peer_grpc.py
+++ b/swiftpin/membership/proto/peer_grpc.py
@@ -18,10 +18,6 @@
     async def Heartbeat(self, stream: 'grpclib.server.Stream[swiftpin.membership.proto.peer_pb2.HeartbeatRequest, swiftpin.membership.proto.peer_pb2.HeartbeatReply]') -> None:
         pass
 
-    @abc.abstractmethod
-    async def NoteMove(self, stream: 'grpclib.server.Stream[swiftpin.membership.proto.peer_pb2.NoteMoveRequest, swiftpin.membership.proto.peer_pb2.NoteMoveReply]') -> None:
-        pass
-
     @abc.abstractmethod
     async def HandOver(self, stream: 'grpclib.server.Stream[swiftpin.membership.proto.peer_pb2.HandOverRequest, swiftpin.membership.proto.peer_pb2.HandOverReply]') -> None:
         pass
@@ -46,12 +42,6 @@
                 swiftpin.membership.proto.peer_pb2.HeartbeatRequest,
                 swiftpin.membership.proto.peer_pb2.HeartbeatReply,
             ),
-            '/swiftpin.peer.v1.Peer/NoteMove': grpclib.const.Handler(
-                self.NoteMove,
-                grpclib.const.Cardinality.UNARY_UNARY,
-                swiftpin.membership.proto.peer_pb2.NoteMoveRequest,
-                swiftpin.membership.proto.peer_pb2.NoteMoveReply,
-            ),
             '/swiftpin.peer.v1.Peer/HandOver': grpclib.const.Handler(
                 self.HandOver,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -88,12 +78,6 @@
             swiftpin.membership.proto.peer_pb2.HeartbeatRequest,
             swiftpin.membership.proto.peer_pb2.HeartbeatReply,
         )
-        self.NoteMove = grpclib.client.UnaryUnaryMethod(
-            channel,
-            '/swiftpin.peer.v1.Peer/NoteMove',
-            swiftpin.membership.proto.peer_pb2.NoteMoveRequest,
-            swiftpin.membership.proto.peer_pb2.NoteMoveReply,
-        )
         self.HandOver = grpclib.client.UnaryUnaryMethod(
             channel,
             '/swiftpin.peer.v1.Peer/HandOver',
--- a/swiftpin/ownership/coordinator.py
+++ b/swiftpin/ownership/coordinator.py
@@ -213,11 +213,6 @@
         """Acknowledge the groups that this instance is to take over from `sender`."""
         return self._watcher.acknowledged(sender, beats, now)
 
-    @callback
-    def handle_note_move(self, sender: str, record: bytes, now: float) -> bool:
-        """Take a record as news; moves need no note under the present rules."""
-        return False
-
     async def async_handle_hand_over(
         self, sender: str, group: GroupId, term: int, now: float
     ) -> bool:
--- a/tests/membership/fake_handler.py
+++ b/tests/membership/fake_handler.py
@@ -13,7 +13,6 @@
         self.accepts: set[GroupId] = set()
         self.senders: list[str] = []
         self.beats: list[GroupHeartbeat] = []
-        self.records: list[bytes] = []
         self.hand_overs: list[tuple[GroupId, int]] = []
 
     def handle_heartbeat(
@@ -24,11 +23,6 @@
         self.beats.extend(beats)
         return frozenset(beat.group for beat in beats if beat.group in self.accepts)
 
-    def handle_note_move(self, sender: str, record: bytes, now: float) -> bool:
-        """Note the move."""
-        self.records.append(record)
-        return True
-
     async def async_handle_hand_over(
         self, sender: str, group: GroupId, term: int, now: float
     ) -> bool:
--- a/tests/membership/test_peer_messages.py
+++ b/tests/membership/test_peer_messages.py
@@ -41,13 +41,6 @@
     assert handler.senders == ["a-1/a1"]
 
 
-async def test_move_is_noted(pair: Fleet) -> None:
-    """The record arrives as it was sent."""
-    record = b'{"term": 2, "revision": 8}'
-    assert await pair.members["a-1"].clients.async_note_move("b-1/a1", record)
-    assert pair.handlers["b-1"].records == [record]
-
-
 async def test_hand_over_is_answered(pair: Fleet) -> None:
     """The receiver says whether it takes over."""
     clients = pair.members["a-1"].clients
