--- a/swiftpin/dispatch/admission.py
+++ b/swiftpin/dispatch/admission.py
@@ -35,10 +35,12 @@
 
         `working` of the `slots` usable ones are in use.
         """
-        if self._is_browned_out(request, slots):
-            return self._errors.full(self._lines.work / slots)
-        ahead = self._lines.work_before(request)
         own = self._times.estimate(request.class_name, now)
+        ahead = 0.0
+        if len(self._lines):
+            if self._is_browned_out(request, slots):
+                return self._errors.full(self._lines.work / slots)
+            ahead = self._lines.work_before(request)
         if working >= slots:
             ahead += own / 2
         if now + ahead / slots + own > request.deadline:
--- a/swiftpin/dispatch/flight_log.py
+++ b/swiftpin/dispatch/flight_log.py
@@ -27,8 +27,9 @@
     def start(self, target: str, fingerprint: str, label: str) -> SuspectRun:
         """Note that a request is sent."""
         runs = self._runs_by_target.setdefault(target, set())
-        for other in runs:
-            other.company = True
+        if len(runs) == 1:
+            # Of two or more, each has had company already.
+            next(iter(runs)).company = True
         run = SuspectRun(
             target=target, fingerprint=fingerprint, label=label, company=bool(runs)
         )
--- a/swiftpin/dispatch/slot.py
+++ b/swiftpin/dispatch/slot.py
@@ -12,6 +12,10 @@
 class SlotOwner(Protocol):
     """What a slot asks of the queue that gives it."""
 
+    @callback
+    def acquire_at_once(self, slot: Slot) -> bool:
+        """Give the slot if nothing stands before it; return whether it was given."""
+
     async def async_acquire(self, slot: Slot) -> None:
         """Wait until the slot is given; raise `NotRunError` when it is refused."""
 
@@ -65,8 +69,28 @@
         """Keep this request out of the estimate, since the target did not run it."""
         self.measured = False
 
-    async def __aenter__(self) -> Self:
+    @callback
+    def take_at_once(self) -> bool:
+        """Take the slot if it is free; raise `NotRunError` when it is refused.
+
+        Whoever took it, at once or by `async_take`, calls `leave` in the end. Most
+        requests find a free slot, and a context manager that awaits costs each of them
+        three coroutines.
+        """
+        return self._owner.acquire_at_once(self)
+
+    async def async_take(self) -> None:
+        """Wait for a slot that was not free; raise `NotRunError` when refused."""
         await self._owner.async_acquire(self)
+
+    @callback
+    def leave(self) -> None:
+        """Give the slot and its connection back."""
+        self._owner.release(self)
+
+    async def __aenter__(self) -> Self:
+        if not self.take_at_once():
+            await self.async_take()
         return self
 
     async def __aexit__(
@@ -75,4 +99,4 @@
         exc: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        self._owner.release(self)
+        self.leave()
--- a/swiftpin/dispatch/target_queue.py
+++ b/swiftpin/dispatch/target_queue.py
@@ -138,14 +138,26 @@
             self._refuse(waiter, self._errors.late(self.backlog))
         self._dispatch(now)
 
-    async def async_acquire(self, slot: Slot) -> None:
-        """Wait until the slot is given; raise `NotRunError` when it is refused."""
+    @callback
+    def acquire_at_once(self, slot: Slot) -> bool:
+        """Give the slot if nothing waits and one is free; return whether it was.
+
+        Raises `NotRunError` when the request may not even wait.
+        """
         request, now = slot.request, slot.asked_at
         if (error := self._refusal(request, now)) is not None:
             raise error
-        if not len(self._lines) and self._has_room(request.isolated, now):
-            self._grant(slot, now)
-            return
+        if len(self._lines) or not self._has_room(request.isolated, now):
+            return False
+        self._grant(slot, now)
+        return True
+
+    async def async_acquire(self, slot: Slot) -> None:
+        """Wait until the slot is given; raise `NotRunError` when it is refused.
+
+        Called right after `acquire_at_once` returned False, without an await between.
+        """
+        request, now = slot.request, slot.asked_at
         self._make_room(request)
         waiter = self._add_waiter(slot, now)
         self._dispatch(now)
--- a/swiftpin/gateway/deadline_watch.py
+++ b/swiftpin/gateway/deadline_watch.py
@@ -28,9 +28,12 @@
         self._timer: asyncio.TimerHandle | None = None
 
     @callback
-    def until(self, at: float) -> Deadline:
-        """Return a context manager that ends its task at a monotonic time."""
-        return Deadline(self, at)
+    def until(self, at: float, task: asyncio.Task[object] | None = None) -> Deadline:
+        """Return a context manager that ends its task at a monotonic time.
+
+        `task` is the present task, if it is known already.
+        """
+        return Deadline(self, at, task)
 
     @callback
     def add(self, deadline: Deadline) -> None:
@@ -83,8 +86,10 @@
 
     __slots__ = ("_watch", "tick")
 
-    def __init__(self, watch: DeadlineWatch, at: float) -> None:
-        super().__init__()
+    def __init__(
+        self, watch: DeadlineWatch, at: float, task: asyncio.Task[object] | None
+    ) -> None:
+        super().__init__(task)
         self.tick = int(at / TICK)
         self._watch = watch
 
--- a/swiftpin/gateway/target_loss.py
+++ b/swiftpin/gateway/target_loss.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from swiftpin.core import callback
 from swiftpin.exceptions import AnswerLostError
 from swiftpin.gateway.task_interrupt import TaskInterrupt
@@ -29,10 +31,18 @@
         self._waits_by_target: dict[tuple[str, str], set[LossInterrupt]] = {}
 
     @callback
-    def begin(self, service: str, target: str) -> LossInterrupt:
-        """Return a context manager for the time that a request is at the target."""
-        wait = LossInterrupt()
-        self._waits_by_target.setdefault((service, target), set()).add(wait)
+    def begin(
+        self, service: str, target: str, task: asyncio.Task[object] | None
+    ) -> LossInterrupt:
+        """Return a context manager for the time that a request is at the target.
+
+        `task` is the present task.
+        """
+        wait = LossInterrupt(task)
+        waits = self._waits_by_target.get((service, target))
+        if waits is None:
+            waits = self._waits_by_target[(service, target)] = set()
+        waits.add(wait)
         return wait
 
     @callback
--- a/swiftpin/gateway/target_runner.py
+++ b/swiftpin/gateway/target_runner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
@@ -62,29 +63,32 @@
         """
         queued = self._queued(job)
         queue = self._queue_of(job)
-        async with queue.async_slot(queued, monotonic_now()) as slot:
-            now = monotonic_now()
-            deadline = job.permit.deadline(now)
-            try:
-                if deadline >= job.incoming.deadline:
-                    return await self._async_at_target(job, slot, deadline, receive)
-                with self._deadlines.until(deadline):
-                    return await self._async_at_target(job, slot, deadline, receive)
-            finally:
-                self._count_work(job, now)
+        slot = queue.async_slot(queued, monotonic_now())
+        if not slot.take_at_once():
+            await slot.async_take()
+        try:
+            return await self._async_at_target(job, slot, receive)
+        finally:
+            slot.leave()
 
     async def _async_at_target(
-        self, job: TargetJob, slot: Slot, deadline: float, receive: Receive[ReceivedT]
+        self, job: TargetJob, slot: Slot, receive: Receive[ReceivedT]
     ) -> ReceivedT:
-        """Send the job and receive its answer, unless the target is lost."""
+        """Send the job and receive its answer, unless its target or lease is lost."""
+        now = monotonic_now()
+        deadline = job.permit.deadline(now)
         service = job.incoming.service.name
-        wait = self._losses.begin(service, job.target.id)
+        task = asyncio.current_task()
+        wait = self._losses.begin(service, job.target.id, task)
         try:
             with wait:
-                left = deadline - monotonic_now()
-                return await self._async_send(job, slot, left, receive)
+                if deadline >= job.incoming.deadline:
+                    return await self._async_send(job, slot, deadline - now, receive)
+                with self._deadlines.until(deadline, task):
+                    return await self._async_send(job, slot, deadline - now, receive)
         finally:
             self._losses.end(service, job.target.id, wait)
+            self._count_work(job, now)
 
     @callback
     def _count_work(self, job: TargetJob, started_at: float) -> None:
--- a/swiftpin/gateway/task_interrupt.py
+++ b/swiftpin/gateway/task_interrupt.py
@@ -12,13 +12,15 @@
 class TaskInterrupt:
     """Context manager whose block another task may end with an error.
 
-    Cheaper than `asyncio.timeout`, which makes a timer for each block.
+    Cheaper than `asyncio.timeout`, which makes a timer for each block. `task` is the
+    task that enters the block, as far as its maker knows it: finding it out takes
+    longer than the rest.
     """
 
     __slots__ = ("_cancelling", "_interrupted", "_task")
 
-    def __init__(self) -> None:
-        self._task: asyncio.Task[object] | None = None
+    def __init__(self, task: asyncio.Task[object] | None = None) -> None:
+        self._task: asyncio.Task[object] | None = task
         self._cancelling = 0
         self._interrupted = False
 
@@ -34,9 +36,11 @@
             self._task.cancel()
 
     def __enter__(self) -> Self:
-        self._task = asyncio.current_task()
-        assert self._task is not None
-        self._cancelling = self._task.cancelling()
+        task = self._task
+        if task is None:
+            task = self._task = asyncio.current_task()
+            assert task is not None
+        self._cancelling = task.cancelling()
         return self
 
     def __exit__(
--- a/tests/dispatch/test_quarantine.py
+++ b/tests/dispatch/test_quarantine.py
@@ -93,6 +93,15 @@
         quarantine.check("bad")
 
 
+def test_three_at_once(store: FakeStore, clock: FakeClock) -> None:
+    """Of three requests in flight none counts as alone, also not the first."""
+    quarantine = make(store)
+    crash(quarantine, clock, "boot-1", "first", "second", "third")
+    crash(quarantine, clock, "boot-2", "first", "second", "third")
+    for name in ("first", "second", "third"):
+        assert quarantine.check(name) is QuarantineVerdict.ISOLATE
+
+
 async def test_suspicion_travels(store: FakeStore, clock: FakeClock) -> None:
     """The next holder lets a request crash its targets twice again."""
     first, second = make(store), make(store)
