--- a/swiftpin/dispatch/target_queue.py
+++ b/swiftpin/dispatch/target_queue.py
@@ -140,27 +140,19 @@
 
     @callback
     def acquire_at_once(self, slot: Slot) -> bool:
-        """Give the slot if nothing waits and one is free; return whether it was.
-
-        Raises `NotRunError` when the request may not even wait.
-        """
-        request, now = slot.request, slot.asked_at
-        if (error := self._refusal(request, now)) is not None:
+        """Give a free slot and return True; raise `NotRunError` if none may be had."""
+        now, isolated = slot.asked_at, slot.request.isolated
+        if (error := self._refusal(slot.request, now)) is not None:
             raise error
-        if len(self._lines) or not self._has_room(request.isolated, now):
-            return False
-        self._grant(slot, now)
-        return True
+        if free := not len(self._lines) and self._has_room(isolated, now):
+            self._grant(slot, now)
+        return free
 
     async def async_acquire(self, slot: Slot) -> None:
-        """Wait until the slot is given; raise `NotRunError` when it is refused.
-
-        Called right after `acquire_at_once` returned False, without an await between.
-        """
-        request, now = slot.request, slot.asked_at
-        self._make_room(request)
-        waiter = self._add_waiter(slot, now)
-        self._dispatch(now)
+        """Wait after `acquire_at_once` said no; raise `NotRunError` when refused."""
+        self._make_room(slot.request)
+        waiter = self._add_waiter(slot, slot.asked_at)
+        self._dispatch(slot.asked_at)
         try:
             error = await waiter.decided
         except asyncio.CancelledError:
