--- a/tests/deploy/test_deploy_files.py
+++ b/tests/deploy/test_deploy_files.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import AsyncIterator, Iterator
 import json
 from pathlib import Path
 import re
@@ -26,9 +26,10 @@
 
 
 @pytest.fixture
-async def metric_names() -> set[str]:
+async def metric_names() -> AsyncIterator[set[str]]:
     """Return the names of all samples that an instance may give."""
     fixture = GatewayFixture(FakeOwnership(), Catalog())
+    await fixture.async_setup()
     registry = fixture.metrics.registry
     registry.register(fixture.collector())
     names: set[str] = set()
@@ -40,7 +41,8 @@
                 names.update(metric.name + suffix for suffix in HISTOGRAM_SUFFIXES)
             case _:
                 names.add(metric.name)
-    return names
+    yield names
+    await fixture.async_unload()
 
 
 def alert_rules() -> list[dict[str, Any]]:
