Split out only keys that are hot in slots, not in shares of nothing

Change: a hot key keeps at least 0.1 slots busy. Ruled out: replaced successors (none in the log), which CAPACITY.md had guessed.

--- a/swiftpin/ownership/load_meter.py
+++ b/swiftpin/ownership/load_meter.py
@@ -14,6 +14,9 @@
 
 MAX_HOT_KEYS: Final = 64
 
+MIN_HOT_LOAD: Final = 0.1
+"""Mean busy slots from which a key can be hot: 5% of a target with two slots."""
+
 NEGLIGIBLE: Final = 1e-6
 """Busy seconds below which a slice counts as idle."""
 
@@ -47,8 +50,16 @@
 
     @callback
     def hot_keys(self, now: float) -> list[HotKey]:
-        """Return the keys with the most load, hottest first."""
-        return self._tracker.top(MAX_HOT_KEYS, now)
+        """Return the keys with the most load, hottest first.
+
+        In an idle service a single request is most of the load. Its key would be
+        split out by a write of the record, every few seconds another one.
+        """
+        return [
+            hot
+            for hot in self._tracker.top(MAX_HOT_KEYS, now)
+            if hot.load >= MIN_HOT_LOAD
+        ]
 
     @callback
     def _decay(self, now: float) -> None:
