Look for garbage less often under load

Cause: requests in flight hold more than the 700 objects after which Python collects, so a gateway under load looks through the same living objects again and again. Memory over hours is not measured.

--- a/swiftpin/gateway/__main__.py
+++ b/swiftpin/gateway/__main__.py
@@ -15,6 +15,7 @@
 from swiftpin.exceptions import ConfigurationError
 from swiftpin.gateway.app import Gateway
 from swiftpin.gateway.arguments import PROGRAM
+from swiftpin.gateway.collection_pace import spread_collections
 from swiftpin.gateway.settings import Settings
 from swiftpin.gateway.settings_loader import load_settings
 from swiftpin.helpers.logging_setup import LoggingSetup
@@ -27,6 +28,7 @@
 
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run one instance until it is told to stop; return the exit status."""
+    spread_collections()
     given = sys.argv[1:] if arguments is None else arguments
     try:
         settings = load_settings(given, os.environ)
