--- a/swiftpin/ownership/slice_balance.py
+++ b/swiftpin/ownership/slice_balance.py
@@ -11,6 +11,7 @@
 from swiftpin.ownership.group_lease import GroupLease
 from swiftpin.ownership.holder_environment import HolderEnvironment
 from swiftpin.ownership.load_meter import LoadMeter
+from swiftpin.ownership.placement.const import DEFAULT_DEADBAND
 from swiftpin.ownership.placement.exceptions_planner import (
     SplitPolicy,
     plan_exceptions,
@@ -30,6 +31,27 @@
 """Share of its fair number of slices below which a target counts as joining."""
 
 
+def overloaded_targets(view: PlacementView) -> frozenset[str]:
+    """Return the usable targets whose slots are busier than the group's by far.
+
+    Only their hot keys are worth a slice of their own: a split stops the key's home
+    for a moment, and where the load is even nothing would move after it.
+    """
+    busy_by_target = {name: 0.0 for name in view.targets_by_id if view.is_usable(name)}
+    for slice_id, item in view.slices_by_id.items():
+        if item.target in busy_by_target:
+            busy_by_target[item.target] += view.slice_load(slice_id)
+    slots = sum(view.targets_by_id[name].spec.slots for name in busy_by_target)
+    if not slots:
+        return frozenset()
+    mean = sum(busy_by_target.values()) / slots
+    return frozenset(
+        name
+        for name, busy in busy_by_target.items()
+        if busy / view.targets_by_id[name].spec.slots > mean * (1 + DEFAULT_DEADBAND)
+    )
+
+
 class SliceBalance:
     """Moves slices within the profile's limit of moves a minute."""
 
@@ -75,9 +97,12 @@
             lambda key: slice_of(service.name, key, service.slices),
             now,
         )
-        if plan.splits:
-            await self._moves.async_split(plan.splits[0])
-            return True
+        owners_by_slice = view.slices_by_id
+        overloaded = overloaded_targets(view)
+        for split in plan.splits:
+            if owners_by_slice[split.home].target in overloaded:
+                await self._moves.async_split(split)
+                return True
         idle = self._idle_merges(plan.merges)
         if idle:
             await self._moves.async_merge(idle[0])
