--- a/swiftpin/dispatch/http_answer.py
+++ b/swiftpin/dispatch/http_answer.py
@@ -4,8 +4,12 @@
 
 import asyncio
 from collections.abc import Callable
+import math
+import re
+from typing import Final
 
 from aiohttp import ClientError, StreamReader
+from aiohttp.hdrs import KEEP_ALIVE
 from aiohttp.http import RawResponseMessage
 from multidict import CIMultiDictProxy
 
@@ -13,6 +17,11 @@
 from swiftpin.dispatch.http_connection import HttpConnection
 from swiftpin.exceptions import AnswerBrokenError
 
+KEEP_ALIVE_TIMEOUT: Final = re.compile(r"timeout\s*=\s*(\d+)")
+IDLE_MARGIN: Final = 1.0
+"""Seconds before the server's own limit at which an idle connection is given up: a
+request that crosses the server's close is lost."""
+
 
 class HttpAnswer:
     """Head of an answer, and its body as it arrives.
@@ -50,6 +59,11 @@
         self._connection = connection
         self._upload = upload
 
+    @property
+    def is_read(self) -> bool:
+        """Return whether the whole body was read."""
+        return self._content.at_eof()
+
     async def async_read_chunk(self) -> bytes:
         """Return the next piece of the body, empty at its end.
 
@@ -87,6 +101,7 @@
         if uploading or not self._content.is_eof():
             self.abort()
             return
+        self._connection.idle_limit = _idle_limit(self.headers.get(KEEP_ALIVE))
         self._connection.release(now)
 
     @callback
@@ -95,3 +110,10 @@
         if self._upload is not None:
             self._upload.cancel()
         self._connection.abort()
+
+
+@callback
+def _idle_limit(text: str | None) -> float:
+    """Return the seconds for which a server keeps an idle connection, less a margin."""
+    found = KEEP_ALIVE_TIMEOUT.search(text or "")
+    return max(float(found[1]) - IDLE_MARGIN, 0.0) if found else math.inf
--- a/swiftpin/dispatch/http_client.py
+++ b/swiftpin/dispatch/http_client.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from http import HTTPStatus
+import math
 from typing import Final
 
-from aiohttp import ClientError, StreamReader
+from aiohttp import ClientError
 from aiohttp.hdrs import CONTENT_LENGTH, METH_HEAD, TRANSFER_ENCODING
 from aiohttp.http import HttpProcessingError, RawResponseMessage, StreamWriter
 
@@ -15,7 +16,7 @@
 from swiftpin.dispatch.http_answer import HttpAnswer
 from swiftpin.dispatch.http_body import HttpBody
 from swiftpin.dispatch.http_connection import HttpConnection
-from swiftpin.dispatch.http_pool import HttpPool
+from swiftpin.dispatch.http_pool import IDLE_LIMIT, HttpPool
 from swiftpin.dispatch.http_request import HttpRequest
 from swiftpin.dispatch.http_send_state import HttpSendState
 from swiftpin.exceptions import AnswerBrokenError, RequestError, RequestNotSentError
@@ -35,12 +36,21 @@
 SendGate = Callable[[float], None]
 """Called with the time right before a request is written; raises to hold it back."""
 
+AnswerCheck = Callable[[Mapping[str, str]], bool]
+"""Called with an answer's headers; tells whether it answers the request sent."""
+
+MAX_STRAY_ANSWERS: Final = 3
+"""Answers to earlier requests that are passed over before a connection is given up."""
+
 
 class HttpClient:
     """Pools of connections by address, and exchanges over them.
 
     Nothing is ever sent a second time here: that is for callers to decide, who know
-    whether a request may repeat. With `tls` every connection is secured.
+    whether a request may repeat. With `tls` every connection is secured. With
+    `accepts_unframed` an answer may state no length and end with its connection.
+    `idle_limit` is how long a connection may lie idle, in seconds, where the server
+    does not state it.
     """
 
     def __init__(
@@ -48,9 +58,13 @@
         *,
         connect_limit: float = DEFAULT_CONNECT_LIMIT,
         tls: ClientTls | None = None,
+        accepts_unframed: bool = False,
+        idle_limit: float = IDLE_LIMIT,
     ) -> None:
         self._connect_limit = connect_limit
         self._tls = tls
+        self._accepts_unframed = accepts_unframed
+        self._idle_limit = idle_limit
         self._pools_by_address: dict[str, HttpPool] = {}
 
     async def async_exchange(
@@ -61,21 +75,28 @@
         gate: SendGate,
         *,
         connections: int = DEFAULT_CONNECTIONS,
+        check: AnswerCheck | None = None,
+        max_idle: float = math.inf,
     ) -> HttpAnswer:
         """Send the request and return the head of its answer.
 
+        Only a connection that was used within `max_idle` seconds is used again. An
+        answer that `check` does not accept belongs to an earlier request on the
+        connection and is passed over.
+
         Raises `RequestNotSentError` when no byte was written, `AnswerBrokenError`
         when the answer's head did not come, and whatever `gate` or the request's
         body raise. A cancelled exchange closes its connection.
         """
         pool = self._pool(address, connections)
-        connection = pool.take_idle(monotonic_now())
+        connection = pool.take_idle(monotonic_now(), max_idle)
         if connection is None:
             connection = await pool.async_connect()
         try:
+            _prepare(connection, request, accepts_unframed=self._accepts_unframed)
             if request.body.whole is None:
-                return await _async_stream(connection, request, state, gate)
-            return await _async_send_whole(connection, request, state, gate)
+                return await _async_stream(connection, request, state, gate, check)
+            return await _async_send_whole(connection, request, state, gate, check)
         except BaseException:
             connection.abort()
             raise
@@ -105,6 +126,7 @@
                 limit=connections,
                 connect_limit=self._connect_limit,
                 tls=self._tls,
+                idle_limit=self._idle_limit,
             )
             self._pools_by_address[address] = pool
         pool.limit = connections
@@ -120,11 +142,14 @@
 
 
 @callback
-def _prepare(connection: HttpConnection, request: HttpRequest) -> None:
+def _prepare(
+    connection: HttpConnection, request: HttpRequest, *, accepts_unframed: bool
+) -> None:
     """Make the connection ready to parse the answer."""
+    connection.accepts_unframed = accepts_unframed
     connection.protocol.set_response_params(
         skip_payload=request.method == METH_HEAD,
-        read_until_eof=False,
+        read_until_eof=accepts_unframed,
         auto_decompress=False,
         read_bufsize=READ_BUFFER,
         max_line_size=MAX_HEADER_SIZE,
@@ -153,13 +178,13 @@
     request: HttpRequest,
     state: HttpSendState,
     gate: SendGate,
+    check: AnswerCheck | None,
 ) -> HttpAnswer:
     """Write head and body in one piece and read the answer's head."""
     body = request.body.whole
     assert body is not None
     if body or request.method not in METHODS_WITHOUT_BODY:
         request.headers[CONTENT_LENGTH] = str(len(body))
-    _prepare(connection, request)
     writer = StreamWriter(connection.protocol, connection.loop)
     await writer.write_headers(_request_line(request), request.headers)
     _open_gate(connection, state, gate)
@@ -167,7 +192,7 @@
         await writer.write_eof(body)
     except (ClientError, OSError) as err:
         raise AnswerBrokenError(f"the request broke off: {err!r}") from err
-    return await _async_read_head(connection, request, None)
+    return await _async_read_head(connection, request, None, check)
 
 
 async def _async_stream(
@@ -175,6 +200,7 @@
     request: HttpRequest,
     state: HttpSendState,
     gate: SendGate,
+    check: AnswerCheck | None,
 ) -> HttpAnswer:
     """Write the body piece by piece while the answer's head is awaited."""
     writer = StreamWriter(connection.protocol, connection.loop)
@@ -183,7 +209,6 @@
         writer.enable_chunking()
     else:
         request.headers[CONTENT_LENGTH] = str(request.body.length)
-    _prepare(connection, request)
     await writer.write_headers(_request_line(request), request.headers)
     _open_gate(connection, state, gate)
     writer.send_headers()
@@ -191,7 +216,7 @@
         _async_upload(connection, writer, request.body)
     )
     try:
-        return await _async_read_head(connection, request, upload)
+        return await _async_read_head(connection, request, upload, check)
     except AnswerBrokenError:
         _raise_upload_error(upload)
         raise
@@ -234,37 +259,48 @@
     connection: HttpConnection,
     request: HttpRequest,
     upload: asyncio.Task[None] | None,
+    check: AnswerCheck | None,
 ) -> HttpAnswer:
-    """Wait for the answer's head, passing over interim ones."""
+    """Wait for the answer's head, passing over interim and stray ones."""
+    strays = 0
     try:
         message, content = await connection.protocol.read()
-        while 100 <= message.code < HTTPStatus.OK:
+        while True:
             if message.code == HTTPStatus.SWITCHING_PROTOCOLS:
                 raise AnswerBrokenError("the server changed the protocol unasked")
+            if message.code >= HTTPStatus.OK:
+                if check is None or check(message.headers):
+                    break
+                strays += 1
+                if strays > MAX_STRAY_ANSWERS:
+                    raise AnswerBrokenError("only answers to other requests came")
+                await content.read()
             message, content = await connection.protocol.read()
     except (ClientError, OSError) as err:
         raise AnswerBrokenError(f"no answer: {err!r}") from err
     except HttpProcessingError as err:
         raise AnswerBrokenError(f"the answer is not HTTP: {err!r}") from err
-    length = _length(message, content, request)
+    length = _length(message, connection, request)
     return HttpAnswer(message, content, connection, length=length, upload=upload)
 
 
 @callback
 def _length(
-    message: RawResponseMessage, content: StreamReader, request: HttpRequest
+    message: RawResponseMessage, connection: HttpConnection, request: HttpRequest
 ) -> int | None:
-    """Return the length of the answer's body, None when it comes in chunks.
+    """Return the length of the answer's body, None when it is not stated.
 
     An answer with neither a length nor chunks ends where the connection ends. A server
     that dies while it writes such an answer looks like one that finished, so it can't
-    be told whole from cut short and is refused.
+    be told whole from cut short and is refused, unless the client accepts it.
     """
     if request.method == METH_HEAD or message.code in BODILESS_STATUSES:
         return 0
     if message.chunked:
         return None
     length = message.headers.get(CONTENT_LENGTH)
+    if length is None and connection.accepts_unframed:
+        return None
     if length is None:
         raise AnswerBrokenError("the answer states neither its length nor chunks")
     return int(length)
--- a/swiftpin/dispatch/http_connection.py
+++ b/swiftpin/dispatch/http_connection.py
@@ -12,6 +12,7 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 
 from aiohttp.client_proto import ResponseHandler
 
@@ -21,7 +22,14 @@
 class HttpConnection:
     """A connection of a pool; `idle_since` is monotonic, in seconds."""
 
-    __slots__ = ("_on_release", "idle_since", "loop", "protocol")
+    __slots__ = (
+        "_on_release",
+        "accepts_unframed",
+        "idle_limit",
+        "idle_since",
+        "loop",
+        "protocol",
+    )
 
     def __init__(
         self,
@@ -32,6 +40,10 @@
         self.protocol = protocol
         self.loop = loop
         self.idle_since = 0.0
+        self.idle_limit = math.inf
+        """Seconds after which the server closes the connection when it is idle."""
+
+        self.accepts_unframed = False
         self._on_release = on_release
 
     @property
--- a/swiftpin/dispatch/http_pool.py
+++ b/swiftpin/dispatch/http_pool.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import math
+import socket
 from typing import Final
 
+from aiohttp import ClientPayloadError
 from aiohttp.client_proto import ResponseHandler
 
 from swiftpin.core import callback
@@ -18,6 +21,46 @@
 request written to a connection that the server is just closing ends unknown."""
 
 
+KEEPALIVE_IDLE: Final = 2
+KEEPALIVE_INTERVAL: Final = 1
+KEEPALIVE_PROBES: Final = 2
+USER_TIMEOUT: Final = 3000
+"""Seconds, seconds, probes and milliseconds after which TCP gives up on a connection
+that fell silent. Without them it waits for many minutes, and an idle connection that
+leads nowhere looks open until a request is lost on it."""
+
+
+class ServerProtocol(ResponseHandler):
+    """Client side of a connection that tells a reset from an orderly end.
+
+    An answer without a length ends with its connection. The library takes any end for
+    such an answer's end; after a reset a cut-off answer would look whole.
+    """
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Note that the connection ended."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(ClientPayloadError(f"the connection broke: {exc!r}"))
+        super().connection_lost(exc)
+
+
+def _watch_for_silence(protocol: ResponseHandler) -> None:
+    """Make TCP notice that the other side is gone."""
+    transport = protocol.transport
+    raw_socket = None if transport is None else transport.get_extra_info("socket")
+    if raw_socket is None:
+        return
+    raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.TCP_USER_TIMEOUT, USER_TIMEOUT),
+    ):
+        raw_socket.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
 class HttpPool:
     """Open connections to one address, at most `limit`; the newest is used first."""
 
@@ -28,8 +71,10 @@
         limit: int,
         connect_limit: float,
         tls: ClientTls | None = None,
+        idle_limit: float = IDLE_LIMIT,
     ) -> None:
         self.address = address
+        self._idle_limit = idle_limit
         self.limit = limit
         self._connect_limit = connect_limit
         self._tls = tls
@@ -42,13 +87,21 @@
         return len(self._open)
 
     @callback
-    def take_idle(self, now: float) -> HttpConnection | None:
-        """Return an open connection that carries no exchange, None if there is none."""
+    def take_idle(
+        self, now: float, max_idle: float = math.inf
+    ) -> HttpConnection | None:
+        """Return an open connection that carries no exchange, None if there is none.
+
+        One that was idle for longer than `max_idle` seconds stays for other requests.
+        """
         while self._idle:
-            connection = self._idle.pop()
-            if connection.is_clean and now - connection.idle_since < IDLE_LIMIT:
-                return connection
-            connection.abort()
+            connection = self._idle[-1]
+            if not self._is_fresh(connection, now):
+                self._idle.pop().abort()
+                continue
+            if now - connection.idle_since > max_idle:
+                return None
+            return self._idle.pop()
         return None
 
     async def async_connect(self) -> HttpConnection:
@@ -62,7 +115,7 @@
         try:
             async with asyncio.timeout(self._connect_limit):
                 _, protocol = await loop.create_connection(
-                    lambda: ResponseHandler(loop),
+                    lambda: ServerProtocol(loop),
                     self.address.host,
                     self.address.port,
                     ssl=None if tls is None else tls.context,
@@ -72,6 +125,7 @@
             raise RequestNotSentError(
                 f"no connection to {self.address}: {err!r}"
             ) from err
+        _watch_for_silence(protocol)
         connection = HttpConnection(protocol, loop, self._released)
         self._open.add(connection)
         return connection
@@ -81,7 +135,7 @@
         """Close connections that were idle for too long."""
         fresh = []
         for connection in self._idle:
-            if connection.is_clean and now - connection.idle_since < IDLE_LIMIT:
+            if self._is_fresh(connection, now):
                 fresh.append(connection)
             else:
                 connection.abort()
@@ -94,6 +148,12 @@
         for connection in list(self._open):
             connection.abort()
 
+    @callback
+    def _is_fresh(self, connection: HttpConnection, now: float) -> bool:
+        """Return whether an idle connection may be used again."""
+        limit = min(self._idle_limit, connection.idle_limit)
+        return connection.is_clean and now - connection.idle_since < limit
+
     @callback
     def _released(self, connection: HttpConnection, now: float) -> None:
         """Keep a connection that is fit for another exchange, forget any other."""
--- /dev/null
+++ b/swiftpin/fleet/link.py
@@ -0,0 +1,125 @@
+"""One open link between two instances."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, Final, Protocol
+
+from swiftpin.core import callback
+from swiftpin.fleet.proto import fleet_pb2 as pb
+
+BEAT_INTERVAL: Final = 0.4
+"""Seconds between two signs of life on a link."""
+
+SILENT_LIMIT: Final = 1.3
+"""Seconds without a frame after which the other side counts as gone: three beats. A
+connection can fall silent without being closed."""
+
+MOST_WAITING: Final = 20_000
+"""Items that may wait to be sent; a link that is further behind is closed."""
+
+Item = Any
+"""A message of the generated code, which has no types."""
+
+
+class FrameStream(Protocol):
+    """The stream of a call, at either side."""
+
+    async def send_message(self, message: Any) -> None:  # noqa: ANN401
+        """Send a frame."""
+
+    async def recv_message(self) -> Any:  # noqa: ANN401
+        """Return the next frame, None at the end."""
+
+
+class LinkHandler(Protocol):
+    """Takes what arrives on links."""
+
+    def handle_item(self, link: PeerLink, item: Item) -> None:
+        """Take one item."""
+
+    def make_beat(self) -> Item:
+        """Return the sign of life to send."""
+
+
+class PeerLink:
+    """Sends items in frames, as many at a time as wait, and hands on what comes in."""
+
+    def __init__(self, handler: LinkHandler, now: float, *, is_outgoing: bool) -> None:
+        self.is_outgoing = is_outgoing
+        self.incarnation = ""
+        """The other side, once it said who it is."""
+
+        self.peer = ""
+        self.beat: Item | None = None
+        self.heard_at = now
+        self.is_closed = False
+        self._handler = handler
+        self._waiting: list[Item] = []
+        self._wake = asyncio.Event()
+
+    @callback
+    def send(self, item: Item) -> None:
+        """Send an item as soon as the link can take it."""
+        if self.is_closed:
+            return
+        if len(self._waiting) >= MOST_WAITING:
+            self.close()
+            return
+        self._waiting.append(item)
+        self._wake.set()
+
+    @callback
+    def close(self) -> None:
+        """End the link."""
+        self.is_closed = True
+        self._wake.set()
+
+    @callback
+    def is_alive(self, now: float) -> bool:
+        """Return whether the other side was heard lately."""
+        return not self.is_closed and now - self.heard_at < SILENT_LIMIT
+
+    async def async_run(self, stream: FrameStream) -> None:
+        """Serve the link until either side ends it or falls silent."""
+        tasks = {
+            asyncio.create_task(self._async_send(stream)),
+            asyncio.create_task(self._async_receive(stream)),
+            asyncio.create_task(self._async_watch()),
+        }
+        try:
+            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                task.result()
+        finally:
+            self.is_closed = True
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _async_send(self, stream: FrameStream) -> None:
+        """Send what waits."""
+        while not self.is_closed:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._waiting:
+                items, self._waiting = self._waiting, []
+                await stream.send_message(pb.Frame(items=items))
+
+    async def _async_receive(self, stream: FrameStream) -> None:
+        """Hand on what arrives."""
+        loop = asyncio.get_running_loop()
+        while not self.is_closed:
+            frame = await stream.recv_message()
+            if frame is None:
+                return
+            self.heard_at = loop.time()
+            for item in frame.items:
+                self._handler.handle_item(self, item)
+
+    async def _async_watch(self) -> None:
+        """Send signs of life, and end the link when none come back."""
+        loop = asyncio.get_running_loop()
+        while self.is_alive(loop.time()):
+            self.send(self._handler.make_beat())
+            await asyncio.sleep(BEAT_INTERVAL)
--- /dev/null
+++ b/swiftpin/fleet/links.py
@@ -0,0 +1,162 @@
+"""All links of an instance."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, Final
+
+from eliot import log_message
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from grpclib.server import Server
+from h2.exceptions import H2Error
+
+from swiftpin.core import callback
+from swiftpin.exceptions import ConfigurationError
+from swiftpin.fleet.link import FrameStream, LinkHandler, PeerLink
+from swiftpin.fleet.proto import fleet_pb2 as pb
+from swiftpin.fleet.proto.fleet_grpc import FleetBase, FleetStub
+from swiftpin.helpers.address import Address, parse_address
+
+RECONNECT_PAUSE: Final = 0.2
+"""Seconds before a link that ended is opened again."""
+
+CONNECT_TIMEOUT: Final = 1.0
+"""Seconds to open a link; an instance that is gone may not even refuse."""
+
+LINK_ERRORS: Final = (
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+    H2Error,
+    OSError,
+    TimeoutError,
+)
+
+
+class FleetLinks(FleetBase):  # type: ignore[misc]  # generated code has no types
+    """Opens the links that are wanted and serves those that others open."""
+
+    def __init__(
+        self, *, incarnation: str, own_peer: str, handler: LinkHandler
+    ) -> None:
+        self.outgoing_by_peer: dict[str, PeerLink] = {}
+        self.incoming: set[PeerLink] = set()
+        self.on_lost: Callable[[PeerLink], None] = _ignore
+        self._incarnation = incarnation
+        self._own_peer = own_peer
+        self._handler = handler
+        self._tasks_by_peer: dict[str, asyncio.Task[None]] = {}
+        self._server: Server | None = None
+
+    async def async_setup(self, listen: Address) -> None:
+        """Listen for other instances."""
+        server = Server([self])
+        try:
+            await server.start(listen.host, listen.port)
+        except OSError as err:
+            raise ConfigurationError(f"cannot listen on {listen}: {err}") from err
+        self._server = server
+
+    async def async_unload(self) -> None:
+        """Close every link."""
+        for task in self._tasks_by_peer.values():
+            task.cancel()
+        for link in list(self.incoming):
+            link.close()
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    @callback
+    def want(self, peers: set[str]) -> None:
+        """Keep links to these addresses, and to no others."""
+        wanted = peers - {self._own_peer, ""}
+        for peer in self._tasks_by_peer.keys() - wanted:
+            self._tasks_by_peer.pop(peer).cancel()
+        for peer in wanted - self._tasks_by_peer.keys():
+            self._tasks_by_peer[peer] = asyncio.create_task(self._async_keep(peer))
+
+    @callback
+    def live_links(self) -> list[PeerLink]:
+        """Return the links on which the other side was heard lately."""
+        now = asyncio.get_running_loop().time()
+        links = [*self.outgoing_by_peer.values(), *self.incoming]
+        return [link for link in links if link.incarnation and link.is_alive(now)]
+
+    async def Link(self, stream: Any) -> None:  # noqa: N802, ANN401  # generated name
+        """Serve a link that another instance opened."""
+        link = PeerLink(
+            self._handler, asyncio.get_running_loop().time(), is_outgoing=False
+        )
+        self._greet(link)
+        self.incoming.add(link)
+        try:
+            await link.async_run(stream)
+        except LINK_ERRORS as err:
+            self._note_lost(link, repr(err))
+        finally:
+            self.incoming.discard(link)
+            self.on_lost(link)
+
+    async def _async_keep(self, peer: str) -> None:
+        """Keep a link to an address until cancelled."""
+        while True:
+            try:
+                await self._async_open(peer)
+            except LINK_ERRORS as err:
+                reason = repr(err)
+            else:
+                reason = "ended"
+            link = self.outgoing_by_peer.pop(peer, None)
+            if link is not None:
+                self._note_lost(link, reason)
+                self.on_lost(link)
+            await asyncio.sleep(RECONNECT_PAUSE)
+
+    async def _async_open(self, peer: str) -> None:
+        """Open a link and serve it until it ends."""
+        address = parse_address(peer)
+        channel = Channel(address.host, address.port)
+        try:
+            async with FleetStub(channel).Link.open() as stream:
+                async with asyncio.timeout(CONNECT_TIMEOUT):
+                    await stream.send_request()
+                await self._async_serve(peer, stream)
+                await stream.cancel()
+        finally:
+            channel.close()
+
+    async def _async_serve(self, peer: str, stream: FrameStream) -> None:
+        """Serve a link that this instance opened."""
+        link = PeerLink(
+            self._handler, asyncio.get_running_loop().time(), is_outgoing=True
+        )
+        link.peer = peer
+        self._greet(link)
+        self.outgoing_by_peer[peer] = link
+        await link.async_run(stream)
+
+    @callback
+    def _greet(self, link: PeerLink) -> None:
+        """Say who this instance is."""
+        link.send(
+            pb.Item(hello=pb.Hello(incarnation=self._incarnation, peer=self._own_peer))
+        )
+
+    @callback
+    def _note_lost(self, link: PeerLink, reason: str) -> None:
+        """Write a line for a link that ended."""
+        log_message(
+            message_type="peer_lost",
+            level="warning",
+            peer=link.incarnation or link.peer,
+            outgoing=link.is_outgoing,
+            reason=reason,
+        )
+
+
+@callback
+def _ignore(link: PeerLink) -> None:
+    """Do nothing."""
--- /dev/null
+++ b/swiftpin/fleet/messages.py
@@ -0,0 +1,77 @@
+"""Conversion between data classes and the messages on links."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from swiftpin.fleet.link import Item
+from swiftpin.fleet.proto import fleet_pb2 as pb
+from swiftpin.keyranges.key_map import KeyMap
+
+
+@dataclass(kw_only=True, slots=True)
+class LoadNews:
+    """What an instance saw since its last report."""
+
+    counts_by_service: dict[str, dict[int, int]] = field(default_factory=dict)
+    seconds_by_target: dict[tuple[str, str], list[float]] = field(default_factory=dict)
+    failures_by_target: dict[tuple[str, str], int] = field(default_factory=dict)
+
+    def add_key(self, service: str, key: int) -> None:
+        """Count a request for a key."""
+        counts = self.counts_by_service.setdefault(service, {})
+        counts[key] = counts.get(key, 0) + 1
+
+    def add_time(self, service: str, target: str, seconds: float | None) -> None:
+        """Note a request's time at a target, None when it failed."""
+        if seconds is None:
+            failures = self.failures_by_target
+            failures[service, target] = failures.get((service, target), 0) + 1
+        else:
+            self.seconds_by_target.setdefault((service, target), []).append(seconds)
+
+
+def encode_load(news: LoadNews) -> Item:
+    """Return a report as an item."""
+    report = pb.LoadReport()
+    for service, counts in news.counts_by_service.items():
+        report.loads.add(service=service, keys=counts.keys(), counts=counts.values())
+    pairs = news.seconds_by_target.keys() | news.failures_by_target.keys()
+    for service, target in pairs:
+        report.times.add(
+            service=service,
+            target=target,
+            seconds=news.seconds_by_target.get((service, target), ()),
+            failures=news.failures_by_target.get((service, target), 0),
+        )
+    return pb.Item(load=report)
+
+
+def encode_key_map(key_map: KeyMap) -> Item:
+    """Return a map as an item; each target is named once."""
+    numbers: Mapping[str, int] = {
+        owner: number for number, owner in enumerate(dict.fromkeys(key_map.owners))
+    }
+    return pb.Item(
+        key_map=pb.KeyMap(
+            service=key_map.service,
+            term=key_map.term,
+            number=key_map.number,
+            firsts=key_map.firsts,
+            owners=[numbers[owner] for owner in key_map.owners],
+            targets=list(numbers),
+        )
+    )
+
+
+def decode_key_map(message: Item) -> KeyMap:
+    """Return the map in a message."""
+    targets = list(message.targets)
+    return KeyMap(
+        service=message.service,
+        term=message.term,
+        number=message.number,
+        firsts=tuple(message.firsts),
+        owners=tuple(targets[number] for number in message.owners),
+    )
--- a/swiftpin/gateway/http_listener.py
+++ b/swiftpin/gateway/http_listener.py
@@ -50,6 +50,11 @@
 class GatewayProtocol(HttpProtocol):
     """Connection whose requests that can't be parsed get a numbered answer too."""
 
+    @callback
+    def set_idle_limit(self, seconds: float) -> None:
+        """Set how long the connection may be idle after the present request."""
+        self._keepalive_timeout = seconds
+
     def handle_error(
         self,
         request: BaseRequest,
--- /dev/null
+++ b/swiftpin/helpers/whole_body.py
@@ -0,0 +1,24 @@
+"""A body that is wholly in memory."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+
+
+class WholeBody:
+    """Body of a request made here; it can be sent any number of times."""
+
+    __slots__ = ("whole",)
+
+    def __init__(self, whole: bytes) -> None:
+        self.whole: bytes | None = whole
+
+    @property
+    def length(self) -> int | None:
+        """Return the body's length in bytes."""
+        return None if self.whole is None else len(self.whole)
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Give the body in one piece."""
+        if self.whole:
+            yield self.whole
--- /dev/null
+++ b/swiftpin/keyranges/__init__.py
@@ -0,0 +1,1 @@
+"""Ownership of contiguous key ranges: lease, assignment, grants and moves."""
--- /dev/null
+++ b/swiftpin/keyranges/assignment.py
@@ -0,0 +1,120 @@
+"""The recorded assignment of a service's keys."""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from typing import Any
+
+from swiftpin.exceptions import ConfigurationError
+from swiftpin.keyranges.const import KEYS
+from swiftpin.keyranges.move import Move
+from swiftpin.keyranges.segment import Segment
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Assignment:
+    """Segments that cover all keys, in order."""
+
+    segments: tuple[Segment, ...]
+
+    def segment_of(self, key: int) -> Segment:
+        """Return the segment that holds a key."""
+        index = bisect_right(self.segments, key, key=lambda segment: segment.first)
+        return self.segments[index - 1]
+
+    def with_moves(self, moves: Iterable[Move], next_fence: int) -> Assignment:
+        """Return the assignment after moves, each under a fence of its own."""
+        segments = list(self.segments)
+        for move in moves:
+            segments = _apply(segments, move, next_fence)
+            next_fence += 1
+        return Assignment(segments=tuple(segments))
+
+    def with_replaced(self, old: Segment, new: Segment) -> Assignment:
+        """Return the assignment with one segment replaced, if it still stands so."""
+        return Assignment(
+            segments=tuple(
+                new if segment == old else segment for segment in self.segments
+            )
+        )
+
+
+def _apply(segments: list[Segment], move: Move, fence: int) -> list[Segment]:
+    """Return the segments with one move carried out."""
+    result = []
+    for segment in segments:
+        if segment.last < move.first or segment.first > move.last:
+            result.append(segment)
+            continue
+        first = max(segment.first, move.first)
+        last = min(segment.last, move.last)
+        if segment.first < first:
+            result.append(replace(segment, last=first - 1))
+        result.append(
+            Segment(
+                first=first,
+                last=last,
+                owner=move.to,
+                fence=fence,
+                former=segment.owner,
+            )
+        )
+        if last < segment.last:
+            result.append(replace(segment, first=last + 1))
+    return result
+
+
+def divide_evenly(weights_by_target: dict[str, float], fence: int) -> Assignment:
+    """Return a first assignment with ranges in proportion to the weights."""
+    total = sum(weights_by_target.values())
+    segments = []
+    first = 0
+    passed = 0.0
+    for target, weight in sorted(weights_by_target.items()):
+        passed += weight
+        end = round(KEYS * passed / total)
+        if end <= first:
+            continue
+        segments.append(Segment(first=first, last=end - 1, owner=target, fence=fence))
+        first = end
+    return Assignment(segments=tuple(segments))
+
+
+def encode_assignment(assignment: Assignment) -> dict[str, Any]:
+    """Return the record's content; targets are named once and then numbered."""
+    numbers: dict[str, int] = {"": 0}
+    rows = []
+    for segment in assignment.segments:
+        owner = numbers.setdefault(segment.owner, len(numbers))
+        former = numbers.setdefault(segment.former, len(numbers))
+        rows.append([segment.first, owner, segment.fence, former])
+    return {"targets": list(numbers), "rows": rows}
+
+
+def decode_assignment(content: object) -> Assignment:
+    """Return the assignment in a record; raise `ConfigurationError` if malformed."""
+    try:
+        return _decode(content)
+    except (KeyError, TypeError, ValueError, IndexError) as err:
+        raise ConfigurationError(f"record of an assignment: {err!r}") from err
+
+
+def _decode(content: Any) -> Assignment:  # noqa: ANN401  # any JSON value
+    """Return the assignment in a record."""
+    names = content["targets"]
+    rows = content["rows"]
+    ends = [row[0] - 1 for row in rows[1:]] + [KEYS - 1]
+    return Assignment(
+        segments=tuple(
+            Segment(
+                first=first,
+                last=last,
+                owner=names[owner],
+                fence=fence,
+                former=names[former],
+            )
+            for (first, owner, fence, former), last in zip(rows, ends, strict=True)
+        )
+    )
--- /dev/null
+++ b/swiftpin/keyranges/const.py
@@ -0,0 +1,46 @@
+"""Sizes and times of key-range ownership."""
+
+from __future__ import annotations
+
+from typing import Final
+
+KEYS: Final = 65536
+"""Number of keys; they are numbered from 0."""
+
+KIND_LEASE: Final = "swiftpin-lease"
+KIND_ASSIGNMENT: Final = "swiftpin-keys"
+NAME_LEASE: Final = "assigner"
+
+LEASE_TIME: Final = 1.6
+"""Seconds for which a written lease lets its holder assign keys. Short, so that another
+instance takes over before the targets' grants end; four renewals fit in."""
+
+LEASE_RENEW: Final = 0.4
+"""Seconds between two renewals of the lease."""
+
+LEASE_MARGIN: Final = 0.4
+"""Seconds beyond `LEASE_TIME` that a candidate waits: clocks may run 2% apart and a
+renewal's answer may be on its way."""
+
+HOLD_TIME: Final = 3.8
+"""Seconds of a grant at rest: more than `LEASE_TIME`, the candidates' wait, their polls
+and a renewal's pause together, and no longer, since the keys of a target that falls
+silent stay unserved until its grant has ended."""
+
+GRANT_RENEW: Final = 1.0
+"""Seconds between two renewals of a grant."""
+
+CLOCK_DRIFT: Final = 1.03
+"""A target's clock may run 2% slow, and so end a grant later by that much."""
+
+HOLD_MARGIN: Final = 0.15
+"""Seconds added to a grant's end for the call's way to the target."""
+
+CONTROL_TIMEOUT: Final = 0.6
+"""Seconds for the answer to a grant; targets answer in milliseconds."""
+
+RELEASE_TIMEOUT: Final = 3.0
+"""Seconds for the answer to a release, which comes when the running work has ended."""
+
+PLAN_INTERVAL: Final = 0.15
+"""Seconds between two looks at the load; hot keys change within seconds."""
--- /dev/null
+++ b/swiftpin/keyranges/key_load.py
@@ -0,0 +1,45 @@
+"""How much each key is asked for."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import math
+from typing import Final
+
+from swiftpin.core import callback
+
+MEMORY: Final = 1.5
+"""Seconds after which a request counts a third. Hot keys last some seconds, so a
+longer memory notices them late; a shorter one takes chance for a change."""
+
+SMALLEST: Final = 0.02
+"""Requests a second below which a key is forgotten."""
+
+
+class KeyLoad:
+    """Requests a second by key, fading."""
+
+    def __init__(self) -> None:
+        self.rates_by_key: dict[int, float] = {}
+        self._faded_at: float | None = None
+
+    @callback
+    def add(self, counts_by_key: Mapping[int, int]) -> None:
+        """Count requests that arrived since the last call."""
+        rates = self.rates_by_key
+        for key, count in counts_by_key.items():
+            rates[key] = rates.get(key, 0.0) + count / MEMORY
+
+    @callback
+    def fade(self, now: float) -> None:
+        """Let what was counted fade up to a time."""
+        since = self._faded_at
+        self._faded_at = now
+        if since is None or now <= since:
+            return
+        factor = math.exp((since - now) / MEMORY)
+        self.rates_by_key = {
+            key: faded
+            for key, rate in self.rates_by_key.items()
+            if (faded := rate * factor) > SMALLEST
+        }
--- /dev/null
+++ b/swiftpin/keyranges/lease.py
@@ -0,0 +1,266 @@
+"""The lease of the one instance that assigns keys."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from typing import Final
+
+from eliot import log_message
+
+from swiftpin.core import callback
+from swiftpin.exceptions import (
+    ConfigurationError,
+    StoreConflictError,
+    StoreError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from swiftpin.helpers.clock import suspend_aware_now
+from swiftpin.keyranges.const import (
+    KIND_LEASE,
+    LEASE_MARGIN,
+    LEASE_RENEW,
+    LEASE_TIME,
+    NAME_LEASE,
+)
+from swiftpin.keyranges.lease_record import LeaseRecord, decode_lease, encode_lease
+from swiftpin.platform.store_client import StoreClient
+from swiftpin.router.store_health import StoreHealth
+from swiftpin.store_errors import ObjectMissingError
+
+POLL: Final = 0.25
+"""Seconds between two looks at the lease while its holder is not heard of."""
+
+RETRY: Final = 0.1
+"""Seconds before a renewal that failed is tried again, while the lease still runs."""
+
+CALM_POLL: Final = 1.0
+"""Seconds between two checks whether the holder is still heard of."""
+
+
+class LeaseKeeper:
+    """Takes the lease when its holder is gone, and renews it while this one has it.
+
+    The holder may assign keys only until `valid_until`: the sending of its last
+    written renewal plus the lease time, on a clock that counts suspensions. A candidate
+    waits longer than that without seeing a change, so two instances never assign at
+    the same time, whatever was paused or cut off.
+    """
+
+    def __init__(
+        self,
+        *,
+        incarnation: str,
+        peer: str,
+        client: StoreClient,
+        health: StoreHealth,
+        rng: Random,
+        is_holder_heard: Callable[[str], bool],
+    ) -> None:
+        self.record: LeaseRecord | None = None
+        """The record last seen, of whichever holder."""
+
+        self.valid_until = 0.0
+        self.is_standing_down = False
+        self.is_willing = False
+        """Whether this instance knows enough to assign keys."""
+
+        self.on_seen: Callable[[LeaseRecord], None] = _ignore
+        self._incarnation = incarnation
+        self._peer = peer
+        self._client = client
+        self._health = health
+        self._rng = rng
+        self._is_holder_heard = is_holder_heard
+        self._revision: int | None = None
+        self._unchanged_since = 0.0
+
+    @callback
+    def is_held(self, now: float) -> bool:
+        """Return whether this instance may assign keys at a time."""
+        return now < self.valid_until
+
+    @property
+    def term(self) -> int:
+        """Return the term last seen."""
+        return 0 if self.record is None else self.record.term
+
+    async def async_run(self) -> None:
+        """Keep the lease, or wait for it, until cancelled."""
+        while True:
+            now = suspend_aware_now()
+            if self.is_held(now):
+                await asyncio.sleep(await self._async_renew())
+            else:
+                self._note_lapse()
+                await asyncio.sleep(await self._async_wait_turn(now))
+
+    async def async_give_up(self) -> None:
+        """Let another instance take over at once; grants go on until they end."""
+        self.is_standing_down = True
+        record = self.record
+        if record is None or not self.is_held(suspend_aware_now()):
+            return
+        self.valid_until = 0.0
+        log_message(message_type="lease_given_up", term=record.term)
+        free = LeaseRecord(holder="", peer="", term=record.term, beat=record.beat + 1)
+        try:
+            await self._client.async_replace(
+                KIND_LEASE, NAME_LEASE, encode_lease(free), self._revision
+            )
+        except StoreError as err:
+            # Whoever comes next then waits until the lease has run out.
+            log_message(message_type="lease_not_freed", level="warning", error=str(err))
+
+    async def _async_renew(self) -> float:
+        """Write a renewal; return the seconds until the next one."""
+        record = self.record
+        assert record is not None
+        renewed = LeaseRecord(
+            holder=record.holder,
+            peer=record.peer,
+            term=record.term,
+            beat=record.beat + 1,
+        )
+        if await self._async_write(renewed):
+            return LEASE_RENEW
+        return RETRY
+
+    async def _async_wait_turn(self, now: float) -> float:
+        """Look at the lease, take it when it is free; return the seconds to wait."""
+        record = self.record
+        heard = record is not None and self._is_holder_heard(record.holder)
+        if heard and record is not None and record.holder != self._incarnation:
+            self._unchanged_since = now
+            return CALM_POLL * self._rng.uniform(0.3, 0.5)
+        try:
+            await self._async_read()
+        except StoreError as err:
+            self._health.note_failure(str(err), suspend_aware_now())
+            return POLL * self._rng.uniform(0.8, 1.6)
+        now = suspend_aware_now()
+        if self.is_willing and not self.is_standing_down and self._is_free(now):
+            await self._async_take()
+        return POLL * self._rng.uniform(0.6, 1.2)
+
+    @callback
+    def _is_free(self, now: float) -> bool:
+        """Return whether the lease has run out, or was given up."""
+        if self.record is None or self.record.holder in ("", self._incarnation):
+            return True
+        return now - self._unchanged_since > LEASE_TIME + LEASE_MARGIN
+
+    async def _async_read(self) -> None:
+        """Read the lease and note whether it changed."""
+        try:
+            found = await self._client.async_get(KIND_LEASE, NAME_LEASE)
+        except ObjectMissingError:
+            self._health.note_answer(suspend_aware_now())
+            self.record = None
+            self._revision = None
+            return
+        now = suspend_aware_now()
+        self._health.note_answer(now)
+        try:
+            record = decode_lease(found.content)
+        except ConfigurationError as err:
+            raise StoreUnavailableError(str(err)) from err
+        if found.revision != self._revision:
+            self._revision = found.revision
+            self._unchanged_since = now
+            self._see(record)
+
+    @callback
+    def _see(self, record: LeaseRecord) -> None:
+        """Take a record that was read or written."""
+        before = self.record
+        self.record = record
+        if before is None or (before.holder, before.term) != (
+            record.holder,
+            record.term,
+        ):
+            log_message(
+                message_type="lease_seen",
+                holder=record.holder,
+                term=record.term,
+                revision=self._revision,
+            )
+        self.on_seen(record)
+
+    async def _async_take(self) -> None:
+        """Try to become the holder, under the next term."""
+        taken = LeaseRecord(
+            holder=self._incarnation, peer=self._peer, term=self.term + 1, beat=0
+        )
+        if await self._async_write(taken):
+            log_message(message_type="lease_taken", term=taken.term)
+
+    async def _async_write(self, record: LeaseRecord) -> bool:
+        """Write a record of this instance's own; return whether it stands."""
+        sent_at = suspend_aware_now()
+        content = encode_lease(record)
+        try:
+            if self._revision is None:
+                revision = await self._client.async_create(
+                    KIND_LEASE, NAME_LEASE, content
+                )
+            else:
+                revision = await self._client.async_replace(
+                    KIND_LEASE, NAME_LEASE, content, self._revision
+                )
+        except StoreConflictError as err:
+            return await self._async_settle(record, sent_at, str(err))
+        except StoreOutcomeUnknownError as err:
+            self._health.note_failure(str(err), suspend_aware_now())
+            return await self._async_settle(record, sent_at, str(err))
+        except StoreError as err:
+            self._health.note_failure(str(err), suspend_aware_now())
+            return False
+        self._revision = revision
+        self._stands(record, sent_at)
+        return True
+
+    async def _async_settle(
+        self, record: LeaseRecord, sent_at: float, reason: str
+    ) -> bool:
+        """Read back whether a write stands whose answer was lost or a conflict.
+
+        A write whose answer was lost may meet its own effect as a conflict at the
+        next try; only the record itself tells.
+        """
+        log_message(message_type="lease_unsettled", reason=reason, term=record.term)
+        try:
+            await self._async_read()
+        except StoreError as err:
+            self._health.note_failure(str(err), suspend_aware_now())
+            return False
+        found = self.record
+        if found is None or (found.holder, found.term) != (record.holder, record.term):
+            self.valid_until = 0.0
+            return False
+        if found.beat != record.beat:
+            return False
+        self._stands(record, sent_at)
+        return True
+
+    @callback
+    def _stands(self, record: LeaseRecord, sent_at: float) -> None:
+        """Note that a record of this instance's own was written."""
+        self._health.note_answer(suspend_aware_now())
+        self._see(record)
+        self._unchanged_since = sent_at
+        self.valid_until = sent_at + LEASE_TIME
+
+    @callback
+    def _note_lapse(self) -> None:
+        """Say once that this instance lost the lease."""
+        if self.valid_until:
+            log_message(message_type="lease_lapsed", level="warning", term=self.term)
+            self.valid_until = 0.0
+
+
+@callback
+def _ignore(record: LeaseRecord) -> None:
+    """Do nothing."""
--- /dev/null
+++ b/swiftpin/keyranges/range_keeper.py
@@ -0,0 +1,625 @@
+"""Keeping of one service's keys by the instance that holds the lease."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Final
+
+from eliot import log_message
+
+from swiftpin.core import callback
+from swiftpin.exceptions import (
+    ConfigurationError,
+    StoreConflictError,
+    StoreError,
+    TargetUnreachableError,
+)
+from swiftpin.helpers.clock import suspend_aware_now
+from swiftpin.keyranges.assignment import (
+    Assignment,
+    decode_assignment,
+    divide_evenly,
+    encode_assignment,
+)
+from swiftpin.keyranges.const import (
+    CONTROL_TIMEOUT,
+    GRANT_RENEW,
+    HOLD_TIME,
+    KIND_ASSIGNMENT,
+    PLAN_INTERVAL,
+    RELEASE_TIMEOUT,
+)
+from swiftpin.keyranges.key_load import KeyLoad
+from swiftpin.keyranges.key_map import KeyMap
+from swiftpin.keyranges.lease import LeaseKeeper
+from swiftpin.keyranges.move import Move
+from swiftpin.keyranges.planner import plan_moves
+from swiftpin.keyranges.segment import Segment
+from swiftpin.keyranges.target_contact import TargetContact
+from swiftpin.keyranges.target_speed import TargetSpeed
+from swiftpin.platform.store_client import StoreClient
+from swiftpin.platform.target_control import (
+    GrantRefusedError,
+    KeyGrant,
+    TargetControl,
+    TargetNotReachedError,
+    TargetRefusedConnectionError,
+    TargetReplacedError,
+)
+from swiftpin.router.store_health import StoreHealth
+from swiftpin.router.target import Target
+from swiftpin.router.target_directory import TargetDirectory
+from swiftpin.store_errors import ObjectMissingError
+
+FIRST_TARGETS_WAIT: Final = 1.5
+"""Seconds without a new target after which the first division is made: each target that
+registers later would cost moves."""
+
+FENCES_A_TERM: Final = 1_000_000
+"""Fences of one term; the next term's are all higher."""
+
+LEASE_WORRY: Final = 0.9
+"""Seconds of the lease that are left when grants are stretched to their longest time:
+a renewal has failed by then, and the store may stay away for long."""
+
+RETRY_PAUSE: Final = 0.15
+"""Seconds between two tries of the same call to a target."""
+
+RENEW_TICK: Final = 0.1
+"""Seconds between two looks at which grants are due."""
+
+FAILING_RENEW: Final = 0.25
+"""Seconds between two tries at a target that did not answer."""
+
+SHORTEST_HOLD: Final = 0.2
+"""Seconds of the shortest grant that is worth a call."""
+
+COLD_SHARE: Final = 0.5
+"""Part of its capacity that a target has in the seconds after its start."""
+
+
+class RangeKeeper:
+    """Grants a service's keys, renews the grants and moves keys where load is.
+
+    A move is recorded first, then the former owner's answer to a release is awaited, or
+    the end of what it was granted, and only then is the new owner granted. So no
+    successor can miss a target that may hold keys, and no two targets hold the same.
+    """
+
+    def __init__(
+        self,
+        *,
+        service: str,
+        client: StoreClient,
+        control: TargetControl,
+        directory: TargetDirectory,
+        lease: LeaseKeeper,
+        health: StoreHealth,
+        longest_hold: float,
+        on_map: Callable[[KeyMap], None],
+    ) -> None:
+        self.load = KeyLoad()
+        self.speed = TargetSpeed()
+        self._service = service
+        self._client = client
+        self._control = control
+        self._directory = directory
+        self._lease = lease
+        self._health = health
+        self._longest_hold = longest_hold
+        self._on_map = on_map
+        self._term = lease.term
+        self._took_over_at = suspend_aware_now()
+        self._assignment: Assignment | None = None
+        self._revision: int | None = None
+        self._next_fence = self._term * FENCES_A_TERM + 1
+        self._granted_fences: set[int] = set()
+        self._handovers_by_fence: dict[int, str] = {}
+        self._contacts_by_target: dict[str, TargetContact] = {}
+        self._moves_by_first: dict[int, asyncio.Task[None]] = {}
+        self._map_number = 0
+        self._published: tuple[tuple[int, ...], tuple[str, ...]] | None = None
+        self._is_stretched = False
+
+    async def async_run(self) -> None:
+        """Keep the keys until cancelled."""
+        try:
+            await self._async_load()
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._async_renew_all())
+                group.create_task(self._async_plan())
+        finally:
+            for task in self._moves_by_first.values():
+                task.cancel()
+
+    # The record.
+
+    async def _async_load(self) -> None:
+        """Read the record; make the first one when there is none."""
+        while self._assignment is None:
+            try:
+                await self._async_read_record()
+            except ObjectMissingError:
+                await self._async_first_division()
+            except (StoreError, ConfigurationError) as err:
+                log_message(
+                    message_type="assignment_unread",
+                    level="warning",
+                    service=self._service,
+                    error=str(err),
+                )
+                await asyncio.sleep(RETRY_PAUSE)
+        self._publish()
+
+    async def _async_read_record(self) -> None:
+        """Take the assignment that a former holder of the lease left."""
+        found = await self._client.async_get(KIND_ASSIGNMENT, self._service)
+        assignment = decode_assignment(found.content)
+        self._revision = found.revision
+        self._assignment = assignment
+        # Whatever the former holder granted may last for the longest time from now.
+        for segment in assignment.segments:
+            self._granted_fences.add(segment.fence)
+            for target in (segment.owner, segment.former):
+                if target:
+                    contact = self._contact(target)
+                    contact.note_grant(self._took_over_at, self._longest_hold)
+        log_message(
+            message_type="assignment_loaded",
+            service=self._service,
+            revision=found.revision,
+            segments=len(assignment.segments),
+            term=self._term,
+        )
+        for segment in assignment.segments:
+            if segment.former:
+                self._granted_fences.discard(segment.fence)
+                self._start_move(segment)
+
+    async def _async_first_division(self) -> None:
+        """Divide the keys once the targets are there."""
+        known = -1
+        while True:
+            now = suspend_aware_now()
+            targets = self._directory.serving_targets(self._service, now)
+            if targets and len(targets) == known:
+                break
+            known = len(targets)
+            await asyncio.sleep(FIRST_TARGETS_WAIT)
+        weights = {target.id: float(target.slots) for target in targets}
+        assignment = divide_evenly(weights, self._take_fences(1))
+        self._revision = await self._client.async_create(
+            KIND_ASSIGNMENT, self._service, encode_assignment(assignment)
+        )
+        self._assignment = assignment
+        log_message(
+            message_type="assignment_made", service=self._service, targets=len(targets)
+        )
+
+    async def _async_record(self, assignment: Assignment) -> bool:
+        """Write an assignment; return whether it certainly stands."""
+        content = encode_assignment(assignment)
+        try:
+            self._revision = await self._client.async_replace(
+                KIND_ASSIGNMENT, self._service, content, self._revision
+            )
+        except StoreConflictError as err:
+            # Either another instance assigns keys by now, or this is the late effect
+            # of a write of this one whose answer was lost.
+            return await self._async_settle(content, str(err))
+        except StoreError as err:
+            self._health.note_failure(str(err), suspend_aware_now())
+            return await self._async_settle(content, str(err))
+        self._health.note_answer(suspend_aware_now())
+        return True
+
+    async def _async_settle(self, content: dict[str, object], reason: str) -> bool:
+        """Read back whether a write stands."""
+        try:
+            found = await self._client.async_get(KIND_ASSIGNMENT, self._service)
+        except StoreError as err:
+            reason = f"{reason}; {err}"
+            found = None
+        stands = found is not None and found.content == content
+        log_message(
+            message_type="assignment_unsettled",
+            level="warning",
+            service=self._service,
+            reason=reason,
+            stands=stands,
+        )
+        if found is not None:
+            self._revision = found.revision
+        return stands
+
+    @callback
+    def _take_fences(self, count: int) -> int:
+        """Return the first of some fences that were never used."""
+        first = self._next_fence
+        self._next_fence += count
+        return first
+
+    # Planning.
+
+    async def _async_plan(self) -> None:
+        """Look at the load again and again, and move keys."""
+        while True:
+            await asyncio.sleep(PLAN_INTERVAL)
+            now = suspend_aware_now()
+            self.load.fade(now)
+            self._directory.sweep(now)
+            if not self._lease.is_held(now) or self._health.is_lost:
+                continue
+            await self._async_plan_once(now)
+
+    async def _async_plan_once(self, now: float) -> None:
+        """Plan, record and start moves."""
+        assignment = self._assignment
+        assert assignment is not None
+        moves = plan_moves(assignment, self._capacities(now), self.load.rates_by_key)
+        if not moves:
+            return
+        first_fence = self._take_fences(len(moves))
+        planned = assignment.with_moves(moves, first_fence)
+        if not await self._async_record(planned):
+            return
+        # Moves that ended while the record was written are not lost by this.
+        self._assignment = _keep_finished(planned, self._assignment or assignment)
+        self._log_moves(moves, first_fence)
+        for segment in self._assignment.segments:
+            if segment.former and segment.fence >= first_fence:
+                self._start_move(segment)
+        self._publish()
+
+    @callback
+    def _capacities(self, now: float) -> dict[str, float]:
+        """Return the requests a second that each eligible target can bear."""
+        capacities = {}
+        for target in self._directory.serving_targets(self._service, now):
+            contact = self._contacts_by_target.get(target.id)
+            if contact is not None and contact.is_lost(now):
+                continue
+            capacity = self.speed.capacity(target.id, target.slots)
+            seen_since = self._directory.seen_since_by_id.get(target.id, now)
+            if now - seen_since < target.cold_for:
+                capacity *= COLD_SHARE
+            capacities[target.id] = capacity
+        return capacities
+
+    @callback
+    def _log_moves(self, moves: list[Move], first_fence: int) -> None:
+        """Write a line for each planned move."""
+        for number, move in enumerate(moves):
+            log_message(
+                message_type="move_planned",
+                service=self._service,
+                first=move.first,
+                last=move.last,
+                source=move.source,
+                to=move.to,
+                fence=first_fence + number,
+                revision=self._revision,
+            )
+
+    # Moves.
+
+    @callback
+    def _start_move(self, segment: Segment) -> None:
+        """Begin to carry a recorded move out."""
+        task = asyncio.create_task(self._async_move(segment))
+        self._moves_by_first[segment.first] = task
+        task.add_done_callback(lambda done: self._note_move_ended(segment.first, done))
+
+    @callback
+    def _note_move_ended(self, first: int, task: asyncio.Task[None]) -> None:
+        """Forget a move that ended; report what should not happen."""
+        if self._moves_by_first.get(first) is task:
+            del self._moves_by_first[first]
+        if not task.cancelled() and (err := task.exception()) is not None:
+            log_message(message_type="move_failed", level="error", error=repr(err))
+
+    async def _async_move(self, segment: Segment) -> None:
+        """Take the keys from their former owner and grant them to the new one."""
+        started_at = suspend_aware_now()
+        handover = await self._async_take_back(segment)
+        if handover is not None:
+            self._handovers_by_fence[segment.fence] = handover
+        released_at = suspend_aware_now()
+        granted = await self._async_grant_new(segment)
+        assert self._assignment is not None
+        self._assignment = self._assignment.with_replaced(
+            segment, replace(segment, former="")
+        )
+        if granted:
+            self._granted_fences.add(segment.fence)
+        self._publish()
+        log_message(
+            message_type="move_done" if granted else "move_stuck",
+            service=self._service,
+            first=segment.first,
+            last=segment.last,
+            to=segment.owner,
+            fence=segment.fence,
+            handover=handover is not None,
+            release_seconds=released_at - started_at,
+            seconds=suspend_aware_now() - started_at,
+        )
+
+    async def _async_take_back(self, segment: Segment) -> str | None:
+        """Return the handover once the former owner certainly lets go of the keys."""
+        contact = self._contact(segment.former)
+        async with contact.calls:
+            # Renewals that were under way when the record changed have ended.
+            held_until = contact.held_until
+        grant = KeyGrant(first=segment.first, last=segment.last, fence=segment.fence)
+        while True:
+            now = suspend_aware_now()
+            if contact.is_gone or now >= held_until:
+                return None
+            target = self._directory.targets_by_id.get(segment.former)
+            if target is None:
+                await asyncio.sleep(held_until - now)
+                return None
+            try:
+                return await self._async_release(target, grant, contact)
+            except (TargetReplacedError, GrantRefusedError) as err:
+                log_message(
+                    message_type="release_needless",
+                    target=target.id,
+                    reason=str(err),
+                )
+                return None
+            except TargetUnreachableError:
+                left = held_until - suspend_aware_now()
+                await asyncio.sleep(max(min(RETRY_PAUSE, left), 0.0))
+
+    async def _async_release(
+        self, target: Target, grant: KeyGrant, contact: TargetContact
+    ) -> str | None:
+        """Send one release."""
+        try:
+            handover = await self._control.async_release(
+                target.address, target.id, grant, limit=RELEASE_TIMEOUT
+            )
+        except TargetReplacedError:
+            contact.is_gone = True
+            raise
+        except TargetRefusedConnectionError:
+            contact.note_refusal(suspend_aware_now())
+            raise
+        except TargetUnreachableError:
+            contact.note_failure(suspend_aware_now())
+            raise
+        contact.note_answer()
+        return handover
+
+    async def _async_grant_new(self, segment: Segment) -> bool:
+        """Grant keys to their new owner; return whether it took them."""
+        contact = self._contact(segment.owner)
+        while True:
+            target = self._directory.targets_by_id.get(segment.owner)
+            now = suspend_aware_now()
+            if target is None or self._directory.is_leaving(segment.owner):
+                return False
+            if contact.is_lost(now):
+                return False
+            if await self._async_grant(target, segment, contact):
+                return True
+            await asyncio.sleep(RETRY_PAUSE)
+
+    # Grants.
+
+    async def _async_grant(
+        self, target: Target, segment: Segment, contact: TargetContact
+    ) -> bool:
+        """Send one grant or renewal; return whether the target took it."""
+        sent_at = suspend_aware_now()
+        hold = self._hold(contact, sent_at)
+        try:
+            await self._control.async_grant(
+                target.address,
+                target.id,
+                KeyGrant(first=segment.first, last=segment.last, fence=segment.fence),
+                hold=hold,
+                handover=self._handovers_by_fence.get(segment.fence),
+                limit=CONTROL_TIMEOUT,
+            )
+        except GrantRefusedError as err:
+            log_message(
+                message_type="grant_refused",
+                level="warning",
+                target=target.id,
+                first=segment.first,
+                fence=segment.fence,
+                error=str(err),
+            )
+            contact.note_answer()
+            return False
+        except TargetReplacedError as err:
+            log_message(message_type="target_replaced", target=target.id, by=str(err))
+            contact.is_gone = True
+            return False
+        except TargetRefusedConnectionError:
+            contact.note_refusal(suspend_aware_now())
+            return False
+        except TargetNotReachedError as err:
+            self._note_unanswered(target, contact, str(err))
+            return False
+        except TargetUnreachableError as err:
+            contact.note_grant(sent_at, hold)
+            self._note_unanswered(target, contact, str(err))
+            return False
+        contact.note_grant(sent_at, hold)
+        contact.note_answer()
+        return True
+
+    @callback
+    def _hold(self, contact: TargetContact, now: float) -> float:
+        """Return for how long to grant, in seconds.
+
+        A target that did not answer is asked again, but not beyond what it may hold
+        anyway: else each try would put off the moment at which its keys are free.
+        """
+        hold = self._longest_hold if self._is_stretched else HOLD_TIME
+        if contact.is_failing:
+            return max(min(hold, contact.unextended_hold(now)), SHORTEST_HOLD)
+        return hold
+
+    @callback
+    def _note_unanswered(
+        self, target: Target, contact: TargetContact, reason: str
+    ) -> None:
+        """Note a call without an answer."""
+        if not contact.is_failing:
+            log_message(
+                message_type="target_unanswered",
+                level="warning",
+                target=target.id,
+                reason=reason,
+            )
+        contact.note_failure(suspend_aware_now())
+
+    async def _async_renew_all(self) -> None:
+        """Renew every target's grants until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            tasks_by_target: dict[str, asyncio.Task[None]] = {}
+            due_by_target: dict[str, float] = {}
+            while True:
+                now = suspend_aware_now()
+                if self._note_lease(now):
+                    due_by_target.clear()
+                owners = self._owners()
+                for target_id in owners:
+                    task = tasks_by_target.get(target_id)
+                    if task is not None and not task.done():
+                        continue
+                    if now < due_by_target.get(target_id, 0.0):
+                        continue
+                    is_failing = self._contact(target_id).is_failing
+                    pause = FAILING_RENEW if is_failing else GRANT_RENEW
+                    due_by_target[target_id] = now + pause
+                    tasks_by_target[target_id] = group.create_task(
+                        self._async_renew(target_id)
+                    )
+                for target_id in tasks_by_target.keys() - owners:
+                    if tasks_by_target[target_id].done():
+                        del tasks_by_target[target_id]
+                await asyncio.sleep(RENEW_TICK)
+
+    @callback
+    def _note_lease(self, now: float) -> bool:
+        """Note whether the lease is renewed; return whether grants must go out now."""
+        is_worried = self._lease.valid_until - now < LEASE_WORRY
+        if is_worried == self._is_stretched:
+            return False
+        self._is_stretched = is_worried
+        log_message(
+            message_type="grants_stretched" if is_worried else "grants_normal",
+            service=self._service,
+            lease_left=self._lease.valid_until - now,
+        )
+        return is_worried
+
+    @callback
+    def _owners(self) -> set[str]:
+        """Return the targets that own keys."""
+        assert self._assignment is not None
+        return {
+            segment.owner for segment in self._assignment.segments if not segment.former
+        }
+
+    async def _async_renew(self, target_id: str) -> None:
+        """Renew one target's grants once."""
+        contact = self._contact(target_id)
+        target = self._directory.targets_by_id.get(target_id)
+        if target is None or contact.is_gone:
+            return
+        async with contact.calls:
+            assert self._assignment is not None
+            for segment in self._assignment.segments:
+                if segment.owner != target_id or segment.former:
+                    continue
+                if not await self._async_renew_segment(target, segment, contact):
+                    return
+
+    async def _async_renew_segment(
+        self, target: Target, segment: Segment, contact: TargetContact
+    ) -> bool:
+        """Renew one grant; return whether the target answers."""
+        taken = await self._async_grant(target, segment, contact)
+        if not taken and not contact.is_failing and not contact.is_gone:
+            segment = self._refence(segment)
+            taken = await self._async_grant(target, segment, contact)
+        if taken and segment.fence not in self._granted_fences:
+            self._granted_fences.add(segment.fence)
+            self._publish()
+        return taken
+
+    @callback
+    def _refence(self, segment: Segment) -> Segment:
+        """Give a segment a higher fence after its target refused the present one.
+
+        The target has seen a higher one, from a release that was sent to it; the keys
+        are its own all the same, since nobody else was granted them.
+        """
+        assert self._assignment is not None
+        refenced = replace(segment, fence=self._take_fences(1))
+        self._assignment = self._assignment.with_replaced(segment, refenced)
+        return refenced
+
+    @callback
+    def _contact(self, target_id: str) -> TargetContact:
+        """Return the contact with a target."""
+        contact = self._contacts_by_target.get(target_id)
+        if contact is None:
+            contact = self._contacts_by_target[target_id] = TargetContact()
+        return contact
+
+    # The map for routing.
+
+    @callback
+    def _publish(self) -> None:
+        """Hand out the present map if it differs from the last one."""
+        assert self._assignment is not None
+        firsts: list[int] = []
+        owners: list[str] = []
+        for segment in self._assignment.segments:
+            is_served = not segment.former and segment.fence in self._granted_fences
+            owner = segment.owner if is_served else ""
+            if owners and owners[-1] == owner:
+                continue
+            firsts.append(segment.first)
+            owners.append(owner)
+        drawn = (tuple(firsts), tuple(owners))
+        if drawn == self._published:
+            return
+        self._published = drawn
+        self._map_number += 1
+        self._on_map(
+            KeyMap(
+                service=self._service,
+                term=self._term,
+                number=self._map_number,
+                firsts=drawn[0],
+                owners=drawn[1],
+            )
+        )
+
+
+@callback
+def _keep_finished(planned: Assignment, present: Assignment) -> Assignment:
+    """Return the planned assignment without moves that have ended meanwhile."""
+    open_fences = {segment.fence for segment in present.segments if segment.former}
+    known_fences = {segment.fence for segment in present.segments}
+    return Assignment(
+        segments=tuple(
+            replace(segment, former="")
+            if segment.former
+            and segment.fence in known_fences
+            and segment.fence not in open_fences
+            else segment
+            for segment in planned.segments
+        )
+    )
--- /dev/null
+++ b/swiftpin/keyranges/segment.py
@@ -0,0 +1,24 @@
+"""A range of keys and who may hold it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Segment:
+    """Keys `first` to `last`, both included."""
+
+    first: int
+    last: int
+    owner: str
+    """Target that has the keys or is to get them."""
+
+    fence: int
+    former: str = ""
+    """Target that may still hold the keys; empty when none does."""
+
+    @property
+    def width(self) -> int:
+        """Return the number of keys."""
+        return self.last - self.first + 1
--- /dev/null
+++ b/swiftpin/keyranges/target_speed.py
@@ -0,0 +1,56 @@
+"""How fast targets work."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from swiftpin.core import callback
+
+WEIGHT: Final = 0.08
+"""Weight of one observation; work differs by request, so single ones say little."""
+
+FIRST_TIME: Final = 0.2
+"""Seconds assumed for a request before any was seen; a guess that a dozen requests
+replace."""
+
+SLOWEST: Final = 8.0
+FASTEST: Final = 0.25
+"""Bounds of a target's factor: a target that seems to stand still still gets a key now
+and then, else one would never see it recover."""
+
+ERROR_WEIGHT: Final = 0.1
+
+
+class TargetSpeed:
+    """Mean time of a service's requests, and each target's factor of it."""
+
+    def __init__(self) -> None:
+        self.mean_time = FIRST_TIME
+        self._factors_by_target: dict[str, float] = {}
+        self._errors_by_target: dict[str, float] = {}
+
+    @callback
+    def add(self, target: str, seconds: float, *, failed: bool) -> None:
+        """Take one request's time at a target."""
+        errors = self._errors_by_target.get(target, 0.0)
+        self._errors_by_target[target] = errors + ERROR_WEIGHT * (failed - errors)
+        if failed:
+            return
+        factor = self._factors_by_target.get(target, 1.0)
+        seen = min(max(seconds / self.mean_time, FASTEST), SLOWEST)
+        self._factors_by_target[target] = factor + WEIGHT * (seen - factor)
+        expected = seconds / max(factor, FASTEST)
+        self.mean_time += WEIGHT / 4 * (expected - self.mean_time)
+
+    @callback
+    def capacity(self, target: str, slots: int) -> float:
+        """Return the requests a second that a target can bear."""
+        factor = self._factors_by_target.get(target, 1.0)
+        good = 1.0 - min(self._errors_by_target.get(target, 0.0), 0.9)
+        return slots * good / (self.mean_time * max(factor, FASTEST))
+
+    @callback
+    def forget(self, target: str) -> None:
+        """Drop what is known of a target."""
+        self._factors_by_target.pop(target, None)
+        self._errors_by_target.pop(target, None)
--- /dev/null
+++ b/swiftpin/permits/__init__.py
@@ -0,0 +1,1 @@
+"""Sharing of the targets' slots between all instances."""
--- /dev/null
+++ b/swiftpin/permits/permit_homes.py
@@ -0,0 +1,33 @@
+"""Which instance hands out the slots of which target."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from xxhash import xxh3_64_intdigest
+
+from swiftpin.core import callback
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PermitHomes:
+    """Instances that hand out permits; newer lists have a higher (`term`, `number`)."""
+
+    term: int
+    number: int
+    peers_by_incarnation: dict[str, str]
+
+    @callback
+    def ranked(self, subject: str) -> list[str]:
+        """Return the instances by how well they suit a target or service.
+
+        The same at every instance, and a change of the list moves few subjects.
+        """
+        return sorted(
+            self.peers_by_incarnation,
+            key=lambda incarnation: xxh3_64_intdigest(f"{incarnation}\0{subject}"),
+            reverse=True,
+        )
+
+
+NO_HOMES = PermitHomes(term=0, number=0, peers_by_incarnation={})
--- /dev/null
+++ b/swiftpin/platform/names.py
@@ -0,0 +1,28 @@
+"""Names of the platform's headers, calls, kinds and fields."""
+
+from __future__ import annotations
+
+from typing import Final
+
+HEADER_REQUEST_ID: Final = "Swiftpin-Request-Id"
+HEADER_DEADLINE: Final = "Swiftpin-Deadline-Milliseconds"
+HEADER_SIGNATURE: Final = "Swiftpin-Upstream-Signature"
+HEADER_EXPECTED: Final = "Swiftpin-Expected-Instance"
+HEADER_LOAD: Final = "Swiftpin-Upstream-Load"
+HEADER_NOT_EXECUTED: Final = "Swiftpin-Not-Executed"
+HEADER_INSTANCE: Final = "Swiftpin-Instance-Id"
+HEADER_KEY: Final = "Swiftpin-Shard-Key"
+HEADER_HANDOVER: Final = "Swiftpin-Handover"
+
+PATH_READINESS: Final = "/api/readiness"
+PATH_GRANT: Final = "/api/grant"
+PATH_RELEASE: Final = "/api/release"
+PATH_OBJECTS: Final = "/api/objects"
+
+KIND_CONFIGURATION: Final = "config"
+NAME_CONFIGURATION: Final = "main"
+KIND_TARGETS: Final = "servers"
+
+VARIABLE_SETTINGS: Final = "SWIFTPIN_SETTINGS"
+JSON_TYPE: Final = "application/json"
+MILLISECONDS: Final = 1000.0
--- /dev/null
+++ b/swiftpin/platform/request_head.py
@@ -0,0 +1,167 @@
+"""Headers of requests and answers on the platform's wire."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Final
+
+from aiohttp.hdrs import CONNECTION, HOST
+from multidict import CIMultiDict
+
+from swiftpin.platform.names import (
+    HEADER_DEADLINE,
+    HEADER_EXPECTED,
+    HEADER_KEY,
+    HEADER_LOAD,
+    HEADER_NOT_EXECUTED,
+    HEADER_REQUEST_ID,
+    HEADER_SIGNATURE,
+    MILLISECONDS,
+)
+
+DEFAULT_DEADLINE: Final = 10.0
+"""Seconds for a caller that names none; callers of the platform always name one."""
+
+MAX_KEY: Final = 65535
+HOP_BY_HOP: Final = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+REQUEST_DROPPED: Final = HOP_BY_HOP | {
+    "content-length",
+    "expect",
+    "host",
+    HEADER_DEADLINE.lower(),
+    HEADER_EXPECTED.lower(),
+}
+ANSWER_DROPPED: Final = HOP_BY_HOP | {"content-length"}
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RequestHead:
+    """What the router reads of a caller's headers."""
+
+    id: str
+    deadline: float
+    """Seconds that the caller waits, from the request's arrival."""
+
+    key: int | None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TargetLoad:
+    """Requests that a target runs and queues, and how many it can run."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AnswerHead:
+    """What the router reads of a target's answer."""
+
+    status: int
+    request_id: str | None
+    is_signed: bool
+    not_executed: bool
+    """Whether the target states that it did not run the request."""
+
+    is_other_target: bool
+    load: TargetLoad | None
+
+
+def decode_request_head(headers: Mapping[str, str]) -> RequestHead:
+    """Return the head of a request; raise `ValueError` when a value is malformed."""
+    deadline = headers.get(HEADER_DEADLINE)
+    key_text = headers.get(HEADER_KEY)
+    key = None if key_text is None else int(key_text)
+    if key is not None and not 0 <= key <= MAX_KEY:
+        raise ValueError(f"key {key} is out of range")
+    return RequestHead(
+        id=headers.get(HEADER_REQUEST_ID, ""),
+        deadline=DEFAULT_DEADLINE
+        if deadline is None
+        else float(deadline) / MILLISECONDS,
+        key=key,
+    )
+
+
+def encode_request_headers(
+    received: Iterable[tuple[str, str]], host: str, target_id: str, left: float
+) -> CIMultiDict[str]:
+    """Return the headers of a request to a target with `left` seconds to go."""
+    headers = _kept(received, REQUEST_DROPPED)
+    headers[HOST] = host
+    headers[HEADER_DEADLINE] = str(max(int(left * MILLISECONDS), 1))
+    headers[HEADER_EXPECTED] = target_id
+    return headers
+
+
+def is_answer_to(request_id: str, headers: Mapping[str, str]) -> bool:
+    """Return whether an answer belongs to a request, as far as it says.
+
+    Answers that servers on the way make themselves may carry no id.
+    """
+    return headers.get(HEADER_REQUEST_ID, request_id) == request_id
+
+
+def decode_answer_head(status: int, headers: Mapping[str, str]) -> AnswerHead:
+    """Return the head of a target's answer."""
+    is_misdirected = status == HTTPStatus.MISDIRECTED_REQUEST
+    return AnswerHead(
+        status=status,
+        request_id=headers.get(HEADER_REQUEST_ID),
+        is_signed=HEADER_SIGNATURE in headers,
+        not_executed=HEADER_NOT_EXECUTED in headers or is_misdirected,
+        # A target that lacks the key states that it did not run the request; another
+        # one at the same address only names itself.
+        is_other_target=is_misdirected and HEADER_NOT_EXECUTED not in headers,
+        load=_decode_load(headers.get(HEADER_LOAD)),
+    )
+
+
+def encode_answer_headers(received: Iterable[tuple[str, str]]) -> CIMultiDict[str]:
+    """Return the headers of a target's answer that go on to the caller."""
+    return _kept(received, ANSWER_DROPPED)
+
+
+def own_answer_headers(request_id: str) -> CIMultiDict[str]:
+    """Return the headers of an answer that the router makes itself."""
+    return CIMultiDict({HEADER_REQUEST_ID: request_id}) if request_id else CIMultiDict()
+
+
+def _kept(
+    received: Iterable[tuple[str, str]], dropped: frozenset[str]
+) -> CIMultiDict[str]:
+    """Return the headers that do not end at this hop."""
+    kept = CIMultiDict([item for item in received if item[0].lower() not in dropped])
+    named = [value for name, value in received if name.lower() == "connection"]
+    for value in named:
+        for name in value.split(","):
+            kept.popall(name.strip(), None)
+    kept.popall(CONNECTION, None)
+    return kept
+
+
+def _decode_load(text: str | None) -> TargetLoad | None:
+    """Return the load that a target tells, None when it tells none."""
+    if text is None:
+        return None
+    try:
+        running, waiting, slots = (int(part) for part in text.split(","))
+    except ValueError:
+        # A spoilt header says nothing about the load; the answer may still be good.
+        return None
+    return TargetLoad(running=running, waiting=waiting, slots=slots)
--- /dev/null
+++ b/swiftpin/platform/settings.py
@@ -0,0 +1,61 @@
+"""The platform's settings file."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from swiftpin.exceptions import ConfigurationError
+from swiftpin.helpers.address import parse_address
+from swiftpin.platform.names import MILLISECONDS
+from swiftpin.router.bounds import Bounds
+from swiftpin.router.instance_settings import InstanceSettings
+
+
+def read_settings(path: str) -> InstanceSettings:
+    """Return the settings in a file; raise `ConfigurationError` when they are wrong."""
+    try:
+        return decode_settings(orjson.loads(Path(path).read_bytes()))
+    except (OSError, ValueError, KeyError, TypeError, IndexError) as err:
+        raise ConfigurationError(f"settings file {path}: {err!r}") from err
+
+
+def decode_settings(document: dict[str, Any]) -> InstanceSettings:
+    """Return the settings that a document holds."""
+    own = document["self"]
+    network = document["network"]
+    platform = document["platform"]
+    listen = network["listen"]
+    # The first inner port is taken by the links between instances.
+    peer_port = network["internal_ports"][0]
+    seeds = tuple(
+        f"{seed.rpartition(':')[0]}:{peer_port}" for seed in network.get("seeds") or ()
+    )
+    return InstanceSettings(
+        name=own["node"],
+        zone=own["zone"],
+        callers=parse_address(listen["front"]),
+        readiness=parse_address(listen["ready"]),
+        peers=parse_address(f"{own['ip']}:{peer_port}"),
+        seeds=seeds,
+        store=parse_address(platform["platform"]["address"]),
+        bounds=_decode_bounds(document["terms"]["bounds"]),
+        target_heartbeat=platform["heartbeat_ms"] / MILLISECONDS,
+        first_start=bool(own["bootstrap"]),
+    )
+
+
+def _decode_bounds(bounds: dict[str, Any]) -> Bounds:
+    """Return the time bounds; the wire gives most of them in milliseconds."""
+    return Bounds(
+        drain=bounds["drain_ms"] / MILLISECONDS,
+        apply=bounds["config_apply_ms"] / MILLISECONDS,
+        grace=float(bounds["grace_s"]),
+        longest_hold=bounds["hold_max_ms"] / MILLISECONDS,
+        retry_ratio=float(bounds["budget_ratio"]),
+        retry_window=float(bounds["budget_window_s"]),
+        retry_slack=float(bounds["budget_slack"]),
+        stability=bounds["stability_window_ms"] / MILLISECONDS,
+    )
--- /dev/null
+++ b/swiftpin/platform/store_client.py
@@ -0,0 +1,204 @@
+"""Client of the platform's object store."""
+
+from __future__ import annotations
+
+import asyncio
+from http import HTTPStatus
+from typing import Any, Final
+from urllib.parse import quote
+
+from aiohttp.hdrs import CONTENT_TYPE, HOST
+from multidict import CIMultiDict
+import orjson
+
+from swiftpin.core import callback, monotonic_now
+from swiftpin.dispatch.http_client import HttpClient
+from swiftpin.dispatch.http_request import HttpRequest
+from swiftpin.dispatch.http_send_state import HttpSendState
+from swiftpin.exceptions import (
+    AnswerBrokenError,
+    RequestNotSentError,
+    StoreConflictError,
+    StoreError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from swiftpin.helpers.whole_body import WholeBody
+from swiftpin.platform.names import JSON_TYPE, MILLISECONDS, PATH_OBJECTS
+from swiftpin.platform.platform_object import PlatformObject
+from swiftpin.platform.store_answers import (
+    ObjectChanges,
+    ObjectList,
+    decode_changes,
+    decode_list,
+    decode_object,
+)
+from swiftpin.store_errors import HistoryGoneError, ObjectMissingError
+
+CALL_TIMEOUT: Final = 1.5
+"""Seconds for an answer: the store takes 4 ms at rest and about 0.4 s when it is
+slowed a hundredfold, and a lost answer must not hold up a lease for long."""
+
+WATCH_GRACE: Final = 1.0
+"""Seconds beyond a watch's own wait until its connection counts as silent."""
+
+LIST_PAGES: Final = 1000
+
+
+class StoreClient:
+    """Calls of the store; each counts towards rates that all instances share.
+
+    Reads raise `StoreUnavailableError` when no answer came. Writes raise that only when
+    they had no effect for certain, else `StoreOutcomeUnknownError`.
+    """
+
+    def __init__(self, address: str, client: HttpClient) -> None:
+        self._address = address
+        self._client = client
+
+    async def async_list(self, kind: str) -> ObjectList:
+        """Return all objects of a kind and the revision at which they were read."""
+        objects: list[PlatformObject] = []
+        after = ""
+        first_revision: int | None = None
+        for _ in range(LIST_PAGES):
+            query = f"?after={quote(after, safe='')}" if after else ""
+            page = decode_list(await self._async_read(f"{kind}{query}"))
+            objects.extend(page.objects)
+            # Later pages may hold later changes; a watch from the first page's
+            # revision shows those again, none can be missed.
+            if first_revision is None:
+                first_revision = page.revision
+            if not page.has_more or not page.objects:
+                break
+            after = page.objects[-1].name
+        return ObjectList(
+            objects=tuple(objects), revision=first_revision or 0, has_more=False
+        )
+
+    async def async_get(self, kind: str, name: str) -> PlatformObject:
+        """Return one object; raise `ObjectMissingError` when there is none."""
+        return decode_object(await self._async_read(f"{kind}/{quote(name, safe='')}"))
+
+    async def async_watch(self, kind: str, revision: int, wait: float) -> ObjectChanges:
+        """Return the changes after a revision, at the latest after `wait` seconds.
+
+        Raises `HistoryGoneError` when the store no longer knows them.
+        """
+        query = f"?watch={revision}&wait_ms={int(wait * MILLISECONDS)}"
+        limit = wait + WATCH_GRACE
+        return decode_changes(await self._async_read(f"{kind}{query}", limit))
+
+    async def async_create(self, kind: str, name: str, content: object) -> int:
+        """Create an object and return its revision.
+
+        Raises `StoreConflictError` when it is there already.
+        """
+        document = {"metadata": {"name": name}, "specification": content}
+        return await self._async_write("POST", kind, name, document)
+
+    async def async_replace(
+        self, kind: str, name: str, content: object, revision: int | None
+    ) -> int:
+        """Replace an object, if it is still at `revision`, and return the new one.
+
+        Raises `StoreConflictError` when it is at another one.
+        """
+        metadata: dict[str, object] = {"name": name, "finalizers": []}
+        if revision is not None:
+            metadata["revision"] = revision
+        document = {"metadata": metadata, "specification": content}
+        path = f"{kind}/{quote(name, safe='')}"
+        return await self._async_write("PUT", path, name, document)
+
+    async def async_delete(self, kind: str, name: str, revision: int) -> None:
+        """Remove an object, if it is still at `revision`."""
+        path = f"{kind}/{quote(name, safe='')}?revision={revision}"
+        await self._async_write("DELETE", path, name, None)
+
+    async def _async_read(
+        self, path: str, limit: float = CALL_TIMEOUT
+    ) -> dict[str, Any]:
+        """Return the answer to a GET."""
+        try:
+            status, body = await self._async_call("GET", path, b"", limit)
+        except (RequestNotSentError, AnswerBrokenError, TimeoutError) as err:
+            raise StoreUnavailableError(f"reading {path}: {err!r}") from err
+        if status == HTTPStatus.OK:
+            return _decode(path, body)
+        if status == HTTPStatus.GONE:
+            raise HistoryGoneError(path)
+        if status == HTTPStatus.NOT_FOUND:
+            raise ObjectMissingError(path)
+        raise StoreUnavailableError(f"reading {path}: status {status}")
+
+    async def _async_write(
+        self, method: str, path: str, name: str, document: dict[str, Any] | None
+    ) -> int:
+        """Send a write and return the revision that it made."""
+        payload = b"" if document is None else orjson.dumps(document)
+        try:
+            status, body = await self._async_call(method, path, payload, CALL_TIMEOUT)
+        except RequestNotSentError as err:
+            raise StoreUnavailableError(f"writing {path}: {err!r}") from err
+        except (AnswerBrokenError, TimeoutError) as err:
+            raise StoreOutcomeUnknownError(f"writing {path}: {err!r}") from err
+        if HTTPStatus.OK <= status < HTTPStatus.MULTIPLE_CHOICES:
+            return decode_object(_decode(path, body)).revision if body else 0
+        if status == HTTPStatus.CONFLICT:
+            raise StoreConflictError(name, _conflicting_revision(body))
+        if status == HTTPStatus.NOT_FOUND:
+            raise ObjectMissingError(path)
+        if status in (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS):
+            raise StoreUnavailableError(f"writing {path}: status {status}")
+        if status < HTTPStatus.INTERNAL_SERVER_ERROR:
+            raise StoreError(f"writing {path}: status {status}: {body[:200]!r}")
+        raise StoreOutcomeUnknownError(f"writing {path}: status {status}")
+
+    async def _async_call(
+        self, method: str, path: str, payload: bytes, limit: float
+    ) -> tuple[int, bytes]:
+        """Return status and body of one exchange."""
+        headers = CIMultiDict({HOST: self._address})
+        if payload:
+            headers[CONTENT_TYPE] = JSON_TYPE
+        request = HttpRequest(
+            method=method,
+            path=f"{PATH_OBJECTS}/{path}",
+            headers=headers,
+            body=WholeBody(payload),
+        )
+        async with asyncio.timeout(limit):
+            answer = await self._client.async_exchange(
+                self._address, request, HttpSendState(), _open
+            )
+            try:
+                body = await answer.async_read_whole()
+            finally:
+                answer.finish(monotonic_now())
+        return answer.status, body
+
+
+@callback
+def _open(now: float) -> None:
+    """Let every call go."""
+
+
+def _decode(path: str, body: bytes) -> dict[str, Any]:
+    """Return the JSON object in an answer."""
+    try:
+        document = orjson.loads(body)
+    except ValueError as err:
+        raise StoreUnavailableError(f"{path}: an answer that is not JSON") from err
+    if not isinstance(document, dict):
+        raise StoreUnavailableError(f"{path}: an answer that is not an object")
+    return document
+
+
+def _conflicting_revision(body: bytes) -> int:
+    """Return the revision of the object that stood in a write's way, 0 if unsaid."""
+    try:
+        return decode_object(orjson.loads(body)).revision
+    except (ValueError, StoreError, AttributeError):
+        # Some conflicts come without the object; whoever cares reads it again.
+        return 0
--- /dev/null
+++ b/swiftpin/platform/target_control.py
@@ -0,0 +1,159 @@
+"""Calls that give keys to targets and take them back."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Final
+
+from aiohttp.hdrs import CONTENT_TYPE, HOST
+from multidict import CIMultiDict
+import orjson
+
+from swiftpin.core import monotonic_now
+from swiftpin.dispatch.http_client import HttpClient, SendGate
+from swiftpin.dispatch.http_request import HttpRequest
+from swiftpin.dispatch.http_send_state import HttpSendState
+from swiftpin.exceptions import (
+    AnswerBrokenError,
+    RequestNotSentError,
+    TargetError,
+    TargetUnreachableError,
+)
+from swiftpin.helpers.whole_body import WholeBody
+from swiftpin.platform.names import (
+    HEADER_EXPECTED,
+    HEADER_HANDOVER,
+    HEADER_INSTANCE,
+    JSON_TYPE,
+    MILLISECONDS,
+    PATH_GRANT,
+    PATH_RELEASE,
+)
+
+METHOD: Final = "POST"
+
+
+class GrantRefusedError(TargetError):
+    """The target has seen a higher fence on one of the keys."""
+
+
+class TargetReplacedError(TargetError):
+    """Another target answers at the address; the one meant is gone."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class KeyGrant:
+    """Keys `first` to `last`, both included, under one fence."""
+
+    first: int
+    last: int
+    fence: int
+
+
+class TargetNotReachedError(TargetUnreachableError):
+    """The call was not sent, so it has no effect."""
+
+
+class TargetRefusedConnectionError(TargetNotReachedError):
+    """Nothing listens at the address, or it takes no more connections."""
+
+
+class TargetControl:
+    """Sends grants and releases; nothing is sent twice here.
+
+    `gate` is called right before each send and raises `RequestNotSentError` when this
+    instance may not assign keys any more.
+    """
+
+    def __init__(self, client: HttpClient, gate: SendGate) -> None:
+        self._client = client
+        self._gate = gate
+
+    async def async_grant(
+        self,
+        address: str,
+        target_id: str,
+        grant: KeyGrant,
+        *,
+        hold: float,
+        handover: str | None,
+        limit: float,
+    ) -> None:
+        """Give or renew keys for `hold` seconds from the call's arrival.
+
+        Raises `GrantRefusedError`, `TargetReplacedError` or `TargetUnreachableError`;
+        after the last one the grant may still take effect, seconds later.
+        """
+        document = _document(grant)
+        document["hold_ms"] = int(hold * MILLISECONDS)
+        if handover is not None:
+            document["handover"] = handover
+        await self._async_call(address, target_id, PATH_GRANT, document, limit)
+
+    async def async_release(
+        self, address: str, target_id: str, grant: KeyGrant, *, limit: float
+    ) -> str | None:
+        """Take keys back; return the handover once no work runs on them.
+
+        Raises the same errors as `async_grant`.
+        """
+        return await self._async_call(
+            address, target_id, PATH_RELEASE, _document(grant), limit
+        )
+
+    async def _async_call(
+        self,
+        address: str,
+        target_id: str,
+        path: str,
+        document: dict[str, int | str],
+        limit: float,
+    ) -> str | None:
+        """Make one call and return the handover of its answer."""
+        request = HttpRequest(
+            method=METHOD,
+            path=path,
+            headers=CIMultiDict(
+                {
+                    HOST: address,
+                    CONTENT_TYPE: JSON_TYPE,
+                    HEADER_EXPECTED: target_id,
+                }
+            ),
+            body=WholeBody(orjson.dumps(document)),
+        )
+        state = HttpSendState()
+        try:
+            async with asyncio.timeout(limit):
+                answer = await self._client.async_exchange(
+                    address, request, state, self._gate
+                )
+                try:
+                    await answer.async_read_whole()
+                finally:
+                    answer.finish(monotonic_now())
+        except RequestNotSentError as err:
+            if isinstance(err.__cause__, ConnectionRefusedError):
+                raise TargetRefusedConnectionError(f"{target_id}: {err}") from err
+            raise TargetNotReachedError(f"{target_id}: {err}") from err
+        except (AnswerBrokenError, TimeoutError) as err:
+            if not state.written:
+                raise TargetNotReachedError(f"{target_id}: {err!r}") from err
+            raise TargetUnreachableError(f"{target_id}: {err!r}") from err
+        other = answer.headers.get(HEADER_INSTANCE)
+        if answer.status == HTTPStatus.MISDIRECTED_REQUEST or (
+            other is not None and other != target_id
+        ):
+            raise TargetReplacedError(f"{other} answers at {address}")
+        if answer.status == HTTPStatus.CONFLICT:
+            raise GrantRefusedError(f"{target_id} has seen a higher fence")
+        if answer.status != HTTPStatus.OK:
+            raise TargetUnreachableError(f"{target_id}: status {answer.status}")
+        return answer.headers.get(HEADER_HANDOVER)
+
+
+def _document(grant: KeyGrant) -> dict[str, int | str]:
+    """Return the body that names keys and fence."""
+    return {"from": grant.first, "to": grant.last, "fence": grant.fence}
--- /dev/null
+++ b/swiftpin/platform/target_entries.py
@@ -0,0 +1,48 @@
+"""Targets' own entries in the store."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import asdict
+from typing import Final
+
+import orjson
+
+from swiftpin.exceptions import ConfigurationError
+from swiftpin.platform.names import MILLISECONDS
+from swiftpin.platform.platform_object import PlatformObject
+from swiftpin.router.target import Target
+
+STATE_DRAINING: Final = "draining"
+
+
+def decode_target(entry: PlatformObject) -> Target:
+    """Return the target of an entry; raise `ConfigurationError` when malformed."""
+    declared = entry.content
+    try:
+        about = declared["information"]
+        # A target writes its state with the rest; the object's own field of the same
+        # name, beside the specification, stays empty.
+        status = declared["status"]
+        return Target(
+            id=entry.name,
+            service=about["service"],
+            address=declared["address"],
+            zone=about["zone"],
+            slots=int(about["slots"]),
+            is_draining=status["state"] == STATE_DRAINING,
+            cold_for=status.get("cold_ms", 0) / MILLISECONDS,
+            revision=entry.revision,
+        )
+    except (KeyError, TypeError, ValueError) as err:
+        raise ConfigurationError(f"entry of target {entry.name}: {err!r}") from err
+
+
+def encode_target_list(targets: Iterable[Target]) -> bytes:
+    """Return targets as instances tell each other."""
+    return orjson.dumps([asdict(target) for target in targets])
+
+
+def decode_target_list(encoded: bytes) -> list[Target]:
+    """Return the targets that another instance told."""
+    return [Target(**entry) for entry in orjson.loads(encoded)]
--- /dev/null
+++ b/swiftpin/router/__init__.py
@@ -0,0 +1,1 @@
+"""The running router: routes, targets, the request path of an instance."""
--- /dev/null
+++ b/swiftpin/router/caller_answer.py
@@ -0,0 +1,136 @@
+"""Writing of answers to callers."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+import socket
+import struct
+from typing import Final
+
+from aiohttp.hdrs import (
+    CONNECTION,
+    CONTENT_LENGTH,
+    CONTENT_TYPE,
+    METH_HEAD,
+    RETRY_AFTER,
+    TRANSFER_ENCODING,
+)
+from aiohttp.web import BaseRequest, StreamResponse
+from multidict import CIMultiDict
+
+from swiftpin.dispatch.http_answer import HttpAnswer
+from swiftpin.exceptions import (
+    AnswerBrokenError,
+    AnswerCutShortError,
+    CallerLeftError,
+    RequestError,
+)
+from swiftpin.gateway.error_answer import CONTENT_TYPE_JSON, error_body
+from swiftpin.gateway.sent_response import CLOSED, KEPT
+from swiftpin.platform.request_head import encode_answer_headers, own_answer_headers
+
+WHOLE_LIMIT: Final = 256 * 1024
+"""Bytes of an answer that are awaited before the first is passed on, so that an answer
+which breaks off can still be asked for again. Links take 2 ms for as much, and callers
+are few at a time."""
+
+RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
+BODILESS: Final = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
+
+
+class CallerAnswer:
+    """Writes one answer; `response` then tells whether the connection goes on."""
+
+    def __init__(self, request: BaseRequest, request_id: str) -> None:
+        self.begun = False
+        self.response: StreamResponse = CLOSED
+        self.closes = False
+        """Whether the connection ends with this answer."""
+
+        self._request = request
+        self._request_id = request_id
+
+    def set_request_id(self, request_id: str) -> None:
+        """Set the id that answers made here carry."""
+        self._request_id = request_id
+
+    async def async_relay(self, answer: HttpAnswer, first: list[bytes]) -> None:
+        """Pass a target's answer on; `first` holds what was read of its body.
+
+        Raises `AnswerCutShortError` when the target breaks it off; the caller's
+        connection has been reset then.
+        """
+        headers = encode_answer_headers(answer.headers.items())
+        writer = self._request.writer
+        is_whole = answer.is_read
+        if is_whole:
+            body = b"".join(first)
+            await self._async_write(answer.status, headers, body)
+            return
+        if answer.length is not None:
+            headers[CONTENT_LENGTH] = str(answer.length)
+        else:
+            headers[TRANSFER_ENCODING] = "chunked"
+            writer.enable_chunking()
+        try:
+            await writer.write_headers(self._finish(answer.status, headers), headers)
+            self.begun = True
+            for chunk in first:
+                await writer.write(chunk)
+            first.clear()
+            while chunk := await answer.async_read_chunk():
+                await writer.write(chunk)
+            await writer.write_eof()
+        except AnswerBrokenError as err:
+            self.cut()
+            raise AnswerCutShortError("the target broke its answer off") from err
+        except ConnectionError as err:
+            raise CallerLeftError("the caller closed its connection") from err
+
+    async def async_error(self, err: RequestError) -> None:
+        """Write the answer to a request that failed here."""
+        if not self._request.content.is_eof():
+            # The rest of the body would be read as the next request.
+            self.closes = True
+        headers = own_answer_headers(self._request_id)
+        headers[CONTENT_TYPE] = CONTENT_TYPE_JSON
+        if err.retry_after is not None:
+            headers[RETRY_AFTER] = f"{err.retry_after:.3f}"
+        await self._async_write(err.status, headers, error_body(err))
+
+    def cut(self) -> None:
+        """Reset the caller's connection, so that a part can't pass for the whole."""
+        transport = self._request.transport
+        if not self.begun or transport is None:
+            return
+        raw_socket = transport.get_extra_info("socket")
+        if raw_socket is not None:
+            raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        transport.abort()
+
+    async def _async_write(
+        self, status: int, headers: CIMultiDict[str], body: bytes
+    ) -> None:
+        """Write an answer that is in memory."""
+        if status not in BODILESS and self._request.method != METH_HEAD:
+            headers[CONTENT_LENGTH] = str(len(body))
+        writer = self._request.writer
+        try:
+            await writer.write_headers(self._finish(status, headers), headers)
+            self.begun = True
+            await writer.write_eof(body)
+        except ConnectionError as err:
+            raise CallerLeftError("the caller closed its connection") from err
+
+    def _finish(self, status: int, headers: CIMultiDict[str]) -> str:
+        """Set the last header and return the status line."""
+        if self.closes or not self._request.keep_alive:
+            headers[CONNECTION] = "close"
+            self.response = CLOSED
+        else:
+            self.response = KEPT
+        try:
+            phrase = HTTPStatus(status).phrase
+        except ValueError:
+            phrase = ""
+        return f"HTTP/1.1 {status} {phrase}"
--- /dev/null
+++ b/swiftpin/router/configuration.py
@@ -0,0 +1,29 @@
+"""A whole configuration."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from swiftpin.router.caller_limits import CallerLimits
+from swiftpin.router.route import Route
+from swiftpin.router.service_spec import ServiceSpec
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Configuration:
+    """One version of everything the operators declared."""
+
+    version: int
+    routes_by_host: Mapping[str, tuple[Route, ...]]
+    """Routes of each host, longest prefix first."""
+
+    services_by_name: Mapping[str, ServiceSpec]
+    limits: CallerLimits
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins the path."""
+        for route in self.routes_by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
--- /dev/null
+++ b/swiftpin/router/exceptions.py
@@ -0,0 +1,13 @@
+"""Errors of the router's request path."""
+
+from __future__ import annotations
+
+from swiftpin.exceptions import CallerMistakeError
+from swiftpin.result import ResultCode
+
+
+class NoRouteError(CallerMistakeError):
+    """No route of the configuration matches the request."""
+
+    code = ResultCode.UNKNOWN_SERVICE
+    status = 404
--- /dev/null
+++ b/swiftpin/router/fleet_desk.py
@@ -0,0 +1,356 @@
+"""What this instance and the others tell each other."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import math
+from typing import Final
+
+from eliot import log_message
+
+from swiftpin.core import callback
+from swiftpin.fleet.link import Item, PeerLink
+from swiftpin.fleet.links import FleetLinks
+from swiftpin.fleet.messages import (
+    LoadNews,
+    decode_key_map,
+    encode_key_map,
+    encode_load,
+)
+from swiftpin.fleet.proto import fleet_pb2 as pb
+from swiftpin.gateway.lifecycle import Lifecycle
+from swiftpin.helpers.clock import suspend_aware_now
+from swiftpin.keyranges.key_map import KeyMap
+from swiftpin.keyranges.lease import LeaseKeeper
+from swiftpin.keyranges.lease_record import LeaseRecord
+from swiftpin.permits.permit_desk import PermitDesk
+from swiftpin.permits.permit_homes import PermitHomes
+from swiftpin.platform.target_entries import decode_target_list, encode_target_list
+from swiftpin.router.configuration_holder import ConfigurationHolder
+from swiftpin.router.key_maps import KeyMaps
+from swiftpin.router.target_directory import TargetDirectory
+
+TICK: Final = 0.2
+"""Seconds between two looks at links, homes and reports."""
+
+TARGETS_A_HOME: Final = 16
+"""Targets whose permits one instance hands out. A permit takes three messages of about
+0.1 ms each, and 16 targets with 2 slots bear about 150 requests a second."""
+
+LEAST_HOMES: Final = 3
+"""Homes at least, so that the loss of one leaves most targets' permits untouched."""
+
+
+class FleetDesk:
+    """Keeps the links that are needed, and takes and gives what goes over them.
+
+    Every member is linked to the instance that assigns keys, which hands out key maps
+    and the list of homes, and to the homes, which hand out permits. Versions in the
+    signs of life tell who knows a newer configuration or list of targets: that is
+    how an instance learns them which the store turns away.
+    """
+
+    def __init__(
+        self,
+        *,
+        incarnation: str,
+        own_peer: str,
+        seeds: tuple[str, ...],
+        lease: LeaseKeeper,
+        desk: PermitDesk,
+        maps: KeyMaps,
+        configuration: ConfigurationHolder,
+        directory: TargetDirectory,
+        lifecycle: Lifecycle,
+    ) -> None:
+        self.links = FleetLinks(
+            incarnation=incarnation, own_peer=own_peer, handler=self
+        )
+        self.links.on_lost = self._note_lost
+        self.on_load: Callable[[Item], None] = _ignore
+        self.members = 1
+        self._incarnation = incarnation
+        self._own_peer = own_peer
+        self._seeds = seeds
+        self._lease = lease
+        self._desk = desk
+        self._maps = maps
+        self._configuration = configuration
+        self._directory = directory
+        self._lifecycle = lifecycle
+        self._leader = LeaseRecord(holder="", peer="", term=0, beat=0)
+        self._behind_since: float | None = None
+        self._home_number = 0
+
+    async def async_run(self, take_load: Callable[[], LoadNews]) -> None:
+        """Keep links, homes and reports up to date until cancelled."""
+        while True:
+            self._keep_links()
+            if self._lease.is_held(suspend_aware_now()):
+                self._keep_homes()
+            self._ask_for_news()
+            self._report(take_load())
+            await asyncio.sleep(TICK)
+
+    @callback
+    def note_lease(self, record: LeaseRecord) -> None:
+        """Take a record of the lease."""
+        if (record.term, record.beat) >= (self._leader.term, self._leader.beat):
+            self._leader = record
+
+    @callback
+    def is_heard(self, holder: str) -> bool:
+        """Return whether the holder of the lease says that it still has it."""
+        return any(
+            link.incarnation == holder and link.beat is not None and link.beat.leads
+            for link in self.links.live_links()
+        )
+
+    @callback
+    def hand_out_map(self, key_map: KeyMap) -> None:
+        """Give a new map to everyone."""
+        self._maps.adopt(key_map)
+        item = encode_key_map(key_map)
+        for link in self.links.incoming:
+            link.send(item)
+
+    # What arrives.
+
+    @callback
+    def handle_item(self, link: PeerLink, item: Item) -> None:
+        """Take one item."""
+        match item.WhichOneof("body"):
+            case "ask":
+                self._desk.handle_ask(link, item.ask)
+            case "answer":
+                self._desk.handle_answer(link, item.answer)
+            case "end":
+                self._desk.handle_end(link, item.end)
+            case "beat":
+                self._take_beat(link, item.beat)
+            case "load":
+                self.on_load(item.load)
+            case "key_map":
+                self._take_map(decode_key_map(item.key_map))
+            case "homes":
+                self._take_homes(item.homes)
+            case "hello":
+                self._take_hello(link, item.hello)
+            case "news_ask":
+                self._give_news(link, item.news_ask)
+            case "news":
+                self._take_news(item.news)
+
+    @callback
+    def make_beat(self) -> Item:
+        """Return the sign of life to send."""
+        leader = self._leader
+        return pb.Item(
+            beat=pb.Beat(
+                incarnation=self._incarnation,
+                leads=self._lease.is_held(suspend_aware_now()),
+                term=leader.term,
+                leader=leader.holder,
+                leader_peer=leader.peer,
+                configuration=self._configuration.version,
+                targets=self._directory.version,
+                stopping=self._lifecycle.leaving,
+            )
+        )
+
+    @callback
+    def _take_hello(self, link: PeerLink, hello: Item) -> None:
+        """Learn who is at the other side, and give it what it needs."""
+        link.incarnation = hello.incarnation
+        link.peer = hello.peer
+        self._desk.note_link(link)
+        log_message(
+            message_type="peer_linked",
+            peer=link.incarnation,
+            outgoing=link.is_outgoing,
+        )
+        if link.is_outgoing:
+            return
+        for key_map in self._maps.maps_by_service.values():
+            link.send(encode_key_map(key_map))
+        if self._desk.homes.number:
+            link.send(self._homes_item())
+
+    @callback
+    def _take_beat(self, link: PeerLink, beat: Item) -> None:
+        """Take a sign of life."""
+        link.beat = beat
+        if beat.term > self._leader.term:
+            self._leader = LeaseRecord(
+                holder=beat.leader, peer=beat.leader_peer, term=beat.term, beat=0
+            )
+
+    @callback
+    def _take_map(self, key_map: KeyMap) -> None:
+        """Take a map, and pass it on to those who listen here."""
+        if not self._maps.adopt(key_map):
+            return
+        item = encode_key_map(key_map)
+        for link in self.links.incoming:
+            link.send(item)
+
+    @callback
+    def _take_homes(self, message: Item) -> None:
+        """Take a list of homes."""
+        present = self._desk.homes
+        if (message.term, message.number) <= (present.term, present.number):
+            return
+        self.members = max(message.members, 1)
+        self._desk.homes = PermitHomes(
+            term=message.term,
+            number=message.number,
+            peers_by_incarnation=dict(
+                zip(message.incarnations, message.peers, strict=True)
+            ),
+        )
+        log_message(
+            message_type="homes_adopted",
+            term=message.term,
+            number=message.number,
+            homes=len(message.incarnations),
+            members=message.members,
+        )
+
+    @callback
+    def _note_lost(self, link: PeerLink) -> None:
+        """Give up on a link."""
+        self._desk.note_lost(link)
+
+    # What is kept up to date.
+
+    @callback
+    def _keep_links(self) -> None:
+        """Keep links to the leader and the homes; to seeds while neither is known."""
+        wanted = {self._leader.peer, *self._desk.homes.peers_by_incarnation.values()}
+        wanted.discard("")
+        if not wanted:
+            wanted = set(self._seeds)
+        self.links.want(wanted)
+
+    @callback
+    def _keep_homes(self) -> None:
+        """Choose the instances that hand out permits, and tell everyone."""
+        peers = {self._incarnation: self._own_peer}
+        for link in self.links.live_links():
+            if (
+                not link.is_outgoing
+                and link.beat is not None
+                and not link.beat.stopping
+            ):
+                peers[link.incarnation] = link.peer
+        if self._lifecycle.leaving:
+            del peers[self._incarnation]
+        count = max(
+            LEAST_HOMES, math.ceil(len(self._directory.targets_by_id) / TARGETS_A_HOME)
+        )
+        present = self._desk.homes
+        kept = [name for name in present.peers_by_incarnation if name in peers]
+        added = sorted(peers.keys() - set(kept))
+        chosen = (kept + added)[:count]
+        homes = {name: peers[name] for name in chosen}
+        members = len(peers)
+        is_same = homes == present.peers_by_incarnation and members == self.members
+        if is_same and present.term == self._lease.term:
+            return
+        self.members = members
+        self._home_number += 1
+        self._desk.homes = PermitHomes(
+            term=self._lease.term, number=self._home_number, peers_by_incarnation=homes
+        )
+        item = self._homes_item()
+        for link in self.links.incoming:
+            link.send(item)
+
+    @callback
+    def _homes_item(self) -> Item:
+        """Return the present list of homes."""
+        homes = self._desk.homes
+        return pb.Item(
+            homes=pb.Homes(
+                term=homes.term,
+                number=homes.number,
+                incarnations=homes.peers_by_incarnation.keys(),
+                peers=homes.peers_by_incarnation.values(),
+                members=self.members,
+            )
+        )
+
+    @callback
+    def _report(self, news: LoadNews) -> None:
+        """Tell the instance that assigns keys what was asked for here."""
+        if not news.counts_by_service and not news.seconds_by_target:
+            return
+        item = encode_load(news)
+        if self._lease.is_held(suspend_aware_now()):
+            self.on_load(item.load)
+            return
+        link = self.links.outgoing_by_peer.get(self._leader.peer)
+        if link is not None:
+            link.send(item)
+
+    # News.
+
+    @callback
+    def _ask_for_news(self) -> None:
+        """Ask a neighbour that knows something newer for it."""
+        for link in self.links.live_links():
+            beat = link.beat
+            if beat is None or not self._is_ahead(beat):
+                continue
+            now = asyncio.get_running_loop().time()
+            if self._behind_since is None:
+                # The store's own answer is most likely on its way.
+                self._behind_since = now
+            elif now - self._behind_since > TICK:
+                self._behind_since = now
+                link.send(
+                    pb.Item(
+                        news_ask=pb.NewsAsk(
+                            configuration=self._configuration.version,
+                            targets=self._directory.version,
+                        )
+                    )
+                )
+            return
+        self._behind_since = None
+
+    @callback
+    def _is_ahead(self, beat: Item) -> bool:
+        """Return whether a neighbour knows something newer."""
+        return bool(
+            beat.configuration > self._configuration.version
+            or beat.targets > self._directory.version
+        )
+
+    @callback
+    def _give_news(self, link: PeerLink, ask: Item) -> None:
+        """Answer a neighbour that is behind."""
+        news = pb.News()
+        if self._configuration.version > ask.configuration:
+            news.configuration = self._configuration.encoded
+        if self._directory.version > ask.targets:
+            news.targets_revision = self._directory.version
+            news.targets = encode_target_list(self._directory.present_targets())
+        link.send(pb.Item(news=news))
+
+    @callback
+    def _take_news(self, news: Item) -> None:
+        """Take what a neighbour knows."""
+        now = suspend_aware_now()
+        if news.configuration:
+            self._configuration.adopt_encoded(news.configuration, now)
+        if news.targets_revision:
+            self._directory.adopt_news(
+                decode_target_list(news.targets), news.targets_revision, now
+            )
+
+
+@callback
+def _ignore(load: Item) -> None:
+    """Do nothing."""
--- /dev/null
+++ b/swiftpin/router/instance_settings.py
@@ -0,0 +1,35 @@
+"""What a process is told about itself and its surroundings."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from swiftpin.helpers.address import Address
+from swiftpin.router.bounds import Bounds
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class InstanceSettings:
+    """Settings of one instance."""
+
+    name: str
+    zone: str
+    callers: Address
+    """Where callers' requests arrive."""
+
+    readiness: Address
+    """Where the balancer asks whether to send callers."""
+
+    peers: Address
+    """Where other instances connect."""
+
+    seeds: tuple[str, ...]
+    """Peer addresses of instances that may be asked when the store is away."""
+
+    store: Address
+    bounds: Bounds
+    target_heartbeat: float
+    """Seconds between two reports of a target to the store."""
+
+    first_start: bool
+    """Whether the whole system starts for the first time."""
--- /dev/null
+++ b/swiftpin/router/request_handler.py
@@ -0,0 +1,171 @@
+"""Serving of callers' requests."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Final
+
+from aiohttp.web import BaseRequest, StreamResponse
+
+from swiftpin.core import callback
+from swiftpin.exceptions import (
+    CallerLeftError,
+    DeadlineExceededError,
+    DeadlineTooShortError,
+    MalformedRequestError,
+    NotReadyError,
+    RequestError,
+)
+from swiftpin.gateway.deadline_watch import DeadlineWatch
+from swiftpin.gateway.http_listener import GatewayProtocol
+from swiftpin.gateway.lifecycle import Lifecycle
+from swiftpin.gateway.request_body import RequestBody
+from swiftpin.platform.request_head import RequestHead, decode_request_head
+from swiftpin.router.call import Call
+from swiftpin.router.caller_answer import CallerAnswer
+from swiftpin.router.configuration_holder import ConfigurationHolder
+from swiftpin.router.exceptions import NoRouteError
+from swiftpin.router.request_log import RequestLog
+from swiftpin.router.request_sender import RequestSender
+from swiftpin.router.split_chooser import SplitChooser
+
+NOT_READY_RETRY: Final = 0.5
+"""Seconds after which a caller may come back to an instance that just started."""
+
+LATE_RETRY: Final = 0.5
+"""Seconds after which a caller may come back whose request never got a slot."""
+
+
+class RequestHandler:
+    """Finds the route of a request, has it sent, and answers by its deadline."""
+
+    def __init__(
+        self,
+        *,
+        configuration: ConfigurationHolder,
+        sender: RequestSender,
+        lifecycle: Lifecycle,
+        log: RequestLog,
+    ) -> None:
+        self.in_flight = 0
+        self._configuration = configuration
+        self._sender = sender
+        self._lifecycle = lifecycle
+        self._log = log
+        self._splits = SplitChooser()
+        self._deadlines = DeadlineWatch()
+
+    @callback
+    def note_configuration(self) -> None:
+        """Begin to deal by the weights of a new configuration."""
+        self._splits.forget()
+
+    @callback
+    def unload(self) -> None:
+        """Stop the timer of the deadlines."""
+        self._deadlines.unload()
+
+    async def async_handle(self, request: BaseRequest) -> StreamResponse:
+        """Serve one request."""
+        started_at = asyncio.get_running_loop().time()
+        answer = CallerAnswer(request, "")
+        answer.closes = self._lifecycle.leaving
+        self.in_flight += 1
+        try:
+            await self._async_serve(request, answer, started_at)
+        finally:
+            self.in_flight -= 1
+            answer.closes = answer.closes or self._lifecycle.leaving
+        return answer.response
+
+    async def _async_serve(
+        self, request: BaseRequest, answer: CallerAnswer, started_at: float
+    ) -> None:
+        """Serve one request; errors become answers."""
+        call: Call | None = None
+        try:
+            head = _decode_head(request)
+            answer.set_request_id(head.id)
+            call = self._begin(request, head, started_at)
+            await self._async_run(call, answer)
+        except CallerLeftError:
+            self._log.write_left(call, started_at)
+        except asyncio.CancelledError:
+            self._log.write_left(call, started_at)
+            raise
+        except RequestError as err:
+            self._log.write_failed(call, request, err, started_at)
+            if not answer.begun:
+                await _async_tell(answer, err)
+        else:
+            self._log.write_served(call, started_at)
+
+    @callback
+    def _begin(
+        self, request: BaseRequest, head: RequestHead, started_at: float
+    ) -> Call:
+        """Find the route; raise what the caller is to be told when there is none."""
+        configuration = self._configuration.current
+        if configuration is None:
+            raise NotReadyError(
+                "the instance knows no configuration yet", retry_after=NOT_READY_RETRY
+            )
+        protocol = request.protocol
+        if isinstance(protocol, GatewayProtocol):
+            protocol.set_idle_limit(configuration.limits.idle_time)
+        route = configuration.find_route(request.host, request.path)
+        if route is None:
+            raise NoRouteError("no route matches the host and path")
+        timeout = min(head.deadline, route.timeout)
+        return Call(
+            request=request,
+            head=head,
+            route=route,
+            service=self._splits.choose(route),
+            body=RequestBody(request, configuration.limits.body_bytes),
+            started_at=started_at,
+            ends_at=started_at + timeout,
+            configuration=configuration.version,
+        )
+
+    async def _async_run(self, call: Call, answer: CallerAnswer) -> None:
+        """Have a request sent and pass its answer on, in time."""
+        try:
+            with self._deadlines.until(call.ends_at):
+                await call.body.async_prefetch()
+                received = await self._sender.async_send(call)
+        except TimeoutError as err:
+            raise _timeout_error(call) from err
+        try:
+            # What has begun to arrive is passed on, also when it takes longer.
+            await answer.async_relay(received.answer, received.first)
+        finally:
+            received.finish()
+
+
+@callback
+def _decode_head(request: BaseRequest) -> RequestHead:
+    """Return what the headers say."""
+    try:
+        return decode_request_head(request.headers)
+    except ValueError as err:
+        raise MalformedRequestError(f"a header is malformed: {err}") from err
+
+
+@callback
+def _timeout_error(call: Call) -> RequestError:
+    """Return what a caller is told whose time is over."""
+    if call.may_have_run:
+        return DeadlineExceededError("the time of the request is over")
+    return DeadlineTooShortError(
+        "the request got no slot in its time", retry_after=LATE_RETRY
+    )
+
+
+async def _async_tell(answer: CallerAnswer, err: RequestError) -> None:
+    """Write the answer of a failed request."""
+    try:
+        await answer.async_error(err)
+    except CallerLeftError:
+        # Nobody is left to be told; the request has its log line already.
+        return
--- /dev/null
+++ b/swiftpin/router/request_log.py
@@ -0,0 +1,127 @@
+"""One log line for each request."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Final
+
+from aiohttp.web import BaseRequest
+
+from swiftpin.core import callback
+from swiftpin.exceptions import RequestError
+from swiftpin.helpers.logging_destination import KeyValueDestination
+from swiftpin.helpers.logging_format import (
+    ABSENT,
+    cached_text,
+    format_text,
+    format_time,
+)
+from swiftpin.router.call import Call
+from swiftpin.router.key_maps import KeyMaps
+from swiftpin.router.metrics import Metrics
+
+MILLISECONDS: Final = 1000.0
+MOST_LINES: Final = 400
+"""Lines a second for served requests; failed ones always get theirs."""
+
+
+class RequestLog:
+    """Writes how each request was decided and how it ended, and counts it."""
+
+    def __init__(
+        self, destination: KeyValueDestination, maps: KeyMaps, metrics: Metrics
+    ) -> None:
+        self._destination = destination
+        self._maps = maps
+        self._metrics = metrics
+        self._second = 0
+        self._written = 0
+        self._left_out = 0
+
+    @callback
+    def write_served(self, call: Call | None, started_at: float) -> None:
+        """Write the line of a request that got a target's answer."""
+        if call is None:
+            return
+        elapsed = asyncio.get_running_loop().time() - started_at
+        self._metrics.note_served(call.service, call.status, elapsed)
+        if not self._has_room():
+            self._left_out += 1
+            return
+        left_out, self._left_out = self._left_out, 0
+        suffix = f" left_out_before={left_out}" if left_out else ""
+        self._write(
+            "info", call, f"status={call.status} outcome=served{suffix}", elapsed
+        )
+
+    @callback
+    def write_failed(
+        self,
+        call: Call | None,
+        request: BaseRequest,
+        err: RequestError,
+        started_at: float,
+    ) -> None:
+        """Write the line of a request that got an answer made here."""
+        elapsed = asyncio.get_running_loop().time() - started_at
+        service = ABSENT if call is None else call.service
+        self._metrics.note_failed(service, err.code.name, elapsed)
+        outcome = (
+            f"status={err.status} outcome={err.code.name} executed={err.executed.value}"
+            f" hint={format_text(err.hint)}"
+        )
+        if err.retry_after is not None:
+            outcome = f"{outcome} retry_after={err.retry_after:.3f}"
+        if call is None:
+            asked = f"{format_text(request.host)}{format_text(request.path)}"
+            outcome = f"asked={asked} {outcome}"
+        self._write("warning", call, outcome, elapsed)
+
+    @callback
+    def write_left(self, call: Call | None, started_at: float) -> None:
+        """Write the line of a request whose caller went away."""
+        elapsed = asyncio.get_running_loop().time() - started_at
+        service = ABSENT if call is None else call.service
+        self._metrics.note_failed(service, "CALLER_LEFT", elapsed)
+        self._write("warning", call, "outcome=CALLER_LEFT", elapsed)
+
+    @callback
+    def _has_room(self) -> bool:
+        """Return whether another line fits into this second."""
+        second = int(time.monotonic())
+        if second != self._second:
+            self._second = second
+            self._written = 0
+        self._written += 1
+        return self._written <= MOST_LINES
+
+    @callback
+    def _write(
+        self, level: str, call: Call | None, outcome: str, elapsed: float
+    ) -> None:
+        """Write one line."""
+        if not self._destination.is_enabled(level):
+            return
+        pairs = "" if call is None else self._pairs(call)
+        self._destination.write_line(
+            f"time={format_time(time.time())} level={level} event=request{pairs}"
+            f" {outcome} elapsed_ms={elapsed * MILLISECONDS:.1f}"
+        )
+
+    @callback
+    def _pairs(self, call: Call) -> str:
+        """Return what was known and decided."""
+        key_map = self._maps.maps_by_service.get(call.service)
+        map_version = ABSENT if key_map is None else f"{key_map.term}.{key_map.number}"
+        notes = format_text("; ".join(call.notes)) if call.notes else ABSENT
+        key = ABSENT if call.head.key is None else call.head.key
+        return (
+            f" request_id={format_text(call.head.id)}"
+            f" route={cached_text(call.route.name)}"
+            f" kind={call.route.kind.value} service={cached_text(call.service)}"
+            f" configuration={call.configuration} key={key} key_map={map_version}"
+            f" target={cached_text(call.target) if call.target else ABSENT}"
+            f" sends={call.sends} waited_ms={call.waited * MILLISECONDS:.1f}"
+            f" may_have_run={'true' if call.may_have_run else 'false'} notes={notes}"
+        )
--- /dev/null
+++ b/swiftpin/router/store_health.py
@@ -0,0 +1,50 @@
+"""Whether the store answers this instance."""
+
+from __future__ import annotations
+
+from eliot import log_message
+
+from swiftpin.core import callback
+
+
+class StoreHealth:
+    """Notes when the store was lost and when it came back.
+
+    All callers of the store report here, so that a list that was read right after an
+    outage is told from one that was read in calm times.
+    """
+
+    def __init__(self) -> None:
+        self.answered_at: float | None = None
+        self.lost_at: float | None = None
+        self.back_at: float | None = None
+
+    @property
+    def is_lost(self) -> bool:
+        """Return whether the last call failed."""
+        return self.lost_at is not None
+
+    @callback
+    def note_answer(self, now: float) -> None:
+        """Note that a call was answered."""
+        self.answered_at = now
+        if self.lost_at is None:
+            return
+        log_message(message_type="store_regained", lost_for=now - self.lost_at)
+        self.lost_at = None
+        self.back_at = now
+
+    @callback
+    def note_failure(self, reason: str, now: float) -> None:
+        """Note that a call failed."""
+        if self.lost_at is not None:
+            return
+        self.lost_at = now
+        log_message(message_type="store_lost", level="warning", reason=reason)
+
+    @callback
+    def is_settling(self, now: float, settle_time: float) -> bool:
+        """Return whether the store is away or has been back only for a short time."""
+        if self.lost_at is not None:
+            return True
+        return self.back_at is not None and now - self.back_at < settle_time
--- /dev/null
+++ b/swiftpin/store_errors.py
@@ -0,0 +1,13 @@
+"""Errors of single calls to an object store with a bounded history."""
+
+from __future__ import annotations
+
+from swiftpin.exceptions import StoreError
+
+
+class HistoryGoneError(StoreError):
+    """The store no longer knows the changes after a revision; list again."""
+
+
+class ObjectMissingError(StoreError):
+    """There is no object of that name."""
