Keep the lease by pledges while the store is away; notice replaced targets

Requests that never got a slot were answered 504, so callers could not send them again.

Ruled out: a shorter lease alone, since an outage of the store would still leave all keys unserved once the grants end; stretched grants, whose wait it was.

--- a/swiftpin/fleet/link.py
+++ b/swiftpin/fleet/link.py
@@ -38,8 +38,8 @@
     def handle_item(self, link: PeerLink, item: Item) -> None:
         """Take one item."""
 
-    def make_beat(self) -> Item:
-        """Return the sign of life to send."""
+    def make_beat(self, link: PeerLink) -> Item:
+        """Return the sign of life to send on a link."""
 
 
 class PeerLink:
@@ -52,6 +52,9 @@
 
         self.peer = ""
         self.beat: Item | None = None
+        self.pledged_until = 0.0
+        """Until when the other side leaves the lease alone, on the holder's clock."""
+
         self.heard_at = now
         self.is_closed = False
         self._handler = handler
@@ -121,5 +124,5 @@
         """Send signs of life, and end the link when none come back."""
         loop = asyncio.get_running_loop()
         while self.is_alive(loop.time()):
-            self.send(self._handler.make_beat())
+            self.send(self._handler.make_beat(self))
             await asyncio.sleep(BEAT_INTERVAL)
--- a/swiftpin/keyranges/const.py
+++ b/swiftpin/keyranges/const.py
@@ -18,11 +18,22 @@
 LEASE_RENEW: Final = 0.4
 """Seconds between two renewals of the lease."""
 
-LEASE_MARGIN: Final = 0.4
+LEASE_MARGIN: Final = 0.3
 """Seconds beyond `LEASE_TIME` that a candidate waits: clocks may run 2% apart and a
 renewal's answer may be on its way."""
 
-HOLD_TIME: Final = 3.8
+LEASE_CALL_TIMEOUT: Final = 0.6
+"""Seconds for the answer to a renewal. A lost answer then leaves time to read back
+before the lease ends; the store takes 0.4 s when it is slowed a hundredfold."""
+
+PLEDGE_TIME: Final = 2.0
+"""Seconds for which a member leaves the lease alone after a pledge: several beats."""
+
+PLEDGE_LIMIT: Final = 10.0
+"""Seconds beyond the lease's end for which pledges can keep its holder in place. One
+that is not among the members waits for this too, since nobody asks for its pledge."""
+
+HOLD_TIME: Final = 4.4
 """Seconds of a grant at rest: more than `LEASE_TIME`, the candidates' wait, their polls
 and a renewal's pause together, and no longer, since the keys of a target that falls
 silent stay unserved until its grant has ended."""
--- a/swiftpin/keyranges/lease.py
+++ b/swiftpin/keyranges/lease.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 from typing import Final
 
@@ -20,10 +21,12 @@
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.keyranges.const import (
     KIND_LEASE,
+    LEASE_CALL_TIMEOUT,
     LEASE_MARGIN,
     LEASE_RENEW,
     LEASE_TIME,
     NAME_LEASE,
+    PLEDGE_LIMIT,
 )
 from swiftpin.keyranges.lease_record import LeaseRecord, decode_lease, encode_lease
 from swiftpin.platform.store_client import StoreClient
@@ -36,22 +39,28 @@
 RETRY: Final = 0.1
 """Seconds before a renewal that failed is tried again, while the lease still runs."""
 
-CALM_POLL: Final = 1.0
+CALM_POLL: Final = 0.3
 """Seconds between two checks whether the holder is still heard of."""
 
 
 class LeaseKeeper:
     """Takes the lease when its holder is gone, and renews it while this one has it.
 
-    The holder may assign keys only until `valid_until`: the sending of its last
-    written renewal plus the lease time, on a clock that counts suspensions. A candidate
-    waits longer than that without seeing a change, so two instances never assign at
-    the same time, whatever was paused or cut off.
+    The holder may assign keys until `valid_until`: the sending of its last written
+    renewal plus the lease time, on a clock that counts suspensions. A candidate waits
+    longer than that without seeing a change, so two instances never assign at the same
+    time, whatever was paused or cut off.
+
+    While the store answers nobody, the holder goes on as long as every member named in
+    the record pledges to leave the lease alone (`pledged_until`), up to a limit. An
+    instance that is not named there waits beyond that limit. Without pledges every
+    outage of the store that outlasts the targets' grants would leave all keys unserved.
     """
 
     def __init__(
         self,
         *,
+        name: str,
         incarnation: str,
         peer: str,
         client: StoreClient,
@@ -63,11 +72,24 @@
         """The record last seen, of whichever holder."""
 
         self.valid_until = 0.0
+        self.pledged_until = 0.0
+        """Until when every member has pledged not to take over, at the holder."""
+
+        self.own_pledge_until = 0.0
+        """Until when this instance has pledged not to take over."""
+
+        self.resigned_term = 0
+        """Last term for which a holder said that it assigns keys no more."""
+
         self.is_standing_down = False
         self.is_willing = False
         """Whether this instance knows enough to assign keys."""
 
+        self.members: tuple[str, ...] = ()
+        """Names of the instances to be written into the record."""
+
         self.on_seen: Callable[[LeaseRecord], None] = _ignore
+        self._name = name
         self._incarnation = incarnation
         self._peer = peer
         self._client = client
@@ -76,11 +98,31 @@
         self._is_holder_heard = is_holder_heard
         self._revision: int | None = None
         self._unchanged_since = 0.0
+        self._attempted_members: tuple[str, ...] = ()
+
+    @property
+    def pledgers(self) -> frozenset[str]:
+        """Return the members whose pledges the holder needs.
+
+        A renewal without an answer may have been written, so those it named count too.
+        """
+        written = () if self.record is None else self.record.members
+        return frozenset((*written, *self._attempted_members)) - {self._name}
 
     @callback
     def is_held(self, now: float) -> bool:
         """Return whether this instance may assign keys at a time."""
-        return now < self.valid_until
+        if now < self.valid_until:
+            return True
+        limit = self.valid_until + PLEDGE_LIMIT
+        return self.valid_until > 0 and now < min(self.pledged_until, limit)
+
+    @callback
+    def own_resigned_term(self, now: float) -> int:
+        """Return the last term for which this instance certainly assigns no keys."""
+        if self.is_held(now) or self.record is None:
+            return 0
+        return self.record.term if self.record.holder == self._incarnation else 0
 
     @property
     def term(self) -> int:
@@ -97,6 +139,15 @@
                 self._note_lapse()
                 await asyncio.sleep(await self._async_wait_turn(now))
 
+    async def async_probe(self) -> None:
+        """Read the lease, to learn whether the store answers this instance."""
+        if self.is_held(suspend_aware_now()):
+            return
+        try:
+            await self._async_read()
+        except StoreError as err:
+            self._health.note_failure(str(err), suspend_aware_now())
+
     async def async_give_up(self) -> None:
         """Let another instance take over at once; grants go on until they end."""
         self.is_standing_down = True
@@ -105,7 +156,7 @@
             return
         self.valid_until = 0.0
         log_message(message_type="lease_given_up", term=record.term)
-        free = LeaseRecord(holder="", peer="", term=record.term, beat=record.beat + 1)
+        free = replace(record, holder="", peer="", beat=record.beat + 1)
         try:
             await self._client.async_replace(
                 KIND_LEASE, NAME_LEASE, encode_lease(free), self._revision
@@ -118,12 +169,7 @@
         """Write a renewal; return the seconds until the next one."""
         record = self.record
         assert record is not None
-        renewed = LeaseRecord(
-            holder=record.holder,
-            peer=record.peer,
-            term=record.term,
-            beat=record.beat + 1,
-        )
+        renewed = replace(record, beat=record.beat + 1, members=self.members)
         if await self._async_write(renewed):
             return LEASE_RENEW
         return RETRY
@@ -133,8 +179,7 @@
         record = self.record
         heard = record is not None and self._is_holder_heard(record.holder)
         if heard and record is not None and record.holder != self._incarnation:
-            self._unchanged_since = now
-            return CALM_POLL * self._rng.uniform(0.3, 0.5)
+            return CALM_POLL * self._rng.uniform(0.7, 1.0)
         try:
             await self._async_read()
         except StoreError as err:
@@ -148,14 +193,24 @@
     @callback
     def _is_free(self, now: float) -> bool:
         """Return whether the lease has run out, or was given up."""
-        if self.record is None or self.record.holder in ("", self._incarnation):
+        record = self.record
+        if record is None or record.holder in ("", self._incarnation):
+            return True
+        if self.resigned_term >= record.term:
             return True
-        return now - self._unchanged_since > LEASE_TIME + LEASE_MARGIN
+        if now < self.own_pledge_until:
+            return False
+        wait = LEASE_TIME + LEASE_MARGIN
+        if self._name not in record.members:
+            wait += PLEDGE_LIMIT
+        return now - self._unchanged_since > wait
 
     async def _async_read(self) -> None:
         """Read the lease and note whether it changed."""
         try:
-            found = await self._client.async_get(KIND_LEASE, NAME_LEASE)
+            found = await self._client.async_get(
+                KIND_LEASE, NAME_LEASE, limit=LEASE_CALL_TIMEOUT
+            )
         except ObjectMissingError:
             self._health.note_answer(suspend_aware_now())
             self.record = None
@@ -191,8 +246,13 @@
 
     async def _async_take(self) -> None:
         """Try to become the holder, under the next term."""
+        record = self.record
         taken = LeaseRecord(
-            holder=self._incarnation, peer=self._peer, term=self.term + 1, beat=0
+            holder=self._incarnation,
+            peer=self._peer,
+            term=self.term + 1,
+            beat=0,
+            members=() if record is None else record.members,
         )
         if await self._async_write(taken):
             log_message(message_type="lease_taken", term=taken.term)
@@ -200,15 +260,20 @@
     async def _async_write(self, record: LeaseRecord) -> bool:
         """Write a record of this instance's own; return whether it stands."""
         sent_at = suspend_aware_now()
+        self._attempted_members = record.members
         content = encode_lease(record)
         try:
             if self._revision is None:
                 revision = await self._client.async_create(
-                    KIND_LEASE, NAME_LEASE, content
+                    KIND_LEASE, NAME_LEASE, content, limit=LEASE_CALL_TIMEOUT
                 )
             else:
                 revision = await self._client.async_replace(
-                    KIND_LEASE, NAME_LEASE, content, self._revision
+                    KIND_LEASE,
+                    NAME_LEASE,
+                    content,
+                    self._revision,
+                    limit=LEASE_CALL_TIMEOUT,
                 )
         except StoreConflictError as err:
             return await self._async_settle(record, sent_at, str(err))
@@ -238,6 +303,7 @@
             return False
         found = self.record
         if found is None or (found.holder, found.term) != (record.holder, record.term):
+            # Somebody else has it: no pledge counts any more.
             self.valid_until = 0.0
             return False
         if found.beat != record.beat:
--- a/swiftpin/keyranges/lease_record.py
+++ b/swiftpin/keyranges/lease_record.py
@@ -20,6 +20,9 @@
 
     term: int
     beat: int
+    members: tuple[str, ...] = ()
+    """Names of the instances that may take over as soon as the lease has run out; the
+    holder asks these for pledges while the store is away."""
 
 
 def encode_lease(record: LeaseRecord) -> dict[str, Any]:
@@ -30,6 +33,8 @@
 def decode_lease(content: object) -> LeaseRecord:
     """Return the record; raise `ConfigurationError` when it is malformed."""
     try:
-        return LeaseRecord(**content)  # type: ignore[arg-type]  # checked by the call
-    except TypeError as err:
+        fields = dict(content)  # type: ignore[call-overload]  # checked by the calls
+        fields["members"] = tuple(fields.get("members", ()))
+        return LeaseRecord(**fields)
+    except (TypeError, ValueError) as err:
         raise ConfigurationError(f"record of the lease: {err!r}") from err
--- a/swiftpin/keyranges/range_keeper.py
+++ b/swiftpin/keyranges/range_keeper.py
@@ -47,6 +47,7 @@
     TargetNotReachedError,
     TargetRefusedConnectionError,
     TargetReplacedError,
+    UnexpectedAnswerError,
 )
 from swiftpin.router.store_health import StoreHealth
 from swiftpin.router.target import Target
@@ -60,10 +61,6 @@
 FENCES_A_TERM: Final = 1_000_000
 """Fences of one term; the next term's are all higher."""
 
-LEASE_WORRY: Final = 0.9
-"""Seconds of the lease that are left when grants are stretched to their longest time:
-a renewal has failed by then, and the store may stay away for long."""
-
 RETRY_PAUSE: Final = 0.15
 """Seconds between two tries of the same call to a target."""
 
@@ -98,6 +95,7 @@
         lease: LeaseKeeper,
         health: StoreHealth,
         longest_hold: float,
+        health_path: str,
         on_map: Callable[[KeyMap], None],
     ) -> None:
         self.load = KeyLoad()
@@ -109,6 +107,7 @@
         self._lease = lease
         self._health = health
         self._longest_hold = longest_hold
+        self._health_path = health_path
         self._on_map = on_map
         self._term = lease.term
         self._took_over_at = suspend_aware_now()
@@ -121,7 +120,6 @@
         self._moves_by_first: dict[int, asyncio.Task[None]] = {}
         self._map_number = 0
         self._published: tuple[tuple[int, ...], tuple[str, ...]] | None = None
-        self._is_stretched = False
 
     async def async_run(self) -> None:
         """Keep the keys until cancelled."""
@@ -159,13 +157,13 @@
         assignment = decode_assignment(found.content)
         self._revision = found.revision
         self._assignment = assignment
-        # Whatever the former holder granted may last for the longest time from now.
+        # Whatever the former holder granted ends at the latest by then.
         for segment in assignment.segments:
             self._granted_fences.add(segment.fence)
             for target in (segment.owner, segment.former):
                 if target:
                     contact = self._contact(target)
-                    contact.note_grant(self._took_over_at, self._longest_hold)
+                    contact.note_grant(self._took_over_at, HOLD_TIME)
         log_message(
             message_type="assignment_loaded",
             service=self._service,
@@ -356,6 +354,7 @@
         grant = KeyGrant(first=segment.first, last=segment.last, fence=segment.fence)
         while True:
             now = suspend_aware_now()
+            self._contact(segment.former)
             if contact.is_gone or now >= held_until:
                 return None
             target = self._directory.targets_by_id.get(segment.former)
@@ -389,6 +388,9 @@
         except TargetRefusedConnectionError:
             contact.note_refusal(suspend_aware_now())
             raise
+        except UnexpectedAnswerError:
+            await self._async_identify(target, contact)
+            raise
         except TargetUnreachableError:
             contact.note_failure(suspend_aware_now())
             raise
@@ -444,6 +446,10 @@
         except TargetRefusedConnectionError:
             contact.note_refusal(suspend_aware_now())
             return False
+        except UnexpectedAnswerError as err:
+            self._note_unanswered(target, contact, str(err))
+            await self._async_identify(target, contact)
+            return False
         except TargetNotReachedError as err:
             self._note_unanswered(target, contact, str(err))
             return False
@@ -455,6 +461,22 @@
         contact.note_answer()
         return True
 
+    async def _async_identify(self, target: Target, contact: TargetContact) -> None:
+        """Find out whether another target has the address by now.
+
+        One of another service does not take grants and may not say who it is; then
+        the target meant is gone, and its keys need not wait for its grants to end.
+        """
+        found = await self._control.async_identify(
+            target.address, self._health_path, limit=CONTROL_TIMEOUT
+        )
+        if found is None or found == target.id:
+            contact.note_failure(suspend_aware_now())
+            return
+        log_message(message_type="target_replaced", target=target.id, by=found)
+        contact.is_gone = True
+        self._directory.note_replaced(target.id, suspend_aware_now())
+
     @callback
     def _hold(self, contact: TargetContact, now: float) -> float:
         """Return for how long to grant, in seconds.
@@ -462,7 +484,7 @@
         A target that did not answer is asked again, but not beyond what it may hold
         anyway: else each try would put off the moment at which its keys are free.
         """
-        hold = self._longest_hold if self._is_stretched else HOLD_TIME
+        hold = min(HOLD_TIME, self._longest_hold)
         if contact.is_failing:
             return max(min(hold, contact.unextended_hold(now)), SHORTEST_HOLD)
         return hold
@@ -488,8 +510,6 @@
             due_by_target: dict[str, float] = {}
             while True:
                 now = suspend_aware_now()
-                if self._note_lease(now):
-                    due_by_target.clear()
                 owners = self._owners()
                 for target_id in owners:
                     task = tasks_by_target.get(target_id)
@@ -508,20 +528,6 @@
                         del tasks_by_target[target_id]
                 await asyncio.sleep(RENEW_TICK)
 
-    @callback
-    def _note_lease(self, now: float) -> bool:
-        """Note whether the lease is renewed; return whether grants must go out now."""
-        is_worried = self._lease.valid_until - now < LEASE_WORRY
-        if is_worried == self._is_stretched:
-            return False
-        self._is_stretched = is_worried
-        log_message(
-            message_type="grants_stretched" if is_worried else "grants_normal",
-            service=self._service,
-            lease_left=self._lease.valid_until - now,
-        )
-        return is_worried
-
     @callback
     def _owners(self) -> set[str]:
         """Return the targets that own keys."""
@@ -575,6 +581,8 @@
         contact = self._contacts_by_target.get(target_id)
         if contact is None:
             contact = self._contacts_by_target[target_id] = TargetContact()
+        if target_id in self._directory.replaced_ids:
+            contact.is_gone = True
         return contact
 
     # The map for routing.
--- a/swiftpin/platform/request_head.py
+++ b/swiftpin/platform/request_head.py
@@ -13,6 +13,7 @@
 from swiftpin.platform.names import (
     HEADER_DEADLINE,
     HEADER_EXPECTED,
+    HEADER_INSTANCE,
     HEADER_KEY,
     HEADER_LOAD,
     HEADER_NOT_EXECUTED,
@@ -78,7 +79,9 @@
     not_executed: bool
     """Whether the target states that it did not run the request."""
 
-    is_other_target: bool
+    instance: str | None
+    """Target that answers, where it names itself."""
+
     load: TargetLoad | None
 
 
@@ -125,9 +128,7 @@
         request_id=headers.get(HEADER_REQUEST_ID),
         is_signed=HEADER_SIGNATURE in headers,
         not_executed=HEADER_NOT_EXECUTED in headers or is_misdirected,
-        # A target that lacks the key states that it did not run the request; another
-        # one at the same address only names itself.
-        is_other_target=is_misdirected and HEADER_NOT_EXECUTED not in headers,
+        instance=headers.get(HEADER_INSTANCE),
         load=_decode_load(headers.get(HEADER_LOAD)),
     )
 
--- a/swiftpin/platform/store_client.py
+++ b/swiftpin/platform/store_client.py
@@ -76,9 +76,12 @@
             objects=tuple(objects), revision=first_revision or 0, has_more=False
         )
 
-    async def async_get(self, kind: str, name: str) -> PlatformObject:
+    async def async_get(
+        self, kind: str, name: str, *, limit: float = CALL_TIMEOUT
+    ) -> PlatformObject:
         """Return one object; raise `ObjectMissingError` when there is none."""
-        return decode_object(await self._async_read(f"{kind}/{quote(name, safe='')}"))
+        path = f"{kind}/{quote(name, safe='')}"
+        return decode_object(await self._async_read(path, limit))
 
     async def async_watch(self, kind: str, revision: int, wait: float) -> ObjectChanges:
         """Return the changes after a revision, at the latest after `wait` seconds.
@@ -89,16 +92,24 @@
         limit = wait + WATCH_GRACE
         return decode_changes(await self._async_read(f"{kind}{query}", limit))
 
-    async def async_create(self, kind: str, name: str, content: object) -> int:
+    async def async_create(
+        self, kind: str, name: str, content: object, *, limit: float = CALL_TIMEOUT
+    ) -> int:
         """Create an object and return its revision.
 
         Raises `StoreConflictError` when it is there already.
         """
         document = {"metadata": {"name": name}, "specification": content}
-        return await self._async_write("POST", kind, name, document)
+        return await self._async_write("POST", kind, name, document, limit)
 
     async def async_replace(
-        self, kind: str, name: str, content: object, revision: int | None
+        self,
+        kind: str,
+        name: str,
+        content: object,
+        revision: int | None,
+        *,
+        limit: float = CALL_TIMEOUT,
     ) -> int:
         """Replace an object, if it is still at `revision`, and return the new one.
 
@@ -109,12 +120,12 @@
             metadata["revision"] = revision
         document = {"metadata": metadata, "specification": content}
         path = f"{kind}/{quote(name, safe='')}"
-        return await self._async_write("PUT", path, name, document)
+        return await self._async_write("PUT", path, name, document, limit)
 
     async def async_delete(self, kind: str, name: str, revision: int) -> None:
         """Remove an object, if it is still at `revision`."""
         path = f"{kind}/{quote(name, safe='')}?revision={revision}"
-        await self._async_write("DELETE", path, name, None)
+        await self._async_write("DELETE", path, name, None, CALL_TIMEOUT)
 
     async def _async_read(
         self, path: str, limit: float = CALL_TIMEOUT
@@ -133,12 +144,17 @@
         raise StoreUnavailableError(f"reading {path}: status {status}")
 
     async def _async_write(
-        self, method: str, path: str, name: str, document: dict[str, Any] | None
+        self,
+        method: str,
+        path: str,
+        name: str,
+        document: dict[str, Any] | None,
+        limit: float,
     ) -> int:
         """Send a write and return the revision that it made."""
         payload = b"" if document is None else orjson.dumps(document)
         try:
-            status, body = await self._async_call(method, path, payload, CALL_TIMEOUT)
+            status, body = await self._async_call(method, path, payload, limit)
         except RequestNotSentError as err:
             raise StoreUnavailableError(f"writing {path}: {err!r}") from err
         except (AnswerBrokenError, TimeoutError) as err:
--- a/swiftpin/platform/target_control.py
+++ b/swiftpin/platform/target_control.py
@@ -12,6 +12,7 @@
 import orjson
 
 from swiftpin.core import monotonic_now
+from swiftpin.dispatch.http_answer import HttpAnswer
 from swiftpin.dispatch.http_client import HttpClient, SendGate
 from swiftpin.dispatch.http_request import HttpRequest
 from swiftpin.dispatch.http_send_state import HttpSendState
@@ -52,6 +53,10 @@
     fence: int
 
 
+class UnexpectedAnswerError(TargetUnreachableError):
+    """Something answers at the address that does not take the call."""
+
+
 class TargetNotReachedError(TargetUnreachableError):
     """The call was not sent, so it has no effect."""
 
@@ -103,6 +108,39 @@
             address, target_id, PATH_RELEASE, _document(grant), limit
         )
 
+    async def async_identify(
+        self, address: str, health_path: str, *, limit: float
+    ) -> str | None:
+        """Return the id of whoever answers at an address, None when nobody says."""
+        request = HttpRequest(
+            method="GET",
+            path=health_path,
+            headers=CIMultiDict({HOST: address}),
+            body=WholeBody(b""),
+        )
+        try:
+            answer = await self._async_exchange(
+                address, request, HttpSendState(), limit
+            )
+        except (RequestNotSentError, AnswerBrokenError, TimeoutError):
+            # Whoever asks goes on as if nothing was learnt, and asks again.
+            return None
+        return answer.headers.get(HEADER_INSTANCE)
+
+    async def _async_exchange(
+        self, address: str, request: HttpRequest, state: HttpSendState, limit: float
+    ) -> HttpAnswer:
+        """Make one exchange and read its answer to the end."""
+        async with asyncio.timeout(limit):
+            answer = await self._client.async_exchange(
+                address, request, state, self._gate
+            )
+            try:
+                await answer.async_read_whole()
+            finally:
+                answer.finish(monotonic_now())
+        return answer
+
     async def _async_call(
         self,
         address: str,
@@ -126,14 +164,7 @@
         )
         state = HttpSendState()
         try:
-            async with asyncio.timeout(limit):
-                answer = await self._client.async_exchange(
-                    address, request, state, self._gate
-                )
-                try:
-                    await answer.async_read_whole()
-                finally:
-                    answer.finish(monotonic_now())
+            answer = await self._async_exchange(address, request, state, limit)
         except RequestNotSentError as err:
             if isinstance(err.__cause__, ConnectionRefusedError):
                 raise TargetRefusedConnectionError(f"{target_id}: {err}") from err
@@ -150,7 +181,7 @@
         if answer.status == HTTPStatus.CONFLICT:
             raise GrantRefusedError(f"{target_id} has seen a higher fence")
         if answer.status != HTTPStatus.OK:
-            raise TargetUnreachableError(f"{target_id}: status {answer.status}")
+            raise UnexpectedAnswerError(f"{target_id}: status {answer.status}")
         return answer.headers.get(HEADER_HANDOVER)
 
 
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -98,6 +98,7 @@
         self._control = TargetControl(self._control_http, self._check_lease)
         self._desk = PermitDesk(incarnation)
         self._lease = LeaseKeeper(
+            name=settings.name,
             incarnation=incarnation,
             peer=str(settings.peers),
             client=self._store,
@@ -115,6 +116,7 @@
             configuration=self._configuration,
             directory=self._directory,
             lifecycle=self._lifecycle,
+            health=self._health,
         )
         self._lease.on_seen = self._fleet.note_lease
         self._leader = Leader(
@@ -273,6 +275,8 @@
     @callback
     def _make_keeper(self, service: str) -> RangeKeeper:
         """Return a keeper for a service's keys."""
+        configuration = self._configuration.current
+        assert configuration is not None
         return RangeKeeper(
             service=service,
             client=self._store,
@@ -281,6 +285,7 @@
             lease=self._lease,
             health=self._health,
             longest_hold=self._settings.bounds.longest_hold,
+            health_path=configuration.services_by_name[service].health_path,
             on_map=self._fleet.hand_out_map,
         )
 
--- a/swiftpin/router/fleet_desk.py
+++ b/swiftpin/router/fleet_desk.py
@@ -21,6 +21,7 @@
 from swiftpin.fleet.proto import fleet_pb2 as pb
 from swiftpin.gateway.lifecycle import Lifecycle
 from swiftpin.helpers.clock import suspend_aware_now
+from swiftpin.keyranges.const import PLEDGE_TIME
 from swiftpin.keyranges.key_map import KeyMap
 from swiftpin.keyranges.lease import LeaseKeeper
 from swiftpin.keyranges.lease_record import LeaseRecord
@@ -29,15 +30,23 @@
 from swiftpin.platform.target_entries import decode_target_list, encode_target_list
 from swiftpin.router.configuration_holder import ConfigurationHolder
 from swiftpin.router.key_maps import KeyMaps
+from swiftpin.router.store_health import StoreHealth
 from swiftpin.router.target_directory import TargetDirectory
 
 TICK: Final = 0.2
 """Seconds between two looks at links, homes and reports."""
 
+LEADER_SILENCE: Final = 0.75
+"""Seconds without a sign of life after which candidates begin to look at the lease;
+with one beat late nothing is lost but some reads."""
+
 TARGETS_A_HOME: Final = 16
 """Targets whose permits one instance hands out. A permit takes three messages of about
 0.1 ms each, and 16 targets with 2 slots bear about 150 requests a second."""
 
+MOST_CANDIDATES: Final = 16
+"""Instances named in the lease; the record is written several times a second."""
+
 LEAST_HOMES: Final = 3
 """Homes at least, so that the loss of one leaves most targets' permits untouched."""
 
@@ -63,6 +72,7 @@
         configuration: ConfigurationHolder,
         directory: TargetDirectory,
         lifecycle: Lifecycle,
+        health: StoreHealth,
     ) -> None:
         self.links = FleetLinks(
             incarnation=incarnation, own_peer=own_peer, handler=self
@@ -79,7 +89,10 @@
         self._configuration = configuration
         self._directory = directory
         self._lifecycle = lifecycle
+        self._health = health
         self._leader = LeaseRecord(holder="", peer="", term=0, beat=0)
+        self._leader_lost_since: float | None = None
+        self._probe: asyncio.Task[None] | None = None
         self._behind_since: float | None = None
         self._home_number = 0
 
@@ -102,8 +115,12 @@
     @callback
     def is_heard(self, holder: str) -> bool:
         """Return whether the holder of the lease says that it still has it."""
+        now = asyncio.get_running_loop().time()
         return any(
-            link.incarnation == holder and link.beat is not None and link.beat.leads
+            link.incarnation == holder
+            and link.beat is not None
+            and link.beat.leads
+            and now - link.heard_at < LEADER_SILENCE
             for link in self.links.live_links()
         )
 
@@ -143,22 +160,77 @@
                 self._take_news(item.news)
 
     @callback
-    def make_beat(self) -> Item:
-        """Return the sign of life to send."""
+    def make_beat(self, link: PeerLink) -> Item:
+        """Return the sign of life to send on a link."""
+        now = suspend_aware_now()
         leader = self._leader
+        pledges = self._may_pledge(link)
+        if pledges:
+            self._lease.own_pledge_until = now + PLEDGE_TIME
         return pb.Item(
             beat=pb.Beat(
                 incarnation=self._incarnation,
-                leads=self._lease.is_held(suspend_aware_now()),
+                leads=self._lease.is_held(now),
                 term=leader.term,
                 leader=leader.holder,
                 leader_peer=leader.peer,
                 configuration=self._configuration.version,
                 targets=self._directory.version,
                 stopping=self._lifecycle.leaving,
+                sent_at=now,
+                echo=0.0 if link.beat is None else link.beat.sent_at,
+                store_lost=self._health.is_lost,
+                pledge=pledges,
+                resigned_term=self._lease.own_resigned_term(now),
             )
         )
 
+    @callback
+    def _may_pledge(self, link: PeerLink) -> bool:
+        """Return whether to leave the lease to its holder at the other end of a link.
+
+        Only while the store answers neither of the two: when it turns just the holder
+        away, somebody whom it serves had better take over.
+        """
+        beat = link.beat
+        if beat is None or not (beat.leads and beat.store_lost):
+            self._leader_lost_since = None
+            return False
+        now = suspend_aware_now()
+        if self._leader_lost_since is None:
+            self._leader_lost_since = now
+            self._probe = asyncio.create_task(self._lease.async_probe())
+        answered_at = self._health.answered_at
+        return answered_at is None or answered_at < self._leader_lost_since
+
+    @callback
+    def _take_beat(self, link: PeerLink, beat: Item) -> None:
+        """Take a sign of life."""
+        link.beat = beat
+        if beat.pledge:
+            # Counted from before the pledge was made, so it never looks longer.
+            link.pledged_until = max(link.pledged_until, beat.echo + PLEDGE_TIME)
+            self._lease.pledged_until = self._pledged_until()
+        lease = self._lease
+        lease.resigned_term = max(lease.resigned_term, beat.resigned_term)
+        if beat.term > self._leader.term:
+            self._leader = LeaseRecord(
+                holder=beat.leader, peer=beat.leader_peer, term=beat.term, beat=0
+            )
+
+    @callback
+    def _pledged_until(self) -> float:
+        """Return until when all members have pledged to leave the lease alone."""
+        until_by_name: dict[str, float] = {}
+        for link in self.links.incoming:
+            name = link.incarnation.partition("/")[0]
+            known = until_by_name.get(name, 0.0)
+            until_by_name[name] = max(known, link.pledged_until)
+        return min(
+            (until_by_name.get(name, 0.0) for name in self._lease.pledgers),
+            default=math.inf,
+        )
+
     @callback
     def _take_hello(self, link: PeerLink, hello: Item) -> None:
         """Learn who is at the other side, and give it what it needs."""
@@ -177,15 +249,6 @@
         if self._desk.homes.number:
             link.send(self._homes_item())
 
-    @callback
-    def _take_beat(self, link: PeerLink, beat: Item) -> None:
-        """Take a sign of life."""
-        link.beat = beat
-        if beat.term > self._leader.term:
-            self._leader = LeaseRecord(
-                holder=beat.leader, peer=beat.leader_peer, term=beat.term, beat=0
-            )
-
     @callback
     def _take_map(self, key_map: KeyMap) -> None:
         """Take a map, and pass it on to those who listen here."""
@@ -255,6 +318,9 @@
         chosen = (kept + added)[:count]
         homes = {name: peers[name] for name in chosen}
         members = len(peers)
+        self._lease.members = tuple(
+            sorted(name.partition("/")[0] for name in peers)[:MOST_CANDIDATES]
+        )
         is_same = homes == present.peers_by_incarnation and members == self.members
         if is_same and present.term == self._lease.term:
             return
--- a/swiftpin/router/request_handler.py
+++ b/swiftpin/router/request_handler.py
@@ -11,9 +11,9 @@
 from swiftpin.exceptions import (
     CallerLeftError,
     DeadlineExceededError,
-    DeadlineTooShortError,
     MalformedRequestError,
     NotReadyError,
+    QueueFullError,
     RequestError,
 )
 from swiftpin.gateway.deadline_watch import DeadlineWatch
@@ -157,9 +157,7 @@
     """Return what a caller is told whose time is over."""
     if call.may_have_run:
         return DeadlineExceededError("the time of the request is over")
-    return DeadlineTooShortError(
-        "the request got no slot in its time", retry_after=LATE_RETRY
-    )
+    return QueueFullError("the request got no slot in time", retry_after=LATE_RETRY)
 
 
 async def _async_tell(answer: CallerAnswer, err: RequestError) -> None:
--- a/swiftpin/router/request_sender.py
+++ b/swiftpin/router/request_sender.py
@@ -60,8 +60,9 @@
 not run twice: targets close idle connections, at times unannounced, and a request that
 crosses the close is lost."""
 
-SAME_TARGET_PAUSE: Final = 0.06
-"""Seconds before the owner of a key is tried again after it failed."""
+SAME_TARGET_PAUSE: Final = 0.1
+"""Seconds before the owner of a key is tried again after it failed: a lost target's
+keys are on the move by then, and one that was full has ended a request."""
 
 CONNECTION_SHARE: Final = 6
 """Part of a target's connections that one instance takes at most."""
@@ -306,8 +307,12 @@
     ) -> None:
         """Note that a target did not run the request."""
         answer.abort()
-        reason = "another target answers" if head.is_other_target else "refused"
-        self._note_failed(call, permit, f"{reason}: {answer.status}")
+        reason = f"refused: {answer.status}"
+        if head.instance not in (None, permit.target):
+            # The target is gone and its address belongs to another one by now.
+            reason = f"replaced by {head.instance}"
+            self._directory.note_replaced(permit.target, suspend_aware_now())
+        self._note_failed(call, permit, reason)
 
     @callback
     def _note_failed(self, call: Call, permit: Permit, reason: str) -> None:
--- a/swiftpin/router/target_directory.py
+++ b/swiftpin/router/target_directory.py
@@ -35,6 +35,7 @@
         self.leaving_since_by_id: dict[str, float] = {}
         self.seen_since_by_id: dict[str, float] = {}
         self.gone_ids: set[str] = set()
+        self.replaced_ids: set[str] = set()
         self.revision = 0
         self.version = 0
         """Revision of the last list or change that was taken."""
@@ -116,7 +117,7 @@
     @callback
     def may_send(self, target_id: str, now: float) -> bool:
         """Return whether a request may still go to a target."""
-        if target_id not in self.targets_by_id:
+        if target_id not in self.targets_by_id or target_id in self.replaced_ids:
             return False
         since = self.leaving_since_by_id.get(target_id)
         return since is None or now - since < self._drain - DRAIN_MARGIN
@@ -128,6 +129,15 @@
             target_id in self.leaving_since_by_id or target_id not in self.targets_by_id
         )
 
+    @callback
+    def note_replaced(self, target_id: str, now: float) -> None:
+        """Note that another target was met at a target's address: it is gone."""
+        if target_id in self.replaced_ids:
+            return
+        self.replaced_ids.add(target_id)
+        self._note_leaving(target_id, "replaced at its address", now)
+        self.on_change()
+
     @callback
     def forget(self, target_id: str) -> None:
         """Drop a target that is gone for certain."""
@@ -152,11 +162,15 @@
         known = self.targets_by_id.get(target.id)
         if known is not None and known.revision > target.revision:
             return
+        if known is None:
+            self._note_same_address(target, now)
         self.targets_by_id[target.id] = target
         self.seen_since_by_id.setdefault(target.id, now)
         self.gone_ids.discard(target.id)
         if target.is_draining:
             self._note_leaving(target.id, "draining", now)
+        elif target.id in self.replaced_ids:
+            return
         elif self.leaving_since_by_id.pop(target.id, None) is not None:
             log_message(message_type="target_back", target=target.id)
         elif known is None:
@@ -168,6 +182,13 @@
                 revision=target.revision,
             )
 
+    @callback
+    def _note_same_address(self, newcomer: Target, now: float) -> None:
+        """Note that whoever had a newcomer's address before is gone."""
+        for target in list(self.targets_by_id.values()):
+            if target.address == newcomer.address:
+                self.note_replaced(target.id, now)
+
     @callback
     def _note_missing(self, target_id: str, now: float) -> None:
         """Note that an entry is not in the store any more.
