Let a stopping leader stay while the store is away; rest denied ranges

After all processes were killed the lease of an earlier incarnation was waited out for 2 s.

Ruled out: stretching the grants at the exit: a successor could not know of it.

--- a/swiftpin/keyranges/key_map.py
+++ b/swiftpin/keyranges/key_map.py
@@ -23,6 +23,11 @@
         """Return the target that serves a key, empty when none does now."""
         return self.owners[bisect_right(self.firsts, key) - 1]
 
+    def range_of(self, key: int) -> tuple[int, str]:
+        """Return the first key of a key's range, and its owner."""
+        index = bisect_right(self.firsts, key) - 1
+        return self.firsts[index], self.owners[index]
+
     def is_newer_than(self, other: KeyMap | None) -> bool:
         """Return whether this map replaces another one."""
         if other is None:
--- a/swiftpin/keyranges/lease.py
+++ b/swiftpin/keyranges/lease.py
@@ -194,7 +194,11 @@
     def _is_free(self, now: float) -> bool:
         """Return whether the lease has run out, or was given up."""
         record = self.record
-        if record is None or record.holder in ("", self._incarnation):
+        if record is None or not record.holder:
+            return True
+        if record.holder.partition("/")[0] == self._name:
+            # An earlier incarnation of this one, so it has ended; or a lapsed lease of
+            # this incarnation that nobody took.
             return True
         if self.resigned_term >= record.term:
             return True
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -68,7 +68,11 @@
 STOP_MARGIN: Final = 0.6
 """Seconds before the end of the grace period at which the process ends by itself."""
 
+STOP_TICK: Final = 0.02
+"""Seconds between two looks whether a leaving instance may end."""
+
 HOUSEKEEPING: Final = 1.0
+"""Seconds between two rounds of closing idle connections."""
 
 
 class Router:
@@ -188,15 +192,27 @@
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + self._settings.bounds.grace - STOP_MARGIN
         listens_until = loop.time() + BALANCER_TIME
-        await self._lease.async_give_up()
         while loop.time() < ends_at:
+            if not self._keeps_lease():
+                await self._lease.async_give_up()
             if loop.time() >= listens_until:
                 self._callers.stop_listening()
-                if not self._handler.in_flight:
+                self._handler.refuse_new()
+                if not self._handler.in_flight and not self._keeps_lease():
                     break
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(STOP_TICK)
+        await self._lease.async_give_up()
         log_message(message_type="instance_stopped", in_flight=self._handler.in_flight)
 
+    @callback
+    def _keeps_lease(self) -> bool:
+        """Return whether nobody could take the lease over now.
+
+        While the store is away a lease that is given up stays without a holder, and
+        all keys lose their owners when the targets' grants end.
+        """
+        return self._health.is_lost and self._lease.is_held(suspend_aware_now())
+
     async def async_unload(self) -> None:
         """Close everything."""
         for task in self._tasks:
--- a/swiftpin/router/key_maps.py
+++ b/swiftpin/router/key_maps.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Final
 
 from eliot import log_message
 
 from swiftpin.core import callback
 from swiftpin.keyranges.key_map import KeyMap
 
+DENIED_TIME: Final = 0.25
+"""Seconds for which nothing is sent for a range whose owner does not hold it: renewals
+come four times as often when a target has lost its grants."""
+
 
 class KeyMaps:
     """The newest map of each service, and waiting for a newer one."""
@@ -16,6 +21,7 @@
     def __init__(self) -> None:
         self.maps_by_service: dict[str, KeyMap] = {}
         self._changes_by_service: dict[str, asyncio.Event] = {}
+        self._denied_by_service: dict[str, dict[tuple[int, str], float]] = {}
 
     @callback
     def adopt(self, key_map: KeyMap) -> bool:
@@ -23,6 +29,7 @@
         if not key_map.is_newer_than(self.maps_by_service.get(key_map.service)):
             return False
         self.maps_by_service[key_map.service] = key_map
+        self._denied_by_service.pop(key_map.service, None)
         changed = self._changes_by_service.pop(key_map.service, None)
         if changed is not None:
             changed.set()
@@ -35,6 +42,27 @@
         )
         return True
 
+    @callback
+    def note_denied(self, service: str, key: int, now: float) -> None:
+        """Note that the owner of a key said that it does not hold it."""
+        key_map = self.maps_by_service.get(service)
+        if key_map is None:
+            return
+        denied = self._denied_by_service.setdefault(service, {})
+        denied[key_map.range_of(key)] = now + DENIED_TIME
+
+    @callback
+    def is_denied(self, service: str, key: int, now: float) -> bool:
+        """Return whether the owner of a key lately said that it does not hold it.
+
+        The target's grant has ended, or its keys are just leaving it. Sending on would
+        bring refusals only, and use up the retries that other requests need.
+        """
+        denied = self._denied_by_service.get(service)
+        if not denied:
+            return False
+        return now < denied.get(self.maps_by_service[service].range_of(key), 0.0)
+
     @callback
     def owner_of(self, service: str, key: int) -> str:
         """Return the target that serves a key, empty when none is known."""
--- a/swiftpin/router/request_handler.py
+++ b/swiftpin/router/request_handler.py
@@ -15,6 +15,7 @@
     NotReadyError,
     QueueFullError,
     RequestError,
+    ShuttingDownError,
 )
 from swiftpin.gateway.deadline_watch import DeadlineWatch
 from swiftpin.gateway.http_listener import GatewayProtocol
@@ -32,6 +33,9 @@
 NOT_READY_RETRY: Final = 0.5
 """Seconds after which a caller may come back to an instance that just started."""
 
+LEAVING_RETRY: Final = 0.05
+"""Seconds after which a caller may come back, through the balancer, to another one."""
+
 LATE_RETRY: Final = 0.5
 """Seconds after which a caller may come back whose request never got a slot."""
 
@@ -48,6 +52,7 @@
         log: RequestLog,
     ) -> None:
         self.in_flight = 0
+        self._refuses_new = False
         self._configuration = configuration
         self._sender = sender
         self._lifecycle = lifecycle
@@ -60,6 +65,14 @@
         """Begin to deal by the weights of a new configuration."""
         self._splits.forget()
 
+    @callback
+    def refuse_new(self) -> None:
+        """Take no further requests, also on connections that are open.
+
+        One that is taken shortly before the process ends would be cut off.
+        """
+        self._refuses_new = True
+
     @callback
     def unload(self) -> None:
         """Stop the timer of the deadlines."""
@@ -105,6 +118,10 @@
         self, request: BaseRequest, head: RequestHead, started_at: float
     ) -> Call:
         """Find the route; raise what the caller is to be told when there is none."""
+        if self._refuses_new:
+            raise ShuttingDownError(
+                "the instance is about to end", retry_after=LEAVING_RETRY
+            )
         configuration = self._configuration.current
         if configuration is None:
             raise NotReadyError(
--- a/swiftpin/router/request_sender.py
+++ b/swiftpin/router/request_sender.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from functools import partial
+from http import HTTPStatus
 import math
 from typing import Final
 
@@ -202,13 +203,21 @@
         until = min(loop.time() + OWNER_WAIT, call.ends_at)
         while True:
             owner = self._maps.owner_of(call.service, key)
-            if owner and self._directory.may_send(owner, suspend_aware_now()):
+            if self._is_served(call.service, key, owner):
                 return owner
             if loop.time() >= until:
                 call.notes.append(f"no owner: {owner or 'on the move'}")
                 raise NoOwnerError("the key is on the move", retry_after=OWNER_RETRY)
             await self._async_wait_map(call, until)
 
+    @callback
+    def _is_served(self, service: str, key: int, owner: str) -> bool:
+        """Return whether a request for a key may be sent to its owner."""
+        now = suspend_aware_now()
+        if not owner or not self._directory.may_send(owner, now):
+            return False
+        return not self._maps.is_denied(service, key, now)
+
     async def _async_wait_map(self, call: Call, until: float) -> None:
         """Wait until the service's key map changes, at most until a time."""
         try:
@@ -307,6 +316,11 @@
     ) -> None:
         """Note that a target did not run the request."""
         answer.abort()
+        if (
+            answer.status == HTTPStatus.MISDIRECTED_REQUEST
+            and call.head.key is not None
+        ):
+            self._maps.note_denied(call.service, call.head.key, suspend_aware_now())
         reason = f"refused: {answer.status}"
         if head.instance not in (None, permit.target):
             # The target is gone and its address belongs to another one by now.
