--- a/swiftpin/keyranges/range_keeper.py
+++ b/swiftpin/keyranges/range_keeper.py
@@ -73,6 +73,10 @@
 SHORTEST_HOLD: Final = 0.2
 """Seconds of the shortest grant that is worth a call."""
 
+PUBLISH_PAUSE: Final = 0.02
+"""Seconds for which changes of the map are collected: moves end in swarms, and each
+map of some kilobytes goes to every instance."""
+
 COLD_SHARE: Final = 0.5
 """Part of its capacity that a target has in the seconds after its start."""
 
@@ -119,6 +123,7 @@
         self._contacts_by_target: dict[str, TargetContact] = {}
         self._moves_by_first: dict[int, asyncio.Task[None]] = {}
         self._map_number = 0
+        self._publishing: asyncio.TimerHandle | None = None
         self._published: tuple[tuple[int, ...], tuple[str, ...]] | None = None
 
     async def async_run(self) -> None:
@@ -131,6 +136,8 @@
         finally:
             for task in self._moves_by_first.values():
                 task.cancel()
+            if self._publishing is not None:
+                self._publishing.cancel()
 
     # The record.
 
@@ -589,7 +596,15 @@
 
     @callback
     def _publish(self) -> None:
+        """Hand out the present map soon, together with what changes until then."""
+        if self._publishing is None:
+            loop = asyncio.get_running_loop()
+            self._publishing = loop.call_later(PUBLISH_PAUSE, self._publish_now)
+
+    @callback
+    def _publish_now(self) -> None:
         """Hand out the present map if it differs from the last one."""
+        self._publishing = None
         assert self._assignment is not None
         firsts: list[int] = []
         owners: list[str] = []
--- a/swiftpin/permits/permit_desk.py
+++ b/swiftpin/permits/permit_desk.py
@@ -14,6 +14,7 @@
 from swiftpin.permits.permit_homes import NO_HOMES, PermitHomes
 from swiftpin.permits.permit_queue import PermitQueue
 from swiftpin.permits.permit_request import PermitRequest
+from swiftpin.router.target import Target
 
 EXPIRE_INTERVAL: Final = 0.05
 """Seconds between two looks for requests that waited too long."""
@@ -41,7 +42,8 @@
 class PermitDesk:
     """Asks the right instance for permits, and hands out those of this one."""
 
-    def __init__(self, incarnation: str) -> None:
+    def __init__(self, incarnation: str, zone: str) -> None:
+        self._zone = zone
         self.homes: PermitHomes = NO_HOMES
         self._incarnation = incarnation
         self._queues_by_service: dict[str, PermitQueue] = {}
@@ -90,6 +92,7 @@
                                 service=service,
                                 target=target,
                                 avoided=avoided,
+                                zone=self._zone,
                                 priority=priority,
                                 objective_left=objective_at - now,
                                 time_left=ends_at - now,
@@ -116,11 +119,9 @@
         self._end(permit.service, permit.number, permit.home, seconds, failed=failed)
 
     @callback
-    def set_targets(self, service: str, slots_by_target: dict[str, int]) -> None:
+    def set_targets(self, service: str, targets: list[Target]) -> None:
         """Take the targets of a service and their slots."""
-        self._queue(service).set_targets(
-            slots_by_target, asyncio.get_running_loop().time()
-        )
+        self._queue(service).set_targets(targets, asyncio.get_running_loop().time())
 
     @callback
     def note_link(self, link: PeerLink) -> None:
@@ -165,6 +166,7 @@
                 service=ask.service,
                 target=ask.target,
                 avoided=ask.avoided,
+                zone=ask.zone,
                 priority=ask.priority,
                 objective_at=now + ask.objective_left,
                 ends_at=now + ask.time_left,
@@ -228,6 +230,7 @@
                 service=service,
                 target=target,
                 avoided=avoided,
+                zone=self._zone,
                 priority=priority,
                 objective_at=objective_at,
                 ends_at=ends_at,
--- a/swiftpin/permits/permit_queue.py
+++ b/swiftpin/permits/permit_queue.py
@@ -2,16 +2,22 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Final
 
 from swiftpin.core import callback
 from swiftpin.permits.permit_decision import PermitDecision
 from swiftpin.permits.permit_request import PermitRequest
 from swiftpin.permits.target_slots import TargetSlots
+from swiftpin.router.target import Target
 
 MOST_WAITING: Final = 200
 """Requests that wait for one target, or one unkeyed service, at most."""
 
+FAR_FACTOR: Final = 2.0
+"""By how much faster a target in another zone must be to be preferred: bytes between
+zones are paid for, and any free target answers within the objective."""
+
 SHORTEST_RETRY: Final = 0.1
 LONGEST_RETRY: Final = 2.0
 """Bounds of the wait that a refused caller is told, in seconds."""
@@ -32,11 +38,13 @@
         self._running: dict[tuple[str, int], str] = {}
 
     @callback
-    def set_targets(self, slots_by_target: dict[str, int], now: float) -> None:
+    def set_targets(self, targets: Iterable[Target], now: float) -> None:
         """Take the targets to which requests without a key may go."""
-        self._eligible = frozenset(slots_by_target)
-        for target, limit in slots_by_target.items():
-            self._slots(target).limit = limit
+        self._eligible = frozenset(target.id for target in targets)
+        for target in targets:
+            slots = self._slots(target.id)
+            slots.limit = target.slots
+            slots.zone = target.zone
         self._serve_any(now)
 
     @callback
@@ -124,10 +132,11 @@
         """Return by what free targets are chosen: sound ones first, then fast ones."""
         slots = self._slots_by_target[target]
         load = (slots.running + 1) / slots.limit
+        distance = 1.0 if slots.zone == request.zone else FAR_FACTOR
         return (
             target == request.avoided,
             now < slots.avoided_until,
-            slots.mean_time * (1 + load),
+            slots.mean_time * (1 + load) * distance,
             target,
         )
 
--- a/swiftpin/permits/permit_request.py
+++ b/swiftpin/permits/permit_request.py
@@ -22,6 +22,9 @@
     avoided: str
     """Target to pass over where any will do, since it failed the request before."""
 
+    zone: str
+    """Availability zone of the asking instance."""
+
     priority: int
     objective_at: float
     """When the answer loses worth."""
--- a/swiftpin/permits/target_slots.py
+++ b/swiftpin/permits/target_slots.py
@@ -21,6 +21,7 @@
     """Requests that run at a target by permits given here, and how long they take."""
 
     limit: int
+    zone: str = ""
     running: int = 0
     mean_time: float = FIRST_TIME
     avoided_until: float = 0.0
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -100,7 +100,7 @@
             connect_limit=CONNECT_TIMEOUT, idle_limit=IDLE_LIMIT
         )
         self._control = TargetControl(self._control_http, self._check_lease)
-        self._desk = PermitDesk(incarnation)
+        self._desk = PermitDesk(incarnation, settings.zone)
         self._lease = LeaseKeeper(
             name=settings.name,
             incarnation=incarnation,
@@ -327,9 +327,7 @@
             return
         for service in configuration.services_by_name:
             targets = self._directory.serving_targets(service, now)
-            self._desk.set_targets(
-                service, {target.id: target.slots for target in targets}
-            )
+            self._desk.set_targets(service, targets)
 
     async def _async_housekeeping(self) -> None:
         """Close idle connections again and again."""
--- a/swiftpin/router/store_follower.py
+++ b/swiftpin/router/store_follower.py
@@ -13,9 +13,13 @@
 from swiftpin.router.store_health import StoreHealth
 from swiftpin.store_errors import HistoryGoneError
 
-WATCH_WAIT: Final = 6.0
-"""Seconds that one watch waits. A connection can fall silent without a reset, so a wait
-also bounds how long this instance may be deaf; each further call is paid for."""
+WATCH_WAIT: Final = 15.0
+"""Seconds that one watch waits. Each further call is paid for. A connection can fall
+silent without a reset; then neighbours that know more show it within a second."""
+
+CHANGE_PAUSE: Final = 0.12
+"""Seconds after a change before the next watch: changes come in swarms, and each call
+is paid for by every instance. Far below any bound for acting on a change."""
 
 FIRST_PAUSE: Final = 0.1
 LAST_PAUSE: Final = 1.0
@@ -67,6 +71,7 @@
                 pause = min(pause * 2, LAST_PAUSE)
             else:
                 pause = FIRST_PAUSE
+                await asyncio.sleep(CHANGE_PAUSE)
 
     async def _async_step(self) -> None:
         """Make one call and hand on what it brought."""
