Test the router against stand-ins; give silent permit homes up after two beats

Cause: a killed leader that also hands out permits left requests waiting until its link closed, 1.3 s later, longer than a caller's objective (found by test_leader_that_ends_is_replaced_before_grants_end, which failed with 503 first).

Change: who waits for a permit asks the next home once a link was silent for 0.6 s; beats come every 0.3 s. Stand-ins of the platform's store and targets belong to the tests.

--- a/swiftpin/fleet/link.py
+++ b/swiftpin/fleet/link.py
@@ -8,12 +8,16 @@
 from swiftpin.core import callback
 from swiftpin.fleet.proto import fleet_pb2 as pb
 
-BEAT_INTERVAL: Final = 0.4
+BEAT_INTERVAL: Final = 0.3
 """Seconds between two signs of life on a link."""
 
-SILENT_LIMIT: Final = 1.3
-"""Seconds without a frame after which the other side counts as gone: three beats. A
-connection can fall silent without being closed."""
+SILENT_LIMIT: Final = 1.2
+"""Seconds without a frame after which a link is closed: four beats. A connection can
+fall silent without being closed."""
+
+FRESH_LIMIT: Final = 0.6
+"""Seconds without a frame after which nobody waits for an answer on a link any more:
+two beats. Objectives are of half a second and more."""
 
 MOST_WAITING: Final = 20_000
 """Items that may wait to be sent; a link that is further behind is closed."""
@@ -83,6 +87,11 @@
         """Return whether the other side was heard lately."""
         return not self.is_closed and now - self.heard_at < SILENT_LIMIT
 
+    @callback
+    def is_fresh(self, now: float) -> bool:
+        """Return whether an answer on the link is to be expected."""
+        return not self.is_closed and now - self.heard_at < FRESH_LIMIT
+
     async def async_run(self, stream: FrameStream) -> None:
         """Serve the link until either side ends it or falls silent."""
         tasks = {
--- a/swiftpin/permits/permit_desk.py
+++ b/swiftpin/permits/permit_desk.py
@@ -106,6 +106,7 @@
             finally:
                 self._pending_by_number.pop(number, None)
             if decision is None:
+                self._end(service, number, home, 0.0, failed=False)
                 continue
             if not decision.is_granted:
                 return decision, None
@@ -203,8 +204,16 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(EXPIRE_INTERVAL)
+            now = loop.time()
             for queue in self._queues_by_service.values():
-                queue.expire(loop.time())
+                queue.expire(now)
+            for pending in self._pending_by_number.values():
+                home = pending.home
+                # A home that was frozen or cut off answers nothing; waiting for the
+                # link's end would take longer than the caller's objective.
+                is_stale = home is not None and not home.is_fresh(now)
+                if is_stale and not pending.future.done():
+                    pending.future.set_result(None)
 
     @callback
     def _ask_self(
@@ -277,7 +286,7 @@
             if incarnation == self._incarnation:
                 return None
             link = self._links_by_incarnation.get(incarnation)
-            if link is not None and link.is_alive(now):
+            if link is not None and link.is_fresh(now):
                 return link
         return None
 
--- a/swiftpin/router/fleet_desk.py
+++ b/swiftpin/router/fleet_desk.py
@@ -36,7 +36,7 @@
 TICK: Final = 0.2
 """Seconds between two looks at links, homes and reports."""
 
-LEADER_SILENCE: Final = 0.75
+LEADER_SILENCE: Final = 0.65
 """Seconds without a sign of life after which candidates begin to look at the lease;
 with one beat late nothing is lost but some reads."""
 
--- /dev/null
+++ b/tests/keyranges/test_lease.py
@@ -0,0 +1,287 @@
+"""Tests of the lease."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+
+import pytest
+
+from swiftpin.exceptions import (
+    StoreConflictError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from swiftpin.keyranges import lease as lease_module
+from swiftpin.keyranges.const import LEASE_MARGIN, LEASE_TIME, PLEDGE_LIMIT
+from swiftpin.keyranges.lease import LeaseKeeper
+from swiftpin.platform.platform_object import PlatformObject
+from swiftpin.router.store_health import StoreHealth
+from swiftpin.store_errors import ObjectMissingError
+
+
+class FakeStore:
+    """One object with a revision; may lose answers or be away."""
+
+    def __init__(self) -> None:
+        self.content: object = None
+        self.revision = 0
+        self.is_away = False
+        self.loses_answers = False
+
+    async def async_get(
+        self, kind: str, name: str, *, limit: float = 1.0
+    ) -> PlatformObject:
+        """Return the object."""
+        self._check()
+        if self.content is None:
+            raise ObjectMissingError(name)
+        return PlatformObject(
+            name=name,
+            revision=self.revision,
+            is_deleted=False,
+            document={"specification": self.content},
+        )
+
+    async def async_create(
+        self, kind: str, name: str, content: object, *, limit: float = 1.0
+    ) -> int:
+        """Create the object."""
+        self._check()
+        if self.content is not None:
+            raise StoreConflictError(name, self.revision)
+        return self._write(content)
+
+    async def async_replace(
+        self,
+        kind: str,
+        name: str,
+        content: object,
+        revision: int | None,
+        *,
+        limit: float = 1.0,
+    ) -> int:
+        """Replace the object."""
+        self._check()
+        if revision != self.revision:
+            raise StoreConflictError(name, self.revision)
+        return self._write(content)
+
+    def _check(self) -> None:
+        if self.is_away:
+            raise StoreUnavailableError("away")
+
+    def _write(self, content: object) -> int:
+        self.content = content
+        self.revision += 1
+        if self.loses_answers:
+            raise StoreOutcomeUnknownError("lost")
+        return self.revision
+
+
+class Clock:
+    """Time that a test sets."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        """Return the present time."""
+        return self.now
+
+
+@pytest.fixture(name="clock")
+def clock_fixture(monkeypatch: pytest.MonkeyPatch) -> Clock:
+    """Return the clock of the leases."""
+    clock = Clock()
+    monkeypatch.setattr(lease_module, "suspend_aware_now", clock)
+    return clock
+
+
+@pytest.fixture(name="store")
+def store_fixture() -> FakeStore:
+    """Return an empty store."""
+    return FakeStore()
+
+
+def make_keeper(store: FakeStore, name: str) -> LeaseKeeper:
+    """Return a candidate that hears no holder."""
+    keeper = LeaseKeeper(
+        name=name,
+        incarnation=f"{name}/1",
+        peer="127.0.0.1:1",
+        client=store,  # type: ignore[arg-type]  # the calls that are made
+        health=StoreHealth(),
+        rng=Random(1),
+        is_holder_heard=lambda holder: False,
+    )
+    keeper.is_willing = True
+    keeper.members = ("a", "b")
+    return keeper
+
+
+async def async_step(keeper: LeaseKeeper, clock: Clock) -> None:
+    """Let a keeper act once."""
+    if keeper.is_held(clock.now):
+        await keeper._async_renew()
+    else:
+        await keeper._async_wait_turn(clock.now)
+
+
+async def test_second_candidate_waits_for_the_end(
+    store: FakeStore, clock: Clock
+) -> None:
+    """A lease passes on only after it ran out, and never has two holders."""
+    first, second = make_keeper(store, "a"), make_keeper(store, "b")
+    await async_step(first, clock)
+    await async_step(first, clock)
+    await async_step(second, clock)
+    assert first.is_held(clock.now)
+    assert not second.is_held(clock.now)
+    clock.now += LEASE_TIME
+    await async_step(second, clock)
+    assert not first.is_held(clock.now)
+    assert not second.is_held(clock.now)
+    clock.now += LEASE_MARGIN + 0.01
+    await async_step(second, clock)
+    assert second.is_held(clock.now)
+    assert second.term == first.term + 1
+
+
+async def test_paused_holder_does_not_assign(store: FakeStore, clock: Clock) -> None:
+    """Symptom: two instances assigned keys at the same time.
+
+    Sequence: the holder was suspended longer than its lease; another one took over; the
+    first one woke up. Cause: it asked a clock that stands still in a suspension.
+    """
+    holder = make_keeper(store, "a")
+    await async_step(holder, clock)
+    clock.now += LEASE_TIME + 5
+    assert not holder.is_held(clock.now)
+
+
+async def test_lost_answer_is_read_back(store: FakeStore, clock: Clock) -> None:
+    """Symptom: the holder gave up a lease that it had renewed.
+
+    Sequence: a renewal was written, its answer lost; the next try met a conflict.
+    Cause: the conflict was taken for another holder.
+    """
+    holder = make_keeper(store, "a")
+    await async_step(holder, clock)
+    store.loses_answers = True
+    clock.now += 1.0
+    await async_step(holder, clock)
+    clock.now += 1.0
+    assert holder.is_held(clock.now)
+
+
+async def test_pledges_keep_the_holder_while_the_store_is_away(
+    store: FakeStore, clock: Clock
+) -> None:
+    """Symptom: all keys lost their owners during an outage of the store.
+
+    Sequence: the store was away for longer than lease and grants last together.
+    Cause: the holder stopped renewing grants, though nobody could take the lease.
+    """
+    holder = make_keeper(store, "a")
+    await async_step(holder, clock)
+    store.is_away = True
+    clock.now += LEASE_TIME + 1.0
+    assert not holder.is_held(clock.now)
+    holder.pledged_until = clock.now + 1.0
+    assert holder.is_held(clock.now)
+    holder.pledged_until = clock.now + 100.0
+    clock.now += PLEDGE_LIMIT
+    assert not holder.is_held(clock.now)
+
+
+async def test_pledge_binds_whoever_gave_it(store: FakeStore, clock: Clock) -> None:
+    """A member that pledged leaves a lease alone that has run out."""
+    holder, member = make_keeper(store, "a"), make_keeper(store, "b")
+    await async_step(holder, clock)
+    await async_step(holder, clock)
+    await async_step(member, clock)
+    clock.now += LEASE_TIME + LEASE_MARGIN + 0.1
+    member.own_pledge_until = clock.now + 1.0
+    await async_step(member, clock)
+    assert not member.is_held(clock.now)
+    clock.now += 1.1
+    await async_step(member, clock)
+    assert member.is_held(clock.now)
+
+
+async def test_stranger_waits_beyond_all_pledges(
+    store: FakeStore, clock: Clock
+) -> None:
+    """An instance that nobody asks for a pledge waits until none can count."""
+    holder, stranger = make_keeper(store, "a"), make_keeper(store, "new")
+    await async_step(holder, clock)
+    await async_step(holder, clock)
+    await async_step(stranger, clock)
+    clock.now += LEASE_TIME + LEASE_MARGIN + 0.1
+    await async_step(stranger, clock)
+    assert not stranger.is_held(clock.now)
+    clock.now += PLEDGE_LIMIT
+    await async_step(stranger, clock)
+    assert stranger.is_held(clock.now)
+
+
+async def test_members_of_an_unanswered_renewal_must_pledge(
+    store: FakeStore, clock: Clock
+) -> None:
+    """Symptom: a new member took the lease over from a holder with pledges.
+
+    Sequence: a renewal named the new member, its answer was lost, and the store went
+    away. Cause: only members of renewals that were answered were asked to pledge.
+    """
+    holder = make_keeper(store, "a")
+    await async_step(holder, clock)
+    store.is_away = True
+    holder.members = ("a", "b", "new")
+    await async_step(holder, clock)
+    assert holder.pledgers == {"b", "new"}
+
+
+async def test_resigned_lease_is_taken_at_once(store: FakeStore, clock: Clock) -> None:
+    """Nobody waits for a holder that said that it assigns no more."""
+    holder, member = make_keeper(store, "a"), make_keeper(store, "b")
+    await async_step(holder, clock)
+    await async_step(member, clock)
+    member.resigned_term = holder.term
+    await async_step(member, clock)
+    assert member.is_held(clock.now)
+
+
+async def test_own_earlier_incarnation_is_not_waited_for(
+    store: FakeStore, clock: Clock
+) -> None:
+    """A process that was restarted knows that the one before it has ended."""
+    holder = make_keeper(store, "a")
+    await async_step(holder, clock)
+    restarted = make_keeper(store, "a")
+    await async_step(restarted, clock)
+    assert restarted.is_held(clock.now)
+    assert restarted.term == holder.term + 1
+
+
+async def test_given_up_lease_is_free(store: FakeStore, clock: Clock) -> None:
+    """A planned stop hands the lease on without a wait."""
+    holder, member = make_keeper(store, "a"), make_keeper(store, "b")
+    await async_step(holder, clock)
+    await holder.async_give_up()
+    assert not holder.is_held(clock.now)
+    await async_step(member, clock)
+    assert member.is_held(clock.now)
+
+
+def test_runs_until_cancelled(store: FakeStore) -> None:
+    """The task takes a free lease by itself."""
+
+    async def async_main() -> None:
+        keeper = make_keeper(store, "a")
+        task = asyncio.create_task(keeper.async_run())
+        while store.content is None:
+            await asyncio.sleep(0)
+        task.cancel()
+
+    asyncio.run(async_main())
--- /dev/null
+++ b/tests/router/site.py
@@ -0,0 +1,220 @@
+"""A whole small site: store, targets and instances in one process."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from io import BytesIO
+from itertools import count
+import socket
+from typing import Any
+
+from aiohttp import ClientSession
+
+from swiftpin.helpers.address import Address
+from swiftpin.helpers.logging_setup import LoggingSetup
+from swiftpin.router import app as app_module
+from swiftpin.router.app import Router
+from swiftpin.router.bounds import Bounds
+from swiftpin.router.instance_settings import InstanceSettings
+from tests.router.store_standin import StoreStandin
+from tests.router.target_standin import TargetStandin
+
+HOST = "desk.example"
+BOUNDS = Bounds(
+    drain=2.0,
+    apply=2.0,
+    grace=3.0,
+    longest_hold=10.0,
+    retry_ratio=0.2,
+    retry_window=10.0,
+    retry_slack=56.0,
+    stability=3.0,
+)
+WAIT = 15.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Reply:
+    """What a caller got."""
+
+    status: int
+    body: bytes
+    headers: dict[str, str]
+
+
+def free_port(host: str) -> int:
+    """Return a port that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return int(probe.getsockname()[1])
+
+
+def configuration(version: int, routes: list[dict[str, Any]]) -> dict[str, Any]:
+    """Return a configuration with a keyed desk and an unkeyed vault."""
+    common = {"health_path": "/health", "max_connections": 110}
+    services = [
+        {"name": "desk", "sharding": True, "warmup_s": 3.0, **common},
+        {"name": "vault", **common},
+    ]
+    return {
+        "version": f"r{version}",
+        "services": services,
+        "limits": {
+            "header_bytes": 16384,
+            "body_bytes": 1 << 20,
+            "header_ms": 3000,
+            "idle_ms": 15000,
+        },
+        "hosts": [{"host": HOST, "paths": routes}],
+    }
+
+
+def route(prefix: str, kind: str, service: str = "desk", **more: Any) -> dict[str, Any]:  # noqa: ANN401
+    """Return a route."""
+    return {
+        "name": f"r{prefix}",
+        "path_prefix": prefix,
+        "kind": kind,
+        "timeout_ms": 1000,
+        "target_latency_ms": 500,
+        "priority": 1,
+        "attempts": 2,
+        "service": service,
+        **more,
+    }
+
+
+ROUTES = [
+    route("/read/", "safe"),
+    route("/book/", "unsafe"),
+    route("/files/", "download", "vault"),
+]
+
+
+class Site:
+    """Starts and stops the parts; `async_call` is a caller."""
+
+    def __init__(self, monkeypatch: Any) -> None:  # noqa: ANN401
+        self.store = StoreStandin()
+        self.targets_by_name: dict[str, TargetStandin] = {}
+        self.routers_by_name: dict[str, Router] = {}
+        self.settings_by_name: dict[str, InstanceSettings] = {}
+        self._numbers = count(1)
+        self._hosts = count(1)
+        self._session: ClientSession | None = None
+        monkeypatch.setattr(app_module, "METRICS_PORT", 0)
+        monkeypatch.setattr(app_module, "BALANCER_TIME", 0.2)
+
+    async def async_setup(self, targets: int = 3, routers: int = 2) -> None:
+        """Start everything and wait until it serves."""
+        await self.store.async_setup()
+        self._session = ClientSession()
+        self.store.put("config", "main", configuration(1, ROUTES))
+        for number in range(targets):
+            await self.async_add_target(f"t{number}", "desk")
+        await self.async_add_target("v0", "vault")
+        for number in range(routers):
+            await self.async_add_router(f"i{number}")
+        await self.async_wait(self.is_served)
+
+    async def async_unload(self) -> None:
+        """Stop everything."""
+        for name in list(self.routers_by_name):
+            await self.async_remove_router(name)
+        for target in self.targets_by_name.values():
+            await target.async_unload()
+        await self.store.async_unload()
+        if self._session is not None:
+            await self._session.close()
+
+    async def async_add_target(self, name: str, service: str) -> TargetStandin:
+        """Start a target and register it."""
+        target = TargetStandin(name, is_keyed=service == "desk")
+        await target.async_setup()
+        self.targets_by_name[name] = target
+        self.store.put("servers", name, target.entry(service))
+        return target
+
+    async def async_add_router(self, name: str) -> Router:
+        """Start an instance."""
+        host = f"127.0.0.{10 + next(self._hosts)}"
+        settings = InstanceSettings(
+            name=name,
+            zone="z1",
+            callers=Address(host=host, port=free_port(host)),
+            readiness=Address(host=host, port=free_port(host)),
+            peers=Address(host=host, port=free_port(host)),
+            seeds=(),
+            store=Address(
+                host="127.0.0.1", port=int(self.store.address.rpartition(":")[2])
+            ),
+            bounds=BOUNDS,
+            target_heartbeat=0.9,
+            first_start=True,
+        )
+        router = Router(settings, LoggingSetup(BytesIO(), "info"))
+        await router.async_setup()
+        self.routers_by_name[name] = router
+        self.settings_by_name[name] = settings
+        return router
+
+    async def async_remove_router(self, name: str) -> None:
+        """End an instance at once, as a kill does."""
+        await self.routers_by_name.pop(name).async_unload()
+
+    def leader(self) -> str:
+        """Return the name of the instance that assigns keys, empty when none does."""
+        lease = self.store.objects_by_path.get(("swiftpin-lease", "assigner"))
+        holder: str = lease["specification"]["holder"] if lease else ""
+        return holder.partition("/")[0]
+
+    def is_served(self) -> bool:
+        """Return whether every instance knows an owner for every key."""
+        return all(
+            (key_map := router._maps.maps_by_service.get("desk")) is not None
+            and all(key_map.owners)
+            for router in self.routers_by_name.values()
+        )
+
+    async def async_wait(self, condition: Callable[[], bool]) -> None:
+        """Wait until a condition holds."""
+        async with asyncio.timeout(WAIT):
+            while not condition():  # noqa: ASYNC110  # no event tells of all of them
+                await asyncio.sleep(0.01)
+
+    async def async_call(
+        self,
+        path: str,
+        *,
+        via: str = "i0",
+        key: int | None = 1,
+        method: str = "GET",
+        body: bytes = b"",
+        deadline: int = 2000,
+    ) -> Reply:
+        """Send a request with an id of its own."""
+        assert self._session is not None
+        headers = {
+            "Host": HOST,
+            "Swiftpin-Request-Id": f"q{next(self._numbers)}",
+            "Swiftpin-Deadline-Milliseconds": str(deadline),
+        }
+        if key is not None:
+            headers["Swiftpin-Shard-Key"] = str(key)
+        address = self.settings_by_name[via].callers
+        async with self._session.request(
+            method, f"http://{address}{path}", headers=headers, data=body or None
+        ) as response:
+            return Reply(
+                status=response.status,
+                body=await response.read(),
+                headers={**response.headers, "id": headers["Swiftpin-Request-Id"]},
+            )
+
+    def runs_of(self, request_id: str) -> int:
+        """Return how often a request was run."""
+        return sum(
+            target.runs.count(request_id) for target in self.targets_by_name.values()
+        )
--- /dev/null
+++ b/tests/router/store_standin.py
@@ -0,0 +1,164 @@
+"""Stand-in of the platform's store: kinds, revisions, watches, outages."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from aiohttp.web import (
+    Application,
+    AppRunner,
+    Request,
+    Response,
+    TCPSite,
+    json_response,
+)
+
+HISTORY = 1000
+
+
+class StoreStandin:
+    """Keeps objects in memory and speaks the platform's calls."""
+
+    def __init__(self) -> None:
+        self.objects_by_path: dict[tuple[str, str], dict[str, Any]] = {}
+        self.revision = 1
+        self.is_busy = False
+        self.is_silent = False
+        self.loses_writes = False
+        """Whether writes are done and not answered."""
+
+        self.calls: list[str] = []
+        self.address = ""
+        self._events: list[tuple[int, str, dict[str, Any], bool]] = []
+        self._forgotten = 0
+        self._changed = asyncio.Event()
+        self._runner: AppRunner | None = None
+
+    async def async_setup(self) -> None:
+        """Listen on a free port."""
+        app = Application()
+        app.router.add_route("*", "/api/objects/{kind}", self._async_kind)
+        app.router.add_route("*", "/api/objects/{kind}/{name:.+}", self._async_object)
+        self._runner = AppRunner(app, shutdown_timeout=0.1)
+        await self._runner.setup()
+        site = TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        port = self._runner.addresses[0][1]
+        self.address = f"127.0.0.1:{port}"
+
+    async def async_unload(self) -> None:
+        """Stop listening."""
+        assert self._runner is not None
+        await self._runner.cleanup()
+
+    def put(self, kind: str, name: str, content: object) -> None:
+        """Write an object, as operators and targets do."""
+        known = self.objects_by_path.get((kind, name))
+        self.revision += 1
+        created = self.revision if known is None else known["metadata"]["create_rev"]
+        self._store(kind, name, created, content)
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        self.revision += 1
+        gone = self.objects_by_path.pop((kind, name))
+        gone["metadata"]["revision"] = self.revision
+        self._note(kind, gone, deleted=True)
+
+    def forget_history(self) -> None:
+        """Answer watches from before now with 410."""
+        self._forgotten = self.revision
+        self._wake()
+
+    def _store(self, kind: str, name: str, created: int, content: object) -> None:
+        item = {
+            "metadata": {
+                "name": name,
+                "revision": self.revision,
+                "create_rev": created,
+                "finalizers": [],
+                "deleting": False,
+            },
+            "specification": content,
+            "status": None,
+        }
+        self.objects_by_path[kind, name] = item
+        self._note(kind, item, deleted=False)
+
+    def _note(self, kind: str, item: dict[str, Any], *, deleted: bool) -> None:
+        self._events.append((self.revision, kind, item, deleted))
+        self._wake()
+
+    def _wake(self) -> None:
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    async def _async_outage(self) -> Response | None:
+        if self.is_silent:
+            await asyncio.sleep(3600)
+        return Response(status=503) if self.is_busy else None
+
+    async def _async_kind(self, request: Request) -> Response:
+        self.calls.append(f"{request.method} {request.path_qs}")
+        if (outage := await self._async_outage()) is not None:
+            return outage
+        kind = request.match_info["kind"]
+        if request.method == "POST":
+            document = await request.json()
+            name = document["metadata"]["name"]
+            if (kind, name) in self.objects_by_path:
+                return json_response(self.objects_by_path[kind, name], status=409)
+            return self._write(request, kind, name, document)
+        if "watch" in request.query:
+            return await self._async_watch(kind, request)
+        items = [item for (of, _), item in self.objects_by_path.items() if of == kind]
+        return json_response({"items": items, "more": False, "at": self.revision})
+
+    async def _async_object(self, request: Request) -> Response:
+        self.calls.append(f"{request.method} {request.path_qs}")
+        if (outage := await self._async_outage()) is not None:
+            return outage
+        kind, name = request.match_info["kind"], request.match_info["name"]
+        known = self.objects_by_path.get((kind, name))
+        if known is None:
+            return Response(status=404)
+        if request.method == "GET":
+            return json_response(known)
+        document = await request.json()
+        expected = document["metadata"].get("revision")
+        if expected not in (None, known["metadata"]["revision"]):
+            return json_response(known, status=409)
+        return self._write(request, kind, name, document)
+
+    def _write(
+        self, request: Request, kind: str, name: str, document: dict[str, Any]
+    ) -> Response:
+        self.put(kind, name, document["specification"])
+        if self.loses_writes:
+            assert request.transport is not None
+            request.transport.abort()
+        return json_response(self.objects_by_path[kind, name])
+
+    async def _async_watch(self, kind: str, request: Request) -> Response:
+        since = int(request.query["watch"])
+        loop = asyncio.get_running_loop()
+        until = loop.time() + int(request.query["wait_ms"]) / 1000
+        while True:
+            if since < self._forgotten:
+                return Response(status=410)
+            events = [
+                {"object": item, "deleted": deleted}
+                for revision, of, item, deleted in self._events
+                if revision > since and of == kind
+            ]
+            if events or loop.time() >= until:
+                return json_response({"events": events, "at": self.revision})
+            changed = self._changed
+            try:
+                async with asyncio.timeout_at(until):
+                    await changed.wait()
+            except TimeoutError:
+                continue
+            if (outage := await self._async_outage()) is not None:
+                return outage
--- /dev/null
+++ b/tests/router/target_standin.py
@@ -0,0 +1,175 @@
+"""Stand-in of a target that takes grants of key ranges."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import Any
+
+from aiohttp.web import (
+    Application,
+    AppRunner,
+    Request,
+    Response,
+    TCPSite,
+    json_response,
+)
+
+
+@dataclass(kw_only=True)
+class HeldRange:
+    """Keys that were granted; `until` is on the event loop's clock."""
+
+    first: int
+    last: int
+    fence: int
+    until: float
+
+
+class TargetStandin:
+    """Runs requests for the keys that it holds, and notes what it ran."""
+
+    def __init__(self, name: str, *, is_keyed: bool = True) -> None:
+        self.name = name
+        self.is_keyed = is_keyed
+        self.address = ""
+        self.work = 0.005
+        self.runs: list[str] = []
+        self.deadlines: list[int] = []
+        self.held: list[HeldRange] = []
+        self.loses_grant_answers = 0
+        self.breaks_answers = 0
+        self.sheds = 0
+        self.running = 0
+        self.most_running = 0
+        self._highest_fences: list[tuple[int, int, int]] = []
+        self._runner: AppRunner | None = None
+
+    async def async_setup(self, port: int = 0) -> None:
+        """Listen; a port that was used before may be taken again."""
+        app = Application()
+        app.router.add_post("/api/grant", self._async_grant)
+        app.router.add_post("/api/release", self._async_release)
+        app.router.add_get("/health", self._async_health)
+        app.router.add_route("*", "/{path:.*}", self._async_work)
+        self._runner = AppRunner(app, shutdown_timeout=0.1)
+        await self._runner.setup()
+        await TCPSite(self._runner, "127.0.0.1", port).start()
+        self.address = f"127.0.0.1:{self._runner.addresses[0][1]}"
+
+    async def async_unload(self) -> None:
+        """Stop listening and drop all connections."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
+
+    def entry(self, service: str, *, state: str = "ready") -> dict[str, Any]:
+        """Return the target's entry in the store."""
+        return {
+            "address": self.address,
+            "information": {
+                "service": service,
+                "version": "v1",
+                "zone": "z1",
+                "slots": 2,
+            },
+            "status": {"state": state, "sequence": 1, "cold_ms": 0},
+        }
+
+    def holds(self, key: int) -> bool:
+        """Return whether the target holds a key now."""
+        now = asyncio.get_running_loop().time()
+        return any(
+            held.first <= key <= held.last and now < held.until for held in self.held
+        )
+
+    def _other(self, request: Request) -> Response | None:
+        expected = request.headers.get("Swiftpin-Expected-Instance", self.name)
+        if expected == self.name:
+            return None
+        return Response(status=421, headers={"Swiftpin-Instance-Id": self.name})
+
+    async def _async_health(self, request: Request) -> Response:
+        return Response(headers={"Swiftpin-Instance-Id": self.name})
+
+    async def _async_grant(self, request: Request) -> Response:
+        if (other := self._other(request)) is not None:
+            return other
+        if not self.is_keyed:
+            return Response(status=400)
+        body = await request.json()
+        first, last, fence = body["from"], body["to"], body["fence"]
+        if any(
+            low <= last and first <= high and fence < seen
+            for low, high, seen in self._highest_fences
+        ):
+            return Response(status=409)
+        self._highest_fences.append((first, last, fence))
+        self._cut(first, last)
+        until = asyncio.get_running_loop().time() + body["hold_ms"] / 1000
+        self.held.append(HeldRange(first=first, last=last, fence=fence, until=until))
+        if self.loses_grant_answers:
+            self.loses_grant_answers -= 1
+            assert request.transport is not None
+            request.transport.abort()
+        return json_response({})
+
+    async def _async_release(self, request: Request) -> Response:
+        if (other := self._other(request)) is not None:
+            return other
+        if not self.is_keyed:
+            return Response(status=400)
+        body = await request.json()
+        self._highest_fences.append((body["from"], body["to"], body["fence"]))
+        self._cut(body["from"], body["to"])
+        while self.running:  # noqa: ASYNC110  # a stand-in may poll
+            await asyncio.sleep(0.005)
+        return Response(headers={"Swiftpin-Handover": f"from-{self.name}"})
+
+    def _cut(self, first: int, last: int) -> None:
+        kept = []
+        for held in self.held:
+            for low, high in (
+                (held.first, min(held.last, first - 1)),
+                (max(held.first, last + 1), held.last),
+            ):
+                if low <= high:
+                    kept.append(
+                        HeldRange(
+                            first=low, last=high, fence=held.fence, until=held.until
+                        )
+                    )
+        self.held = kept
+
+    async def _async_work(self, request: Request) -> Response:
+        if (other := self._other(request)) is not None:
+            return other
+        key = request.headers.get("Swiftpin-Shard-Key")
+        not_run = {"Swiftpin-Not-Executed": "1", "Swiftpin-Instance-Id": self.name}
+        if self.is_keyed and (key is None or not self.holds(int(key))):
+            return Response(status=421, headers=not_run)
+        if self.sheds:
+            self.sheds -= 1
+            return Response(status=503, headers=not_run)
+        body = await request.read()
+        request_id = request.headers["Swiftpin-Request-Id"]
+        self.runs.append(request_id)
+        self.deadlines.append(int(request.headers["Swiftpin-Deadline-Milliseconds"]))
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        try:
+            await asyncio.sleep(self.work)
+        finally:
+            self.running -= 1
+        if self.breaks_answers:
+            self.breaks_answers -= 1
+            assert request.transport is not None
+            request.transport.abort()
+        return Response(
+            body=b"%s:%s" % (request_id.encode(), body),
+            headers={
+                "Swiftpin-Request-Id": request_id,
+                "Swiftpin-Upstream-Signature": f"signed-{request_id}",
+                "Swiftpin-Upstream-Load": "1,0,2",
+            },
+        )
--- /dev/null
+++ b/tests/router/test_site.py
@@ -0,0 +1,292 @@
+"""Tests of whole instances against stand-ins of the platform."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from swiftpin.keyranges import target_contact
+from swiftpin.keyranges.const import HOLD_TIME, KEYS
+from tests.router.site import ROUTES, Site, configuration, route
+from tests.router.target_standin import TargetStandin
+
+SAMPLE = range(0, KEYS, 997)
+
+
+def owners(site: Site, key: int) -> list[str]:
+    """Return the targets that hold a key."""
+    return [name for name, t in site.targets_by_name.items() if t.holds(key)]
+
+
+async def test_every_key_has_one_owner(site: Site) -> None:
+    """Any instance serves any key at the one target that holds it."""
+    for number, key in enumerate(SAMPLE):
+        assert len(owners(site, key)) == 1
+        reply = await site.async_call("/read/x", via=f"i{number % 2}", key=key)
+        assert reply.status == 200
+        assert (
+            site.targets_by_name[owners(site, key)[0]].runs[-1] == reply.headers["id"]
+        )
+
+
+async def test_body_and_signature_come_back_unchanged(site: Site) -> None:
+    """The caller gets the target's bytes, and the target the caller's."""
+    reply = await site.async_call("/book/x", method="POST", body=b"order")
+    assert reply.body == f"{reply.headers['id']}:order".encode()
+    assert (
+        reply.headers["Swiftpin-Upstream-Signature"] == f"signed-{reply.headers['id']}"
+    )
+
+
+async def test_deadline_is_passed_on_shortened(site: Site) -> None:
+    """A target never gets more time than caller and route have left."""
+    await site.async_call("/read/x", key=5, deadline=600)
+    target = site.targets_by_name[owners(site, 5)[0]]
+    assert 0 < target.deadlines[-1] <= 600
+    await site.async_call("/read/x", key=5, deadline=9000)
+    assert target.deadlines[-1] <= 1000
+
+
+async def test_unknown_route_is_not_found(site: Site) -> None:
+    """A path that no route matches gets 404."""
+    assert (await site.async_call("/nothing/x")).status == 404
+
+
+async def test_refused_request_is_sent_again(site: Site) -> None:
+    """A target's word that it did not run allows a second try, for any kind."""
+    target = site.targets_by_name[owners(site, 1)[0]]
+    target.sheds = 1
+    reply = await site.async_call("/book/x", method="POST", body=b"x")
+    assert reply.status == 200
+    assert site.runs_of(reply.headers["id"]) == 1
+
+
+async def test_lost_answer_is_not_repeated_for_once_only(site: Site) -> None:
+    """Symptom: an order was booked twice.
+
+    Sequence: the target ran it and the connection broke before the answer.
+    Cause: the send was repeated, here or inside a library.
+    """
+    target = site.targets_by_name[owners(site, 1)[0]]
+    target.breaks_answers = 1
+    reply = await site.async_call("/book/x", method="POST", body=b"x")
+    assert reply.status == 502
+    assert site.runs_of(reply.headers["id"]) == 1
+
+
+async def test_lost_answer_is_repeated_for_idempotent(site: Site) -> None:
+    """A read whose answer was lost is asked for again."""
+    target = site.targets_by_name[owners(site, 1)[0]]
+    target.breaks_answers = 1
+    reply = await site.async_call("/read/x")
+    assert reply.status == 200
+    assert site.runs_of(reply.headers["id"]) == 2
+
+
+async def test_slots_are_shared_exactly(site: Site) -> None:
+    """Two instances together never send a target more than it has slots."""
+    for target in site.targets_by_name.values():
+        target.work = 0.03
+    calls = [site.async_call("/read/x", via=f"i{n % 2}", key=1) for n in range(6)]
+    replies = await asyncio.gather(*calls)
+    assert {reply.status for reply in replies} == {200}
+    assert max(t.most_running for t in site.targets_by_name.values()) == 2
+
+
+async def test_refusal_says_when_to_come_back(site: Site) -> None:
+    """What cannot be served in time is refused at once, truly and with a time."""
+    for target in site.targets_by_name.values():
+        target.work = 0.4
+    calls = [site.async_call("/book/x", method="POST", key=1) for _ in range(14)]
+    replies = await asyncio.gather(*calls)
+    refused = [reply for reply in replies if reply.status == 503]
+    assert refused
+    for reply in refused:
+        assert float(reply.headers["Retry-After"]) > 0
+        assert site.runs_of(reply.headers["id"]) == 0
+
+
+async def test_timeout_of_the_route_ends_the_wait(site: Site) -> None:
+    """A request that a target keeps too long gets a final answer in time."""
+    site.targets_by_name[owners(site, 1)[0]].work = 3.0
+    started = asyncio.get_running_loop().time()
+    reply = await site.async_call("/book/x", method="POST", deadline=5000)
+    assert reply.status == 504
+    assert asyncio.get_running_loop().time() - started < 1.5
+
+
+async def test_new_configuration_is_in_force_and_stays(site: Site) -> None:
+    """A higher version is adopted, a lower one never."""
+    site.store.put(
+        "config", "main", configuration(5, [*ROUTES, route("/new/", "safe")])
+    )
+    await site.async_wait(
+        lambda: all(
+            r._configuration.version == 5 for r in site.routers_by_name.values()
+        )
+    )
+    assert (await site.async_call("/new/x")).status == 200
+    site.store.put("config", "main", configuration(4, ROUTES))
+    await asyncio.sleep(0.3)
+    assert (await site.async_call("/new/x")).status == 200
+
+
+async def test_history_that_is_gone_is_listed_again(site: Site) -> None:
+    """Symptom: a change was never seen.
+
+    Sequence: the store dropped its history while a change was made.
+    Cause: the watch went on from a revision that the store did not know any more.
+    """
+    site.store.forget_history()
+    site.store.put("config", "main", configuration(6, ROUTES))
+    await site.async_wait(
+        lambda: all(
+            r._configuration.version == 6 for r in site.routers_by_name.values()
+        )
+    )
+
+
+async def test_draining_target_gives_its_keys_away(site: Site) -> None:
+    """Within the drain time everything goes elsewhere, with one owner at a time."""
+    target = site.targets_by_name["t0"]
+    site.store.put("servers", "t0", target.entry("desk", state="draining"))
+    await site.async_wait(lambda: not target.held and site.is_served())
+    for key in SAMPLE:
+        assert len(owners(site, key)) == 1
+        assert (await site.async_call("/read/x", key=key)).status == 200
+
+
+async def test_keys_of_a_target_that_ended_move_at_once(site: Site) -> None:
+    """A refused connection shows that the process is gone; no grant is waited out."""
+    await site.targets_by_name["t0"].async_unload()
+    started = asyncio.get_running_loop().time()
+    await site.async_wait(
+        lambda: (
+            site.is_served()
+            and all(
+                "t0" not in router._maps.maps_by_service["desk"].owners
+                for router in site.routers_by_name.values()
+            )
+        )
+    )
+    assert asyncio.get_running_loop().time() - started < HOLD_TIME
+
+
+async def test_address_that_another_service_took(site: Site) -> None:
+    """Symptom: thousands of calls met a target of another service.
+
+    Sequence: a target ended; its address went to a target of a service without keys,
+    which answers grants with 400 and does not say who it is.
+    Cause: the answer was taken for a failure of the target that was meant.
+    """
+    port = int(site.targets_by_name["t0"].address.rpartition(":")[2])
+    await site.targets_by_name["t0"].async_unload()
+    newcomer = TargetStandin("v9", is_keyed=False)
+    await newcomer.async_setup(port)
+    site.targets_by_name["v9"] = newcomer
+    await site.async_wait(
+        lambda: all(
+            "t0" not in router._maps.maps_by_service["desk"].owners
+            for router in site.routers_by_name.values()
+        )
+    )
+    assert not newcomer.runs
+
+
+async def test_silent_target_is_waited_out(
+    site: Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Symptom: two targets held the same keys.
+
+    Sequence: a target stopped answering its control calls but went on serving; its keys
+    were granted to another one. Cause: its grants had not ended by then.
+    """
+    silent = site.targets_by_name["t0"]
+    keys = [key for key in SAMPLE if silent.holds(key)]
+
+    async def async_never(*args: object) -> None:
+        await asyncio.sleep(3600)
+
+    monkeypatch.setattr(target_contact, "SILENT_LIMIT", 0.3)
+    monkeypatch.setattr(silent, "_other", lambda request: None)
+    runner, silent._runner = silent._runner, None
+    assert runner is not None
+    for resource in list(runner.app.router.resources()):
+        if resource.canonical in ("/api/grant", "/api/release"):
+            for found in resource:
+                found._handler = async_never  # type: ignore[assignment]
+    silent._runner = runner
+
+    def moved() -> bool:
+        for key in keys:
+            assert len(owners(site, key)) <= 1
+        return all(owners(site, key) not in ([], ["t0"]) for key in keys)
+
+    await site.async_wait(moved)
+
+
+async def test_leader_that_ends_is_replaced_before_grants_end(site: Site) -> None:
+    """Symptom: all keys lost their owners after one instance was killed.
+
+    Sequence: the instance that renews the grants is killed.
+    Cause: its successor came later than the grants' end.
+    """
+    leader = site.leader()
+    other = next(name for name in site.routers_by_name if name != leader)
+    await site.async_remove_router(leader)
+    loop = asyncio.get_running_loop()
+    until = loop.time() + HOLD_TIME + 1.5
+    while loop.time() < until:
+        assert (await site.async_call("/read/x", via=other)).status == 200
+        await asyncio.sleep(0.05)
+    assert site.leader() == other
+
+
+async def test_store_away_for_longer_than_the_grants(site: Site) -> None:
+    """Symptom: nothing was served in an outage of the store of some seconds.
+
+    Sequence: the store answers nobody; the lease and then the grants run out.
+    Cause: the leader stopped although all others would have waited for it.
+    """
+    site.store.is_busy = True
+    site.store.forget_history()
+    loop = asyncio.get_running_loop()
+    until = loop.time() + HOLD_TIME + 2.5
+    while loop.time() < until:
+        for via in site.routers_by_name:
+            assert (await site.async_call("/read/x", via=via)).status == 200
+        await asyncio.sleep(0.05)
+    site.store.is_busy = False
+
+
+async def test_restart_of_everything(site: Site) -> None:
+    """State comes back from the store and the targets; fences only grow."""
+    before = max(held.fence for t in site.targets_by_name.values() for held in t.held)
+    for name in list(site.routers_by_name):
+        await site.async_remove_router(name)
+    for name in ("i0", "i1"):
+        await site.async_add_router(name)
+    await site.async_wait(site.is_served)
+    assert (await site.async_call("/read/x")).status == 200
+    after = max(held.fence for t in site.targets_by_name.values() for held in t.held)
+    assert after >= before
+
+
+async def test_planned_stop_cuts_nothing_off(site: Site) -> None:
+    """Requests in flight end, and the lease goes to another instance."""
+    leader = site.leader()
+    for target in site.targets_by_name.values():
+        target.work = 0.5
+    call = asyncio.create_task(site.async_call("/book/x", via=leader, method="POST"))
+    await asyncio.sleep(0.1)
+    await site.routers_by_name[leader].async_stop()
+    assert (await call).status == 200
+    await site.async_remove_router(leader)
+    await site.async_wait(lambda: site.leader() not in ("", leader))
+
+
+async def test_unkeyed_service_is_served(site: Site) -> None:
+    """A service without keys needs no grant."""
+    reply = await site.async_call("/files/x", key=None)
+    assert reply.status == 200
