--- a/swiftpin/fleet/link.py
+++ b/swiftpin/fleet/link.py
@@ -55,6 +55,7 @@
         """The other side, once it said who it is."""
 
         self.peer = ""
+        self.strength = 1.0
         self.beat: Item | None = None
         self.pledged_until = 0.0
         """Until when the other side leaves the lease alone, on the holder's clock."""
--- a/swiftpin/fleet/links.py
+++ b/swiftpin/fleet/links.py
@@ -39,13 +39,14 @@
     """Opens the links that are wanted and serves those that others open."""
 
     def __init__(
-        self, *, incarnation: str, own_peer: str, handler: LinkHandler
+        self, *, incarnation: str, own_peer: str, strength: float, handler: LinkHandler
     ) -> None:
         self.outgoing_by_peer: dict[str, PeerLink] = {}
         self.incoming: set[PeerLink] = set()
         self.on_lost: Callable[[PeerLink], None] = _ignore
         self._incarnation = incarnation
         self._own_peer = own_peer
+        self._strength = strength
         self._handler = handler
         self._tasks_by_peer: dict[str, asyncio.Task[None]] = {}
         self._server: Server | None = None
@@ -142,7 +143,13 @@
     def _greet(self, link: PeerLink) -> None:
         """Say who this instance is."""
         link.send(
-            pb.Item(hello=pb.Hello(incarnation=self._incarnation, peer=self._own_peer))
+            pb.Item(
+                hello=pb.Hello(
+                    incarnation=self._incarnation,
+                    peer=self._own_peer,
+                    strength=self._strength,
+                )
+            )
         )
 
     @callback
--- a/swiftpin/fleet/messages.py
+++ b/swiftpin/fleet/messages.py
@@ -7,7 +7,7 @@
 
 from swiftpin.fleet.link import Item
 from swiftpin.fleet.proto import fleet_pb2 as pb
-from swiftpin.keyranges.key_map import KeyMap
+from swiftpin.keyranges.key_map import KeyMap, OwnerChange
 
 
 @dataclass(kw_only=True, slots=True)
@@ -75,3 +75,25 @@
         firsts=tuple(message.firsts),
         owners=tuple(targets[number] for number in message.owners),
     )
+
+
+def encode_key_map_change(key_map: KeyMap, changes: list[OwnerChange]) -> Item:
+    """Return what a map changed of the one before as an item."""
+    return pb.Item(
+        key_map_change=pb.KeyMapChange(
+            service=key_map.service,
+            term=key_map.term,
+            number=key_map.number,
+            firsts=[change.first for change in changes],
+            lasts=[change.last for change in changes],
+            owners=[change.owner for change in changes],
+        )
+    )
+
+
+def decode_owner_changes(message: Item) -> list[OwnerChange]:
+    """Return the changes in a message."""
+    rows = zip(message.firsts, message.lasts, message.owners, strict=True)
+    return [
+        OwnerChange(first=first, last=last, owner=owner) for first, last, owner in rows
+    ]
--- a/swiftpin/keyranges/assignment.py
+++ b/swiftpin/keyranges/assignment.py
@@ -4,7 +4,7 @@
 
 from bisect import bisect_right
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from swiftpin.exceptions import ConfigurationError
@@ -18,11 +18,15 @@
     """Segments that cover all keys, in order."""
 
     segments: tuple[Segment, ...]
+    firsts: tuple[int, ...] = field(init=False, repr=False, compare=False)
+
+    def __post_init__(self) -> None:
+        firsts = tuple(segment.first for segment in self.segments)
+        object.__setattr__(self, "firsts", firsts)
 
     def segment_of(self, key: int) -> Segment:
         """Return the segment that holds a key."""
-        index = bisect_right(self.segments, key, key=lambda segment: segment.first)
-        return self.segments[index - 1]
+        return self.segments[bisect_right(self.firsts, key) - 1]
 
     def with_moves(self, moves: Iterable[Move], next_fence: int) -> Assignment:
         """Return the assignment after moves, each under a fence of its own."""
--- a/swiftpin/keyranges/const.py
+++ b/swiftpin/keyranges/const.py
@@ -33,13 +33,20 @@
 """Seconds beyond the lease's end for which pledges can keep its holder in place. One
 that is not among the members waits for this too, since nobody asks for its pledge."""
 
-HOLD_TIME: Final = 4.4
-"""Seconds of a grant at rest: more than `LEASE_TIME`, the candidates' wait, their polls
-and a renewal's pause together, and no longer, since the keys of a target that falls
-silent stay unserved until its grant has ended."""
-
 GRANT_RENEW: Final = 1.0
-"""Seconds between two renewals of a grant."""
+"""Seconds between two renewals of a grant in small services."""
+
+RENEWALS_PER_SECOND: Final = 250
+"""Renewals that an assigner makes at most: each takes it about 0.7 ms. Where there are
+more grants, they are renewed less often and last longer."""
+
+HOLD_BEYOND_RENEWAL: Final = 3.4
+"""Seconds of a grant beyond the pause between renewals: more than `LEASE_TIME`, the
+candidates' wait and their polls together, and no longer, since the keys of a target
+that falls silent stay unserved until its grant has ended."""
+
+HOLD_TIME: Final = GRANT_RENEW + HOLD_BEYOND_RENEWAL
+"""Seconds of a grant in small services."""
 
 CLOCK_DRIFT: Final = 1.03
 """A target's clock may run 2% slow, and so end a grant later by that much."""
--- a/swiftpin/keyranges/lease.py
+++ b/swiftpin/keyranges/lease.py
@@ -39,6 +39,15 @@
 RETRY: Final = 0.1
 """Seconds before a renewal that failed is tried again, while the lease still runs."""
 
+USUAL_STRENGTH: Final = 1.5
+"""Strength, in usual cores, that suits an assigner of hundreds of targets."""
+
+FIRST_COURTESY: Final = 1.0
+"""Seconds for each core that an instance lacks, at the first start only."""
+
+RANK_COURTESY: Final = 0.03
+"""Seconds for each stronger member: a read and a write of the store."""
+
 CALM_POLL: Final = 0.3
 """Seconds between two checks whether the holder is still heard of."""
 
@@ -66,6 +75,7 @@
         client: StoreClient,
         health: StoreHealth,
         rng: Random,
+        strength: float,
         is_holder_heard: Callable[[str], bool],
     ) -> None:
         self.record: LeaseRecord | None = None
@@ -95,6 +105,8 @@
         self._client = client
         self._health = health
         self._rng = rng
+        self._strength = strength
+        self._free_since: float | None = None
         self._is_holder_heard = is_holder_heard
         self._revision: int | None = None
         self._unchanged_since = 0.0
@@ -187,9 +199,28 @@
             return POLL * self._rng.uniform(0.8, 1.6)
         now = suspend_aware_now()
         if self.is_willing and not self.is_standing_down and self._is_free(now):
-            await self._async_take()
+            if self._free_since is None:
+                self._free_since = now
+            if now - self._free_since >= self._courtesy():
+                await self._async_take()
+        else:
+            self._free_since = None
         return POLL * self._rng.uniform(0.6, 1.2)
 
+    @callback
+    def _courtesy(self) -> float:
+        """Return the seconds for which a free lease is left to stronger instances.
+
+        Assigning takes most of a core where there are hundreds of targets. Members are
+        named strongest first; before there is a record each goes by itself.
+        """
+        record = self.record
+        if record is None:
+            return max(USUAL_STRENGTH - self._strength, 0.0) * FIRST_COURTESY
+        if self._name in record.members:
+            return record.members.index(self._name) * RANK_COURTESY
+        return 0.0
+
     @callback
     def _is_free(self, now: float) -> bool:
         """Return whether the lease has run out, or was given up."""
@@ -259,6 +290,7 @@
             members=() if record is None else record.members,
         )
         if await self._async_write(taken):
+            self._free_since = None
             log_message(message_type="lease_taken", term=taken.term)
 
     async def _async_write(self, record: LeaseRecord) -> bool:
--- a/swiftpin/keyranges/range_keeper.py
+++ b/swiftpin/keyranges/range_keeper.py
@@ -26,10 +26,11 @@
 from swiftpin.keyranges.const import (
     CONTROL_TIMEOUT,
     GRANT_RENEW,
-    HOLD_TIME,
+    HOLD_BEYOND_RENEWAL,
     KIND_ASSIGNMENT,
     PLAN_INTERVAL,
     RELEASE_TIMEOUT,
+    RENEWALS_PER_SECOND,
 )
 from swiftpin.keyranges.key_load import KeyLoad
 from swiftpin.keyranges.key_map import KeyMap
@@ -64,6 +65,9 @@
 RETRY_PAUSE: Final = 0.15
 """Seconds between two tries of the same call to a target."""
 
+MOST_RENEW_PAUSE: Final = 2.5
+"""Seconds between two renewals at most."""
+
 RENEW_TICK: Final = 0.1
 """Seconds between two looks at which grants are due."""
 
@@ -164,13 +168,14 @@
         assignment = decode_assignment(found.content)
         self._revision = found.revision
         self._assignment = assignment
+        hold = self._predecessor_hold(len(assignment.segments))
         # Whatever the former holder granted ends at the latest by then.
         for segment in assignment.segments:
             self._granted_fences.add(segment.fence)
             for target in (segment.owner, segment.former):
                 if target:
                     contact = self._contact(target)
-                    contact.note_grant(self._took_over_at, HOLD_TIME)
+                    contact.note_grant(self._took_over_at, hold)
         log_message(
             message_type="assignment_loaded",
             service=self._service,
@@ -484,6 +489,27 @@
         contact.is_gone = True
         self._directory.note_replaced(target.id, suspend_aware_now())
 
+    @callback
+    def _renew_pause(self) -> float:
+        """Return the seconds between two renewals of a grant."""
+        assert self._assignment is not None
+        busy = len(self._assignment.segments) / RENEWALS_PER_SECOND
+        return max(GRANT_RENEW, min(busy, MOST_RENEW_PAUSE))
+
+    @callback
+    def _usual_hold(self) -> float:
+        """Return the seconds for which grants are given at rest."""
+        return min(self._renew_pause() + HOLD_BEYOND_RENEWAL, self._longest_hold)
+
+    @callback
+    def _predecessor_hold(self, segments: int) -> float:
+        """Return the seconds for which a former assigner gave grants at most.
+
+        It knew a number of segments near to that of the record.
+        """
+        pause = GRANT_RENEW if segments < RENEWALS_PER_SECOND / 2 else MOST_RENEW_PAUSE
+        return min(pause + HOLD_BEYOND_RENEWAL, self._longest_hold)
+
     @callback
     def _hold(self, contact: TargetContact, now: float) -> float:
         """Return for how long to grant, in seconds.
@@ -491,7 +517,7 @@
         A target that did not answer is asked again, but not beyond what it may hold
         anyway: else each try would put off the moment at which its keys are free.
         """
-        hold = min(HOLD_TIME, self._longest_hold)
+        hold = self._usual_hold()
         if contact.is_failing:
             return max(min(hold, contact.unextended_hold(now)), SHORTEST_HOLD)
         return hold
@@ -525,7 +551,7 @@
                     if now < due_by_target.get(target_id, 0.0):
                         continue
                     is_failing = self._contact(target_id).is_failing
-                    pause = FAILING_RENEW if is_failing else GRANT_RENEW
+                    pause = FAILING_RENEW if is_failing else self._renew_pause()
                     due_by_target[target_id] = now + pause
                     tasks_by_target[target_id] = group.create_task(
                         self._async_renew(target_id)
--- a/swiftpin/platform/settings.py
+++ b/swiftpin/platform/settings.py
@@ -43,6 +43,9 @@
         store=parse_address(platform["platform"]["address"]),
         bounds=_decode_bounds(document["terms"]["bounds"]),
         target_heartbeat=platform["heartbeat_ms"] / MILLISECONDS,
+        # A core is that many times as fast as a usual one, and only a share of it is
+        # the process's own.
+        strength=own["limits"]["cpu_share"] * own["limits"]["cores"],
         first_start=bool(own["bootstrap"]),
     )
 
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -108,11 +108,13 @@
             client=self._store,
             health=self._health,
             rng=rng,
+            strength=settings.strength,
             is_holder_heard=self._is_holder_heard,
         )
         self._fleet = FleetDesk(
             incarnation=incarnation,
             own_peer=str(settings.peers),
+            strength=settings.strength,
             seeds=settings.seeds,
             lease=self._lease,
             desk=self._desk,
--- a/swiftpin/router/fleet_desk.py
+++ b/swiftpin/router/fleet_desk.py
@@ -15,7 +15,9 @@
 from swiftpin.fleet.messages import (
     LoadNews,
     decode_key_map,
+    decode_owner_changes,
     encode_key_map,
+    encode_key_map_change,
     encode_load,
 )
 from swiftpin.fleet.proto import fleet_pb2 as pb
@@ -44,6 +46,13 @@
 """Targets whose permits one instance hands out. A permit takes three messages of about
 0.1 ms each, and 16 targets with 2 slots bear about 150 requests a second."""
 
+MEMBERS_CHANGE: Final = 8
+"""Part of the members whose coming or going is told to all: their number only shares
+the budget of second sends out, and each list goes to everyone."""
+
+STRONG_SHARE: Final = 0.6
+"""Part of the strongest instance's strength that counts as strong."""
+
 MOST_CANDIDATES: Final = 16
 """Instances named in the lease; the record is written several times a second."""
 
@@ -65,6 +74,7 @@
         *,
         incarnation: str,
         own_peer: str,
+        strength: float,
         seeds: tuple[str, ...],
         lease: LeaseKeeper,
         desk: PermitDesk,
@@ -75,13 +85,17 @@
         health: StoreHealth,
     ) -> None:
         self.links = FleetLinks(
-            incarnation=incarnation, own_peer=own_peer, handler=self
+            incarnation=incarnation,
+            own_peer=own_peer,
+            strength=strength,
+            handler=self,
         )
         self.links.on_lost = self._note_lost
         self.on_load: Callable[[Item], None] = _ignore
         self.members = 1
         self._incarnation = incarnation
         self._own_peer = own_peer
+        self._strength = strength
         self._seeds = seeds
         self._lease = lease
         self._desk = desk
@@ -126,9 +140,15 @@
 
     @callback
     def hand_out_map(self, key_map: KeyMap) -> None:
-        """Give a new map to everyone."""
+        """Give a new map to everyone, as far as it differs from the last one.
+
+        The whole map of 200 targets takes 10 KB, and each move changes it twice.
+        """
+        before = self._maps.maps_by_service.get(key_map.service)
         self._maps.adopt(key_map)
         item = encode_key_map(key_map)
+        if before is not None and _follows(key_map, before):
+            item = encode_key_map_change(key_map, key_map.changes_since(before))
         for link in self.links.incoming:
             link.send(item)
 
@@ -149,7 +169,11 @@
             case "load":
                 self.on_load(item.load)
             case "key_map":
-                self._take_map(decode_key_map(item.key_map))
+                self._maps.adopt(decode_key_map(item.key_map))
+            case "key_map_change":
+                self._take_map_change(link, item.key_map_change)
+            case "key_map_ask":
+                self._give_maps(link)
             case "homes":
                 self._take_homes(item.homes)
             case "hello":
@@ -180,6 +204,8 @@
                 sent_at=now,
                 echo=0.0 if link.beat is None else link.beat.sent_at,
                 store_lost=self._health.is_lost,
+                maps_term=self._maps.version[0],
+                maps_number=self._maps.version[1],
                 pledge=pledges,
                 resigned_term=self._lease.own_resigned_term(now),
             )
@@ -236,6 +262,7 @@
         """Learn who is at the other side, and give it what it needs."""
         link.incarnation = hello.incarnation
         link.peer = hello.peer
+        link.strength = hello.strength
         self._desk.note_link(link)
         log_message(
             message_type="peer_linked",
@@ -244,19 +271,31 @@
         )
         if link.is_outgoing:
             return
-        for key_map in self._maps.maps_by_service.values():
-            link.send(encode_key_map(key_map))
+        self._give_maps(link)
         if self._desk.homes.number:
             link.send(self._homes_item())
 
     @callback
-    def _take_map(self, key_map: KeyMap) -> None:
-        """Take a map, and pass it on to those who listen here."""
-        if not self._maps.adopt(key_map):
+    def _take_map_change(self, link: PeerLink, change: Item) -> None:
+        """Take what changed of a map; ask for the whole when one was missed."""
+        known = self._maps.maps_by_service.get(change.service)
+        if known is None or (known.term, known.number + 1) != (
+            change.term,
+            change.number,
+        ):
+            if known is None or (known.term, known.number) < (
+                change.term,
+                change.number,
+            ):
+                link.send(pb.Item(key_map_ask=pb.KeyMapAsk()))
             return
-        item = encode_key_map(key_map)
-        for link in self.links.incoming:
-            link.send(item)
+        self._maps.adopt(known.with_changes(decode_owner_changes(change)))
+
+    @callback
+    def _give_maps(self, link: PeerLink) -> None:
+        """Give all maps whole."""
+        for key_map in self._maps.maps_by_service.values():
+            link.send(encode_key_map(key_map))
 
     @callback
     def _take_homes(self, message: Item) -> None:
@@ -299,32 +338,26 @@
     @callback
     def _keep_homes(self) -> None:
         """Choose the instances that hand out permits, and tell everyone."""
-        peers = {self._incarnation: self._own_peer}
+        members = {self._incarnation: (self._strength, self._own_peer)}
         for link in self.links.live_links():
-            if (
-                not link.is_outgoing
-                and link.beat is not None
-                and not link.beat.stopping
-            ):
-                peers[link.incarnation] = link.peer
+            if link.is_outgoing or link.beat is None or link.beat.stopping:
+                continue
+            members[link.incarnation] = (link.strength, link.peer)
         if self._lifecycle.leaving:
-            del peers[self._incarnation]
-        count = max(
-            LEAST_HOMES, math.ceil(len(self._directory.targets_by_id) / TARGETS_A_HOME)
+            del members[self._incarnation]
+        strongest = sorted(members, key=lambda name: (-members[name][0], name))
+        self._lease.members = tuple(
+            name.partition("/")[0] for name in strongest[:MOST_CANDIDATES]
         )
+        chosen = self._choose_homes(members, strongest)
+        homes = {name: members[name][1] for name in chosen}
         present = self._desk.homes
-        kept = [name for name in present.peers_by_incarnation if name in peers]
-        added = sorted(peers.keys() - set(kept))
-        chosen = (kept + added)[:count]
-        homes = {name: peers[name] for name in chosen}
-        members = len(peers)
-        self._lease.members = tuple(
-            sorted(name.partition("/")[0] for name in peers)[:MOST_CANDIDATES]
+        is_same = homes == present.peers_by_incarnation and (
+            abs(len(members) - self.members) <= len(members) // MEMBERS_CHANGE
         )
-        is_same = homes == present.peers_by_incarnation and members == self.members
         if is_same and present.term == self._lease.term:
             return
-        self.members = members
+        self.members = len(members)
         self._home_number += 1
         self._desk.homes = PermitHomes(
             term=self._lease.term, number=self._home_number, peers_by_incarnation=homes
@@ -333,6 +366,31 @@
         for link in self.links.incoming:
             link.send(item)
 
+    @callback
+    def _choose_homes(
+        self, members: dict[str, tuple[float, str]], strongest: list[str]
+    ) -> list[str]:
+        """Return the instances that hand out permits: present ones first, then strong.
+
+        The instance that assigns keys has work enough where there are many targets.
+        """
+        if not strongest:
+            return []
+        count = max(
+            LEAST_HOMES, math.ceil(len(self._directory.targets_by_id) / TARGETS_A_HOME)
+        )
+        enough = members[strongest[0]][0] * STRONG_SHARE
+        strong = [name for name in strongest if members[name][0] >= enough]
+        if len(strong) > count > LEAST_HOMES and self._incarnation in strong:
+            strong.remove(self._incarnation)
+        if len(strong) >= LEAST_HOMES:
+            # Fewer strong homes bear more than many weak ones.
+            strongest = strong
+        present = self._desk.homes.peers_by_incarnation
+        kept = [name for name in strongest if name in present]
+        added = [name for name in strongest if name not in present]
+        return (kept + added)[:count]
+
     @callback
     def _homes_item(self) -> Item:
         """Return the present list of homes."""
@@ -375,6 +433,8 @@
                 self._behind_since = now
             elif now - self._behind_since > TICK:
                 self._behind_since = now
+                if (beat.maps_term, beat.maps_number) > self._maps.version:
+                    link.send(pb.Item(key_map_ask=pb.KeyMapAsk()))
                 link.send(
                     pb.Item(
                         news_ask=pb.NewsAsk(
@@ -392,6 +452,7 @@
         return bool(
             beat.configuration > self._configuration.version
             or beat.targets > self._directory.version
+            or (beat.maps_term, beat.maps_number) > self._maps.version
         )
 
     @callback
@@ -417,6 +478,12 @@
             )
 
 
+@callback
+def _follows(key_map: KeyMap, before: KeyMap) -> bool:
+    """Return whether a map is the next one after another."""
+    return (key_map.term, key_map.number) == (before.term, before.number + 1)
+
+
 @callback
 def _ignore(load: Item) -> None:
     """Do nothing."""
--- a/swiftpin/router/instance_settings.py
+++ b/swiftpin/router/instance_settings.py
@@ -31,5 +31,8 @@
     target_heartbeat: float
     """Seconds between two reports of a target to the store."""
 
+    strength: float
+    """Share of a usual core that the instance may use."""
+
     first_start: bool
     """Whether the whole system starts for the first time."""
--- a/swiftpin/router/key_maps.py
+++ b/swiftpin/router/key_maps.py
@@ -23,6 +23,13 @@
         self._changes_by_service: dict[str, asyncio.Event] = {}
         self._denied_by_service: dict[str, dict[tuple[int, str], float]] = {}
 
+    @property
+    def version(self) -> tuple[int, int]:
+        """Return the maps' term and the sum of their numbers."""
+        maps = self.maps_by_service.values()
+        term = max((key_map.term for key_map in maps), default=0)
+        return term, sum(key_map.number for key_map in maps if key_map.term == term)
+
     @callback
     def adopt(self, key_map: KeyMap) -> bool:
         """Take a map if it is newer; return whether it was."""
--- /dev/null
+++ b/tests/keyranges/test_key_map.py
@@ -0,0 +1,60 @@
+"""Tests of key maps and their changes."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from swiftpin.fleet.messages import (
+    decode_key_map,
+    decode_owner_changes,
+    encode_key_map,
+    encode_key_map_change,
+)
+from swiftpin.keyranges.const import KEYS
+from swiftpin.keyranges.key_map import KeyMap
+
+
+def make_map(number: int, owners_by_first: dict[int, str]) -> KeyMap:
+    """Return a map that begins with key 0."""
+    drawn = {0: "a", **owners_by_first}
+    firsts = tuple(sorted(drawn))
+    return KeyMap(
+        service="desk",
+        term=3,
+        number=number,
+        firsts=firsts,
+        owners=tuple(drawn[first] for first in firsts),
+    )
+
+
+MAPS = st.dictionaries(
+    st.integers(1, KEYS - 1), st.sampled_from(("a", "b", "")), max_size=8
+)
+
+
+@given(before=MAPS, after=MAPS, probes=st.lists(st.integers(0, KEYS - 1), min_size=5))
+def test_changes_lead_from_one_map_to_the_next(
+    before: dict[int, str], after: dict[int, str], probes: list[int]
+) -> None:
+    """Whoever applies the changes routes like whoever got the whole map."""
+    old, new = make_map(1, before), make_map(2, after)
+    item = encode_key_map_change(new, new.changes_since(old))
+    changed = old.with_changes(decode_owner_changes(item.key_map_change))
+    assert changed.number == new.number
+    for key in (*probes, *new.firsts, *old.firsts, KEYS - 1):
+        assert changed.owner_of(key) == new.owner_of(key)
+
+
+def test_whole_map_comes_back() -> None:
+    """A map is the same after it went over a link."""
+    key_map = make_map(4, {10: "b", 20: ""})
+    assert decode_key_map(encode_key_map(key_map).key_map) == key_map
+
+
+def test_higher_term_wins_over_higher_number() -> None:
+    """A new assigner counts from one; its maps replace all earlier ones."""
+    old = make_map(9, {})
+    new = KeyMap(service="desk", term=4, number=1, firsts=(0,), owners=("b",))
+    assert new.is_newer_than(old)
+    assert not old.is_newer_than(new)
--- a/tests/router/site.py
+++ b/tests/router/site.py
@@ -152,6 +152,7 @@
             ),
             bounds=BOUNDS,
             target_heartbeat=0.9,
+            strength=1.0,
             first_start=True,
         )
         router = Router(settings, LoggingSetup(BytesIO(), "info"))
