Free slots when answers begin; let members of large fleets learn targets from others

A send whose answer broke off after its head counted twice, so it was never repeated.

Ruled out: more slots a target than it has; the queue there is not ours to order.

--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -167,14 +167,17 @@
         await self._callers.async_setup(settings.callers)
         metrics = Address(host=settings.peers.host, port=METRICS_PORT)
         await self._metrics_listener.async_setup(metrics)
-        followers = (
-            (KIND_CONFIGURATION, self._configuration),
-            (KIND_TARGETS, self._directory),
+        configuration = StoreFollower(
+            KIND_CONFIGURATION, self._store, self._configuration, self._health
         )
-        coroutines = [
-            StoreFollower(kind, self._store, follower, self._health).async_run()
-            for kind, follower in followers
-        ]
+        targets = StoreFollower(
+            KIND_TARGETS,
+            self._store,
+            self._directory,
+            self._health,
+            may_rest=self._fleet.may_rest,
+        )
+        coroutines = [configuration.async_run(), targets.async_run()]
         coroutines += [
             self._lease.async_run(),
             self._leader.async_run(),
--- a/swiftpin/router/fleet_desk.py
+++ b/swiftpin/router/fleet_desk.py
@@ -50,6 +50,12 @@
 """Part of the members whose coming or going is told to all: their number only shares
 the budget of second sends out, and each list goes to everyone."""
 
+SMALL_FLEET: Final = 12
+"""Instances up to which each watches the targets itself."""
+
+LEAST_INFORMED: Final = 2
+"""Links to instances that watch, without which an instance watches by itself."""
+
 STRONG_SHARE: Final = 0.6
 """Part of the strongest instance's strength that counts as strong."""
 
@@ -420,6 +426,29 @@
 
     # News.
 
+    @callback
+    def may_rest(self) -> bool:
+        """Return whether neighbours tell this instance about targets.
+
+        In a large fleet only the assigner and the homes, which choose targets, watch
+        the store for them: each watch is paid for at every change. The others learn
+        within a second, in time for a leaving target, and route by the key map.
+        """
+        if self.members <= SMALL_FLEET or self._lease.is_held(suspend_aware_now()):
+            return False
+        if self._incarnation in self._desk.homes.peers_by_incarnation:
+            return False
+        now = asyncio.get_running_loop().time()
+        informed = [
+            link
+            for link in self.links.outgoing_by_peer.values()
+            if link.beat is not None
+            and link.is_fresh(now)
+            and not link.beat.store_lost
+            and link.beat.targets >= self._directory.version
+        ]
+        return len(informed) >= LEAST_INFORMED
+
     @callback
     def _ask_for_news(self) -> None:
         """Ask a neighbour that knows something newer for it."""
@@ -463,7 +492,11 @@
             news.configuration = self._configuration.encoded
         if self._directory.version > ask.targets:
             news.targets_revision = self._directory.version
-            news.targets = encode_target_list(self._directory.present_targets())
+            present = self._directory.present_targets()
+            news.targets = encode_target_list(
+                target for target in present if target.revision > ask.targets
+            )
+            news.target_ids.extend(target.id for target in present)
         link.send(pb.Item(news=news))
 
     @callback
@@ -474,7 +507,10 @@
             self._configuration.adopt_encoded(news.configuration, now)
         if news.targets_revision:
             self._directory.adopt_news(
-                decode_target_list(news.targets), news.targets_revision, now
+                decode_target_list(news.targets),
+                frozenset(news.target_ids),
+                news.targets_revision,
+                now,
             )
 
 
--- a/swiftpin/router/received.py
+++ b/swiftpin/router/received.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass
 
+from swiftpin.core import callback
 from swiftpin.dispatch.http_answer import HttpAnswer
 
 
-@dataclass(kw_only=True, slots=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class Received:
     """An answer whose beginning, or whole, was read."""
 
@@ -16,5 +16,7 @@
     first: list[bytes]
     """What was read of the body."""
 
-    finish: Callable[[], None]
-    """Hands back connection and permit; called once, when the rest was passed on."""
+    @callback
+    def finish(self, now: float) -> None:
+        """Hand the connection back, or close it if the answer was not read whole."""
+        self.answer.finish(now)
--- a/swiftpin/router/request_handler.py
+++ b/swiftpin/router/request_handler.py
@@ -157,7 +157,7 @@
             # What has begun to arrive is passed on, also when it takes longer.
             await answer.async_relay(received.answer, received.first)
         finally:
-            received.finish()
+            received.finish(asyncio.get_running_loop().time())
 
 
 @callback
--- a/swiftpin/router/request_sender.py
+++ b/swiftpin/router/request_sender.py
@@ -53,8 +53,9 @@
 OWNER_RETRY: Final = 0.4
 """Seconds after which a caller may come back whose key had no owner."""
 
-REFUSED_RETRY: Final = 0.3
-"""Seconds after which a caller may come back whose request a target refused."""
+REFUSED_RETRY: Final = 0.1
+"""Seconds after which a caller may come back whose request a target refused: one that
+sheds by chance takes the next, and the queue here tells the load of the others."""
 
 ONCE_IDLE: Final = 1.0
 """Seconds for which a connection may have been idle that carries a request which must
@@ -71,6 +72,10 @@
 MOST_TRIES: Final = 6
 """Tries of one request, those included that reached no target."""
 
+RETRY_SHARE: Final = 0.3
+"""Part of the objective that must be left for a try after a target's own failure; with
+less, the failure is passed on as it is."""
+
 SHORTEST_TIME: Final = 0.02
 """Seconds that must be left for a request to be sent at all."""
 
@@ -121,9 +126,14 @@
             self.load.add_key(call.service, call.head.key)
         for _ in range(MOST_TRIES):
             received = await self._async_try(call)
-            if received is not None:
+            if received is None:
+                self._check_may_retry(call, budget)
+                continue
+            if not self._is_worth_retry(call, received, budget):
                 return received
-            self._check_may_retry(call, budget)
+            call.notes.append(f"{call.target} answered {received.answer.status}")
+            call.failed_target = call.target
+            received.finish(asyncio.get_running_loop().time())
         raise self._failure(call)
 
     @callback
@@ -152,6 +162,26 @@
                 "the service's retries are used up", retry_after=REFUSED_RETRY
             )
 
+    @callback
+    def _is_worth_retry(
+        self, call: Call, received: Received, budget: WindowBudget
+    ) -> bool:
+        """Return whether a target's failure is to be followed by another try.
+
+        Some targets fail part of their requests while they count as healthy.
+        """
+        if received.answer.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+            return False
+        call.may_have_run = True
+        left = call.ends_at - asyncio.get_running_loop().time()
+        return (
+            call.route.kind is RequestKind.IDEMPOTENT
+            and call.sends < call.route.attempts
+            and call.body.can_be_sent
+            and left > call.route.objective * RETRY_SHARE
+            and budget.spend(suspend_aware_now(), self.members)
+        )
+
     @callback
     def _failure(self, call: Call) -> RequestError:
         """Return what the caller is told when nothing more is tried."""
@@ -178,7 +208,6 @@
             self._note_failed(call, permit, f"not sent: {err}")
             return None
         except AnswerBrokenError as err:
-            call.sends += 1
             call.may_have_run = True
             self._note_failed(call, permit, f"broken: {err}")
             return None
@@ -189,6 +218,8 @@
             elapsed = asyncio.get_running_loop().time() - began_at
             self._desk.end(permit, elapsed, failed=False)
             raise
+        finally:
+            call.sends += state.written
         return received
 
     async def _async_owner(self, call: Call) -> str:
@@ -276,7 +307,6 @@
             check=partial(is_answer_to, call.head.id),
             max_idle=ONCE_IDLE if once else math.inf,
         )
-        call.sends += 1
         head = decode_answer_head(answer.status, answer.headers)
         if head.not_executed:
             return self._note_refused(call, permit, answer, head)
@@ -291,24 +321,21 @@
         began_at: float,
     ) -> Received:
         """Read the beginning of an answer to a request that ran."""
+        failed = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        elapsed = asyncio.get_running_loop().time() - began_at
+        # The work is done once the answer begins: the slot is free while the body is
+        # on its way, which takes longer than the work on slow links.
+        self._desk.end(permit, elapsed, failed=failed)
         try:
-            if not head.is_signed and answer.status < 300:
+            if not head.is_signed and answer.status < HTTPStatus.MULTIPLE_CHOICES:
                 raise AnswerBrokenError("a success without the target's signature")
             first = await _async_read_first(answer)
         except BaseException:
             answer.abort()
             raise
-
-        def finish() -> None:
-            loop = asyncio.get_running_loop()
-            answer.finish(loop.time())
-            failed = answer.status >= 500
-            elapsed = loop.time() - began_at
-            self._desk.end(permit, elapsed, failed=failed)
-            self.load.add_time(call.service, permit.target, None if failed else elapsed)
-
+        self.load.add_time(call.service, permit.target, None if failed else elapsed)
         call.status = answer.status
-        return Received(answer=answer, first=first, finish=finish)
+        return Received(answer=answer, first=first)
 
     @callback
     def _note_refused(
--- a/swiftpin/router/store_follower.py
+++ b/swiftpin/router/store_follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Final, Protocol
 
 from swiftpin.core import callback
@@ -27,6 +28,16 @@
 a return is noticed within a second and 88 instances make under 100 calls a second."""
 
 
+REST: Final = 0.3
+"""Seconds between two looks whether others still tell the changes."""
+
+
+@callback
+def _never() -> bool:
+    """Return False."""
+    return False
+
+
 class Follower(Protocol):
     """Takes what was read; called in the event loop."""
 
@@ -43,8 +54,15 @@
     """Lists a kind once, then watches it, and lists again when history is gone."""
 
     def __init__(
-        self, kind: str, client: StoreClient, follower: Follower, health: StoreHealth
+        self,
+        kind: str,
+        client: StoreClient,
+        follower: Follower,
+        health: StoreHealth,
+        *,
+        may_rest: Callable[[], bool] = _never,
     ) -> None:
+        self._may_rest = may_rest
         self._kind = kind
         self._client = client
         self._follower = follower
@@ -61,6 +79,9 @@
         """Follow until cancelled."""
         pause = FIRST_PAUSE
         while True:
+            if self._may_rest():
+                await asyncio.sleep(REST)
+                continue
             try:
                 await self._async_step()
             except HistoryGoneError:
--- a/swiftpin/router/target_directory.py
+++ b/swiftpin/router/target_directory.py
@@ -62,18 +62,22 @@
         self.on_change()
 
     @callback
-    def adopt_news(self, targets: list[Target], revision: int, now: float) -> None:
-        """Take the list of a neighbour that saw a later revision."""
+    def adopt_news(
+        self, targets: list[Target], ids: frozenset[str], revision: int, now: float
+    ) -> None:
+        """Take what a neighbour knows that saw a later revision.
+
+        `targets` are those that changed, `ids` names all that there are.
+        """
         if revision <= self.version:
             return
         self.version = revision
-        listed = {target.id for target in targets}
         for target in targets:
             self._adopt(target, now)
-        for target_id in self.targets_by_id.keys() - listed:
+        for target_id in self.targets_by_id.keys() - ids:
             self._note_missing(target_id, now)
         log_message(
-            message_type="targets_from_neighbour", revision=revision, count=len(listed)
+            message_type="targets_from_neighbour", revision=revision, count=len(ids)
         )
         self.on_change()
 
