--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,190 @@
+"""Tests of what the adapter decodes."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from swiftpin.exceptions import ConfigurationError, StoreUnavailableError
+from swiftpin.platform.configuration import decode_configuration
+from swiftpin.platform.platform_object import PlatformObject
+from swiftpin.platform.request_head import (
+    decode_answer_head,
+    decode_request_head,
+    encode_answer_headers,
+    encode_request_headers,
+    is_answer_to,
+)
+from swiftpin.platform.settings import decode_settings
+from swiftpin.platform.store_answers import decode_changes, decode_list
+from swiftpin.platform.target_entries import (
+    decode_target,
+    decode_target_list,
+    encode_target_list,
+)
+from swiftpin.router.request_kind import RequestKind
+from tests.router.site import ROUTES, configuration, route
+
+
+@pytest.fixture(name="entry")
+def entry_fixture() -> dict[str, Any]:
+    """Return a target's entry as it lies in the store."""
+    return {
+        "metadata": {"name": "i-1", "revision": 7, "deleting": False},
+        "specification": {
+            "address": "10.0.0.1:80",
+            "information": {
+                "service": "desk",
+                "version": "v1",
+                "zone": "z1",
+                "slots": 2,
+            },
+            "status": {"state": "draining", "sequence": 4, "cold_ms": 1500},
+        },
+        "status": None,
+    }
+
+
+def as_object(entry: dict[str, Any]) -> PlatformObject:
+    """Return an entry as an object."""
+    return PlatformObject(name="i-1", revision=7, is_deleted=False, document=entry)
+
+
+def test_state_of_a_target_stands_in_its_specification(entry: dict[str, Any]) -> None:
+    """Symptom: no target was known.
+
+    Sequence: targets registered; their entries were read and dropped as malformed.
+    Cause: the state was looked for in the object's own status, which stays empty.
+    """
+    target = decode_target(as_object(entry))
+    assert target.is_draining
+    assert target.cold_for == 1.5
+    assert target.revision == 7
+
+
+def test_malformed_entry_is_an_error(entry: dict[str, Any]) -> None:
+    """An entry that cannot be read is told from one that is gone."""
+    del entry["specification"]["information"]["slots"]
+    with pytest.raises(ConfigurationError):
+        decode_target(as_object(entry))
+
+
+def test_targets_come_back_from_a_neighbour(entry: dict[str, Any]) -> None:
+    """What instances tell each other is what the store said."""
+    target = decode_target(as_object(entry))
+    assert decode_target_list(encode_target_list([target])) == [target]
+
+
+def test_longest_prefix_of_the_host_wins() -> None:
+    """A route under another one's prefix is found first."""
+    found = decode_configuration(
+        configuration(3, [*ROUTES, route("/read/deep/", "unsafe")])
+    )
+    assert found.version == 3
+    deep = found.find_route("desk.example", "/read/deep/x")
+    assert deep is not None
+    assert deep.kind is RequestKind.ONCE
+    assert deep.timeout == 1.0
+    assert found.find_route("desk.example", "/read") is None
+    assert found.find_route("other.example", "/read/x") is None
+
+
+def test_unknown_kind_is_never_repeated() -> None:
+    """A kind that a later version brings counts as not repeatable."""
+    found = decode_configuration(configuration(3, [route("/a/", "odd")]))
+    assert found.routes_by_host["desk.example"][0].kind is RequestKind.ONCE
+
+
+def test_malformed_configuration_is_an_error() -> None:
+    """The one in force stays when a newer one cannot be read."""
+    with pytest.raises(ConfigurationError):
+        decode_configuration({"version": "r9"})
+
+
+def test_settings_name_addresses_and_bounds() -> None:
+    """Milliseconds of the file become seconds; peers take the first inner port."""
+    bounds = dict.fromkeys(
+        ("drain_ms", "config_apply_ms", "hold_max_ms", "stability_window_ms"), 2000
+    )
+    settings = decode_settings(
+        {
+            "self": {
+                "node": "n1",
+                "zone": "z1",
+                "ip": "10.0.0.2",
+                "bootstrap": True,
+                "limits": {"cpu_share": 0.5, "cores": 3},
+            },
+            "network": {
+                "listen": {"front": "10.0.0.2:80", "ready": "10.0.0.2:81"},
+                "internal_ports": [7720, 7735],
+                "seeds": ["10.0.0.9:8166"],
+            },
+            "platform": {
+                "heartbeat_ms": 870,
+                "platform": {"address": "10.9.0.1:8169"},
+            },
+            "terms": {
+                "bounds": {
+                    **bounds,
+                    "grace_s": 6,
+                    "budget_ratio": 0.2,
+                    "budget_window_s": 10,
+                    "budget_slack": 56,
+                }
+            },
+        }
+    )
+    assert str(settings.peers) == "10.0.0.2:7720"
+    assert settings.seeds == ("10.0.0.9:7720",)
+    assert settings.bounds.drain == 2.0
+    assert settings.strength == 1.5
+
+
+def test_only_end_to_end_headers_go_on() -> None:
+    """Headers of one connection end here; those of the router are its own."""
+    received = [
+        ("Host", "desk.example"),
+        ("Connection", "X-Hop, close"),
+        ("X-Hop", "1"),
+        ("X-Kept", "2"),
+        ("Swiftpin-Request-Id", "q1"),
+        ("Swiftpin-Deadline-Milliseconds", "9000"),
+        ("Swiftpin-Expected-Instance", "forged"),
+        ("Content-Length", "3"),
+    ]
+    headers = encode_request_headers(received, "desk.example", "i-1", 0.25)
+    assert dict(headers) == {
+        "X-Kept": "2",
+        "Swiftpin-Request-Id": "q1",
+        "Host": "desk.example",
+        "Swiftpin-Deadline-Milliseconds": "250",
+        "Swiftpin-Expected-Instance": "i-1",
+    }
+    assert "Keep-Alive" not in encode_answer_headers([("Keep-Alive", "timeout=5")])
+
+
+def test_malformed_key_is_the_callers_mistake() -> None:
+    """A key beyond the range is not routed anywhere."""
+    with pytest.raises(ValueError, match="out of range"):
+        decode_request_head({"Swiftpin-Shard-Key": "65536"})
+
+
+def test_answer_tells_whether_the_request_ran() -> None:
+    """Only a target's own word, or 421, says that it did not."""
+    assert decode_answer_head(503, {"Swiftpin-Not-Executed": "1"}).not_executed
+    assert decode_answer_head(421, {}).not_executed
+    assert not decode_answer_head(503, {}).not_executed
+    assert is_answer_to("q1", {})
+    assert not is_answer_to("q1", {"Swiftpin-Request-Id": "q0"})
+
+
+def test_deleted_and_malformed_objects_of_a_watch() -> None:
+    """Removals are told from changes; what cannot be read counts as no answer."""
+    event = {"object": {"metadata": {"name": "a", "revision": 2}}, "deleted": True}
+    changes = decode_changes({"events": [event], "at": 5})
+    assert changes.revision == 5
+    assert changes.objects[0].is_deleted
+    with pytest.raises(StoreUnavailableError):
+        decode_list({"items": [{}], "at": 1})
