--- a/swiftpin/bench/experiments/stops_balancer.py
+++ b/swiftpin/bench/experiments/stops_balancer.py
@@ -66,11 +66,11 @@
         for instance in candidates:
             address = parse_address(instance)
             try:
-                upstream = await asyncio.open_connection(address.host, address.port)
+                outgoing = await asyncio.open_connection(address.host, address.port)
             except OSError:
                 self.ready.discard(instance)
                 continue
-            await async_splice((reader, writer), upstream)
+            await async_splice((reader, writer), outgoing)
             return
         writer.transport.abort()
 
