Model key ranges under a lease and pledges

Cause: the ownership rules of the router (recorded moves, waits, pledges) stood only in code and prose.

Measured: the model is swept whole and has one owner in every state; each of six weakenings is found by its test (grants before recording, no wait, a clock that stops in a pause, a pledge that is ignored, earlier grants forgotten, a release that does not raise the fence).

--- a/spec/cases.py
+++ b/spec/cases.py
@@ -21,6 +21,8 @@
 )
 from spec.fenced.weakness import Weakness
 from spec.model_case import ModelCase
+from spec.ranges.model import key_range
+from spec.ranges.weakness import RangeWeakness
 from spec.wide.model import wide_group
 from spec.wide.weakness import WideWeakness
 
@@ -47,6 +49,10 @@
             protocol=cooperative_group("cooperative", CooperativeWeakness()),
             covers="four instances, up to three leases, no target checks grants",
         ),
+        ModelCase(
+            protocol=key_range("ranges", RangeWeakness()),
+            covers="lease and pledges, paused assigner, late grants, lost answers",
+        ),
     ]
 
 
--- /dev/null
+++ b/spec/ranges/__init__.py
@@ -0,0 +1,1 @@
+"""Model of the ownership of key ranges under a lease and pledges."""
--- /dev/null
+++ b/spec/ranges/model.py
@@ -0,0 +1,167 @@
+"""Ownership of a key range as a protocol that minicheck can check."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+from minicheck import Protocol
+
+from spec.ranges.weakness import RangeWeakness
+from spec.ranges.world import (
+    FIRST,
+    HOLD,
+    KEPT,
+    LEASE,
+    PLEDGE,
+    RECORDED,
+    RELEASED,
+    SECOND,
+    WAIT,
+    RangeWorld,
+)
+
+Step = tuple[str, RangeWorld]
+
+
+def key_range(name: str, weakness: RangeWeakness) -> Protocol:
+    """Return the protocol, weakened or not."""
+    return Protocol(
+        name=name,
+        candidate=False,
+        fields=RangeWorld._fields,
+        initial=RangeWorld(),
+        transitions=lambda state: list(_steps(weakness, RangeWorld._make(state))),
+        invariants={"one_owner": one_owner},
+    )
+
+
+def one_owner(state: Mapping[str, Any]) -> bool:
+    """Return whether at most one target holds the range."""
+    return not (state["held_by_t"] and state["held_by_u"])
+
+
+def _steps(weakness: RangeWeakness, world: RangeWorld) -> Iterator[Step]:
+    """Return every step that may come next; none follows a violation."""
+    if world.held_by_t and world.held_by_u:
+        return
+    yield "tick", _tick(weakness, world)
+    yield "store", world._replace(is_store_up=not world.is_store_up)
+    yield "pause", world._replace(is_first_paused=not world.is_first_paused)
+    if world.late_grant and world.fence_seen_by_t == 0:
+        yield "late grant", world._replace(held_by_t=world.late_grant, late_grant=0)
+    yield from _lease_steps(weakness, world)
+    if _first_assigns(world):
+        yield from _assigner_steps(weakness, world, FIRST)
+    if world.second_leads:
+        yield from _assigner_steps(weakness, world, SECOND)
+
+
+def _first_assigns(world: RangeWorld) -> bool:
+    """Return whether the first instance acts on its lease."""
+    has_lease = world.first_lease > 0 or world.first_pledge > 0
+    return has_lease and not world.is_first_paused
+
+
+def _tick(weakness: RangeWeakness, world: RangeWorld) -> RangeWorld:
+    """Let time pass everywhere."""
+    stops = weakness.clock_stops_in_pause and world.is_first_paused
+    waited = min(world.second_waited + 1, WAIT)
+    return world._replace(
+        first_lease=world.first_lease if stops else max(world.first_lease - 1, 0),
+        first_pledge=world.first_pledge if stops else max(world.first_pledge - 1, 0),
+        second_pledge=max(world.second_pledge - 1, 0),
+        second_waited=waited,
+        first_unsure=max(world.first_unsure - 1, 0),
+        second_unsure=max(world.second_unsure - 1, 0),
+        held_by_t=max(world.held_by_t - 1, 0),
+        held_by_u=max(world.held_by_u - 1, 0),
+        late_grant=max(world.late_grant - 1, 0),
+    )
+
+
+def _lease_steps(weakness: RangeWeakness, world: RangeWorld) -> Iterator[Step]:
+    """Return renewals, pledges and the takeover."""
+    if world.second_leads:
+        return
+    if _first_assigns(world) and world.is_store_up:
+        yield "renew lease", world._replace(first_lease=LEASE, second_waited=0)
+    if _first_assigns(world) and not world.is_store_up:
+        yield (
+            "pledge",
+            world._replace(first_pledge=PLEDGE, second_pledge=PLEDGE),
+        )
+    is_bound = world.second_pledge > 0 and not weakness.ignores_own_pledge
+    if world.is_store_up and world.second_waited >= WAIT and not is_bound:
+        unsure = 0 if weakness.forgets_earlier_grants else HOLD
+        yield (
+            "take over",
+            world._replace(
+                second_leads=True,
+                term=2,
+                second_stage=RECORDED if world.is_move_recorded else KEPT,
+                second_unsure=unsure,
+            ),
+        )
+
+
+def _assigner_steps(
+    weakness: RangeWeakness, world: RangeWorld, who: int
+) -> Iterator[Step]:
+    """Return what an instance with the lease may do next."""
+    stage = world.first_stage if who == FIRST else world.second_stage
+    unsure = world.first_unsure if who == FIRST else world.second_unsure
+    if stage == KEPT:
+        yield from _keep(weakness, world, who)
+    elif stage == RECORDED:
+        yield from _take_back(weakness, world, who, unsure)
+    else:
+        yield "grant U", world._replace(held_by_u=HOLD)
+
+
+def _keep(weakness: RangeWeakness, world: RangeWorld, who: int) -> Iterator[Step]:
+    """Return renewals of T's grant, and the record of the move.
+
+    Only the first instance's grants are lost on their way: their fence is the lowest.
+    """
+    sure = _with(world, who, unsure=HOLD)
+    if world.fence_seen_by_t == 0 or who == SECOND:
+        yield "grant T", sure._replace(held_by_t=HOLD)
+    if who == FIRST:
+        yield "grant T, late", sure._replace(late_grant=HOLD)
+    if world.is_store_up:
+        yield (
+            "record",
+            _with(world, who, stage=RECORDED)._replace(is_move_recorded=True),
+        )
+    elif weakness.grants_before_recording:
+        yield "move unrecorded", _with(world, who, stage=RECORDED)
+
+
+def _take_back(
+    weakness: RangeWeakness, world: RangeWorld, who: int, unsure: int
+) -> Iterator[Step]:
+    """Return the release and the wait for the end of T's grants."""
+    fence = 0 if weakness.release_keeps_fence else who + 1
+    released = world._replace(
+        held_by_t=0, fence_seen_by_t=max(world.fence_seen_by_t, fence)
+    )
+    yield "release", _with(released, who, stage=RELEASED)
+    yield "release, answer lost", released
+    if unsure == 0 or weakness.skips_wait:
+        yield "wait over", _with(world, who, stage=RELEASED)
+
+
+def _with(
+    world: RangeWorld, who: int, *, stage: int | None = None, unsure: int | None = None
+) -> RangeWorld:
+    """Return the world with an assigner's own knowledge changed."""
+    if who == FIRST:
+        return world._replace(
+            first_stage=world.first_stage if stage is None else stage,
+            first_unsure=world.first_unsure if unsure is None else unsure,
+        )
+    return world._replace(
+        second_stage=world.second_stage if stage is None else stage,
+        second_unsure=world.second_unsure if unsure is None else unsure,
+    )
--- /dev/null
+++ b/spec/ranges/weakness.py
@@ -0,0 +1,28 @@
+"""Rules that a model may leave out."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RangeWeakness:
+    """Each flag drops one rule; the model must then find two owners."""
+
+    grants_before_recording: bool = False
+    """The former owner is not in the record while it may hold the keys."""
+
+    skips_wait: bool = False
+    """Keys are granted on although a release had no answer and grants still run."""
+
+    clock_stops_in_pause: bool = False
+    """The lease is counted on a clock that stands still while an instance is paused."""
+
+    ignores_own_pledge: bool = False
+    """A member takes the lease over though it pledged not to."""
+
+    forgets_earlier_grants: bool = False
+    """A successor does not count what its predecessor may have granted."""
+
+    release_keeps_fence: bool = False
+    """A release does not raise the fence below which a target refuses late grants."""
