Stop requests that crash one target after the other

Cause: a request that crashes whatever runs it comes again at any instance; nothing stopped it, and each crash takes a target's keys away for seconds.

Change: requests without an answer are counted by what is equal in every resend; three different silenced targets within a minute refuse the request everywhere, for a minute, truly as not run.

Ruled out: counting at each instance alone: eight instances would let it through three times each.

Measured: test_poison_request_is_stopped, which failed before: three of six targets crash, then both instances refuse it.

--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -37,6 +37,7 @@
 from swiftpin.router.key_maps import KeyMaps
 from swiftpin.router.leader import Leader
 from swiftpin.router.metrics import Metrics
+from swiftpin.router.poison_watch import PoisonWatch
 from swiftpin.router.request_handler import RequestHandler
 from swiftpin.router.request_log import RequestLog
 from swiftpin.router.request_sender import RequestSender
@@ -91,6 +92,7 @@
         self._configuration = ConfigurationHolder()
         self._directory = TargetDirectory(self._health, settings.bounds.drain)
         self._maps = KeyMaps()
+        self._poison = PoisonWatch()
         self._store_http = HttpClient(connect_limit=CONNECT_TIMEOUT)
         self._store = StoreClient(str(settings.store), self._store_http)
         self._client = HttpClient(
@@ -123,6 +125,7 @@
             directory=self._directory,
             lifecycle=self._lifecycle,
             health=self._health,
+            poison=self._poison,
         )
         self._lease.on_seen = self._fleet.note_lease
         self._leader = Leader(
@@ -138,6 +141,7 @@
             maps=self._maps,
             desk=self._desk,
             bounds=settings.bounds,
+            poison=self._poison,
         )
         self._handler = RequestHandler(
             configuration=self._configuration,
--- a/swiftpin/router/exceptions.py
+++ b/swiftpin/router/exceptions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from swiftpin.exceptions import CallerMistakeError
+from swiftpin.exceptions import CallerMistakeError, NotRunError
 from swiftpin.result import ResultCode
 
 
@@ -11,3 +11,9 @@
 
     code = ResultCode.UNKNOWN_SERVICE
     status = 404
+
+
+class PoisonRequestError(NotRunError):
+    """The request crashed targets before and is not sent to another one."""
+
+    code = ResultCode.QUARANTINED
--- a/swiftpin/router/fleet_desk.py
+++ b/swiftpin/router/fleet_desk.py
@@ -32,6 +32,7 @@
 from swiftpin.platform.target_entries import decode_target_list, encode_target_list
 from swiftpin.router.configuration_holder import ConfigurationHolder
 from swiftpin.router.key_maps import KeyMaps
+from swiftpin.router.poison_watch import PoisonWatch
 from swiftpin.router.store_health import StoreHealth
 from swiftpin.router.target_directory import TargetDirectory
 
@@ -89,6 +90,7 @@
         directory: TargetDirectory,
         lifecycle: Lifecycle,
         health: StoreHealth,
+        poison: PoisonWatch,
     ) -> None:
         self.links = FleetLinks(
             incarnation=incarnation,
@@ -110,6 +112,9 @@
         self._directory = directory
         self._lifecycle = lifecycle
         self._health = health
+        self._poison = poison
+        poison.on_suspect = self._report_suspect
+        poison.on_quarantine = self._tell_quarantine
         self._leader = LeaseRecord(holder="", peer="", term=0, beat=0)
         self._leader_lost_since: float | None = None
         self._probe: asyncio.Task[None] | None = None
@@ -180,6 +185,11 @@
                 self._take_map_change(link, item.key_map_change)
             case "key_map_ask":
                 self._give_maps(link)
+            case "suspect":
+                self._take_suspect(item.suspect.fingerprint, item.suspect.target)
+            case "quarantine":
+                for fingerprint in item.quarantine.fingerprints:
+                    self._poison.quarantine(fingerprint, suspend_aware_now())
             case "homes":
                 self._take_homes(item.homes)
             case "hello":
@@ -281,6 +291,28 @@
         if self._desk.homes.number:
             link.send(self._homes_item())
 
+    @callback
+    def _report_suspect(self, fingerprint: int, target: str) -> None:
+        """Tell the instance that assigns keys of a request that silenced a target."""
+        link = self.links.outgoing_by_peer.get(self._leader.peer)
+        if link is None:
+            self._take_suspect(fingerprint, target)
+            return
+        suspect = pb.Suspect(fingerprint=fingerprint, target=target)
+        link.send(pb.Item(suspect=suspect))
+
+    @callback
+    def _take_suspect(self, fingerprint: int, target: str) -> None:
+        """Count a silenced target."""
+        self._poison.note_silenced(fingerprint, target, suspend_aware_now())
+
+    @callback
+    def _tell_quarantine(self, fingerprint: int) -> None:
+        """Tell everyone which request to refuse."""
+        verdict = pb.Quarantine(fingerprints=[fingerprint])
+        for link in self.links.incoming:
+            link.send(pb.Item(quarantine=verdict))
+
     @callback
     def _take_map_change(self, link: PeerLink, change: Item) -> None:
         """Take what changed of a map; ask for the whole when one was missed."""
--- a/swiftpin/router/request_sender.py
+++ b/swiftpin/router/request_sender.py
@@ -39,7 +39,9 @@
 from swiftpin.router.call import Call
 from swiftpin.router.caller_answer import WHOLE_LIMIT
 from swiftpin.router.configuration_holder import ConfigurationHolder
+from swiftpin.router.exceptions import PoisonRequestError
 from swiftpin.router.key_maps import KeyMaps
+from swiftpin.router.poison_watch import PoisonWatch, fingerprint_of
 from swiftpin.router.received import Received
 from swiftpin.router.request_kind import RequestKind
 from swiftpin.router.target_directory import TargetDirectory
@@ -57,6 +59,9 @@
 """Seconds after which a caller may come back whose request a target refused: one that
 sheds by chance takes the next, and the queue here tells the load of the others."""
 
+POISON_RETRY: Final = 5.0
+"""Seconds that a caller is told whose request crashes targets; sooner is of no use."""
+
 ONCE_IDLE: Final = 1.0
 """Seconds for which a connection may have been idle that carries a request which must
 not run twice: targets close idle connections, at times unannounced, and a request that
@@ -97,6 +102,7 @@
         maps: KeyMaps,
         desk: PermitDesk,
         bounds: Bounds,
+        poison: PoisonWatch,
     ) -> None:
         self.load = LoadNews()
         self.members = 1
@@ -106,6 +112,7 @@
         self._maps = maps
         self._desk = desk
         self._bounds = bounds
+        self._poison = poison
         self._budgets_by_service: dict[str, WindowBudget] = {}
 
     @callback
@@ -120,6 +127,10 @@
 
         Raises a `RequestError` that says truly whether the request ran.
         """
+        if self._poison.is_quarantined(self._fingerprint(call), suspend_aware_now()):
+            raise PoisonRequestError(
+                "the request crashed several targets", retry_after=POISON_RETRY
+            )
         budget = self._budget(call.service)
         budget.record_first(suspend_aware_now())
         if self._is_keyed(call) and call.head.key is not None:
@@ -136,6 +147,14 @@
             received.finish(asyncio.get_running_loop().time())
         raise self._failure(call)
 
+    @callback
+    def _fingerprint(self, call: Call) -> int:
+        """Return what is equal for every resend of the request."""
+        request = call.request
+        return fingerprint_of(
+            request.host, request.raw_path, call.head.key, call.body.head
+        )
+
     @callback
     def _is_keyed(self, call: Call) -> bool:
         """Return whether the request's service is divided by key."""
@@ -210,6 +229,7 @@
         except AnswerBrokenError as err:
             call.may_have_run = True
             self._note_failed(call, permit, f"broken: {err}")
+            self._poison.on_suspect(self._fingerprint(call), permit.target)
             return None
         except BaseException:
             # The deadline passed or the caller left.
--- a/tests/router/target_standin.py
+++ b/tests/router/target_standin.py
@@ -40,6 +40,7 @@
         self.loses_grant_answers = 0
         self.breaks_answers = 0
         self.sheds = 0
+        self.crashed: asyncio.Task[None] | None = None
         self.running = 0
         self.most_running = 0
         self._highest_fences: list[tuple[int, int, int]] = []
@@ -63,6 +64,11 @@
             await self._runner.cleanup()
             self._runner = None
 
+    def crash(self) -> None:
+        """End without a word, soon."""
+        loop = asyncio.get_running_loop()
+        self.crashed = loop.create_task(self.async_unload())
+
     def entry(self, service: str, *, state: str = "ready") -> dict[str, Any]:
         """Return the target's entry in the store."""
         return {
@@ -154,6 +160,10 @@
         body = await request.read()
         request_id = request.headers["Swiftpin-Request-Id"]
         self.runs.append(request_id)
+        if request.path.endswith("/poison"):
+            assert request.transport is not None
+            request.transport.abort()
+            self.crash()
         self.deadlines.append(int(request.headers["Swiftpin-Deadline-Milliseconds"]))
         self.running += 1
         self.most_running = max(self.most_running, self.running)
--- a/tests/router/test_site.py
+++ b/tests/router/test_site.py
@@ -290,3 +290,26 @@
     """A service without keys needs no grant."""
     reply = await site.async_call("/files/x", key=None)
     assert reply.status == 200
+
+
+async def test_poison_request_is_stopped(site: Site) -> None:
+    """Symptom: one target after the other crashed, each with all its keys.
+
+    Sequence: a request crashes whatever runs it; its caller sends it again and again,
+    to any instance. Cause: each resend was a new request to every instance.
+    """
+    for number in range(3):
+        await site.async_add_target(f"more{number}", "desk")
+    for number in range(40):
+        reply = await site.async_call("/read/poison", via=f"i{number % 2}", key=1)
+        assert reply.status in (502, 503)
+        if b"QUARANTINED" in reply.body:
+            break
+        await asyncio.sleep(0.1)
+    assert b"QUARANTINED" in reply.body
+    crashed = [t for t in site.targets_by_name.values() if t.crashed is not None]
+    assert len(crashed) == 3
+    await asyncio.sleep(0.1)
+    for via in site.routers_by_name:
+        reply = await site.async_call("/read/poison", via=via, key=1)
+        assert b"QUARANTINED" in reply.body
