--- a/swiftpin/fleet/messages.py
+++ b/swiftpin/fleet/messages.py
@@ -17,6 +17,9 @@
     counts_by_service: dict[str, dict[int, int]] = field(default_factory=dict)
     seconds_by_target: dict[tuple[str, str], list[float]] = field(default_factory=dict)
     failures_by_target: dict[tuple[str, str], int] = field(default_factory=dict)
+    cut_seconds_by_target: dict[tuple[str, str], list[float]] = field(
+        default_factory=dict
+    )
 
     def add_key(self, service: str, key: int) -> None:
         """Count a request for a key."""
@@ -31,19 +34,28 @@
         else:
             self.seconds_by_target.setdefault((service, target), []).append(seconds)
 
+    def add_cut(self, service: str, target: str, seconds: float) -> None:
+        """Note a request that was given up after some seconds at a target."""
+        self.cut_seconds_by_target.setdefault((service, target), []).append(seconds)
+
 
 def encode_load(news: LoadNews) -> Item:
     """Return a report as an item."""
     report = pb.LoadReport()
     for service, counts in news.counts_by_service.items():
         report.loads.add(service=service, keys=counts.keys(), counts=counts.values())
-    pairs = news.seconds_by_target.keys() | news.failures_by_target.keys()
+    pairs = (
+        news.seconds_by_target.keys()
+        | news.failures_by_target.keys()
+        | news.cut_seconds_by_target.keys()
+    )
     for service, target in pairs:
         report.times.add(
             service=service,
             target=target,
             seconds=news.seconds_by_target.get((service, target), ()),
             failures=news.failures_by_target.get((service, target), 0),
+            cut_seconds=news.cut_seconds_by_target.get((service, target), ()),
         )
     return pb.Item(load=report)
 
--- a/swiftpin/keyranges/target_speed.py
+++ b/swiftpin/keyranges/target_speed.py
@@ -6,7 +6,7 @@
 
 from swiftpin.core import callback
 
-WEIGHT: Final = 0.08
+WEIGHT: Final = 0.12
 """Weight of one observation; work differs by request, so single ones say little."""
 
 FIRST_TIME: Final = 0.2
@@ -42,6 +42,18 @@
         expected = seconds / max(factor, FASTEST)
         self.mean_time += WEIGHT / 4 * (expected - self.mean_time)
 
+    @callback
+    def add_cut(self, target: str, seconds: float) -> None:
+        """Take a request that was given up: it would have taken at least as long.
+
+        A target that turned slow answers none in time; counted by its answers alone it
+        would look as fast as before. A shorter time than usual says nothing.
+        """
+        factor = self._factors_by_target.get(target, 1.0)
+        if seconds > factor * self.mean_time:
+            seen = min(seconds / self.mean_time, SLOWEST)
+            self._factors_by_target[target] = factor + WEIGHT * (seen - factor)
+
     @callback
     def capacity(self, target: str, slots: int) -> float:
         """Return the requests a second that a target can bear."""
--- a/swiftpin/permits/permit_desk.py
+++ b/swiftpin/permits/permit_desk.py
@@ -115,9 +115,16 @@
             )
 
     @callback
-    def end(self, permit: Permit, seconds: float, *, failed: bool) -> None:
-        """Hand a permit back; `seconds` is 0 when it says nothing of the target."""
-        self._end(permit.service, permit.number, permit.home, seconds, failed=failed)
+    def end(
+        self, permit: Permit, seconds: float, *, failed: bool, cut: bool = False
+    ) -> None:
+        """Hand a permit back; `seconds` is 0 when it says nothing of the target.
+
+        A request that was given up (`cut`) would have taken at least as long.
+        """
+        self._end(
+            permit.service, permit.number, permit.home, seconds, failed=failed, cut=cut
+        )
 
     @callback
     def set_targets(self, service: str, targets: list[Target]) -> None:
@@ -196,6 +203,7 @@
             (_asker(link), end.id),
             end.seconds,
             failed=end.failed,
+            cut=end.cut,
             now=asyncio.get_running_loop().time(),
         )
 
@@ -257,6 +265,7 @@
         seconds: float,
         *,
         failed: bool,
+        cut: bool = False,
     ) -> None:
         """Hand back a permit, or a question that nobody waits for any more."""
         if home is None:
@@ -264,13 +273,18 @@
                 (self._incarnation, number),
                 seconds,
                 failed=failed,
+                cut=cut,
                 now=asyncio.get_running_loop().time(),
             )
             return
         home.send(
             pb.Item(
                 end=pb.PermitEnd(
-                    id=number, service=service, seconds=seconds, failed=failed
+                    id=number,
+                    service=service,
+                    seconds=seconds,
+                    failed=failed,
+                    cut=cut,
                 )
             )
         )
--- a/swiftpin/permits/permit_queue.py
+++ b/swiftpin/permits/permit_queue.py
@@ -63,11 +63,18 @@
 
     @callback
     def end(
-        self, request_id: tuple[str, int], seconds: float, *, failed: bool, now: float
+        self,
+        request_id: tuple[str, int],
+        seconds: float,
+        *,
+        failed: bool,
+        now: float,
+        cut: bool = False,
     ) -> None:
         """Take back a permit, or a request that waits for one.
 
-        `seconds` is how long the target took, 0 when that says nothing about it.
+        `seconds` is how long the target took, 0 when that says nothing about it; a
+        request that was given up (`cut`) would have taken at least that long.
         """
         target = self._running.pop(request_id, None)
         if target is None:
@@ -77,7 +84,7 @@
         slots.running -= 1
         if failed:
             slots.note_failure(now)
-        elif seconds > 0:
+        elif seconds > (slots.mean_time if cut else 0):
             slots.note_time(seconds)
         self._serve(target, now)
 
--- a/swiftpin/router/leader.py
+++ b/swiftpin/router/leader.py
@@ -62,6 +62,8 @@
                 continue
             for seconds in times.seconds:
                 keeper.speed.add(times.target, seconds, failed=False)
+            for seconds in times.cut_seconds:
+                keeper.speed.add_cut(times.target, seconds)
             for _ in range(times.failures):
                 keeper.speed.add(times.target, 0.0, failed=True)
 
--- a/swiftpin/router/request_sender.py
+++ b/swiftpin/router/request_sender.py
@@ -236,7 +236,8 @@
             if state.written:
                 call.may_have_run = True
             elapsed = asyncio.get_running_loop().time() - began_at
-            self._desk.end(permit, elapsed, failed=False)
+            self._desk.end(permit, elapsed, failed=False, cut=True)
+            self.load.add_cut(call.service, permit.target, elapsed)
             raise
         finally:
             call.sends += state.written
--- /dev/null
+++ b/tests/keyranges/test_target_speed.py
@@ -0,0 +1,46 @@
+"""Tests of measured speeds."""
+
+from __future__ import annotations
+
+from swiftpin.keyranges.target_speed import TargetSpeed
+
+
+def test_slow_target_bears_less() -> None:
+    """Capacity follows the times of a target's own requests."""
+    speed = TargetSpeed()
+    for _ in range(60):
+        speed.add("fast", 0.1, failed=False)
+        speed.add("slow", 0.3, failed=False)
+    assert speed.capacity("fast", 2) > 2 * speed.capacity("slow", 2)
+
+
+def test_target_that_answers_nothing_in_time_turns_slow() -> None:
+    """Symptom: requests went on timing out at one target for seconds.
+
+    Sequence: a target became twelve times slower; none of its requests ended in time.
+    Cause: only requests that were answered told its speed.
+    """
+    speed = TargetSpeed()
+    for _ in range(20):
+        speed.add("a", 0.2, failed=False)
+    before = speed.capacity("a", 2)
+    for _ in range(5):
+        speed.add_cut("a", 1.2)
+    assert speed.capacity("a", 2) < before / 2
+
+
+def test_caller_that_leaves_early_says_nothing() -> None:
+    """A request given up sooner than usual does not make a target look fast."""
+    speed = TargetSpeed()
+    before = speed.capacity("a", 2)
+    speed.add_cut("a", 0.01)
+    assert speed.capacity("a", 2) == before
+
+
+def test_failing_target_bears_less() -> None:
+    """A target that fails part of its requests gets fewer keys."""
+    speed = TargetSpeed()
+    before = speed.capacity("a", 2)
+    for _ in range(10):
+        speed.add("a", 0.0, failed=True)
+    assert speed.capacity("a", 2) < before / 2
