--- a/tests/router/site.py
+++ b/tests/router/site.py
@@ -179,6 +179,13 @@
             for router in self.routers_by_name.values()
         )
 
+    def is_owner(self, target: str) -> bool:
+        """Return whether some instance's key map names a target."""
+        return any(
+            target in router._maps.maps_by_service["desk"].owners
+            for router in self.routers_by_name.values()
+        )
+
     async def async_wait(self, condition: Callable[[], bool]) -> None:
         """Wait until a condition holds."""
         async with asyncio.timeout(WAIT):
--- a/tests/router/test_site.py
+++ b/tests/router/test_site.py
@@ -151,7 +151,8 @@
     """Within the drain time everything goes elsewhere, with one owner at a time."""
     target = site.targets_by_name["t0"]
     site.store.put("servers", "t0", target.entry("desk", state="draining"))
-    await site.async_wait(lambda: not target.held and site.is_served())
+    await site.async_wait(lambda: site.is_served() and not site.is_owner("t0"))
+    assert not target.held
     for key in SAMPLE:
         assert len(owners(site, key)) == 1
         assert (await site.async_call("/read/x", key=key)).status == 200
@@ -161,15 +162,7 @@
     """A refused connection shows that the process is gone; no grant is waited out."""
     await site.targets_by_name["t0"].async_unload()
     started = asyncio.get_running_loop().time()
-    await site.async_wait(
-        lambda: (
-            site.is_served()
-            and all(
-                "t0" not in router._maps.maps_by_service["desk"].owners
-                for router in site.routers_by_name.values()
-            )
-        )
-    )
+    await site.async_wait(lambda: site.is_served() and not site.is_owner("t0"))
     assert asyncio.get_running_loop().time() - started < HOLD_TIME
 
 
@@ -185,12 +178,7 @@
     newcomer = TargetStandin("v9", is_keyed=False)
     await newcomer.async_setup(port)
     site.targets_by_name["v9"] = newcomer
-    await site.async_wait(
-        lambda: all(
-            "t0" not in router._maps.maps_by_service["desk"].owners
-            for router in site.routers_by_name.values()
-        )
-    )
+    await site.async_wait(lambda: not site.is_owner("t0"))
     assert not newcomer.runs
 
 
