Refuse who still waits for a slot before a planned stop ends

Ruled out: ending earlier; requests that targets have need the rest of the time.

Measured: test_planned_stop_refuses_who_still_waits fails without the change and passes with it.

--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -66,8 +66,13 @@
 """Seconds for which a leaving instance still listens: the balancer asks once a second
 and takes it out after two refusals."""
 
-STOP_MARGIN: Final = 0.6
-"""Seconds before the end of the grace period at which the process ends by itself."""
+STOP_MARGIN: Final = 0.8
+"""Seconds before the end of the grace period at which the process ends by itself: to
+close everything takes a slow instance some tenths of a second."""
+
+WAITING_SHARE: Final = 0.6
+"""Part of the grace period for which requests may still wait for a slot; the rest is
+for those that a target has."""
 
 STOP_TICK: Final = 0.02
 """Seconds between two looks whether a leaving instance may end."""
@@ -201,12 +206,15 @@
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + self._settings.bounds.grace - STOP_MARGIN
         listens_until = loop.time() + BALANCER_TIME
+        waits_until = loop.time() + self._settings.bounds.grace * WAITING_SHARE
         while loop.time() < ends_at:
             if not self._keeps_lease():
                 await self._lease.async_give_up()
             if loop.time() >= listens_until:
                 self._callers.stop_listening()
                 self._handler.refuse_new()
+            if loop.time() >= waits_until:
+                self._handler.refuse_waiting()
                 if not self._handler.in_flight and not self._keeps_lease():
                     break
             await asyncio.sleep(STOP_TICK)
--- a/swiftpin/router/call.py
+++ b/swiftpin/router/call.py
@@ -25,6 +25,9 @@
     """When the caller gets a final answer, whatever happens."""
 
     sends: int = 0
+    is_sent: bool = False
+    """Whether a target has the request now."""
+
     may_have_run: bool = False
     """Whether a target got the request and did not say that it did not run it."""
 
--- a/swiftpin/router/request_handler.py
+++ b/swiftpin/router/request_handler.py
@@ -17,7 +17,7 @@
     RequestError,
     ShuttingDownError,
 )
-from swiftpin.gateway.deadline_watch import DeadlineWatch
+from swiftpin.gateway.deadline_watch import Deadline, DeadlineWatch
 from swiftpin.gateway.http_listener import GatewayProtocol
 from swiftpin.gateway.lifecycle import Lifecycle
 from swiftpin.gateway.request_body import RequestBody
@@ -53,6 +53,7 @@
     ) -> None:
         self.in_flight = 0
         self._refuses_new = False
+        self._deadlines_by_call: dict[int, tuple[Call, Deadline]] = {}
         self._configuration = configuration
         self._sender = sender
         self._lifecycle = lifecycle
@@ -73,6 +74,17 @@
         """
         self._refuses_new = True
 
+    @callback
+    def refuse_waiting(self) -> None:
+        """End the wait of every request that no target has.
+
+        A queue may be longer than what is left of the grace period; who waits in it
+        would be cut off without an answer, and can be served elsewhere.
+        """
+        for call, deadline in self._deadlines_by_call.values():
+            if not call.is_sent:
+                deadline.interrupt()
+
     @callback
     def unload(self) -> None:
         """Stop the timer of the deadlines."""
@@ -148,11 +160,14 @@
     async def _async_run(self, call: Call, answer: CallerAnswer) -> None:
         """Have a request sent and pass its answer on, in time."""
         try:
-            with self._deadlines.until(call.ends_at):
+            with self._deadlines.until(call.ends_at) as deadline:
+                self._deadlines_by_call[id(call)] = (call, deadline)
                 await call.body.async_prefetch()
                 received = await self._sender.async_send(call)
         except TimeoutError as err:
             raise _timeout_error(call) from err
+        finally:
+            self._deadlines_by_call.pop(id(call), None)
         try:
             # What has begun to arrive is passed on, also when it takes longer.
             await answer.async_relay(received.answer, received.first)
--- a/swiftpin/router/request_sender.py
+++ b/swiftpin/router/request_sender.py
@@ -241,6 +241,7 @@
             raise
         finally:
             call.sends += state.written
+            call.is_sent = False
         return received
 
     async def _async_owner(self, call: Call) -> str:
@@ -323,7 +324,7 @@
                 body=call.body,
             ),
             state,
-            partial(self._check_target, permit.target),
+            partial(self._check_target, call, permit.target),
             connections=self._connections(call.service),
             check=partial(is_answer_to, call.head.id),
             max_idle=ONCE_IDLE if once else math.inf,
@@ -359,7 +360,7 @@
         return Received(answer=answer, first=first)
 
     @callback
-    def _check_target(self, target_id: str, now: float) -> None:
+    def _check_target(self, call: Call, target_id: str, now: float) -> None:
         """Hold a request back whose target has left while it waited.
 
         Time for a slot and for a connection may have passed since the target was
@@ -367,6 +368,7 @@
         """
         if not self._directory.may_send(target_id, suspend_aware_now()):
             raise RequestNotSentError(f"{target_id} has left")
+        call.is_sent = True
 
     @callback
     def _note_refused(
--- a/tests/router/site.py
+++ b/tests/router/site.py
@@ -90,6 +90,7 @@
     route("/read/", "safe"),
     route("/book/", "unsafe"),
     route("/files/", "download", "vault"),
+    route("/slow/", "safe", timeout_ms=9000),
 ]
 
 
--- a/tests/router/test_site.py
+++ b/tests/router/test_site.py
@@ -301,3 +301,25 @@
     for via in site.routers_by_name:
         reply = await site.async_call("/read/poison", via=via, key=1)
         assert b"QUARANTINED" in reply.body
+
+
+async def test_planned_stop_refuses_who_still_waits(site: Site) -> None:
+    """Symptom: connections ended without an answer at planned stops.
+
+    Sequence: requests waited for a slot for longer than the grace period; the process
+    was killed at its end. Cause: the stop waited for them like for those at work.
+    """
+    for target in site.targets_by_name.values():
+        target.work = 0.8
+    calls = [
+        asyncio.create_task(site.async_call("/slow/x", via="i0", deadline=9000))
+        for _ in range(12)
+    ]
+    await site.async_wait(lambda: site.routers_by_name["i0"]._handler.in_flight == 12)
+    await site.routers_by_name["i0"].async_stop()
+    replies = await asyncio.gather(*calls)
+    for reply in replies:
+        assert reply.status in (200, 503)
+        if reply.status == 503:
+            assert site.runs_of(reply.headers["id"]) == 0
+    assert 503 in {reply.status for reply in replies}
