Split record and grants from the keeper of ranges; renew fully after a trial grant

Reading it showed that a target that answers again after a silence kept a grant of 0.2 s until its next renewal, up to a second later, and refused its keys meanwhile.

Measured: test_target_that_answers_again_gets_the_usual_time; tests/router and tests/keyranges pass.

--- a/swiftpin/keyranges/const.py
+++ b/swiftpin/keyranges/const.py
@@ -62,3 +62,6 @@
 
 PLAN_INTERVAL: Final = 0.15
 """Seconds between two looks at the load; hot keys change within seconds."""
+
+SHORTEST_HOLD: Final = 0.2
+"""Seconds of the shortest grant that is worth a call."""
--- a/swiftpin/keyranges/range_keeper.py
+++ b/swiftpin/keyranges/range_keeper.py
@@ -12,26 +12,22 @@
 from swiftpin.core import callback
 from swiftpin.exceptions import (
     ConfigurationError,
-    StoreConflictError,
     StoreError,
     TargetUnreachableError,
 )
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.keyranges.assignment import (
     Assignment,
-    decode_assignment,
     divide_evenly,
-    encode_assignment,
 )
+from swiftpin.keyranges.assignment_record import AssignmentRecord
 from swiftpin.keyranges.const import (
-    CONTROL_TIMEOUT,
     GRANT_RENEW,
     HOLD_BEYOND_RENEWAL,
-    KIND_ASSIGNMENT,
     PLAN_INTERVAL,
-    RELEASE_TIMEOUT,
     RENEWALS_PER_SECOND,
 )
+from swiftpin.keyranges.granter import Granter
 from swiftpin.keyranges.key_load import KeyLoad
 from swiftpin.keyranges.key_map import KeyMap
 from swiftpin.keyranges.lease import LeaseKeeper
@@ -45,10 +41,7 @@
     GrantRefusedError,
     KeyGrant,
     TargetControl,
-    TargetNotReachedError,
-    TargetRefusedConnectionError,
     TargetReplacedError,
-    UnexpectedAnswerError,
 )
 from swiftpin.router.store_health import StoreHealth
 from swiftpin.router.target import Target
@@ -74,9 +67,6 @@
 FAILING_RENEW: Final = 0.25
 """Seconds between two tries at a target that did not answer."""
 
-SHORTEST_HOLD: Final = 0.2
-"""Seconds of the shortest grant that is worth a call."""
-
 PUBLISH_PAUSE: Final = 0.02
 """Seconds for which changes of the map are collected: moves end in swarms, and each
 change goes to every instance."""
@@ -119,23 +109,24 @@
         self.load = KeyLoad()
         self.speed = TargetSpeed()
         self._service = service
-        self._client = client
-        self._control = control
+        self._record = AssignmentRecord(service, client, health)
+        self._granter = Granter(
+            control=control,
+            directory=directory,
+            health_path=health_path,
+            usual_hold=self._usual_hold,
+        )
         self._directory = directory
         self._lease = lease
         self._health = health
         self._longest_hold = longest_hold
-        self._health_path = health_path
         self._on_map = on_map
         self._count_members = count_members
         self._term = lease.term
         self._took_over_at = suspend_aware_now()
         self._assignment: Assignment | None = None
-        self._revision: int | None = None
         self._next_fence = self._term * FENCES_A_TERM + 1
         self._granted_fences: set[int] = set()
-        self._handovers_by_fence: dict[int, str] = {}
-        self._contacts_by_target: dict[str, TargetContact] = {}
         self._moves_by_first: dict[int, asyncio.Task[None]] = {}
         self._map_number = 0
         self._publishing: asyncio.TimerHandle | None = None
@@ -175,9 +166,7 @@
 
     async def _async_read_record(self) -> None:
         """Take the assignment that a former holder of the lease left."""
-        found = await self._client.async_get(KIND_ASSIGNMENT, self._service)
-        assignment = decode_assignment(found.content)
-        self._revision = found.revision
+        assignment = await self._record.async_read()
         self._assignment = assignment
         hold = self._predecessor_hold(len(assignment.segments))
         # Whatever the former holder granted ends at the latest by then.
@@ -185,12 +174,12 @@
             self._granted_fences.add(segment.fence)
             for target in (segment.owner, segment.former):
                 if target:
-                    contact = self._contact(target)
+                    contact = self._granter.contact(target)
                     contact.note_grant(self._took_over_at, hold)
         log_message(
             message_type="assignment_loaded",
             service=self._service,
-            revision=found.revision,
+            revision=self._record.revision,
             segments=len(assignment.segments),
             term=self._term,
         )
@@ -211,50 +200,12 @@
             await asyncio.sleep(FIRST_TARGETS_WAIT)
         weights = {target.id: float(target.slots) for target in targets}
         assignment = divide_evenly(weights, self._take_fences(1))
-        self._revision = await self._client.async_create(
-            KIND_ASSIGNMENT, self._service, encode_assignment(assignment)
-        )
+        await self._record.async_create(assignment)
         self._assignment = assignment
         log_message(
             message_type="assignment_made", service=self._service, targets=len(targets)
         )
 
-    async def _async_record(self, assignment: Assignment) -> bool:
-        """Write an assignment; return whether it certainly stands."""
-        content = encode_assignment(assignment)
-        try:
-            self._revision = await self._client.async_replace(
-                KIND_ASSIGNMENT, self._service, content, self._revision
-            )
-        except StoreConflictError as err:
-            # Either another instance assigns keys by now, or this is the late effect
-            # of a write of this one whose answer was lost.
-            return await self._async_settle(content, str(err))
-        except StoreError as err:
-            self._health.note_failure(str(err), suspend_aware_now())
-            return await self._async_settle(content, str(err))
-        self._health.note_answer(suspend_aware_now())
-        return True
-
-    async def _async_settle(self, content: dict[str, object], reason: str) -> bool:
-        """Read back whether a write stands."""
-        try:
-            found = await self._client.async_get(KIND_ASSIGNMENT, self._service)
-        except StoreError as err:
-            reason = f"{reason}; {err}"
-            found = None
-        stands = found is not None and found.content == content
-        log_message(
-            message_type="assignment_unsettled",
-            level="warning",
-            service=self._service,
-            reason=reason,
-            stands=stands,
-        )
-        if found is not None:
-            self._revision = found.revision
-        return stands
-
     @callback
     def _take_fences(self, count: int) -> int:
         """Return the first of some fences that were never used."""
@@ -286,7 +237,7 @@
         self._take_fences(len(joined_fences))
         first_fence = self._take_fences(len(moves))
         planned = joined.with_moves(moves, first_fence)
-        if not await self._async_record(planned):
+        if not await self._record.async_replace(planned):
             return
         # The owner holds all keys of a joined segment under their earlier fences.
         self._granted_fences.update(joined_fences)
@@ -303,8 +254,7 @@
         """Return the requests a second that each eligible target can bear."""
         capacities = {}
         for target in self._directory.serving_targets(self._service, now):
-            contact = self._contacts_by_target.get(target.id)
-            if contact is not None and contact.is_lost(now):
+            if self._granter.is_lost(target.id, now):
                 continue
             capacity = self.speed.capacity(target.id, target.slots)
             seen_since = self._directory.seen_since_by_id.get(target.id, now)
@@ -325,7 +275,7 @@
                 source=move.source,
                 to=move.to,
                 fence=first_fence + number,
-                revision=self._revision,
+                revision=self._record.revision,
             )
 
     # Moves.
@@ -350,7 +300,7 @@
         started_at = suspend_aware_now()
         handover = await self._async_take_back(segment)
         if handover is not None:
-            self._handovers_by_fence[segment.fence] = handover
+            self._granter.handovers_by_fence[segment.fence] = handover
         released_at = suspend_aware_now()
         granted = await self._async_grant_new(segment)
         assert self._assignment is not None
@@ -374,14 +324,14 @@
 
     async def _async_take_back(self, segment: Segment) -> str | None:
         """Return the handover once the former owner certainly lets go of the keys."""
-        contact = self._contact(segment.former)
+        contact = self._granter.contact(segment.former)
         async with contact.calls:
             # Renewals that were under way when the record changed have ended.
             held_until = contact.held_until
         grant = KeyGrant(first=segment.first, last=segment.last, fence=segment.fence)
         while True:
             now = suspend_aware_now()
-            self._contact(segment.former)
+            self._granter.contact(segment.former)
             if contact.is_gone or now >= held_until:
                 return None
             target = self._directory.targets_by_id.get(segment.former)
@@ -389,7 +339,7 @@
                 await asyncio.sleep(held_until - now)
                 return None
             try:
-                return await self._async_release(target, grant, contact)
+                return await self._granter.async_release(target, grant, contact)
             except (TargetReplacedError, GrantRefusedError) as err:
                 log_message(
                     message_type="release_needless",
@@ -401,32 +351,9 @@
                 left = held_until - suspend_aware_now()
                 await asyncio.sleep(max(min(RETRY_PAUSE, left), 0.0))
 
-    async def _async_release(
-        self, target: Target, grant: KeyGrant, contact: TargetContact
-    ) -> str | None:
-        """Send one release."""
-        try:
-            handover = await self._control.async_release(
-                target.address, target.id, grant, limit=RELEASE_TIMEOUT
-            )
-        except TargetReplacedError:
-            contact.is_gone = True
-            raise
-        except TargetRefusedConnectionError:
-            contact.note_refusal(suspend_aware_now())
-            raise
-        except UnexpectedAnswerError:
-            await self._async_identify(target, contact)
-            raise
-        except TargetUnreachableError:
-            contact.note_failure(suspend_aware_now())
-            raise
-        contact.note_answer()
-        return handover
-
     async def _async_grant_new(self, segment: Segment) -> bool:
         """Grant keys to their new owner; return whether it took them."""
-        contact = self._contact(segment.owner)
+        contact = self._granter.contact(segment.owner)
         while True:
             target = self._directory.targets_by_id.get(segment.owner)
             now = suspend_aware_now()
@@ -434,76 +361,12 @@
                 return False
             if contact.is_lost(now):
                 return False
-            if await self._async_grant(target, segment, contact):
+            if await self._granter.async_grant(target, segment, contact):
                 return True
             await asyncio.sleep(RETRY_PAUSE)
 
     # Grants.
 
-    async def _async_grant(
-        self, target: Target, segment: Segment, contact: TargetContact
-    ) -> bool:
-        """Send one grant or renewal; return whether the target took it."""
-        sent_at = suspend_aware_now()
-        hold = self._hold(contact, sent_at)
-        try:
-            await self._control.async_grant(
-                target.address,
-                target.id,
-                KeyGrant(first=segment.first, last=segment.last, fence=segment.fence),
-                hold=hold,
-                handover=self._handovers_by_fence.get(segment.fence),
-                limit=CONTROL_TIMEOUT,
-            )
-        except GrantRefusedError as err:
-            log_message(
-                message_type="grant_refused",
-                level="warning",
-                target=target.id,
-                first=segment.first,
-                fence=segment.fence,
-                error=str(err),
-            )
-            contact.note_answer()
-            return False
-        except TargetReplacedError as err:
-            log_message(message_type="target_replaced", target=target.id, by=str(err))
-            contact.is_gone = True
-            return False
-        except TargetRefusedConnectionError:
-            contact.note_refusal(suspend_aware_now())
-            return False
-        except UnexpectedAnswerError as err:
-            self._note_unanswered(target, contact, str(err))
-            await self._async_identify(target, contact)
-            return False
-        except TargetNotReachedError as err:
-            self._note_unanswered(target, contact, str(err))
-            return False
-        except TargetUnreachableError as err:
-            contact.note_grant(sent_at, hold)
-            self._note_unanswered(target, contact, str(err))
-            return False
-        contact.note_grant(sent_at, hold)
-        contact.note_answer()
-        return True
-
-    async def _async_identify(self, target: Target, contact: TargetContact) -> None:
-        """Find out whether another target has the address by now.
-
-        One of another service does not take grants and may not say who it is; then
-        the target meant is gone, and its keys need not wait for its grants to end.
-        """
-        found = await self._control.async_identify(
-            target.address, self._health_path, limit=CONTROL_TIMEOUT
-        )
-        if found is None or found == target.id:
-            contact.note_failure(suspend_aware_now())
-            return
-        log_message(message_type="target_replaced", target=target.id, by=found)
-        contact.is_gone = True
-        self._directory.note_replaced(target.id, suspend_aware_now())
-
     @callback
     def _renew_pause(self) -> float:
         """Return the seconds between two renewals of a grant."""
@@ -525,32 +388,6 @@
         pause = GRANT_RENEW if segments < RENEWALS_PER_SECOND / 2 else MOST_RENEW_PAUSE
         return min(pause + HOLD_BEYOND_RENEWAL, self._longest_hold)
 
-    @callback
-    def _hold(self, contact: TargetContact, now: float) -> float:
-        """Return for how long to grant, in seconds.
-
-        A target that did not answer is asked again, but not beyond what it may hold
-        anyway: else each try would put off the moment at which its keys are free.
-        """
-        hold = self._usual_hold()
-        if contact.is_failing:
-            return max(min(hold, contact.unextended_hold(now)), SHORTEST_HOLD)
-        return hold
-
-    @callback
-    def _note_unanswered(
-        self, target: Target, contact: TargetContact, reason: str
-    ) -> None:
-        """Note a call without an answer."""
-        if not contact.is_failing:
-            log_message(
-                message_type="target_unanswered",
-                level="warning",
-                target=target.id,
-                reason=reason,
-            )
-        contact.note_failure(suspend_aware_now())
-
     async def _async_renew_all(self) -> None:
         """Renew every target's grants until cancelled."""
         async with asyncio.TaskGroup() as group:
@@ -565,7 +402,7 @@
                         continue
                     if now < due_by_target.get(target_id, 0.0):
                         continue
-                    is_failing = self._contact(target_id).is_failing
+                    is_failing = self._granter.contact(target_id).is_failing
                     pause = FAILING_RENEW if is_failing else self._renew_pause()
                     due_by_target[target_id] = now + pause
                     tasks_by_target[target_id] = group.create_task(
@@ -586,7 +423,7 @@
 
     async def _async_renew(self, target_id: str) -> None:
         """Renew one target's grants once."""
-        contact = self._contact(target_id)
+        contact = self._granter.contact(target_id)
         target = self._directory.targets_by_id.get(target_id)
         if target is None or contact.is_gone:
             return
@@ -604,12 +441,12 @@
         self, target: Target, segment: Segment, contact: TargetContact
     ) -> bool:
         """Renew one grant; return whether the target answers."""
-        taken = await self._async_grant(target, segment, contact)
+        taken = await self._granter.async_grant(target, segment, contact)
         if not taken and not contact.is_failing and not contact.is_gone:
             if not self._stands(segment):
                 return True
             segment = self._refence(segment)
-            taken = await self._async_grant(target, segment, contact)
+            taken = await self._granter.async_grant(target, segment, contact)
         if taken and segment.fence not in self._granted_fences:
             self._granted_fences.add(segment.fence)
             self._publish()
@@ -636,16 +473,6 @@
         self._assignment = self._assignment.with_replaced(segment, refenced)
         return refenced
 
-    @callback
-    def _contact(self, target_id: str) -> TargetContact:
-        """Return the contact with a target."""
-        contact = self._contacts_by_target.get(target_id)
-        if contact is None:
-            contact = self._contacts_by_target[target_id] = TargetContact()
-        if target_id in self._directory.replaced_ids:
-            contact.is_gone = True
-        return contact
-
     # The map for routing.
 
     @callback
--- /dev/null
+++ b/tests/keyranges/test_granter.py
@@ -0,0 +1,102 @@
+"""Tests of single grants."""
+
+from __future__ import annotations
+
+from typing import cast
+
+import pytest
+
+from swiftpin.exceptions import TargetUnreachableError
+from swiftpin.helpers.clock import suspend_aware_now
+from swiftpin.keyranges.const import CLOCK_DRIFT, HOLD_MARGIN, HOLD_TIME
+from swiftpin.keyranges.granter import Granter
+from swiftpin.keyranges.segment import Segment
+from swiftpin.platform.target_control import KeyGrant, TargetControl
+from swiftpin.router.store_health import StoreHealth
+from swiftpin.router.target import Target
+from swiftpin.router.target_directory import TargetDirectory
+
+SEGMENT = Segment(first=0, last=9, owner="a", fence=5)
+TARGET = Target(
+    id="a",
+    service="desk",
+    address="a:1",
+    zone="z",
+    slots=2,
+    is_draining=False,
+    cold_for=0.0,
+    revision=1,
+)
+
+
+class FakeControl:
+    """Takes grants, or loses their answers."""
+
+    def __init__(self) -> None:
+        self.holds: list[float] = []
+        self.loses_answers = False
+
+    async def async_grant(
+        self,
+        address: str,
+        target_id: str,
+        grant: KeyGrant,
+        *,
+        hold: float,
+        handover: str | None,
+        limit: float,
+    ) -> None:
+        """Note the time of a grant."""
+        self.holds.append(hold)
+        if self.loses_answers:
+            raise TargetUnreachableError("lost")
+
+
+@pytest.fixture(name="control")
+def control_fixture() -> FakeControl:
+    """Return a control that answers."""
+    return FakeControl()
+
+
+@pytest.fixture(name="granter")
+def granter_fixture(control: FakeControl) -> Granter:
+    """Return a granter that gives the usual time."""
+    return Granter(
+        control=cast(TargetControl, control),
+        directory=TargetDirectory(StoreHealth(), 2.0),
+        health_path="/health",
+        usual_hold=lambda: HOLD_TIME,
+    )
+
+
+async def test_tries_at_a_silent_target_do_not_put_its_end_off(
+    granter: Granter, control: FakeControl
+) -> None:
+    """Symptom: keys of a silent target stayed unserved for as long as it was asked.
+
+    Sequence: its grants were renewed again and again without an answer.
+    Cause: each try counted as a grant that the target may have taken.
+    """
+    contact = granter.contact("a")
+    control.loses_answers = True
+    started = suspend_aware_now()
+    for _ in range(5):
+        assert not await granter.async_grant(TARGET, SEGMENT, contact)
+    longest = HOLD_TIME * CLOCK_DRIFT + HOLD_MARGIN
+    assert contact.held_until <= started + longest + 0.5
+
+
+async def test_target_that_answers_again_gets_the_usual_time(
+    granter: Granter, control: FakeControl
+) -> None:
+    """Symptom: a target refused its keys for a second after it had come back.
+
+    Sequence: it was silent until its grants had nearly ended; a short trial grant was
+    answered; the next renewal came later than that grant's end.
+    Cause: the trial was taken for a full renewal.
+    """
+    contact = granter.contact("a")
+    contact.note_failure(suspend_aware_now())
+    assert await granter.async_grant(TARGET, SEGMENT, contact)
+    assert control.holds[0] < 1.0
+    assert control.holds[-1] == HOLD_TIME
