Never say not run after an earlier answer was lost; keep hop-by-hop headers once

Cause: reading the diff: the error of the last try reached the caller also when an earlier try of the same request may have run, and 503 promises that none did.

Measured: test_refusal_after_a_lost_answer_does_not_say_not_run fails without the change and passes with it.

The list of headers that end at a hop stands in one place now.

--- a/swiftpin/const.py
+++ b/swiftpin/const.py
@@ -28,3 +28,18 @@
 
 DEFAULT_SLICES: Final = 4096
 DEFAULT_GROUPS: Final = 4
+
+HOP_BY_HOP: Final = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+"""Headers that concern one connection only and never go on to the next."""
--- a/swiftpin/gateway/header_rules.py
+++ b/swiftpin/gateway/header_rules.py
@@ -24,24 +24,12 @@
     HEADER_TERM,
     HEADER_TICKET,
     HEADER_TIMEOUT,
+    HOP_BY_HOP,
 )
 from swiftpin.gateway.incoming_request import IncomingRequest
 from swiftpin.gateway.request_parser import HOP_LIMIT, MILLISECONDS
 from swiftpin.ownership.route import Route
 
-HOP_BY_HOP: Final = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
 REQUEST_DROPPED: Final = HOP_BY_HOP | {
     "content-length",
     "expect",
--- a/swiftpin/platform/request_head.py
+++ b/swiftpin/platform/request_head.py
@@ -10,6 +10,7 @@
 from aiohttp.hdrs import CONNECTION, HOST
 from multidict import CIMultiDict
 
+from swiftpin.const import HOP_BY_HOP
 from swiftpin.platform.names import (
     HEADER_DEADLINE,
     HEADER_EXPECTED,
@@ -26,19 +27,6 @@
 """Seconds for a caller that names none; callers of the platform always name one."""
 
 MAX_KEY: Final = 65535
-HOP_BY_HOP: Final = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
 REQUEST_DROPPED: Final = HOP_BY_HOP | {
     "content-length",
     "expect",
--- a/swiftpin/router/request_sender.py
+++ b/swiftpin/router/request_sender.py
@@ -19,6 +19,7 @@
     AnswerBrokenError,
     AnswerLostError,
     NoOwnerError,
+    NotRunError,
     QueueFullError,
     RequestError,
     RequestNotSentError,
@@ -135,6 +136,16 @@
         budget.record_first(suspend_aware_now())
         if self._is_keyed(call) and call.head.key is not None:
             self.load.add_key(call.service, call.head.key)
+        try:
+            return await self._async_try_all(call, budget)
+        except NotRunError as err:
+            if not call.may_have_run:
+                raise
+            # What ended the last try did not run it; an earlier one may have.
+            raise AnswerLostError(f"an earlier answer was lost; {err.hint}") from err
+
+    async def _async_try_all(self, call: Call, budget: WindowBudget) -> Received:
+        """Try until there is an answer, or nothing more may be tried."""
         for _ in range(MOST_TRIES):
             received = await self._async_try(call)
             if received is None:
--- a/tests/router/test_site.py
+++ b/tests/router/test_site.py
@@ -6,8 +6,11 @@
 
 import pytest
 
+from swiftpin.exceptions import QueueFullError
 from swiftpin.keyranges import target_contact
 from swiftpin.keyranges.const import HOLD_TIME, KEYS
+from swiftpin.permits.permit_desk import Permit
+from swiftpin.router.call import Call
 from tests.router.site import ROUTES, Site, configuration, route
 from tests.router.target_standin import TargetStandin
 
@@ -323,3 +326,29 @@
         if reply.status == 503:
             assert site.runs_of(reply.headers["id"]) == 0
     assert 503 in {reply.status for reply in replies}
+
+
+async def test_refusal_after_a_lost_answer_does_not_say_not_run(
+    site: Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Symptom: a caller was told that its request did not run, and it had.
+
+    Sequence: a read ran and its answer was lost; the second try got no slot.
+    Cause: the last try's error was passed on as if there had been no other.
+    """
+    sender = site.routers_by_name["i0"]._sender
+    asked = []
+    ask = sender._async_permit
+
+    async def async_permit_once(call: Call, owner: str) -> Permit:
+        asked.append(owner)
+        if len(asked) > 1:
+            raise QueueFullError("no slot", retry_after=0.1)
+        return await ask(call, owner)
+
+    monkeypatch.setattr(sender, "_async_permit", async_permit_once)
+    site.targets_by_name[owners(site, 1)[0]].breaks_answers = 1
+    reply = await site.async_call("/read/x")
+    assert site.runs_of(reply.headers["id"]) == 1
+    assert reply.status == 502
+    assert "Retry-After" not in reply.headers
