Count refused connections only when they go on

Keys are granted on without a wait only when their holder is held for gone, and three refused connections at one moment were enough for that; a dozen releases and renewals go to one target after a takeover, and a target refuses connections when it has its most.

Ruled out: the wait after an unanswered release (it would have lasted 1.7 s here) and the end of the grants (4.4 s).

Measured: test_refusals_at_one_moment_do_not_show_that_a_target_is_gone fails on the counting as it was.

--- a/swiftpin/keyranges/target_contact.py
+++ b/swiftpin/keyranges/target_contact.py
@@ -12,8 +12,10 @@
 """Seconds without an answer to any call after which a target's keys go elsewhere."""
 
 REFUSALS: Final = 3
-"""Refused connections in a row that show that no process is there; a single one may
-come from a target that has all its connections taken."""
+REFUSAL_PAUSE: Final = 0.25
+"""Refused connections in a row, and the seconds between two that count, that show that
+no process is there. A target that has all its connections taken refuses too, and a
+dozen calls at the same moment must not add up to a target that is gone."""
 
 
 class TargetContact:
@@ -29,6 +31,7 @@
         self.is_gone = False
         self._failing_since: float | None = None
         self._refusals = 0
+        self._refused_at: float | None = None
 
     @callback
     def note_grant(self, sent_at: float, hold: float) -> None:
@@ -46,6 +49,7 @@
         """Note that a call was answered."""
         self._failing_since = None
         self._refusals = 0
+        self._refused_at = None
 
     @callback
     def note_failure(self, now: float) -> None:
@@ -57,6 +61,9 @@
     def note_refusal(self, now: float) -> None:
         """Note that the target's address took no connection."""
         self.note_failure(now)
+        if self._refused_at is not None and now - self._refused_at < REFUSAL_PAUSE:
+            return
+        self._refused_at = now
         self._refusals += 1
         if self._refusals >= REFUSALS:
             self.is_gone = True
