--- a/swiftpin/fleet/messages.py
+++ b/swiftpin/fleet/messages.py
@@ -8,6 +8,7 @@
 from swiftpin.fleet.link import Item
 from swiftpin.fleet.proto import fleet_pb2 as pb
 from swiftpin.keyranges.key_map import KeyMap, OwnerChange
+from swiftpin.permits.permit_homes import PermitHomes
 
 
 @dataclass(kw_only=True, slots=True)
@@ -109,3 +110,27 @@
     return [
         OwnerChange(first=first, last=last, owner=owner) for first, last, owner in rows
     ]
+
+
+def encode_homes(homes: PermitHomes) -> Item:
+    """Return a list of homes as an item."""
+    return pb.Item(
+        homes=pb.Homes(
+            term=homes.term,
+            number=homes.number,
+            incarnations=homes.peers_by_incarnation.keys(),
+            peers=homes.peers_by_incarnation.values(),
+            members=homes.members,
+        )
+    )
+
+
+def decode_homes(message: Item) -> PermitHomes:
+    """Return the list of homes in a message."""
+    peers = zip(message.incarnations, message.peers, strict=True)
+    return PermitHomes(
+        term=message.term,
+        number=message.number,
+        peers_by_incarnation=dict(peers),
+        members=max(message.members, 1),
+    )
--- /dev/null
+++ b/swiftpin/permits/home_choice.py
@@ -0,0 +1,56 @@
+"""Choice of the instances that hand out permits."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Mapping
+import math
+from typing import Final
+
+from swiftpin.core import callback
+
+TARGETS_A_HOME: Final = 16
+"""Targets whose permits one instance hands out. A permit takes three messages of about
+0.1 ms each, and 16 targets with 2 slots bear about 150 requests a second."""
+
+LEAST_HOMES: Final = 3
+"""Homes at least, so that the loss of one leaves most targets' permits untouched."""
+
+STRONG_SHARE: Final = 0.6
+"""Part of the strongest instance's strength that counts as strong."""
+
+
+@callback
+def by_strength(strengths_by_incarnation: Mapping[str, float]) -> list[str]:
+    """Return the instances, strongest first."""
+    return sorted(
+        strengths_by_incarnation,
+        key=lambda name: (-strengths_by_incarnation[name], name),
+    )
+
+
+@callback
+def choose_homes(
+    strengths_by_incarnation: Mapping[str, float],
+    *,
+    present: Collection[str],
+    assigner: str,
+    targets: int,
+) -> list[str]:
+    """Return the instances that hand out permits: present ones first, then strong.
+
+    The instance that assigns keys has work enough where there are many targets.
+    """
+    ranked = by_strength(strengths_by_incarnation)
+    if not ranked:
+        return []
+    count = max(LEAST_HOMES, math.ceil(targets / TARGETS_A_HOME))
+    enough = strengths_by_incarnation[ranked[0]] * STRONG_SHARE
+    strong = [name for name in ranked if strengths_by_incarnation[name] >= enough]
+    if len(strong) > count > LEAST_HOMES and assigner in strong:
+        strong.remove(assigner)
+    if len(strong) >= LEAST_HOMES:
+        # Fewer strong homes bear more than many weak ones.
+        ranked = strong
+    kept = [name for name in ranked if name in present]
+    added = [name for name in ranked if name not in present]
+    return (kept + added)[:count]
--- a/swiftpin/permits/permit_homes.py
+++ b/swiftpin/permits/permit_homes.py
@@ -16,6 +16,8 @@
     term: int
     number: int
     peers_by_incarnation: dict[str, str]
+    members: int
+    """Instances linked to the one that made the list, itself included."""
 
     @callback
     def ranked(self, subject: str) -> list[str]:
@@ -30,4 +32,4 @@
         )
 
 
-NO_HOMES = PermitHomes(term=0, number=0, peers_by_incarnation={})
+NO_HOMES = PermitHomes(term=0, number=0, peers_by_incarnation={}, members=1)
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -189,7 +189,7 @@
             self._store,
             self._directory,
             self._health,
-            may_rest=self._fleet.may_rest,
+            may_rest=self._fleet.news.may_rest,
         )
         coroutines = [configuration.async_run(), targets.async_run()]
         coroutines += [
@@ -325,7 +325,7 @@
             longest_hold=self._settings.bounds.longest_hold,
             health_path=configuration.services_by_name[service].health_path,
             on_map=self._fleet.hand_out_map,
-            count_members=lambda: self._fleet.members,
+            count_members=lambda: self._desk.homes.members,
             longest_request=self._longest_request,
         )
 
@@ -339,7 +339,7 @@
     @callback
     def _take_load(self) -> LoadNews:
         """Return what was noted since the last call."""
-        self._sender.members = self._fleet.members
+        self._sender.members = self._desk.homes.members
         news, self._sender.load = self._sender.load, LoadNews()
         return news
 
--- a/swiftpin/router/fleet_desk.py
+++ b/swiftpin/router/fleet_desk.py
@@ -14,8 +14,10 @@
 from swiftpin.fleet.links import FleetLinks
 from swiftpin.fleet.messages import (
     LoadNews,
+    decode_homes,
     decode_key_map,
     decode_owner_changes,
+    encode_homes,
     encode_key_map,
     encode_key_map_change,
     encode_load,
@@ -27,10 +29,11 @@
 from swiftpin.keyranges.key_map import KeyMap
 from swiftpin.keyranges.lease import LeaseKeeper
 from swiftpin.keyranges.lease_record import LeaseRecord
+from swiftpin.permits.home_choice import by_strength, choose_homes
 from swiftpin.permits.permit_desk import PermitDesk
 from swiftpin.permits.permit_homes import PermitHomes
-from swiftpin.platform.target_entries import decode_target_list, encode_target_list
 from swiftpin.router.configuration_holder import ConfigurationHolder
+from swiftpin.router.fleet_news import FleetNews
 from swiftpin.router.key_maps import KeyMaps
 from swiftpin.router.poison_watch import PoisonWatch
 from swiftpin.router.store_health import StoreHealth
@@ -43,37 +46,19 @@
 """Seconds without a sign of life after which candidates begin to look at the lease;
 with one beat late nothing is lost but some reads."""
 
-TARGETS_A_HOME: Final = 16
-"""Targets whose permits one instance hands out. A permit takes three messages of about
-0.1 ms each, and 16 targets with 2 slots bear about 150 requests a second."""
-
 MEMBERS_CHANGE: Final = 8
 """Part of the members whose coming or going is told to all: their number only shares
 the budget of second sends out, and each list goes to everyone."""
 
-SMALL_FLEET: Final = 12
-"""Instances up to which each watches the targets itself."""
-
-LEAST_INFORMED: Final = 2
-"""Links to instances that watch, without which an instance watches by itself."""
-
-STRONG_SHARE: Final = 0.6
-"""Part of the strongest instance's strength that counts as strong."""
-
 MOST_CANDIDATES: Final = 16
 """Instances named in the lease; the record is written several times a second."""
 
-LEAST_HOMES: Final = 3
-"""Homes at least, so that the loss of one leaves most targets' permits untouched."""
-
 
 class FleetDesk:
     """Keeps the links that are needed, and takes and gives what goes over them.
 
     Every member is linked to the instance that assigns keys, which hands out key maps
-    and the list of homes, and to the homes, which hand out permits. Versions in the
-    signs of life tell who knows a newer configuration or list of targets: that is
-    how an instance learns them which the store turns away.
+    and the list of homes, and to the homes, which hand out permits.
     """
 
     def __init__(
@@ -100,7 +85,6 @@
         )
         self.links.on_lost = self._note_lost
         self.on_load: Callable[[Item], None] = _ignore
-        self.members = 1
         self._incarnation = incarnation
         self._own_peer = own_peer
         self._strength = strength
@@ -118,8 +102,16 @@
         self._leader = LeaseRecord(holder="", peer="", term=0, beat=0)
         self._leader_lost_since: float | None = None
         self._probe: asyncio.Task[None] | None = None
-        self._behind_since: float | None = None
         self._home_number = 0
+        self.news = FleetNews(
+            incarnation=incarnation,
+            links=self.links,
+            lease=lease,
+            desk=desk,
+            maps=maps,
+            configuration=configuration,
+            directory=directory,
+        )
 
     async def async_run(self, take_load: Callable[[], LoadNews]) -> None:
         """Keep links, homes and reports up to date until cancelled."""
@@ -127,7 +119,7 @@
             self._keep_links()
             if self._lease.is_held(suspend_aware_now()):
                 self._keep_homes()
-            self._ask_for_news()
+            self.news.ask()
             self._report(take_load())
             await asyncio.sleep(TICK)
 
@@ -191,13 +183,13 @@
                 for fingerprint in item.quarantine.fingerprints:
                     self._poison.quarantine(fingerprint, suspend_aware_now())
             case "homes":
-                self._take_homes(item.homes)
+                self._take_homes(decode_homes(item.homes))
             case "hello":
                 self._take_hello(link, item.hello)
             case "news_ask":
-                self._give_news(link, item.news_ask)
+                self.news.give(link, item.news_ask)
             case "news":
-                self._take_news(item.news)
+                self.news.take(item.news)
 
     @callback
     def make_beat(self, link: PeerLink) -> Item:
@@ -289,7 +281,7 @@
             return
         self._give_maps(link)
         if self._desk.homes.number:
-            link.send(self._homes_item())
+            link.send(encode_homes(self._desk.homes))
 
     @callback
     def _report_suspect(self, fingerprint: int, target: str) -> None:
@@ -336,25 +328,18 @@
             link.send(encode_key_map(key_map))
 
     @callback
-    def _take_homes(self, message: Item) -> None:
+    def _take_homes(self, homes: PermitHomes) -> None:
         """Take a list of homes."""
         present = self._desk.homes
-        if (message.term, message.number) <= (present.term, present.number):
+        if (homes.term, homes.number) <= (present.term, present.number):
             return
-        self.members = max(message.members, 1)
-        self._desk.homes = PermitHomes(
-            term=message.term,
-            number=message.number,
-            peers_by_incarnation=dict(
-                zip(message.incarnations, message.peers, strict=True)
-            ),
-        )
+        self._desk.homes = homes
         log_message(
             message_type="homes_adopted",
-            term=message.term,
-            number=message.number,
-            homes=len(message.incarnations),
-            members=message.members,
+            term=homes.term,
+            number=homes.number,
+            homes=len(homes.peers_by_incarnation),
+            members=homes.members,
         )
 
     @callback
@@ -383,66 +368,34 @@
             members[link.incarnation] = (link.strength, link.peer)
         if self._lifecycle.leaving:
             del members[self._incarnation]
-        strongest = sorted(members, key=lambda name: (-members[name][0], name))
+        strengths = {name: strength for name, (strength, _) in members.items()}
         self._lease.members = tuple(
-            name.partition("/")[0] for name in strongest[:MOST_CANDIDATES]
+            name.partition("/")[0] for name in by_strength(strengths)[:MOST_CANDIDATES]
         )
-        chosen = self._choose_homes(members, strongest)
-        homes = {name: members[name][1] for name in chosen}
         present = self._desk.homes
+        chosen = choose_homes(
+            strengths,
+            present=present.peers_by_incarnation,
+            assigner=self._incarnation,
+            targets=len(self._directory.targets_by_id),
+        )
+        homes = {name: members[name][1] for name in chosen}
         is_same = homes == present.peers_by_incarnation and (
-            abs(len(members) - self.members) <= len(members) // MEMBERS_CHANGE
+            abs(len(members) - present.members) <= len(members) // MEMBERS_CHANGE
         )
         if is_same and present.term == self._lease.term:
             return
-        self.members = len(members)
         self._home_number += 1
         self._desk.homes = PermitHomes(
-            term=self._lease.term, number=self._home_number, peers_by_incarnation=homes
+            term=self._lease.term,
+            number=self._home_number,
+            peers_by_incarnation=homes,
+            members=len(members),
         )
-        item = self._homes_item()
+        item = encode_homes(self._desk.homes)
         for link in self.links.incoming:
             link.send(item)
 
-    @callback
-    def _choose_homes(
-        self, members: dict[str, tuple[float, str]], strongest: list[str]
-    ) -> list[str]:
-        """Return the instances that hand out permits: present ones first, then strong.
-
-        The instance that assigns keys has work enough where there are many targets.
-        """
-        if not strongest:
-            return []
-        count = max(
-            LEAST_HOMES, math.ceil(len(self._directory.targets_by_id) / TARGETS_A_HOME)
-        )
-        enough = members[strongest[0]][0] * STRONG_SHARE
-        strong = [name for name in strongest if members[name][0] >= enough]
-        if len(strong) > count > LEAST_HOMES and self._incarnation in strong:
-            strong.remove(self._incarnation)
-        if len(strong) >= LEAST_HOMES:
-            # Fewer strong homes bear more than many weak ones.
-            strongest = strong
-        present = self._desk.homes.peers_by_incarnation
-        kept = [name for name in strongest if name in present]
-        added = [name for name in strongest if name not in present]
-        return (kept + added)[:count]
-
-    @callback
-    def _homes_item(self) -> Item:
-        """Return the present list of homes."""
-        homes = self._desk.homes
-        return pb.Item(
-            homes=pb.Homes(
-                term=homes.term,
-                number=homes.number,
-                incarnations=homes.peers_by_incarnation.keys(),
-                peers=homes.peers_by_incarnation.values(),
-                members=self.members,
-            )
-        )
-
     @callback
     def _report(self, news: LoadNews) -> None:
         """Tell the instance that assigns keys what was asked for here."""
@@ -456,95 +409,6 @@
         if link is not None:
             link.send(item)
 
-    # News.
-
-    @callback
-    def may_rest(self) -> bool:
-        """Return whether neighbours tell this instance about targets.
-
-        In a large fleet only the assigner and the homes, which choose targets, watch
-        the store for them: each watch is paid for at every change. The others learn
-        within a second, in time for a leaving target, and route by the key map.
-        """
-        if self.members <= SMALL_FLEET or self._lease.is_held(suspend_aware_now()):
-            return False
-        if self._incarnation in self._desk.homes.peers_by_incarnation:
-            return False
-        now = asyncio.get_running_loop().time()
-        informed = [
-            link
-            for link in self.links.outgoing_by_peer.values()
-            if link.beat is not None
-            and link.is_fresh(now)
-            and not link.beat.store_lost
-            and link.beat.targets >= self._directory.version
-        ]
-        return len(informed) >= LEAST_INFORMED
-
-    @callback
-    def _ask_for_news(self) -> None:
-        """Ask a neighbour that knows something newer for it."""
-        for link in self.links.live_links():
-            beat = link.beat
-            if beat is None or not self._is_ahead(beat):
-                continue
-            now = asyncio.get_running_loop().time()
-            if self._behind_since is None:
-                # The store's own answer is most likely on its way.
-                self._behind_since = now
-            elif now - self._behind_since > TICK:
-                self._behind_since = now
-                if (beat.maps_term, beat.maps_number) > self._maps.version:
-                    link.send(pb.Item(key_map_ask=pb.KeyMapAsk()))
-                link.send(
-                    pb.Item(
-                        news_ask=pb.NewsAsk(
-                            configuration=self._configuration.version,
-                            targets=self._directory.version,
-                        )
-                    )
-                )
-            return
-        self._behind_since = None
-
-    @callback
-    def _is_ahead(self, beat: Item) -> bool:
-        """Return whether a neighbour knows something newer."""
-        return bool(
-            beat.configuration > self._configuration.version
-            or beat.targets > self._directory.version
-            or (beat.maps_term, beat.maps_number) > self._maps.version
-        )
-
-    @callback
-    def _give_news(self, link: PeerLink, ask: Item) -> None:
-        """Answer a neighbour that is behind."""
-        news = pb.News()
-        if self._configuration.version > ask.configuration:
-            news.configuration = self._configuration.encoded
-        if self._directory.version > ask.targets:
-            news.targets_revision = self._directory.version
-            present = self._directory.present_targets()
-            news.targets = encode_target_list(
-                target for target in present if target.revision > ask.targets
-            )
-            news.target_ids.extend(target.id for target in present)
-        link.send(pb.Item(news=news))
-
-    @callback
-    def _take_news(self, news: Item) -> None:
-        """Take what a neighbour knows."""
-        now = suspend_aware_now()
-        if news.configuration:
-            self._configuration.adopt_encoded(news.configuration, now)
-        if news.targets_revision:
-            self._directory.adopt_news(
-                decode_target_list(news.targets),
-                frozenset(news.target_ids),
-                news.targets_revision,
-                now,
-            )
-
 
 @callback
 def _follows(key_map: KeyMap, before: KeyMap) -> bool:
--- /dev/null
+++ b/swiftpin/router/fleet_news.py
@@ -0,0 +1,145 @@
+"""Configurations, lists of targets and key maps that neighbours tell each other."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Final
+
+from swiftpin.core import callback
+from swiftpin.fleet.link import Item, PeerLink
+from swiftpin.fleet.links import FleetLinks
+from swiftpin.fleet.proto import fleet_pb2 as pb
+from swiftpin.helpers.clock import suspend_aware_now
+from swiftpin.keyranges.lease import LeaseKeeper
+from swiftpin.permits.permit_desk import PermitDesk
+from swiftpin.platform.target_entries import decode_target_list, encode_target_list
+from swiftpin.router.configuration_holder import ConfigurationHolder
+from swiftpin.router.key_maps import KeyMaps
+from swiftpin.router.target_directory import TargetDirectory
+
+SMALL_FLEET: Final = 12
+"""Instances up to which each watches the targets itself."""
+
+LEAST_INFORMED: Final = 2
+"""Links to instances that watch, without which an instance watches by itself."""
+
+NEWS_PAUSE: Final = 0.2
+"""Seconds for which an instance stays behind before it asks a neighbour: the store's
+own answer is most likely on its way, and costs no message between instances."""
+
+
+class FleetNews:
+    """Asks neighbours that know something newer for it, and answers such questions.
+
+    Versions in the signs of life tell who knows more. That is how an instance learns
+    news that the store turns away, and how most of a large fleet learns all of them.
+    """
+
+    def __init__(
+        self,
+        *,
+        incarnation: str,
+        links: FleetLinks,
+        lease: LeaseKeeper,
+        desk: PermitDesk,
+        maps: KeyMaps,
+        configuration: ConfigurationHolder,
+        directory: TargetDirectory,
+    ) -> None:
+        self._incarnation = incarnation
+        self._links = links
+        self._lease = lease
+        self._desk = desk
+        self._maps = maps
+        self._configuration = configuration
+        self._directory = directory
+        self._behind_since: float | None = None
+
+    @callback
+    def may_rest(self) -> bool:
+        """Return whether neighbours tell this instance about targets.
+
+        In a large fleet only the assigner and the homes, which choose targets, watch
+        the store for them: each watch is paid for at every change. The others learn
+        within a second, in time for a leaving target, and route by the key map.
+        """
+        if self._desk.homes.members <= SMALL_FLEET or self._lease.is_held(
+            suspend_aware_now()
+        ):
+            return False
+        if self._incarnation in self._desk.homes.peers_by_incarnation:
+            return False
+        now = asyncio.get_running_loop().time()
+        informed = [
+            link
+            for link in self._links.outgoing_by_peer.values()
+            if link.beat is not None
+            and link.is_fresh(now)
+            and not link.beat.store_lost
+            and link.beat.targets >= self._directory.version
+        ]
+        return len(informed) >= LEAST_INFORMED
+
+    @callback
+    def ask(self) -> None:
+        """Ask a neighbour that knows something newer for it."""
+        for link in self._links.live_links():
+            beat = link.beat
+            if beat is None or not self._is_ahead(beat):
+                continue
+            now = asyncio.get_running_loop().time()
+            if self._behind_since is None:
+                # The store's own answer is most likely on its way.
+                self._behind_since = now
+            elif now - self._behind_since > NEWS_PAUSE:
+                self._behind_since = now
+                if (beat.maps_term, beat.maps_number) > self._maps.version:
+                    link.send(pb.Item(key_map_ask=pb.KeyMapAsk()))
+                link.send(
+                    pb.Item(
+                        news_ask=pb.NewsAsk(
+                            configuration=self._configuration.version,
+                            targets=self._directory.version,
+                        )
+                    )
+                )
+            return
+        self._behind_since = None
+
+    @callback
+    def _is_ahead(self, beat: Item) -> bool:
+        """Return whether a neighbour knows something newer."""
+        return bool(
+            beat.configuration > self._configuration.version
+            or beat.targets > self._directory.version
+            or (beat.maps_term, beat.maps_number) > self._maps.version
+        )
+
+    @callback
+    def give(self, link: PeerLink, ask: Item) -> None:
+        """Answer a neighbour that is behind."""
+        news = pb.News()
+        if self._configuration.version > ask.configuration:
+            news.configuration = self._configuration.encoded
+        if self._directory.version > ask.targets:
+            news.targets_revision = self._directory.version
+            present = self._directory.present_targets()
+            news.targets = encode_target_list(
+                target for target in present if target.revision > ask.targets
+            )
+            news.target_ids.extend(target.id for target in present)
+        link.send(pb.Item(news=news))
+
+    @callback
+    def take(self, news: Item) -> None:
+        """Take what a neighbour knows."""
+        now = suspend_aware_now()
+        if news.configuration:
+            self._configuration.adopt_encoded(news.configuration, now)
+        if news.targets_revision:
+            self._directory.adopt_news(
+                decode_target_list(news.targets),
+                frozenset(news.target_ids),
+                news.targets_revision,
+                now,
+            )
