Drop given-up grants; count a grant from its arrival at the latest

Trace: targets were cut off from all instances from 14.0 to 19.0 s. Renewals written to kept connections during the cut were given up after 0.6 s; their keys were granted on at 18.76 s, after the end of all grants, rightly. The connections were closed plainly, so the kernel went on sending what was written, and the targets took the old grants at 20.36 s, 1.36 s after the cut had healed. They had not seen the higher fence, since the release never reached them. Ruled out: a second assigner (one term, lease never lost), the record, the wait (grants had ended on the target). Tests: test_http_pool and test_granter fail before.

--- a/swiftpin/dispatch/http_client.py
+++ b/swiftpin/dispatch/http_client.py
@@ -16,7 +16,7 @@
 from swiftpin.dispatch.http_answer import HttpAnswer
 from swiftpin.dispatch.http_body import HttpBody
 from swiftpin.dispatch.http_connection import HttpConnection
-from swiftpin.dispatch.http_pool import IDLE_LIMIT, HttpPool
+from swiftpin.dispatch.http_pool import IDLE_LIMIT, UNTAKEN_LIMIT, HttpPool
 from swiftpin.dispatch.http_request import HttpRequest
 from swiftpin.dispatch.http_send_state import HttpSendState
 from swiftpin.exceptions import AnswerBrokenError, RequestError, RequestNotSentError
@@ -50,7 +50,8 @@
     whether a request may repeat. With `tls` every connection is secured. With
     `accepts_unframed` an answer may state no length and end with its connection.
     `idle_limit` is how long a connection may lie idle, in seconds, where the server
-    does not state it.
+    does not state it; what was written may stay unacknowledged for `untaken_limit`
+    seconds.
     """
 
     def __init__(
@@ -60,11 +61,13 @@
         tls: ClientTls | None = None,
         accepts_unframed: bool = False,
         idle_limit: float = IDLE_LIMIT,
+        untaken_limit: float = UNTAKEN_LIMIT,
     ) -> None:
         self._connect_limit = connect_limit
         self._tls = tls
         self._accepts_unframed = accepts_unframed
         self._idle_limit = idle_limit
+        self._untaken_limit = untaken_limit
         self._pools_by_address: dict[str, HttpPool] = {}
 
     async def async_exchange(
@@ -127,6 +130,7 @@
                 connect_limit=self._connect_limit,
                 tls=self._tls,
                 idle_limit=self._idle_limit,
+                untaken_limit=self._untaken_limit,
             )
             self._pools_by_address[address] = pool
         pool.limit = connections
@@ -241,7 +245,7 @@
         # The server closed its side. Its answer, if any, tells why.
         return
     except RequestError:
-        connection.protocol.abort()
+        connection.abort()
         raise
 
 
--- a/swiftpin/dispatch/http_connection.py
+++ b/swiftpin/dispatch/http_connection.py
@@ -17,6 +17,7 @@
 from aiohttp.client_proto import ResponseHandler
 
 from swiftpin.core import callback
+from swiftpin.helpers.connection_reset import reset_connection
 
 
 class HttpConnection:
@@ -63,6 +64,9 @@
 
     @callback
     def abort(self) -> None:
-        """Close the connection at once, without sending what is still buffered."""
+        """Reset the connection, so that nothing more of the exchange is delivered."""
+        transport = self.protocol.transport
+        if transport is not None:
+            reset_connection(transport)
         self.protocol.abort()
         self._on_release(self, 0.0)
--- a/swiftpin/dispatch/http_pool.py
+++ b/swiftpin/dispatch/http_pool.py
@@ -24,10 +24,11 @@
 KEEPALIVE_IDLE: Final = 2
 KEEPALIVE_INTERVAL: Final = 1
 KEEPALIVE_PROBES: Final = 2
-USER_TIMEOUT: Final = 3000
-"""Seconds, seconds, probes and milliseconds after which TCP gives up on a connection
-that fell silent. Without them it waits for many minutes, and an idle connection that
-leads nowhere looks open until a request is lost on it."""
+UNTAKEN_LIMIT: Final = 3.0
+"""Seconds, seconds, probes, and seconds that sent bytes may stay unacknowledged, after
+which TCP gives up on a connection that fell silent. Without them it waits for many
+minutes, and an idle connection that leads nowhere looks open until a request is lost on
+it."""
 
 
 class ServerProtocol(ResponseHandler):
@@ -45,7 +46,7 @@
         super().connection_lost(exc)
 
 
-def _watch_for_silence(protocol: ResponseHandler) -> None:
+def _watch_for_silence(protocol: ResponseHandler, untaken_limit: float) -> None:
     """Make TCP notice that the other side is gone."""
     transport = protocol.transport
     raw_socket = None if transport is None else transport.get_extra_info("socket")
@@ -56,7 +57,7 @@
         (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE),
         (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL),
         (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.TCP_USER_TIMEOUT, USER_TIMEOUT),
+        (socket.TCP_USER_TIMEOUT, round(untaken_limit * 1000)),
     ):
         raw_socket.setsockopt(socket.IPPROTO_TCP, option, value)
 
@@ -72,8 +73,10 @@
         connect_limit: float,
         tls: ClientTls | None = None,
         idle_limit: float = IDLE_LIMIT,
+        untaken_limit: float = UNTAKEN_LIMIT,
     ) -> None:
         self.address = address
+        self._untaken_limit = untaken_limit
         self._idle_limit = idle_limit
         self.limit = limit
         self._connect_limit = connect_limit
@@ -125,7 +128,7 @@
             raise RequestNotSentError(
                 f"no connection to {self.address}: {err!r}"
             ) from err
-        _watch_for_silence(protocol)
+        _watch_for_silence(protocol, self._untaken_limit)
         connection = HttpConnection(protocol, loop, self._released)
         self._open.add(connection)
         return connection
--- a/swiftpin/gateway/answer_writer.py
+++ b/swiftpin/gateway/answer_writer.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 from http import HTTPStatus
-import socket
-import struct
 from typing import Final
 
 from aiohttp.abc import AbstractStreamWriter
@@ -31,14 +29,12 @@
 from swiftpin.gateway.lifecycle import Lifecycle
 from swiftpin.gateway.request_record import RequestRecord
 from swiftpin.gateway.sent_response import CLOSED, KEPT
+from swiftpin.helpers.connection_reset import reset_connection
 from swiftpin.result import Executed, ResultCode, executed_by_result
 
 WHOLE_ANSWER_LIMIT: Final = 64 * 1024
 """Answers up to this many bytes are awaited whole, then written in one piece."""
 
-RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
-"""Socket option that makes a close send a reset at once (linger on, zero seconds)."""
-
 BODILESS_STATUSES: Final = frozenset(
     {HTTPStatus.NO_CONTENT.value, HTTPStatus.NOT_MODIFIED.value}
 )
@@ -122,10 +118,7 @@
         transport = self._request.transport
         if not self.begun or transport is None:
             return
-        raw_socket = transport.get_extra_info("socket")
-        if raw_socket is not None:
-            raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        transport.abort()
+        reset_connection(transport)
 
     def _note(self, status: int, result: int, executed: Executed) -> None:
         """Record what the caller is told."""
--- a/swiftpin/keyranges/const.py
+++ b/swiftpin/keyranges/const.py
@@ -55,7 +55,9 @@
 """Seconds added to a grant's end for the call's way to the target."""
 
 CONTROL_TIMEOUT: Final = 0.6
-"""Seconds for the answer to a grant; targets answer in milliseconds."""
+"""Seconds for the answer to a grant; targets answer in milliseconds. For as long the
+kernel may go on delivering it, which it does for a process that stands still too: one
+that arrives later could follow a newer grant of the same keys to another target."""
 
 RELEASE_TIMEOUT: Final = 3.0
 """Seconds for the answer to a release, which comes when the running work has ended."""
--- a/swiftpin/keyranges/granter.py
+++ b/swiftpin/keyranges/granter.py
@@ -82,9 +82,8 @@
         self, target: Target, segment: Segment, contact: TargetContact
     ) -> bool:
         """Send one grant or renewal; return whether the target took it."""
-        sent_at = suspend_aware_now()
         is_trial = contact.is_failing
-        hold = self._hold(contact, sent_at)
+        hold = self._hold(contact, suspend_aware_now())
         try:
             await self._control.async_grant(
                 target.address,
@@ -117,10 +116,10 @@
             self._note_unanswered(target, contact, str(err))
             return False
         except TargetUnreachableError as err:
-            contact.note_grant(sent_at, hold)
+            contact.note_grant(suspend_aware_now(), hold)
             self._note_unanswered(target, contact, str(err))
             return False
-        contact.note_grant(sent_at, hold)
+        contact.note_grant(suspend_aware_now(), hold)
         contact.note_answer()
         if is_trial:
             # The target answers again; a grant that short would end before the next.
@@ -152,7 +151,8 @@
         """
         hold = self._usual_hold()
         if contact.is_failing:
-            return max(min(hold, contact.unextended_hold(now)), SHORTEST_HOLD)
+            unextended = contact.unextended_hold(now + CONTROL_TIMEOUT)
+            return max(min(hold, unextended), SHORTEST_HOLD)
         return hold
 
     @callback
--- a/swiftpin/keyranges/range_keeper.py
+++ b/swiftpin/keyranges/range_keeper.py
@@ -18,6 +18,7 @@
 )
 from swiftpin.keyranges.assignment_record import AssignmentRecord
 from swiftpin.keyranges.const import (
+    CONTROL_TIMEOUT,
     GRANT_RENEW,
     HOLD_BEYOND_RENEWAL,
     PLAN_INTERVAL,
@@ -167,13 +168,15 @@
         assignment = await self._record.async_read()
         self._assignment = assignment
         hold = self._predecessor_hold(len(assignment.segments))
-        # Whatever the former holder granted ends at the latest by then.
+        # Whatever the former holder granted ends at the latest by then; what it sent
+        # last may still be on its way.
+        arrived_at = self._took_over_at + CONTROL_TIMEOUT
         for segment in assignment.segments:
             self._granted_fences.add(segment.fence)
             for target in (segment.owner, segment.former):
                 if target:
                     contact = self._granter.contact(target)
-                    contact.note_grant(self._took_over_at, hold)
+                    contact.note_grant(arrived_at, hold)
         log_message(
             message_type="assignment_loaded",
             service=self._service,
--- a/swiftpin/keyranges/target_contact.py
+++ b/swiftpin/keyranges/target_contact.py
@@ -28,9 +28,13 @@
         self._failing_since: float | None = None
 
     @callback
-    def note_grant(self, sent_at: float, hold: float) -> None:
-        """Note a grant that the target may have taken."""
-        ends_at = sent_at + hold * CLOCK_DRIFT + HOLD_MARGIN
+    def note_grant(self, arrived_at: float, hold: float) -> None:
+        """Note a grant that the target may have taken, at that time at the latest.
+
+        A target counts from the arrival, which is as late as the answer, or as the
+        moment at which the call was given up, where a link lost what was sent.
+        """
+        ends_at = arrived_at + hold * CLOCK_DRIFT + HOLD_MARGIN
         self.held_until = max(self.held_until, ends_at)
 
     @callback
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -21,6 +21,7 @@
 from swiftpin.helpers.address import Address
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.helpers.logging_setup import LoggingSetup
+from swiftpin.keyranges.const import CONTROL_TIMEOUT
 from swiftpin.keyranges.lease import LeaseKeeper
 from swiftpin.keyranges.range_keeper import RangeKeeper
 from swiftpin.permits.permit_desk import PermitDesk
@@ -109,7 +110,9 @@
             connect_limit=CONNECT_TIMEOUT, accepts_unframed=True, idle_limit=IDLE_LIMIT
         )
         self._control_http = HttpClient(
-            connect_limit=CONNECT_TIMEOUT, idle_limit=IDLE_LIMIT
+            connect_limit=CONNECT_TIMEOUT,
+            idle_limit=IDLE_LIMIT,
+            untaken_limit=CONTROL_TIMEOUT,
         )
         self._control = TargetControl(self._control_http, self._check_lease)
         self._desk = PermitDesk(incarnation, settings.zone)
--- a/swiftpin/router/caller_answer.py
+++ b/swiftpin/router/caller_answer.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 from http import HTTPStatus
-import socket
-import struct
 from typing import Final
 
 from aiohttp.hdrs import (
@@ -27,16 +25,16 @@
 )
 from swiftpin.gateway.error_answer import CONTENT_TYPE_JSON, error_body
 from swiftpin.gateway.sent_response import CLOSED, KEPT
+from swiftpin.helpers.connection_reset import reset_connection
 from swiftpin.platform.request_head import encode_answer_headers, own_answer_headers
 
+BODILESS: Final = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
+
 WHOLE_LIMIT: Final = 256 * 1024
 """Bytes of an answer that are awaited before the first is passed on, so that an answer
 which breaks off can still be asked for again. Links take 2 ms for as much, and callers
 are few at a time."""
 
-RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
-BODILESS: Final = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
-
 
 class CallerAnswer:
     """Writes one answer; `response` then tells whether the connection goes on."""
@@ -103,10 +101,7 @@
         transport = self._request.transport
         if not self.begun or transport is None:
             return
-        raw_socket = transport.get_extra_info("socket")
-        if raw_socket is not None:
-            raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        transport.abort()
+        reset_connection(transport)
 
     async def _async_write(
         self, status: int, headers: CIMultiDict[str], body: bytes
--- a/tests/bench/experiments/test_stops_splice.py
+++ b/tests/bench/experiments/test_stops_splice.py
@@ -10,7 +10,7 @@
 
 from swiftpin.bench.experiments.stops_splice import async_splice
 from swiftpin.bench.processes.port_allocator import LOOPBACK
-from swiftpin.gateway.answer_writer import RESET_ON_CLOSE
+from swiftpin.helpers.connection_reset import RESET_ON_CLOSE
 
 Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 Connect = Callable[
--- a/tests/keyranges/test_granter.py
+++ b/tests/keyranges/test_granter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import cast
 
 import pytest
@@ -35,6 +36,7 @@
     def __init__(self) -> None:
         self.holds: list[float] = []
         self.loses_answers = False
+        self.delay = 0.0
 
     async def async_grant(
         self,
@@ -48,6 +50,7 @@
     ) -> None:
         """Note the time of a grant."""
         self.holds.append(hold)
+        await asyncio.sleep(self.delay)
         if self.loses_answers:
             raise TargetUnreachableError("lost")
 
@@ -100,3 +103,21 @@
     assert await granter.async_grant(TARGET, SEGMENT, contact)
     assert control.holds[0] < 1.0
     assert control.holds[-1] == HOLD_TIME
+
+
+@pytest.mark.parametrize("loses_answers", [False, True])
+async def test_grant_that_was_long_on_its_way_is_waited_for(
+    granter: Granter, control: FakeControl, *, loses_answers: bool
+) -> None:
+    """Symptom: two targets held the same keys.
+
+    Sequence: a grant took half a second to reach its target, or was given up after
+    that. Cause: its end was counted from the sending, but the target counts from the
+    arrival, which may be as late as the answer, or the moment at which it is given up.
+    """
+    contact = granter.contact("a")
+    control.loses_answers = loses_answers
+    control.delay = 0.5
+    started = suspend_aware_now()
+    await granter.async_grant(TARGET, SEGMENT, contact)
+    assert contact.held_until >= started + 0.5 + HOLD_TIME * CLOCK_DRIFT
