Bound lines of failures, keep room for them; count store calls and lost lines

Change: 400 lines a second for served and 2,000 for failed requests, what is left out is counted in the next line; a quarter of the queue is for failures; gauges and counters.

--- a/swiftpin/gateway/decision_log.py
+++ b/swiftpin/gateway/decision_log.py
@@ -47,7 +47,8 @@
             f" attempts={record.attempts} status={record.status}"
             f" result={record.result} executed={record.executed}"
             f" elapsed_ms={elapsed:.2f}"
-            f"{_hint_pair(record)}"
+            f"{_hint_pair(record)}",
+            level,
         )
 
     def _is_sampled(self) -> bool:
--- a/swiftpin/helpers/logging_destination.py
+++ b/swiftpin/helpers/logging_destination.py
@@ -43,8 +43,8 @@
         fields = {
             name: value for name, value in message.items() if name not in ELIOT_FIELDS
         }
-        self._writer.write(
-            f"{head} level={level} event={event} {format_pairs(fields)}".rstrip()
+        self.write_line(
+            f"{head} level={level} event={event} {format_pairs(fields)}".rstrip(), level
         )
 
     @callback
@@ -53,9 +53,10 @@
         return LEVELS_BY_NAME.get(level, LEVELS_BY_NAME["info"]) >= self._lowest
 
     @callback
-    def write_line(self, line: str) -> None:
+    def write_line(self, line: str, level: str = "info") -> None:
         """Write a formed line."""
-        self._writer.write(line)
+        is_failure = LEVELS_BY_NAME[level] >= LEVELS_BY_NAME["warning"]
+        self._writer.write(line, is_failure=is_failure)
 
 
 def _level(message: Mapping[str, object]) -> str:
--- a/swiftpin/helpers/logging_handler.py
+++ b/swiftpin/helpers/logging_handler.py
@@ -28,7 +28,7 @@
         if record.exc_info and record.exc_info[1] is not None:
             trace = logging.Formatter().formatException(record.exc_info)
             line = f"{line} traceback={format_text(trace)}"
-        self._destination.write_line(line)
+        self._destination.write_line(line, level)
 
 
 def _level_name(number: int) -> str:
--- a/swiftpin/helpers/logging_setup.py
+++ b/swiftpin/helpers/logging_setup.py
@@ -10,14 +10,16 @@
 from swiftpin.core import callback
 from swiftpin.helpers.logging_destination import KeyValueDestination
 from swiftpin.helpers.logging_handler import LineHandler
-from swiftpin.helpers.logging_writer import LineWriter
+from swiftpin.helpers.logging_writer import DEFAULT_LINE_LIMIT, LineWriter
 
 
 class LoggingSetup:
     """Sends the messages of eliot and `logging` to one stream as lines of pairs."""
 
-    def __init__(self, stream: BinaryIO, level: str) -> None:
-        self.writer = LineWriter(stream)
+    def __init__(
+        self, stream: BinaryIO, level: str, *, line_limit: int = DEFAULT_LINE_LIMIT
+    ) -> None:
+        self.writer = LineWriter(stream, limit=line_limit)
         self.destination = KeyValueDestination(self.writer, level)
         self._handler = LineHandler(self.destination)
         self._is_set_up = False
--- a/swiftpin/helpers/logging_writer.py
+++ b/swiftpin/helpers/logging_writer.py
@@ -12,6 +12,11 @@
 """Seconds; lines of the last interval are lost when the process is killed."""
 
 DEFAULT_LINE_LIMIT: Final = 20_000
+
+KEPT_FOR_FAILURES: Final = 0.25
+"""Part of the room that only lines of failures may use: when the reader stalls they are
+what is looked for."""
+
 CLOSE_LIMIT: Final = 1.0
 
 
@@ -28,6 +33,7 @@
         self._announced = 0
         self._stream = stream
         self._limit = limit
+        self._usual_limit = int(limit * (1 - KEPT_FOR_FAILURES))
         self._lines: deque[str] = deque()
         self._stopping = Event()
         self._thread = Thread(target=self._run, name="line-writer", daemon=True)
@@ -38,9 +44,10 @@
         self._thread.start()
 
     @callback
-    def write(self, line: str) -> None:
+    def write(self, line: str, *, is_failure: bool = False) -> None:
         """Take a line, without its line break."""
-        if len(self._lines) >= self._limit:
+        limit = self._limit if is_failure else self._usual_limit
+        if len(self._lines) >= limit:
             self.dropped += 1
             return
         self._lines.append(line)
--- a/swiftpin/platform/store_client.py
+++ b/swiftpin/platform/store_client.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from http import HTTPStatus
+import re
 from typing import Any, Final
 from urllib.parse import quote
 
@@ -52,9 +54,16 @@
     they had no effect for certain, else `StoreOutcomeUnknownError`.
     """
 
-    def __init__(self, address: str, client: HttpClient) -> None:
+    def __init__(
+        self,
+        address: str,
+        client: HttpClient,
+        on_call: Callable[[str, str, str], None] | None = None,
+    ) -> None:
         self._address = address
         self._client = client
+        self._on_call = on_call
+        """Called after each call with its method, kind and outcome."""
 
     async def async_list(self, kind: str) -> ObjectList:
         """Return all objects of a kind and the revision at which they were read."""
@@ -184,14 +193,21 @@
             headers=headers,
             body=WholeBody(payload),
         )
-        async with asyncio.timeout(limit):
-            answer = await self._client.async_exchange(
-                self._address, request, HttpSendState(), _open
-            )
-            try:
-                body = await answer.async_read_whole()
-            finally:
-                answer.finish(monotonic_now())
+        outcome = "no_answer"
+        try:
+            async with asyncio.timeout(limit):
+                answer = await self._client.async_exchange(
+                    self._address, request, HttpSendState(), _open
+                )
+                try:
+                    body = await answer.async_read_whole()
+                finally:
+                    answer.finish(monotonic_now())
+            outcome = str(answer.status)
+        finally:
+            if self._on_call is not None:
+                kind = re.split("[/?]", path, maxsplit=1)[0]
+                self._on_call(method, kind, outcome)
         return answer.status, body
 
 
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -93,6 +93,7 @@
     def __init__(self, settings: InstanceSettings, logging: LoggingSetup) -> None:
         self.stop_wanted = asyncio.Event()
         self._settings = settings
+        self._logging = logging
         self._started_at = suspend_aware_now()
         incarnation = f"{settings.name}/{os.urandom(4).hex()}"
         self._incarnation = incarnation
@@ -105,7 +106,9 @@
         self._maps = KeyMaps()
         self._poison = PoisonWatch()
         self._store_http = HttpClient(connect_limit=CONNECT_TIMEOUT)
-        self._store = StoreClient(str(settings.store), self._store_http)
+        self._store = StoreClient(
+            str(settings.store), self._store_http, self._metrics.note_store_call
+        )
         self._client = HttpClient(
             connect_limit=CONNECT_TIMEOUT, accepts_unframed=True, idle_limit=IDLE_LIMIT
         )
@@ -299,6 +302,7 @@
         now = suspend_aware_now()
         self._metrics.leads.set(self._lease.is_held(now))
         self._metrics.store_lost.set(self._health.is_lost)
+        self._metrics.lines_dropped.set(self._logging.writer.dropped)
         self._metrics.configuration.set(self._configuration.version)
         return Response(body=generate_latest(self._metrics.registry))
 
--- a/swiftpin/router/metrics.py
+++ b/swiftpin/router/metrics.py
@@ -38,12 +38,28 @@
             "1 while this instance holds the lease to assign keys.",
             registry=self.registry,
         )
+        self.lines_dropped = Gauge(
+            "swiftpin_router_log_lines_dropped",
+            "Lines for which there was no room, since the start.",
+            registry=self.registry,
+        )
+        self._store_calls = Counter(
+            "swiftpin_router_store_calls",
+            "Calls of the store, by method, kind and outcome.",
+            ["method", "kind", "outcome"],
+            registry=self.registry,
+        )
         self.store_lost = Gauge(
             "swiftpin_router_store_lost",
             "1 while the store does not answer this instance.",
             registry=self.registry,
         )
 
+    @callback
+    def note_store_call(self, method: str, kind: str, outcome: str) -> None:
+        """Count a call of the store."""
+        self._store_calls.labels(method, kind, outcome).inc()
+
     @callback
     def note_served(self, service: str, status: int, seconds: float) -> None:
         """Count a request that got a target's answer."""
--- a/swiftpin/router/request_log.py
+++ b/swiftpin/router/request_log.py
@@ -10,6 +10,7 @@
 
 from swiftpin.core import callback
 from swiftpin.exceptions import RequestError
+from swiftpin.helpers.line_budget import LineBudget
 from swiftpin.helpers.logging_destination import KeyValueDestination
 from swiftpin.helpers.logging_format import (
     ABSENT,
@@ -22,8 +23,10 @@
 from swiftpin.router.metrics import Metrics
 
 MILLISECONDS: Final = 1000.0
-MOST_LINES: Final = 400
-"""Lines a second for served requests; failed ones always get theirs."""
+MOST_SERVED_LINES: Final = 400
+MOST_FAILED_LINES: Final = 2000
+"""Lines a second; a line has about 400 bytes. What is left out is counted in the next
+line of its sort."""
 
 
 class RequestLog:
@@ -35,9 +38,8 @@
         self._destination = destination
         self._maps = maps
         self._metrics = metrics
-        self._second = 0
-        self._written = 0
-        self._left_out = 0
+        self._served_lines = LineBudget(MOST_SERVED_LINES)
+        self._failed_lines = LineBudget(MOST_FAILED_LINES)
 
     @callback
     def write_served(self, call: Call | None, started_at: float) -> None:
@@ -46,14 +48,7 @@
             return
         elapsed = asyncio.get_running_loop().time() - started_at
         self._metrics.note_served(call.service, call.status, elapsed)
-        if not self._has_room():
-            self._left_out += 1
-            return
-        left_out, self._left_out = self._left_out, 0
-        suffix = f" left_out_before={left_out}" if left_out else ""
-        self._write(
-            "info", call, f"status={call.status} outcome=served{suffix}", elapsed
-        )
+        self._write("info", call, f"status={call.status} outcome=served", elapsed)
 
     @callback
     def write_failed(
@@ -86,16 +81,6 @@
         self._metrics.note_failed(service, "CALLER_LEFT", elapsed)
         self._write("warning", call, "outcome=CALLER_LEFT", elapsed)
 
-    @callback
-    def _has_room(self) -> bool:
-        """Return whether another line fits into this second."""
-        second = int(time.monotonic())
-        if second != self._second:
-            self._second = second
-            self._written = 0
-        self._written += 1
-        return self._written <= MOST_LINES
-
     @callback
     def _write(
         self, level: str, call: Call | None, outcome: str, elapsed: float
@@ -103,10 +88,16 @@
         """Write one line."""
         if not self._destination.is_enabled(level):
             return
+        budget = self._served_lines if level == "info" else self._failed_lines
+        if not budget.take(time.monotonic()):
+            return
+        if left_out := budget.take_left_out():
+            outcome = f"{outcome} left_out_before={left_out}"
         pairs = "" if call is None else self._pairs(call)
         self._destination.write_line(
             f"time={format_time(time.time())} level={level} event=request{pairs}"
-            f" {outcome} elapsed_ms={elapsed * MILLISECONDS:.1f}"
+            f" {outcome} elapsed_ms={elapsed * MILLISECONDS:.1f}",
+            level,
         )
 
     @callback
--- a/tests/helpers/test_logging.py
+++ b/tests/helpers/test_logging.py
@@ -165,3 +165,21 @@
     writer.write("line=1")
     writer.unload()
     assert writer.dropped == 1
+
+
+def test_failures_keep_their_room(stream: Stream) -> None:
+    """Lines of served requests do not take the room of those that are looked for."""
+    stream.may_write.clear()
+    writer = LineWriter(stream, limit=8)
+    for number in range(20):
+        writer.write(f"served={number}")
+    for number in range(2):
+        writer.write(f"failed={number}", is_failure=True)
+    assert writer.dropped == 14
+    stream.may_write.set()
+    writer.start()
+    writer.unload()
+    assert [line for line in stream.lines if line.startswith("failed")] == [
+        "failed=0",
+        "failed=1",
+    ]
--- a/tests/router/site.py
+++ b/tests/router/site.py
@@ -138,7 +138,9 @@
         self.store.put("servers", name, target.entry(service))
         return target
 
-    async def async_add_router(self, name: str) -> Router:
+    async def async_add_router(
+        self, name: str, logging: LoggingSetup | None = None
+    ) -> Router:
         """Start an instance."""
         host = f"127.0.0.{10 + next(self._hosts)}"
         settings = InstanceSettings(
@@ -156,7 +158,7 @@
             strength=1.0,
             first_start=True,
         )
-        router = Router(settings, LoggingSetup(BytesIO(), "info"))
+        router = Router(settings, logging or LoggingSetup(BytesIO(), "info"))
         await router.async_setup()
         self.routers_by_name[name] = router
         self.settings_by_name[name] = settings
