Never count a lapsed lease again; never use a fence twice; pledge to the holder only

Trace: the store turned the holder and two members away from 11 to 16 s. The holder's lease ran out, its keeper stopped; at 13.9 and 15.2 s it counted as held again, in the same term, by late pledges (lines lease_unsettled and assignment_unread show that it renewed and started keepers); at 16.18 s a new keeper of term 1 loaded the record and granted from fence 1000001 on. Why pledges came from members that the store answered: the time of the holder's loss was one variable for all links and was cleared at each sign of life to an instance that does not lead, so the loss always looked new. Change: a lease that was found to have run out is final for its term; fences are counted by an object that outlives keepers; pledges are a class of their own, which looks only at the holder's signs.

--- /dev/null
+++ b/swiftpin/keyranges/fences.py
@@ -0,0 +1,39 @@
+"""Fences of one service's grants."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from swiftpin.core import callback
+
+FENCES_A_TERM: Final = 1_000_000
+"""Fences of one term; the next term's are all higher."""
+
+
+class Fences:
+    """Hands out fences that only rise, within a term and from term to term.
+
+    It outlives the keeper of a service's keys: one that is started again in the same
+    term, after a fault or when its service was declared anew, must not use a fence
+    twice. A target would take keys under a fence below one that another had.
+    """
+
+    def __init__(self) -> None:
+        self._next = 1
+
+    @property
+    def next(self) -> int:
+        """Return the fence that is taken next."""
+        return self._next
+
+    @callback
+    def begin_term(self, term: int) -> None:
+        """Go on with fences above all of the terms before."""
+        self._next = max(self._next, term * FENCES_A_TERM + 1)
+
+    @callback
+    def take(self, count: int = 1) -> int:
+        """Return the first of some fences that were never used."""
+        first = self._next
+        self._next += count
+        return first
--- a/swiftpin/keyranges/lease.py
+++ b/swiftpin/keyranges/lease.py
@@ -111,6 +111,11 @@
         self._revision: int | None = None
         self._unchanged_since = 0.0
         self._attempted_members: tuple[str, ...] = ()
+        self._held_term = 0
+        """Last term in which this instance got the lease."""
+
+        self._lapsed_term = 0
+        """Last term in which the lease was found to have run out, or was given up."""
 
     @property
     def pledgers(self) -> frozenset[str]:
@@ -123,18 +128,25 @@
 
     @callback
     def is_held(self, now: float) -> bool:
-        """Return whether this instance may assign keys at a time."""
-        if now < self.valid_until:
-            return True
+        """Return whether this instance may assign keys at a time.
+
+        A lease that was found to have run out never counts again in its term, neither
+        by a late pledge nor by a renewal that was still on its way: others may have
+        been told that its holder stopped, and take over without a wait.
+        """
+        if self._held_term <= self._lapsed_term:
+            return False
         limit = self.valid_until + PLEDGE_LIMIT
-        return self.valid_until > 0 and now < min(self.pledged_until, limit)
+        if now < self.valid_until or now < min(self.pledged_until, limit):
+            return True
+        log_message(message_type="lease_lapsed", level="warning", term=self._held_term)
+        self._lapsed_term = self._held_term
+        return False
 
     @callback
     def own_resigned_term(self, now: float) -> int:
         """Return the last term for which this instance certainly assigns no keys."""
-        if self.is_held(now) or self.record is None:
-            return 0
-        return self.record.term if self.record.holder == self._incarnation else 0
+        return 0 if self.is_held(now) else self._lapsed_term
 
     @property
     def term(self) -> int:
@@ -148,7 +160,6 @@
             if self.is_held(now):
                 await asyncio.sleep(await self._async_renew())
             else:
-                self._note_lapse()
                 await asyncio.sleep(await self._async_wait_turn(now))
 
     async def async_probe(self) -> None:
@@ -166,7 +177,7 @@
         record = self.record
         if record is None or not self.is_held(suspend_aware_now()):
             return
-        self.valid_until = 0.0
+        self._lapsed_term = self._held_term
         log_message(message_type="lease_given_up", term=record.term)
         free = replace(record, holder="", peer="", beat=record.beat + 1)
         try:
@@ -340,7 +351,7 @@
         found = self.record
         if found is None or (found.holder, found.term) != (record.holder, record.term):
             # Somebody else has it: no pledge counts any more.
-            self.valid_until = 0.0
+            self._lapsed_term = self._held_term
             return False
         if found.beat != record.beat:
             return False
@@ -354,13 +365,7 @@
         self._see(record)
         self._unchanged_since = sent_at
         self.valid_until = sent_at + LEASE_TIME
-
-    @callback
-    def _note_lapse(self) -> None:
-        """Say once that this instance lost the lease."""
-        if self.valid_until:
-            log_message(message_type="lease_lapsed", level="warning", term=self.term)
-            self.valid_until = 0.0
+        self._held_term = record.term
 
 
 @callback
--- a/swiftpin/keyranges/range_keeper.py
+++ b/swiftpin/keyranges/range_keeper.py
@@ -24,6 +24,7 @@
     PLAN_INTERVAL,
     RENEWALS_PER_SECOND,
 )
+from swiftpin.keyranges.fences import Fences
 from swiftpin.keyranges.granter import Granter
 from swiftpin.keyranges.key_load import KeyLoad
 from swiftpin.keyranges.key_map import KeyMap
@@ -45,9 +46,6 @@
 """Seconds without a new target after which the first division is made: each target that
 registers later would cost moves."""
 
-FENCES_A_TERM: Final = 1_000_000
-"""Fences of one term; the next term's are all higher."""
-
 READ_PAUSE: Final = 0.15
 """Seconds between two tries to read the record."""
 
@@ -93,6 +91,7 @@
         control: TargetControl,
         directory: TargetDirectory,
         lease: LeaseKeeper,
+        fences: Fences,
         health: StoreHealth,
         longest_hold: float,
         health_path: str,
@@ -124,7 +123,8 @@
         self._term = lease.term
         self._took_over_at = suspend_aware_now()
         self._assignment: Assignment | None = None
-        self._next_fence = self._term * FENCES_A_TERM + 1
+        self._fences = fences
+        fences.begin_term(self._term)
         self._granted_fences: set[int] = set()
         self._moves_by_first: dict[int, asyncio.Task[None]] = {}
         self._map_number = 0
@@ -201,20 +201,13 @@
             known = len(targets)
             await asyncio.sleep(FIRST_TARGETS_WAIT)
         weights = {target.id: float(target.slots) for target in targets}
-        assignment = divide_evenly(weights, self._take_fences(1))
+        assignment = divide_evenly(weights, self._fences.take())
         await self._record.async_create(assignment)
         self._assignment = assignment
         log_message(
             message_type="assignment_made", service=self._service, targets=len(targets)
         )
 
-    @callback
-    def _take_fences(self, count: int) -> int:
-        """Return the first of some fences that were never used."""
-        first = self._next_fence
-        self._next_fence += count
-        return first
-
     # Planning.
 
     async def _async_plan(self) -> None:
@@ -233,11 +226,11 @@
         assignment = self._assignment
         assert assignment is not None
         moves = plan_moves(assignment, self._capacities(now), self.load.rates_by_key)
-        joined, joined_fences = assignment.with_joined(self._next_fence, MOST_JOINED)
+        joined, joined_fences = assignment.with_joined(self._fences.next, MOST_JOINED)
         if not moves and len(joined_fences) < LEAST_JOINED:
             return
-        self._take_fences(len(joined_fences))
-        first_fence = self._take_fences(len(moves))
+        self._fences.take(len(joined_fences))
+        first_fence = self._fences.take(len(moves))
         planned = joined.with_moves(moves, first_fence)
         if not await self._record.async_replace(planned):
             return
@@ -431,7 +424,7 @@
         are its own all the same, since nobody else was granted them.
         """
         assert self._assignment is not None
-        refenced = replace(segment, fence=self._take_fences(1))
+        refenced = replace(segment, fence=self._fences.take())
         self._assignment = self._assignment.with_replaced(segment, refenced)
         return refenced
 
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -22,6 +22,7 @@
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.helpers.logging_setup import LoggingSetup
 from swiftpin.keyranges.const import CONTROL_TIMEOUT
+from swiftpin.keyranges.fences import Fences
 from swiftpin.keyranges.lease import LeaseKeeper
 from swiftpin.keyranges.range_keeper import RangeKeeper
 from swiftpin.permits.permit_desk import PermitDesk
@@ -318,7 +319,7 @@
         return self._fleet.is_heard(holder)
 
     @callback
-    def _make_keeper(self, service: str) -> RangeKeeper:
+    def _make_keeper(self, service: str, fences: Fences) -> RangeKeeper:
         """Return a keeper for a service's keys."""
         configuration = self._configuration.current
         assert configuration is not None
@@ -328,6 +329,7 @@
             control=self._control,
             directory=self._directory,
             lease=self._lease,
+            fences=fences,
             health=self._health,
             longest_hold=self._settings.bounds.longest_hold,
             health_path=configuration.services_by_name[service].health_path,
--- a/swiftpin/router/fleet_desk.py
+++ b/swiftpin/router/fleet_desk.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Callable
-import math
 from typing import Final
 
 from eliot import log_message
@@ -25,7 +24,6 @@
 from swiftpin.fleet.proto import fleet_pb2 as pb
 from swiftpin.gateway.lifecycle import Lifecycle
 from swiftpin.helpers.clock import suspend_aware_now
-from swiftpin.keyranges.const import PLEDGE_TIME
 from swiftpin.keyranges.key_map import KeyMap
 from swiftpin.keyranges.lease import LeaseKeeper
 from swiftpin.keyranges.lease_record import LeaseRecord
@@ -35,6 +33,7 @@
 from swiftpin.router.configuration_holder import ConfigurationHolder
 from swiftpin.router.fleet_news import FleetNews
 from swiftpin.router.key_maps import KeyMaps
+from swiftpin.router.pledges import Pledges
 from swiftpin.router.poison_watch import PoisonWatch
 from swiftpin.router.store_health import StoreHealth
 from swiftpin.router.target_directory import TargetDirectory
@@ -104,8 +103,7 @@
         poison.on_suspect = self._report_suspect
         poison.on_quarantine = self._tell_quarantine
         self._leader = LeaseRecord(holder="", peer="", term=0, beat=0)
-        self._leader_lost_since: float | None = None
-        self._probe: asyncio.Task[None] | None = None
+        self._pledges = Pledges(links=self.links, lease=lease, health=health)
         self._home_number = 0
         self.news = FleetNews(
             incarnation=incarnation,
@@ -204,9 +202,6 @@
         """Return the sign of life to send on a link."""
         now = suspend_aware_now()
         leader = self._leader
-        pledges = self._may_pledge(link)
-        if pledges:
-            self._lease.own_pledge_until = now + PLEDGE_TIME
         return pb.Item(
             beat=pb.Beat(
                 incarnation=self._incarnation,
@@ -222,37 +217,17 @@
                 store_lost=self._health.is_lost,
                 maps_term=self._maps.version[0],
                 maps_number=self._maps.version[1],
-                pledge=pledges,
+                pledge=self._pledges.give(link, now),
                 resigned_term=self._lease.own_resigned_term(now),
             )
         )
 
-    @callback
-    def _may_pledge(self, link: PeerLink) -> bool:
-        """Return whether to leave the lease to its holder at the other end of a link.
-
-        Only while the store answers neither of the two: when it turns just the holder
-        away, somebody whom it serves had better take over.
-        """
-        beat = link.beat
-        if beat is None or not (beat.leads and beat.store_lost):
-            self._leader_lost_since = None
-            return False
-        now = suspend_aware_now()
-        if self._leader_lost_since is None:
-            self._leader_lost_since = now
-            self._probe = asyncio.create_task(self._lease.async_probe())
-        answered_at = self._health.answered_at
-        return answered_at is None or answered_at < self._leader_lost_since
-
     @callback
     def _take_beat(self, link: PeerLink, beat: Item) -> None:
         """Take a sign of life."""
         link.beat = beat
         if beat.pledge:
-            # Counted from before the pledge was made, so it never looks longer.
-            link.pledged_until = max(link.pledged_until, beat.echo + PLEDGE_TIME)
-            self._lease.pledged_until = self._pledged_until()
+            self._pledges.take(link, beat.echo)
         lease = self._lease
         lease.resigned_term = max(lease.resigned_term, beat.resigned_term)
         if beat.term > self._leader.term:
@@ -260,19 +235,6 @@
                 holder=beat.leader, peer=beat.leader_peer, term=beat.term, beat=0
             )
 
-    @callback
-    def _pledged_until(self) -> float:
-        """Return until when all members have pledged to leave the lease alone."""
-        until_by_name: dict[str, float] = {}
-        for link in self.links.incoming:
-            name = link.incarnation.partition("/")[0]
-            known = until_by_name.get(name, 0.0)
-            until_by_name[name] = max(known, link.pledged_until)
-        return min(
-            (until_by_name.get(name, 0.0) for name in self._lease.pledgers),
-            default=math.inf,
-        )
-
     @callback
     def _take_hello(self, link: PeerLink, hello: Item) -> None:
         """Learn who is at the other side, and give it what it needs."""
--- a/swiftpin/router/leader.py
+++ b/swiftpin/router/leader.py
@@ -11,6 +11,7 @@
 from swiftpin.core import callback
 from swiftpin.fleet.link import Item
 from swiftpin.helpers.clock import suspend_aware_now
+from swiftpin.keyranges.fences import Fences
 from swiftpin.keyranges.lease import LeaseKeeper
 from swiftpin.keyranges.range_keeper import RangeKeeper
 from swiftpin.router.configuration_holder import ConfigurationHolder
@@ -27,11 +28,12 @@
         *,
         lease: LeaseKeeper,
         configuration: ConfigurationHolder,
-        make_keeper: Callable[[str], RangeKeeper],
+        make_keeper: Callable[[str, Fences], RangeKeeper],
     ) -> None:
         self._lease = lease
         self._configuration = configuration
         self._make_keeper = make_keeper
+        self._fences_by_service: dict[str, Fences] = {}
         self._keepers_by_service: dict[str, RangeKeeper] = {}
         self._tasks_by_service: dict[str, asyncio.Task[None]] = {}
         self._term = 0
@@ -87,7 +89,8 @@
                     service=service.name,
                     error=repr(task.exception()),
                 )
-            keeper = self._make_keeper(service.name)
+            fences = self._fences_by_service.setdefault(service.name, Fences())
+            keeper = self._make_keeper(service.name, fences)
             self._keepers_by_service[service.name] = keeper
             self._tasks_by_service[service.name] = asyncio.create_task(
                 keeper.async_run()
--- /dev/null
+++ b/swiftpin/router/pledges.py
@@ -0,0 +1,78 @@
+"""Pledges to leave the lease to its holder while the store answers nobody."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+
+from swiftpin.core import callback
+from swiftpin.fleet.link import PeerLink
+from swiftpin.fleet.links import FleetLinks
+from swiftpin.keyranges.const import PLEDGE_TIME
+from swiftpin.keyranges.lease import LeaseKeeper
+from swiftpin.router.store_health import StoreHealth
+
+
+class Pledges:
+    """Gives pledges to the holder of the lease and counts those that it gets.
+
+    A member pledges only while the store answers neither of the two: when it turns just
+    the holder away, somebody whom it serves had better take over.
+    """
+
+    def __init__(
+        self, *, links: FleetLinks, lease: LeaseKeeper, health: StoreHealth
+    ) -> None:
+        self._links = links
+        self._lease = lease
+        self._health = health
+        self._asked_by = ""
+        """Incarnation of the holder that lost the store."""
+
+        self._asked_at = 0.0
+        self._probe: asyncio.Task[None] | None = None
+
+    @callback
+    def give(self, link: PeerLink, now: float) -> bool:
+        """Return whether to leave the lease to its holder at the other end of a link.
+
+        Only what its holder says counts: signs of life go to other instances too, and
+        what those say must not make an old loss look like a new one.
+        """
+        beat = link.beat
+        if beat is None or not beat.leads:
+            return False
+        if not beat.store_lost:
+            self._asked_by = ""
+            return False
+        if self._asked_by != link.incarnation:
+            self._asked_by = link.incarnation
+            self._asked_at = now
+            self._probe = asyncio.create_task(self._lease.async_probe())
+        answered_at = self._health.answered_at
+        if answered_at is not None and answered_at >= self._asked_at:
+            return False
+        self._lease.own_pledge_until = now + PLEDGE_TIME
+        return True
+
+    @callback
+    def take(self, link: PeerLink, echo: float) -> None:
+        """Take a pledge; `echo` is this instance's time when it was asked for.
+
+        Counted from before the pledge was made, so it never looks longer.
+        """
+        link.pledged_until = max(link.pledged_until, echo + PLEDGE_TIME)
+        self._lease.pledged_until = self._pledged_until()
+
+    @callback
+    def _pledged_until(self) -> float:
+        """Return until when all members have pledged to leave the lease alone."""
+        until_by_name: dict[str, float] = {}
+        for link in self._links.incoming:
+            name = link.incarnation.partition("/")[0]
+            known = until_by_name.get(name, 0.0)
+            until_by_name[name] = max(known, link.pledged_until)
+        return min(
+            (until_by_name.get(name, 0.0) for name in self._lease.pledgers),
+            default=math.inf,
+        )
--- /dev/null
+++ b/tests/keyranges/test_fences.py
@@ -0,0 +1,28 @@
+"""Tests of fences."""
+
+from __future__ import annotations
+
+from swiftpin.keyranges.fences import FENCES_A_TERM, Fences
+
+
+def test_keeper_that_starts_again_uses_no_fence_twice() -> None:
+    """Symptom: a target took keys under a fence below another's.
+
+    Sequence: the keeper of a service's keys ended and was started again in the same
+    term. Cause: each keeper counted its fences from the start of the term.
+    """
+    fences = Fences()
+    fences.begin_term(3)
+    first = fences.take(5)
+    fences.begin_term(3)
+    assert fences.take() == first + 5
+    assert first > 3 * FENCES_A_TERM
+
+
+def test_next_term_is_above_all_before() -> None:
+    """Whatever an earlier assigner granted is below."""
+    fences = Fences()
+    fences.begin_term(1)
+    fences.take(10)
+    fences.begin_term(2)
+    assert fences.next > 2 * FENCES_A_TERM
--- a/tests/keyranges/test_lease.py
+++ b/tests/keyranges/test_lease.py
@@ -186,15 +186,43 @@
     holder = make_keeper(store, "a")
     await async_step(holder, clock)
     store.is_away = True
+    holder.pledged_until = clock.now + LEASE_TIME + 2.0
     clock.now += LEASE_TIME + 1.0
-    assert not holder.is_held(clock.now)
-    holder.pledged_until = clock.now + 1.0
     assert holder.is_held(clock.now)
     holder.pledged_until = clock.now + 100.0
     clock.now += PLEDGE_LIMIT
     assert not holder.is_held(clock.now)
 
 
+async def test_lapsed_lease_never_counts_again_in_its_term(
+    store: FakeStore, clock: Clock
+) -> None:
+    """Symptom: keys went to targets under fences that others had had before.
+
+    Sequence: the store turned the holder away; its lease ran out and its grants' keeper
+    stopped; pledges came in once more, and a new keeper began in the same term, with
+    the same fences. Cause: the lease counted again, though others knew of its end.
+    """
+    holder = make_keeper(store, "a")
+    await async_step(holder, clock)
+    first_term = holder.term
+    store.is_away = True
+    clock.now += LEASE_TIME + 1.0
+    assert not holder.is_held(clock.now)
+    assert holder.own_resigned_term(clock.now) == first_term
+    holder.pledged_until = clock.now + 1.0
+    assert not holder.is_held(clock.now)
+    store.is_away = False
+    # A renewal that was on its way when the lease ran out.
+    await holder._async_renew()
+    assert not holder.is_held(clock.now)
+    await async_step(holder, clock)
+    clock.now += 0.1
+    await async_step(holder, clock)
+    assert holder.is_held(clock.now)
+    assert holder.term == first_term + 1
+
+
 async def test_pledge_binds_whoever_gave_it(store: FakeStore, clock: Clock) -> None:
     """A member that pledged leaves a lease alone that has run out."""
     holder, member = make_keeper(store, "a"), make_keeper(store, "b")
--- /dev/null
+++ b/tests/router/test_pledges.py
@@ -0,0 +1,76 @@
+"""Tests of pledges."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import cast
+
+from swiftpin.fleet.link import LinkHandler, PeerLink
+from swiftpin.fleet.links import FleetLinks
+from swiftpin.fleet.proto import fleet_pb2 as pb
+from swiftpin.keyranges.lease import LeaseKeeper
+from swiftpin.router.pledges import Pledges
+from swiftpin.router.store_health import StoreHealth
+
+
+class FakeLease(SimpleNamespace):
+    """Notes pledges; its probe is answered at once when the store answers."""
+
+    async def async_probe(self) -> None:
+        """Ask the store."""
+        self.probes += 1
+        if self.answers:
+            self.health.note_answer(self.clock)
+
+
+def make_link(name: str, **beat: object) -> PeerLink:
+    """Return a link whose other side gave a sign of life."""
+    link = PeerLink(cast(LinkHandler, None), 0.0, is_outgoing=True)
+    link.incarnation = f"{name}/1"
+    link.beat = pb.Beat(**beat)
+    return link
+
+
+def make_pledges(lease: FakeLease) -> Pledges:
+    """Return the pledges of a member."""
+    return Pledges(
+        links=cast(FleetLinks, None),
+        lease=cast(LeaseKeeper, lease),
+        health=lease.health,
+    )
+
+
+async def _async_beats(*, answers: bool) -> tuple[FakeLease, list[bool]]:
+    """Return what is pledged at signs of life to the holder, others between them."""
+    lease = FakeLease(
+        probes=0, answers=answers, health=StoreHealth(), clock=0.0, own_pledge_until=0.0
+    )
+    pledges = make_pledges(lease)
+    holder = make_link("holder", leads=True, store_lost=True)
+    other = make_link("other")
+    given = []
+    for number in range(8):
+        lease.clock = number * 0.3
+        given.append(pledges.give(holder, lease.clock))
+        assert not pledges.give(other, lease.clock)
+        if pledges._probe is not None:
+            await pledges._probe
+    return lease, given
+
+
+async def test_member_that_the_store_answers_pledges_no_more() -> None:
+    """Symptom: a holder that the store turned away kept the lease for ten seconds.
+
+    Sequence: it said that it lost the store; a member that the store answers pledged at
+    every sign of life. Cause: signs of life to other instances, which do not lead, made
+    the loss look new each time.
+    """
+    lease, given = await _async_beats(answers=True)
+    assert not any(given[1:])
+    assert lease.probes == 1
+
+
+async def test_member_that_the_store_turns_away_goes_on_pledging() -> None:
+    """While the store answers neither, the holder stays."""
+    _, given = await _async_beats(answers=False)
+    assert all(given)
