--- a/spec/ranges/model.py
+++ b/spec/ranges/model.py
@@ -49,7 +49,8 @@
     yield "store", world._replace(is_store_up=not world.is_store_up)
     yield "pause", world._replace(is_first_paused=not world.is_first_paused)
     if world.late_grant and world.fence_seen_by_t == 0:
-        yield "late grant", world._replace(held_by_t=world.late_grant, late_grant=0)
+        hold = HOLD if weakness.delivers_given_up_calls else world.late_grant
+        yield "late grant", world._replace(held_by_t=hold, late_grant=0)
     yield from _lease_steps(weakness, world)
     if _first_assigns(world):
         yield from _assigner_steps(weakness, world, FIRST)
@@ -76,7 +77,9 @@
         second_unsure=max(world.second_unsure - 1, 0),
         held_by_t=max(world.held_by_t - 1, 0),
         held_by_u=max(world.held_by_u - 1, 0),
-        late_grant=max(world.late_grant - 1, 0),
+        late_grant=world.late_grant
+        if weakness.delivers_given_up_calls
+        else max(world.late_grant - 1, 0),
     )
 
 
@@ -91,8 +94,14 @@
             "pledge",
             world._replace(first_pledge=PLEDGE, second_pledge=PLEDGE),
         )
+    is_lapsed = not _first_assigns(world) and not world.is_first_paused
+    if is_lapsed and not world.is_first_resigned:
+        yield "resign", world._replace(is_first_resigned=True)
+    if is_lapsed and weakness.lapsed_lease_counts_again:
+        yield "late pledge", world._replace(first_pledge=PLEDGE)
     is_bound = world.second_pledge > 0 and not weakness.ignores_own_pledge
-    if world.is_store_up and world.second_waited >= WAIT and not is_bound:
+    is_run_out = world.second_waited >= WAIT and not is_bound
+    if world.is_store_up and (is_run_out or world.is_first_resigned):
         unsure = 0 if weakness.forgets_earlier_grants else HOLD
         yield (
             "take over",
--- a/spec/ranges/weakness.py
+++ b/spec/ranges/weakness.py
@@ -26,3 +26,9 @@
 
     release_keeps_fence: bool = False
     """A release does not raise the fence below which a target refuses late grants."""
+
+    delivers_given_up_calls: bool = False
+    """A grant that was given up may still arrive, and counts its time from then."""
+
+    lapsed_lease_counts_again: bool = False
+    """A holder that told others of its lease's end goes on by a late pledge."""
--- a/spec/ranges/world.py
+++ b/spec/ranges/world.py
@@ -30,6 +30,9 @@
     first_pledge: int = 0
     """How long the first instance counts on the second one's pledge."""
 
+    is_first_resigned: bool = False
+    """Whether the first instance told the second one that its lease has ended."""
+
     second_pledge: int = 0
     second_waited: int = 0
     second_leads: bool = False
