Take no fence for a renewal while a plan is on its way; 421 by the target is no end

Cause, found by reading the diff: a plan takes its fences, then the record is written. A renewal that its target refused meanwhile (409, as after a takeover, when an earlier assigner's fences were not in the record) was made again under a new fence, above those of the plan's moves; the new owner then got keys under a fence below the last holder's. Test first: test_range_keeper shows 3000002 at the old owner and 3000001 at the new one without the change.

--- a/swiftpin/keyranges/range_keeper.py
+++ b/swiftpin/keyranges/range_keeper.py
@@ -125,6 +125,9 @@
         self._assignment: Assignment | None = None
         self._fences = fences
         fences.begin_term(self._term)
+        self._is_recording = False
+        """Whether a plan, whose fences are taken, is on its way to the record."""
+
         self._granted_fences: set[int] = set()
         self._moves_by_first: dict[int, asyncio.Task[None]] = {}
         self._map_number = 0
@@ -232,8 +235,12 @@
         self._fences.take(len(joined_fences))
         first_fence = self._fences.take(len(moves))
         planned = joined.with_moves(moves, first_fence)
-        if not await self._record.async_replace(planned):
-            return
+        self._is_recording = True
+        try:
+            if not await self._record.async_replace(planned):
+                return
+        finally:
+            self._is_recording = False
         # The owner holds all keys of a joined segment under their earlier fences.
         self._granted_fences.update(joined_fences)
         # Moves that ended while the record was written are not lost by this.
@@ -398,7 +405,9 @@
         """Renew one grant; return whether the target answers."""
         taken = await self._granter.async_grant(target, segment, contact)
         if not taken and not contact.is_failing and not contact.is_gone:
-            if not self._stands(segment):
+            if self._is_recording or not self._stands(segment):
+                # A fence above those of the plan would be above its moves' too; the
+                # next renewal sees what has become of the keys.
                 return True
             segment = self._refence(segment)
             taken = await self._granter.async_grant(target, segment, contact)
--- a/swiftpin/platform/target_control.py
+++ b/swiftpin/platform/target_control.py
@@ -168,9 +168,8 @@
                 raise TargetNotReachedError(f"{target_id}: {err!r}") from err
             raise TargetUnreachableError(f"{target_id}: {err!r}") from err
         other = answer.headers.get(HEADER_INSTANCE)
-        if answer.status == HTTPStatus.MISDIRECTED_REQUEST or (
-            other is not None and other != target_id
-        ):
+        is_misdirected = answer.status == HTTPStatus.MISDIRECTED_REQUEST
+        if other != target_id and (is_misdirected or other is not None):
             raise TargetReplacedError(f"{other} answers at {address}")
         if answer.status == HTTPStatus.CONFLICT:
             raise GrantRefusedError(f"{target_id} has seen a higher fence")
--- /dev/null
+++ b/tests/keyranges/test_range_keeper.py
@@ -0,0 +1,148 @@
+"""Tests of keeping one service's keys."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+from typing import cast
+
+import pytest
+
+from swiftpin.keyranges import range_keeper as range_keeper_module
+from swiftpin.keyranges.assignment import Assignment
+from swiftpin.keyranges.fences import Fences
+from swiftpin.keyranges.lease import LeaseKeeper
+from swiftpin.keyranges.move import Move
+from swiftpin.keyranges.range_keeper import RangeKeeper
+from swiftpin.keyranges.segment import Segment
+from swiftpin.platform.store_client import StoreClient
+from swiftpin.platform.target_control import (
+    GrantRefusedError,
+    KeyGrant,
+    TargetControl,
+)
+from swiftpin.router.store_health import StoreHealth
+from swiftpin.router.target import Target
+from swiftpin.router.target_directory import TargetDirectory
+
+
+class SlowStore:
+    """Takes a record once it is let go on."""
+
+    def __init__(self) -> None:
+        self.may_answer = asyncio.Event()
+        self.is_asked = asyncio.Event()
+
+    async def async_replace(self, *args: object) -> int:
+        """Take a record."""
+        self.is_asked.set()
+        await self.may_answer.wait()
+        return 2
+
+
+class FencedTargets:
+    """Targets that refuse fences below the highest that they have seen."""
+
+    def __init__(self) -> None:
+        self.seen_by_target: dict[str, int] = {}
+        self.granted_by_target: dict[str, list[int]] = {"a": [], "b": []}
+
+    async def async_grant(
+        self, address: str, target_id: str, grant: KeyGrant, **rest: object
+    ) -> None:
+        """Take a grant, or refuse it."""
+        if grant.fence < self.seen_by_target.get(target_id, 0):
+            raise GrantRefusedError(target_id)
+        self.granted_by_target[target_id].append(grant.fence)
+
+    async def async_release(self, *args: object, **rest: object) -> str:
+        """Take keys back."""
+        return "handover"
+
+
+@pytest.fixture(name="store")
+def store_fixture() -> SlowStore:
+    """Return a store that takes its time."""
+    return SlowStore()
+
+
+@pytest.fixture(name="targets")
+def targets_fixture() -> FencedTargets:
+    """Return the targets."""
+    return FencedTargets()
+
+
+@pytest.fixture(name="keeper")
+def keeper_fixture(store: SlowStore, targets: FencedTargets) -> RangeKeeper:
+    """Return a keeper of two targets' keys."""
+    directory = TargetDirectory(StoreHealth(), 2.0)
+    for name in ("a", "b"):
+        directory.targets_by_id[name] = Target(
+            id=name,
+            service="desk",
+            address=f"{name}:1",
+            zone="z",
+            slots=2,
+            is_draining=False,
+            cold_for=0.0,
+            revision=1,
+        )
+    keeper = RangeKeeper(
+        service="desk",
+        client=cast(StoreClient, store),
+        control=cast(TargetControl, targets),
+        directory=directory,
+        lease=cast(LeaseKeeper, SimpleNamespace(term=3)),
+        fences=Fences(),
+        health=StoreHealth(),
+        longest_hold=10.0,
+        health_path="/health",
+        on_map=lambda key_map: None,
+        count_members=lambda: 1,
+        longest_request=lambda: 1.0,
+    )
+    keeper._assignment = Assignment(
+        segments=(
+            Segment(first=0, last=99, owner="a", fence=5),
+            Segment(first=100, last=65535, owner="b", fence=5),
+        )
+    )
+    return keeper
+
+
+async def test_move_has_a_higher_fence_than_any_renewal_before_it(
+    keeper: RangeKeeper,
+    store: SlowStore,
+    targets: FencedTargets,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Symptom: a key went to a target under a fence below its last holder's.
+
+    Sequence: a move was planned and its fence taken; while the record was written, the
+    owner refused a renewal, since it had seen a higher fence from an earlier assigner,
+    and got its keys under a new one, which was above the move's.
+    Cause: fences were taken for renewals while a plan was on its way to the record.
+    """
+    move = Move(first=0, last=99, source="a", to="b")
+    monkeypatch.setattr(range_keeper_module, "plan_moves", lambda *args: [move])
+    targets.seen_by_target["a"] = 2_000_009
+    plan = asyncio.create_task(keeper._async_plan_once(0.0))
+    await store.is_asked.wait()
+    await keeper._async_renew("a")
+    store.may_answer.set()
+    await plan
+    while keeper._moves_by_first:
+        await asyncio.gather(*keeper._moves_by_first.values())
+    assert targets.granted_by_target["b"]
+    assert max(targets.granted_by_target["a"], default=0) < min(
+        targets.granted_by_target["b"]
+    )
+
+
+async def test_owner_that_saw_a_higher_fence_keeps_its_keys(
+    keeper: RangeKeeper, targets: FencedTargets
+) -> None:
+    """Without a plan on its way a refused renewal is made again under a new fence."""
+    targets.seen_by_target["a"] = 2_000_009
+    await keeper._async_renew("a")
+    assert targets.granted_by_target["a"] == [3_000_001]
