--- /dev/null
+++ b/tests/permits/test_home_choice.py
@@ -0,0 +1,41 @@
+"""Tests of the choice of the instances that hand out permits."""
+
+from __future__ import annotations
+
+from swiftpin.permits.home_choice import LEAST_HOMES, TARGETS_A_HOME, choose_homes
+
+
+def test_present_homes_stay() -> None:
+    """A change of the list moves few targets, so a newcomer replaces nobody."""
+    strengths = {f"i{number}": 1.0 for number in range(9)}
+    present = ("i7", "i8", "i3")
+    chosen = choose_homes(strengths, present=present, assigner="i0", targets=3)
+    assert set(chosen) == set(present)
+
+
+def test_weak_instances_hand_out_nothing_where_strong_ones_do() -> None:
+    """Symptom: permits came late in a fleet of unequal machines.
+
+    Sequence: a tenth of the instances had a fifth of the usual strength. Cause: targets
+    were dealt out by name alone.
+    """
+    strengths = {f"i{number}": 0.2 if number % 3 else 1.0 for number in range(30)}
+    targets = 5 * TARGETS_A_HOME
+    chosen = choose_homes(strengths, present=(), assigner="i1", targets=targets)
+    assert len(chosen) == 5
+    assert all(strengths[name] == 1.0 for name in chosen)
+
+
+def test_assigner_is_spared_where_others_are_enough() -> None:
+    """It renews the grants of all targets."""
+    strengths = {f"i{number}": 1.0 for number in range(9)}
+    targets = (LEAST_HOMES + 2) * TARGETS_A_HOME
+    chosen = choose_homes(strengths, present=(), assigner="i0", targets=targets)
+    assert "i0" not in chosen
+    few = choose_homes({"i0": 1.0}, present=(), assigner="i0", targets=targets)
+    assert few == ["i0"]
+
+
+def test_no_instances_no_homes() -> None:
+    """A stopping instance that is alone names nobody."""
+    assert choose_homes({}, present=(), assigner="i0", targets=1) == []
