Let members rest though a neighbour has just told them more; changes of targets in 0.3 s

Change: neighbours are compared with the version of 1.2 s ago; those that were linked to for news tell changed targets every 0.3 s again.

--- a/swiftpin/fleet/link.py
+++ b/swiftpin/fleet/link.py
@@ -158,7 +158,8 @@
 
         The assigner's always come at their pace: candidates wait for them. So do all
         while one side has lost the store, since pledges travel in them. News that all
-        are waiting for go at once.
+        are waiting for go at once. Changes of targets, which come in swarms, go at the
+        usual pace, and only to those that opened the link to hear of them.
         """
         last = self._last_beat
         if last is None:
@@ -171,7 +172,8 @@
         )
         if is_news:
             return self._beat_at
+        has_targets = not self.is_outgoing and last.targets != beat.targets
         is_lost = beat.store_lost or (self.beat is not None and self.beat.store_lost)
-        if beat.leads or is_lost:
+        if beat.leads or is_lost or has_targets:
             return self._beat_at + BEAT_INTERVAL
         return min(self._sent_at + BEAT_INTERVAL, self._beat_at + LAST_BEAT)
--- a/swiftpin/router/fleet_news.py
+++ b/swiftpin/router/fleet_news.py
@@ -23,6 +23,10 @@
 LEAST_INFORMED: Final = 2
 """Links to instances that watch, without which an instance watches by itself."""
 
+VERSION_AGE: Final = 1.2
+"""Seconds after which an informed neighbour must have told a version: a beat of a busy
+link may be 0.9 s old."""
+
 NEWS_PAUSE: Final = 0.2
 """Seconds for which an instance stays behind before it asks a neighbour: the store's
 own answer is most likely on its way, and costs no message between instances."""
@@ -54,6 +58,11 @@
         self._configuration = configuration
         self._directory = directory
         self._behind_since: float | None = None
+        self._aged_version = 0
+        """Version of the targets that this instance knew `VERSION_AGE` ago."""
+
+        self._ageing_version = 0
+        self._ageing_since = 0.0
 
     @callback
     def may_rest(self) -> bool:
@@ -76,13 +85,14 @@
             if link.beat is not None
             and link.is_fresh(now)
             and not link.beat.store_lost
-            and link.beat.targets >= self._directory.version
+            and link.beat.targets >= self._aged_version
         ]
         return len(informed) >= LEAST_INFORMED
 
     @callback
     def ask(self) -> None:
         """Ask a neighbour that knows something newer for it."""
+        self._age_version(asyncio.get_running_loop().time())
         for link in self._links.live_links():
             beat = link.beat
             if beat is None or not self._is_ahead(beat):
@@ -106,6 +116,18 @@
             return
         self._behind_since = None
 
+    @callback
+    def _age_version(self, now: float) -> None:
+        """Note which version of the targets is old enough to be known to all.
+
+        Compared with the newest one, neighbours seem to know less whenever one of them
+        has just told it, and every instance then watches the store, which is paid for.
+        """
+        if now - self._ageing_since >= VERSION_AGE:
+            self._aged_version = self._ageing_version
+            self._ageing_version = self._directory.version
+            self._ageing_since = now
+
     @callback
     def _is_ahead(self, beat: Item) -> bool:
         """Return whether a neighbour knows something newer."""
--- a/tests/fleet/test_link.py
+++ b/tests/fleet/test_link.py
@@ -94,3 +94,16 @@
     assert link._beat_due_at(pb.Beat(configuration=1)) > 10.0
     assert link._beat_due_at(pb.Beat(configuration=2)) <= 10.0
     assert link._beat_due_at(pb.Beat(configuration=1, stopping=True)) <= 10.0
+
+
+def test_changes_of_targets_go_to_those_that_opened_the_link() -> None:
+    """Symptom: a leaving target still got requests two seconds later.
+
+    Sequence: most instances of a large fleet hear of targets from the few that watch
+    the store. Cause: on busy links versions travelled only every 0.9 s.
+    """
+    for is_outgoing, pause in ((False, BEAT_INTERVAL), (True, LAST_BEAT)):
+        link = PeerLink(Handler(), 10.0, is_outgoing=is_outgoing)
+        link._sent_at = 11.0
+        link._last_beat = pb.Beat(targets=1)
+        assert link._beat_due_at(pb.Beat(targets=2)) == 10.0 + pause
