--- /dev/null
+++ b/tests/deploy/test_router_alerts.py
@@ -0,0 +1,58 @@
+"""The router's alert rules and page name metrics that exist."""
+
+from __future__ import annotations
+
+from pathlib import Path
+import re
+from typing import Any
+
+import pytest
+import yaml
+
+from swiftpin.router.metrics import Metrics
+
+ROOT = Path(__file__).parents[2]
+ALERTS = ROOT / "deploy" / "prometheus" / "router_alerts.yaml"
+PAGE = ROOT / "docs" / "OPERATIONS.md"
+METRIC = re.compile(r"\bswiftpin_router_[a-z_]+[a-z]\b")
+
+
+def rules() -> list[dict[str, Any]]:
+    """Return the rules of all groups."""
+    document = yaml.safe_load(ALERTS.read_text())
+    return [rule for group in document["groups"] for rule in group["rules"]]
+
+
+@pytest.fixture(name="metric_names")
+def metric_names_fixture() -> set[str]:
+    """Return the names of all samples that a router may give."""
+    names: set[str] = set()
+    for metric in Metrics().registry.collect():
+        names.add(metric.name)
+        if metric.type == "counter":
+            names.add(f"{metric.name}_total")
+        if metric.type == "histogram":
+            names.add(f"{metric.name}_bucket")
+    return names
+
+
+def test_rules_use_metrics_that_exist(metric_names: set[str]) -> None:
+    """A rule about a renamed metric would never fire."""
+    for rule in rules():
+        used = set(METRIC.findall(rule["expr"]))
+        assert used
+        assert used <= metric_names, rule["alert"]
+
+
+def test_page_names_metrics_that_exist(metric_names: set[str]) -> None:
+    """An engineer looks for what the page names."""
+    assert set(METRIC.findall(PAGE.read_text())) <= metric_names
+
+
+def test_each_alert_is_explained() -> None:
+    """Whoever is woken finds the alert's name on the page."""
+    text = PAGE.read_text()
+    for rule in rules():
+        assert rule["labels"]["severity"] in {"page", "ticket"}
+        assert rule["annotations"]["summary"]
+        assert f"`{rule['alert']}`" in text, rule["alert"]
