--- a/swiftpin/keyranges/lease.py
+++ b/swiftpin/keyranges/lease.py
@@ -196,7 +196,7 @@
         if await self._async_write(renewed):
             return LEASE_RENEW
         # On pledges alone nothing is lost by a pause, and each try is two calls of a
-        # store that answers nobody: 114 in an outage of 8 s (counted in a log).
+        # store that answers nobody: 88 in an outage of 8 s (counted in a log).
         is_pledged = suspend_aware_now() >= self.valid_until
         return CALM_POLL if is_pledged else RETRY
 
