Give each run of the router's tests loopback addresses of its own

Cause: one error in tests/router beside other runs of the same tests, 'address already in use' on 127.0.0.11: a free port was chosen and taken by another run before it was used. Change: addresses by process id. Ruled out: the code under test, which never listened. Conclusion: a race of the fixture between runs; none is left between addresses.

--- a/tests/router/site.py
+++ b/tests/router/site.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from io import BytesIO
 from itertools import count
+import os
 import socket
 from typing import Any
 
@@ -44,6 +45,16 @@
     headers: dict[str, str]
 
 
+def own_host(number: int) -> str:
+    """Return a loopback address that only this process's tests listen on.
+
+    Between the choice of a free port and its use another run of these tests, on the
+    same address, took the port: "address already in use" in a fixture.
+    """
+    pid = os.getpid()
+    return f"127.{1 + pid // 250 % 250}.{pid % 250}.{10 + number}"
+
+
 def free_port(host: str) -> int:
     """Return a port that nobody listens on."""
     with socket.socket() as probe:
@@ -142,7 +153,7 @@
         self, name: str, logging: LoggingSetup | None = None
     ) -> Router:
         """Start an instance."""
-        host = f"127.0.0.{10 + next(self._hosts)}"
+        host = own_host(next(self._hosts))
         settings = InstanceSettings(
             name=name,
             zone="z1",
