Bound the whole log by lines and bytes a second

Cause: only the lines of requests had a bound, counted in lines; a path of 16 KB or a traceback counted as one, and the other events had none. The line that announces lost lines had no time, so it could not be joined to others.

One value has at most 4,096 characters. The writer counts what it wrote.

--- a/swiftpin/helpers/logging_format.py
+++ b/swiftpin/helpers/logging_format.py
@@ -10,6 +10,9 @@
 from typing import Final
 
 ABSENT: Final = "-"
+LONGEST_TEXT: Final = 4096
+"""Characters of one value; a path may have 16 KB, and a traceback repeats itself."""
+
 _PLAIN: Final = re.compile(r"[A-Za-z0-9_.,:;/@%+*()\[\]-]+")
 _MILLISECONDS: Final = 1000
 
@@ -35,7 +38,12 @@
 
 
 def format_text(text: str) -> str:
-    """Return text as it stands in a line."""
+    """Return text as it stands in a line; the end of a long one is left out.
+
+    A caller that sends long paths could otherwise fill the room of all lines.
+    """
+    if len(text) > LONGEST_TEXT:
+        text = f"{text[:LONGEST_TEXT]}...({len(text) - LONGEST_TEXT} more)"
     if text != ABSENT and _PLAIN.fullmatch(text):
         return text
     return json.dumps(text)
--- a/swiftpin/helpers/logging_setup.py
+++ b/swiftpin/helpers/logging_setup.py
@@ -8,6 +8,7 @@
 from eliot import add_destinations, remove_destination
 
 from swiftpin.core import callback
+from swiftpin.helpers.log_volume import LogVolume
 from swiftpin.helpers.logging_destination import KeyValueDestination
 from swiftpin.helpers.logging_handler import LineHandler
 from swiftpin.helpers.logging_writer import DEFAULT_LINE_LIMIT, LineWriter
@@ -17,9 +18,14 @@
     """Sends the messages of eliot and `logging` to one stream as lines of pairs."""
 
     def __init__(
-        self, stream: BinaryIO, level: str, *, line_limit: int = DEFAULT_LINE_LIMIT
+        self,
+        stream: BinaryIO,
+        level: str,
+        *,
+        line_limit: int = DEFAULT_LINE_LIMIT,
+        volume: LogVolume | None = None,
     ) -> None:
-        self.writer = LineWriter(stream, limit=line_limit)
+        self.writer = LineWriter(stream, limit=line_limit, volume=volume)
         self.destination = KeyValueDestination(self.writer, level)
         self._handler = LineHandler(self.destination)
         self._is_set_up = False
--- a/swiftpin/helpers/logging_writer.py
+++ b/swiftpin/helpers/logging_writer.py
@@ -4,9 +4,13 @@
 
 from collections import deque
 from threading import Event, Thread
+import time
 from typing import BinaryIO, Final
 
 from swiftpin.core import callback
+from swiftpin.helpers.line_budget import LineBudget
+from swiftpin.helpers.log_volume import LogVolume
+from swiftpin.helpers.logging_format import format_time
 
 FLUSH_INTERVAL: Final = 0.05
 """Seconds; lines of the last interval are lost when the process is killed."""
@@ -14,8 +18,8 @@
 DEFAULT_LINE_LIMIT: Final = 20_000
 
 KEPT_FOR_FAILURES: Final = 0.25
-"""Part of the room that only lines of failures may use: when the reader stalls they are
-what is looked for."""
+"""Part of the room, in the queue and in each second, that only lines of failures may
+use: when the reader stalls or all goes wrong at once they are what is looked for."""
 
 CLOSE_LIMIT: Final = 1.0
 
@@ -25,12 +29,22 @@
 
     Writing in the event loop would stop the whole instance, heartbeats included,
     whenever the reader of a pipe stalls; one would see leases lapse for no reason.
-    Lines for which there is no room are counted in `dropped` and announced.
+    Lines for which the queue has no room are counted in `dropped`, those above the
+    volume of a second in `over_volume`; both are announced.
     """
 
-    def __init__(self, stream: BinaryIO, *, limit: int = DEFAULT_LINE_LIMIT) -> None:
+    def __init__(
+        self,
+        stream: BinaryIO,
+        *,
+        limit: int = DEFAULT_LINE_LIMIT,
+        volume: LogVolume | None = None,
+    ) -> None:
         self.dropped = 0
-        self._announced = 0
+        self.lines_written = 0
+        self.bytes_written = 0
+        self._announced = (0, 0)
+        self._budget = _budget(volume)
         self._stream = stream
         self._limit = limit
         self._usual_limit = int(limit * (1 - KEPT_FOR_FAILURES))
@@ -38,6 +52,11 @@
         self._stopping = Event()
         self._thread = Thread(target=self._run, name="line-writer", daemon=True)
 
+    @property
+    def over_volume(self) -> int:
+        """Return how many lines were left out since they were too many a second."""
+        return 0 if self._budget is None else self._budget.left_out
+
     @callback
     def start(self) -> None:
         """Start the thread."""
@@ -50,6 +69,10 @@
         if len(self._lines) >= limit:
             self.dropped += 1
             return
+        if self._budget is not None:
+            share = 1.0 if is_failure else 1.0 - KEPT_FOR_FAILURES
+            if not self._budget.take(time.monotonic(), len(line) + 1, share=share):
+                return
         self._lines.append(line)
 
     @callback
@@ -68,16 +91,36 @@
         """Write all waiting lines in one piece."""
         count = len(self._lines)
         batch = [self._lines.popleft() for _ in range(count)]
-        if self.dropped > self._announced:
-            batch.append(f"level=warning event=lines_dropped total={self.dropped}")
-            self._announced = self.dropped
+        lost = (self.dropped, self.over_volume)
+        if lost != self._announced:
+            self._announced = lost
+            batch.append(_announcement(*lost))
         if not batch:
             return
         batch.append("")
+        written = "\n".join(batch).encode("utf-8", "backslashreplace")
         try:
-            self._stream.write("\n".join(batch).encode("utf-8", "backslashreplace"))
+            self._stream.write(written)
             self._stream.flush()
         except (OSError, ValueError):
             # The reader closed its end, or the stream was closed. Without a place
             # for lines the instance goes on; the count shows it in the metrics.
             self.dropped += count
+            return
+        self.lines_written += len(batch) - 1
+        self.bytes_written += len(written)
+
+
+def _announcement(dropped: int, over_volume: int) -> str:
+    """Return the line that tells how many lines are missing since the start."""
+    return (
+        f"time={format_time(time.time())} level=warning event=lines_dropped"
+        f" total={dropped} over_volume={over_volume}"
+    )
+
+
+def _budget(volume: LogVolume | None) -> LineBudget | None:
+    """Return the budget for a volume, None where it has no limit."""
+    if volume is None:
+        return None
+    return LineBudget(volume.lines, most_bytes=volume.bytes)
--- a/swiftpin/router/__main__.py
+++ b/swiftpin/router/__main__.py
@@ -13,6 +13,7 @@
 from swiftpin.core import callback
 from swiftpin.exceptions import ConfigurationError
 from swiftpin.gateway.collection_pace import spread_collections
+from swiftpin.helpers.log_volume import ROUTER_LOG_VOLUME
 from swiftpin.helpers.logging_setup import LoggingSetup
 from swiftpin.platform.names import VARIABLE_SETTINGS
 from swiftpin.platform.settings import read_settings
@@ -40,7 +41,7 @@
 async def async_run(path: str) -> int:
     """Run one instance; return the exit status."""
     settings = read_settings(path)
-    logging = LoggingSetup(sys.stdout.buffer, "info")
+    logging = LoggingSetup(sys.stdout.buffer, "info", volume=ROUTER_LOG_VOLUME)
     logging.setup()
     router = Router(settings, logging)
     loop = asyncio.get_running_loop()
--- a/tests/helpers/test_logging.py
+++ b/tests/helpers/test_logging.py
@@ -13,7 +13,13 @@
 from hypothesis import strategies as st
 import pytest
 
-from swiftpin.helpers.logging_format import format_pairs, format_time, format_value
+from swiftpin.helpers.log_volume import LogVolume
+from swiftpin.helpers.logging_format import (
+    LONGEST_TEXT,
+    format_pairs,
+    format_time,
+    format_value,
+)
 from swiftpin.helpers.logging_setup import LoggingSetup
 from swiftpin.helpers.logging_writer import LineWriter
 
@@ -150,9 +156,10 @@
     assert writer.dropped >= 4
     stream.may_write.set()
     writer.unload()
-    assert (
-        stream.lines[-1] == f"level=warning event=lines_dropped total={writer.dropped}"
-    )
+    time, _, rest = stream.lines[-1].partition(" ")
+    assert time.startswith("time=2")
+    dropped = writer.dropped
+    assert rest == f"level=warning event=lines_dropped total={dropped} over_volume=0"
     assert len(stream.lines) == 10 - writer.dropped + 1
 
 
@@ -167,6 +174,47 @@
     assert writer.dropped == 1
 
 
+def test_long_text_is_cut() -> None:
+    """A caller's path or a traceback does not fill the room of all lines."""
+    written = format_value("a" * (LONGEST_TEXT + 7))
+    assert json.loads(written) == f"{'a' * LONGEST_TEXT}...(7 more)"
+
+
+@pytest.mark.parametrize(
+    ("volume", "kept", "failures"),
+    [
+        (LogVolume(lines=8, bytes=10_000), 6, 2),
+        (LogVolume(lines=1_000, bytes=80), 6, 2),
+    ],
+)
+def test_volume_of_a_second_has_a_bound(
+    stream: Stream,
+    monkeypatch: pytest.MonkeyPatch,
+    volume: LogVolume,
+    kept: int,
+    failures: int,
+) -> None:
+    """Symptom: logs of a bad minute filled the disk of whoever collects them.
+
+    Sequence: every target failed, and each request and message had its lines. Cause:
+    only requests' lines had a bound, in lines. A quarter is kept for failures.
+    """
+    monkeypatch.setattr("swiftpin.helpers.logging_writer.time.monotonic", lambda: 5.0)
+    writer = LineWriter(stream, volume=volume)
+    for number in range(20):
+        writer.write(f"served={number:02d}")
+    for number in range(20):
+        writer.write(f"failed={number:02d}", is_failure=True)
+    assert writer.over_volume == 40 - kept - failures
+    writer.start()
+    writer.unload()
+    assert len([line for line in stream.lines if "served" in line]) == kept
+    assert len([line for line in stream.lines if "failed" in line]) == failures
+    assert stream.lines[-1].endswith(f"total=0 over_volume={writer.over_volume}")
+    assert writer.bytes_written == len(stream.getvalue())
+    assert writer.lines_written == len(stream.lines)
+
+
 def test_failures_keep_their_room(stream: Stream) -> None:
     """Lines of served requests do not take the room of those that are looked for."""
     stream.may_write.clear()
