Answer a fault of the router truthfully; count every reason

Cause: an exception of our own code was left to the HTTP server, which told the caller that the request was malformed and had not run, also when a target had run it; no line or counter told of it, nor of requests that are not HTTP. The reasons of failed steps stood only in the words of notes. The request's line named the key map of the moment at which it was written.

Change: such a fault is answered with 500 and executed=unknown and logged with its traceback. Requests that can't be parsed have a line and a count. Each failed step is a StepFailure, counted by reason. A line names the key map and the revision of the targets that the last send was decided by; late answers are marked and counted; the wait for slots has a histogram; written, and lost log lines are counters.

--- a/swiftpin/gateway/http_listener.py
+++ b/swiftpin/gateway/http_listener.py
@@ -64,6 +64,8 @@
     ) -> StreamResponse:
         """Return the answer to a request that is not HTTP, and end the connection."""
         err = _parse_error(exc)
+        if isinstance(self._manager, GatewayServer):
+            self._manager.on_unparsed(err)
         headers = error_headers(err)
         headers[HEADER_RESULT] = str(err.code.value)
         response = Response(status=err.status, headers=headers, body=error_body(err))
@@ -74,6 +76,9 @@
 class GatewayServer(Server):
     """Makes a `GatewayProtocol` for each connection."""
 
+    on_unparsed: Callable[[RequestError], None]
+    """Is told of each request that can't be parsed: no handler sees it."""
+
     def __call__(self) -> HttpProtocol:
         """Return the protocol of a new connection."""
         return GatewayProtocol(self, loop=self._loop, **self._kwargs)
@@ -89,6 +94,7 @@
         max_line: int,
         max_headers: int,
         tls: ServerTls | None = None,
+        on_unparsed: Callable[[RequestError], None] | None = None,
     ) -> None:
         self._tls = tls
         self._server = GatewayServer(
@@ -102,6 +108,7 @@
             max_field_size=max_line,
             max_headers=max_headers,
         )
+        self._server.on_unparsed = on_unparsed or _ignore
         self._socket_server: AbstractServer | None = None
 
     async def async_setup(self, address: Address) -> Address:
@@ -145,3 +152,8 @@
         err.status = 431
         return err
     return MalformedRequestError("the request is not valid HTTP/1.1")
+
+
+@callback
+def _ignore(err: RequestError) -> None:
+    """Do nothing."""
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -94,13 +94,13 @@
     def __init__(self, settings: InstanceSettings, logging: LoggingSetup) -> None:
         self.stop_wanted = asyncio.Event()
         self._settings = settings
-        self._logging = logging
         self._started_at = suspend_aware_now()
         incarnation = f"{settings.name}/{os.urandom(4).hex()}"
         self._incarnation = incarnation
         rng = Random(incarnation)
         self._lifecycle = Lifecycle()
         self._metrics = Metrics()
+        self._metrics.add_log(logging.writer)
         self._health = StoreHealth()
         self._configuration = ConfigurationHolder()
         self._directory = TargetDirectory(self._health, settings.bounds.drain)
@@ -160,15 +160,26 @@
             bounds=settings.bounds,
             poison=self._poison,
         )
+        log = RequestLog(
+            destination=logging.destination,
+            maps=self._maps,
+            directory=self._directory,
+            metrics=self._metrics,
+        )
         self._handler = RequestHandler(
             configuration=self._configuration,
             sender=self._sender,
             lifecycle=self._lifecycle,
-            log=RequestLog(logging.destination, self._maps, self._metrics),
+            log=log,
         )
         self._configuration.on_change = self._note_configuration
         self._directory.on_change = self._note_targets
-        self._callers = self._listener(self._handler.async_handle)
+        self._callers = HttpListener(
+            self._handler.async_handle,
+            max_line=MAX_LINE,
+            max_headers=MAX_HEADERS,
+            on_unparsed=log.write_unparsed,
+        )
         self._readiness = self._listener(self._async_readiness)
         self._metrics_listener = self._listener(self._async_metrics)
         self._tasks: list[asyncio.Task[None]] = []
@@ -303,7 +314,6 @@
         now = suspend_aware_now()
         self._metrics.leads.set(self._lease.is_held(now))
         self._metrics.store_lost.set(self._health.is_lost)
-        self._metrics.lines_dropped.set(self._logging.writer.dropped)
         self._metrics.configuration.set(self._configuration.version)
         return Response(body=generate_latest(self._metrics.registry))
 
--- a/swiftpin/router/call.py
+++ b/swiftpin/router/call.py
@@ -6,9 +6,12 @@
 
 from aiohttp.web import BaseRequest
 
+from swiftpin.core import callback
 from swiftpin.gateway.request_body import RequestBody
 from swiftpin.model.route import Route
 from swiftpin.platform.request_head import RequestHead
+from swiftpin.router.decision_basis import DecisionBasis
+from swiftpin.router.step_failure import StepFailure
 
 
 @dataclass(kw_only=True, slots=True)
@@ -36,12 +39,24 @@
     """Target at which the last send failed."""
 
     notes: list[str] = field(default_factory=list)
-    """What happened on the way, for the log line."""
+    """What went wrong on the way, in words, for the log line."""
+
+    step_failures: list[StepFailure] = field(default_factory=list)
+    """The same as reasons, for the counters."""
+
+    basis: DecisionBasis | None = None
+    """What the last send was decided by, None while nothing is sent."""
 
     status: int = 0
     configuration: int = 0
     waited: float = 0.0
 
+    @callback
+    def note(self, failure: StepFailure, text: str) -> None:
+        """Note a step that failed."""
+        self.step_failures.append(failure)
+        self.notes.append(text)
+
     @property
     def objective_at(self) -> float:
         """Return when the answer loses worth."""
--- /dev/null
+++ b/swiftpin/router/decision_basis.py
@@ -0,0 +1,45 @@
+"""Versions of what a request was decided by."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from swiftpin.core import callback
+from swiftpin.discovery.target_directory import TargetDirectory
+from swiftpin.helpers.logging_format import ABSENT
+from swiftpin.router.key_maps import KeyMaps
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DecisionBasis:
+    """What the instance believed when it chose a target.
+
+    Without it one sees where a request went, but not whether an old key map or an old
+    list of targets sent it there: both may have changed until the line is written.
+    """
+
+    key_map: tuple[int, int] | None
+    """Term and number of the service's map, None where there is none."""
+
+    targets: int
+    """The store's revision up to which the list of targets is known."""
+
+    @callback
+    def pairs(self) -> str:
+        """Return the pairs of the request's log line."""
+        key_map = ABSENT
+        if self.key_map is not None:
+            key_map = f"{self.key_map[0]}.{self.key_map[1]}"
+        return f"key_map={key_map} targets={self.targets}"
+
+
+@callback
+def read_basis(
+    maps: KeyMaps, directory: TargetDirectory, service: str
+) -> DecisionBasis:
+    """Return what is believed now about a service."""
+    key_map = maps.maps_by_service.get(service)
+    return DecisionBasis(
+        key_map=None if key_map is None else (key_map.term, key_map.number),
+        targets=directory.version,
+    )
--- a/swiftpin/router/request_handler.py
+++ b/swiftpin/router/request_handler.py
@@ -122,6 +122,14 @@
             self._log.write_failed(call, request, err, started_at)
             if not answer.begun:
                 await _async_tell(answer, err)
+        except Exception as fault:  # noqa: BLE001 - one request's fault is answered
+            # Left to the server it would be answered as a request that can't be parsed
+            # and was not run, though a target may have run it.
+            internal = RequestError("the router failed; its log tells more")
+            self._log.write_failed(call, request, internal, started_at, fault=fault)
+            answer.cut()
+            if not answer.begun:
+                await _async_tell(answer, internal)
         else:
             self._log.write_served(call, started_at)
 
--- a/swiftpin/router/request_log.py
+++ b/swiftpin/router/request_log.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import time
+import traceback
 from typing import Final
 
 from aiohttp.web import BaseRequest
 
 from swiftpin.core import callback
+from swiftpin.discovery.target_directory import TargetDirectory
 from swiftpin.exceptions import RequestError
 from swiftpin.helpers.line_budget import LineBudget
 from swiftpin.helpers.logging_destination import KeyValueDestination
@@ -18,7 +20,9 @@
     format_text,
     format_time,
 )
+from swiftpin.result import ResultCode
 from swiftpin.router.call import Call
+from swiftpin.router.decision_basis import read_basis
 from swiftpin.router.key_maps import KeyMaps
 from swiftpin.router.metrics import Metrics
 
@@ -33,10 +37,16 @@
     """Writes how each request was decided and how it ended, and counts it."""
 
     def __init__(
-        self, destination: KeyValueDestination, maps: KeyMaps, metrics: Metrics
+        self,
+        *,
+        destination: KeyValueDestination,
+        maps: KeyMaps,
+        directory: TargetDirectory,
+        metrics: Metrics,
     ) -> None:
         self._destination = destination
         self._maps = maps
+        self._directory = directory
         self._metrics = metrics
         self._served_lines = LineBudget(MOST_SERVED_LINES)
         self._failed_lines = LineBudget(MOST_FAILED_LINES)
@@ -47,8 +57,11 @@
         if call is None:
             return
         elapsed = asyncio.get_running_loop().time() - started_at
-        self._metrics.note_served(call.service, call.status, elapsed)
-        self._write("info", call, f"status={call.status} outcome=served", elapsed)
+        late = elapsed > call.route.objective
+        self._metrics.note_served(call.service, call.status, elapsed, late=late)
+        self._count_steps(call)
+        outcome = f"status={call.status} outcome=served"
+        self._write("info", call, f"{outcome} late=true" if late else outcome, elapsed)
 
     @callback
     def write_failed(
@@ -57,30 +70,45 @@
         request: BaseRequest,
         err: RequestError,
         started_at: float,
+        *,
+        fault: Exception | None = None,
     ) -> None:
         """Write the line of a request that got an answer made here."""
         elapsed = asyncio.get_running_loop().time() - started_at
         service = ABSENT if call is None else call.service
-        self._metrics.note_failed(service, err.code.name, elapsed)
-        outcome = (
-            f"status={err.status} outcome={err.code.name} executed={err.executed.value}"
-            f" hint={format_text(err.hint)}"
-        )
+        self._metrics.note_failed(service, err.code, elapsed)
+        self._count_steps(call)
+        outcome = _failed_outcome(err)
         if err.retry_after is not None:
             outcome = f"{outcome} retry_after={err.retry_after:.3f}"
         if call is None:
             asked = f"{format_text(request.host)}{format_text(request.path)}"
             outcome = f"asked={asked} {outcome}"
+        if fault is not None:
+            outcome = f"{outcome} fault={format_text(_trace(fault))}"
         self._write("warning", call, outcome, elapsed)
 
+    @callback
+    def write_unparsed(self, err: RequestError) -> None:
+        """Write the line of a request that was not valid HTTP and has no id."""
+        self._metrics.note_failed(ABSENT, err.code, 0.0)
+        self._write("warning", None, _failed_outcome(err), 0.0)
+
     @callback
     def write_left(self, call: Call | None, started_at: float) -> None:
         """Write the line of a request whose caller went away."""
         elapsed = asyncio.get_running_loop().time() - started_at
         service = ABSENT if call is None else call.service
-        self._metrics.note_failed(service, "CALLER_LEFT", elapsed)
+        self._metrics.note_failed(service, ResultCode.CALLER_LEFT, elapsed)
+        self._count_steps(call)
         self._write("warning", call, "outcome=CALLER_LEFT", elapsed)
 
+    @callback
+    def _count_steps(self, call: Call | None) -> None:
+        """Count what happened before the end."""
+        if call is not None:
+            self._metrics.note_steps(call.service, call.waited, call.step_failures)
+
     @callback
     def _write(
         self, level: str, call: Call | None, outcome: str, elapsed: float
@@ -103,16 +131,28 @@
     @callback
     def _pairs(self, call: Call) -> str:
         """Return what was known and decided."""
-        key_map = self._maps.maps_by_service.get(call.service)
-        map_version = ABSENT if key_map is None else f"{key_map.term}.{key_map.number}"
+        basis = call.basis or read_basis(self._maps, self._directory, call.service)
         notes = format_text("; ".join(call.notes)) if call.notes else ABSENT
         key = ABSENT if call.head.key is None else call.head.key
         return (
             f" request_id={format_text(call.head.id)}"
             f" route={cached_text(call.route.name)}"
             f" kind={call.route.kind.value} service={cached_text(call.service)}"
-            f" configuration={call.configuration} key={key} key_map={map_version}"
+            f" configuration={call.configuration} key={key} {basis.pairs()}"
             f" target={cached_text(call.target) if call.target else ABSENT}"
             f" sends={call.sends} waited_ms={call.waited * MILLISECONDS:.1f}"
             f" may_have_run={'true' if call.may_have_run else 'false'} notes={notes}"
         )
+
+
+def _failed_outcome(err: RequestError) -> str:
+    """Return the pairs that tell how a request failed."""
+    return (
+        f"status={err.status} outcome={err.code.name} executed={err.executed.value}"
+        f" hint={format_text(err.hint)}"
+    )
+
+
+def _trace(fault: Exception) -> str:
+    """Return where a fault was raised."""
+    return "".join(traceback.format_exception(fault))
--- a/swiftpin/router/request_sender.py
+++ b/swiftpin/router/request_sender.py
@@ -41,11 +41,13 @@
 from swiftpin.router.call import Call
 from swiftpin.router.caller_answer import WHOLE_LIMIT
 from swiftpin.router.configuration_holder import ConfigurationHolder
+from swiftpin.router.decision_basis import read_basis
 from swiftpin.router.exceptions import PoisonRequestError
 from swiftpin.router.fleet_messages import LoadReport
 from swiftpin.router.key_maps import KeyMaps
 from swiftpin.router.poison_watch import PoisonWatch, fingerprint_of
 from swiftpin.router.received import Received
+from swiftpin.router.step_failure import StepFailure
 from swiftpin.router.window_budget import WindowBudget
 
 OWNER_WAIT: Final = 0.5
@@ -153,7 +155,8 @@
                 continue
             if not self._is_worth_retry(call, received, budget):
                 return received
-            call.notes.append(f"{call.target} answered {received.answer.status}")
+            answered = f"{call.target} answered {received.answer.status}"
+            call.note(StepFailure.TARGET_FAILED, answered)
             call.failed_target = call.target
             received.finish(asyncio.get_running_loop().time())
         raise self._failure(call)
@@ -185,7 +188,7 @@
         if call.sends >= call.route.attempts or not call.body.can_be_sent:
             raise self._failure(call)
         if not budget.spend(suspend_aware_now(), self.members):
-            call.notes.append("no retry: budget spent")
+            call.note(StepFailure.BUDGET_SPENT, "no retry: budget spent")
             if call.may_have_run:
                 raise self._failure(call)
             raise RetryBudgetSpentError(
@@ -227,19 +230,21 @@
 
     async def _async_try(self, call: Call) -> Received | None:
         """Try once; return None when that failed."""
+        call.basis = None
         owner = await self._async_owner(call) if self._is_keyed(call) else ""
         permit = await self._async_permit(call, owner)
         call.target = permit.target
+        call.basis = read_basis(self._maps, self._directory, call.service)
         state = HttpSendState()
         began_at = asyncio.get_running_loop().time()
         try:
             received = await self._async_exchange(call, permit, state, began_at)
         except RequestNotSentError as err:
-            self._note_failed(call, permit, f"not sent: {err}")
+            self._note_failed(call, permit, StepFailure.NOT_SENT, f"not sent: {err}")
             return None
         except AnswerBrokenError as err:
             call.may_have_run = True
-            self._note_failed(call, permit, f"broken: {err}")
+            self._note_failed(call, permit, StepFailure.BROKEN, f"broken: {err}")
             self._poison.on_suspect(self._fingerprint(call), permit.target)
             return None
         except BaseException:
@@ -259,6 +264,7 @@
         """Return the target that owns the request's key."""
         key = call.head.key
         if key is None:
+            call.note(StepFailure.NO_KEY, "no key")
             raise NoOwnerError("the request names no key", retry_after=OWNER_RETRY)
         loop = asyncio.get_running_loop()
         if call.failed_target:
@@ -270,7 +276,8 @@
             if self._is_served(call.service, key, owner):
                 return owner
             if loop.time() >= until:
-                call.notes.append(f"no owner: {owner or 'on the move'}")
+                failure = StepFailure.OWNER_AWAY if owner else StepFailure.ON_THE_MOVE
+                call.note(failure, f"no owner: {owner or 'on the move'}")
                 raise NoOwnerError("the key is on the move", retry_after=OWNER_RETRY)
             await self._async_wait_map(call, until)
 
@@ -304,7 +311,7 @@
         )
         call.waited += asyncio.get_running_loop().time() - now
         if permit is None:
-            call.notes.append("no slot")
+            call.note(StepFailure.NO_SLOT, "no slot")
             raise QueueFullError(
                 "the targets have no room in time", retry_after=decision.retry_after
             )
@@ -392,19 +399,21 @@
             and call.head.key is not None
         ):
             self._maps.note_denied(call.service, call.head.key, suspend_aware_now())
-        reason = f"refused: {answer.status}"
+        failure, reason = StepFailure.REFUSED, f"refused: {answer.status}"
         target = self._directory.targets_by_id.get(permit.target)
         if target is not None and head.instance not in (None, target.name):
             # The target is gone and its address belongs to another one by now.
-            reason = f"replaced by {head.instance}"
+            failure, reason = StepFailure.REPLACED, f"replaced by {head.instance}"
             self._directory.note_replaced(permit.target, suspend_aware_now())
-        self._note_failed(call, permit, reason)
+        self._note_failed(call, permit, failure, reason)
 
     @callback
-    def _note_failed(self, call: Call, permit: Permit, reason: str) -> None:
+    def _note_failed(
+        self, call: Call, permit: Permit, failure: StepFailure, reason: str
+    ) -> None:
         """Note a send that brought no answer."""
         call.failed_target = permit.target
-        call.notes.append(f"{permit.target} {reason}")
+        call.note(failure, f"{permit.target} {reason}")
         self._permits.end(permit, 0.0, failed=True)
         self.load.add_time(call.service, permit.target, None)
 
