--- /dev/null
+++ b/script/gen_metrics_page.py
@@ -0,0 +1,82 @@
+#!/usr/bin/env python3
+"""Write docs/router-metrics.md from the code; CI fails while the two differ."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import io
+from pathlib import Path
+from typing import Final
+
+from prometheus_client.metrics_core import Metric
+
+from swiftpin.helpers.logging_writer import LineWriter
+from swiftpin.result import ResultCode, executed_by_result
+from swiftpin.router.metrics import FAILED_RESULTS, Metrics, outcome_of
+from swiftpin.router.step_failure import MEANING_BY_STEP_FAILURE, StepFailure
+
+PAGE: Final = Path(__file__).resolve().parent.parent / "docs" / "router-metrics.md"
+HEAD: Final = """\
+# Metrics of the router
+
+Written by `script/gen_metrics_page.py`; don't edit. `GET /metrics` on the settings' metrics address, in Prometheus' text form.
+Counters count since the start of the process; a series appears with its first event.
+[OPERATIONS.md](OPERATIONS.md) tells what to do with them.
+"""
+BUCKET_LABEL: Final = "le"
+
+
+def metrics_with_events() -> Metrics:
+    """Return metrics in which everything has happened once, so that labels show."""
+    metrics = Metrics()
+    metrics.add_log(LineWriter(io.BytesIO()))
+    metrics.note_served("service", 200, 0.0, late=True)
+    metrics.note_failed("service", ResultCode.INTERNAL, 0.0)
+    metrics.note_steps("service", 0.0, StepFailure)
+    metrics.note_store_call("GET", "kind", "200")
+    return metrics
+
+
+def metric_row(metric: Metric) -> str:
+    """Return a metric's row."""
+    name = f"{metric.name}_total" if metric.type == "counter" else metric.name
+    labels = dict.fromkeys(
+        label
+        for sample in metric.samples
+        for label in sample.labels
+        if label != BUCKET_LABEL
+    )
+    return (
+        f"| `{name}` | {metric.type} | {', '.join(labels)} | {metric.documentation} |"
+    )
+
+
+def page_lines() -> Iterator[str]:
+    """Return the page's lines."""
+    yield HEAD
+    yield "| Metric | Type | Labels | What it tells |"
+    yield "| --- | --- | --- | --- |"
+    for metric in metrics_with_events().registry.collect():
+        yield metric_row(metric)
+    yield "\n## Values of `outcome` in `swiftpin_router_requests_total`\n"
+    yield "A target's answer counts as `status_` and its status. What the router ends itself counts as its result"
+    yield "([result-codes.md](result-codes.md)); the log's `outcome` has the same name in capitals.\n"
+    yield "| Value | Number | The request ran |"
+    yield "| --- | --- | --- |"
+    for result in FAILED_RESULTS:
+        ran = executed_by_result(result).value
+        yield f"| `{outcome_of(result)}` | {result.value} | {ran} |"
+    yield "\n## Values of `reason` in `swiftpin_router_step_failures_total`\n"
+    yield "| Value | Meaning |"
+    yield "| --- | --- |"
+    for failure in StepFailure:
+        yield f"| `{failure.value}` | {MEANING_BY_STEP_FAILURE[failure]} |"
+
+
+def page() -> str:
+    """Return the page."""
+    return "\n".join(page_lines()) + "\n"
+
+
+if __name__ == "__main__":
+    PAGE.write_text(page())
--- a/swiftpin/router/metrics.py
+++ b/swiftpin/router/metrics.py
@@ -48,6 +48,7 @@
     ResultCode.NOT_READY,
     ResultCode.ANSWER_LOST,
     ResultCode.DEADLINE_EXCEEDED,
+    ResultCode.OUTCOME_UNKNOWN,
     ResultCode.ANSWER_CUT_SHORT,
     ResultCode.CALLER_LEFT,
     ResultCode.INTERNAL,
--- a/tests/deploy/test_router_alerts.py
+++ b/tests/deploy/test_router_alerts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import io
+import json
 from pathlib import Path
 import re
 from typing import Any
@@ -9,10 +11,12 @@
 import pytest
 import yaml
 
+from swiftpin.helpers.logging_writer import LineWriter
 from swiftpin.router.metrics import Metrics
 
 ROOT = Path(__file__).parents[2]
 ALERTS = ROOT / "deploy" / "prometheus" / "router_alerts.yaml"
+DASHBOARD = ROOT / "deploy" / "grafana" / "router.json"
 PAGE = ROOT / "docs" / "OPERATIONS.md"
 METRIC = re.compile(r"\bswiftpin_router_[a-z_]+[a-z]\b")
 
@@ -27,7 +31,9 @@
 def metric_names_fixture() -> set[str]:
     """Return the names of all samples that a router may give."""
     names: set[str] = set()
-    for metric in Metrics().registry.collect():
+    metrics = Metrics()
+    metrics.add_log(LineWriter(io.BytesIO()))
+    for metric in metrics.registry.collect():
         names.add(metric.name)
         if metric.type == "counter":
             names.add(f"{metric.name}_total")
@@ -44,6 +50,17 @@
         assert used <= metric_names, rule["alert"]
 
 
+def test_dashboard_uses_metrics_that_exist(metric_names: set[str]) -> None:
+    """A panel about a renamed metric would stay empty."""
+    panels = json.loads(DASHBOARD.read_text())["panels"]
+    for panel in panels:
+        for target in panel["targets"]:
+            used = set(METRIC.findall(target["expr"]))
+            assert used
+            assert used <= metric_names, panel["title"]
+    assert len({panel["id"] for panel in panels}) == len(panels)
+
+
 def test_page_names_metrics_that_exist(metric_names: set[str]) -> None:
     """An engineer looks for what the page names."""
     assert set(METRIC.findall(PAGE.read_text())) <= metric_names
