--- a/script/gen_metrics_page.py
+++ b/script/gen_metrics_page.py
@@ -19,8 +19,9 @@
 HEAD: Final = """\
 # Metrics of the router
 
-Written by `script/gen_metrics_page.py`; don't edit. `GET /metrics` on the settings' metrics address, in Prometheus' text form.
-Counters count since the start of the process; a series appears with its first event.
+Written by `script/gen_metrics_page.py`; don't edit. `GET /metrics` on the metrics
+address of the settings, in Prometheus' text form. Counters count since the start of the
+process; a series appears with its first event.
 [OPERATIONS.md](OPERATIONS.md) tells what to do with them.
 """
 BUCKET_LABEL: Final = "le"
@@ -59,8 +60,9 @@
     for metric in metrics_with_events().registry.collect():
         yield metric_row(metric)
     yield "\n## Values of `outcome` in `swiftpin_router_requests_total`\n"
-    yield "A target's answer counts as `status_` and its status. What the router ends itself counts as its result"
-    yield "([result-codes.md](result-codes.md)); the log's `outcome` has the same name in capitals.\n"
+    yield "A target's answer counts as `status_` and its status. What the router ends"
+    yield "itself counts as its result ([result-codes.md](result-codes.md)); the log's"
+    yield "`outcome` has the same name in capitals.\n"
     yield "| Value | Number | The request ran |"
     yield "| --- | --- | --- |"
     for result in FAILED_RESULTS:
