Split the coordinator of the fleet and the wiring by jobs

Behaviour is unchanged; the making of an assigner takes the configuration as an argument in place of an assertion.

--- /dev/null
+++ b/swiftpin/router/heartbeats.py
@@ -0,0 +1,76 @@
+"""What heartbeats between instances carry."""
+
+from __future__ import annotations
+
+from swiftpin.core import callback
+from swiftpin.discovery.store_health import StoreHealth
+from swiftpin.discovery.target_directory import TargetDirectory
+from swiftpin.fleet.link import Item, PeerLink
+from swiftpin.fleet.proto import fleet_pb2 as pb
+from swiftpin.gateway.lifecycle import Lifecycle
+from swiftpin.keyranges.lease_election import LeaseElection
+from swiftpin.router.configuration_holder import ConfigurationHolder
+from swiftpin.router.extension_votes import ExtensionVotes
+from swiftpin.router.key_maps import KeyMaps
+from swiftpin.router.known_leader import KnownLeader
+
+
+class Heartbeats:
+    """Makes an instance's heartbeats and takes those of others."""
+
+    def __init__(
+        self,
+        *,
+        incarnation: str,
+        leader: KnownLeader,
+        lease: LeaseElection,
+        votes: ExtensionVotes,
+        maps: KeyMaps,
+        configuration: ConfigurationHolder,
+        directory: TargetDirectory,
+        lifecycle: Lifecycle,
+        health: StoreHealth,
+    ) -> None:
+        self._incarnation = incarnation
+        self._leader = leader
+        self._lease = lease
+        self._votes = votes
+        self._maps = maps
+        self._configuration = configuration
+        self._directory = directory
+        self._lifecycle = lifecycle
+        self._health = health
+
+    @callback
+    def make(self, link: PeerLink, now: float) -> Item:
+        """Return the heartbeat to send on a link."""
+        leader = self._leader.record
+        return pb.Item(
+            heartbeat=pb.Heartbeat(
+                incarnation=self._incarnation,
+                leads=self._lease.is_held(now),
+                term=leader.term,
+                leader=leader.holder,
+                leader_peer=leader.peer,
+                configuration=self._configuration.version,
+                targets=self._directory.version,
+                stopping=self._lifecycle.leaving,
+                sent_at=now,
+                echo=0.0 if link.heartbeat is None else link.heartbeat.sent_at,
+                store_lost=self._health.is_lost,
+                maps_term=self._maps.version[0],
+                maps_number=self._maps.version[1],
+                vote=self._votes.give(link, now),
+                resigned_term=self._lease.own_resigned_term(now),
+            )
+        )
+
+    @callback
+    def take(self, link: PeerLink, heartbeat: pb.Heartbeat) -> None:
+        """Take a heartbeat that came over a link."""
+        link.heartbeat = heartbeat
+        if heartbeat.vote:
+            self._votes.take(link, heartbeat.echo)
+        lease = self._lease
+        lease.resigned_term = max(lease.resigned_term, heartbeat.resigned_term)
+        self._leader.note_heartbeat(heartbeat)
--- /dev/null
+++ b/swiftpin/router/http_clients.py
@@ -0,0 +1,43 @@
+"""HTTP clients of an instance."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from swiftpin.core import callback
+from swiftpin.dispatch.http_client import HttpClient
+from swiftpin.keyranges.const import CONTROL_TIMEOUT
+
+CONNECT_TIMEOUT: Final = 0.5
+"""Seconds to open a connection; zones are milliseconds apart, and a lost opening
+packet is sent again after one second anyway."""
+
+IDLE_LIMIT: Final = 5.0
+"""Seconds for which connections to targets lie idle where they do not say more."""
+
+
+class HttpClients:
+    """One client for each sort of server, so that none waits for another's."""
+
+    def __init__(self) -> None:
+        self.store = HttpClient(connect_limit=CONNECT_TIMEOUT)
+        self.targets = HttpClient(
+            connect_limit=CONNECT_TIMEOUT, accepts_unframed=True, idle_limit=IDLE_LIMIT
+        )
+        self.control = HttpClient(
+            connect_limit=CONNECT_TIMEOUT,
+            idle_limit=IDLE_LIMIT,
+            untaken_limit=CONTROL_TIMEOUT,
+        )
+
+    @callback
+    def close_idle(self, now: float) -> None:
+        """Close connections that have been idle for too long."""
+        for client in (self.targets, self.control, self.store):
+            client.close_idle(now)
+
+    @callback
+    def unload(self) -> None:
+        """Close all connections."""
+        for client in (self.targets, self.control, self.store):
+            client.unload()
--- /dev/null
+++ b/swiftpin/router/issuer_list.py
@@ -0,0 +1,114 @@
+"""Choice of the instances that issue permits, and telling all of it."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from eliot import log_message
+
+from swiftpin.core import callback
+from swiftpin.discovery.target_directory import TargetDirectory
+from swiftpin.fleet.link import PeerLink
+from swiftpin.fleet.links import FleetLinks
+from swiftpin.gateway.lifecycle import Lifecycle
+from swiftpin.keyranges.lease_election import LeaseElection
+from swiftpin.permits.issuer_choice import by_strength, choose_issuers
+from swiftpin.permits.permit_broker import PermitBroker
+from swiftpin.permits.permit_issuers import PermitIssuers
+from swiftpin.router.fleet_messages import encode_issuers
+
+MEMBERS_CHANGE: Final = 8
+"""Part of the members whose coming or going is told to all: their number only shares
+the budget of second sends out, and each list goes to everyone."""
+
+MOST_CANDIDATES: Final = 16
+"""Instances named in the lease; the record is written several times a second."""
+
+
+class IssuerList:
+    """Keeps the list of issuers at an instance; the lease's holder chooses it."""
+
+    def __init__(
+        self,
+        *,
+        incarnation: str,
+        own_peer: str,
+        strength: float,
+        links: FleetLinks,
+        lease: LeaseElection,
+        permits: PermitBroker,
+        directory: TargetDirectory,
+        lifecycle: Lifecycle,
+    ) -> None:
+        self._incarnation = incarnation
+        self._own_peer = own_peer
+        self._strength = strength
+        self._links = links
+        self._lease = lease
+        self._permits = permits
+        self._directory = directory
+        self._lifecycle = lifecycle
+        self._number = 0
+
+    @callback
+    def choose(self) -> None:
+        """Choose the issuers, and tell everyone when the list has changed."""
+        members = self._members()
+        strengths = {name: strength for name, (strength, _) in members.items()}
+        self._lease.members = tuple(
+            name.partition("/")[0] for name in by_strength(strengths)[:MOST_CANDIDATES]
+        )
+        present = self._permits.issuers
+        chosen = choose_issuers(
+            strengths,
+            present=present.peers_by_incarnation,
+            assigner=self._incarnation,
+            targets=len(self._directory.targets_by_id),
+        )
+        issuers = {name: members[name][1] for name in chosen}
+        is_same = issuers == present.peers_by_incarnation and (
+            abs(len(members) - present.members) <= len(members) // MEMBERS_CHANGE
+        )
+        if is_same and present.term == self._lease.term:
+            return
+        self._number += 1
+        self._permits.issuers = PermitIssuers(
+            term=self._lease.term,
+            number=self._number,
+            peers_by_incarnation=issuers,
+            members=len(members),
+        )
+        for link in self._links.incoming:
+            self.give(link)
+
+    @callback
+    def give(self, link: PeerLink) -> None:
+        """Send the list over a link."""
+        link.send(encode_issuers(self._permits.issuers))
+
+    @callback
+    def take(self, issuers: PermitIssuers) -> None:
+        """Take a list, unless it is older than the present one."""
+        present = self._permits.issuers
+        if (issuers.term, issuers.number) <= (present.term, present.number):
+            return
+        self._permits.issuers = issuers
+        log_message(
+            message_type="issuers_adopted",
+            term=issuers.term,
+            number=issuers.number,
+            issuers=len(issuers.peers_by_incarnation),
+            members=issuers.members,
+        )
+
+    @callback
+    def _members(self) -> dict[str, tuple[float, str]]:
+        """Return strength and address of each instance that stays, by incarnation."""
+        members = {self._incarnation: (self._strength, self._own_peer)}
+        for link in self._links.live_links():
+            if link.is_outgoing or link.heartbeat is None or link.heartbeat.stopping:
+                continue
+            members[link.incarnation] = (link.strength, link.peer)
+        if self._lifecycle.leaving:
+            del members[self._incarnation]
+        return members
--- /dev/null
+++ b/swiftpin/router/known_leader.py
@@ -0,0 +1,54 @@
+"""Who holds the lease, as far as this instance knows."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from swiftpin.core import callback
+from swiftpin.fleet.links import FleetLinks
+from swiftpin.fleet.proto import fleet_pb2 as pb
+from swiftpin.keyranges.lease_record import LeaseRecord
+
+LEADER_SILENCE: Final = 0.65
+"""Seconds without a heartbeat after which candidates begin to look at the lease;
+with one heartbeat late nothing is lost but some reads."""
+
+
+class KnownLeader:
+    """Newest record of the lease, from the store or from other instances."""
+
+    def __init__(self, links: FleetLinks) -> None:
+        self.record = LeaseRecord(holder="", peer="", term=0, renewal=0)
+        self._links = links
+
+    @callback
+    def note_record(self, record: LeaseRecord) -> None:
+        """Take a record that was read or written in the store."""
+        if (record.term, record.renewal) >= (self.record.term, self.record.renewal):
+            self.record = record
+
+    @callback
+    def note_heartbeat(self, heartbeat: pb.Heartbeat) -> None:
+        """Take what another instance knows, if its term is newer."""
+        if heartbeat.term <= self.record.term:
+            return
+        self.record = LeaseRecord(
+            holder=heartbeat.leader,
+            peer=heartbeat.leader_peer,
+            term=heartbeat.term,
+            renewal=0,
+        )
+
+    @callback
+    def is_heard(self, holder: str, now: float) -> bool:
+        """Return whether a holder of the lease says that it still has it.
+
+        `now` is on the event loop's clock, as the times of links are.
+        """
+        return any(
+            link.incarnation == holder
+            and link.heartbeat is not None
+            and link.heartbeat.leads
+            and now - link.heard_at < LEADER_SILENCE
+            for link in self._links.live_links()
+        )
--- a/swiftpin/router/leader.py
+++ b/swiftpin/router/leader.py
@@ -14,6 +14,7 @@
 from swiftpin.keyranges.fences import Fences
 from swiftpin.keyranges.lease_election import LeaseElection
 from swiftpin.keyranges.range_assigner import RangeAssigner
+from swiftpin.model.configuration import Configuration
 from swiftpin.router.configuration_holder import ConfigurationHolder
 
 TICK: Final = 0.1
@@ -21,14 +22,14 @@
 
 
 class Leader:
-    """Runs a assigner for each service divided by key while the lease is held."""
+    """Runs an assigner for each service divided by key while the lease is held."""
 
     def __init__(
         self,
         *,
         lease: LeaseElection,
         configuration: ConfigurationHolder,
-        make_assigner: Callable[[str, Fences], RangeAssigner],
+        make_assigner: Callable[[str, Configuration, Fences], RangeAssigner],
     ) -> None:
         self._lease = lease
         self._configuration = configuration
@@ -71,7 +72,7 @@
 
     @callback
     def _keep(self) -> None:
-        """Run a assigner for each service that has keys."""
+        """Run an assigner for each service that has keys."""
         if self._term != self._lease.term:
             self._drop_all()
             self._term = self._lease.term
@@ -90,7 +91,7 @@
                     error=repr(task.exception()),
                 )
             fences = self._fences_by_service.setdefault(service.name, Fences())
-            assigner = self._make_assigner(service.name, fences)
+            assigner = self._make_assigner(service.name, configuration, fences)
             self._assigners_by_service[service.name] = assigner
             self._tasks_by_service[service.name] = asyncio.create_task(
                 assigner.async_run()
--- /dev/null
+++ b/swiftpin/router/listeners.py
@@ -0,0 +1,55 @@
+"""Addresses on which an instance listens for HTTP."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+
+from swiftpin.core import callback
+from swiftpin.exceptions import RequestError
+from swiftpin.gateway.http_listener import HttpHandler, HttpListener
+from swiftpin.helpers.address import Address
+from swiftpin.model.instance_settings import InstanceSettings
+from swiftpin.router.status_endpoints import StatusEndpoints
+
+METRICS_PORT: Final = 9464
+MAX_LINE: Final = 16 * 1024
+MAX_HEADERS: Final = 128
+
+
+class Listeners:
+    """Listeners for callers, for the balancer and for metrics."""
+
+    def __init__(
+        self,
+        *,
+        handler: HttpHandler,
+        on_unparsed: Callable[[RequestError], None],
+        status: StatusEndpoints,
+    ) -> None:
+        self.callers = HttpListener(
+            handler,
+            max_line=MAX_LINE,
+            max_headers=MAX_HEADERS,
+            on_unparsed=on_unparsed,
+        )
+        self._readiness = _listener(status.async_readiness)
+        self._metrics = _listener(status.async_metrics)
+
+    async def async_setup(self, settings: InstanceSettings) -> None:
+        """Listen, on the balancer's address first."""
+        await self._readiness.async_setup(settings.readiness)
+        await self.callers.async_setup(settings.callers)
+        metrics = Address(host=settings.peers.host, port=METRICS_PORT)
+        await self._metrics.async_setup(metrics)
+
+    async def async_unload(self) -> None:
+        """Close all connections."""
+        for listener in (self.callers, self._readiness, self._metrics):
+            await listener.async_unload()
+
+
+@callback
+def _listener(handler: HttpHandler) -> HttpListener:
+    """Return a listener that is not set up yet."""
+    return HttpListener(handler, max_line=MAX_LINE, max_headers=MAX_HEADERS)
--- /dev/null
+++ b/swiftpin/router/load_reports.py
@@ -0,0 +1,59 @@
+"""Reports of an instance's load to the one that assigns keys."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+
+from swiftpin.core import callback
+from swiftpin.fleet.link import Item
+from swiftpin.fleet.links import FleetLinks
+from swiftpin.keyranges.lease_election import LeaseElection
+from swiftpin.router.fleet_messages import LoadReport, encode_load
+from swiftpin.router.known_leader import KnownLeader
+
+REPORT_PAUSE: Final = 0.2
+"""Seconds between two reports of an instance of a small fleet: hot keys change within
+seconds, and a report of some hundred keys takes about 0.4 ms at the receiver."""
+
+REPORTERS: Final = 36
+"""Instances above which each reports its load less often, in proportion: the one that
+assigns keys takes at most 180 reports a second, each about 0.4 ms of its time."""
+
+
+class LoadReports:
+    """Takes an instance's reports to the holder of the lease."""
+
+    def __init__(
+        self, links: FleetLinks, leader: KnownLeader, lease: LeaseElection
+    ) -> None:
+        self.on_load: Callable[[Item], None] = _ignore
+        """Takes the reports while this instance holds the lease."""
+
+        self._links = links
+        self._leader = leader
+        self._lease = lease
+
+    @callback
+    def send(self, report: LoadReport, now: float) -> None:
+        """Tell the instance that assigns keys what was asked for here."""
+        if not report.counts_by_service and not report.seconds_by_target:
+            return
+        item = encode_load(report)
+        if self._lease.is_held(now):
+            self.on_load(item.load)
+            return
+        link = self._links.outgoing_by_peer.get(self._leader.record.peer)
+        if link is not None:
+            link.send(item)
+
+
+@callback
+def report_pause(members: int) -> float:
+    """Return the seconds between two reports of an instance."""
+    return REPORT_PAUSE * max(1.0, members / REPORTERS)
+
+
+@callback
+def _ignore(load: Item) -> None:
+    """Do nothing."""
--- /dev/null
+++ b/swiftpin/router/planned_stop.py
@@ -0,0 +1,83 @@
+"""Leaving of an instance that is told to stop."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Final
+
+from eliot import log_message
+
+from swiftpin.core import callback
+from swiftpin.discovery.store_health import StoreHealth
+from swiftpin.gateway.http_listener import HttpListener
+from swiftpin.gateway.lifecycle import Lifecycle
+from swiftpin.helpers.clock import suspend_aware_now
+from swiftpin.keyranges.lease_election import LeaseElection
+from swiftpin.router.request_handler import RequestHandler
+
+BALANCER_TIME: Final = 2.4
+"""Seconds for which a leaving instance still listens: the balancer asks once a second
+and takes it out after two refusals."""
+
+STOP_MARGIN: Final = 0.8
+"""Seconds before the end of the grace period at which the process ends by itself: to
+close everything takes a slow instance some tenths of a second."""
+
+WAITING_SHARE: Final = 0.6
+"""Part of the grace period for which requests may still wait for a slot; the rest is
+for those that a target has."""
+
+STOP_TICK: Final = 0.02
+"""Seconds between two looks whether a leaving instance may end."""
+
+
+class PlannedStop:
+    """Serves what is in flight, gives duties away, and ends in time."""
+
+    def __init__(
+        self,
+        *,
+        lifecycle: Lifecycle,
+        lease: LeaseElection,
+        health: StoreHealth,
+        callers: HttpListener,
+        handler: RequestHandler,
+    ) -> None:
+        self._lifecycle = lifecycle
+        self._lease = lease
+        self._health = health
+        self._callers = callers
+        self._handler = handler
+
+    async def async_run(self, grace: float) -> None:
+        """Leave within the grace period, given in seconds."""
+        handler = self._handler
+        log_message(message_type="instance_leaving", in_flight=handler.in_flight)
+        self._lifecycle.leaving = True
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        ends_at = began_at + grace - STOP_MARGIN
+        listens_until = began_at + BALANCER_TIME
+        waits_until = began_at + grace * WAITING_SHARE
+        while loop.time() < ends_at:
+            if not self._keeps_lease(suspend_aware_now()):
+                await self._lease.async_give_up()
+            if loop.time() >= listens_until:
+                self._callers.stop_listening()
+                handler.refuse_new()
+            if loop.time() >= waits_until:
+                handler.refuse_waiting()
+                if not handler.in_flight and not self._keeps_lease(suspend_aware_now()):
+                    break
+            await asyncio.sleep(STOP_TICK)
+        await self._lease.async_give_up()
+        log_message(message_type="instance_stopped", in_flight=handler.in_flight)
+
+    @callback
+    def _keeps_lease(self, now: float) -> bool:
+        """Return whether nobody could take the lease over now.
+
+        While the store is away a lease that is given up stays without a holder, and
+        all keys lose their owners when the targets' grants end.
+        """
+        return self._health.is_lost and self._lease.is_held(now)
--- /dev/null
+++ b/swiftpin/router/status_endpoints.py
@@ -0,0 +1,79 @@
+"""What the balancer and the operators' metrics are told."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import Final
+
+from aiohttp.web import BaseRequest, Response, StreamResponse
+from prometheus_client import generate_latest
+
+from swiftpin.core import callback
+from swiftpin.discovery.store_health import StoreHealth
+from swiftpin.gateway.lifecycle import Lifecycle
+from swiftpin.helpers.clock import suspend_aware_now
+from swiftpin.keyranges.lease_election import LeaseElection
+from swiftpin.platform.names import PATH_READINESS
+from swiftpin.router.configuration_holder import ConfigurationHolder
+from swiftpin.router.key_maps import KeyMaps
+from swiftpin.router.metrics import Metrics
+
+PATH_METRICS: Final = "/metrics"
+
+MAP_WAIT: Final = 6.0
+"""Seconds after the start at which an instance counts as ready without key maps: the
+services that need none are served meanwhile."""
+
+
+class StatusEndpoints:
+    """Answers on the readiness and metrics addresses."""
+
+    def __init__(
+        self,
+        *,
+        started_at: float,
+        lifecycle: Lifecycle,
+        configuration: ConfigurationHolder,
+        maps: KeyMaps,
+        lease: LeaseElection,
+        health: StoreHealth,
+        metrics: Metrics,
+    ) -> None:
+        self._started_at = started_at
+        self._lifecycle = lifecycle
+        self._configuration = configuration
+        self._maps = maps
+        self._lease = lease
+        self._health = health
+        self._metrics = metrics
+
+    @callback
+    def is_ready(self, now: float) -> bool:
+        """Return whether callers should be sent here."""
+        configuration = self._configuration.current
+        if configuration is None or self._lifecycle.leaving:
+            return False
+        if now - self._started_at > MAP_WAIT:
+            return True
+        return all(
+            service.name in self._maps.maps_by_service
+            for service in configuration.services_by_name.values()
+            if service.is_keyed
+        )
+
+    async def async_readiness(self, request: BaseRequest) -> StreamResponse:
+        """Answer the balancer."""
+        if request.path != PATH_READINESS:
+            return Response(status=HTTPStatus.NOT_FOUND)
+        if self.is_ready(suspend_aware_now()):
+            return Response(status=HTTPStatus.OK)
+        return Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
+
+    async def async_metrics(self, request: BaseRequest) -> StreamResponse:
+        """Answer with the metrics."""
+        if request.path != PATH_METRICS:
+            return Response(status=HTTPStatus.NOT_FOUND)
+        self._metrics.leads.set(self._lease.is_held(suspend_aware_now()))
+        self._metrics.store_lost.set(self._health.is_lost)
+        self._metrics.configuration.set(self._configuration.version)
+        return Response(body=generate_latest(self._metrics.registry))
--- a/tests/router/site.py
+++ b/tests/router/site.py
@@ -16,7 +16,7 @@
 from swiftpin.helpers.logging_setup import LoggingSetup
 from swiftpin.model.bounds import Bounds
 from swiftpin.model.instance_settings import InstanceSettings
-from swiftpin.router import app as app_module
+from swiftpin.router import listeners, planned_stop
 from swiftpin.router.app import Router
 from tests.router.store_standin import StoreStandin
 from tests.router.target_standin import TargetStandin
@@ -105,8 +105,8 @@
         self._numbers = count(1)
         self._hosts = count(1)
         self._session: ClientSession | None = None
-        monkeypatch.setattr(app_module, "METRICS_PORT", 0)
-        monkeypatch.setattr(app_module, "BALANCER_TIME", 0.2)
+        monkeypatch.setattr(listeners, "METRICS_PORT", 0)
+        monkeypatch.setattr(planned_stop, "BALANCER_TIME", 0.2)
 
     async def async_setup(self, targets: int = 3, routers: int = 2) -> None:
         """Start everything and wait until it serves."""
--- a/tests/router/test_load_reports.py
+++ b/tests/router/test_load_reports.py
@@ -1,10 +1,10 @@
-"""Tests of what instances tell each other."""
+"""Tests of the reports of load."""
 
 from __future__ import annotations
 
 import pytest
 
-from swiftpin.router.fleet_coordinator import REPORTERS, TICK, report_pause
+from swiftpin.router.load_reports import REPORT_PAUSE, REPORTERS, report_pause
 
 
 @pytest.mark.parametrize("members", [1, 8, 36, 72, 300, 7000])
@@ -14,5 +14,5 @@
     Sequence: 72 instances reported their load five times a second each. Cause: the pace
     of one instance did not depend on how many there are.
     """
-    assert members / report_pause(members) <= REPORTERS / TICK
-    assert report_pause(members) >= TICK
+    assert members / report_pause(members) <= REPORTERS / REPORT_PAUSE
+    assert report_pause(members) >= REPORT_PAUSE
