Write a line for each link that ends, with the peer's name

Cause: a link that another instance had opened arrives as a cancelled call when its connection is lost, and ends without an error when it falls silent; only errors had a line.

Test: test_link_that_its_opener_ends_has_a_line, red before.

--- a/swiftpin/fleet/links.py
+++ b/swiftpin/fleet/links.py
@@ -93,12 +93,18 @@
         )
         self._greet(link)
         self.incoming.add(link)
+        reason = "silent or ended"
         try:
             await link.async_run(stream)
         except LINK_ERRORS as err:
-            self._note_lost(link, repr(err))
+            reason = repr(err)
+        except asyncio.CancelledError:
+            # How a lost connection and a link that its opener closed arrive here.
+            reason = "closed by the other side, or connection lost"
+            raise
         finally:
             self.incoming.discard(link)
+            self._note_lost(link, reason)
             self.on_lost(link)
 
     async def _async_keep(self, peer: str) -> None:
--- /dev/null
+++ b/tests/fleet/test_links.py
@@ -0,0 +1,91 @@
+"""Tests of the links between instances as a whole."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Iterator
+import socket
+from typing import Any
+
+from eliot import add_destinations, remove_destination
+import pytest
+
+from swiftpin.fleet.link import Item, PeerLink
+from swiftpin.fleet.links import FleetLinks
+from swiftpin.fleet.proto import fleet_pb2 as pb
+from swiftpin.helpers.address import Address
+
+WAIT = 5.0
+
+
+class Handler:
+    """Notes who is at the other side."""
+
+    def __init__(self) -> None:
+        self.greeted = asyncio.Event()
+
+    def handle_item(self, link: PeerLink, item: Item) -> None:
+        """Take a greeting."""
+        if item.WhichOneof("body") == "hello":
+            link.incarnation = item.hello.incarnation
+            self.greeted.set()
+
+    def make_heartbeat(self, link: PeerLink) -> Item:
+        """Return an empty heartbeat."""
+        return pb.Item(heartbeat=pb.Heartbeat())
+
+
+def make_links(name: str, handler: Handler) -> FleetLinks:
+    """Return the links of an instance."""
+    return FleetLinks(
+        incarnation=f"{name}/1", own_peer=name, strength=1.0, handler=handler
+    )
+
+
+@pytest.fixture(name="messages")
+def messages_fixture() -> Iterator[list[dict[str, Any]]]:
+    """Return the messages that are logged."""
+    messages: list[dict[str, Any]] = []
+    add_destinations(messages.append)
+    # Before the first destination eliot keeps messages, and hands them to it.
+    messages.clear()
+    yield messages
+    remove_destination(messages.append)
+
+
+@pytest.fixture(name="listener")
+async def listener_fixture() -> AsyncIterator[tuple[FleetLinks, Handler, Address]]:
+    """Return links that others may open, and their address."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        address = Address(host="127.0.0.1", port=probe.getsockname()[1])
+    handler = Handler()
+    links = make_links("listener", handler)
+    await links.async_setup(address)
+    yield links, handler, address
+    await links.async_unload()
+
+
+async def test_link_that_its_opener_ends_has_a_line(
+    listener: tuple[FleetLinks, Handler, Address], messages: list[dict[str, Any]]
+) -> None:
+    """Symptom: an instance was killed and no other one's log named it.
+
+    Sequence: the instance had opened links; they were cancelled when its connections
+    closed. Cause: only links that ended by an error had a line, and what grpclib wrote
+    of the cancelled call named no peer.
+    """
+    links, handler, address = listener
+    opener = make_links("opener", Handler())
+    opener.want({str(address)})
+    async with asyncio.timeout(WAIT):
+        await handler.greeted.wait()
+        lost = asyncio.Event()
+        links.on_lost = lambda link: lost.set()
+        opener.want(set())
+        await lost.wait()
+    (line,) = [m for m in messages if m["message_type"] == "peer_lost"]
+    assert line["peer"] == "opener/1"
+    assert line["outgoing"] is False
+    assert line["reason"]
+    await opener.async_unload()
