Note the reason of every request whose time ended

Change: reasons time_over and given_up, with notes; a refusal by the queue names the target whose slots were taken.

Tests: test_request_whose_time_ends_in_the_queue_says_so, test_request_whose_time_ends_at_a_target_says_so, both red before.

--- a/swiftpin/router/request_handler.py
+++ b/swiftpin/router/request_handler.py
@@ -29,6 +29,7 @@
 from swiftpin.router.request_log import RequestLog
 from swiftpin.router.request_sender import RequestSender
 from swiftpin.router.split_chooser import SplitChooser
+from swiftpin.router.step_failure import StepFailure
 
 NOT_READY_RETRY: Final = 0.5
 """Seconds after which a caller may come back to an instance that just started."""
@@ -194,7 +195,9 @@
 
 @callback
 def _timeout_error(call: Call) -> RequestError:
-    """Return what a caller is told whose time is over."""
+    """Return what a caller is told whose time is over, and note where it ended."""
+    if StepFailure.GIVEN_UP not in call.step_failures:
+        call.note(StepFailure.TIME_OVER, "time over while it waited")
     if call.may_have_run:
         return DeadlineExceededError("the time of the request is over")
     return QueueFullError("the request got no slot in time", retry_after=LATE_RETRY)
--- a/swiftpin/router/request_sender.py
+++ b/swiftpin/router/request_sender.py
@@ -251,6 +251,7 @@
             # The deadline passed or the caller left.
             if state.written:
                 call.may_have_run = True
+                call.note(StepFailure.GIVEN_UP, f"{permit.target} had it to the end")
             elapsed = asyncio.get_running_loop().time() - began_at
             self._permits.end(permit, elapsed, failed=False, cut=True)
             self.load.add_cut(call.service, permit.target, elapsed)
@@ -311,7 +312,7 @@
         )
         call.waited += asyncio.get_running_loop().time() - now
         if permit is None:
-            call.note(StepFailure.NO_SLOT, "no slot")
+            call.note(StepFailure.NO_SLOT, f"no slot at {owner or 'any target'}")
             raise QueueFullError(
                 "the targets have no room in time", retry_after=decision.retry_after
             )
--- a/swiftpin/router/step_failure.py
+++ b/swiftpin/router/step_failure.py
@@ -23,6 +23,8 @@
     BROKEN = "broken"
     TARGET_FAILED = "target_failed"
     BUDGET_SPENT = "budget_spent"
+    TIME_OVER = "time_over"
+    GIVEN_UP = "given_up"
 
 
 MEANING_BY_STEP_FAILURE: Final = {
@@ -36,5 +38,7 @@
     StepFailure.BROKEN: "the request was written and no whole, signed answer came",
     StepFailure.TARGET_FAILED: "the target answered 5xx and the request was sent again",
     StepFailure.BUDGET_SPENT: "no second send was left in the service's budget",
+    StepFailure.TIME_OVER: "the request's time ended while no target had it",
+    StepFailure.GIVEN_UP: "time ended or the caller left while a target had it",
 }
 """One line for each reason, for the generated page of metrics."""
--- a/tests/router/test_request_log.py
+++ b/tests/router/test_request_log.py
@@ -9,6 +9,7 @@
 import pytest
 
 from swiftpin.helpers.logging_setup import LoggingSetup
+from swiftpin.permits.permit_broker import PermitBroker
 from swiftpin.router.app import Router
 from swiftpin.router.call import Call
 from swiftpin.router.request_sender import RequestSender
@@ -61,6 +62,45 @@
     assert sample(router, name, service="desk", reason="refused") == 1
 
 
+async def test_request_whose_time_ends_in_the_queue_says_so(
+    site: Site, logging: LoggingSetup, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Symptom: four refusals of ten in an incident had no note and no reason.
+
+    Sequence: a request waited for a slot until the time of its route was over. Cause:
+    only a refusal by the queue itself was noted, not the end of the wait.
+    """
+
+    async def async_wait(self: PermitBroker, **asked: object) -> None:
+        await asyncio.Event().wait()
+
+    monkeypatch.setattr(PermitBroker, "async_ask", async_wait)
+    reply = await site.async_call("/read/x", via=INSTANCE, deadline=200)
+    assert reply.status == 503
+    (line,) = lines_of(logging, reply.headers["id"])
+    assert line["outcome"] == "QUEUE_FULL"
+    assert "time over" in line["notes"]
+    router = site.routers_by_name[INSTANCE]
+    name = "swiftpin_router_step_failures_total"
+    assert sample(router, name, service="desk", reason="time_over") == 1
+
+
+async def test_request_whose_time_ends_at_a_target_says_so(
+    site: Site, logging: LoggingSetup
+) -> None:
+    """The line names the target that had the request when its time ended."""
+    owner = owner_of(site, 1)
+    site.targets_by_name[owner].work = 1.0
+    reply = await site.async_call("/read/x", via=INSTANCE, deadline=200)
+    assert reply.status == 504
+    (line,) = lines_of(logging, reply.headers["id"])
+    assert line["outcome"] == "DEADLINE_EXCEEDED"
+    assert line["notes"] == f'"{owner} had it to the end"'
+    router = site.routers_by_name[INSTANCE]
+    name = "swiftpin_router_step_failures_total"
+    assert sample(router, name, service="desk", reason="given_up") == 1
+
+
 async def test_late_answer_is_marked_and_counted(
     site: Site, logging: LoggingSetup
 ) -> None:
