--- /dev/null
+++ b/tests/router/test_heartbeats.py
@@ -0,0 +1,74 @@
+"""Tests of what heartbeats carry."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import cast
+
+from swiftpin.discovery.store_health import StoreHealth
+from swiftpin.discovery.target_directory import TargetDirectory
+from swiftpin.fleet.proto import fleet_pb2 as pb
+from swiftpin.gateway.lifecycle import Lifecycle
+from swiftpin.keyranges.lease_election import LeaseElection
+from swiftpin.keyranges.lease_record import LeaseRecord
+from swiftpin.router.configuration_holder import ConfigurationHolder
+from swiftpin.router.extension_votes import ExtensionVotes
+from swiftpin.router.heartbeats import Heartbeats
+from swiftpin.router.key_maps import KeyMaps
+from swiftpin.router.known_leader import KnownLeader
+from tests.router.fleet_fakes import FakeLink, make_links
+
+NOW = 50.0
+
+
+class Member:
+    """Heartbeats of an instance, and what it believes."""
+
+    def __init__(self) -> None:
+        self.lease = SimpleNamespace(
+            resigned_term=2,
+            is_held=lambda now: False,
+            own_resigned_term=lambda now: 2,
+        )
+        self.echoes: list[float] = []
+        votes = SimpleNamespace(
+            give=lambda link, now: True,
+            take=lambda link, echo: self.echoes.append(echo),
+        )
+        self.leader = KnownLeader(make_links())
+        self.leader.note_record(
+            LeaseRecord(holder="a/1", peer="a:1", term=4, renewal=1)
+        )
+        self.heartbeats = Heartbeats(
+            incarnation="own/1",
+            leader=self.leader,
+            lease=cast(LeaseElection, self.lease),
+            votes=cast(ExtensionVotes, votes),
+            maps=KeyMaps(),
+            configuration=ConfigurationHolder(),
+            directory=cast(TargetDirectory, SimpleNamespace(version=7)),
+            lifecycle=Lifecycle(),
+            health=StoreHealth(),
+        )
+
+
+def test_heartbeat_tells_leader_versions_and_the_echo() -> None:
+    """The echo lets the other side count a vote from when it asked for it."""
+    member = Member()
+    heartbeat = member.heartbeats.make(FakeLink("b", sent_at=3.5), NOW).heartbeat
+    assert (heartbeat.leader, heartbeat.term, heartbeat.targets) == ("a/1", 4, 7)
+    assert (heartbeat.sent_at, heartbeat.echo, heartbeat.vote) == (NOW, 3.5, True)
+
+
+def test_heartbeat_brings_votes_resignations_and_newer_leaders() -> None:
+    """Votes count from their echo; terms only grow."""
+    member = Member()
+    link = FakeLink("b")
+    heartbeat = pb.Heartbeat(
+        term=5, leader="c/1", leader_peer="c:1", vote=True, echo=9.0, resigned_term=1
+    )
+    member.heartbeats.take(link, heartbeat)
+    assert link.heartbeat is heartbeat
+    assert member.echoes == [9.0]
+    assert member.lease.resigned_term == 2
+    assert member.leader.record.holder == "c/1"
--- /dev/null
+++ b/tests/router/test_issuer_list.py
@@ -0,0 +1,84 @@
+"""Tests of the list of issuers."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import cast
+
+from swiftpin.discovery.target_directory import TargetDirectory
+from swiftpin.gateway.lifecycle import Lifecycle
+from swiftpin.keyranges.lease_election import LeaseElection
+from swiftpin.permits.permit_broker import PermitBroker
+from swiftpin.permits.permit_issuers import NO_ISSUERS, PermitIssuers
+from swiftpin.router.issuer_list import IssuerList
+from tests.router.fleet_fakes import FakeLink, make_links
+
+TERM = 5
+
+
+class Chooser:
+    """The list at an instance that holds the lease, and what it works with."""
+
+    def __init__(self, *links: FakeLink) -> None:
+        self.lease = SimpleNamespace(term=TERM, members=())
+        self.permits = SimpleNamespace(issuers=NO_ISSUERS)
+        self.lifecycle = Lifecycle()
+        self.list = IssuerList(
+            incarnation="own/1",
+            own_peer="own:1",
+            strength=1.0,
+            links=make_links(*links),
+            lease=cast(LeaseElection, self.lease),
+            permits=cast(PermitBroker, self.permits),
+            directory=cast(TargetDirectory, SimpleNamespace(targets_by_id={})),
+            lifecycle=self.lifecycle,
+        )
+
+    @property
+    def chosen(self) -> set[str]:
+        """Return the issuers."""
+        return set(self.permits.issuers.peers_by_incarnation)
+
+
+def test_list_goes_to_everyone_once() -> None:
+    """A list that has not changed is not told again."""
+    link = FakeLink("a")
+    chooser = Chooser(link)
+    chooser.list.choose()
+    chooser.list.choose()
+    assert chooser.chosen == {"own/1", "a/1"}
+    (item,) = link.sent
+    assert (item.issuers.term, item.issuers.members) == (TERM, 2)
+    assert set(chooser.lease.members) == {"own", "a"}
+
+
+def test_instances_that_leave_issue_nothing() -> None:
+    """An issuer that ends takes the permits of its targets with it."""
+    chooser = Chooser(FakeLink("a"), FakeLink("b", stopping=True))
+    chooser.list.choose()
+    assert chooser.chosen == {"own/1", "a/1"}
+    chooser.lifecycle.leaving = True
+    chooser.list.choose()
+    assert chooser.chosen == {"a/1"}
+
+
+def test_list_of_a_new_term_is_told_even_if_it_is_the_same() -> None:
+    """Members keep to the list of the newest term only."""
+    link = FakeLink("a")
+    chooser = Chooser(link)
+    chooser.list.choose()
+    chooser.lease.term += 1
+    chooser.list.choose()
+    assert [item.issuers.term for item in link.sent] == [TERM, TERM + 1]
+
+
+def test_older_list_is_not_taken() -> None:
+    """A list that was overtaken on its way changes nothing."""
+    chooser = Chooser()
+    for number, name in ((2, "new/1"), (1, "old/1")):
+        chooser.list.take(
+            PermitIssuers(
+                term=TERM, number=number, peers_by_incarnation={name: ""}, members=1
+            )
+        )
+    assert chooser.chosen == {"new/1"}
--- /dev/null
+++ b/tests/router/test_key_map_sharing.py
@@ -0,0 +1,81 @@
+"""Tests of key maps on their way between instances."""
+
+from __future__ import annotations
+
+import pytest
+
+from swiftpin.keyranges.key_map import KeyMap, OwnerChange
+from swiftpin.router.key_map_sharing import KeyMapSharing
+from swiftpin.router.key_maps import KeyMaps
+from tests.router.fleet_fakes import FakeLink, make_links
+
+SERVICE = "desk"
+
+
+def make_map(number: int, term: int = 1) -> KeyMap:
+    """Return a map with one owner."""
+    return KeyMap(
+        service=SERVICE, term=term, number=number, firsts=(0,), owners=("t1",)
+    )
+
+
+@pytest.fixture(name="maps")
+def maps_fixture() -> KeyMaps:
+    """Return maps, of which one is known."""
+    maps = KeyMaps()
+    maps.adopt(make_map(1))
+    return maps
+
+
+def test_next_map_goes_out_as_a_change(maps: KeyMaps) -> None:
+    """Only a map that does not follow the last one goes out whole."""
+    link = FakeLink("a")
+    sharing = KeyMapSharing(make_links(link), maps)
+    change = OwnerChange(first=5, last=9, owner="t2")
+    sharing.hand_out(make_map(1).with_changes([change]))
+    sharing.hand_out(make_map(9, term=2))
+    assert [item.WhichOneof("body") for item in link.sent] == [
+        "key_map_change",
+        "key_map",
+    ]
+    assert list(link.sent[0].key_map_change.owners) == ["t2"]
+
+
+def test_change_of_the_known_map_is_taken(maps: KeyMaps) -> None:
+    """What one instance hands out as a change, another puts in force."""
+    link = FakeLink("a")
+    sender = KeyMaps()
+    sender.adopt(make_map(1))
+    change = OwnerChange(first=5, last=9, owner="t2")
+    KeyMapSharing(make_links(link), sender).hand_out(make_map(1).with_changes([change]))
+    sharing = KeyMapSharing(make_links(), maps)
+    sharing.take_change(link, link.sent[0].key_map_change)
+    assert [maps.owner_of(SERVICE, key) for key in (4, 5, 9, 10)] == [
+        "t1",
+        "t2",
+        "t2",
+        "t1",
+    ]
+
+
+@pytest.mark.parametrize(("number", "asks"), [(3, 1), (1, 0), (0, 0)])
+def test_whole_map_is_asked_for_after_a_gap_only(
+    maps: KeyMaps, number: int, asks: int
+) -> None:
+    """Symptom: an instance went on with an old map.
+
+    Sequence: it missed a change and took the one after it, or none. Cause: a change
+    is of use only on the map before it.
+    """
+    source = FakeLink("a")
+    sender = KeyMaps()
+    sender.adopt(make_map(number - 1))
+    change = OwnerChange(first=5, last=9, owner="t2")
+    KeyMapSharing(make_links(source), sender).hand_out(
+        make_map(number - 1).with_changes([change])
+    )
+    link = FakeLink("b")
+    sharing = KeyMapSharing(make_links(), maps)
+    sharing.take_change(link, source.sent[0].key_map_change)
+    assert [item.WhichOneof("body") for item in link.sent] == ["key_map_ask"] * asks
+    assert maps.maps_by_service[SERVICE] == make_map(1)
--- /dev/null
+++ b/tests/router/test_known_leader.py
@@ -0,0 +1,46 @@
+"""Tests of what an instance knows of the lease's holder."""
+
+from __future__ import annotations
+
+import pytest
+
+from swiftpin.fleet.proto import fleet_pb2 as pb
+from swiftpin.keyranges.lease_record import LeaseRecord
+from swiftpin.router.known_leader import LEADER_SILENCE, KnownLeader
+from tests.router.fleet_fakes import FakeLink, make_links
+
+
+def make_record(holder: str, term: int, renewal: int = 0) -> LeaseRecord:
+    """Return a record of the lease."""
+    return LeaseRecord(holder=holder, peer=f"{holder}:1", term=term, renewal=renewal)
+
+
+@pytest.mark.parametrize(
+    ("term", "renewal", "holder"), [(3, 1, "new"), (2, 7, "new"), (2, 6, "old")]
+)
+def test_older_record_changes_nothing(term: int, renewal: int, holder: str) -> None:
+    """A read that was long on its way must not bring a former holder back."""
+    leader = KnownLeader(make_links())
+    leader.note_record(make_record("old", 2, 7))
+    leader.note_record(make_record("new", term, renewal))
+    assert leader.record.holder == holder
+
+
+def test_heartbeats_tell_of_newer_terms_only() -> None:
+    """What others say counts only where it is newer than what was read."""
+    leader = KnownLeader(make_links())
+    leader.note_record(make_record("a", 2, 7))
+    leader.note_heartbeat(pb.Heartbeat(term=2, leader="b", leader_peer="b:1"))
+    assert leader.record.holder == "a"
+    leader.note_heartbeat(pb.Heartbeat(term=3, leader="b", leader_peer="b:1"))
+    assert (leader.record.holder, leader.record.peer) == ("b", "b:1")
+
+
+def test_holder_is_heard_for_a_while_and_only_if_it_leads() -> None:
+    """Candidates look at the lease once its holder has been silent."""
+    links = make_links(FakeLink("a", leads=True), FakeLink("b", leads=False))
+    leader = KnownLeader(links)
+    assert leader.is_heard("a/1", LEADER_SILENCE - 0.01)
+    assert not leader.is_heard("a/1", LEADER_SILENCE)
+    assert not leader.is_heard("b/1", 0.0)
+    assert not leader.is_heard("c/1", 0.0)
--- a/tests/router/test_load_reports.py
+++ b/tests/router/test_load_reports.py
@@ -2,9 +2,23 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+from typing import cast
+
 import pytest
 
-from swiftpin.router.load_reports import REPORT_PAUSE, REPORTERS, report_pause
+from swiftpin.fleet.link import Item
+from swiftpin.keyranges.lease_election import LeaseElection
+from swiftpin.keyranges.lease_record import LeaseRecord
+from swiftpin.router.fleet_messages import LoadReport
+from swiftpin.router.known_leader import KnownLeader
+from swiftpin.router.load_reports import (
+    REPORT_PAUSE,
+    REPORTERS,
+    LoadReports,
+    report_pause,
+)
+from tests.router.fleet_fakes import FakeLink, make_links
 
 
 @pytest.mark.parametrize("members", [1, 8, 36, 72, 300, 7000])
@@ -16,3 +30,41 @@
     """
     assert members / report_pause(members) <= REPORTERS / REPORT_PAUSE
     assert report_pause(members) >= REPORT_PAUSE
+
+
+def make_report() -> LoadReport:
+    """Return a report of one request."""
+    report = LoadReport()
+    report.add_key("desk", 5)
+    return report
+
+
+def make_reports(link: FakeLink, *, leads: bool) -> LoadReports:
+    """Return the reports of an instance that knows a leader."""
+    links = make_links(link)
+    leader = KnownLeader(links)
+    leader.note_record(LeaseRecord(holder="a/1", peer=link.peer, term=1, renewal=0))
+    lease = SimpleNamespace(is_held=lambda now: leads)
+    return LoadReports(links, leader, cast(LeaseElection, lease))
+
+
+def test_report_goes_to_the_leader_unless_it_is_empty() -> None:
+    """Nothing is sent where nothing was asked for."""
+    link = FakeLink("a", is_outgoing=True)
+    reports = make_reports(link, leads=False)
+    reports.send(LoadReport(), 0.0)
+    assert not link.sent
+    reports.send(make_report(), 0.0)
+    (item,) = link.sent
+    assert list(item.load.loads[0].keys) == [5]
+
+
+def test_report_of_the_leader_stays_there() -> None:
+    """The instance that assigns keys counts its own load too."""
+    link = FakeLink("a", is_outgoing=True)
+    reports = make_reports(link, leads=True)
+    taken: list[Item] = []
+    reports.on_load = taken.append
+    reports.send(make_report(), 0.0)
+    assert not link.sent
+    assert list(taken[0].loads[0].keys) == [5]
--- /dev/null
+++ b/tests/router/test_status_endpoints.py
@@ -0,0 +1,69 @@
+"""Tests of what the balancer is told."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import cast
+
+import pytest
+
+from swiftpin.discovery.store_health import StoreHealth
+from swiftpin.gateway.lifecycle import Lifecycle
+from swiftpin.keyranges.key_map import KeyMap
+from swiftpin.keyranges.lease_election import LeaseElection
+from swiftpin.router.configuration_holder import ConfigurationHolder
+from swiftpin.router.key_maps import KeyMaps
+from swiftpin.router.metrics import Metrics
+from swiftpin.router.status_endpoints import MAP_WAIT, StatusEndpoints
+
+
+class Starting:
+    """An instance that started at second 0, without a configuration."""
+
+    def __init__(self) -> None:
+        self.lifecycle = Lifecycle()
+        self.maps = KeyMaps()
+        self.configuration = SimpleNamespace(current=None)
+        self.status = StatusEndpoints(
+            started_at=0.0,
+            lifecycle=self.lifecycle,
+            configuration=cast(ConfigurationHolder, self.configuration),
+            maps=self.maps,
+            lease=cast(LeaseElection, None),
+            health=StoreHealth(),
+            metrics=Metrics(),
+        )
+
+    def configure(self) -> None:
+        """Put a configuration with one service in force that is divided by key."""
+        service = SimpleNamespace(name="desk", is_keyed=True)
+        self.configuration.current = SimpleNamespace(services_by_name={"desk": service})
+
+
+@pytest.fixture(name="starting")
+def starting_fixture() -> Starting:
+    """Return an instance that has just started."""
+    return Starting()
+
+
+def test_instance_without_configuration_is_not_ready(starting: Starting) -> None:
+    """It could route nothing, however long it waits."""
+    assert not starting.status.is_ready(MAP_WAIT + 1)
+
+
+def test_instance_waits_for_maps_for_a_while(starting: Starting) -> None:
+    """Services without keys are served though no assigner is found."""
+    starting.configure()
+    assert not starting.status.is_ready(MAP_WAIT)
+    assert starting.status.is_ready(MAP_WAIT + 0.1)
+    starting.maps.adopt(
+        KeyMap(service="desk", term=1, number=1, firsts=(0,), owners=("t1",))
+    )
+    assert starting.status.is_ready(1.0)
+
+
+def test_leaving_instance_is_not_ready(starting: Starting) -> None:
+    """The balancer takes it out."""
+    starting.configure()
+    starting.lifecycle.leaving = True
+    assert not starting.status.is_ready(MAP_WAIT + 1)
