Write log lines in pieces that a pipe takes whole

Cause: all lines of 50 ms went out in one write.

Change: writes of at most PIPE_BUF bytes (4,096) that end with a line; longer lines stand alone.

Test: test_lines_stay_whole_for_a_reader_of_pieces, red before.

--- a/swiftpin/helpers/logging_writer.py
+++ b/swiftpin/helpers/logging_writer.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Iterable, Iterator
+from select import PIPE_BUF
 from threading import Event, Thread
 import time
 from typing import BinaryIO, Final
@@ -88,27 +90,48 @@
         self._flush()
 
     def _flush(self) -> None:
-        """Write all waiting lines in one piece."""
+        """Write all waiting lines."""
         count = len(self._lines)
         batch = [self._lines.popleft() for _ in range(count)]
         lost = (self.dropped, self.over_volume)
         if lost != self._announced:
             self._announced = lost
             batch.append(_announcement(*lost))
-        if not batch:
-            return
-        batch.append("")
-        written = "\n".join(batch).encode("utf-8", "backslashreplace")
+        for piece in _pieces(batch):
+            self._write_piece(piece)
+
+    def _write_piece(self, lines: list[bytes]) -> None:
+        """Write some lines at once."""
         try:
-            self._stream.write(written)
+            self._stream.write(b"".join(lines))
             self._stream.flush()
         except (OSError, ValueError):
             # The reader closed its end, or the stream was closed. Without a place
             # for lines the instance goes on; the count shows it in the metrics.
-            self.dropped += count
+            self.dropped += len(lines)
             return
-        self.lines_written += len(batch) - 1
-        self.bytes_written += len(written)
+        self.lines_written += len(lines)
+        self.bytes_written += sum(map(len, lines))
+
+
+def _pieces(lines: Iterable[str]) -> Iterator[list[bytes]]:
+    """Return lines in groups that a pipe takes whole; a longer line stands alone.
+
+    Longer writes may reach the reader in parts, and a reader that keeps one part of
+    each loses the lines behind it without a sign.
+    """
+    piece: list[bytes] = []
+    size = 0
+    for line in lines:
+        written = f"{line}\n".encode("utf-8", "backslashreplace")
+        if piece and size + len(written) > PIPE_BUF:
+            yield piece
+            piece = []
+            size = 0
+        piece.append(written)
+        size += len(written)
+    if piece:
+        yield piece
 
 
 def _announcement(dropped: int, over_volume: int) -> str:
--- a/tests/helpers/test_logging.py
+++ b/tests/helpers/test_logging.py
@@ -6,6 +6,7 @@
 import io
 import json
 import logging
+from select import PIPE_BUF
 import threading
 
 from eliot import log_message, start_action
@@ -163,6 +164,29 @@
     assert len(stream.lines) == 10 - writer.dropped + 1
 
 
+def test_lines_stay_whole_for_a_reader_of_pieces(
+    stream: Stream, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Symptom: moves were planned that never ended, going by the log.
+
+    Sequence: 50 lines were written at once, and whoever collected them kept the first
+    8,192 bytes of a write: 67 of 365 moves of a day lacked their end. Cause: a write
+    had no bound; up to `PIPE_BUF` bytes a pipe takes and gives whole.
+    """
+    writes: list[bytes] = []
+    monkeypatch.setattr(stream, "write", writes.append)
+    writer = LineWriter(stream)
+    lines = [f"line={number} {'x' * 400}" for number in range(50)]
+    for line in [*lines, "long " + "y" * 9000, "last"]:
+        writer.write(line)
+    writer.start()
+    writer.unload()
+    assert b"".join(writes).decode().splitlines()[:50] == lines
+    assert all(written.endswith(b"\n") for written in writes)
+    long = [written for written in writes if len(written) > PIPE_BUF]
+    assert [written[:5] for written in long] == [b"long "]
+
+
 def test_closed_stream_costs_lines_only() -> None:
     """A reader that went away does not end the writing thread."""
     stream = Stream()
