Judge those who wait for a slot at every move of the queue

Requests that missed their objective were overtaken by all that came later, and held to their end: callers left after their whole time with target=- sends=0. Everyone who was rejected was told the same time to come back. A queue never learned which targets were gone: who waited for one waited to its end, and the slots of every life that ever was were kept.

Ruled out: the 50 ms between two looks of expire() alone; looking at every move with the old estimate keeps the same requests waiting.

Change: one line for each target orders by priority, then the largest number that can make their objective, then the rest by their ends, and forecasts each one's start from the hold times measured at the issuer, what runs, who is ahead and the rate at which slots went lately to requests that go before it. It does so at arrival, at each freed slot and every 50 ms; whoever can't finish is rejected with a Retry-After spread by the request's id over the time in which the line drains. Gone targets reject who waits for them and are dropped with the last permit. call.waited counts also when the caller leaves.

Asker.ask in them takes the time; its defaults are the same at time 0.

--- a/swiftpin/permits/permit_broker.py
+++ b/swiftpin/permits/permit_broker.py
@@ -17,7 +17,7 @@
 from swiftpin.permits.permit_request import PermitRequest
 
 EXPIRE_INTERVAL: Final = 0.05
-"""Seconds between two looks for requests that waited too long."""
+"""Seconds between two looks for requests that won't be served in time."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -132,9 +132,15 @@
         )
 
     @callback
-    def set_targets(self, service: str, targets: list[Target]) -> None:
-        """Take the targets of a service and their slots."""
-        self._queue(service).set_targets(targets, asyncio.get_running_loop().time())
+    def set_targets(
+        self, service: str, targets: list[Target], leaving: list[Target]
+    ) -> None:
+        """Take the targets of a service and their slots.
+
+        Those that are `leaving` serve no more than the keys that they still own.
+        """
+        now = asyncio.get_running_loop().time()
+        self._queue(service).set_targets(targets, now, leaving=leaving)
 
     @callback
     def note_link(self, link: PeerLink) -> None:
@@ -213,7 +219,7 @@
         )
 
     async def async_run(self) -> None:
-        """Refuse what waited too long, until cancelled."""
+        """Judge again and again who still waits with a chance, until cancelled."""
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(EXPIRE_INTERVAL)
--- a/swiftpin/permits/permit_queue.py
+++ b/swiftpin/permits/permit_queue.py
@@ -9,18 +9,18 @@
 from swiftpin.model.target import Target
 from swiftpin.permits.permit_decision import PermitDecision
 from swiftpin.permits.permit_request import PermitRequest
-from swiftpin.permits.target_slots import TargetSlots
-
-MOST_WAITING: Final = 200
-"""Requests that wait for one target, or one unkeyed service, at most."""
+from swiftpin.permits.retry_spread import SHORTEST_RETRY
+from swiftpin.permits.slot_pace import SlotPace
+from swiftpin.permits.target_slots import FIRST_TIME, TargetSlots
+from swiftpin.permits.waiting_line import ANSWER_WAY, WaitingLine
 
 FAR_FACTOR: Final = 2.0
 """By how much faster a target in another zone must be to be preferred: bytes between
 zones are paid for, and any free target answers within the objective."""
 
-SHORTEST_RETRY: Final = 0.1
-LONGEST_RETRY: Final = 2.0
-"""Bounds of the wait that a refused caller is told, in seconds."""
+IDLE_PACE: Final = SlotPace(free_in=2.0, interval=2.0, hold=FIRST_TIME)
+"""Pace of a service that has no targets: it has some again within about two seconds of
+a loss."""
 
 
 class PermitQueue:
@@ -34,32 +34,45 @@
         self._service = service
         self._slots_by_target: dict[str, TargetSlots] = {}
         self._eligible: frozenset[str] = frozenset()
-        self._waiting_by_target: dict[str, list[PermitRequest]] = {}
+        self._present: frozenset[str] = frozenset()
+        self._lines_by_target: dict[str, WaitingLine] = {}
         self._running: dict[tuple[str, int], str] = {}
+        self._service_slots = TargetSlots(limit=1)
+        """How long permits of all its targets were out lately."""
 
     @callback
-    def set_targets(self, targets: Iterable[Target], now: float) -> None:
-        """Take the targets to which requests without a key may go."""
+    def set_targets(
+        self, targets: Iterable[Target], now: float, *, leaving: Iterable[Target] = ()
+    ) -> None:
+        """Take the targets to which requests without a key may go.
+
+        Those that are `leaving` may still get requests for the keys that they own. A
+        target that was in either and is in none is gone: who waits for it is rejected.
+        """
+        targets = list(targets)
+        present = [*targets, *leaving]
+        gone = self._present - {target.id for target in present}
         self._eligible = frozenset(target.id for target in targets)
-        for target in targets:
+        self._present = frozenset(target.id for target in present)
+        for target in present:
             slots = self._slots(target.id)
             slots.limit = target.slots
             slots.zone = target.zone
-        self._serve_any(now)
+        for target_id in gone:
+            self._reject_all(target_id)
+            self._forget_unused(target_id)
+        for target_id in list(self._lines_by_target):
+            self._serve(target_id, now)
 
     @callback
     def ask(self, request: PermitRequest, now: float) -> None:
-        """Grant, queue or refuse a request."""
+        """Grant, queue or reject a request."""
         target = self._free_target(request, now)
-        if target is not None:
-            self._grant(request, target)
+        if target is not None and now + ANSWER_WAY <= request.ends_at:
+            self._grant(request, target, now)
             return
-        wait = self._expected_wait(request)
-        waiting = self._waiting_by_target.setdefault(request.target, [])
-        if now + wait > request.ends_at or len(waiting) >= MOST_WAITING:
-            self._refuse(request, wait)
-            return
-        waiting.append(request)
+        self._line(request.target).requests.append(request)
+        self._review(request.target, now)
 
     @callback
     def end(
@@ -81,35 +94,36 @@
             self._withdraw(request_id)
             return
         slots = self._slots(target)
-        slots.running -= 1
+        hold = now - slots.granted_at_by_request.pop(request_id)
         if failed:
             slots.note_failure(now)
         elif seconds > (slots.mean_time if cut else 0):
             slots.note_time(seconds)
+        if not failed and seconds > 0 and (not cut or hold > self._hold(slots)):
+            slots.note_hold(hold)
+            self._service_slots.note_hold(hold)
+        self._forget_unused(target)
         self._serve(target, now)
 
     @callback
     def end_all_of(self, incarnation: str, now: float) -> None:
         """Take back everything of an instance that is gone."""
+        for line in self._lines_by_target.values():
+            line.requests = [
+                request for request in line.requests if request.id[0] != incarnation
+            ]
         for request_id in [key for key in self._running if key[0] == incarnation]:
             self.end(request_id, 0.0, failed=False, now=now)
-        for target, waiting in self._waiting_by_target.items():
-            self._waiting_by_target[target] = [
-                request for request in waiting if request.id[0] != incarnation
-            ]
 
     @callback
     def expire(self, now: float) -> None:
-        """Refuse what can't be served in time any more, and forget idle targets."""
-        for target, waiting in list(self._waiting_by_target.items()):
-            for request in waiting:
-                if request.ends_at <= now:
-                    self._refuse(request, self._expected_wait(request))
-            kept = [request for request in waiting if request.ends_at > now]
-            if kept:
-                self._waiting_by_target[target] = kept
-            else:
-                del self._waiting_by_target[target]
+        """Reject what can't be served in time any more, and forget idle targets."""
+        for target, line in list(self._lines_by_target.items()):
+            self._review(target, now)
+            if not line.requests and line.is_idle(now):
+                del self._lines_by_target[target]
+        for target in list(self._slots_by_target):
+            self._forget_unused(target)
 
     @callback
     def _slots(self, target: str) -> TargetSlots:
@@ -119,6 +133,25 @@
             slots = self._slots_by_target[target] = TargetSlots(limit=1)
         return slots
 
+    @callback
+    def _forget_unused(self, target: str) -> None:
+        """Drop the slots of a target that is gone, once no permit of them is out.
+
+        Targets that start again are others each time: kept, the slots of all that ever
+        were would grow an instance's memory as long as it lives.
+        """
+        slots = self._slots_by_target.get(target)
+        if slots is not None and target not in self._present and not slots.running:
+            del self._slots_by_target[target]
+
+    @callback
+    def _line(self, target: str) -> WaitingLine:
+        """Return those who wait for a target, or for any when it is empty."""
+        line = self._lines_by_target.get(target)
+        if line is None:
+            line = self._lines_by_target[target] = WaitingLine()
+        return line
+
     @callback
     def _free_target(self, request: PermitRequest, now: float) -> str | None:
         """Return the target that a request may be sent to at once."""
@@ -148,88 +181,75 @@
         )
 
     @callback
-    def _expected_wait(self, request: PermitRequest) -> float:
-        """Return the seconds until the request would begin."""
-        ahead = sum(
-            1
-            for other in self._waiting_by_target.get(request.target, ())
-            if other.priority <= request.priority
+    def _hold(self, slots: TargetSlots) -> float:
+        """Return for how long a request has one of a target's slots, in seconds."""
+        return slots.mean_hold or self._service_slots.mean_hold or FIRST_TIME
+
+    @callback
+    def _pace(self, target: str, now: float) -> SlotPace:
+        """Return how fast the slots of a target, or of all, become free."""
+        names = (target,) if target else self._eligible
+        uses = [self._slots(name) for name in names]
+        rate = sum(use.limit / self._hold(use) for use in uses)
+        if not rate:
+            return IDLE_PACE
+        return SlotPace(
+            free_in=min(use.free_in(self._hold(use), now) for use in uses),
+            interval=1 / rate,
+            hold=sum(use.limit for use in uses) / rate,
         )
-        if request.target:
-            slots = [self._slots(request.target)]
-        else:
-            slots = [self._slots_by_target[target] for target in self._eligible]
-        rate = sum(use.limit / use.mean_time for use in slots)
-        return (ahead + 1) / rate if rate else LONGEST_RETRY
 
     @callback
-    def _grant(self, request: PermitRequest, target: str) -> None:
+    def _grant(self, request: PermitRequest, target: str, now: float) -> None:
         """Give a permit."""
-        self._slots(target).running += 1
+        pace = self._pace(request.target, now)
+        self._line(request.target).record_grant(request, pace, now)
+        self._slots(target).granted_at_by_request[request.id] = now
         self._running[request.id] = target
         request.decide(PermitDecision(target=target))
 
     @callback
-    def _refuse(self, request: PermitRequest, wait: float) -> None:
-        """Refuse a request and say when there may be room."""
-        retry_after = min(max(wait, SHORTEST_RETRY), LONGEST_RETRY)
-        request.decide(PermitDecision(target="", retry_after=retry_after))
+    def _review(self, target: str, now: float) -> None:
+        """Order those who wait for a target; reject those whose turn comes too late."""
+        line = self._lines_by_target.get(target)
+        if line is None or not line.requests:
+            return
+        for rejection in line.review(self._pace(target, now), now):
+            _reject(rejection.request, rejection.retry_after)
+
+    @callback
+    def _reject_all(self, target: str) -> None:
+        """Reject everyone who waits for a target that is gone."""
+        line = self._lines_by_target.pop(target, None)
+        for request in line.requests if line is not None else ():
+            _reject(request, SHORTEST_RETRY)
 
     @callback
     def _serve(self, target: str, now: float) -> None:
         """Give a slot that became free to whoever waits for it."""
-        waiting = self._waiting_by_target.get(target)
-        while waiting and self._slots(target).is_free:
-            request = self._take_most_urgent(waiting, target, now)
-            self._grant(request, target)
+        self._review(target, now)
+        line = self._lines_by_target.get(target)
+        while line is not None and line.requests:
+            request = line.requests[0]
+            free = self._free_target(request, now)
+            if free is None:
+                break
+            line.requests.pop(0)
+            self._grant(request, free, now)
         if target in self._eligible:
-            self._serve_any(now)
-
-    @callback
-    def _serve_any(self, now: float) -> None:
-        """Give free slots to requests that any target may serve."""
-        waiting = self._waiting_by_target.get("")
-        while waiting:
-            request = self._most_urgent(waiting, "", now)
-            target = self._free_target(request, now)
-            if target is None:
-                return
-            waiting.remove(request)
-            self._grant(request, target)
-
-    @callback
-    def _take_most_urgent(
-        self, waiting: list[PermitRequest], target: str, now: float
-    ) -> PermitRequest:
-        """Remove and return the request to serve next."""
-        request = self._most_urgent(waiting, target, now)
-        waiting.remove(request)
-        return request
-
-    @callback
-    def _most_urgent(
-        self, waiting: list[PermitRequest], target: str, now: float
-    ) -> PermitRequest:
-        """Return the request to serve next.
-
-        By priority; within one those that can still make their objective go first,
-        the nearest objective before the others.
-        """
-        usual = self._slots(target).mean_time if target else 0.0
-        return min(
-            waiting,
-            key=lambda request: (
-                request.priority,
-                request.objective_at < now + usual,
-                request.objective_at,
-            ),
-        )
+            self._serve("", now)
 
     @callback
     def _withdraw(self, request_id: tuple[str, int]) -> None:
         """Forget a request that waits no longer."""
-        for waiting in self._waiting_by_target.values():
-            for request in waiting:
+        for line in self._lines_by_target.values():
+            for request in line.requests:
                 if request.id == request_id:
-                    waiting.remove(request)
+                    line.requests.remove(request)
                     return
+
+
+@callback
+def _reject(request: PermitRequest, retry_after: float) -> None:
+    """Tell an asker that there is no slot, and when there may be one."""
+    request.decide(PermitDecision(target="", retry_after=retry_after))
--- /dev/null
+++ b/swiftpin/permits/recent_grants.py
@@ -0,0 +1,59 @@
+"""Rate of the slots that went to requests which others have to let pass."""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from typing import Final
+
+from swiftpin.core import callback
+
+WINDOW: Final = 1.0
+"""Seconds over which is counted: some objectives, and at the 30 requests a second of a
+busy target enough to tell half its load from all of it."""
+
+
+class RecentGrants:
+    """Counts the grants of the last window, by priority and chance.
+
+    Requests that wait are left out, since those ahead in a queue are counted there, and
+    so are rejected ones, which overtake nobody.
+    """
+
+    def __init__(self) -> None:
+        self._grants: deque[tuple[float, int, bool]] = deque()
+        self._counts: Counter[tuple[int, bool]] = Counter()
+
+    @callback
+    def record(self, priority: int, now: float, *, is_in_time: bool) -> None:
+        """Count a request that got a slot."""
+        self._grants.append((now, priority, is_in_time))
+        self._counts[priority, is_in_time] += 1
+
+    @callback
+    def overtaking_rate(self, priority: int, now: float, *, is_in_time: bool) -> float:
+        """Return the grants a second to requests that go before a waiting one.
+
+        Those are all of higher priority, and for a request that will miss its
+        objective also those of its own priority that won't.
+        """
+        self._drop_old(now)
+        count = sum(
+            number
+            for (other, other_in_time), number in self._counts.items()
+            if other < priority
+            or (other == priority and other_in_time and not is_in_time)
+        )
+        return count / WINDOW
+
+    @callback
+    def is_empty(self, now: float) -> bool:
+        """Return whether nothing was granted within the window."""
+        self._drop_old(now)
+        return not self._grants
+
+    @callback
+    def _drop_old(self, now: float) -> None:
+        """Forget what left the window."""
+        while self._grants and self._grants[0][0] < now - WINDOW:
+            _, priority, is_in_time = self._grants.popleft()
+            self._counts[priority, is_in_time] -= 1
--- /dev/null
+++ b/swiftpin/permits/retry_spread.py
@@ -0,0 +1,31 @@
+"""When rejected callers are to come back."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from xxhash import xxh3_64_intdigest
+
+from swiftpin.core import callback
+
+SHORTEST_RETRY: Final = 0.1
+LONGEST_RETRY: Final = 2.0
+"""Bounds of the wait that a rejected caller is told, in seconds."""
+
+EARLIEST_SHARE: Final = 0.5
+"""Part of the time in which a queue drains after which the first may come back."""
+
+_DIGESTS: Final = 2**64
+
+
+@callback
+def spread_retry(request_id: tuple[str, int], drain: float) -> float:
+    """Return the seconds after which a caller may come back to a queue.
+
+    Spread evenly around the time in which the queue drains. Callers that were rejected
+    together and told the same would come back together and be rejected again, which
+    shows as requests refused several times while the target idles in between.
+    """
+    digest = xxh3_64_intdigest(f"{request_id[0]}\0{request_id[1]}")
+    wait = drain * (EARLIEST_SHARE + digest / _DIGESTS)
+    return min(max(wait, SHORTEST_RETRY), LONGEST_RETRY)
--- a/swiftpin/permits/target_slots.py
+++ b/swiftpin/permits/target_slots.py
@@ -12,6 +12,10 @@
 WEIGHT: Final = 0.12
 """Weight of one observed time: a target that turns slow shows after a few requests."""
 
+OVERDUE_SHARE: Final = 0.5
+"""Part of the mean hold that a request is taken to need which has run for longer than
+that: between none, if times were all equal, and a whole one, if they had no memory."""
+
 FAILURE_PAUSE: Final = 0.6
 """Seconds for which a target that failed is passed over where another will do."""
 
@@ -22,11 +26,20 @@
 
     limit: int
     zone: str = ""
-    running: int = 0
+    granted_at_by_request: dict[tuple[str, int], float] = field(default_factory=dict)
     mean_time: float = FIRST_TIME
+    mean_hold: float | None = None
+    """Seconds for which a permit is out, the messages that give and return it included;
+    None until one was seen."""
+
     avoided_until: float = 0.0
     recent_failures: deque[float] = field(default_factory=lambda: deque(maxlen=8))
 
+    @property
+    def running(self) -> int:
+        """Return how many permits are out."""
+        return len(self.granted_at_by_request)
+
     @property
     def is_free(self) -> bool:
         """Return whether a request would run at once."""
@@ -37,7 +50,27 @@
         self.mean_time += WEIGHT * (seconds - self.mean_time)
         self.recent_failures.clear()
 
+    def note_hold(self, seconds: float) -> None:
+        """Take the time for which a permit was out.
+
+        The first one counts whole: with an assumed time in the mean, a target that
+        is fast seems full for its first ten requests, and callers that it could serve
+        are rejected.
+        """
+        known = seconds if self.mean_hold is None else self.mean_hold
+        self.mean_hold = known + WEIGHT * (seconds - known)
+
     def note_failure(self, now: float) -> None:
         """Take a failure; the longer they go on, the longer the target is avoided."""
         self.recent_failures.append(now)
         self.avoided_until = now + FAILURE_PAUSE * len(self.recent_failures)
+
+    def free_in(self, hold: float, now: float) -> float:
+        """Return the seconds until a slot is free, if a permit is out for `hold`."""
+        if self.is_free:
+            return 0.0
+        least = hold * OVERDUE_SHARE
+        return min(
+            max(granted_at + hold - now, least)
+            for granted_at in self.granted_at_by_request.values()
+        )
--- /dev/null
+++ b/swiftpin/permits/waiting_line.py
@@ -0,0 +1,113 @@
+"""Requests that wait for the same slots, in the order in which they get them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from itertools import groupby
+from typing import Final
+
+from swiftpin.core import callback
+from swiftpin.permits.permit_request import PermitRequest
+from swiftpin.permits.recent_grants import RecentGrants
+from swiftpin.permits.rejection import Rejection
+from swiftpin.permits.retry_spread import spread_retry
+from swiftpin.permits.slot_pace import SlotPace
+
+MOST_WAITING: Final = 200
+"""Requests that wait for one target, or one unkeyed service, at most."""
+
+ANSWER_WAY: Final = 0.02
+"""Seconds from the end of a request at its target until the caller has the answer:
+some round trips between zones of a few milliseconds each."""
+
+MOST_OVERTAKEN: Final = 0.9
+"""Part of the slots at most that is taken to go to later arrivals: overload may end at
+any moment, and a request that would then be served is not rejected before."""
+
+
+class WaitingLine:
+    """Orders requests and finds those that won't be served.
+
+    By priority; within one, the largest number that can still make their objective
+    goes first, the nearest objective before the others (Moore and Hodgson's rule for
+    jobs of equal length), then the others, the nearest end first. A request whose turn
+    comes too late to finish before its end is taken out.
+
+    Without the forecast requests wait to their end though their turn can't come, and
+    their callers have no time left to try again; it shows as callers that left after
+    most of their time without a send. Whoever will miss the objective is overtaken by
+    all that won't, so its turn depends on arrivals to come, which are taken to
+    go on as of late.
+    """
+
+    def __init__(self) -> None:
+        self.requests: list[PermitRequest] = []
+        self._grants = RecentGrants()
+
+    @callback
+    def record_grant(self, request: PermitRequest, pace: SlotPace, now: float) -> None:
+        """Count a request that got a slot as one of those that overtake others."""
+        is_in_time = now + pace.hold <= request.objective_at
+        self._grants.record(request.priority, now, is_in_time=is_in_time)
+
+    @callback
+    def is_idle(self, now: float) -> bool:
+        """Return whether nobody waits or was served lately."""
+        return not self.requests and self._grants.is_empty(now)
+
+    @callback
+    def review(self, pace: SlotPace, now: float) -> list[Rejection]:
+        """Put the requests in order; take out and return those that won't be served."""
+        kept: list[PermitRequest] = []
+        rejected: list[PermitRequest] = []
+        for request, is_in_time in self._in_order(pace, now):
+            starts_at = now + self._wait(request, len(kept), is_in_time, pace, now)
+            is_served = starts_at + pace.hold + ANSWER_WAY <= request.ends_at
+            if is_served and len(kept) < MOST_WAITING:
+                kept.append(request)
+            else:
+                rejected.append(request)
+        self.requests = kept
+        drain = pace.free_in + len(kept) * pace.interval
+        return [
+            Rejection(request=request, retry_after=spread_retry(request.id, drain))
+            for request in rejected
+        ]
+
+    @callback
+    def _wait(
+        self,
+        request: PermitRequest,
+        ahead: int,
+        is_in_time: bool,
+        pace: SlotPace,
+        now: float,
+    ) -> float:
+        """Return the seconds until a request would begin."""
+        wait = pace.free_in + ahead * pace.interval
+        rate = self._grants.overtaking_rate(
+            request.priority, now, is_in_time=is_in_time
+        )
+        return wait / (1 - min(rate * pace.interval, MOST_OVERTAKEN))
+
+    @callback
+    def _in_order(
+        self, pace: SlotPace, now: float
+    ) -> Iterator[tuple[PermitRequest, bool]]:
+        """Return the requests and whether each will make its objective."""
+        ordered = sorted(
+            self.requests, key=lambda request: (request.priority, request.objective_at)
+        )
+        ahead = 0
+        for _, group in groupby(ordered, key=lambda request: request.priority):
+            late = []
+            for request in group:
+                starts_at = now + pace.free_in + ahead * pace.interval
+                if starts_at + pace.hold <= request.objective_at:
+                    ahead += 1
+                    yield request, True
+                else:
+                    late.append(request)
+            ahead += len(late)
+            for request in sorted(late, key=lambda request: request.ends_at):
+                yield request, False
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -366,8 +366,15 @@
         if configuration is None:
             return
         for service in configuration.services_by_name:
-            targets = self._directory.serving_targets(service, now)
-            self._permits.set_targets(service, targets)
+            serving = self._directory.serving_targets(service, now)
+            leaving = [
+                target
+                for target in self._directory.targets_by_id.values()
+                if target.service == service
+                and target.id in self._directory.leaving_since_by_id
+                and self._directory.may_send(target.id, now)
+            ]
+            self._permits.set_targets(service, serving, leaving)
 
     async def _async_housekeeping(self) -> None:
         """Close idle connections again and again."""
@@ -375,6 +382,8 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING)
             self._directory.sweep(suspend_aware_now())
+            # A leaving target's drain time ends without a change that tells of it.
+            self._note_targets()
             for client in (self._client, self._control_http, self._store_http):
                 client.close_idle(loop.time())
 
--- a/swiftpin/router/request_sender.py
+++ b/swiftpin/router/request_sender.py
@@ -293,16 +293,19 @@
     async def _async_permit(self, call: Call, owner: str) -> Permit:
         """Return a permit to send; raise `QueueFullError` when there is none."""
         now = asyncio.get_running_loop().time()
-        decision, permit = await self._permits.async_ask(
-            service=call.service,
-            target=owner,
-            avoided=call.failed_target,
-            priority=call.route.priority,
-            objective_at=call.objective_at,
-            ends_at=call.ends_at,
-            now=now,
-        )
-        call.waited += asyncio.get_running_loop().time() - now
+        try:
+            decision, permit = await self._permits.async_ask(
+                service=call.service,
+                target=owner,
+                avoided=call.failed_target,
+                priority=call.route.priority,
+                objective_at=call.objective_at,
+                ends_at=call.ends_at,
+                now=now,
+            )
+        finally:
+            # Also when the caller leaves: its line tells what its time went on.
+            call.waited += asyncio.get_running_loop().time() - now
         if permit is None:
             call.notes.append("no slot")
             raise QueueFullError(
--- a/tests/permits/test_permit_queue.py
+++ b/tests/permits/test_permit_queue.py
@@ -13,6 +13,8 @@
 from swiftpin.permits.permit_request import PermitRequest
 
 NUMBERS = count(1)
+IDLE = 2.0
+"""Seconds without requests after which earlier ones say nothing of those to come."""
 
 
 class Asker:
@@ -27,13 +29,14 @@
         target: str,
         *,
         priority: int = 1,
-        objective_at: float = 1.0,
-        ends_at: float = 2.0,
+        objective_at: float | None = None,
+        ends_at: float | None = None,
         zone: str = "z1",
         avoided: str = "",
         asker: str = "i1",
+        now: float = 0.0,
     ) -> int:
-        """Ask at time 0 and return the request's number."""
+        """Ask and return the request's number."""
         number = next(NUMBERS)
 
         def decide(decision: PermitDecision) -> None:
@@ -46,16 +49,42 @@
             avoided=avoided,
             zone=zone,
             priority=priority,
-            objective_at=objective_at,
-            ends_at=ends_at,
+            objective_at=now + 1.0 if objective_at is None else objective_at,
+            ends_at=now + 2.0 if ends_at is None else ends_at,
             decide=decide,
         )
-        self.queue.ask(request, 0.0)
+        self.queue.ask(request, now)
         return number
 
-    def end(self, number: int, *, asker: str = "i1", failed: bool = False) -> None:
+    def end(
+        self,
+        number: int,
+        *,
+        asker: str = "i1",
+        failed: bool = False,
+        seconds: float = 0.1,
+        now: float = 0.1,
+    ) -> None:
         """Hand a permit back."""
-        self.queue.end((asker, number), 0.1, failed=failed, now=0.1)
+        self.queue.end((asker, number), seconds, failed=failed, now=now)
+
+    def run(self, target: str, *, seconds: float, times: int, now: float) -> float:
+        """Let a target run requests one by one; return when the last one ended."""
+        for _ in range(times):
+            number = self.ask(target, now=now, objective_at=now + 1, ends_at=now + 2)
+            now += seconds
+            self.end(number, seconds=seconds, now=now)
+        return now
+
+    def is_rejected(self, number: int) -> bool:
+        """Return whether a request was answered without a permit."""
+        decision = self.decisions_by_number.get(number)
+        return decision is not None and not decision.is_granted
+
+    def is_granted(self, number: int) -> bool:
+        """Return whether a request got a permit."""
+        decision = self.decisions_by_number.get(number)
+        return decision is not None and decision.is_granted
 
 
 def make_target(name: str, *, slots: int = 1, zone: str = "z1") -> Target:
@@ -152,3 +181,170 @@
     waiting = asker.ask("a", ends_at=1.0)
     asker.queue.expire(1.5)
     assert not asker.decisions_by_number[waiting].is_granted
+
+
+def test_overtaken_requests_are_rejected_long_before_their_end(asker: Asker) -> None:
+    """Symptom: callers leave after their whole time without a send.
+
+    Sequence: more callers than a target bears ask for it. One that will miss its
+    objective waits; all that won't miss theirs go before it, as long as they come.
+    Cause: its turn was judged once, at arrival, by those that waited before it.
+    """
+    now = asker.run("a", seconds=0.05, times=40, now=0.0)
+    running = asker.ask("a", now=now, objective_at=now + 0.3, ends_at=now + 0.8)
+    ends_at = now + 0.8
+    late = asker.ask("a", now=now, objective_at=now + 0.01, ends_at=ends_at)
+    waiting: list[int] = []
+    while not asker.is_rejected(late) and now < ends_at:
+        now += 0.05
+        waiting += [
+            asker.ask("a", now=now, objective_at=now + 0.3, ends_at=now + 0.8)
+            for _ in range(2)
+        ]
+        asker.end(running, seconds=0.05, now=now)
+        asker.queue.expire(now)
+        (running, *_) = [number for number in waiting if asker.is_granted(number)]
+        waiting.remove(running)
+    assert not asker.is_granted(late)
+    assert ends_at - now > 0.2
+
+
+def test_waiting_requests_are_judged_again_when_the_target_slows(asker: Asker) -> None:
+    """Symptom: callers leave after their whole time without a send.
+
+    Sequence: requests queue for a fast target; it turns slow, and those at the end of
+    the queue can't begin in time any more.
+    Cause: whether a request can be served was judged at arrival only.
+    """
+    now = asker.run("a", seconds=0.05, times=40, now=0.0)
+    running = asker.ask("a", now=now, ends_at=now + 2)
+    waiting = [asker.ask("a", now=now, ends_at=now + 1) for _ in range(10)]
+    assert not any(asker.is_rejected(number) for number in waiting)
+    asker.end(running, seconds=0.5, now=now + 0.5)
+    assert asker.is_granted(waiting[0])
+    assert asker.is_rejected(waiting[-1])
+
+
+def test_urgent_arrivals_reject_whom_they_displace(asker: Asker) -> None:
+    """Symptom: less urgent requests wait to their end behind urgent ones.
+
+    Sequence: one waits that would be served in time; urgent requests arrive, and its
+    turn comes after its end.
+    Cause: nobody looked at those that wait when others went before them.
+    """
+    now = asker.run("a", seconds=0.1, times=40, now=0.0) + IDLE
+    asker.ask("a", now=now, ends_at=now + 2)
+    displaced = asker.ask("a", now=now, priority=2, ends_at=now + 0.5)
+    assert displaced not in asker.decisions_by_number
+    for _ in range(5):
+        asker.ask("a", now=now, priority=0, ends_at=now + 2)
+    assert asker.is_rejected(displaced)
+
+
+def test_fast_targets_are_known_after_one_request(asker: Asker) -> None:
+    """Symptom: callers are rejected by a target that could serve them.
+
+    Sequence: a target starts; its first request took 10 ms; seven wait with 0.3 s left.
+    Cause: the mean began with an assumed time and took ten requests to forget it.
+    """
+    now = asker.run("a", seconds=0.01, times=1, now=0.0)
+    numbers = [asker.ask("a", now=now, ends_at=now + 0.3) for _ in range(8)]
+    assert not any(asker.is_rejected(number) for number in numbers)
+
+
+def test_targets_not_yet_measured_are_judged_by_the_others(asker: Asker) -> None:
+    """Symptom: callers are rejected by a newcomer that could serve them.
+
+    Sequence: the service's other targets take 10 ms; one that never ran gets six.
+    Cause: the newcomer's time was assumed though that of its likes was known.
+    """
+    now = asker.run("a", seconds=0.01, times=1, now=0.0)
+    numbers = [asker.ask("b", now=now, ends_at=now + 0.3) for _ in range(6)]
+    assert not any(asker.is_rejected(number) for number in numbers)
+
+
+def test_no_permit_for_who_cannot_finish(asker: Asker) -> None:
+    """Symptom: slots are spent on answers that nobody takes.
+
+    Sequence: a request waits behind one that takes long; when the slot is free, less
+    time is left than any request takes.
+    Cause: a slot went to whoever was next, up to the moment of its end.
+    """
+    now = asker.run("a", seconds=0.1, times=40, now=0.0)
+    running = asker.ask("a", now=now, ends_at=now + 2)
+    waiting = asker.ask("a", now=now, ends_at=now + 0.3)
+    asker.end(running, seconds=0.29, now=now + 0.29)
+    assert asker.is_rejected(waiting)
+
+
+def test_those_who_can_be_served_are_served(asker: Asker) -> None:
+    """A queue that fits is served whole, at the pace that was measured."""
+    now = asker.run("a", seconds=0.05, times=40, now=0.0) + IDLE
+    numbers = [
+        asker.ask("a", now=now, objective_at=now + 0.3, ends_at=now + 0.8)
+        for _ in range(12)
+    ]
+    for number in numbers:
+        asker.queue.expire(now)
+        assert asker.is_granted(number)
+        now += 0.05
+        asker.end(number, seconds=0.05, now=now)
+
+
+def test_rejected_callers_are_told_different_times(asker: Asker) -> None:
+    """Symptom: callers that were rejected together come back together.
+
+    Sequence: a queue overflows; all whom it rejects are told the same time.
+    Cause: the time was the length of the queue, equal for all who met it.
+    """
+    now = asker.run("a", seconds=0.1, times=40, now=0.0)
+    numbers = [asker.ask("a", now=now, ends_at=now + 0.5) for _ in range(20)]
+    waits = [
+        asker.decisions_by_number[number].retry_after
+        for number in numbers
+        if asker.is_rejected(number)
+    ]
+    assert len(waits) > 10
+    assert len({round(wait, 3) for wait in waits}) > len(waits) / 2
+
+
+def test_requests_for_a_target_that_is_gone_are_rejected_at_once(asker: Asker) -> None:
+    """Symptom: callers wait to their end for a target that is gone.
+
+    Sequence: a request waits for a target with one slot; the target ends.
+    Cause: the queue took new targets and never learned which were gone.
+    """
+    asker.ask("a")
+    waiting = asker.ask("a")
+    asker.queue.set_targets([make_target("b", zone="z2")], 0.1)
+    assert asker.is_rejected(waiting)
+
+
+def test_targets_that_come_and_go_leave_nothing(asker: Asker) -> None:
+    """Symptom: the memory of an instance grows by a little with each target.
+
+    Sequence: a target starts again and again, each time as another life, runs requests
+    and ends; some requests come for it after its end.
+    Cause: the use of its slots was kept for ever.
+    """
+    for life in range(50):
+        name = f"a@{life}"
+        asker.queue.set_targets([make_target(name)], life)
+        running = asker.ask(name, now=life, ends_at=life + 2.0)
+        asker.queue.set_targets([], life + 0.1)
+        asker.end(running, now=life + 0.2)
+        asker.end(asker.ask(name, now=life + 0.2, ends_at=life + 2.0), now=life + 0.3)
+        asker.queue.expire(life + 0.5)
+    assert not asker.queue._slots_by_target
+
+
+def test_next_life_has_all_its_slots(asker: Asker) -> None:
+    """Symptom: a target that started again idles.
+
+    Sequence: a target ends while it runs a request and starts again under its name.
+    Cause: its slots were counted for the name, and the lost request held one.
+    """
+    asker.queue.set_targets([make_target("a@1")], 0.0)
+    asker.ask("a@1")
+    asker.queue.set_targets([make_target("a@2")], 0.1)
+    assert asker.is_granted(asker.ask("a@2", now=0.1))
