Split the request sender: retry policy, owner, exchange, order of the steps

Cause: request_sender.py held four jobs in 448 lines; whether a request may be sent twice could only be tested through a whole site.

Bodies of the functions are as they were, but that the policy takes the time and keeps the budgets; a call whose service's budget is replaced by a reload while it is served now spends from the new one. app.py takes the load by take_load().

tests/router/test_retry_policy.py (19 cases): idempotent and once, attempts, budget, may_have_run, streamed bodies, answers that are passed on.

--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -262,7 +262,7 @@
         )
         self._settings = settings
         self._directory.set_drain(settings.bounds.drain)
-        self._sender.set_bounds(settings.bounds)
+        self._sender.retries.set_bounds(settings.bounds)
 
     @callback
     def note_bad_settings(self, err: ConfigurationError) -> None:
@@ -348,9 +348,8 @@
     @callback
     def _take_load(self) -> LoadReport:
         """Return what was noted since the last call."""
-        self._sender.members = self._permits.issuers.members
-        report, self._sender.load = self._sender.load, LoadReport()
-        return report
+        self._sender.retries.members = self._permits.issuers.members
+        return self._sender.take_load()
 
     @callback
     def _note_configuration(self) -> None:
--- /dev/null
+++ b/swiftpin/router/owner_finder.py
@@ -0,0 +1,85 @@
+"""Choice of the target that owns a request's key."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Final
+
+from swiftpin.core import callback
+from swiftpin.discovery.target_directory import TargetDirectory
+from swiftpin.exceptions import NoOwnerError
+from swiftpin.helpers.clock import suspend_aware_now
+from swiftpin.router.call import Call
+from swiftpin.router.configuration_holder import ConfigurationHolder
+from swiftpin.router.key_maps import KeyMaps
+
+OWNER_WAIT: Final = 0.5
+"""Seconds for which a request waits for keys on the move. A move with a handover takes
+about as long as one request; one that takes longer waits for a lost target's grant to
+end, and then callers had better come back."""
+
+OWNER_RETRY: Final = 0.4
+"""Seconds after which a caller may come back whose key had no owner."""
+
+SAME_TARGET_PAUSE: Final = 0.1
+"""Seconds before the owner of a key is tried again after it failed: a lost target's
+keys are on the move by then, and one that was full has ended a request."""
+
+
+class OwnerFinder:
+    """Finds owners in the key maps, and waits a while for keys on the move."""
+
+    def __init__(
+        self,
+        *,
+        configuration: ConfigurationHolder,
+        directory: TargetDirectory,
+        maps: KeyMaps,
+    ) -> None:
+        self._configuration = configuration
+        self._directory = directory
+        self._maps = maps
+
+    @callback
+    def is_keyed(self, service_name: str) -> bool:
+        """Return whether a service is divided by key."""
+        configuration = self._configuration.current
+        if configuration is None:
+            return False
+        service = configuration.services_by_name.get(service_name)
+        return service is not None and service.is_keyed
+
+    async def async_find(self, call: Call) -> str:
+        """Return the target that owns the request's key; raise `NoOwnerError`."""
+        key = call.head.key
+        if key is None:
+            raise NoOwnerError("the request names no key", retry_after=OWNER_RETRY)
+        loop = asyncio.get_running_loop()
+        if call.failed_target:
+            # The map may just be changing; else the owner gets a moment of rest.
+            await self._async_wait_map(call, loop.time() + SAME_TARGET_PAUSE)
+        until = min(loop.time() + OWNER_WAIT, call.ends_at)
+        while True:
+            owner = self._maps.owner_of(call.service, key)
+            if self._is_served(call.service, key, owner):
+                return owner
+            if loop.time() >= until:
+                call.notes.append(f"no owner: {owner or 'on the move'}")
+                raise NoOwnerError("the key is on the move", retry_after=OWNER_RETRY)
+            await self._async_wait_map(call, until)
+
+    @callback
+    def _is_served(self, service: str, key: int, owner: str) -> bool:
+        """Return whether a request for a key may be sent to its owner."""
+        now = suspend_aware_now()
+        if not owner or not self._directory.may_send(owner, now):
+            return False
+        return not self._maps.is_denied(service, key, now)
+
+    async def _async_wait_map(self, call: Call, until: float) -> None:
+        """Wait until the service's key map changes, at most until a time."""
+        try:
+            async with asyncio.timeout_at(until):
+                await self._maps.async_wait_change(call.service)
+        except TimeoutError:
+            return
--- /dev/null
+++ b/swiftpin/router/retry_policy.py
@@ -0,0 +1,118 @@
+"""Whether a request may be sent once more."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import Final
+
+from swiftpin.core import callback
+from swiftpin.exceptions import (
+    AnswerLostError,
+    RequestError,
+    RetryBudgetSpentError,
+    TargetConnectError,
+    TargetRefusedError,
+)
+from swiftpin.model.bounds import Bounds
+from swiftpin.model.request_kind import RequestKind
+from swiftpin.router.call import Call
+from swiftpin.router.window_budget import WindowBudget
+
+REFUSED_RETRY: Final = 0.1
+"""Seconds after which a caller may come back whose request a target refused: one that
+sheds by chance takes the next, and the queue here tells the load of the others."""
+
+RETRY_SHARE: Final = 0.3
+"""Part of the objective that must be left for a try after a target's own failure; with
+less, the failure is passed on as it is."""
+
+
+class RetryPolicy:
+    """Keeps second sends safe, to the route's attempts and to the service's budget.
+
+    A request that must not run twice is sent again only when the last target certainly
+    did not run it; one that may be repeated also after a failure.
+    """
+
+    def __init__(self, bounds: Bounds) -> None:
+        self.members = 1
+        """Instances that share the budgets."""
+
+        self._bounds = bounds
+        self._budgets_by_service: dict[str, WindowBudget] = {}
+
+    @callback
+    def set_bounds(self, bounds: Bounds) -> None:
+        """Begin to count by new bounds."""
+        if bounds != self._bounds:
+            self._bounds = bounds
+            self._budgets_by_service.clear()
+
+    @callback
+    def record_first(self, service: str, now: float) -> None:
+        """Count a request, whether it is sent or not."""
+        self._budget(service).record_first(now)
+
+    @callback
+    def check_may_retry(self, call: Call, now: float) -> None:
+        """Raise the final error unless the request may be tried once more.
+
+        `now` is the suspend-aware time, by which budgets are counted.
+        """
+        if call.may_have_run and call.route.kind is RequestKind.ONCE:
+            raise self.failure(call)
+        if not call.sends:
+            return
+        if call.sends >= call.route.attempts or not call.body.can_be_sent:
+            raise self.failure(call)
+        if not self._budget(call.service).spend(now, self.members):
+            call.notes.append("no retry: budget spent")
+            if call.may_have_run:
+                raise self.failure(call)
+            raise RetryBudgetSpentError(
+                "the service's retries are used up", retry_after=REFUSED_RETRY
+            )
+
+    @callback
+    def is_worth_retry(self, call: Call, status: int, left: float, now: float) -> bool:
+        """Return whether a target's answer is to be followed by another try.
+
+        Some targets fail part of their requests while they count as healthy. `left` is
+        the time until the request's end, in seconds.
+        """
+        if status < HTTPStatus.INTERNAL_SERVER_ERROR:
+            return False
+        call.may_have_run = True
+        return (
+            call.route.kind is RequestKind.IDEMPOTENT
+            and call.sends < call.route.attempts
+            and call.body.can_be_sent
+            and left > call.route.objective * RETRY_SHARE
+            and self._budget(call.service).spend(now, self.members)
+        )
+
+    @callback
+    def failure(self, call: Call) -> RequestError:
+        """Return what the caller is told when nothing more is tried."""
+        if call.may_have_run:
+            return AnswerLostError("the target's answer was lost")
+        if call.sends:
+            return TargetRefusedError(
+                "the target refused the request", retry_after=REFUSED_RETRY
+            )
+        return TargetConnectError(
+            "the target could not be reached", retry_after=REFUSED_RETRY
+        )
+
+    @callback
+    def _budget(self, service: str) -> WindowBudget:
+        """Return the budget for second sends to a service."""
+        budget = self._budgets_by_service.get(service)
+        if budget is None:
+            bounds = self._bounds
+            budget = self._budgets_by_service[service] = WindowBudget(
+                ratio=bounds.retry_ratio,
+                slack=bounds.retry_slack,
+                window=bounds.retry_window,
+            )
+        return budget
--- /dev/null
+++ b/swiftpin/router/target_exchange.py
@@ -0,0 +1,224 @@
+"""Exchange of a request and its answer with one target."""
+
+from __future__ import annotations
+
+import asyncio
+from functools import partial
+from http import HTTPStatus
+import math
+from typing import Final
+
+from aiohttp.hdrs import HOST
+
+from swiftpin.core import callback
+from swiftpin.discovery.target_directory import TargetDirectory
+from swiftpin.dispatch.http_answer import HttpAnswer
+from swiftpin.dispatch.http_client import HttpClient
+from swiftpin.dispatch.http_request import HttpRequest
+from swiftpin.dispatch.http_send_state import HttpSendState
+from swiftpin.exceptions import AnswerBrokenError, RequestNotSentError
+from swiftpin.helpers.clock import suspend_aware_now
+from swiftpin.model.request_kind import RequestKind
+from swiftpin.permits.permit_broker import Permit, PermitBroker
+from swiftpin.platform.request_head import (
+    AnswerHead,
+    decode_answer_head,
+    encode_request_headers,
+    is_answer_to,
+)
+from swiftpin.router.call import Call
+from swiftpin.router.caller_answer import WHOLE_LIMIT
+from swiftpin.router.configuration_holder import ConfigurationHolder
+from swiftpin.router.fleet_messages import LoadReport
+from swiftpin.router.key_maps import KeyMaps
+from swiftpin.router.poison_watch import PoisonWatch, fingerprint_of
+from swiftpin.router.received import Received
+
+ONCE_IDLE: Final = 1.0
+"""Seconds for which a connection may have been idle that carries a request which must
+not run twice: targets close idle connections, at times unannounced, and a request that
+crosses the close is lost."""
+
+CONNECTION_SHARE: Final = 6
+"""Part of a target's connections that one instance takes at most."""
+
+SHORTEST_TIME: Final = 0.02
+"""Seconds that must be left for a request to be sent at all."""
+
+
+class TargetExchange:
+    """Sends a request by a permit, hands the permit back and notes how it went."""
+
+    def __init__(
+        self,
+        *,
+        client: HttpClient,
+        configuration: ConfigurationHolder,
+        directory: TargetDirectory,
+        maps: KeyMaps,
+        permits: PermitBroker,
+        poison: PoisonWatch,
+    ) -> None:
+        self.load = LoadReport()
+        """What was seen since the last report."""
+
+        self._client = client
+        self._configuration = configuration
+        self._directory = directory
+        self._maps = maps
+        self._permits = permits
+        self._poison = poison
+
+    async def async_exchange(self, call: Call, permit: Permit) -> Received | None:
+        """Return the answer, its beginning read; None when there was none."""
+        call.target = permit.target
+        state = HttpSendState()
+        began_at = asyncio.get_running_loop().time()
+        try:
+            received = await self._async_send(call, permit, state, began_at)
+        except RequestNotSentError as err:
+            self._note_failed(call, permit, f"not sent: {err}")
+            return None
+        except AnswerBrokenError as err:
+            call.may_have_run = True
+            self._note_failed(call, permit, f"broken: {err}")
+            self._poison.on_suspect(fingerprint(call), permit.target)
+            return None
+        except BaseException:
+            # The deadline passed or the caller left.
+            if state.written:
+                call.may_have_run = True
+            elapsed = asyncio.get_running_loop().time() - began_at
+            self._permits.end(permit, elapsed, failed=False, cut=True)
+            self.load.add_cut(call.service, permit.target, elapsed)
+            raise
+        finally:
+            call.sends += state.written
+            call.is_sent = False
+        return received
+
+    async def _async_send(
+        self, call: Call, permit: Permit, state: HttpSendState, began_at: float
+    ) -> Received | None:
+        """Send the request and read the beginning of the answer."""
+        target = self._directory.targets_by_id.get(permit.target)
+        left = call.ends_at - began_at
+        if target is None or left < SHORTEST_TIME:
+            raise RequestNotSentError(f"{permit.target} is gone, or no time is left")
+        request = call.request
+        headers = encode_request_headers(
+            request.headers.items(),
+            request.headers.get(HOST, ""),
+            target.name,
+            left,
+        )
+        once = call.route.kind is RequestKind.ONCE
+        answer = await self._client.async_exchange(
+            target.address,
+            HttpRequest(
+                method=request.method,
+                path=request.raw_path,
+                headers=headers,
+                body=call.body,
+            ),
+            state,
+            partial(self._check_target, call, permit.target),
+            connections=self._connections(call.service),
+            check=partial(is_answer_to, call.head.id),
+            max_idle=ONCE_IDLE if once else math.inf,
+        )
+        head = decode_answer_head(answer.status, answer.headers)
+        if head.not_executed:
+            return self._note_refused(call, permit, answer, head)
+        return await self._async_take(call, permit, answer, head, began_at)
+
+    async def _async_take(
+        self,
+        call: Call,
+        permit: Permit,
+        answer: HttpAnswer,
+        head: AnswerHead,
+        began_at: float,
+    ) -> Received:
+        """Read the beginning of an answer to a request that ran."""
+        failed = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        elapsed = asyncio.get_running_loop().time() - began_at
+        # The work is done once the answer begins: the slot is free while the body is
+        # on its way, which takes longer than the work on slow links.
+        self._permits.end(permit, elapsed, failed=failed)
+        try:
+            if not head.is_signed and answer.status < HTTPStatus.MULTIPLE_CHOICES:
+                raise AnswerBrokenError("a success without the target's signature")
+            first = await _async_read_first(answer)
+        except BaseException:
+            answer.abort()
+            raise
+        self.load.add_time(call.service, permit.target, None if failed else elapsed)
+        call.status = answer.status
+        return Received(answer=answer, first=first)
+
+    @callback
+    def _check_target(self, call: Call, target_id: str, now: float) -> None:
+        """Hold a request back whose target has left while it waited.
+
+        Time for a slot and for a connection may have passed since the target was
+        chosen; one that announced its leaving gets nothing more after its drain time.
+        """
+        if not self._directory.may_send(target_id, suspend_aware_now()):
+            raise RequestNotSentError(f"{target_id} has left")
+        call.is_sent = True
+
+    @callback
+    def _note_refused(
+        self, call: Call, permit: Permit, answer: HttpAnswer, head: AnswerHead
+    ) -> None:
+        """Note that a target did not run the request."""
+        answer.abort()
+        if (
+            answer.status == HTTPStatus.MISDIRECTED_REQUEST
+            and call.head.key is not None
+        ):
+            self._maps.note_denied(call.service, call.head.key, suspend_aware_now())
+        reason = f"refused: {answer.status}"
+        target = self._directory.targets_by_id.get(permit.target)
+        if target is not None and head.instance not in (None, target.name):
+            # The target is gone and its address belongs to another one by now.
+            reason = f"replaced by {head.instance}"
+            self._directory.note_replaced(permit.target, suspend_aware_now())
+        self._note_failed(call, permit, reason)
+
+    @callback
+    def _note_failed(self, call: Call, permit: Permit, reason: str) -> None:
+        """Note a send that brought no answer."""
+        call.failed_target = permit.target
+        call.notes.append(f"{permit.target} {reason}")
+        self._permits.end(permit, 0.0, failed=True)
+        self.load.add_time(call.service, permit.target, None)
+
+    @callback
+    def _connections(self, service: str) -> int:
+        """Return how many connections to one target this instance may open."""
+        configuration = self._configuration.current
+        spec = configuration.services_by_name.get(service) if configuration else None
+        most = spec.max_connections if spec is not None else CONNECTION_SHARE
+        return max(most // CONNECTION_SHARE, 2)
+
+
+@callback
+def fingerprint(call: Call) -> int:
+    """Return what is equal for every resend of the request."""
+    request = call.request
+    return fingerprint_of(request.host, request.raw_path, call.head.key, call.body.head)
+
+
+async def _async_read_first(answer: HttpAnswer) -> list[bytes]:
+    """Return the body if it is short enough to be held, else its beginning."""
+    chunks = []
+    size = 0
+    while size <= WHOLE_LIMIT and not answer.is_read:
+        chunk = await answer.async_read_chunk()
+        if not chunk:
+            break
+        chunks.append(chunk)
+        size += len(chunk)
+    return chunks
--- /dev/null
+++ b/tests/router/test_retry_policy.py
@@ -0,0 +1,218 @@
+"""Tests of when a request may be sent once more."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from http import HTTPStatus
+from typing import Any, cast
+
+import pytest
+
+from swiftpin.exceptions import (
+    AnswerLostError,
+    RequestError,
+    RetryBudgetSpentError,
+    TargetConnectError,
+    TargetRefusedError,
+)
+from swiftpin.model.bounds import Bounds
+from swiftpin.model.request_kind import RequestKind
+from swiftpin.model.route import Route, WeightedService
+from swiftpin.platform.request_head import RequestHead
+from swiftpin.router.call import Call
+from swiftpin.router.retry_policy import RetryPolicy
+
+NOW = 100.0
+WINDOW = 10.0
+BOUNDS = Bounds(
+    drain=2.0,
+    apply=2.0,
+    grace=3.0,
+    longest_hold=10.0,
+    retry_ratio=0.0,
+    retry_window=WINDOW,
+    retry_slack=10.0,
+    stability=3.0,
+)
+SPENDABLE = 8
+"""Second sends in a window: the part of the slack that is used."""
+
+
+@dataclass(kw_only=True)
+class Body:
+    """Body of a request; one that was streamed can't be sent again."""
+
+    can_be_sent: bool = True
+
+
+def make_call(
+    kind: RequestKind = RequestKind.IDEMPOTENT,
+    *,
+    sends: int = 1,
+    may_have_run: bool = False,
+    attempts: int = 2,
+    can_be_sent: bool = True,
+) -> Call:
+    """Return a call that was sent."""
+    route = Route(
+        name="r",
+        host="desk.example",
+        prefix="/",
+        kind=kind,
+        timeout=1.0,
+        objective=0.5,
+        priority=1,
+        attempts=attempts,
+        parts=(WeightedService(service="desk", weight=1.0),),
+    )
+    return Call(
+        request=cast("Any", None),
+        head=RequestHead(id="q1", deadline=1.0, key=None),
+        route=route,
+        service="desk",
+        body=cast("Any", Body(can_be_sent=can_be_sent)),
+        started_at=NOW,
+        ends_at=NOW + 1.0,
+        sends=sends,
+        may_have_run=may_have_run,
+    )
+
+
+@pytest.fixture(name="policy")
+def policy_fixture() -> RetryPolicy:
+    """Return a policy with a whole budget, of one instance."""
+    return RetryPolicy(BOUNDS)
+
+
+def error_of(policy: RetryPolicy, call: Call, now: float = NOW) -> RequestError | None:
+    """Return why a request may not be tried again, None when it may."""
+    try:
+        policy.check_may_retry(call, now)
+    except RequestError as err:
+        return err
+    return None
+
+
+@pytest.mark.parametrize("kind", RequestKind)
+def test_refused_requests_of_either_kind_are_sent_again(
+    policy: RetryPolicy, kind: RequestKind
+) -> None:
+    """A target that says it did not run a request leaves it safe to send."""
+    assert error_of(policy, make_call(kind)) is None
+
+
+def test_what_may_have_run_once_is_not_sent_again(policy: RetryPolicy) -> None:
+    """Symptom: an order is carried out twice.
+
+    Sequence: a target takes a request that must not repeat and its answer is lost.
+    Cause: the request was sent to another target though the first may have run it.
+    """
+    call = make_call(RequestKind.ONCE, may_have_run=True)
+    assert isinstance(error_of(policy, call), AnswerLostError)
+
+
+def test_what_may_have_run_is_sent_again_if_it_may_repeat(policy: RetryPolicy) -> None:
+    """A lost answer to an idempotent request is followed by another try."""
+    assert error_of(policy, make_call(may_have_run=True)) is None
+
+
+def test_attempts_of_the_route_are_kept(policy: RetryPolicy) -> None:
+    """As many targets as the route allows get the request, and none more."""
+    assert error_of(policy, make_call(sends=2, attempts=3)) is None
+    refused = error_of(policy, make_call(sends=3, attempts=3))
+    assert isinstance(refused, TargetRefusedError)
+    lost = error_of(policy, make_call(sends=3, attempts=3, may_have_run=True))
+    assert isinstance(lost, AnswerLostError)
+
+
+def test_streamed_bodies_are_not_sent_again(policy: RetryPolicy) -> None:
+    """What was passed on while it came in is not there any more."""
+    error = error_of(policy, make_call(can_be_sent=False))
+    assert isinstance(error, TargetRefusedError)
+
+
+def test_tries_that_reached_no_target_cost_nothing(policy: RetryPolicy) -> None:
+    """A request that was never written is tried again without budget or attempts."""
+    for _ in range(3 * SPENDABLE):
+        assert error_of(policy, make_call(sends=0, attempts=1)) is None
+    assert isinstance(policy.failure(make_call(sends=0)), TargetConnectError)
+
+
+def test_budget_of_the_service_is_kept(policy: RetryPolicy) -> None:
+    """Symptom: retries multiply the load of a service that fails.
+
+    Sequence: all targets refuse; every request is sent again.
+    Cause: nobody counted the second sends of a window.
+    """
+    for _ in range(SPENDABLE):
+        assert error_of(policy, make_call()) is None
+    refused = error_of(policy, make_call())
+    assert isinstance(refused, RetryBudgetSpentError)
+    assert refused.retry_after is not None
+    # What may have run is not called refused, whatever ended it.
+    lost = error_of(policy, make_call(may_have_run=True))
+    assert isinstance(lost, AnswerLostError)
+    assert error_of(policy, make_call(), NOW + 2 * WINDOW) is None
+
+
+def test_budget_is_shared_by_the_instances(policy: RetryPolicy) -> None:
+    """Each of several instances spends its part of the slack."""
+    policy.members = SPENDABLE
+    assert error_of(policy, make_call()) is None
+    assert error_of(policy, make_call()) is not None
+
+
+def test_budget_grows_with_the_requests() -> None:
+    """A share of the requests may be sent again, beyond the slack."""
+    policy = RetryPolicy(replace(BOUNDS, retry_ratio=0.5, retry_slack=0.0))
+    assert error_of(policy, make_call()) is not None
+    for _ in range(10):
+        policy.record_first("desk", NOW)
+    assert error_of(policy, make_call()) is None
+
+
+def test_new_bounds_begin_a_new_budget(policy: RetryPolicy) -> None:
+    """Bounds that are reloaded count from then on; the same ones change nothing."""
+    for _ in range(SPENDABLE):
+        error_of(policy, make_call())
+    policy.set_bounds(BOUNDS)
+    assert error_of(policy, make_call()) is not None
+    policy.set_bounds(replace(BOUNDS, retry_slack=20.0))
+    assert error_of(policy, make_call()) is None
+
+
+def test_failures_of_targets_are_followed_by_a_try(policy: RetryPolicy) -> None:
+    """A target's own error is not the answer while another target may have a better."""
+    call = make_call()
+    assert policy.is_worth_retry(call, HTTPStatus.INTERNAL_SERVER_ERROR, 0.9, NOW)
+    assert call.may_have_run
+
+
+@pytest.mark.parametrize(
+    ("call", "status", "left"),
+    [
+        (make_call(), HTTPStatus.OK, 0.9),
+        (make_call(), HTTPStatus.NOT_FOUND, 0.9),
+        (make_call(RequestKind.ONCE), HTTPStatus.INTERNAL_SERVER_ERROR, 0.9),
+        (make_call(sends=2), HTTPStatus.INTERNAL_SERVER_ERROR, 0.9),
+        (make_call(can_be_sent=False), HTTPStatus.INTERNAL_SERVER_ERROR, 0.9),
+        (make_call(), HTTPStatus.INTERNAL_SERVER_ERROR, 0.1),
+    ],
+    ids=["success", "no failure", "once", "attempts", "streamed", "no time"],
+)
+def test_answers_that_are_passed_on(
+    policy: RetryPolicy, call: Call, status: int, left: float
+) -> None:
+    """Answers are passed on that are none to mend, or that no try can mend."""
+    assert not policy.is_worth_retry(call, status, left, NOW)
+    # Nothing of the budget went on them.
+    for _ in range(SPENDABLE):
+        assert error_of(policy, make_call()) is None
+
+
+def test_failures_are_passed_on_without_budget(policy: RetryPolicy) -> None:
+    """A service whose retries are used up answers as its targets do."""
+    for _ in range(SPENDABLE):
+        error_of(policy, make_call())
+    status = HTTPStatus.INTERNAL_SERVER_ERROR
+    assert not policy.is_worth_retry(make_call(), status, 0.9, NOW)
