Split the permit broker: what is asked, and what is handed out

Cause: one class asked other instances for permits and handed its own out, in 334 lines, with seven arguments passed along at each step.

--- a/swiftpin/permits/permit_broker.py
+++ b/swiftpin/permits/permit_broker.py
@@ -11,26 +11,17 @@
 from swiftpin.fleet.link import Item, PeerLink
 from swiftpin.fleet.proto import fleet_pb2 as pb
 from swiftpin.model.target import Target
+from swiftpin.permits.permit import Permit
 from swiftpin.permits.permit_decision import PermitDecision
+from swiftpin.permits.permit_issuer import PermitIssuer
 from swiftpin.permits.permit_issuers import NO_ISSUERS, PermitIssuers
-from swiftpin.permits.permit_queue import PermitQueue
+from swiftpin.permits.permit_query import PermitQuery
 from swiftpin.permits.permit_request import PermitRequest
 
 EXPIRE_INTERVAL: Final = 0.05
 """Seconds between two looks for requests that won't be served in time."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Permit:
-    """A permit that was given; it is handed back with `PermitBroker.end`."""
-
-    number: int
-    service: str
-    target: str
-    issuer: PeerLink | None
-    """Link to the instance that gave it; None when it was this one."""
-
-
 @dataclass(kw_only=True, slots=True)
 class PendingAsk:
     """A request for a permit that is not answered yet."""
@@ -46,59 +37,30 @@
         self._zone = zone
         self.issuers: PermitIssuers = NO_ISSUERS
         self._incarnation = incarnation
-        self._queues_by_service: dict[str, PermitQueue] = {}
+        self._own_issuer = PermitIssuer()
         self._links_by_incarnation: dict[str, PeerLink] = {}
         self._numbers = count(1)
         self._pending_by_number: dict[int, PendingAsk] = {}
 
     async def async_ask(
-        self,
-        *,
-        service: str,
-        target: str,
-        avoided: str,
-        priority: int,
-        objective_at: float,
-        ends_at: float,
-        now: float,
+        self, query: PermitQuery
     ) -> tuple[PermitDecision, Permit | None]:
         """Return the decision and, when granted, the permit.
 
         An instance whose link breaks before it answers is replaced by the next one.
         """
         loop = asyncio.get_running_loop()
+        service = query.service
         while True:
             number = next(self._numbers)
-            issuer = self._issuer_of(target or service, loop.time())
+            issuer = self._issuer_of(query.target or service, loop.time())
             future: asyncio.Future[PermitDecision | None] = loop.create_future()
             self._pending_by_number[number] = PendingAsk(future=future, issuer=issuer)
             try:
                 if issuer is None:
-                    self._ask_self(
-                        number,
-                        service,
-                        target,
-                        avoided,
-                        priority,
-                        objective_at,
-                        ends_at,
-                    )
+                    self._ask_self(query, number, loop.time())
                 else:
-                    now = loop.time()
-                    issuer.send(
-                        pb.Item(
-                            ask=pb.PermitAsk(
-                                id=number,
-                                service=service,
-                                target=target,
-                                avoided=avoided,
-                                zone=self._zone,
-                                priority=priority,
-                                objective_left=objective_at - now,
-                                time_left=ends_at - now,
-                            )
-                        )
-                    )
+                    self._ask_peer(issuer, query, number, loop.time())
                 decision = await future
             except BaseException:
                 self._end(service, number, issuer, 0.0, failed=False)
@@ -140,7 +102,7 @@
         Those that are `leaving` serve no more than the keys that they still own.
         """
         now = asyncio.get_running_loop().time()
-        self._queue(service).set_targets(targets, now, leaving=leaving)
+        self._own_issuer.set_targets(service, targets, leaving, now)
 
     @callback
     def note_link(self, link: PeerLink) -> None:
@@ -157,42 +119,12 @@
         if self._links_by_incarnation.get(link.incarnation) is link:
             del self._links_by_incarnation[link.incarnation]
         if not link.is_outgoing:
-            now = asyncio.get_running_loop().time()
-            for queue in self._queues_by_service.values():
-                queue.end_all_of(_asker(link), now)
+            self._own_issuer.forget_link(link, asyncio.get_running_loop().time())
 
     @callback
     def handle_ask(self, link: PeerLink, ask: Item) -> None:
         """Decide for another instance."""
-        now = asyncio.get_running_loop().time()
-        number = ask.id
-
-        def decide(decision: PermitDecision) -> None:
-            link.send(
-                pb.Item(
-                    answer=pb.PermitAnswer(
-                        id=number,
-                        granted=decision.is_granted,
-                        target=decision.target,
-                        retry_after=decision.retry_after,
-                    )
-                )
-            )
-
-        self._queue(ask.service).ask(
-            PermitRequest(
-                id=(_asker(link), number),
-                service=ask.service,
-                target=ask.target,
-                avoided=ask.avoided,
-                zone=ask.zone,
-                priority=ask.priority,
-                objective_at=now + ask.objective_left,
-                ends_at=now + ask.time_left,
-                decide=decide,
-            ),
-            now,
-        )
+        self._own_issuer.handle_ask(link, ask, asyncio.get_running_loop().time())
 
     @callback
     def handle_answer(self, link: PeerLink, answer: Item) -> None:
@@ -210,13 +142,7 @@
     @callback
     def handle_end(self, link: PeerLink, end: Item) -> None:
         """Take another instance's permit back."""
-        self._queue(end.service).end(
-            (_asker(link), end.id),
-            end.seconds,
-            failed=end.failed,
-            cut=end.cut,
-            now=asyncio.get_running_loop().time(),
-        )
+        self._own_issuer.handle_end(link, end, asyncio.get_running_loop().time())
 
     async def async_run(self) -> None:
         """Judge again and again who still waits with a chance, until cancelled."""
@@ -224,8 +150,7 @@
         while True:
             await asyncio.sleep(EXPIRE_INTERVAL)
             now = loop.time()
-            for queue in self._queues_by_service.values():
-                queue.expire(now)
+            self._own_issuer.expire(now)
             for pending in self._pending_by_number.values():
                 issuer = pending.issuer
                 # A issuer that was frozen or cut off answers nothing; waiting for the
@@ -235,36 +160,47 @@
                     pending.future.set_result(None)
 
     @callback
-    def _ask_self(
-        self,
-        number: int,
-        service: str,
-        target: str,
-        avoided: str,
-        priority: int,
-        objective_at: float,
-        ends_at: float,
-    ) -> None:
-        """Decide for this instance."""
+    def _ask_self(self, query: PermitQuery, number: int, now: float) -> None:
+        """Have this instance decide."""
         future = self._pending_by_number[number].future
 
         def decide(decision: PermitDecision) -> None:
             if not future.done():
                 future.set_result(decision)
 
-        self._queue(service).ask(
+        self._own_issuer.ask(
             PermitRequest(
                 id=(self._incarnation, number),
-                service=service,
-                target=target,
-                avoided=avoided,
+                service=query.service,
+                target=query.target,
+                avoided=query.avoided,
                 zone=self._zone,
-                priority=priority,
-                objective_at=objective_at,
-                ends_at=ends_at,
+                priority=query.priority,
+                objective_at=query.objective_at,
+                ends_at=query.ends_at,
                 decide=decide,
             ),
-            asyncio.get_running_loop().time(),
+            now,
+        )
+
+    @callback
+    def _ask_peer(
+        self, issuer: PeerLink, query: PermitQuery, number: int, now: float
+    ) -> None:
+        """Have another instance decide; clocks differ, so it is told what is left."""
+        issuer.send(
+            pb.Item(
+                ask=pb.PermitAsk(
+                    id=number,
+                    service=query.service,
+                    target=query.target,
+                    avoided=query.avoided,
+                    zone=self._zone,
+                    priority=query.priority,
+                    objective_left=query.objective_at - now,
+                    time_left=query.ends_at - now,
+                )
+            )
         )
 
     @callback
@@ -280,7 +216,8 @@
     ) -> None:
         """Hand back a permit, or a question that nobody waits for any more."""
         if issuer is None:
-            self._queue(service).end(
+            self._own_issuer.end(
+                service,
                 (self._incarnation, number),
                 seconds,
                 failed=failed,
@@ -314,21 +251,3 @@
             if link is not None and link.is_fresh(now):
                 return link
         return None
-
-    @callback
-    def _queue(self, service: str) -> PermitQueue:
-        """Return the queue of a service."""
-        queue = self._queues_by_service.get(service)
-        if queue is None:
-            queue = self._queues_by_service[service] = PermitQueue(service)
-        return queue
-
-
-@callback
-def _asker(link: PeerLink) -> str:
-    """Return the name under which a link's permits are kept.
-
-    A link that was opened again is another one: what the earlier one held has been
-    taken back, and a late end must not take back a permit of the new one.
-    """
-    return f"{link.incarnation}/{id(link)}"
--- /dev/null
+++ b/swiftpin/permits/permit_issuer.py
@@ -0,0 +1,118 @@
+"""Handing out of permits by this instance, to itself and to others."""
+
+from __future__ import annotations
+
+from swiftpin.core import callback
+from swiftpin.fleet.link import Item, PeerLink
+from swiftpin.fleet.proto import fleet_pb2 as pb
+from swiftpin.model.target import Target
+from swiftpin.permits.permit_decision import PermitDecision
+from swiftpin.permits.permit_queue import PermitQueue
+from swiftpin.permits.permit_request import PermitRequest
+
+
+class PermitIssuer:
+    """Keeps a queue for each service, and answers those who ask over links."""
+
+    def __init__(self) -> None:
+        self._queues_by_service: dict[str, PermitQueue] = {}
+
+    @callback
+    def set_targets(
+        self, service: str, targets: list[Target], leaving: list[Target], now: float
+    ) -> None:
+        """Take the targets of a service and their slots."""
+        self._queue(service).set_targets(targets, now, leaving=leaving)
+
+    @callback
+    def ask(self, request: PermitRequest, now: float) -> None:
+        """Grant, queue or reject a request."""
+        self._queue(request.service).ask(request, now)
+
+    @callback
+    def end(
+        self,
+        service: str,
+        request_id: tuple[str, int],
+        seconds: float,
+        *,
+        failed: bool,
+        cut: bool,
+        now: float,
+    ) -> None:
+        """Take back a permit, or a request that waits for one."""
+        self._queue(service).end(request_id, seconds, failed=failed, cut=cut, now=now)
+
+    @callback
+    def handle_ask(self, link: PeerLink, ask: Item, now: float) -> None:
+        """Decide for another instance."""
+        number = ask.id
+
+        def decide(decision: PermitDecision) -> None:
+            link.send(
+                pb.Item(
+                    answer=pb.PermitAnswer(
+                        id=number,
+                        granted=decision.is_granted,
+                        target=decision.target,
+                        retry_after=decision.retry_after,
+                    )
+                )
+            )
+
+        self.ask(
+            PermitRequest(
+                id=(_asker(link), number),
+                service=ask.service,
+                target=ask.target,
+                avoided=ask.avoided,
+                zone=ask.zone,
+                priority=ask.priority,
+                objective_at=now + ask.objective_left,
+                ends_at=now + ask.time_left,
+                decide=decide,
+            ),
+            now,
+        )
+
+    @callback
+    def handle_end(self, link: PeerLink, end: Item, now: float) -> None:
+        """Take another instance's permit back."""
+        self.end(
+            end.service,
+            (_asker(link), end.id),
+            end.seconds,
+            failed=end.failed,
+            cut=end.cut,
+            now=now,
+        )
+
+    @callback
+    def forget_link(self, link: PeerLink, now: float) -> None:
+        """Take back what was given over a link that broke."""
+        for queue in self._queues_by_service.values():
+            queue.end_all_of(_asker(link), now)
+
+    @callback
+    def expire(self, now: float) -> None:
+        """Reject those who won't be served in time any more."""
+        for queue in self._queues_by_service.values():
+            queue.expire(now)
+
+    @callback
+    def _queue(self, service: str) -> PermitQueue:
+        """Return the queue of a service."""
+        queue = self._queues_by_service.get(service)
+        if queue is None:
+            queue = self._queues_by_service[service] = PermitQueue(service)
+        return queue
+
+
+@callback
+def _asker(link: PeerLink) -> str:
+    """Return the name under which a link's permits are kept.
+
+    A link that was opened again is another one: what the earlier one held has been
+    taken back, and a late end must not take back a permit of the new one.
+    """
+    return f"{link.incarnation}/{id(link)}"
--- /dev/null
+++ b/swiftpin/permits/permit_query.py
@@ -0,0 +1,24 @@
+"""What the request path of an instance asks for."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PermitQuery:
+    """Need of one request for a slot; times on this instance's event loop's clock."""
+
+    service: str
+    target: str
+    """Owner of the key; empty where any target of the service will do."""
+
+    avoided: str
+    """Target to pass over where any will do, since it failed the request before."""
+
+    priority: int
+    objective_at: float
+    """When the answer loses worth."""
+
+    ends_at: float
+    """When the answer has no use any more."""
--- a/swiftpin/router/request_sender.py
+++ b/swiftpin/router/request_sender.py
@@ -11,7 +11,9 @@
 from swiftpin.exceptions import AnswerLostError, NotRunError, QueueFullError
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.model.bounds import Bounds
-from swiftpin.permits.permit_broker import Permit, PermitBroker
+from swiftpin.permits.permit import Permit
+from swiftpin.permits.permit_broker import PermitBroker
+from swiftpin.permits.permit_query import PermitQuery
 from swiftpin.router.call import Call
 from swiftpin.router.configuration_holder import ConfigurationHolder
 from swiftpin.router.exceptions import PoisonRequestError
@@ -116,13 +118,14 @@
         now = asyncio.get_running_loop().time()
         try:
             decision, permit = await self._permits.async_ask(
-                service=call.service,
-                target=owner,
-                avoided=call.failed_target,
-                priority=call.route.priority,
-                objective_at=call.objective_at,
-                ends_at=call.ends_at,
-                now=now,
+                PermitQuery(
+                    service=call.service,
+                    target=owner,
+                    avoided=call.failed_target,
+                    priority=call.route.priority,
+                    objective_at=call.objective_at,
+                    ends_at=call.ends_at,
+                )
             )
         finally:
             # Also when the caller leaves: its line tells what its time went on.
--- a/swiftpin/router/target_exchange.py
+++ b/swiftpin/router/target_exchange.py
@@ -19,7 +19,8 @@
 from swiftpin.exceptions import AnswerBrokenError, RequestNotSentError
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.model.request_kind import RequestKind
-from swiftpin.permits.permit_broker import Permit, PermitBroker
+from swiftpin.permits.permit import Permit
+from swiftpin.permits.permit_broker import PermitBroker
 from swiftpin.platform.request_head import (
     AnswerHead,
     decode_answer_head,
--- a/tests/router/test_site.py
+++ b/tests/router/test_site.py
@@ -9,7 +9,7 @@
 from swiftpin.exceptions import QueueFullError
 from swiftpin.keyranges import target_session
 from swiftpin.keyranges.const import CLOCK_DRIFT, HOLD_MARGIN, HOLD_TIME, KEYS
-from swiftpin.permits.permit_broker import Permit
+from swiftpin.permits.permit import Permit
 from swiftpin.router.call import Call
 from tests.router.site import ROUTES, Site, configuration, route
 from tests.router.target_standin import TargetStandin
