--- a/swiftpin/permits/recent_grants.py
+++ b/swiftpin/permits/recent_grants.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter, deque
+import math
 from typing import Final
 
 from swiftpin.core import callback
@@ -11,6 +12,13 @@
 """Seconds over which is counted: some objectives, and at the 30 requests a second of a
 busy target enough to tell half its load from all of it."""
 
+DEVIATIONS: Final = 2.0
+"""Standard deviations of a random count by which it is taken to be lower in future.
+With none, callers are rejected whom a pause in the arrivals would have served: at 0.7
+of what a target bears 1.5% of all against 0.65%; with three, rejected ones have waited
+0.16 s in the middle at twice what it bears against 0.04 s (20 seeds of
+`tests/permits/test_queue_under_overload.py`)."""
+
 
 class RecentGrants:
     """Counts the grants of the last window, by priority and chance.
@@ -30,8 +38,10 @@
         self._counts[priority, is_in_time] += 1
 
     @callback
-    def overtaking_rate(self, priority: int, now: float, *, is_in_time: bool) -> float:
-        """Return the grants a second to requests that go before a waiting one.
+    def least_overtaking_rate(
+        self, priority: int, now: float, *, is_in_time: bool
+    ) -> float:
+        """Return the grants a second to go before a waiting request, at the least.
 
         Those are all of higher priority, and for a request that will miss its
         objective also those of its own priority that won't.
@@ -43,7 +53,7 @@
             if other < priority
             or (other == priority and other_in_time and not is_in_time)
         )
-        return count / WINDOW
+        return max(count - DEVIATIONS * math.sqrt(count), 0.0) / WINDOW
 
     @callback
     def is_empty(self, now: float) -> bool:
--- a/swiftpin/permits/retry_spread.py
+++ b/swiftpin/permits/retry_spread.py
@@ -27,5 +27,5 @@
     shows as requests refused several times while the target idles in between.
     """
     digest = xxh3_64_intdigest(f"{request_id[0]}\0{request_id[1]}")
-    wait = drain * (EARLIEST_SHARE + digest / _DIGESTS)
-    return min(max(wait, SHORTEST_RETRY), LONGEST_RETRY)
+    earliest = max(drain * EARLIEST_SHARE, SHORTEST_RETRY)
+    return min(earliest + drain * digest / _DIGESTS, LONGEST_RETRY)
--- a/swiftpin/permits/target_slots.py
+++ b/swiftpin/permits/target_slots.py
@@ -70,7 +70,9 @@
         if self.is_free:
             return 0.0
         least = hold * OVERDUE_SHARE
-        return min(
+        waits = (
             max(granted_at + hold - now, least)
             for granted_at in self.granted_at_by_request.values()
         )
+        # A target that registered without slots has none to become free.
+        return min(waits, default=hold)
--- a/swiftpin/permits/waiting_line.py
+++ b/swiftpin/permits/waiting_line.py
@@ -36,8 +36,8 @@
     Without the forecast requests wait to their end though their turn can't come, and
     their callers have no time left to try again; it shows as callers that left after
     most of their time without a send. Whoever will miss the objective is overtaken by
-    all that won't, so its turn depends on arrivals to come, which are taken to
-    go on as of late.
+    all that won't, so its turn depends on arrivals to come, of which no
+    more are expected than are certain by the grants of late.
     """
 
     def __init__(self) -> None:
@@ -85,7 +85,7 @@
     ) -> float:
         """Return the seconds until a request would begin."""
         wait = pace.free_in + ahead * pace.interval
-        rate = self._grants.overtaking_rate(
+        rate = self._grants.least_overtaking_rate(
             request.priority, now, is_in_time=is_in_time
         )
         return wait / (1 - min(rate * pace.interval, MOST_OVERTAKEN))
