--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -204,7 +204,7 @@
         self._settings = settings
         self._assigners.settings = settings
         self._directory.set_drain(settings.bounds.drain)
-        self._sender.set_bounds(settings.bounds)
+        self._sender.retries.set_bounds(settings.bounds)
 
     @callback
     def note_bad_settings(self, err: ConfigurationError) -> None:
@@ -220,9 +220,8 @@
     @callback
     def _take_load(self) -> LoadReport:
         """Return what was noted since the last call."""
-        self._sender.members = self._permits.issuers.members
-        report, self._sender.load = self._sender.load, LoadReport()
-        return report
+        self._sender.retries.members = self._permits.issuers.members
+        return self._sender.take_load()
 
     @callback
     def _note_configuration(self) -> None:
@@ -238,8 +237,15 @@
         if configuration is None:
             return
         for service in configuration.services_by_name:
-            targets = self._directory.serving_targets(service, now)
-            self._permits.set_targets(service, targets)
+            serving = self._directory.serving_targets(service, now)
+            leaving = [
+                target
+                for target in self._directory.targets_by_id.values()
+                if target.service == service
+                and target.id in self._directory.leaving_since_by_id
+                and self._directory.may_send(target.id, now)
+            ]
+            self._permits.set_targets(service, serving, leaving)
 
     async def _async_housekeeping(self) -> None:
         """Close idle connections again and again."""
@@ -247,4 +253,6 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING)
             self._directory.sweep(suspend_aware_now())
+            # A leaving target's drain time ends without a change that tells of it.
+            self._note_targets()
             self._clients.close_idle(loop.time())
