Show how older news and restarts mislead the list of targets

Cause: found by reading the code for each hypothesis of the finding; news is compared with the watch's revision instead of with what is known, removals keep no revision, and a removal seen while the store settles counts from the end of that time. Change: tests only; shared builders go to a conftest.

--- a/tests/discovery/test_target_directory.py
+++ b/tests/discovery/test_target_directory.py
@@ -2,58 +2,9 @@
 
 from __future__ import annotations
 
-import pytest
-
 from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.discovery.target_directory import GOSSIP_LAG, RETURN_TIME, TargetDirectory
-from swiftpin.model.target import Target
-from swiftpin.model.target_life import TargetLife
-from swiftpin.platform.platform_object import PlatformObject
-
-DRAIN = 2.0
-
-
-@pytest.fixture(name="health")
-def health_fixture() -> StoreHealth:
-    """Return a store that answers."""
-    return StoreHealth()
-
-
-@pytest.fixture(name="directory")
-def directory_fixture(health: StoreHealth) -> TargetDirectory:
-    """Return a directory that lists two targets at time 0."""
-    directory = TargetDirectory(health, DRAIN)
-    directory.adopt_list((entry("a", 1), entry("b", 2)), 2, 0.0)
-    return directory
-
-
-def entry(
-    name: str, revision: int, *, state: str = "ready", address: str = ""
-) -> PlatformObject:
-    """Return a target's entry."""
-    return PlatformObject(
-        name=name,
-        revision=revision,
-        is_deleted=False,
-        document={
-            "specification": {
-                "address": address or f"{name}:1",
-                "information": {"service": "desk", "zone": "z", "slots": 2},
-                "status": {"state": state, "cold_ms": 0},
-            }
-        },
-    )
-
-
-def removed(name: str, revision: int) -> PlatformObject:
-    """Return the removal of an entry."""
-    return PlatformObject(name=name, revision=revision, is_deleted=True, document={})
-
-
-def ids(directory: TargetDirectory) -> set[str]:
-    """Return the targets that serve."""
-    return {target.id for target in directory.serving_targets("desk", 0.0)}
-
+from tests.discovery.conftest import DRAIN, entry, ids, removed, target
 
 def test_leaving_target_gets_nothing_after_its_drain_time(
     directory: TargetDirectory,
@@ -71,16 +22,7 @@
     Sequence: an instance learnt of it from a neighbour, most of a second later.
     Cause: the drain time was counted from then.
     """
-    gone = Target(
-        life=TargetLife(name="a"),
-        service="desk",
-        address="a:1",
-        zone="z",
-        slots=2,
-        is_draining=True,
-        cold_for=0.0,
-        revision=3,
-    )
+    gone = target("a", 3, is_draining=True)
     directory.adopt_update([gone], frozenset({"a", "b"}), 3, 10.0)
     assert not directory.may_send("a", 10.0 + DRAIN - GOSSIP_LAG)
 
