--- /dev/null
+++ b/swiftpin/discovery/entry_revisions.py
@@ -0,0 +1,74 @@
+"""Which news of the targets' entries is newer than what is known."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from eliot import log_message
+
+from swiftpin.core import callback
+from swiftpin.discovery.freshness import NewsSource
+from swiftpin.helpers.line_budget import LineBudget
+
+REFUSED_LINES: Final = 5
+"""Lines a second about news that was refused: a watch that is behind brings many."""
+
+
+class EntryRevisions:
+    """The store revision at which each name's entry, or its absence, was learnt.
+
+    Lists, watches and neighbours overtake each other. Taken as they come, an older one
+    would bring a removed target back, and requests would go to it long after it left.
+    """
+
+    def __init__(self) -> None:
+        self.version = 0
+        """Revision up to which all entries are known, whoever told them."""
+
+        self._revisions_by_name: dict[str, int] = {}
+        self._lines = LineBudget(REFUSED_LINES)
+
+    @callback
+    def of(self, name: str) -> int:
+        """Return the revision at which the last news of a name was learnt, else 0."""
+        return self._revisions_by_name.get(name, 0)
+
+    @callback
+    def note(self, name: str, revision: int) -> None:
+        """Note what was learnt of a name at a revision."""
+        self._revisions_by_name[name] = max(self.of(name), revision)
+
+    @callback
+    def advance(self, revision: int) -> None:
+        """Note that all entries are known up to a revision."""
+        self.version = max(self.version, revision)
+
+    @callback
+    def forget(self, name: str) -> None:
+        """Drop a name; news of it counts as old up to `version` from now on."""
+        self._revisions_by_name.pop(name, None)
+
+    @callback
+    def is_new(self, name: str, revision: int, complete: int) -> bool:
+        """Return whether an entry of a revision is news.
+
+        `complete` is the revision up to which all entries were known when it came: a
+        name that is not known by then had no entry.
+        """
+        return revision > self._revisions_by_name.get(name, complete)
+
+    @callback
+    def log_refused(
+        self, source: NewsSource, name: str, revision: int, known: int, now: float
+    ) -> None:
+        """Write a line for news that is older than what is known."""
+        if not self._lines.take(now):
+            return
+        log_message(
+            message_type="news_refused",
+            source=source.value,
+            target=name,
+            revision=revision,
+            known=known,
+            left_out=self._lines.take_left_out(),
+        )
--- a/swiftpin/discovery/store_follower.py
+++ b/swiftpin/discovery/store_follower.py
@@ -6,17 +6,31 @@
 from collections.abc import Callable
 from typing import Final, Protocol
 
+from eliot import log_message
+
 from swiftpin.core import callback
 from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.exceptions import StoreError
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.platform.platform_object import PlatformObject
+from swiftpin.platform.store_answers import ObjectChanges
 from swiftpin.platform.store_client import StoreClient
 from swiftpin.store_errors import HistoryGoneError
 
 WATCH_WAIT: Final = 15.0
 """Seconds that one watch waits. Each further call is paid for. A connection can fall
-silent without a reset; then neighbours that know more show it within a second."""
+silent without a reset; neighbours that know more show it within a second, and where
+none is heard the watch waits for `UNCONFIRMED_WAIT` only."""
+
+UNCONFIRMED_WAIT: Final = 0.6
+UNCONFIRMED_GRACE: Final = 0.6
+"""Seconds that a watch waits, and beyond that until its connection counts as silent,
+while nobody else would tell of a change or the store did not answer last: a change is
+then known 1.2 s after it, of 2 s for which a leaving target takes requests. The store
+takes 0.4 s when it is slowed a hundredfold."""
+
+LOOK_PAUSE: Final = 0.25
+"""Seconds between two looks whether a watch under way is still to be relied on."""
 
 CHANGE_PAUSE: Final = 0.12
 """Seconds after a change before the next watch: changes come in bursts, and each call
@@ -46,12 +60,50 @@
     ) -> None:
         """Take all objects as they were at a revision."""
 
-    def adopt_change(self, changed: PlatformObject, revision: int, now: float) -> None:
-        """Take a changed or removed object."""
+    def adopt_changes(
+        self,
+        objects: tuple[PlatformObject, ...],
+        revision: int,
+        now: float,
+        *,
+        is_catching_up: bool = False,
+    ) -> None:
+        """Take what changed up to a revision, perhaps nothing.
+
+        `is_catching_up` tells that the changes may have been there for a while.
+        """
+
+
+class Neighbours(Protocol):
+    """What other instances say of the store."""
+
+    @property
+    def store_reports(self) -> int:
+        """How often one of them said that it lost the store, or has it again."""
+
+    def is_confirmed(self) -> bool:
+        """Return whether one that hears the store would tell of a change."""
+
+
+class NoNeighbours:
+    """Nobody who says anything."""
+
+    store_reports = 0
+
+    @callback
+    def is_confirmed(self) -> bool:
+        """Return False."""
+        return False
 
 
 class StoreFollower:
-    """Lists a kind once, then watches it, and lists again when history is gone."""
+    """Lists a kind once, then watches it, and lists again when history is gone.
+
+    A watch whose connection has fallen silent looks like one that sees no change. So a
+    long one is left open only while others would tell of a change. One that nobody
+    confirms any more, or that began before this instance or a neighbour lost the store,
+    is made anew: its answer may have been lost with the store.
+    """
 
     def __init__(
         self,
@@ -61,25 +113,23 @@
         health: StoreHealth,
         *,
         may_skip_watch: Callable[[], bool] = _never,
+        neighbours: Neighbours | None = None,
     ) -> None:
         self._may_skip_watch = may_skip_watch
+        self._neighbours = neighbours or NoNeighbours()
         self._kind = kind
         self._client = client
         self._follower = follower
         self._health = health
         self._revision: int | None = None
-        self._relist = asyncio.Event()
-
-    @callback
-    def list_again(self) -> None:
-        """Distrust the watch under way: neighbours know something newer."""
-        self._relist.set()
+        self._is_catching_up = False
 
     async def async_run(self) -> None:
         """Follow until cancelled."""
         pause = FIRST_PAUSE
         while True:
             if self._may_skip_watch():
+                self._is_catching_up = True
                 await asyncio.sleep(SKIP_PAUSE)
                 continue
             try:
@@ -87,6 +137,7 @@
             except HistoryGoneError:
                 self._revision = None
             except StoreError as err:
+                self._is_catching_up = True
                 self._health.note_failure(str(err), suspend_aware_now())
                 await asyncio.sleep(pause)
                 pause = min(pause * 2, LAST_PAUSE)
@@ -96,29 +147,63 @@
 
     async def _async_step(self) -> None:
         """Make one call and hand on what it brought."""
-        if self._revision is None or self._relist.is_set():
-            self._relist.clear()
+        if self._revision is None:
             listed = await self._client.async_list(self._kind)
             now = suspend_aware_now()
             self._health.note_answer(now)
             self._follower.adopt_list(listed.objects, listed.revision, now)
             self._revision = listed.revision
             return
+        changes = await self._async_watch(self._revision)
+        if changes is None:
+            return
+        now = suspend_aware_now()
+        self._health.note_answer(now)
+        self._follower.adopt_changes(
+            changes.objects,
+            changes.revision,
+            now,
+            is_catching_up=self._is_catching_up,
+        )
+        self._is_catching_up = False
+        # An answer from behind must not turn the watch back.
+        self._revision = max(self._revision, changes.revision)
+
+    async def _async_watch(self, revision: int) -> ObjectChanges | None:
+        """Return the changes after a revision, None when the watch was given up."""
+        is_long = self._is_reliable() and not self._is_catching_up
+        began_with = self._outages()
         watch = asyncio.ensure_future(
-            self._client.async_watch(self._kind, self._revision, WATCH_WAIT)
+            self._client.async_watch(self._kind, revision, WATCH_WAIT)
+            if is_long
+            else self._client.async_watch(
+                self._kind, revision, UNCONFIRMED_WAIT, grace=UNCONFIRMED_GRACE
+            )
         )
-        relist = asyncio.ensure_future(self._relist.wait())
         try:
-            await asyncio.wait((watch, relist), return_when=asyncio.FIRST_COMPLETED)
-            if not watch.done():
-                return
-            changes = watch.result()
+            while not watch.done():
+                await asyncio.wait((watch,), timeout=LOOK_PAUSE)
+                if watch.done() or not is_long:
+                    continue
+                if not self._is_reliable() or self._outages() != began_with:
+                    self._is_catching_up = True
+                    log_message(
+                        message_type="watch_given_up",
+                        kind=self._kind,
+                        revision=revision,
+                        store_lost=self._health.is_lost,
+                    )
+                    return None
+            return watch.result()
         finally:
             watch.cancel()
-            relist.cancel()
-        now = suspend_aware_now()
-        self._health.note_answer(now)
-        for changed in changes.objects:
-            self._follower.adopt_change(changed, changes.revision, now)
-        # An answer from behind must not turn the watch back.
-        self._revision = max(self._revision, changes.revision)
+
+    @callback
+    def _is_reliable(self) -> bool:
+        """Return whether a watch that falls silent would be noticed."""
+        return not self._health.is_lost and self._neighbours.is_confirmed()
+
+    @callback
+    def _outages(self) -> tuple[float | None, int]:
+        """Return a value that changes when the store is lost or comes back."""
+        return self._health.back_at, self._neighbours.store_reports
--- a/swiftpin/discovery/target_directory.py
+++ b/swiftpin/discovery/target_directory.py
@@ -8,11 +8,15 @@
 from eliot import log_message
 
 from swiftpin.core import callback
+from swiftpin.discovery.entry_revisions import EntryRevisions
+from swiftpin.discovery.freshness import Freshness, NewsSource
+from swiftpin.discovery.known_targets import KnownTargets
 from swiftpin.discovery.store_health import StoreHealth
-from swiftpin.exceptions import ConfigurationError
+from swiftpin.discovery.unusable_entries import UnusableEntries
 from swiftpin.model.target import Target
 from swiftpin.platform.platform_object import PlatformObject
 from swiftpin.platform.target_entries import decode_target
+from swiftpin.platform.unusable_entry import UnusableEntryError, UnusableReason
 
 RETURN_TIME: Final = 2.3
 """Seconds after the store's return within which live targets have registered again;
@@ -28,85 +32,131 @@
 
 
 class TargetDirectory:
-    """Targets by id, from the store or from a neighbour that knows it better.
+    """Targets by id of their lives, from the store or from a neighbour.
 
-    A target that leaves, by its own word or because its entry is gone, stays in
-    `targets_by_id` with the time in `leaving_since_by_id`, until nobody needs it.
+    What was learnt at a revision of the store is never undone by older news, whoever
+    brings it. A target that leaves, by its own word or because its entry is gone or
+    can't be read, stays in `targets_by_id` with the time in `leaving_since_by_id`,
+    until nobody needs it: it may hold keys.
     """
 
     def __init__(self, health: StoreHealth, drain: float) -> None:
-        self.targets_by_id: dict[str, Target] = {}
-        self.leaving_since_by_id: dict[str, float] = {}
-        self.seen_since_by_id: dict[str, float] = {}
-        self.gone_ids: set[str] = set()
-        self.replaced_ids: set[str] = set()
-        self.revision = 0
-        self.version = 0
-        """Revision of the last list or change that was taken."""
-
+        self._known = KnownTargets()
+        self.targets_by_id = self._known.targets_by_id
+        self.leaving_since_by_id = self._known.leaving_since_by_id
+        self.seen_since_by_id = self._known.seen_since_by_id
+        self.replaced_ids = self._known.replaced_ids
         self.on_change: Callable[[], None] = _ignore
+        self.unusable = UnusableEntries()
+        self._revisions = EntryRevisions()
+        self._freshness = Freshness()
         self._health = health
         self._drain = drain
 
+    @property
+    def version(self) -> int:
+        """Return the revision up to which all entries are known."""
+        return self._revisions.version
+
+    @property
+    def picture_source(self) -> str:
+        """Return who confirmed last what is known of the targets."""
+        return self._freshness.source.value
+
+    @callback
+    def picture_age(self, now: float) -> float:
+        """Return for how many seconds a target may have changed unseen."""
+        return self._freshness.age(now)
+
+    @callback
+    def note_confirmed(self, at: float) -> None:
+        """Note that a neighbour knew nothing newer at a time."""
+        self._freshness.confirm(at, NewsSource.NEIGHBOUR)
+
+    # News.
+
     @callback
     def adopt_list(
         self, objects: tuple[PlatformObject, ...], revision: int, now: float
     ) -> None:
         """Take the whole list as it was at a revision."""
-        if revision < self.revision:
+        if revision < self.version:
+            # The watch that goes on from this list brings what it lacks.
+            self._revisions.log_refused(
+                NewsSource.LIST, "", revision, self.version, now
+            )
             return
-        self.revision = revision
-        self.version = max(self.version, revision)
-        listed = set()
-        for entry in objects:
-            listed.add(entry.name)
-            self._adopt_entry(entry, now)
-        for target_id in self.targets_by_id.keys() - listed:
-            self._note_missing(target_id, now)
+        since = self._freshness.unseen_since(now)
+        present = [found for found in objects if not found.is_deleted]
+        for entry in present:
+            # A list as new as this is itself what is known of names that were not.
+            self._adopt_entry(entry, 0, now, since)
+        for name in self._known.names() - {entry.name for entry in present}:
+            self._note_missing(name, revision, now, since)
+        self._revisions.advance(revision)
+        self._freshness.confirm(now, NewsSource.LIST)
         self.on_change()
 
+    @callback
+    def adopt_changes(
+        self,
+        objects: tuple[PlatformObject, ...],
+        revision: int,
+        now: float,
+        *,
+        is_catching_up: bool = False,
+    ) -> None:
+        """Take the changes that a watch brought, up to a revision.
+
+        `is_catching_up` tells that the watch had stood still for a while.
+        """
+        since = self._freshness.unseen_since(now) if is_catching_up else now
+        complete = self.version
+        for changed in objects:
+            if changed.is_deleted and changed.is_readable:
+                self._adopt_removal(changed, revision, now, since)
+            else:
+                self._adopt_entry(changed, complete, now, since)
+            self._revisions.advance(changed.revision)
+        if revision >= complete:
+            self._freshness.confirm(now, NewsSource.WATCH)
+        if objects:
+            self.on_change()
+
     @callback
     def adopt_update(
         self, targets: list[Target], ids: frozenset[str], revision: int, now: float
     ) -> None:
         """Take what a neighbour knows that saw a later revision.
 
-        `targets` are those that changed, `ids` names all that there are.
+        `targets` are those that changed, `ids` names the lives of all that there are.
         """
         if revision <= self.version:
+            self._revisions.log_refused(
+                NewsSource.NEIGHBOUR, "", revision, self.version, now
+            )
             return
-        self.version = revision
+        since = self._freshness.unseen_since(now - GOSSIP_LAG)
+        complete = self.version
         for target in targets:
-            self._adopt(target, now - GOSSIP_LAG)
-        for target_id in self.targets_by_id.keys() - ids:
-            self._note_missing(target_id, now - GOSSIP_LAG)
+            self._adopt(target, complete, now, since, NewsSource.NEIGHBOUR)
+        for name in self._known.names():
+            life = self._known.present_life(name)
+            if life is not None and life.id not in ids:
+                self._note_missing(name, revision, now, since)
+        self._revisions.advance(revision)
+        self._freshness.confirm(now - GOSSIP_LAG, NewsSource.NEIGHBOUR)
         log_message(
             message_type="targets_from_neighbour", revision=revision, count=len(ids)
         )
         self.on_change()
 
-    @callback
-    def present_targets(self) -> list[Target]:
-        """Return the targets whose entries are in the store."""
-        return [
-            target
-            for target in self.targets_by_id.values()
-            if target.id not in self.gone_ids
-        ]
+    # What is known.
 
     @callback
-    def adopt_change(self, changed: PlatformObject, revision: int, now: float) -> None:
-        """Take one changed entry."""
-        self.revision = max(self.revision, revision)
-        self.version = max(self.version, changed.revision)
-        known = self.targets_by_id.get(changed.name)
-        if known is not None and known.revision > changed.revision:
-            return
-        if changed.is_deleted:
-            self._note_missing(changed.name, now)
-        else:
-            self._adopt_entry(changed, now)
-        self.on_change()
+    def present_targets(self) -> list[Target]:
+        """Return the targets whose entries are in the store and can be used."""
+        return self._known.listed()
 
     @callback
     def set_drain(self, drain: float) -> None:
@@ -140,101 +190,163 @@
     @callback
     def note_replaced(self, target_id: str, now: float) -> None:
         """Note that another target was met at a target's address: it is gone."""
-        if target_id in self.replaced_ids:
-            return
-        self.replaced_ids.add(target_id)
-        self._note_leaving(target_id, "replaced at its address", now)
-        self.on_change()
+        if self._known.note_replaced(target_id, now):
+            self.on_change()
 
     @callback
     def forget(self, target_id: str) -> None:
-        """Drop a target that is gone for certain."""
-        self.targets_by_id.pop(target_id, None)
-        self.leaving_since_by_id.pop(target_id, None)
-        self.seen_since_by_id.pop(target_id, None)
-        self.gone_ids.discard(target_id)
+        """Drop a life that is gone for certain."""
+        target = self.targets_by_id.get(target_id)
+        self._known.forget(target_id)
+        if target is not None and self._known.present_life(target.name) is None:
+            self._revisions.forget(target.name)
 
     @callback
-    def _adopt_entry(self, entry: PlatformObject, now: float) -> None:
+    def sweep(self, now: float) -> None:
+        """Take targets for gone that did not come back, and drop those of long ago."""
+        for target_id, seen_at in self._known.missing_since_by_id.items():
+            if target_id not in self.leaving_since_by_id and self._had_time(
+                seen_at, now
+            ):
+                self._known.note_leaving(target_id, "not back after an outage", seen_at)
+                self.on_change()
+        if self._health.is_settling(now, RETURN_TIME):
+            return
+        for target in self._known.ended_long_ago(now):
+            self.forget(target.id)
+
+    # Judging.
+
+    @callback
+    def _adopt_entry(
+        self, entry: PlatformObject, complete: int, now: float, since: float
+    ) -> None:
         """Take an entry that is in the store."""
         try:
             target = decode_target(entry)
-        except ConfigurationError as err:
-            log_message(message_type="target_entry", level="warning", error=str(err))
+        except UnusableEntryError as err:
+            self._note_unusable(
+                entry.name, entry.revision, err.reason, str(err), now, since
+            )
             return
-        self._adopt(target, now)
+        self._adopt(target, complete, now, since, NewsSource.WATCH)
 
     @callback
-    def _adopt(self, target: Target, now: float) -> None:
+    def _adopt(
+        self,
+        target: Target,
+        complete: int,
+        now: float,
+        since: float,
+        source: NewsSource,
+    ) -> None:
         """Take a target that is in the store."""
-        known = self.targets_by_id.get(target.id)
-        if known is not None and known.revision > target.revision:
+        life = self._known.present_life(target.name)
+        if not self._revisions.is_new(target.name, target.revision, complete):
+            if life is None or target.revision != life.revision:
+                known = max(self._revisions.of(target.name), complete)
+                self._revisions.log_refused(
+                    source, target.id, target.revision, known, now
+                )
             return
-        if known is None:
-            self._note_same_address(target, now)
-        self.targets_by_id[target.id] = target
-        self.seen_since_by_id.setdefault(target.id, now)
-        self.gone_ids.discard(target.id)
-        if target.is_draining:
-            self._note_leaving(target.id, "draining", now)
-        elif target.id in self.replaced_ids:
-            return
-        elif self.leaving_since_by_id.pop(target.id, None) is not None:
-            log_message(message_type="target_back", target=target.id)
-        elif known is None:
-            log_message(
-                message_type="target_found",
-                target=target.id,
-                service=target.service,
-                zone=target.zone,
-                revision=target.revision,
+        reason = None if life is None else _contradiction(life, target)
+        if reason is not None:
+            detail = "it contradicts what the same target told before"
+            self._note_unusable(
+                target.name, target.revision, reason, detail, now, since
             )
+            return
+        self._revisions.note(target.name, target.revision)
+        self._known.put(target, now)
+        if target.is_draining:
+            self._known.note_leaving(target.id, "draining", since, target.revision)
+        else:
+            self._known.note_back(target.id)
 
     @callback
-    def _note_same_address(self, newcomer: Target, now: float) -> None:
-        """Note that whoever had a newcomer's address before is gone."""
-        for target in list(self.targets_by_id.values()):
-            if target.address == newcomer.address:
-                self.note_replaced(target.id, now)
+    def _adopt_removal(
+        self, changed: PlatformObject, revision: int, now: float, since: float
+    ) -> None:
+        """Take the removal of an entry."""
+        known = self._revisions.of(changed.name)
+        if changed.revision < known:
+            self._revisions.log_refused(
+                NewsSource.WATCH, changed.name, changed.revision, known, now
+            )
+            return
+        self._note_missing(changed.name, changed.revision, now, since)
 
     @callback
-    def _note_missing(self, target_id: str, now: float) -> None:
+    def _note_missing(self, name: str, revision: int, now: float, since: float) -> None:
         """Note that an entry is not in the store any more.
 
         After an outage of the store the entries of live targets are missing for up to
         two seconds; taking them for gone would move their keys to and fro.
         """
-        if target_id not in self.targets_by_id:
+        life = self._known.present_life(name)
+        if life is None or revision < self._revisions.of(name):
+            return
+        self._revisions.note(name, revision)
+        if life.id in self._known.missing_since_by_id:
             return
+        self._known.missing_since_by_id[life.id] = now
         if self._health.is_settling(now, RETURN_TIME):
-            log_message(message_type="target_unlisted", target=target_id)
-            self.gone_ids.add(target_id)
+            log_message(
+                message_type="target_unlisted", target=life.id, revision=revision
+            )
             return
-        self.gone_ids.add(target_id)
-        self._note_leaving(target_id, "entry removed", now)
+        self._known.note_leaving(life.id, "entry removed", since, revision)
 
     @callback
-    def sweep(self, now: float) -> None:
-        """Take targets for gone that did not come back after an outage."""
-        if not self.gone_ids or self._health.is_settling(now, RETURN_TIME):
-            return
-        for target_id in self.gone_ids:
-            if target_id not in self.leaving_since_by_id:
-                self._note_leaving(target_id, "not back after an outage", now)
-                self.on_change()
+    def _had_time(self, missing_since: float, now: float) -> bool:
+        """Return whether a target whose entry is missing would be back by now.
+
+        An instance that the store turns away learns from neighbours, whose store
+        answers, that an entry is missing; it must not wait for its own store's return.
+        It waits while nobody could tell it of the target's return.
+        """
+        if not self._health.is_settling(now, RETURN_TIME):
+            return True
+        return self._freshness.confirmed_at >= missing_since + RETURN_TIME
 
     @callback
-    def _note_leaving(self, target_id: str, reason: str, now: float) -> None:
-        """Note that a target leaves."""
-        if target_id in self.leaving_since_by_id:
+    def _note_unusable(
+        self,
+        name: str,
+        revision: int,
+        reason: UnusableReason,
+        detail: str,
+        now: float,
+        since: float,
+    ) -> None:
+        """Note an entry that can't be used; a target known by its name leaves.
+
+        It may hold keys, so it is not forgotten; nothing tells where it is or whether
+        it serves, so it gets nothing new.
+        """
+        life = self._known.present_life(name)
+        if revision and revision < self._revisions.of(name):
             return
-        self.leaving_since_by_id[target_id] = now
-        log_message(
-            message_type="target_leaving",
-            target=target_id,
-            reason=reason,
-            revision=self.revision,
-        )
+        self.unusable.note(name, reason, detail, now)
+        if life is None:
+            return
+        self._revisions.note(name, revision)
+        self._known.unusable_ids.add(life.id)
+        self._known.note_leaving(life.id, "its entry can't be used", since, revision)
+
+
+@callback
+def _contradiction(life: Target, told: Target) -> UnusableReason | None:
+    """Return why an entry can't be of the target that bears its name, None if it can.
+
+    Another writer that leaves the start out would otherwise look like a new life, and
+    end all that a live target was granted.
+    """
+    if told.life.started_ms is None and life.life.started_ms is not None:
+        return UnusableReason.START
+    if told.id == life.id and told.service != life.service:
+        return UnusableReason.SERVICE
+    return None
 
 
 @callback
--- a/swiftpin/platform/configuration.py
+++ b/swiftpin/platform/configuration.py
@@ -10,6 +10,15 @@
 from swiftpin.model.request_kind import RequestKind
 from swiftpin.model.route import Route, WeightedService
 from swiftpin.model.service_spec import ServiceSpec
+from swiftpin.platform.json_fields import (
+    FieldError,
+    read_field,
+    read_list,
+    read_mapping,
+    read_number,
+    read_text,
+    read_whole,
+)
 from swiftpin.platform.names import MILLISECONDS
 
 KINDS_BY_WORD: Final = {
@@ -18,29 +27,46 @@
     "unsafe": RequestKind.ONCE,
 }
 VERSION_PREFIX: Final = "r"
+MOST_DIGITS: Final = 18
+"""Digits of a version's number, so that it fits into messages between instances."""
 
 
-def decode_configuration(document: dict[str, Any]) -> Configuration:
+def decode_configuration(document: object) -> Configuration:
     """Return the configuration; raise `ConfigurationError` when it is malformed."""
     try:
+        fields = read_mapping(document, "the configuration")
+        services = read_list(read_field(fields, "services"), "services")
+        specs = [
+            _decode_service(read_mapping(entry, "a service")) for entry in services
+        ]
         return Configuration(
-            version=int(str(document["version"]).removeprefix(VERSION_PREFIX)),
-            routes_by_host=_decode_hosts(document["hosts"]),
-            services_by_name={
-                entry["name"]: _decode_service(entry) for entry in document["services"]
-            },
-            limits=_decode_limits(document["limits"]),
+            version=_read_version(read_field(fields, "version")),
+            routes_by_host=_decode_hosts(
+                read_list(read_field(fields, "hosts"), "hosts")
+            ),
+            services_by_name={spec.name: spec for spec in specs},
+            limits=_decode_limits(read_mapping(read_field(fields, "limits"), "limits")),
         )
-    except (KeyError, TypeError, ValueError) as err:
-        raise ConfigurationError(f"configuration: {err!r}") from err
+    except FieldError as err:
+        raise ConfigurationError(f"configuration: {err}") from err
 
 
-def _decode_hosts(hosts: list[dict[str, Any]]) -> dict[str, tuple[Route, ...]]:
+def _read_version(value: object) -> int:
+    """Return the number of a version, which is written behind a letter."""
+    digits = read_text(value, "version").removeprefix(VERSION_PREFIX)
+    if not digits.isascii() or not digits.isdigit() or len(digits) > MOST_DIGITS:
+        raise FieldError(f"version {value!r} is not a number")
+    return int(digits)
+
+
+def _decode_hosts(hosts: list[Any]) -> dict[str, tuple[Route, ...]]:
     """Return the routes of each host, longest prefix first."""
     routes_by_host = {}
     for entry in hosts:
-        name = entry["host"]
-        routes = [_decode_route(name, path) for path in entry["paths"]]
+        fields = read_mapping(entry, "a host")
+        name = read_text(read_field(fields, "host"), "host")
+        paths = read_list(read_field(fields, "paths"), "paths")
+        routes = [_decode_route(name, read_mapping(path, "a route")) for path in paths]
         routes.sort(key=lambda route: len(route.prefix), reverse=True)
         routes_by_host[name] = tuple(routes)
     return routes_by_host
@@ -48,44 +74,59 @@
 
 def _decode_route(host: str, entry: dict[str, Any]) -> Route:
     """Return one route."""
-    split = entry.get("traffic_split")
-    if split:
-        parts = tuple(
-            WeightedService(service=part["service"], weight=float(part["weight"]))
-            for part in split
-        )
-    else:
-        parts = (WeightedService(service=entry["service"], weight=1.0),)
+    kind = read_text(read_field(entry, "kind"), "kind")
     return Route(
-        name=entry["name"],
+        name=read_text(read_field(entry, "name"), "name"),
         host=host,
-        prefix=entry["path_prefix"],
+        prefix=read_text(read_field(entry, "path_prefix"), "path_prefix"),
         # What is not known to be repeatable must not be repeated.
-        kind=KINDS_BY_WORD.get(entry["kind"], RequestKind.ONCE),
-        timeout=entry["timeout_ms"] / MILLISECONDS,
-        objective=entry["target_latency_ms"] / MILLISECONDS,
-        priority=int(entry.get("priority", 0)),
-        attempts=int(entry.get("attempts", 1)),
-        parts=parts,
+        kind=KINDS_BY_WORD.get(kind, RequestKind.ONCE),
+        timeout=_read_seconds(entry, "timeout_ms"),
+        objective=_read_seconds(entry, "target_latency_ms"),
+        priority=read_whole(entry.get("priority", 0), "priority"),
+        attempts=read_whole(entry.get("attempts", 1), "attempts"),
+        parts=_decode_parts(entry),
+    )
+
+
+def _decode_parts(entry: dict[str, Any]) -> tuple[WeightedService, ...]:
+    """Return the services that share a route's requests."""
+    split = entry.get("traffic_split")
+    if not split:
+        service = read_text(read_field(entry, "service"), "service")
+        return (WeightedService(service=service, weight=1.0),)
+    parts = [read_mapping(part, "a part") for part in read_list(split, "traffic_split")]
+    return tuple(
+        WeightedService(
+            service=read_text(read_field(part, "service"), "service"),
+            weight=read_number(read_field(part, "weight"), "weight"),
+        )
+        for part in parts
     )
 
 
 def _decode_service(entry: dict[str, Any]) -> ServiceSpec:
     """Return one service."""
+    connections = read_field(entry, "max_connections")
     return ServiceSpec(
-        name=entry["name"],
+        name=read_text(read_field(entry, "name"), "name"),
         is_keyed=bool(entry.get("sharding", False)),
-        health_path=entry["health_path"],
-        max_connections=int(entry["max_connections"]),
-        warmup=float(entry.get("warmup_s", 0.0)),
+        health_path=read_text(read_field(entry, "health_path"), "health_path"),
+        max_connections=read_whole(connections, "max_connections"),
+        warmup=read_number(entry.get("warmup_s", 0.0), "warmup_s"),
     )
 
 
 def _decode_limits(entry: dict[str, Any]) -> CallerLimits:
     """Return the limits for callers."""
     return CallerLimits(
-        header_bytes=int(entry["header_bytes"]),
-        body_bytes=int(entry["body_bytes"]),
-        header_time=entry["header_ms"] / MILLISECONDS,
-        idle_time=entry["idle_ms"] / MILLISECONDS,
+        header_bytes=read_whole(read_field(entry, "header_bytes"), "header_bytes"),
+        body_bytes=read_whole(read_field(entry, "body_bytes"), "body_bytes"),
+        header_time=_read_seconds(entry, "header_ms"),
+        idle_time=_read_seconds(entry, "idle_ms"),
     )
+
+
+def _read_seconds(entry: dict[str, Any], name: str) -> float:
+    """Return a time that is written in milliseconds."""
+    return read_number(read_field(entry, name), name) / MILLISECONDS
--- a/swiftpin/platform/platform_object.py
+++ b/swiftpin/platform/platform_object.py
@@ -12,11 +12,18 @@
     """One object; `revision` is that of its last change."""
 
     name: str
+    """Empty where it can't be read."""
+
     revision: int
+    """0 where it can't be read."""
+
     is_deleted: bool
     document: Mapping[str, Any]
     """The object as sent, without its metadata."""
 
+    is_readable: bool = True
+    """Whether name, revision and deletion are known."""
+
     @property
     def content(self) -> Any:  # noqa: ANN401  # any JSON value
         """Return what its writer stored in it."""
--- a/swiftpin/platform/request_head.py
+++ b/swiftpin/platform/request_head.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from http import HTTPStatus
+import math
 from typing import Final
 
 from aiohttp.hdrs import CONNECTION, HOST
@@ -80,13 +81,10 @@
     key = None if key_text is None else int(key_text)
     if key is not None and not 0 <= key <= MAX_KEY:
         raise ValueError(f"key {key} is out of range")
-    return RequestHead(
-        id=headers.get(HEADER_REQUEST_ID, ""),
-        deadline=DEFAULT_DEADLINE
-        if deadline is None
-        else float(deadline) / MILLISECONDS,
-        key=key,
-    )
+    seconds = DEFAULT_DEADLINE if deadline is None else float(deadline) / MILLISECONDS
+    if not math.isfinite(seconds):
+        raise ValueError("the deadline is not a time")
+    return RequestHead(id=headers.get(HEADER_REQUEST_ID, ""), deadline=seconds, key=key)
 
 
 def encode_request_headers(
--- a/swiftpin/platform/settings.py
+++ b/swiftpin/platform/settings.py
@@ -18,11 +18,25 @@
     """Return the settings in a file; raise `ConfigurationError` when they are wrong."""
     try:
         return decode_settings(orjson.loads(Path(path).read_bytes()))
-    except (OSError, ValueError, KeyError, TypeError, IndexError) as err:
-        raise ConfigurationError(f"settings file {path}: {err!r}") from err
+    except (OSError, ValueError, ConfigurationError) as err:
+        raise ConfigurationError(f"settings file {path}: {err}") from err
 
 
-def decode_settings(document: dict[str, Any]) -> InstanceSettings:
+def decode_settings(document: Any) -> InstanceSettings:  # noqa: ANN401  # any JSON
+    """Return the settings in a document; raise `ConfigurationError` if malformed."""
+    try:
+        return _decode_settings(document)
+    except (
+        ArithmeticError,
+        AttributeError,
+        LookupError,
+        TypeError,
+        ValueError,
+    ) as err:
+        raise ConfigurationError(f"settings: {err!r}") from err
+
+
+def _decode_settings(document: Any) -> InstanceSettings:  # noqa: ANN401  # any JSON
     """Return the settings that a document holds."""
     own = document["self"]
     network = document["network"]
--- a/swiftpin/platform/store_answers.py
+++ b/swiftpin/platform/store_answers.py
@@ -2,10 +2,18 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from typing import Any
+from dataclasses import dataclass, replace
 
 from swiftpin.exceptions import StoreUnavailableError
+from swiftpin.platform.json_fields import (
+    FieldError,
+    read_field,
+    read_flag,
+    read_list,
+    read_mapping,
+    read_text,
+    read_whole,
+)
 from swiftpin.platform.platform_object import PlatformObject
 
 
@@ -26,48 +34,86 @@
     revision: int
 
 
-def decode_object(entry: dict[str, Any]) -> PlatformObject:
-    """Return one object."""
+def decode_object(entry: object) -> PlatformObject:
+    """Return one object; raise `StoreUnavailableError` when it is malformed."""
     try:
-        metadata = entry["metadata"]
-        return PlatformObject(
-            name=metadata["name"],
-            revision=int(metadata["revision"]),
-            is_deleted=bool(metadata.get("deleting", False)),
-            document=entry,
-        )
-    except (KeyError, TypeError, ValueError) as err:
-        raise StoreUnavailableError(f"a malformed object: {err!r}") from err
+        return _decode_object(entry)
+    except FieldError as err:
+        raise StoreUnavailableError(f"a malformed object: {err}") from err
 
 
-def decode_list(answer: dict[str, Any]) -> ObjectList:
+def decode_list(answer: object) -> ObjectList:
     """Return one page of a list."""
     try:
+        fields = read_mapping(answer, "the list")
+        items = read_list(read_field(fields, "items"), "items")
         return ObjectList(
-            objects=tuple(decode_object(entry) for entry in answer["items"]),
+            objects=tuple(_decode_item(item) for item in items),
             # The store's revision when it made the page.
-            revision=int(answer["at"]),
-            has_more=bool(answer.get("more", False)),
+            revision=read_whole(read_field(fields, "at"), "at"),
+            has_more=read_flag(fields.get("more", False), "more"),
         )
-    except (KeyError, TypeError, ValueError) as err:
-        raise StoreUnavailableError(f"a malformed list: {err!r}") from err
+    except FieldError as err:
+        raise StoreUnavailableError(f"a malformed list: {err}") from err
 
 
-def decode_changes(answer: dict[str, Any]) -> ObjectChanges:
+def decode_changes(answer: object) -> ObjectChanges:
     """Return what a watch saw."""
     try:
-        objects = tuple(_decode_event(event) for event in answer["events"])
-        return ObjectChanges(objects=objects, revision=int(answer["at"]))
-    except (KeyError, TypeError, ValueError) as err:
-        raise StoreUnavailableError(f"malformed changes: {err!r}") from err
+        fields = read_mapping(answer, "the changes")
+        events = read_list(read_field(fields, "events"), "events")
+        return ObjectChanges(
+            objects=tuple(_decode_event(event) for event in events),
+            revision=read_whole(read_field(fields, "at"), "at"),
+        )
+    except FieldError as err:
+        raise StoreUnavailableError(f"malformed changes: {err}") from err
 
 
-def _decode_event(event: dict[str, Any]) -> PlatformObject:
-    """Return the object of an event."""
-    changed = decode_object(event["object"])
+def _decode_object(entry: object) -> PlatformObject:
+    """Return one object; raise `FieldError` when it is malformed."""
+    fields = read_mapping(entry, "the object")
+    metadata = read_mapping(read_field(fields, "metadata"), "metadata")
     return PlatformObject(
-        name=changed.name,
-        revision=changed.revision,
-        is_deleted=bool(event["deleted"]) or changed.is_deleted,
-        document=changed.document,
+        name=read_text(read_field(metadata, "name"), "name"),
+        revision=read_whole(read_field(metadata, "revision"), "revision", least=1),
+        is_deleted=read_flag(metadata.get("deleting", False), "deleting"),
+        document=fields,
     )
+
+
+def _decode_item(entry: object) -> PlatformObject:
+    """Return one object of many.
+
+    One that another writer spoilt must not hide the others: it stays, marked, so that
+    whoever knew a target by its name learns that its entry can't be read.
+    """
+    try:
+        return _decode_object(entry)
+    except FieldError:
+        return PlatformObject(
+            name=_readable_name(entry),
+            revision=0,
+            is_deleted=False,
+            document={},
+            is_readable=False,
+        )
+
+
+def _readable_name(entry: object) -> str:
+    """Return the name of an object of which other fields can't be read."""
+    try:
+        metadata = read_mapping(entry, "the object").get("metadata")
+        return read_text(read_mapping(metadata, "metadata").get("name"), "name")
+    except FieldError:
+        return ""
+
+
+def _decode_event(event: object) -> PlatformObject:
+    """Return the object of an event."""
+    fields = event if isinstance(event, dict) else {}
+    changed = _decode_item(fields.get("object"))
+    deleted = fields.get("deleted")
+    if not isinstance(deleted, bool):
+        return replace(changed, is_readable=False)
+    return replace(changed, is_deleted=deleted or changed.is_deleted)
--- a/swiftpin/platform/store_client.py
+++ b/swiftpin/platform/store_client.py
@@ -26,6 +26,7 @@
     StoreUnavailableError,
 )
 from swiftpin.helpers.whole_body import WholeBody
+from swiftpin.platform.json_fields import FieldError, load_json
 from swiftpin.platform.names import JSON_TYPE, MILLISECONDS, PATH_OBJECTS
 from swiftpin.platform.platform_object import PlatformObject
 from swiftpin.platform.store_answers import (
@@ -80,7 +81,7 @@
                 first_revision = page.revision
             if not page.has_more or not page.objects:
                 break
-            after = page.objects[-1].name
+            after = _next_name(page, after)
         return ObjectList(
             objects=tuple(objects), revision=first_revision or 0, has_more=False
         )
@@ -92,13 +93,16 @@
         path = f"{kind}/{quote(name, safe='')}"
         return decode_object(await self._async_read(path, limit))
 
-    async def async_watch(self, kind: str, revision: int, wait: float) -> ObjectChanges:
+    async def async_watch(
+        self, kind: str, revision: int, wait: float, *, grace: float = WATCH_GRACE
+    ) -> ObjectChanges:
         """Return the changes after a revision, at the latest after `wait` seconds.
 
-        Raises `HistoryGoneError` when the store no longer knows them.
+        Raises `HistoryGoneError` when the store no longer knows them, and
+        `StoreUnavailableError` when nothing came `grace` seconds after the wait.
         """
         query = f"?watch={revision}&wait_ms={int(wait * MILLISECONDS)}"
-        limit = wait + WATCH_GRACE
+        limit = wait + grace
         return decode_changes(await self._async_read(f"{kind}{query}", limit))
 
     async def async_create(
@@ -136,9 +140,7 @@
         path = f"{kind}/{quote(name, safe='')}?revision={revision}"
         await self._async_write("DELETE", path, name, None, CALL_TIMEOUT)
 
-    async def _async_read(
-        self, path: str, limit: float = CALL_TIMEOUT
-    ) -> dict[str, Any]:
+    async def _async_read(self, path: str, limit: float = CALL_TIMEOUT) -> Any:  # noqa: ANN401  # any JSON value
         """Return the answer to a GET."""
         try:
             status, body = await self._async_call("GET", path, b"", limit)
@@ -169,7 +171,7 @@
         except (AnswerBrokenError, TimeoutError) as err:
             raise StoreOutcomeUnknownError(f"writing {path}: {err!r}") from err
         if HTTPStatus.OK <= status < HTTPStatus.MULTIPLE_CHOICES:
-            return decode_object(_decode(path, body)).revision if body else 0
+            return _written_revision(path, body)
         if status == HTTPStatus.CONFLICT:
             raise StoreConflictError(name, _conflicting_revision(body))
         if status == HTTPStatus.NOT_FOUND:
@@ -211,26 +213,49 @@
         return answer.status, body
 
 
+def _next_name(page: ObjectList, after: str) -> str:
+    """Return the name after which the next page begins.
+
+    Without one the rest of the list is out of reach, and taking what there is for the
+    whole would make all others look removed.
+    """
+    names = [found.name for found in page.objects if found.name]
+    if not names or names[-1] <= after:
+        raise StoreUnavailableError("a page without a name to go on from")
+    return names[-1]
+
+
 @callback
 def _open(now: float) -> None:
     """Let every call go."""
 
 
-def _decode(path: str, body: bytes) -> dict[str, Any]:
-    """Return the JSON object in an answer."""
+def _decode(path: str, body: bytes) -> Any:  # noqa: ANN401  # any JSON value
+    """Return the JSON value in an answer."""
+    try:
+        return load_json(body)
+    except FieldError as err:
+        raise StoreUnavailableError(f"{path}: {err}") from err
+
+
+def _written_revision(path: str, body: bytes) -> int:
+    """Return the revision that a write made, 0 if unsaid.
+
+    The write stands whatever its answer says: taken for one without effect it would be
+    made again, and meet itself as a conflict.
+    """
+    if not body:
+        return 0
     try:
-        document = orjson.loads(body)
-    except ValueError as err:
-        raise StoreUnavailableError(f"{path}: an answer that is not JSON") from err
-    if not isinstance(document, dict):
-        raise StoreUnavailableError(f"{path}: an answer that is not an object")
-    return document
+        return decode_object(_decode(path, body)).revision
+    except StoreUnavailableError as err:
+        raise StoreOutcomeUnknownError(f"writing {path}: {err}") from err
 
 
 def _conflicting_revision(body: bytes) -> int:
     """Return the revision of the object that stood in a write's way, 0 if unsaid."""
     try:
-        return decode_object(orjson.loads(body)).revision
-    except (ValueError, StoreError, AttributeError):
+        return decode_object(load_json(body)).revision
+    except (FieldError, StoreError):
         # Some conflicts come without the object; whoever cares reads it again.
         return 0
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -189,7 +189,11 @@
         metrics = Address(host=settings.peers.host, port=METRICS_PORT)
         await self._metrics_listener.async_setup(metrics)
         configuration = StoreFollower(
-            KIND_CONFIGURATION, self._store, self._configuration, self._health
+            KIND_CONFIGURATION,
+            self._store,
+            self._configuration,
+            self._health,
+            neighbours=self._fleet.gossip,
         )
         targets = StoreFollower(
             KIND_TARGETS,
@@ -197,6 +201,7 @@
             self._directory,
             self._health,
             may_skip_watch=self._fleet.gossip.may_skip_watch,
+            neighbours=self._fleet.gossip,
         )
         coroutines = [configuration.async_run(), targets.async_run()]
         coroutines += [
--- a/swiftpin/router/configuration_holder.py
+++ b/swiftpin/router/configuration_holder.py
@@ -11,6 +11,7 @@
 from swiftpin.exceptions import ConfigurationError
 from swiftpin.model.configuration import Configuration
 from swiftpin.platform.configuration import decode_configuration
+from swiftpin.platform.json_fields import FieldError, load_json
 from swiftpin.platform.names import NAME_CONFIGURATION
 from swiftpin.platform.platform_object import PlatformObject
 
@@ -34,31 +35,58 @@
         self, objects: tuple[PlatformObject, ...], revision: int, now: float
     ) -> None:
         """Take the configuration out of a list of its kind."""
-        for entry in objects:
-            self.adopt_change(entry, revision, now)
+        self.adopt_changes(objects, revision, now)
 
     @callback
-    def adopt_change(self, changed: PlatformObject, revision: int, now: float) -> None:
+    def adopt_changes(
+        self,
+        objects: tuple[PlatformObject, ...],
+        revision: int,
+        now: float,
+        *,
+        is_catching_up: bool = False,
+    ) -> None:
         """Take a changed configuration."""
-        if changed.name != NAME_CONFIGURATION or changed.is_deleted:
-            return
-        self._adopt(changed.content, "store", now)
+        for changed in objects:
+            if changed.name == NAME_CONFIGURATION and not changed.is_deleted:
+                self._adopt(changed.content, "store", now)
 
     @callback
     def adopt_encoded(self, encoded: bytes, now: float) -> None:
         """Take the configuration that a neighbour sent."""
-        self._adopt(orjson.loads(encoded), "neighbour", now)
+        try:
+            document = load_json(encoded)
+        except FieldError as err:
+            self._refuse("neighbour", str(err))
+            return
+        self._adopt(document, "neighbour", now)
+
+    @callback
+    def _refuse(self, source: str, error: str) -> None:
+        """Note a configuration that can't be read; the one in force stays."""
+        log_message(
+            message_type="configuration_refused",
+            level="error",
+            source=source,
+            error=error,
+        )
 
     @callback
-    def _adopt(self, document: dict[str, object], source: str, now: float) -> None:
+    def _adopt(self, document: object, source: str, now: float) -> None:
         """Put a document in force if its version is higher."""
         try:
             configuration = decode_configuration(document)
+            encoded = _encode(document)
         except ConfigurationError as err:
+            self._refuse(source, str(err))
+            return
+        if configuration.version < self.version:
             log_message(
-                message_type="configuration_refused", level="error", error=str(err)
+                message_type="news_refused",
+                source=source,
+                configuration=configuration.version,
+                known=self.version,
             )
-            return
         if configuration.version <= self.version:
             return
         log_message(
@@ -70,10 +98,19 @@
         )
         self.current = configuration
         self.adopted_at = now
-        self.encoded = orjson.dumps(document)
+        self.encoded = encoded
         self.on_change()
 
 
+@callback
+def _encode(document: object) -> bytes:
+    """Return a document for neighbours; raise `ConfigurationError` if it can't be."""
+    try:
+        return orjson.dumps(document)
+    except TypeError as err:
+        raise ConfigurationError(f"configuration: {err}") from err
+
+
 @callback
 def _ignore() -> None:
     """Do nothing."""
--- a/swiftpin/router/gossip.py
+++ b/swiftpin/router/gossip.py
@@ -5,8 +5,10 @@
 import asyncio
 from typing import Final
 
+from eliot import log_message
+
 from swiftpin.core import callback
-from swiftpin.discovery.target_directory import TargetDirectory
+from swiftpin.discovery.target_directory import GOSSIP_LAG, TargetDirectory
 from swiftpin.fleet.link import Item, PeerLink
 from swiftpin.fleet.links import FleetLinks
 from swiftpin.fleet.proto import fleet_pb2 as pb
@@ -14,6 +16,7 @@
 from swiftpin.keyranges.lease_election import LeaseElection
 from swiftpin.permits.permit_broker import PermitBroker
 from swiftpin.platform.target_entries import decode_target_list, encode_target_list
+from swiftpin.platform.unusable_entry import UnusableEntryError
 from swiftpin.router.configuration_holder import ConfigurationHolder
 from swiftpin.router.key_maps import KeyMaps
 
@@ -51,6 +54,10 @@
         configuration: ConfigurationHolder,
         directory: TargetDirectory,
     ) -> None:
+        self.store_reports = 0
+        """How often a neighbour lost the store, or got it back."""
+
+        self._lost_incarnations: set[str] = set()
         self._incarnation = incarnation
         self._links = links
         self._lease = lease
@@ -90,10 +97,49 @@
         ]
         return len(informed) >= LEAST_INFORMED
 
+    @callback
+    def is_confirmed(self) -> bool:
+        """Return whether a neighbour that hears the store would tell of a change."""
+        return bool(self._informed_links(asyncio.get_running_loop().time()))
+
+    @callback
+    def _informed_links(self, now: float) -> list[PeerLink]:
+        """Return the links to neighbours that are heard and hear the store."""
+        return [
+            link
+            for link in self._links.live_links()
+            if link.heartbeat is not None
+            and link.is_fresh(now)
+            and not link.heartbeat.store_lost
+        ]
+
+    @callback
+    def _confirm(self, now: float) -> None:
+        """Note that neighbours know of the targets what this instance knows."""
+        heartbeats: list[Item] = [link.heartbeat for link in self._informed_links(now)]
+        told = max((heartbeat.targets for heartbeat in heartbeats), default=0)
+        if told and told == self._directory.version:
+            self._directory.note_confirmed(suspend_aware_now() - GOSSIP_LAG)
+
+    @callback
+    def _note_lost_stores(self) -> None:
+        """Count it when a neighbour lost the store, or has it again."""
+        lost = {
+            link.incarnation
+            for link in self._links.live_links()
+            if link.heartbeat is not None and link.heartbeat.store_lost
+        }
+        if lost != self._lost_incarnations:
+            self._lost_incarnations = lost
+            self.store_reports += 1
+
     @callback
     def ask(self) -> None:
         """Ask a neighbour that knows something newer for it."""
-        self._age_version(asyncio.get_running_loop().time())
+        started_at = asyncio.get_running_loop().time()
+        self._age_version(started_at)
+        self._confirm(started_at)
+        self._note_lost_stores()
         for link in self._links.live_links():
             heartbeat = link.heartbeat
             if heartbeat is None or not self._is_ahead(heartbeat):
@@ -159,10 +205,13 @@
         now = suspend_aware_now()
         if update.configuration:
             self._configuration.adopt_encoded(update.configuration, now)
-        if update.targets_revision:
-            self._directory.adopt_update(
-                decode_target_list(update.targets),
-                frozenset(update.target_ids),
-                update.targets_revision,
-                now,
-            )
+        if not update.targets_revision:
+            return
+        try:
+            targets = decode_target_list(update.targets)
+        except UnusableEntryError as err:
+            log_message(message_type="update_refused", level="warning", error=str(err))
+            return
+        self._directory.adopt_update(
+            targets, frozenset(update.target_ids), update.targets_revision, now
+        )
--- a/tests/discovery/test_older_news.py
+++ b/tests/discovery/test_older_news.py
@@ -47,7 +47,7 @@
     kept without the revision at which it was learnt.
     """
     directory.adopt_update([], frozenset({"b"}), 9, 10.0)
-    directory.adopt_change(entry("a", 5), 7, 10.2)
+    directory.adopt_changes((entry("a", 5),), 7, 10.2)
     assert ids(directory) == {"b"}
 
 
@@ -61,7 +61,7 @@
     Cause: a target that was not known had no revision to compare with.
     """
     directory.adopt_update([], frozenset({"a", "b"}), 9, 10.0)
-    directory.adopt_change(entry("c", 5), 6, 10.2)
+    directory.adopt_changes((entry("c", 5),), 6, 10.2)
     assert ids(directory) == {"a", "b"}
 
 
@@ -73,7 +73,7 @@
     Sequence: the watch told of the removal; a neighbour told the entry that had been
     removed. Cause: an entry of the revision already known counted as news.
     """
-    directory.adopt_change(removed("a", 4), 4, 10.0)
+    directory.adopt_changes((removed("a", 4),), 4, 10.0)
     directory.adopt_update([target("a", 1)], frozenset({"a", "b"}), 6, 10.5)
     assert ids(directory) == {"b"}
     assert not directory.may_send("a", 10.0 + DRAIN)
@@ -83,8 +83,8 @@
     directory: TargetDirectory,
 ) -> None:
     """A target that lost its entry and registered again serves again."""
-    directory.adopt_change(removed("a", 4), 4, 10.0)
-    directory.adopt_change(entry("a", 7), 7, 12.0)
+    directory.adopt_changes((removed("a", 4),), 4, 10.0)
+    directory.adopt_changes((entry("a", 7),), 7, 12.0)
     assert ids(directory) == {"a", "b"}
     assert directory.may_send("a", 20.0)
 
@@ -101,7 +101,7 @@
     health.note_failure("away", 10.0)
     health.note_answer(15.0)
     directory.adopt_list((entry("a", 1), entry("b", 2)), 9, 15.0)
-    directory.adopt_change(removed("a", 10), 10, 15.3)
+    directory.adopt_changes((removed("a", 10),), 10, 15.3)
     directory.sweep(15.0 + RETURN_TIME)
     assert not directory.may_send("a", 15.3 + DRAIN)
 
--- a/tests/discovery/test_target_directory.py
+++ b/tests/discovery/test_target_directory.py
@@ -6,11 +6,12 @@
 from swiftpin.discovery.target_directory import GOSSIP_LAG, RETURN_TIME, TargetDirectory
 from tests.discovery.conftest import DRAIN, entry, ids, removed, target
 
+
 def test_leaving_target_gets_nothing_after_its_drain_time(
     directory: TargetDirectory,
 ) -> None:
     """New keys go elsewhere at once; what is its own may go on for a while."""
-    directory.adopt_change(entry("a", 3, state="draining"), 3, 10.0)
+    directory.adopt_changes((entry("a", 3, state="draining"),), 3, 10.0)
     assert ids(directory) == {"b"}
     assert directory.may_send("a", 10.5)
     assert not directory.may_send("a", 10.0 + DRAIN)
@@ -40,7 +41,7 @@
     health.note_answer(15.0)
     directory.adopt_list((entry("b", 9),), 9, 15.0)
     assert ids(directory) == {"a", "b"}
-    directory.adopt_change(entry("a", 10), 10, 16.5)
+    directory.adopt_changes((entry("a", 10),), 10, 16.5)
     directory.sweep(15.0 + RETURN_TIME + 1)
     assert ids(directory) == {"a", "b"}
 
@@ -58,9 +59,9 @@
 
 def test_older_lists_and_changes_are_passed_over(directory: TargetDirectory) -> None:
     """A stale answer never turns the list back."""
-    directory.adopt_change(entry("a", 5, state="draining"), 5, 1.0)
+    directory.adopt_changes((entry("a", 5, state="draining"),), 5, 1.0)
     directory.adopt_list((entry("a", 1), entry("b", 2)), 2, 2.0)
-    directory.adopt_change(entry("a", 4), 4, 2.0)
+    directory.adopt_changes((entry("a", 4),), 4, 2.0)
     assert ids(directory) == {"b"}
 
 
@@ -68,13 +69,13 @@
     directory: TargetDirectory,
 ) -> None:
     """Two targets never share an address; nothing more goes to the earlier one."""
-    directory.adopt_change(entry("c", 6, address="a:1"), 6, 1.0)
+    directory.adopt_changes((entry("c", 6, address="a:1"),), 6, 1.0)
     assert not directory.may_send("a", 1.0)
     assert ids(directory) == {"b", "c"}
 
 
 def test_removed_entry_is_a_target_that_leaves(directory: TargetDirectory) -> None:
     """Some targets say nothing before they leave."""
-    directory.adopt_change(removed("a", 4), 4, 1.0)
+    directory.adopt_changes((removed("a", 4),), 4, 1.0)
     assert ids(directory) == {"b"}
     assert directory.may_send("a", 1.5)
--- a/tests/discovery/test_target_lives.py
+++ b/tests/discovery/test_target_lives.py
@@ -25,7 +25,7 @@
     Sequence: it crashed and registered again under its name, which had never been
     removed. Cause: a name stood for the same target as before.
     """
-    restarting.adopt_change(entry("a", 5, born=200), 5, 10.0)
+    restarting.adopt_changes((entry("a", 5, born=200),), 5, 10.0)
     assert ids(restarting) == {"a@200", "b"}
     assert restarting.replaced_ids == {"a@100"}
     assert not restarting.may_send("a@100", 10.0)
@@ -59,8 +59,8 @@
     Sequence: the new life was known; a watch that stood behind brought an entry of the
     former one. Cause: each life's entry was compared with its own revision only.
     """
-    restarting.adopt_change(entry("a", 5, born=200), 5, 10.0)
-    restarting.adopt_change(entry("a", 3, born=100), 5, 10.1)
+    restarting.adopt_changes((entry("a", 5, born=200),), 5, 10.0)
+    restarting.adopt_changes((entry("a", 3, born=100),), 5, 10.1)
     restarting.adopt_list((entry("a", 1, born=100), entry("b", 2)), 4, 10.2)
     assert ids(restarting) == {"a@200", "b"}
     assert not restarting.may_send("a@100", 10.2)
@@ -70,7 +70,7 @@
     restarting: TargetDirectory,
 ) -> None:
     """Starts are told by clocks, so the store's revision decides which is newer."""
-    restarting.adopt_change(entry("a", 5, born=50), 5, 10.0)
+    restarting.adopt_changes((entry("a", 5, born=50),), 5, 10.0)
     assert ids(restarting) == {"a@50", "b"}
 
 
@@ -78,8 +78,8 @@
     restarting: TargetDirectory,
 ) -> None:
     """The removal of the former life's entry comes late and is older."""
-    restarting.adopt_change(entry("a", 5, born=200), 5, 10.0)
-    restarting.adopt_change(removed("a", 4), 5, 10.1)
+    restarting.adopt_changes((entry("a", 5, born=200),), 5, 10.0)
+    restarting.adopt_changes((removed("a", 4),), 5, 10.1)
     assert ids(restarting) == {"a@200", "b"}
 
 
@@ -91,7 +91,7 @@
     Sequence: another writer replaced its entry without the start. Cause: a start that
     is not told counted as another one.
     """
-    restarting.adopt_change(entry("a", 5), 5, 10.0)
+    restarting.adopt_changes((entry("a", 5),), 5, 10.0)
     assert ids(restarting) == {"b"}
     assert restarting.is_leaving("a@100")
     assert "a@100" not in restarting.replaced_ids
@@ -116,8 +116,8 @@
     restarting: TargetDirectory,
 ) -> None:
     """What is dropped is the life that ended."""
-    restarting.adopt_change(entry("a", 5, born=200), 5, 10.0)
+    restarting.adopt_changes((entry("a", 5, born=200),), 5, 10.0)
     restarting.forget("a@100")
-    restarting.adopt_change(entry("a", 6, born=200, state="draining"), 6, 11.0)
+    restarting.adopt_changes((entry("a", 6, born=200, state="draining"),), 6, 11.0)
     assert restarting.is_leaving("a@200")
     assert "a@100" not in restarting.targets_by_id
