--- a/swiftpin/keyranges/assignment.py
+++ b/swiftpin/keyranges/assignment.py
@@ -5,12 +5,23 @@
 from bisect import bisect_right
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
-from typing import Any
+from typing import Any, Final
 
 from swiftpin.exceptions import ConfigurationError
 from swiftpin.keyranges.const import KEYS
 from swiftpin.keyranges.move import Move
 from swiftpin.keyranges.segment import Segment
+from swiftpin.platform.json_fields import (
+    FieldError,
+    read_field,
+    read_list,
+    read_mapping,
+    read_text,
+    read_whole,
+)
+
+ROW_LENGTH: Final = 4
+"""Values of a row: first key, owner, fence, former owner."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -126,25 +137,40 @@
 def decode_assignment(content: object) -> Assignment:
     """Return the assignment in a record; raise `ConfigurationError` if malformed."""
     try:
-        return _decode(content)
-    except (KeyError, TypeError, ValueError, IndexError) as err:
-        raise ConfigurationError(f"record of an assignment: {err!r}") from err
-
-
-def _decode(content: Any) -> Assignment:  # noqa: ANN401  # any JSON value
-    """Return the assignment in a record."""
-    names = content["targets"]
-    rows = content["rows"]
-    ends = [row[0] - 1 for row in rows[1:]] + [KEYS - 1]
-    return Assignment(
-        segments=tuple(
-            Segment(
-                first=first,
-                last=last,
-                owner=names[owner],
-                fence=fence,
-                former=names[former],
-            )
-            for (first, owner, fence, former), last in zip(rows, ends, strict=True)
-        )
+        fields = read_mapping(content, "the record")
+        targets = read_list(read_field(fields, "targets"), "targets")
+        rows = read_list(read_field(fields, "rows"), "rows")
+        names = [read_text(name, "a target", may_be_empty=True) for name in targets]
+        starts = [_decode_row(row, names) for row in rows]
+        return Assignment(segments=_with_lasts(starts))
+    except FieldError as err:
+        raise ConfigurationError(f"record of an assignment: {err}") from err
+
+
+def _decode_row(row: object, names: list[str]) -> Segment:
+    """Return the segment in a row, as if it ended with its first key."""
+    values = read_list(row, "a row")
+    if len(values) != ROW_LENGTH:
+        raise FieldError("a row has another length")
+    first = read_whole(values[0], "the first key", most=KEYS - 1)
+    owner = names[read_whole(values[1], "the owner", most=len(names) - 1)]
+    former = names[read_whole(values[3], "the former owner", most=len(names) - 1)]
+    return Segment(
+        first=first,
+        last=first,
+        owner=read_text(owner, "the owner"),
+        fence=read_whole(values[2], "the fence"),
+        former=former,
+    )
+
+
+def _with_lasts(starts: list[Segment]) -> tuple[Segment, ...]:
+    """Return segments that reach to the next one; they must cover all keys."""
+    firsts = [segment.first for segment in starts]
+    if not firsts or firsts[0] != 0 or firsts != sorted(set(firsts)):
+        raise FieldError("the rows do not cover each key once")
+    ends = [*firsts[1:], KEYS]
+    return tuple(
+        replace(segment, last=end - 1)
+        for segment, end in zip(starts, ends, strict=True)
     )
--- a/swiftpin/keyranges/lease_record.py
+++ b/swiftpin/keyranges/lease_record.py
@@ -6,6 +6,14 @@
 from typing import Any
 
 from swiftpin.exceptions import ConfigurationError
+from swiftpin.platform.json_fields import (
+    FieldError,
+    read_field,
+    read_list,
+    read_mapping,
+    read_text,
+    read_whole,
+)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -27,14 +35,20 @@
 
 def encode_lease(record: LeaseRecord) -> dict[str, Any]:
     """Return the content to store."""
-    return asdict(record)
+    return asdict(record) | {"members": list(record.members)}
 
 
 def decode_lease(content: object) -> LeaseRecord:
     """Return the record; raise `ConfigurationError` when it is malformed."""
     try:
-        fields = dict(content)  # type: ignore[call-overload]  # checked by the calls
-        fields["members"] = tuple(fields.get("members", ()))
-        return LeaseRecord(**fields)
-    except (TypeError, ValueError) as err:
-        raise ConfigurationError(f"record of the lease: {err!r}") from err
+        fields = read_mapping(content, "the record")
+        members = read_list(fields.get("members", []), "members")
+        return LeaseRecord(
+            holder=read_text(read_field(fields, "holder"), "holder", may_be_empty=True),
+            peer=read_text(read_field(fields, "peer"), "peer", may_be_empty=True),
+            term=read_whole(read_field(fields, "term"), "term"),
+            renewal=read_whole(read_field(fields, "renewal"), "renewal"),
+            members=tuple(read_text(member, "a member") for member in members),
+        )
+    except FieldError as err:
+        raise ConfigurationError(f"record of the lease: {err}") from err
--- a/swiftpin/platform/json_fields.py
+++ b/swiftpin/platform/json_fields.py
@@ -62,11 +62,11 @@
     return value
 
 
-def read_text(value: object, what: str) -> str:
-    """Return a text that is not empty and can be written again."""
+def read_text(value: object, what: str, *, may_be_empty: bool = False) -> str:
+    """Return a text that can be written again."""
     if not isinstance(value, str):
         raise FieldError(f"{what} is not a text")
-    if not value:
+    if not value and not may_be_empty:
         raise FieldRangeError(f"{what} is empty")
     try:
         value.encode()
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -180,11 +180,18 @@
     assert not is_answer_to("q1", {"Swiftpin-Request-Id": "q0"})
 
 
-def test_deleted_and_malformed_objects_of_a_watch() -> None:
-    """Removals are told from changes; what cannot be read counts as no answer."""
+def test_removals_of_a_watch_are_told_from_changes() -> None:
+    """The event says whether the object is gone."""
     event = {"object": {"metadata": {"name": "a", "revision": 2}}, "deleted": True}
     changes = decode_changes({"events": [event], "at": 5})
     assert changes.revision == 5
     assert changes.objects[0].is_deleted
+
+
+@pytest.mark.parametrize(
+    "page", [[], {"items": 1, "at": 1}, {"items": []}, {"items": [], "at": True}]
+)
+def test_page_that_cannot_be_read_counts_as_no_answer(page: object) -> None:
+    """What is wrong with the page itself is the store's."""
     with pytest.raises(StoreUnavailableError):
-        decode_list({"items": [{}], "at": 1})
+        decode_list(page)
