--- a/swiftpin/router/gossip.py
+++ b/swiftpin/router/gossip.py
@@ -66,6 +66,9 @@
         self._configuration = configuration
         self._directory = directory
         self._behind_since: float | None = None
+        self._last_asked = ""
+        """Incarnation of the neighbour that was asked last."""
+
         self._aged_version = 0
         """Version of the targets that this instance knew `VERSION_AGE` ago."""
 
@@ -140,28 +143,47 @@
         self._age_version(started_at)
         self._confirm(started_at)
         self._note_lost_stores()
-        for link in self._links.live_links():
-            heartbeat = link.heartbeat
-            if heartbeat is None or not self._is_ahead(heartbeat):
-                continue
-            now = asyncio.get_running_loop().time()
-            if self._behind_since is None:
-                # The store's own answer is most likely on its way.
-                self._behind_since = now
-            elif now - self._behind_since > ASK_PAUSE:
-                self._behind_since = now
-                if (heartbeat.maps_term, heartbeat.maps_number) > self._maps.version:
-                    link.send(pb.Item(key_map_ask=pb.KeyMapAsk()))
-                link.send(
-                    pb.Item(
-                        update_ask=pb.UpdateAsk(
-                            configuration=self._configuration.version,
-                            targets=self._directory.version,
-                        )
-                    )
+        ahead = [
+            link
+            for link in self._links.live_links()
+            if link.heartbeat is not None and self._is_ahead(link.heartbeat)
+        ]
+        if not ahead:
+            self._behind_since = None
+        elif self._behind_since is None:
+            # The store's own answer is most likely on its way.
+            self._behind_since = started_at
+        elif started_at - self._behind_since > ASK_PAUSE:
+            self._behind_since = started_at
+            self._ask_link(self._choose(ahead, started_at))
+
+    @callback
+    def _choose(self, ahead: list[PeerLink], now: float) -> PeerLink:
+        """Return the neighbour to ask: one that is heard, and not the last one again.
+
+        One that froze or was cut off stays among the links for a second, and whoever
+        asks it alone learns of a leaving target that much later.
+        """
+        heard = [link for link in ahead if link.is_fresh(now)] or ahead
+        others = [link for link in heard if link.incarnation != self._last_asked]
+        chosen = (others or heard)[0]
+        self._last_asked = chosen.incarnation
+        return chosen
+
+    @callback
+    def _ask_link(self, link: PeerLink) -> None:
+        """Ask a neighbour for what it knows and this instance does not."""
+        heartbeat: Item = link.heartbeat
+        if (heartbeat.maps_term, heartbeat.maps_number) > self._maps.version:
+            link.send(pb.Item(key_map_ask=pb.KeyMapAsk()))
+        link.send(
+            pb.Item(
+                update_ask=pb.UpdateAsk(
+                    configuration=self._configuration.version,
+                    targets=self._directory.version,
                 )
-            return
-        self._behind_since = None
+            )
+        )
 
     @callback
     def _age_version(self, now: float) -> None:
--- a/tests/router/test_gossip.py
+++ b/tests/router/test_gossip.py
@@ -45,7 +45,7 @@
         "lease": lease,
         "permits": permits,
         "maps": SimpleNamespace(version=(0, 0)),
-        "configuration": SimpleNamespace(version=0),
+        "configuration": SimpleNamespace(version=0, adopt_encoded=pytest.fail),
         "directory": directory,
     }
     return Gossip(incarnation="me", **rest)
@@ -74,3 +74,108 @@
     for number in range(3):
         gossip._age_version(100.0 + number * VERSION_AGE)
     assert not gossip.may_skip_watch()
+
+
+@pytest.fixture(name="asked")
+def asked_fixture(monkeypatch: pytest.MonkeyPatch) -> list[str]:
+    """Return a list to which each neighbour that is asked is added."""
+    asked: list[str] = []
+
+    def send(link: PeerLink, item: object) -> None:
+        asked.append(link.incarnation)
+
+    monkeypatch.setattr(PeerLink, "send", send)
+    return asked
+
+
+def ask_again(gossip: Gossip) -> None:
+    """Let a gossip that is behind ask now."""
+    gossip._behind_since = -1.0
+    gossip.ask()
+
+
+async def test_frozen_neighbour_does_not_keep_others_from_being_asked(
+    gossip: Gossip, links: SimpleNamespace, asked: list[str]
+) -> None:
+    """Symptom: an instance learnt of a removal more than a second late.
+
+    Sequence: its watch stood still; the first neighbour that knew more froze, and was
+    asked again and again until its link counted as lost. Cause: whoever came first
+    among the links was asked.
+    """
+    frozen, heard = make_link("frozen", 12), make_link("heard", 12)
+    frozen.heard_at -= 1.0
+    links.live_links = lambda: [frozen, heard]
+    ask_again(gossip)
+    ask_again(gossip)
+    assert asked == ["heard", "heard"]
+
+
+async def test_neighbours_that_know_more_are_asked_in_turn(
+    gossip: Gossip, links: SimpleNamespace, asked: list[str]
+) -> None:
+    """One that does not answer costs one question."""
+    links.live_links = lambda: [make_link("a", 12), make_link("b", 12)]
+    for _ in range(3):
+        ask_again(gossip)
+    assert asked == ["a", "b", "a"]
+
+
+async def test_only_neighbours_that_hear_the_store_confirm(
+    gossip: Gossip, links: SimpleNamespace, directory: SimpleNamespace
+) -> None:
+    """Symptom: a silent watch was relied on.
+
+    Sequence: the only neighbour that was heard had lost the store itself.
+    Cause: any heartbeat counted as word of the store.
+    """
+    confirmed: list[float] = []
+    directory.note_confirmed = confirmed.append
+    lost = make_link("a", 10)
+    assert lost.heartbeat is not None
+    lost.heartbeat.store_lost = True
+    links.live_links = lambda: [lost]
+    gossip.ask()
+    assert not gossip.is_confirmed()
+    assert not confirmed
+    lost.heartbeat.store_lost = False
+    gossip.ask()
+    assert gossip.is_confirmed()
+    assert len(confirmed) == 1
+
+
+async def test_neighbour_that_knows_more_does_not_confirm(
+    gossip: Gossip, links: SimpleNamespace, directory: SimpleNamespace
+) -> None:
+    """What it knows beyond this instance may be a target that left."""
+    directory.note_confirmed = pytest.fail
+    links.live_links = lambda: [make_link("a", 10), make_link("b", 12)]
+    gossip.ask()
+
+
+async def test_each_loss_and_return_at_a_neighbour_is_counted(
+    gossip: Gossip, links: SimpleNamespace, directory: SimpleNamespace
+) -> None:
+    """Watches from before it are made anew."""
+    directory.note_confirmed = lambda at: None
+    link = make_link("a", 10)
+    assert link.heartbeat is not None
+    links.live_links = lambda: [link]
+    counts = []
+    for is_lost in (False, True, True, False):
+        link.heartbeat.store_lost = is_lost
+        gossip.ask()
+        counts.append(gossip.store_reports)
+    assert counts == [0, 1, 1, 2]
+
+
+async def test_update_that_cannot_be_read_changes_nothing(
+    gossip: Gossip, directory: SimpleNamespace
+) -> None:
+    """Symptom: the link to a neighbour ended with an error.
+
+    Sequence: an instance of another version told targets in a shape that this one does
+    not know. Cause: nothing caught the error.
+    """
+    directory.adopt_update = pytest.fail
+    gossip.take(pb.Update(targets=b'[{"name": 3}]', targets_revision=12))
