--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -104,6 +104,7 @@
         self._health = StoreHealth()
         self._configuration = ConfigurationHolder()
         self._directory = TargetDirectory(self._health, settings.bounds.drain)
+        self._directory.unusable.on_unusable = self._metrics.note_unusable_entry
         self._maps = KeyMaps()
         self._poison = PoisonWatch()
         self._store_http = HttpClient(connect_limit=CONNECT_TIMEOUT)
--- a/swiftpin/router/metrics.py
+++ b/swiftpin/router/metrics.py
@@ -49,6 +49,12 @@
             ["method", "kind", "outcome"],
             registry=self.registry,
         )
+        self._unusable_entries = Counter(
+            "swiftpin_router_unusable_entries",
+            "Entries of targets in the store that could not be used, by reason.",
+            ["reason"],
+            registry=self.registry,
+        )
         self.store_lost = Gauge(
             "swiftpin_router_store_lost",
             "1 while the store does not answer this instance.",
@@ -60,6 +66,11 @@
         """Count a call of the store."""
         self._store_calls.labels(method, kind, outcome).inc()
 
+    @callback
+    def note_unusable_entry(self, reason: str) -> None:
+        """Count an entry of a target that could not be used."""
+        self._unusable_entries.labels(reason).inc()
+
     @callback
     def note_served(self, service: str, status: int, seconds: float) -> None:
         """Count a request that got a target's answer."""
