Split judging of news from what is known of the targets; test a whole site

Change: TargetNews judges, TargetDirectory answers; times go to const.py. Conclusion: no change of what it does.

--- a/swiftpin/router/gossip.py
+++ b/swiftpin/router/gossip.py
@@ -8,7 +8,8 @@
 from eliot import log_message
 
 from swiftpin.core import callback
-from swiftpin.discovery.target_directory import GOSSIP_LAG, TargetDirectory
+from swiftpin.discovery.const import GOSSIP_LAG
+from swiftpin.discovery.target_directory import TargetDirectory
 from swiftpin.fleet.link import Item, PeerLink
 from swiftpin.fleet.links import FleetLinks
 from swiftpin.fleet.proto import fleet_pb2 as pb
--- a/tests/discovery/test_older_news.py
+++ b/tests/discovery/test_older_news.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from swiftpin.discovery.const import GOSSIP_LAG, RETURN_TIME
 from swiftpin.discovery.store_health import StoreHealth
-from swiftpin.discovery.target_directory import GOSSIP_LAG, RETURN_TIME, TargetDirectory
+from swiftpin.discovery.target_directory import TargetDirectory
 from tests.discovery.conftest import DRAIN, entry, ids, removed, target
 
 
