Rely on the lease's holder alone to confirm what is known of targets

Cause: a watch was relied on while any neighbour was heard that knew nothing newer; where the answers to all watches are lost at once, and no other call is, instances confirmed each other for 15 s. Change: only the holder confirms; its own watches wait 0.8 s at a time, so what it knows is new. Watches wait 0.8 s (was 0.6 s) and 0.6 s more wherever the holder is not heard; a change is known 1.4 s after it. Conclusion: what confirms is rooted in an answer of the store.

--- a/swiftpin/discovery/store_follower.py
+++ b/swiftpin/discovery/store_follower.py
@@ -19,15 +19,16 @@
 
 WATCH_WAIT: Final = 15.0
 """Seconds that one watch waits. Each further call is paid for. A connection can fall
-silent without a reset; neighbours that know more show it within a second, and where
-none is heard the watch waits for `UNCONFIRMED_WAIT` only."""
+silent without a reset; the lease's holder, who knows more, shows it within a second,
+and where it is not heard the watch waits for `UNCONFIRMED_WAIT` only."""
 
-UNCONFIRMED_WAIT: Final = 0.6
+UNCONFIRMED_WAIT: Final = 0.8
 UNCONFIRMED_GRACE: Final = 0.6
 """Seconds that a watch waits, and beyond that until its connection counts as silent,
-while nobody else would tell of a change or the store did not answer last: a change is
-then known 1.2 s after it, of 2 s for which a leaving target takes requests. The store
-takes 0.4 s when it is slowed a hundredfold."""
+at the lease's holder and wherever that one does not confirm what is known: a change is
+then known 1.4 s after it, of 2 s for which a leaving target takes requests. The store
+takes 0.4 s when it is slowed a hundredfold. At one instance that is two calls a second,
+one for each kind."""
 
 LOOK_PAUSE: Final = 0.25
 """Seconds between two looks whether a watch under way is still to be relied on."""
@@ -100,7 +101,7 @@
     """Lists a kind once, then watches it, and lists again when history is gone.
 
     A watch whose connection has fallen silent looks like one that sees no change. So a
-    long one is left open only while others would tell of a change. One that nobody
+    long one is left open only while another would tell of a change. One that nobody
     confirms any more, or that began before this instance or a neighbour lost the store,
     is made anew: its answer may have been lost with the store.
     """
--- a/swiftpin/router/gossip.py
+++ b/swiftpin/router/gossip.py
@@ -103,27 +103,32 @@
 
     @callback
     def is_confirmed(self) -> bool:
-        """Return whether a neighbour that hears the store would tell of a change."""
-        return bool(self._informed_links(asyncio.get_running_loop().time()))
+        """Return whether the holder of the lease would tell of a change.
+
+        It alone is relied on: its own watches are short, so what it knows is new. Two
+        instances whose watches have both fallen silent would confirm each other.
+        """
+        return bool(self._holder_links(asyncio.get_running_loop().time()))
 
     @callback
-    def _informed_links(self, now: float) -> list[PeerLink]:
-        """Return the links to neighbours that are heard and hear the store."""
+    def _holder_links(self, now: float) -> list[PeerLink]:
+        """Return the links to the holder of the lease, if it hears the store."""
         return [
             link
             for link in self._links.live_links()
             if link.heartbeat is not None
-            and link.is_fresh(now)
+            and link.heartbeat.leads
             and not link.heartbeat.store_lost
+            and link.is_fresh(now)
         ]
 
     @callback
     def _confirm(self, now: float) -> None:
-        """Note that neighbours know of the targets what this instance knows."""
-        heartbeats: list[Item] = [link.heartbeat for link in self._informed_links(now)]
-        told = max((heartbeat.targets for heartbeat in heartbeats), default=0)
-        if told and told == self._directory.version:
-            self._directory.note_confirmed(suspend_aware_now() - GOSSIP_LAG)
+        """Note that the lease's holder knows of the targets what this instance does."""
+        for link in self._holder_links(now):
+            heartbeat: Item = link.heartbeat
+            if heartbeat.targets == self._directory.version:
+                self._directory.note_confirmed(suspend_aware_now() - GOSSIP_LAG)
 
     @callback
     def _note_lost_stores(self) -> None:
--- a/tests/router/store_standin.py
+++ b/tests/router/store_standin.py
@@ -28,6 +28,10 @@
         self.loses_writes = False
         """Whether writes are done and not answered."""
 
+        self.loses_watches = False
+        """Whether the answer to a watch that saw something is lost."""
+
+        self.lost_watches = 0
         self.calls: list[str] = []
         self.address = ""
         self._events: list[tuple[int, str, dict[str, Any], bool]] = []
@@ -152,6 +156,9 @@
                 for revision, of, item, deleted in self._events
                 if revision > since and of == kind
             ]
+            if events and self.loses_watches:
+                self.lost_watches += 1
+                await asyncio.sleep(3600)
             if events or loop.time() >= until:
                 return json_response({"events": events, "at": self.revision})
             changed = self._changed
--- a/tests/router/test_gossip.py
+++ b/tests/router/test_gossip.py
@@ -121,17 +121,25 @@
     assert asked == ["a", "b", "a"]
 
 
-async def test_only_neighbours_that_hear_the_store_confirm(
+def make_holder(targets: int) -> PeerLink:
+    """Return a link to the holder of the lease."""
+    link = make_link("holder", targets)
+    assert link.heartbeat is not None
+    link.heartbeat.leads = True
+    return link
+
+
+async def test_only_a_holder_that_hears_the_store_confirms(
     gossip: Gossip, links: SimpleNamespace, directory: SimpleNamespace
 ) -> None:
     """Symptom: a silent watch was relied on.
 
-    Sequence: the only neighbour that was heard had lost the store itself.
+    Sequence: the holder of the lease was heard, and had lost the store itself.
     Cause: any heartbeat counted as word of the store.
     """
     confirmed: list[float] = []
     directory.note_confirmed = confirmed.append
-    lost = make_link("a", 10)
+    lost = make_holder(10)
     assert lost.heartbeat is not None
     lost.heartbeat.store_lost = True
     links.live_links = lambda: [lost]
@@ -144,12 +152,26 @@
     assert len(confirmed) == 1
 
 
-async def test_neighbour_that_knows_more_does_not_confirm(
+async def test_members_do_not_confirm_each_other(
+    gossip: Gossip, links: SimpleNamespace, directory: SimpleNamespace
+) -> None:
+    """Symptom: no instance learnt of a removal for 15 s.
+
+    Sequence: the answers to all watches were lost at once; each instance heard others
+    that knew nothing newer. Cause: their watches were silent as well.
+    """
+    directory.note_confirmed = pytest.fail
+    links.live_links = lambda: [make_link("a", 10), make_link("b", 10)]
+    gossip.ask()
+    assert not gossip.is_confirmed()
+
+
+async def test_holder_that_knows_more_does_not_confirm(
     gossip: Gossip, links: SimpleNamespace, directory: SimpleNamespace
 ) -> None:
     """What it knows beyond this instance may be a target that left."""
     directory.note_confirmed = pytest.fail
-    links.live_links = lambda: [make_link("a", 10), make_link("b", 12)]
+    links.live_links = lambda: [make_holder(12)]
     gossip.ask()
 
 
