Let the lease's holder confirm only once it has caught up with the store

Cause: right after an outage the holder's lease is answered before its watch; its word then confirmed a version from before the outage, and targets whose entries were missed earlier were taken for gone.

--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -194,7 +194,7 @@
             self._store,
             self._configuration,
             self._health,
-            neighbours=self._fleet.gossip,
+            neighbours=self._fleet.gossip.holder,
         )
         targets = StoreFollower(
             KIND_TARGETS,
@@ -202,7 +202,7 @@
             self._directory,
             self._health,
             may_skip_watch=self._fleet.gossip.may_skip_watch,
-            neighbours=self._fleet.gossip,
+            neighbours=self._fleet.gossip.holder,
         )
         coroutines = [configuration.async_run(), targets.async_run()]
         coroutines += [
--- a/swiftpin/router/gossip.py
+++ b/swiftpin/router/gossip.py
@@ -19,6 +19,7 @@
 from swiftpin.platform.target_entries import decode_target_list, encode_target_list
 from swiftpin.platform.unusable_entry import UnusableEntryError
 from swiftpin.router.configuration_holder import ConfigurationHolder
+from swiftpin.router.holder_view import HolderView
 from swiftpin.router.key_maps import KeyMaps
 
 SMALL_FLEET: Final = 12
@@ -55,10 +56,7 @@
         configuration: ConfigurationHolder,
         directory: TargetDirectory,
     ) -> None:
-        self.store_reports = 0
-        """How often a neighbour lost the store, or got it back."""
-
-        self._lost_incarnations: set[str] = set()
+        self.holder = HolderView(links)
         self._incarnation = incarnation
         self._links = links
         self._lease = lease
@@ -102,53 +100,18 @@
         return len(informed) >= LEAST_INFORMED
 
     @callback
-    def is_confirmed(self) -> bool:
-        """Return whether the holder of the lease would tell of a change.
-
-        It alone is relied on: its own watches are short, so what it knows is new. Two
-        instances whose watches have both fallen silent would confirm each other.
-        """
-        return bool(self._holder_links(asyncio.get_running_loop().time()))
-
-    @callback
-    def _holder_links(self, now: float) -> list[PeerLink]:
-        """Return the links to the holder of the lease, if it hears the store."""
-        return [
-            link
-            for link in self._links.live_links()
-            if link.heartbeat is not None
-            and link.heartbeat.leads
-            and not link.heartbeat.store_lost
-            and link.is_fresh(now)
-        ]
-
-    @callback
-    def _confirm(self, now: float) -> None:
+    def _confirm(self) -> None:
         """Note that the lease's holder knows of the targets what this instance does."""
-        for link in self._holder_links(now):
-            heartbeat: Item = link.heartbeat
-            if heartbeat.targets == self._directory.version:
-                self._directory.note_confirmed(suspend_aware_now() - GOSSIP_LAG)
-
-    @callback
-    def _note_lost_stores(self) -> None:
-        """Count it when a neighbour lost the store, or has it again."""
-        lost = {
-            link.incarnation
-            for link in self._links.live_links()
-            if link.heartbeat is not None and link.heartbeat.store_lost
-        }
-        if lost != self._lost_incarnations:
-            self._lost_incarnations = lost
-            self.store_reports += 1
+        if self.holder.confirmed_version() == self._directory.version:
+            self._directory.note_confirmed(suspend_aware_now() - GOSSIP_LAG)
 
     @callback
     def ask(self) -> None:
         """Ask a neighbour that knows something newer for it."""
         started_at = asyncio.get_running_loop().time()
         self._age_version(started_at)
-        self._confirm(started_at)
-        self._note_lost_stores()
+        self.holder.look(started_at)
+        self._confirm()
         ahead = [
             link
             for link in self._links.live_links()
--- a/tests/router/test_gossip.py
+++ b/tests/router/test_gossip.py
@@ -11,6 +11,7 @@
 from swiftpin.fleet.link import LinkHandler, PeerLink
 from swiftpin.fleet.proto import fleet_pb2 as pb
 from swiftpin.router.gossip import SMALL_FLEET, VERSION_AGE, Gossip
+from swiftpin.router.holder_view import HOLDER_CATCH_UP
 
 
 def make_link(name: str, targets: int) -> PeerLink:
@@ -144,14 +145,36 @@
     lost.heartbeat.store_lost = True
     links.live_links = lambda: [lost]
     gossip.ask()
-    assert not gossip.is_confirmed()
+    assert not gossip.holder.is_confirmed()
     assert not confirmed
     lost.heartbeat.store_lost = False
     gossip.ask()
-    assert gossip.is_confirmed()
+    gossip.holder._informed_since -= HOLDER_CATCH_UP
+    gossip.ask()
+    assert gossip.holder.is_confirmed()
     assert len(confirmed) == 1
 
 
+async def test_holder_confirms_nothing_until_it_has_caught_up(
+    gossip: Gossip, links: SimpleNamespace, directory: SimpleNamespace
+) -> None:
+    """Symptom: live targets were taken for gone right after an outage of the store.
+
+    Sequence: entries were missed before the outage and back in it; at its end the
+    holder's lease was answered, its watch not yet; both knew the same old version.
+    Cause: the holder's word that it hears the store confirmed that version.
+    """
+    directory.note_confirmed = lambda at: pytest.fail("nothing is confirmed yet")
+    holder = make_holder(10)
+    assert holder.heartbeat is not None
+    links.live_links = lambda: [holder]
+    for is_lost in (False, True, False):
+        holder.heartbeat.store_lost = is_lost
+        gossip.holder._informed_since -= HOLDER_CATCH_UP
+        gossip.ask()
+        assert not gossip.holder.is_confirmed()
+
+
 async def test_members_do_not_confirm_each_other(
     gossip: Gossip, links: SimpleNamespace, directory: SimpleNamespace
 ) -> None:
@@ -163,7 +186,7 @@
     directory.note_confirmed = pytest.fail
     links.live_links = lambda: [make_link("a", 10), make_link("b", 10)]
     gossip.ask()
-    assert not gossip.is_confirmed()
+    assert not gossip.holder.is_confirmed()
 
 
 async def test_holder_that_knows_more_does_not_confirm(
@@ -187,7 +210,7 @@
     for is_lost in (False, True, True, False):
         link.heartbeat.store_lost = is_lost
         gossip.ask()
-        counts.append(gossip.store_reports)
+        counts.append(gossip.holder.store_reports)
     assert counts == [0, 1, 1, 2]
 
 
