--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -57,6 +57,7 @@
         self._health = StoreHealth()
         self._configuration = ConfigurationHolder()
         self._directory = TargetDirectory(self._health, settings.bounds.drain)
+        self._directory.unusable.on_unusable = self._metrics.note_unusable_entry
         self._maps = KeyMaps()
         self._poison = PoisonWatch()
         self._clients = HttpClients()
@@ -166,7 +167,11 @@
         await self._fleet.links.async_setup(settings.peers)
         await self._listeners.async_setup(settings)
         configuration = StoreFollower(
-            KIND_CONFIGURATION, self._store, self._configuration, self._health
+            KIND_CONFIGURATION,
+            self._store,
+            self._configuration,
+            self._health,
+            neighbours=self._fleet.gossip.holder,
         )
         targets = StoreFollower(
             KIND_TARGETS,
@@ -174,6 +179,7 @@
             self._directory,
             self._health,
             may_skip_watch=self._fleet.gossip.may_skip_watch,
+            neighbours=self._fleet.gossip.holder,
         )
         self._tasks.start(configuration.async_run())
         self._tasks.start(targets.async_run())
--- a/swiftpin/router/gossip.py
+++ b/swiftpin/router/gossip.py
@@ -5,7 +5,10 @@
 import asyncio
 from typing import Final
 
+from eliot import log_message
+
 from swiftpin.core import callback
+from swiftpin.discovery.const import GOSSIP_LAG
 from swiftpin.discovery.target_directory import TargetDirectory
 from swiftpin.fleet.link import Item, PeerLink
 from swiftpin.fleet.links import FleetLinks
@@ -14,7 +17,9 @@
 from swiftpin.keyranges.lease_election import LeaseElection
 from swiftpin.permits.permit_broker import PermitBroker
 from swiftpin.platform.target_entries import decode_target_list, encode_target_list
+from swiftpin.platform.unusable_entry import UnusableEntryError
 from swiftpin.router.configuration_holder import ConfigurationHolder
+from swiftpin.router.holder_view import HolderView
 from swiftpin.router.key_maps import KeyMaps
 
 SMALL_FLEET: Final = 12
@@ -51,6 +56,7 @@
         configuration: ConfigurationHolder,
         directory: TargetDirectory,
     ) -> None:
+        self.holder = HolderView(links)
         self._incarnation = incarnation
         self._links = links
         self._lease = lease
@@ -59,6 +65,9 @@
         self._configuration = configuration
         self._directory = directory
         self._behind_since: float | None = None
+        self._last_asked = ""
+        """Incarnation of the neighbour that was asked last."""
+
         self._aged_version = 0
         """Version of the targets that this instance knew `VERSION_AGE` ago."""
 
@@ -90,32 +99,60 @@
         ]
         return len(informed) >= LEAST_INFORMED
 
+    @callback
+    def _confirm(self) -> None:
+        """Note that the lease's holder knows of the targets what this instance does."""
+        if self.holder.confirmed_version() == self._directory.version:
+            self._directory.note_confirmed(suspend_aware_now() - GOSSIP_LAG)
+
     @callback
     def ask(self) -> None:
         """Ask a neighbour that knows something newer for it."""
-        self._age_version(asyncio.get_running_loop().time())
-        for link in self._links.live_links():
-            heartbeat = link.heartbeat
-            if heartbeat is None or not self._is_ahead(heartbeat):
-                continue
-            now = asyncio.get_running_loop().time()
-            if self._behind_since is None:
-                # The store's own answer is most likely on its way.
-                self._behind_since = now
-            elif now - self._behind_since > ASK_PAUSE:
-                self._behind_since = now
-                if (heartbeat.maps_term, heartbeat.maps_number) > self._maps.version:
-                    link.send(pb.Item(key_map_ask=pb.KeyMapAsk()))
-                link.send(
-                    pb.Item(
-                        update_ask=pb.UpdateAsk(
-                            configuration=self._configuration.version,
-                            targets=self._directory.version,
-                        )
-                    )
+        started_at = asyncio.get_running_loop().time()
+        self._age_version(started_at)
+        self.holder.look(started_at)
+        self._confirm()
+        ahead = [
+            link
+            for link in self._links.live_links()
+            if link.heartbeat is not None and self._is_ahead(link.heartbeat)
+        ]
+        if not ahead:
+            self._behind_since = None
+        elif self._behind_since is None:
+            # The store's own answer is most likely on its way.
+            self._behind_since = started_at
+        elif started_at - self._behind_since > ASK_PAUSE:
+            self._behind_since = started_at
+            self._ask_link(self._choose(ahead, started_at))
+
+    @callback
+    def _choose(self, ahead: list[PeerLink], now: float) -> PeerLink:
+        """Return the neighbour to ask: one that is heard, and not the last one again.
+
+        One that froze or was cut off stays among the links for a second, and whoever
+        asks it alone learns of a leaving target that much later.
+        """
+        heard = [link for link in ahead if link.is_fresh(now)] or ahead
+        others = [link for link in heard if link.incarnation != self._last_asked]
+        chosen = (others or heard)[0]
+        self._last_asked = chosen.incarnation
+        return chosen
+
+    @callback
+    def _ask_link(self, link: PeerLink) -> None:
+        """Ask a neighbour for what it knows and this instance does not."""
+        heartbeat: Item = link.heartbeat
+        if (heartbeat.maps_term, heartbeat.maps_number) > self._maps.version:
+            link.send(pb.Item(key_map_ask=pb.KeyMapAsk()))
+        link.send(
+            pb.Item(
+                update_ask=pb.UpdateAsk(
+                    configuration=self._configuration.version,
+                    targets=self._directory.version,
                 )
-            return
-        self._behind_since = None
+            )
+        )
 
     @callback
     def _age_version(self, now: float) -> None:
@@ -159,10 +196,13 @@
         now = suspend_aware_now()
         if update.configuration:
             self._configuration.adopt_encoded(update.configuration, now)
-        if update.targets_revision:
-            self._directory.adopt_update(
-                decode_target_list(update.targets),
-                frozenset(update.target_ids),
-                update.targets_revision,
-                now,
-            )
+        if not update.targets_revision:
+            return
+        try:
+            targets = decode_target_list(update.targets)
+        except UnusableEntryError as err:
+            log_message(message_type="update_refused", level="warning", error=str(err))
+            return
+        self._directory.adopt_update(
+            targets, frozenset(update.target_ids), update.targets_revision, now
+        )
