Tell age and source of the list of targets in each request's line

Cause: the finding of late sends could not be traced, since a request's line said what was chosen, not how old the list was.

--- a/swiftpin/router/decision_basis.py
+++ b/swiftpin/router/decision_basis.py
@@ -6,7 +6,8 @@
 
 from swiftpin.core import callback
 from swiftpin.discovery.target_directory import TargetDirectory
-from swiftpin.helpers.logging_format import ABSENT
+from swiftpin.helpers.clock import suspend_aware_now
+from swiftpin.helpers.logging_format import ABSENT, format_value
 from swiftpin.router.key_maps import KeyMaps
 
 
@@ -24,13 +25,24 @@
     targets: int
     """The store's revision up to which the list of targets is known."""
 
+    targets_age: float
+    """Seconds for which a target may have changed unseen."""
+
+    targets_source: str
+    """Who confirmed the list last."""
+
     @callback
     def pairs(self) -> str:
         """Return the pairs of the request's log line."""
         key_map = ABSENT
         if self.key_map is not None:
             key_map = f"{self.key_map[0]}.{self.key_map[1]}"
-        return f"key_map={key_map} targets={self.targets}"
+        age = format_value(self.targets_age)
+        source = format_value(self.targets_source)
+        return (
+            f"key_map={key_map} targets={self.targets} targets_age={age} "
+            f"targets_source={source}"
+        )
 
 
 @callback
@@ -42,4 +54,6 @@
     return DecisionBasis(
         key_map=None if key_map is None else (key_map.term, key_map.number),
         targets=directory.version,
+        targets_age=directory.picture_age(suspend_aware_now()),
+        targets_source=directory.picture_source,
     )
--- a/tests/router/test_request_log.py
+++ b/tests/router/test_request_log.py
@@ -71,7 +71,7 @@
     only a refusal by the queue itself was noted, not the end of the wait.
     """
 
-    async def async_wait(self: PermitBroker, **asked: object) -> None:
+    async def async_wait(self: PermitBroker, query: object) -> None:
         await asyncio.Event().wait()
 
     monkeypatch.setattr(PermitBroker, "async_ask", async_wait)
