Wait for work from the last release without an answer

Cause: of several releases without an answer any may have taken the keys, up to the moment at which it was given up; the wait was counted from the sending of the first. Test: test_work_is_waited_for_from_the_last_release_without_an_answer.

--- a/swiftpin/keyranges/mover.py
+++ b/swiftpin/keyranges/mover.py
@@ -74,9 +74,10 @@
                 self._log_release(segment, "not sent", str(err))
                 await self._async_pause(held_until)
             except (TargetUnreachableError, GrantRefusedError) as err:
-                # It may have taken the keys and let their work run on.
+                # It may have taken the keys, until now, and let their work run on. Any
+                # of several tries may be the one that did, so the last one counts.
                 self._log_release(segment, "unanswered", str(err))
-                asked_at = now if asked_at is None else asked_at
+                asked_at = suspend_aware_now()
                 await self._async_pause(held_until)
             else:
                 await self._async_wait_work(asked_at, held_until)
@@ -106,7 +107,7 @@
 
         A target answers the release that takes its keys when their work has ended; one
         that is repeated finds no keys and is answered at once. What was sent before the
-        first release ends by its own deadline, or with the grant.
+        keys were taken ends by its own deadline, or with the grant.
         """
         if asked_at is None:
             return
