Write the record at a takeover, moves under new fences

Cause: a takeover only read the record, so a plan that an earlier assigner had given up could still take effect behind it (the store does a write late if its condition holds), and the next one carried it out: keys under a fence below the last holder's, or two holders. Moves kept the fence of their term, while fences of refused renewals are in no record. Change: whoever takes over writes the record first, which ends the condition of every write before; open moves get fences of the new term; after a conflict only the revision of an own write is taken over, never that of another assigner's. Costs one write a service and takeover. In range_assigner.py one line.

--- a/swiftpin/keyranges/assignment_record.py
+++ b/swiftpin/keyranges/assignment_record.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+import os
+from typing import Any, Final
+
 from eliot import log_message
 
 from swiftpin.discovery.store_health import StoreHealth
@@ -13,34 +17,58 @@
     encode_assignment,
 )
 from swiftpin.keyranges.const import KIND_ASSIGNMENT
+from swiftpin.keyranges.fences import Fences
 from swiftpin.platform.store_client import StoreClient
 
+WRITER: Final = "writer"
+"""Field that names the assigner that wrote the record last."""
+
 
 class AssignmentRecord:
-    """Reads the record and replaces it, if it is still the one last seen."""
+    """Takes the record over, and replaces it if it is still the one last seen.
+
+    The store may carry a write out seconds after it was given up, if the record is then
+    still at the revision that the write was made for. So whoever assigns keys from now
+    on writes the record before it acts on it: no plan of an earlier assigner can take
+    effect any more, and what is carried out is what stands.
+    """
 
     def __init__(self, service: str, client: StoreClient, health: StoreHealth) -> None:
         self.revision: int | None = None
         self._service = service
         self._client = client
         self._health = health
+        self._writer = os.urandom(4).hex()
 
-    async def async_read(self) -> Assignment:
-        """Return the assignment; raise `ObjectMissingError` when there is none."""
+    async def async_take_over(self, fences: Fences) -> Assignment:
+        """Return the assignment once the record is this assigner's.
+
+        Moves that are under way get new fences: an earlier assigner may have given the
+        keys out under fences that are in no record and above the move's. Raises
+        `ObjectMissingError` when there is no record, `StoreError` when it is not known
+        to be this assigner's; it may be so later, and can be taken over again.
+        """
         found = await self._client.async_get(KIND_ASSIGNMENT, self._service)
-        assignment = decode_assignment(found.content)
-        self.revision = found.revision
+        assignment = Assignment(
+            segments=tuple(
+                replace(segment, fence=fences.take()) if segment.former else segment
+                for segment in decode_assignment(found.content).segments
+            )
+        )
+        self.revision = await self._client.async_replace(
+            KIND_ASSIGNMENT, self._service, self._encode(assignment), found.revision
+        )
         return assignment
 
     async def async_create(self, assignment: Assignment) -> None:
         """Write the first assignment."""
         self.revision = await self._client.async_create(
-            KIND_ASSIGNMENT, self._service, encode_assignment(assignment)
+            KIND_ASSIGNMENT, self._service, self._encode(assignment)
         )
 
     async def async_replace(self, assignment: Assignment) -> bool:
         """Write an assignment; return whether it certainly stands."""
-        content = encode_assignment(assignment)
+        content = self._encode(assignment)
         try:
             self.revision = await self._client.async_replace(
                 KIND_ASSIGNMENT, self._service, content, self.revision
@@ -70,6 +98,14 @@
             reason=reason,
             stands=stands,
         )
-        if found is not None:
+        if found is not None and self._is_own(found.content):
             self.revision = found.revision
         return stands
+
+    def _encode(self, assignment: Assignment) -> dict[str, Any]:
+        """Return the content to store."""
+        return encode_assignment(assignment) | {WRITER: self._writer}
+
+    def _is_own(self, content: object) -> bool:
+        """Return whether this assigner wrote a record; another's is never replaced."""
+        return isinstance(content, dict) and content.get(WRITER) == self._writer
--- a/swiftpin/keyranges/range_assigner.py
+++ b/swiftpin/keyranges/range_assigner.py
@@ -168,7 +168,7 @@
 
     async def _async_read_record(self) -> None:
         """Take the assignment that a former holder of the lease left."""
-        assignment = await self._record.async_read()
+        assignment = await self._record.async_take_over(self._fences)
         self._assignment = assignment
         hold = self._predecessor_hold(len(assignment.segments))
         # Whatever the former holder granted ends at the latest by then; what it sent
