Let an assigner call targets in its own term only

Cause: calls were let go while the lease of any term was held. After a suspension the lease can be taken again, in a later term, before the assigner of the earlier one is stopped (0.1 s), and its renewals go out though others have moved the keys meanwhile. Test: test_assigner_of_an_earlier_term_sends_nothing_in_a_later_one.

--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from http import HTTPStatus
 import os
 from random import Random
@@ -118,7 +119,6 @@
             idle_limit=IDLE_LIMIT,
             untaken_limit=CONTROL_TIMEOUT,
         )
-        self._control = TargetControl(self._control_http, self._check_lease)
         self._permits = PermitBroker(incarnation, settings.zone)
         self._lease = LeaseElection(
             name=settings.name,
@@ -308,9 +308,13 @@
         return Response(body=generate_latest(self._metrics.registry))
 
     @callback
-    def _check_lease(self, now: float) -> None:
-        """Hold back a call to a target when this instance may not assign keys."""
-        if not self._lease.is_held(suspend_aware_now()):
+    def _check_lease(self, term: int, now: float) -> None:
+        """Hold back a call to a target by an assigner whose term is over.
+
+        After a suspension the lease may be held again, in a later term, before the
+        assigner of the earlier one is stopped; what that knows may be long out of date.
+        """
+        if self._lease.term != term or not self._lease.is_held(suspend_aware_now()):
             raise RequestNotSentError("the lease has ended")
 
     @callback
@@ -323,10 +327,11 @@
         """Return a assigner for a service's keys."""
         configuration = self._configuration.current
         assert configuration is not None
+        gate = partial(self._check_lease, self._lease.term)
         return RangeAssigner(
             service=service,
             client=self._store,
-            control=self._control,
+            control=TargetControl(self._control_http, gate),
             directory=self._directory,
             lease=self._lease,
             fences=fences,
