Take the newer of two entries of an address; take keys back from the next life

Causes: of two entries with one address the one read last counted as the newcomer, though a list is in the order of names: a live target counted as gone and its keys were free at once. And the end of a life freed its keys at once, though a renewal to its name and address may have been taken by the next life. Change: the revision tells which entry is older; where both bear one name the older life is leaving, not gone, so that its keys are released at the new one, or waited for.

--- a/swiftpin/discovery/target_directory.py
+++ b/swiftpin/discovery/target_directory.py
@@ -170,9 +170,9 @@
         known = self.targets_by_id.get(target.id)
         if known is not None and known.revision > target.revision:
             return
+        self.targets_by_id[target.id] = target
         if known is None:
             self._note_same_address(target, now)
-        self.targets_by_id[target.id] = target
         self.seen_since_by_id.setdefault(target.id, now)
         self.gone_ids.discard(target.id)
         if target.is_draining:
@@ -192,10 +192,20 @@
 
     @callback
     def _note_same_address(self, newcomer: Target, now: float) -> None:
-        """Note that whoever had a newcomer's address before is gone."""
+        """Note that whoever had a newcomer's address before is gone.
+
+        A list may hold both entries, in any order. Where both bear one name, the newer
+        life may have taken what was sent to the older one: its keys are taken back.
+        """
         for target in list(self.targets_by_id.values()):
-            if target.address == newcomer.address:
-                self.note_replaced(target.id, now)
+            if target.address != newcomer.address or target.id == newcomer.id:
+                continue
+            is_older = target.revision <= newcomer.revision
+            older = target if is_older else newcomer
+            if target.name == newcomer.name:
+                self._note_leaving(older.id, "started again", now)
+            else:
+                self.note_replaced(older.id, now)
 
     @callback
     def _note_missing(self, target_id: str, now: float) -> None:
