Wait for work from the arrival of a predecessor's release

Cause: what an assigner sent last may arrive 0.6 s after the takeover; grants were counted so, releases not. Test: test_work_is_waited_for_from_the_arrival_of_a_predecessors_release.

--- a/swiftpin/keyranges/range_assigner.py
+++ b/swiftpin/keyranges/range_assigner.py
@@ -191,7 +191,7 @@
             if segment.former:
                 self._granted_fences.discard(segment.fence)
                 # The former assigner may have sent a release for it.
-                self._start_move(segment, self._took_over_at)
+                self._start_move(segment, arrived_at)
 
     async def _async_first_division(self) -> None:
         """Divide the keys once the targets are there."""
