--- a/swiftpin/router/assigner_factory.py
+++ b/swiftpin/router/assigner_factory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import Final
 
 from swiftpin.core import callback
@@ -45,7 +46,7 @@
     ) -> None:
         self.settings = settings
         self._client = client
-        self._control = TargetControl(control_http, self._check_lease)
+        self._control_http = control_http
         self._configuration = configuration
         self._directory = directory
         self._lease = lease
@@ -57,11 +58,12 @@
     def make(
         self, service: str, configuration: Configuration, fences: Fences
     ) -> RangeAssigner:
-        """Return an assigner for a service's keys."""
+        """Return an assigner for a service's keys in the present term."""
+        gate = partial(self._check_lease, self._lease.term)
         return RangeAssigner(
             service=service,
             client=self._client,
-            control=self._control,
+            control=TargetControl(self._control_http, gate),
             directory=self._directory,
             lease=self._lease,
             fences=fences,
@@ -74,9 +76,13 @@
         )
 
     @callback
-    def _check_lease(self, now: float) -> None:
-        """Hold back a call to a target when this instance may not assign keys."""
-        if not self._lease.is_held(suspend_aware_now()):
+    def _check_lease(self, term: int, now: float) -> None:
+        """Hold back a call to a target by an assigner whose term is over.
+
+        After a suspension the lease may be held again, in a later term, before the
+        assigner of the earlier one is stopped; what that knows may be long out of date.
+        """
+        if self._lease.term != term or not self._lease.is_held(suspend_aware_now()):
             raise RequestNotSentError("the lease has ended")
 
     @callback
