--- a/tests/router/target_standin.py
+++ b/tests/router/target_standin.py
@@ -42,8 +42,11 @@
         self.breaks_answers = 0
         self.sheds = 0
         self.crashed: asyncio.Task[None] | None = None
+        self.born: int | None = None
+        self.earlier_fences: list[tuple[int, int, int]] = []
         self.running = 0
         self.most_running = 0
+        self.granted_fences: list[tuple[int, int, int]] = []
         self._highest_fences: list[tuple[int, int, int]] = []
         self._runner: AppRunner | None = None
 
@@ -65,6 +68,32 @@
             await self._runner.cleanup()
             self._runner = None
 
+    async def async_restart(self, born: int | None = None) -> None:
+        """End, and start again under the same name at the same address.
+
+        The new life holds nothing and knows no fence; what the earlier ones were
+        granted is kept in `earlier_fences`, as first key, last key and fence.
+        """
+        port = int(self.address.rpartition(":")[2])
+        await self.async_unload()
+        self.earlier_fences += self.granted_fences
+        self.granted_fences = []
+        self._highest_fences = []
+        self.held = []
+        self.born = born
+        await self.async_setup(port)
+
+    def reused_fences(self) -> list[tuple[int, int, int]]:
+        """Return this life's grants whose fence is not above all of earlier lives."""
+        return [
+            (first, last, fence)
+            for first, last, fence in self.granted_fences
+            if any(
+                low <= last and first <= high and fence <= earlier
+                for low, high, earlier in self.earlier_fences
+            )
+        ]
+
     def crash(self) -> None:
         """End without a word, soon."""
         loop = asyncio.get_running_loop()
@@ -72,7 +101,9 @@
 
     def entry(self, service: str, *, state: str = "ready") -> dict[str, Any]:
         """Return the target's entry in the store."""
+        born = {} if self.born is None else {"born": self.born}
         return {
+            **born,
             "address": self.address,
             "information": {
                 "service": service,
@@ -112,6 +143,7 @@
         ):
             return Response(status=409)
         self._highest_fences.append((first, last, fence))
+        self.granted_fences.append((first, last, fence))
         self._cut(first, last)
         until = asyncio.get_running_loop().time() + body["hold_ms"] / 1000
         self.held.append(HeldRange(first=first, last=last, fence=fence, until=until))
