Send each fence over one connection only

Cause: a renewal repeated the fence of its grant over whatever connection was open. A target that had started again under its name answered it, and took its earlier life's keys under its earlier life's fence; so did a successor's first renewals, which took the fences of the record. Change: a fence is taken when the connection of a grant is open, and belongs to that connection. A restart breaks every connection, so whoever a new one leads to gets a fence above all before it, whether or not the restart is known. A grant without an answer breaks its connection, so its next try has a new fence. Fences of releases and moves are taken when they are sent, too; the recorded ones only name segments. This makes the guard needless that held renewals back while a plan was on its way to the record: its test stays and asks for more. A later life of a former owner gets the release, since grants may have reached it before its start was known; only another target at the address frees keys without a word. The record names the longest grant that may still run, in place of a guess from the number of segments.

--- a/swiftpin/dispatch/http_client.py
+++ b/swiftpin/dispatch/http_client.py
@@ -91,10 +91,42 @@
         when the answer's head did not come, and whatever `gate` or the request's
         body raise. A cancelled exchange closes its connection.
         """
+        connection = await self.async_connection(
+            address, connections=connections, max_idle=max_idle
+        )
+        return await self.async_exchange_over(
+            connection, request, state, gate, check=check
+        )
+
+    async def async_connection(
+        self,
+        address: str,
+        *,
+        connections: int = DEFAULT_CONNECTIONS,
+        max_idle: float = math.inf,
+        preferred: int | None = None,
+    ) -> HttpConnection:
+        """Return an open connection for one exchange, for whoever must know which.
+
+        The caller makes an exchange over it or aborts it. The connection whose number
+        is `preferred` is taken if it is open and idle. Raises `RequestNotSentError`.
+        """
         pool = self._pool(address, connections)
-        connection = pool.take_idle(monotonic_now(), max_idle)
+        connection = pool.take_idle(monotonic_now(), max_idle, preferred=preferred)
         if connection is None:
             connection = await pool.async_connect()
+        return connection
+
+    async def async_exchange_over(
+        self,
+        connection: HttpConnection,
+        request: HttpRequest,
+        state: HttpSendState,
+        gate: SendGate,
+        *,
+        check: AnswerCheck | None = None,
+    ) -> HttpAnswer:
+        """Send the request over one connection; else as `async_exchange`."""
         try:
             _prepare(connection, request, accepts_unframed=self._accepts_unframed)
             if request.body.whole is None:
--- a/swiftpin/dispatch/http_connection.py
+++ b/swiftpin/dispatch/http_connection.py
@@ -12,13 +12,18 @@
 
 import asyncio
 from collections.abc import Callable
+from itertools import count
 import math
+from typing import Final
 
 from aiohttp.client_proto import ResponseHandler
 
 from swiftpin.core import callback
 from swiftpin.helpers.connection_reset import reset_connection
 
+NUMBERS: Final = count(1)
+"""Numbers of this process's connections; none is given twice."""
+
 
 class HttpConnection:
     """A connection of a pool; `idle_since` is monotonic, in seconds."""
@@ -29,6 +34,7 @@
         "idle_limit",
         "idle_since",
         "loop",
+        "number",
         "protocol",
     )
 
@@ -40,6 +46,7 @@
     ) -> None:
         self.protocol = protocol
         self.loop = loop
+        self.number = next(NUMBERS)
         self.idle_since = 0.0
         self.idle_limit = math.inf
         """Seconds after which the server closes the connection when it is idle."""
--- a/swiftpin/dispatch/http_pool.py
+++ b/swiftpin/dispatch/http_pool.py
@@ -91,12 +91,21 @@
 
     @callback
     def take_idle(
-        self, now: float, max_idle: float = math.inf
+        self,
+        now: float,
+        max_idle: float = math.inf,
+        *,
+        preferred: int | None = None,
     ) -> HttpConnection | None:
         """Return an open connection that carries no exchange, None if there is none.
 
         One that was idle for longer than `max_idle` seconds stays for other requests.
+        The one whose number is `preferred` is taken if it is there.
         """
+        for connection in self._idle:
+            if connection.number == preferred and self._is_fresh(connection, now):
+                self._idle.remove(connection)
+                return connection
         while self._idle:
             connection = self._idle[-1]
             if not self._is_fresh(connection, now):
--- a/swiftpin/keyranges/assignment.py
+++ b/swiftpin/keyranges/assignment.py
@@ -5,19 +5,26 @@
 from bisect import bisect_right
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
-from typing import Any
+from typing import Any, Final
 
 from swiftpin.exceptions import ConfigurationError
 from swiftpin.keyranges.const import KEYS
 from swiftpin.keyranges.move import Move
 from swiftpin.keyranges.segment import Segment
 
+ATTR_LONGEST_HOLD: Final = "longest_grant_ms"
+MILLISECONDS: Final = 1000
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Assignment:
     """Segments that cover all keys, in order."""
 
     segments: tuple[Segment, ...]
+    longest_hold: float | None = None
+    """Seconds of the longest grant that may still run; None in a record of a version
+    that does not tell."""
+
     firsts: tuple[int, ...] = field(init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
@@ -34,7 +41,7 @@
         for move in moves:
             segments = _apply(segments, move, next_fence)
             next_fence += 1
-        return Assignment(segments=tuple(segments))
+        return replace(self, segments=tuple(segments))
 
     def with_joined(self, next_fence: int, most: int) -> tuple[Assignment, list[int]]:
         """Return the assignment with neighbours of one owner joined, and their fences.
@@ -60,14 +67,28 @@
                 joined[-1] = replace(last, last=segment.last, fence=fences[-1])
             else:
                 joined.append(segment)
-        return Assignment(segments=tuple(joined)), fences
+        return replace(self, segments=tuple(joined)), fences
 
     def with_replaced(self, old: Segment, new: Segment) -> Assignment:
         """Return the assignment with one segment replaced, if it still stands so."""
-        return Assignment(
+        segments = tuple(
+            new if segment == old else segment for segment in self.segments
+        )
+        return replace(self, segments=segments)
+
+    def without_finished(self, present: Assignment) -> Assignment:
+        """Return this plan without the moves that have ended in the present one."""
+        open_fences = {segment.fence for segment in present.segments if segment.former}
+        known_fences = {segment.fence for segment in present.segments}
+        finished = known_fences - open_fences
+        return replace(
+            self,
             segments=tuple(
-                new if segment == old else segment for segment in self.segments
-            )
+                replace(segment, former="")
+                if segment.former and segment.fence in finished
+                else segment
+                for segment in self.segments
+            ),
         )
 
 
@@ -96,7 +117,11 @@
     return result
 
 
-def divide_evenly(weights_by_target: dict[str, float], fence: int) -> Assignment:
+def divide_evenly(
+    weights_by_target: dict[str, float],
+    fence: int,
+    longest_hold: float | None = None,
+) -> Assignment:
     """Return a first assignment with ranges in proportion to the weights."""
     total = sum(weights_by_target.values())
     segments = []
@@ -109,7 +134,7 @@
             continue
         segments.append(Segment(first=first, last=end - 1, owner=target, fence=fence))
         first = end
-    return Assignment(segments=tuple(segments))
+    return Assignment(segments=tuple(segments), longest_hold=longest_hold)
 
 
 def encode_assignment(assignment: Assignment) -> dict[str, Any]:
@@ -120,7 +145,10 @@
         owner = numbers.setdefault(segment.owner, len(numbers))
         former = numbers.setdefault(segment.former, len(numbers))
         rows.append([segment.first, owner, segment.fence, former])
-    return {"targets": list(numbers), "rows": rows}
+    content: dict[str, Any] = {"targets": list(numbers), "rows": rows}
+    if assignment.longest_hold is not None:
+        content[ATTR_LONGEST_HOLD] = round(assignment.longest_hold * MILLISECONDS)
+    return content
 
 
 def decode_assignment(content: object) -> Assignment:
@@ -136,7 +164,9 @@
     names = content["targets"]
     rows = content["rows"]
     ends = [row[0] - 1 for row in rows[1:]] + [KEYS - 1]
+    longest_hold = content.get(ATTR_LONGEST_HOLD)
     return Assignment(
+        longest_hold=None if longest_hold is None else longest_hold / MILLISECONDS,
         segments=tuple(
             Segment(
                 first=first,
@@ -146,5 +176,5 @@
                 former=names[former],
             )
             for (first, owner, fence, former), last in zip(rows, ends, strict=True)
-        )
+        ),
     )
--- /dev/null
+++ b/swiftpin/keyranges/assignment_loader.py
@@ -0,0 +1,123 @@
+"""Where an assigner begins: at its predecessor's record, or at a first division."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Final
+
+from eliot import log_message
+
+from swiftpin.discovery.target_directory import TargetDirectory
+from swiftpin.exceptions import ConfigurationError, StoreError
+from swiftpin.helpers.clock import suspend_aware_now
+from swiftpin.keyranges.assignment import Assignment, divide_evenly
+from swiftpin.keyranges.assignment_record import AssignmentRecord
+from swiftpin.keyranges.const import CONTROL_TIMEOUT
+from swiftpin.keyranges.granter import Granter
+from swiftpin.keyranges.hold_times import HoldLimit
+from swiftpin.model.target import Target
+from swiftpin.store_errors import ObjectMissingError
+
+FIRST_TARGETS_WAIT: Final = 1.5
+"""Seconds without a new target after which the first division is made: each target that
+registers later would cost moves."""
+
+READ_PAUSE: Final = 0.15
+"""Seconds between two tries to read the record."""
+
+
+class AssignmentLoader:
+    """Reads the record; makes the first one when there is none."""
+
+    def __init__(
+        self,
+        *,
+        service: str,
+        record: AssignmentRecord,
+        granter: Granter,
+        directory: TargetDirectory,
+        hold_limit: HoldLimit,
+        term: int,
+    ) -> None:
+        self._service = service
+        self._record = record
+        self._granter = granter
+        self._directory = directory
+        self._hold_limit = hold_limit
+        self._term = term
+        self.is_first_division = False
+        """Whether the assignment is new, so that nobody has keys yet."""
+
+    async def async_load(self, took_over_at: float) -> Assignment:
+        """Return the assignment to go on from, however long it takes to get it."""
+        while True:
+            try:
+                return await self._async_read(took_over_at)
+            except ObjectMissingError:
+                targets = await self._async_first_targets()
+            except (StoreError, ConfigurationError) as err:
+                await self._async_pause(str(err))
+                continue
+            try:
+                return await self._async_divide(targets)
+            except StoreError as err:
+                await self._async_pause(str(err))
+
+    async def _async_read(self, took_over_at: float) -> Assignment:
+        """Take the assignment that a former holder of the lease left.
+
+        Whatever that one granted ends at the latest after its longest hold; what it
+        sent last may still be on its way.
+        """
+        assignment = await self._record.async_read()
+        arrived_at = took_over_at + CONTROL_TIMEOUT
+        hold = self._hold_limit.note_recorded(assignment.longest_hold, arrived_at)
+        for segment in assignment.segments:
+            for target in (segment.owner, segment.former):
+                if target:
+                    self._granter.session(target).note_grant(arrived_at, hold)
+        log_message(
+            message_type="assignment_loaded",
+            service=self._service,
+            revision=self._record.revision,
+            segments=len(assignment.segments),
+            longest_hold=hold,
+            term=self._term,
+        )
+        return assignment
+
+    async def _async_first_targets(self) -> list[Target]:
+        """Wait until the targets are there, and return them."""
+        known = -1
+        while True:
+            now = suspend_aware_now()
+            targets = self._directory.serving_targets(self._service, now)
+            if targets and len(targets) == known:
+                return targets
+            known = len(targets)
+            await asyncio.sleep(FIRST_TARGETS_WAIT)
+
+    async def _async_divide(self, targets: list[Target]) -> Assignment:
+        """Record the first division of the keys among targets."""
+        weights = {target.id: float(target.slots) for target in targets}
+        assignment = divide_evenly(
+            weights,
+            self._granter.take_fence(),
+            self._hold_limit.for_record(0, len(targets), suspend_aware_now()),
+        )
+        await self._record.async_create(assignment)
+        self.is_first_division = True
+        log_message(
+            message_type="assignment_made", service=self._service, targets=len(targets)
+        )
+        return assignment
+
+    async def _async_pause(self, reason: str) -> None:
+        """Note that the store did not serve, and wait before the next try."""
+        log_message(
+            message_type="assignment_unread",
+            level="warning",
+            service=self._service,
+            error=reason,
+        )
+        await asyncio.sleep(READ_PAUSE)
--- /dev/null
+++ b/swiftpin/keyranges/grant_renewer.py
@@ -0,0 +1,103 @@
+"""Renewal of the grants of one service."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Final
+
+from swiftpin.core import callback
+from swiftpin.discovery.target_directory import TargetDirectory
+from swiftpin.helpers.clock import suspend_aware_now
+from swiftpin.keyranges.assignment_state import AssignmentState
+from swiftpin.keyranges.granter import Granter
+from swiftpin.keyranges.hold_times import renew_pause
+from swiftpin.keyranges.key_map_publisher import KeyMapPublisher
+from swiftpin.keyranges.segment import Segment
+from swiftpin.keyranges.target_session import TargetSession
+from swiftpin.model.target import Target
+
+RENEW_TICK: Final = 0.1
+"""Seconds between two looks at which grants are due."""
+
+FAILING_RENEW: Final = 0.25
+"""Seconds between two tries at a target that did not answer."""
+
+
+class GrantRenewer:
+    """Renews each target's grants one after the other, all targets side by side."""
+
+    def __init__(
+        self,
+        *,
+        state: AssignmentState,
+        granter: Granter,
+        directory: TargetDirectory,
+        publisher: KeyMapPublisher,
+    ) -> None:
+        self._state = state
+        self._granter = granter
+        self._directory = directory
+        self._publisher = publisher
+
+    async def async_run(self) -> None:
+        """Renew every target's grants until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            tasks_by_target: dict[str, asyncio.Task[None]] = {}
+            due_by_target: dict[str, float] = {}
+            while True:
+                now = suspend_aware_now()
+                owners = self._state.owners()
+                for target_id in owners:
+                    task = tasks_by_target.get(target_id)
+                    if task is not None and not task.done():
+                        continue
+                    if now < due_by_target.get(target_id, 0.0):
+                        continue
+                    due_by_target[target_id] = now + self._pause(target_id)
+                    tasks_by_target[target_id] = group.create_task(
+                        self.async_renew(target_id)
+                    )
+                for target_id in tasks_by_target.keys() - owners:
+                    if tasks_by_target[target_id].done():
+                        del tasks_by_target[target_id]
+                        del due_by_target[target_id]
+                await asyncio.sleep(RENEW_TICK)
+
+    async def async_renew(self, target_id: str) -> None:
+        """Renew one target's grants once."""
+        session = self._granter.session(target_id)
+        target = self._directory.targets_by_id.get(target_id)
+        if target is None or session.is_gone:
+            return
+        if target_id in self._directory.replaced_ids:
+            # A later life would take them, and the instances send it nothing for them.
+            return
+        async with session.calls:
+            segments = [
+                segment
+                for segment in self._state.present.segments
+                if segment.owner == target_id and not segment.former
+            ]
+            session.keep_fences({segment.fence for segment in segments})
+            for segment in segments:
+                if not self._state.stands(segment):
+                    continue
+                if not await self._async_renew_segment(target, segment, session):
+                    return
+
+    @callback
+    def _pause(self, target_id: str) -> float:
+        """Return the seconds until a target's grants are renewed again."""
+        if self._granter.session(target_id).is_failing:
+            return FAILING_RENEW
+        return renew_pause(len(self._state.present.segments))
+
+    async def _async_renew_segment(
+        self, target: Target, segment: Segment, session: TargetSession
+    ) -> bool:
+        """Renew one grant; return whether the target answers."""
+        taken = await self._granter.async_grant(target, segment, session)
+        if taken and segment.fence not in self._state.granted_fences:
+            self._state.granted_fences.add(segment.fence)
+            self._publisher.publish()
+        return taken
--- a/swiftpin/keyranges/granter.py
+++ b/swiftpin/keyranges/granter.py
@@ -11,10 +11,12 @@
 from swiftpin.exceptions import TargetUnreachableError
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.keyranges.const import CONTROL_TIMEOUT, RELEASE_TIMEOUT, SHORTEST_HOLD
+from swiftpin.keyranges.fences import Fences
 from swiftpin.keyranges.segment import Segment
 from swiftpin.keyranges.target_session import TargetSession
 from swiftpin.model.target import Target
 from swiftpin.platform.target_control import (
+    GrantCall,
     GrantRefusedError,
     KeyGrant,
     TargetControl,
@@ -25,7 +27,11 @@
 
 
 class Granter:
-    """Sends single grants and releases, and notes what they tell of a target."""
+    """Sends single grants and releases, and notes what they tell of a target.
+
+    Fences are taken as late as possible, when the connection of a call is open. So
+    those of a key rise in the order of its calls, whatever was recorded meanwhile.
+    """
 
     def __init__(
         self,
@@ -34,30 +40,65 @@
         directory: TargetDirectory,
         health_path: str,
         usual_hold: Callable[[], float],
+        fences: Fences,
+        term: int,
     ) -> None:
         self.handovers_by_fence: dict[int, str] = {}
+        """Handovers by the fence under which their segment was recorded."""
+
         self._control = control
         self._directory = directory
         self._health_path = health_path
         self._usual_hold = usual_hold
+        self._fences = fences
+        self._term = term
         self._sessions_by_target: dict[str, TargetSession] = {}
 
     @callback
     def session(self, target_id: str) -> TargetSession:
-        """Return the session with a target."""
+        """Return the session with a target.
+
+        A target that was replaced is gone, unless another life of it took its place:
+        that one may have been given keys by calls that were meant for the earlier.
+        """
         session = self._sessions_by_target.get(target_id)
         if session is None:
             session = self._sessions_by_target[target_id] = TargetSession()
-        if target_id in self._directory.replaced_ids:
+        is_replaced = target_id in self._directory.replaced_ids
+        if is_replaced and self.other_life(target_id) is None:
             session.is_gone = True
         return session
 
+    @callback
+    def other_life(self, target_id: str) -> Target | None:
+        """Return another known life of the same target, the present one if there is."""
+        lives = [
+            target
+            for target in self._directory.targets_by_id.values()
+            if target.id != target_id and target.life.is_same_target(target_id)
+        ]
+        replaced_ids = self._directory.replaced_ids
+        return min(lives, key=lambda life: life.id in replaced_ids, default=None)
+
     @callback
     def is_lost(self, target_id: str, now: float) -> bool:
         """Return whether a target's keys should go elsewhere."""
         session = self._sessions_by_target.get(target_id)
         return session is not None and session.is_lost(now)
 
+    @callback
+    def forget_sessions(self, needed_ids: set[str], now: float) -> None:
+        """Drop sessions with targets that are gone and hold nothing any more."""
+        known_ids = needed_ids | self._directory.targets_by_id.keys()
+        for target_id in self._sessions_by_target.keys() - known_ids:
+            if now >= self._sessions_by_target[target_id].held_until:
+                del self._sessions_by_target[target_id]
+
+    @callback
+    def take_fence(self) -> int:
+        """Return a fence above all that were sent."""
+        return self._fences.take()
+
     async def async_release(
         self, target: Target, grant: KeyGrant, session: TargetSession
     ) -> str | None:
@@ -83,15 +124,50 @@
     ) -> bool:
         """Send one grant or renewal; return whether the target took it."""
         is_trial = session.is_failing
+        try:
+            taken = await self._async_send(target, segment, session)
+        except GrantRefusedError:
+            # It has seen a higher fence, from a release or a former assigner. The keys
+            # are its own all the same, since nobody else was granted them.
+            session.drop_fence(segment.fence)
+            taken = await self._async_send_last(target, segment, session)
+        if taken and is_trial:
+            # The target answers again; a grant that short would end before the next.
+            return await self._async_send_last(target, segment, session)
+        return taken
+
+    async def _async_send_last(
+        self, target: Target, segment: Segment, session: TargetSession
+    ) -> bool:
+        """Send a grant; return whether the target took it."""
+        try:
+            return await self._async_send(target, segment, session)
+        except GrantRefusedError:
+            # Somebody grants under higher fences than this instance has.
+            session.drop_fence(segment.fence)
+            return False
+
+    async def _async_send(
+        self, target: Target, segment: Segment, session: TargetSession
+    ) -> bool:
+        """Send a grant; return whether it was taken.
+
+        Raises `GrantRefusedError` when the target has seen a higher fence.
+        """
         hold = self._hold(session, suspend_aware_now())
+        call = GrantCall(
+            first=segment.first,
+            last=segment.last,
+            hold=hold,
+            handover=self.handovers_by_fence.get(segment.fence),
+            fence_over=lambda connection: session.fence_over(
+                connection, segment.fence, self._fences.take
+            ),
+            preferred_connection=session.connection_of(segment.fence),
+        )
         try:
             await self._control.async_grant(
-                target.address,
-                target.name,
-                KeyGrant(first=segment.first, last=segment.last, fence=segment.fence),
-                hold=hold,
-                handover=self.handovers_by_fence.get(segment.fence),
-                limit=CONTROL_TIMEOUT,
+                target.address, target.name, call, limit=CONTROL_TIMEOUT
             )
         except GrantRefusedError as err:
             log_message(
@@ -99,31 +175,31 @@
                 level="warning",
                 target=target.id,
                 first=segment.first,
-                fence=segment.fence,
+                last=segment.last,
+                fence=session.sent_fence(segment.fence),
                 error=str(err),
             )
             session.note_answer()
-            return False
+            raise
         except TargetReplacedError as err:
             log_message(message_type="target_replaced", target=target.id, by=str(err))
             session.is_gone = True
             return False
         except UnexpectedAnswerError as err:
-            self._note_unanswered(target, session, str(err))
+            # Something between here and the target may have passed the call on.
+            session.note_grant(suspend_aware_now(), hold)
+            self._note_unanswered(target, segment, session, hold, err)
             await self._async_identify(target, session)
             return False
         except TargetNotReachedError as err:
-            self._note_unanswered(target, session, str(err))
+            self._note_unanswered(target, segment, session, hold, err)
             return False
         except TargetUnreachableError as err:
             session.note_grant(suspend_aware_now(), hold)
-            self._note_unanswered(target, session, str(err))
+            self._note_unanswered(target, segment, session, hold, err)
             return False
         session.note_grant(suspend_aware_now(), hold)
         session.note_answer()
-        if is_trial:
-            # The target answers again; a grant that short would end before the next.
-            return await self.async_grant(target, segment, session)
         return True
 
     async def _async_identify(self, target: Target, session: TargetSession) -> None:
@@ -157,14 +233,35 @@
 
     @callback
     def _note_unanswered(
-        self, target: Target, session: TargetSession, reason: str
+        self,
+        target: Target,
+        segment: Segment,
+        session: TargetSession,
+        hold: float,
+        err: TargetUnreachableError,
     ) -> None:
-        """Note a call without an answer."""
-        if not session.is_failing:
-            log_message(
-                message_type="target_unanswered",
-                level="warning",
-                target=target.id,
-                reason=reason,
-            )
-        session.note_failure(suspend_aware_now())
+        """Note a grant without an answer, and tell what it may have left behind."""
+        now = suspend_aware_now()
+        session.note_failure(now)
+        match err:
+            case UnexpectedAnswerError():
+                outcome = "unexpected answer"
+            case TargetNotReachedError():
+                outcome = "not sent"
+            case _:
+                outcome = "written"
+        if not session.unanswered.is_due(now, outcome, type(err.__cause__).__name__):
+            return
+        log_message(
+            message_type="grant_unanswered",
+            level="warning",
+            target=target.id,
+            first=segment.first,
+            last=segment.last,
+            fence=session.sent_fence(segment.fence),
+            recorded_fence=segment.fence,
+            term=self._term,
+            hold=hold,
+            outcome=outcome,
+            reason=str(err),
+        )
--- a/swiftpin/keyranges/mover.py
+++ b/swiftpin/keyranges/mover.py
@@ -13,7 +13,9 @@
 from swiftpin.exceptions import TargetUnreachableError
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.keyranges.granter import Granter
+from swiftpin.keyranges.repeat_limit import RepeatLimit
 from swiftpin.keyranges.segment import Segment
+from swiftpin.model.target import Target
 from swiftpin.platform.target_control import (
     GrantRefusedError,
     KeyGrant,
@@ -32,6 +34,11 @@
     granted has ended, or when another target has its address; nothing else shows it. A
     refused connection does not: targets refuse when they are full, and so does a link
     that is cut, while other instances still reach the target.
+
+    A later life of the former owner shows that what the earlier one held has ended, but
+    it may hold the keys itself: grants under new fences go to whoever answers to the
+    name, and so may have reached it before its start was known here. So it gets the
+    release. Its answer shows both, and comes at once when it holds nothing.
     """
 
     def __init__(
@@ -53,48 +60,51 @@
         async with session.calls:
             # Renewals that were under way when the record changed have ended.
             held_until = session.held_until
-        grant = KeyGrant(first=segment.first, last=segment.last, fence=segment.fence)
+        grant = KeyGrant(
+            first=segment.first, last=segment.last, fence=self._granter.take_fence()
+        )
+        told = RepeatLimit()
         while True:
             now = suspend_aware_now()
             self._granter.session(segment.former)
             if session.is_gone or now >= held_until:
                 reason = "gone" if session.is_gone else "its grants have ended"
-                self._log_release(segment, "needless", reason)
+                _log_release(segment, grant.fence, "needless", reason)
                 return None
-            target = self._directory.targets_by_id.get(segment.former)
+            target = self._holder(segment.former)
             if target is None:
-                await asyncio.sleep(held_until - now)
+                # Its entry, or that of a later life, may still come.
+                await self._async_pause(held_until)
                 continue
             try:
                 handover = await self._granter.async_release(target, grant, session)
             except TargetReplacedError as err:
-                self._log_release(segment, "needless", str(err))
+                _log_release(segment, grant.fence, "needless", str(err))
                 return None
             except TargetNotReachedError as err:
-                self._log_release(segment, "not sent", str(err))
+                if told.is_due(now, "not sent", _reason_class(err)):
+                    _log_release(segment, grant.fence, "not sent", str(err))
                 await self._async_pause(held_until)
             except (TargetUnreachableError, GrantRefusedError) as err:
+                if told.is_due(now, "unanswered", _reason_class(err)):
+                    _log_release(segment, grant.fence, "unanswered", str(err))
                 # It may have taken the keys and let their work run on.
-                self._log_release(segment, "unanswered", str(err))
                 asked_at = now if asked_at is None else asked_at
                 await self._async_pause(held_until)
             else:
+                if target.id != segment.former:
+                    _log_later_life(segment, grant.fence, target)
+                # An unanswered release may have reached the later life already.
                 await self._async_wait_work(asked_at, held_until)
                 return handover
 
     @callback
-    def _log_release(self, segment: Segment, outcome: str, reason: str) -> None:
-        """Write a line for a release that brought no handover."""
-        log_message(
-            message_type="release_failed",
-            level="warning",
-            target=segment.former,
-            first=segment.first,
-            last=segment.last,
-            fence=segment.fence,
-            outcome=outcome,
-            reason=reason,
-        )
+    def _holder(self, target_id: str) -> Target | None:
+        """Return the life of a target to ask for its keys, None when none is known."""
+        target = self._directory.targets_by_id.get(target_id)
+        if target is not None and target_id not in self._directory.replaced_ids:
+            return target
+        return self._granter.other_life(target_id) or target
 
     async def _async_pause(self, until: float) -> None:
         """Wait before the next try, at most until a time."""
@@ -126,3 +136,37 @@
             if await self._granter.async_grant(target, segment, session):
                 return True
             await asyncio.sleep(RETRY_PAUSE)
+
+
+@callback
+def _reason_class(err: Exception) -> str:
+    """Return what tells failures of one kind from those of another."""
+    return f"{type(err).__name__} {type(err.__cause__).__name__}"
+
+
+@callback
+def _log_release(segment: Segment, fence: int, outcome: str, reason: str) -> None:
+    """Write a line for a release that brought no handover."""
+    log_message(
+        message_type="release_failed",
+        level="warning",
+        target=segment.former,
+        first=segment.first,
+        last=segment.last,
+        fence=fence,
+        outcome=outcome,
+        reason=reason,
+    )
+
+
+@callback
+def _log_later_life(segment: Segment, fence: int, holder: Target) -> None:
+    """Write a line for keys whose owner has started again since it got them."""
+    log_message(
+        message_type="released_by_later_life",
+        target=segment.former,
+        by=holder.id,
+        first=segment.first,
+        last=segment.last,
+        fence=fence,
+    )
--- a/swiftpin/keyranges/target_session.py
+++ b/swiftpin/keyranges/target_session.py
@@ -3,19 +3,43 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Final
 
 from swiftpin.core import callback
 from swiftpin.keyranges.const import CLOCK_DRIFT, HOLD_MARGIN
+from swiftpin.keyranges.repeat_limit import RepeatLimit
 
 SILENT_LIMIT: Final = 1.2
 """Seconds without an answer to any call after which a target's keys go elsewhere."""
 
+UNANSWERED_LOG_INTERVAL: Final = 1.0
+"""Seconds between two lines about grants that a target left unanswered for the same
+reason: a silent target is tried four times a second, for each segment."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SentFence:
+    """A fence and the number of the one connection over which it is sent."""
+
+    fence: int
+    connection: int
+
 
 class TargetSession:
-    """What is known of one target's answers, and until when it may hold keys."""
+    """What is known of one target's answers, and until when it may hold keys.
+
+    A target that ended and started again under its name answers the calls that were
+    meant for its earlier life. It would take a renewal, since it knows no fence; then
+    two lives had the same keys under the same fence, and a grant of the earlier life
+    that comes late is as good as the new one's. A connection leads to one life only, so
+    each fence is sent over one connection only: whoever a new connection leads to gets
+    a fence above all before it.
+    """
 
     def __init__(self) -> None:
+        self.unanswered = RepeatLimit(UNANSWERED_LOG_INTERVAL)
         self.calls = asyncio.Lock()
         """Held while renewals are under way, so that none overtakes a release."""
 
@@ -26,6 +50,45 @@
         """Whether another target has the address, so that this one has ended."""
 
         self._failing_since: float | None = None
+        self._sent_by_segment: dict[int, SentFence] = {}
+        """Fences in use, by the fence under which a segment was recorded."""
+
+    @callback
+    def fence_over(
+        self, connection: int, segment_fence: int, take: Callable[[], int]
+    ) -> int:
+        """Return the fence that a segment is granted under over a connection.
+
+        It is the one sent over this connection before, else a new one from `take`.
+        """
+        sent = self._sent_by_segment.get(segment_fence)
+        if sent is None or sent.connection != connection:
+            sent = SentFence(fence=take(), connection=connection)
+            self._sent_by_segment[segment_fence] = sent
+        return sent.fence
+
+    @callback
+    def connection_of(self, segment_fence: int) -> int | None:
+        """Return the connection over which a segment's fence was sent, if any."""
+        sent = self._sent_by_segment.get(segment_fence)
+        return None if sent is None else sent.connection
+
+    @callback
+    def sent_fence(self, segment_fence: int) -> int | None:
+        """Return the fence sent last for a segment, None before the first."""
+        sent = self._sent_by_segment.get(segment_fence)
+        return None if sent is None else sent.fence
+
+    @callback
+    def drop_fence(self, segment_fence: int) -> None:
+        """Have the next grant of a segment sent under a new fence."""
+        self._sent_by_segment.pop(segment_fence, None)
+
+    @callback
+    def keep_fences(self, segment_fences: set[int]) -> None:
+        """Forget the fences of all other segments."""
+        for segment_fence in self._sent_by_segment.keys() - segment_fences:
+            del self._sent_by_segment[segment_fence]
 
     @callback
     def note_grant(self, arrived_at: float, hold: float) -> None:
--- a/swiftpin/keyranges/target_speed.py
+++ b/swiftpin/keyranges/target_speed.py
@@ -62,7 +62,8 @@
         return slots * good / (self.mean_time * max(factor, FASTEST))
 
     @callback
-    def forget(self, target: str) -> None:
-        """Drop what is known of a target."""
-        self._factors_by_target.pop(target, None)
-        self._errors_by_target.pop(target, None)
+    def keep(self, targets: set[str]) -> None:
+        """Drop what is known of all other targets."""
+        for by_target in (self._factors_by_target, self._errors_by_target):
+            for target in by_target.keys() - targets:
+                del by_target[target]
--- a/swiftpin/model/target_life.py
+++ b/swiftpin/model/target_life.py
@@ -28,3 +28,8 @@
     def __post_init__(self) -> None:
         started = "" if self.started_ms is None else f"@{self.started_ms}"
         object.__setattr__(self, "id", f"{self.name}{started}")
+
+    def is_same_target(self, life_id: str) -> bool:
+        """Return whether an id is that of a life of the same target."""
+        name, _, started = life_id.rpartition("@")
+        return life_id == self.name or (name == self.name and started.isdecimal())
--- a/swiftpin/platform/target_control.py
+++ b/swiftpin/platform/target_control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Final
@@ -53,6 +54,21 @@
     fence: int
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GrantCall:
+    """Keys `first` to `last`, both included, to be granted for `hold` seconds."""
+
+    first: int
+    last: int
+    hold: float
+    handover: str | None
+    fence_over: Callable[[int], int]
+    """Called with the number of the connection that the call goes over, once it is
+    open; returns the fence."""
+
+    preferred_connection: int | None = None
+
+
 class UnexpectedAnswerError(TargetUnreachableError):
     """Something answers at the address that does not take the call."""
 
@@ -76,22 +92,33 @@
         self,
         address: str,
         target_id: str,
-        grant: KeyGrant,
+        call: GrantCall,
         *,
-        hold: float,
-        handover: str | None,
         limit: float,
     ) -> None:
-        """Give or renew keys for `hold` seconds from the call's arrival.
+        """Give or renew keys; their time counts from the call's arrival.
 
         Raises `GrantRefusedError`, `TargetReplacedError` or `TargetUnreachableError`;
         after the last one the grant may still take effect, seconds later.
         """
-        document = _document(grant)
-        document["hold_ms"] = int(hold * MILLISECONDS)
-        if handover is not None:
-            document["handover"] = handover
-        await self._async_call(address, target_id, PATH_GRANT, document, limit)
+        state = HttpSendState()
+        try:
+            async with asyncio.timeout(limit):
+                connection = await self._client.async_connection(
+                    address, preferred=call.preferred_connection
+                )
+                fence = call.fence_over(connection.number)
+                request = _request(
+                    address, target_id, PATH_GRANT, _grant_document(call, fence)
+                )
+                answer = await _async_read(
+                    await self._client.async_exchange_over(
+                        connection, request, state, self._gate
+                    )
+                )
+        except (RequestNotSentError, AnswerBrokenError, TimeoutError) as err:
+            raise _unreachable(target_id, state, err) from err
+        _check(address, target_id, answer)
 
     async def async_release(
         self, address: str, target_id: str, grant: KeyGrant, *, limit: float
@@ -100,9 +127,14 @@
 
         Raises the same errors as `async_grant`.
         """
-        return await self._async_call(
-            address, target_id, PATH_RELEASE, _document(grant), limit
-        )
+        state = HttpSendState()
+        request = _request(address, target_id, PATH_RELEASE, _document(grant))
+        try:
+            answer = await self._async_exchange(address, request, state, limit)
+        except (RequestNotSentError, AnswerBrokenError, TimeoutError) as err:
+            raise _unreachable(target_id, state, err) from err
+        _check(address, target_id, answer)
+        return answer.headers.get(HEADER_HANDOVER)
 
     async def async_identify(
         self, address: str, health_path: str, *, limit: float
@@ -128,56 +160,64 @@
     ) -> HttpAnswer:
         """Make one exchange and read its answer to the end."""
         async with asyncio.timeout(limit):
-            answer = await self._client.async_exchange(
-                address, request, state, self._gate
+            return await _async_read(
+                await self._client.async_exchange(address, request, state, self._gate)
             )
-            try:
-                await answer.async_read_whole()
-            finally:
-                answer.finish(monotonic_now())
-        return answer
 
-    async def _async_call(
-        self,
-        address: str,
-        target_id: str,
-        path: str,
-        document: dict[str, int | str],
-        limit: float,
-    ) -> str | None:
-        """Make one call and return the handover of its answer."""
-        request = HttpRequest(
-            method=METHOD,
-            path=path,
-            headers=CIMultiDict(
-                {
-                    HOST: address,
-                    CONTENT_TYPE: JSON_TYPE,
-                    HEADER_EXPECTED: target_id,
-                }
-            ),
-            body=WholeBody(orjson.dumps(document)),
-        )
-        state = HttpSendState()
-        try:
-            answer = await self._async_exchange(address, request, state, limit)
-        except RequestNotSentError as err:
-            raise TargetNotReachedError(f"{target_id}: {err}") from err
-        except (AnswerBrokenError, TimeoutError) as err:
-            if not state.written:
-                raise TargetNotReachedError(f"{target_id}: {err!r}") from err
-            raise TargetUnreachableError(f"{target_id}: {err!r}") from err
-        other = answer.headers.get(HEADER_INSTANCE)
-        is_misdirected = answer.status == HTTPStatus.MISDIRECTED_REQUEST
-        if other != target_id and (is_misdirected or other is not None):
-            raise TargetReplacedError(f"{other} answers at {address}")
-        if answer.status == HTTPStatus.CONFLICT:
-            raise GrantRefusedError(f"{target_id} has seen a higher fence")
-        if answer.status != HTTPStatus.OK:
-            raise UnexpectedAnswerError(f"{target_id}: status {answer.status}")
-        return answer.headers.get(HEADER_HANDOVER)
+
+async def _async_read(answer: HttpAnswer) -> HttpAnswer:
+    """Read an answer to its end and give its connection back."""
+    try:
+        await answer.async_read_whole()
+    finally:
+        answer.finish(monotonic_now())
+    return answer
+
+
+def _request(
+    address: str, target_id: str, path: str, document: dict[str, int | str]
+) -> HttpRequest:
+    """Return a call to whoever answers to an id at an address."""
+    return HttpRequest(
+        method=METHOD,
+        path=path,
+        headers=CIMultiDict(
+            {HOST: address, CONTENT_TYPE: JSON_TYPE, HEADER_EXPECTED: target_id}
+        ),
+        body=WholeBody(orjson.dumps(document)),
+    )
+
+
+def _unreachable(
+    target_id: str, state: HttpSendState, err: Exception
+) -> TargetUnreachableError:
+    """Return the error for a call without an answer."""
+    if state.written:
+        return TargetUnreachableError(f"{target_id}: {err!r}")
+    return TargetNotReachedError(f"{target_id}: {err!r}")
+
+
+def _check(address: str, target_id: str, answer: HttpAnswer) -> None:
+    """Raise the error that an answer stands for."""
+    other = answer.headers.get(HEADER_INSTANCE)
+    is_misdirected = answer.status == HTTPStatus.MISDIRECTED_REQUEST
+    if other != target_id and (is_misdirected or other is not None):
+        raise TargetReplacedError(f"{other} answers at {address}")
+    if answer.status == HTTPStatus.CONFLICT:
+        raise GrantRefusedError(f"{target_id} has seen a higher fence")
+    if answer.status != HTTPStatus.OK:
+        raise UnexpectedAnswerError(f"{target_id}: status {answer.status}")
 
 
 def _document(grant: KeyGrant) -> dict[str, int | str]:
     """Return the body that names keys and fence."""
     return {"from": grant.first, "to": grant.last, "fence": grant.fence}
+
+
+def _grant_document(call: GrantCall, fence: int) -> dict[str, int | str]:
+    """Return the body of a grant."""
+    grant = KeyGrant(first=call.first, last=call.last, fence=fence)
+    document = _document(grant) | {"hold_ms": int(call.hold * MILLISECONDS)}
+    if call.handover is not None:
+        document["handover"] = call.handover
+    return document
--- a/tests/keyranges/test_granter.py
+++ b/tests/keyranges/test_granter.py
@@ -12,11 +12,17 @@
 from swiftpin.exceptions import TargetUnreachableError
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.keyranges.const import CLOCK_DRIFT, HOLD_MARGIN, HOLD_TIME
+from swiftpin.keyranges.fences import Fences
 from swiftpin.keyranges.granter import Granter
 from swiftpin.keyranges.segment import Segment
 from swiftpin.model.target import Target
 from swiftpin.model.target_life import TargetLife
-from swiftpin.platform.target_control import KeyGrant, TargetControl
+from swiftpin.platform.target_control import (
+    GrantCall,
+    GrantRefusedError,
+    TargetControl,
+    TargetNotReachedError,
+)
 
 SEGMENT = Segment(first=0, last=9, owner="a", fence=5)
 TARGET = Target(
@@ -32,10 +38,14 @@
 
 
 class FakeControl:
-    """Takes grants, or loses their answers."""
+    """Takes grants over one connection, or loses their answers."""
 
     def __init__(self) -> None:
+        self.connection = 1
+        self.fences: list[int] = []
         self.holds: list[float] = []
+        self.seen_fence = 0
+        self.refuses_connections = False
         self.loses_answers = False
         self.delay = 0.0
 
@@ -43,17 +53,22 @@
         self,
         address: str,
         target_id: str,
-        grant: KeyGrant,
+        call: GrantCall,
         *,
-        hold: float,
-        handover: str | None,
         limit: float,
     ) -> None:
-        """Note the time of a grant."""
-        self.holds.append(hold)
+        """Note fence and time of a grant."""
+        if self.refuses_connections:
+            raise TargetNotReachedError("refused")
+        fence = call.fence_over(self.connection)
+        self.fences.append(fence)
+        self.holds.append(call.hold)
         await asyncio.sleep(self.delay)
         if self.loses_answers:
+            self.connection += 1
             raise TargetUnreachableError("lost")
+        if fence < self.seen_fence:
+            raise GrantRefusedError("a has seen a higher fence")
 
 
 @pytest.fixture(name="control")
@@ -70,6 +85,8 @@
         directory=TargetDirectory(StoreHealth(), 2.0),
         health_path="/health",
         usual_hold=lambda: HOLD_TIME,
+        fences=Fences(),
+        term=1,
     )
 
 
--- a/tests/keyranges/test_mover.py
+++ b/tests/keyranges/test_mover.py
@@ -11,6 +11,7 @@
 from swiftpin.discovery.target_directory import TargetDirectory
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.keyranges.const import HOLD_TIME
+from swiftpin.keyranges.fences import Fences
 from swiftpin.keyranges.granter import Granter
 from swiftpin.keyranges.mover import Mover
 from swiftpin.keyranges.segment import Segment
@@ -78,6 +79,8 @@
         control=cast(TargetControl, control),
         directory=directory,
         health_path="/health",
+        fences=Fences(),
+        term=1,
         usual_hold=lambda: HOLD_TIME,
     )
 
--- a/tests/keyranges/test_range_assigner.py
+++ b/tests/keyranges/test_range_assigner.py
@@ -21,6 +21,7 @@
 from swiftpin.model.target_life import TargetLife
 from swiftpin.platform.store_client import StoreClient
 from swiftpin.platform.target_control import (
+    GrantCall,
     GrantRefusedError,
     KeyGrant,
     TargetControl,
@@ -47,17 +48,22 @@
     def __init__(self) -> None:
         self.seen_by_target: dict[str, int] = {}
         self.granted_by_target: dict[str, list[int]] = {"a": [], "b": []}
+        self.released_by_target: dict[str, list[int]] = {"a": [], "b": []}
 
     async def async_grant(
-        self, address: str, target_id: str, grant: KeyGrant, **rest: object
+        self, address: str, target_id: str, call: GrantCall, **rest: object
     ) -> None:
         """Take a grant, or refuse it."""
-        if grant.fence < self.seen_by_target.get(target_id, 0):
+        fence = call.fence_over(1)
+        if fence < self.seen_by_target.get(target_id, 0):
             raise GrantRefusedError(target_id)
-        self.granted_by_target[target_id].append(grant.fence)
+        self.granted_by_target[target_id].append(fence)
 
-    async def async_release(self, *args: object, **rest: object) -> str:
+    async def async_release(
+        self, address: str, target_id: str, grant: KeyGrant, **rest: object
+    ) -> str:
         """Take keys back."""
+        self.released_by_target[target_id].append(grant.fence)
         return "handover"
 
 
@@ -102,7 +108,7 @@
         count_members=lambda: 1,
         longest_request=lambda: 1.0,
     )
-    assigner._assignment = Assignment(
+    assigner._state.assignment = Assignment(
         segments=(
             Segment(first=0, last=99, owner="a", fence=5),
             Segment(first=100, last=65535, owner="b", fence=5),
@@ -129,11 +135,13 @@
     targets.seen_by_target["a"] = 2_000_009
     plan = asyncio.create_task(assigner._async_plan_once(0.0))
     await store.is_asked.wait()
-    await assigner._async_renew("a")
+    await assigner._renewer.async_renew("a")
     store.may_answer.set()
     await plan
-    while assigner._moves_by_first:
-        await asyncio.gather(*assigner._moves_by_first.values())
+    while moves := assigner._moves._moves_by_first:
+        await asyncio.gather(*moves.values())
+    assert targets.granted_by_target["a"]
+    assert max(targets.granted_by_target["a"]) < min(targets.released_by_target["a"])
     assert targets.granted_by_target["b"]
     assert max(targets.granted_by_target["a"], default=0) < min(
         targets.granted_by_target["b"]
@@ -145,5 +153,5 @@
 ) -> None:
     """Without a plan on its way a refused renewal is made again under a new fence."""
     targets.seen_by_target["a"] = 2_000_009
-    await assigner._async_renew("a")
+    await assigner._renewer.async_renew("a")
     assert targets.granted_by_target["a"] == [3_000_001]
