--- a/swiftpin/keyranges/granter.py
+++ b/swiftpin/keyranges/granter.py
@@ -102,16 +102,20 @@
     async def async_release(
         self, target: Target, grant: KeyGrant, session: TargetSession
     ) -> str | None:
-        """Send one release."""
+        """Send one release to a target; its answer or silence goes to `session`.
+
+        The session is that of the life that had the keys, which may be an earlier one.
+        """
         try:
             handover = await self._control.async_release(
                 target.address, target.name, grant, limit=RELEASE_TIMEOUT
             )
         except TargetReplacedError:
-            session.is_gone = True
+            self.session(target.id).is_gone = True
             raise
         except UnexpectedAnswerError:
-            await self._async_identify(target, session)
+            session.note_failure(suspend_aware_now())
+            await self._async_identify(target)
             raise
         except TargetUnreachableError:
             session.note_failure(suspend_aware_now())
@@ -189,7 +193,7 @@
             # Something between here and the target may have passed the call on.
             session.note_grant(suspend_aware_now(), hold)
             self._note_unanswered(target, segment, session, hold, err)
-            await self._async_identify(target, session)
+            await self._async_identify(target)
             return False
         except TargetNotReachedError as err:
             self._note_unanswered(target, segment, session, hold, err)
@@ -202,7 +206,7 @@
         session.note_answer()
         return True
 
-    async def _async_identify(self, target: Target, session: TargetSession) -> None:
+    async def _async_identify(self, target: Target) -> None:
         """Find out whether another target has the address by now.
 
         One of another service does not take grants and may not say who it is; then
@@ -212,10 +216,9 @@
             target.address, self._health_path, limit=CONTROL_TIMEOUT
         )
         if found is None or found == target.name:
-            session.note_failure(suspend_aware_now())
             return
         log_message(message_type="target_replaced", target=target.id, by=found)
-        session.is_gone = True
+        self.session(target.id).is_gone = True
         self._directory.note_replaced(target.id, suspend_aware_now())
 
     @callback
--- a/swiftpin/keyranges/mover.py
+++ b/swiftpin/keyranges/mover.py
@@ -79,8 +79,13 @@
             try:
                 handover = await self._granter.async_release(target, grant, session)
             except TargetReplacedError as err:
-                _log_release(segment, grant.fence, "needless", str(err))
-                return None
+                if self._has_address(segment.former, target):
+                    _log_release(segment, grant.fence, "needless", str(err))
+                    session.is_gone = True
+                    return None
+                if told.is_due(now, "misdirected"):
+                    _log_release(segment, grant.fence, "misdirected", str(err))
+                await self._async_pause(held_until)
             except TargetNotReachedError as err:
                 if told.is_due(now, "not sent", _reason_class(err)):
                     _log_release(segment, grant.fence, "not sent", str(err))
@@ -98,6 +103,16 @@
                 await self._async_wait_work(asked_at, held_until)
                 return handover
 
+    @callback
+    def _has_address(self, target_id: str, other: Target) -> bool:
+        """Return whether a target is known to have had another one's address.
+
+        Who answers at the address of a later life says nothing of the earlier one's:
+        an entry of another writer may name any address.
+        """
+        target = self._directory.targets_by_id.get(target_id)
+        return target is not None and target.address == other.address
+
     @callback
     def _holder(self, target_id: str) -> Target | None:
         """Return the life of a target to ask for its keys, None when none is known."""
--- /dev/null
+++ b/tests/keyranges/conftest.py
@@ -0,0 +1,20 @@
+"""Shared fixtures of the tests of key ranges."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+from eliot import add_destinations, remove_destination
+import pytest
+
+
+@pytest.fixture(name="lines")
+def lines_fixture() -> Iterator[list[dict[str, Any]]]:
+    """Return the log lines that are written while a test runs."""
+    lines: list[dict[str, Any]] = []
+    # A first destination also gets what was kept before; that is not this test's.
+    add_destinations(lines.append)
+    lines.clear()
+    yield lines
+    remove_destination(lines.append)
--- a/tests/keyranges/test_assignment.py
+++ b/tests/keyranges/test_assignment.py
@@ -79,3 +79,42 @@
     assert covered(joined) == list(range(KEYS))
     assert joined.segments[0].last == KEYS // 4 - 1
     assert joined.segments[0].fence == 90
+
+
+def test_record_tells_the_longest_grant(assignment: Assignment) -> None:
+    """A successor reads for how long to wait; an older version's record has nothing."""
+    told = replace(assignment, longest_hold=5.9)
+    assert decode_assignment(encode_assignment(told)) == told
+    assert decode_assignment(encode_assignment(assignment)).longest_hold is None
+
+
+def test_every_change_keeps_the_longest_grant(assignment: Assignment) -> None:
+    """Symptom: a successor waited for too short. Sequence: a plan was recorded.
+
+    Cause: the changed assignment was made without what the record had told.
+    """
+    told = replace(assignment, longest_hold=5.9)
+    moved = told.with_moves([Move(first=0, last=0, source="a", to="c")], 9)
+    assert moved.longest_hold == 5.9
+    assert moved.with_joined(90, 10)[0].longest_hold == 5.9
+    assert moved.with_replaced(moved.segments[0], moved.segments[0]) == moved
+    assert moved.without_finished(told).longest_hold == 5.9
+
+
+def test_moves_that_ended_while_a_plan_was_recorded_stay_ended(
+    assignment: Assignment,
+) -> None:
+    """Symptom: a key stayed without an owner for good.
+
+    Sequence: a move ended while a plan that showed it was written to the record.
+    Cause: the plan took the place of what was known by then.
+    """
+    moving = assignment.with_moves([Move(first=0, last=9, source="a", to="c")], 50)
+    planned = moving.with_moves([Move(first=20, last=29, source="a", to="b")], 60)
+    ended = moving.with_replaced(
+        moving.segments[0], replace(moving.segments[0], former="")
+    )
+    after = planned.without_finished(ended)
+    assert after.segment_of(5).former == ""
+    assert after.segment_of(25).former == "a"
+    assert planned.without_finished(moving) == planned
--- a/tests/keyranges/test_granter.py
+++ b/tests/keyranges/test_granter.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from typing import cast
+from dataclasses import replace
+from typing import Any, cast
 
 import pytest
 
@@ -77,12 +78,18 @@
     return FakeControl()
 
 
+@pytest.fixture(name="directory")
+def directory_fixture() -> TargetDirectory:
+    """Return a directory without targets."""
+    return TargetDirectory(StoreHealth(), 2.0)
+
+
 @pytest.fixture(name="granter")
-def granter_fixture(control: FakeControl) -> Granter:
+def granter_fixture(control: FakeControl, directory: TargetDirectory) -> Granter:
     """Return a granter that gives the usual time."""
     return Granter(
         control=cast(TargetControl, control),
-        directory=TargetDirectory(StoreHealth(), 2.0),
+        directory=directory,
         health_path="/health",
         usual_hold=lambda: HOLD_TIME,
         fences=Fences(),
@@ -139,3 +146,138 @@
     started = suspend_aware_now()
     await granter.async_grant(TARGET, SEGMENT, session)
     assert session.held_until >= started + 0.5 + HOLD_TIME * CLOCK_DRIFT
+
+
+async def test_renewal_keeps_its_fence_on_its_connection(
+    granter: Granter, control: FakeControl
+) -> None:
+    """At rest no fence is spent, and every renewal goes over the same connection."""
+    session = granter.session("a")
+    for _ in range(3):
+        assert await granter.async_grant(TARGET, SEGMENT, session)
+    assert len(set(control.fences)) == 1
+    assert session.connection_of(SEGMENT.fence) == control.connection
+
+
+async def test_renewal_over_a_new_connection_has_a_higher_fence(
+    granter: Granter, control: FakeControl
+) -> None:
+    """Symptom: a target took keys under a fence that its earlier life had.
+
+    Sequence: a target started again under its name, and its connections broke; the
+    next renewal went over a new one. Cause: it repeated the fence.
+    """
+    session = granter.session("a")
+    assert await granter.async_grant(TARGET, SEGMENT, session)
+    control.connection += 1
+    assert await granter.async_grant(TARGET, SEGMENT, session)
+    assert control.fences[1] > control.fences[0]
+
+
+async def test_grant_without_an_answer_is_not_repeated_under_its_fence(
+    granter: Granter, control: FakeControl
+) -> None:
+    """Symptom: two lives of a target had the same keys under one fence.
+
+    Sequence: a grant reached a target, which ended before it answered; the second try
+    reached its next life. Cause: the second try repeated the fence.
+    """
+    session = granter.session("a")
+    control.loses_answers = True
+    assert not await granter.async_grant(TARGET, SEGMENT, session)
+    control.loses_answers = False
+    assert await granter.async_grant(TARGET, SEGMENT, session)
+    assert control.fences[1] > control.fences[0]
+
+
+async def test_refused_connections_spend_no_fence(
+    granter: Granter, control: FakeControl
+) -> None:
+    """Symptom: the fences of a term ran into those of the next one.
+
+    Sequence: a target refused connections for hours, four times a second.
+    Cause: each try took a fence, though nothing was sent.
+    """
+    session = granter.session("a")
+    before = granter._fences.next
+    control.refuses_connections = True
+    assert not await granter.async_grant(TARGET, SEGMENT, session)
+    assert granter._fences.next == before
+
+
+async def test_refused_grant_is_sent_again_under_a_new_fence(
+    granter: Granter, control: FakeControl
+) -> None:
+    """A target that has seen a higher fence keeps the keys that are its own."""
+    session = granter.session("a")
+    control.seen_fence = 2
+    assert await granter.async_grant(TARGET, SEGMENT, session)
+    assert control.fences == [1, 2]
+
+
+async def test_grant_that_is_refused_for_good_is_given_up(
+    granter: Granter, control: FakeControl
+) -> None:
+    """Where another instance grants under higher fences, two tries are made."""
+    control.seen_fence = 99
+    assert not await granter.async_grant(TARGET, SEGMENT, granter.session("a"))
+    assert len(control.fences) == 2
+
+
+async def test_each_kind_of_unanswered_grant_is_told_once_a_second(
+    granter: Granter, control: FakeControl, lines: list[dict[str, Any]]
+) -> None:
+    """Symptom: nothing told which keys a grant without an answer may have given.
+
+    Sequence: grants to a silent target were given up. Cause: only the first failure of
+    a target was told, without keys, fence and hold.
+    """
+    session = granter.session("a")
+    control.loses_answers = True
+    for _ in range(3):
+        await granter.async_grant(TARGET, SEGMENT, session)
+    control.refuses_connections = True
+    await granter.async_grant(TARGET, SEGMENT, session)
+    told = [line for line in lines if line["message_type"] == "grant_unanswered"]
+    assert [line["outcome"] for line in told] == ["written", "not sent"]
+    first = told[0]
+    assert (first["target"], first["first"], first["last"]) == ("a", 0, 9)
+    assert (first["fence"], first["term"], first["hold"]) == (1, 1, HOLD_TIME)
+    assert first["reason"] == "lost"
+
+
+def make_target(born: int, address: str) -> Target:
+    """Return a life of target a."""
+    return replace(TARGET, life=TargetLife(name="a", started_ms=born), address=address)
+
+
+def test_replaced_target_is_gone_unless_it_started_again(
+    granter: Granter, directory: TargetDirectory
+) -> None:
+    """Symptom: two targets held the same keys.
+
+    Sequence: a target started again; a grant under a new fence reached its new life;
+    then its start became known, and its keys were granted on at once.
+    Cause: the earlier life was taken for gone with all that was sent to its name.
+    """
+    directory.replaced_ids.add("a@1")
+    assert granter.session("a@1").is_gone
+    for target in (make_target(2, "a:1"), make_target(3, "a:1")):
+        directory.targets_by_id[target.id] = target
+    directory.replaced_ids |= {"a@2", "b@1"}
+    found = granter.other_life("a@1")
+    assert found is not None
+    assert found.id == "a@3"
+    directory.replaced_ids.add("a@7")
+    assert not granter.session("a@7").is_gone
+    assert granter.session("b@1").is_gone
+
+
+def test_sessions_of_lives_that_hold_nothing_are_forgotten(granter: Granter) -> None:
+    """Each start of a target brings a session; they must not pile up."""
+    granter.session("a@1").note_grant(10.0, HOLD_TIME)
+    granter.session("a@2").note_grant(10.0, HOLD_TIME)
+    granter.forget_sessions({"a@2"}, 12.0)
+    assert set(granter._sessions_by_target) == {"a@1", "a@2"}
+    granter.forget_sessions({"a@2"}, 20.0)
+    assert set(granter._sessions_by_target) == {"a@2"}
--- a/tests/keyranges/test_mover.py
+++ b/tests/keyranges/test_mover.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
-from typing import cast
+from dataclasses import replace
+from typing import Any, cast
 
 import pytest
 
 from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.discovery.target_directory import TargetDirectory
+from swiftpin.exceptions import TargetUnreachableError
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.keyranges.const import HOLD_TIME
 from swiftpin.keyranges.fences import Fences
@@ -38,12 +41,16 @@
     def __init__(self) -> None:
         self.errors: Callable[[], Exception] | None = None
         self.releases = 0
+        self.addresses: list[str] = []
+        self.fences: list[int] = []
 
     async def async_release(
         self, address: str, target_id: str, grant: KeyGrant, *, limit: float
     ) -> str | None:
         """Take keys back, or fail."""
         self.releases += 1
+        self.addresses.append(address)
+        self.fences.append(grant.fence)
         if self.errors is not None:
             raise self.errors()
         return "handover"
@@ -145,3 +152,114 @@
     """The former owner's answer frees its keys."""
     assert await mover.async_take_back(SEGMENT, None) == "handover"
     assert suspend_aware_now() < session.held_until
+
+
+def add_life(directory: TargetDirectory, born: int, address: str) -> None:
+    """Have target a known to have started again."""
+    former = directory.targets_by_id["a"]
+    life = TargetLife(name="a", started_ms=born)
+    directory.targets_by_id[life.id] = replace(former, life=life, address=address)
+    directory.replaced_ids.add("a")
+
+
+@pytest.mark.parametrize("address", ["a:1", "a:2"])
+async def test_later_life_answers_for_the_earlier_one(
+    mover: Mover,
+    control: ReleaseControl,
+    session: TargetSession,
+    directory: TargetDirectory,
+    address: str,
+) -> None:
+    """Symptom: two targets held the same keys, or keys waited for a life that ended.
+
+    Sequence: a target started again; a renewal under a new fence reached the new life;
+    then its start became known, and the keys were granted on. Cause: a known restart
+    was taken for the end of all that was sent to the name, without asking the new life.
+    """
+    add_life(directory, 2, address)
+    assert await mover.async_take_back(SEGMENT, None) == "handover"
+    assert control.addresses == [address]
+    assert suspend_aware_now() < session.held_until
+
+
+async def test_silent_later_life_is_waited_for(
+    mover: Mover,
+    control: ReleaseControl,
+    session: TargetSession,
+    directory: TargetDirectory,
+) -> None:
+    """What was sent to the name may have reached the new life, so it counts."""
+    add_life(directory, 2, "a:1")
+    control.errors = lambda: TargetUnreachableError("a: no answer")
+    assert await mover.async_take_back(SEGMENT, None) is None
+    assert suspend_aware_now() >= session.held_until
+
+
+async def test_entry_with_a_strangers_address_frees_nothing(
+    mover: Mover,
+    control: ReleaseControl,
+    session: TargetSession,
+    directory: TargetDirectory,
+) -> None:
+    """Symptom: two targets held the same keys.
+
+    Sequence: another writer registered a target under a running one's name, at a third
+    one's address; the release of the running one's keys went there.
+    Cause: the stranger's answer was taken for the end of the target that had the keys.
+    """
+    add_life(directory, 2, "c:1")
+    control.errors = lambda: TargetReplacedError("c answers at c:1")
+    assert await mover.async_take_back(SEGMENT, None) is None
+    assert suspend_aware_now() >= session.held_until
+
+
+async def test_life_that_registers_during_the_wait_is_asked(
+    mover: Mover,
+    control: ReleaseControl,
+    session: TargetSession,
+    directory: TargetDirectory,
+) -> None:
+    """A successor knows only the present life, and asks it once it is known."""
+    former = directory.targets_by_id.pop("a")
+    task = asyncio.create_task(mover.async_take_back(SEGMENT, None))
+    await asyncio.sleep(0)
+    assert not control.addresses
+    directory.targets_by_id["a"] = former
+    add_life(directory, 2, "a:2")
+    del directory.targets_by_id["a"]
+    assert await task == "handover"
+    assert suspend_aware_now() < session.held_until
+
+
+async def test_release_has_a_fence_above_all_grants_before(
+    mover: Mover, granter: Granter, control: ReleaseControl, session: TargetSession
+) -> None:
+    """Symptom: a grant that came late was taken after the release of its keys.
+
+    Sequence: a renewal under a new fence was sent after the move had been planned; the
+    release had the fence of the plan. Cause: the target had seen a higher one.
+    """
+    sent = granter.take_fence()
+    await mover.async_take_back(SEGMENT, None)
+    assert control.fences[0] > sent
+    assert suspend_aware_now() < session.held_until
+
+
+async def test_failed_release_is_told_when_its_outcome_changes(
+    mover: Mover,
+    control: ReleaseControl,
+    session: TargetSession,
+    lines: list[dict[str, Any]],
+) -> None:
+    """Symptom: six lines a second for each move away from a silent target.
+
+    Sequence: a release was tried until the target's grants had ended.
+    Cause: each try wrote a line, whatever the last one had told.
+    """
+    errors = [TargetNotReachedError("refused"), TargetUnreachableError("lost")]
+    control.errors = lambda: errors[control.releases > 2]
+    await mover.async_take_back(SEGMENT, None)
+    told = [line for line in lines if line["message_type"] == "release_failed"]
+    assert control.releases > 3
+    outcomes = [line["outcome"] for line in told]
+    assert outcomes == ["not sent", "unanswered", "needless"]
--- a/tests/keyranges/test_target_session.py
+++ b/tests/keyranges/test_target_session.py
@@ -28,3 +28,33 @@
     session.note_answer()
     session.note_failure(10.0 + SILENT_LIMIT)
     assert not session.is_lost(10.0 + SILENT_LIMIT)
+
+
+def test_fence_belongs_to_one_connection() -> None:
+    """Symptom: a target took keys under a fence that its earlier life had.
+
+    Sequence: the connection broke in a restart; the renewal went over another one.
+    Cause: nothing tied the fence to the life that it had been sent to.
+    """
+    session = TargetSession()
+    fences = iter((11, 12, 13, 14))
+    take = fences.__next__
+    assert session.fence_over(1, 5, take) == 11
+    assert session.fence_over(1, 5, take) == 11
+    assert session.fence_over(1, 6, take) == 12
+    assert session.fence_over(2, 5, take) == 13
+    # Back on the first connection the first fence would be below the last.
+    assert session.fence_over(1, 5, take) == 14
+
+
+def test_fences_of_segments_that_are_gone_are_forgotten() -> None:
+    """Cuts, joins and moves leave fences behind."""
+    session = TargetSession()
+    fences = iter((11, 12))
+    for segment_fence in (5, 6):
+        session.fence_over(1, segment_fence, fences.__next__)
+    session.keep_fences({6})
+    assert session.sent_fence(5) is None
+    assert session.connection_of(6) == 1
+    session.drop_fence(6)
+    assert session.connection_of(6) is None
