Let target T of the key-range model start again

Change: T restarts once, at any time, under its name; fences are numbers, and a second invariant asks that the range passes on under higher fences only, also to T's next life.

--- a/spec/cases.py
+++ b/spec/cases.py
@@ -51,7 +51,7 @@
         ),
         ModelCase(
             protocol=key_range("ranges", RangeWeakness()),
-            covers="lease and votes, paused assigner, late grants, lost answers",
+            covers="lease, votes, pause, late grants, lost answers, T restarts",
         ),
     ]
 
--- a/spec/ranges/model.py
+++ b/spec/ranges/model.py
@@ -7,8 +7,10 @@
 
 from minicheck import Protocol
 
+from spec.ranges.targets import deliver, grant_to_t, release_by_t, restart_t, take
 from spec.ranges.weakness import RangeWeakness
 from spec.ranges.world import (
+    FENCES_A_TERM,
     FIRST,
     HOLD,
     KEPT,
@@ -16,9 +18,12 @@
     RECORDED,
     RELEASED,
     SECOND,
+    T_AFTER,
+    T_BEFORE,
     VOTE,
     WAIT,
     RangeWorld,
+    U,
 )
 
 Step = tuple[str, RangeWorld]
@@ -32,7 +37,7 @@
         fields=RangeWorld._fields,
         initial=RangeWorld(),
         transitions=lambda state: list(_steps(weakness, RangeWorld._make(state))),
-        invariants={"one_owner": one_owner},
+        invariants={"one_owner": one_owner, "fences_rise": fences_rise},
     )
 
 
@@ -41,16 +46,23 @@
     return not (state["held_by_t"] and state["held_by_u"])
 
 
+def fences_rise(state: Mapping[str, Any]) -> bool:
+    """Return whether the range was only ever passed on under higher fences."""
+    return not state["is_fence_reused"]
+
+
 def _steps(weakness: RangeWeakness, world: RangeWorld) -> Iterator[Step]:
     """Return every step that may come next; none follows a violation."""
-    if world.held_by_t and world.held_by_u:
+    if (world.held_by_t and world.held_by_u) or world.is_fence_reused:
         return
     yield "tick", _tick(weakness, world)
     yield "store", world._replace(is_store_up=not world.is_store_up)
     yield "pause", world._replace(is_first_paused=not world.is_first_paused)
-    if world.late_grant and world.fence_seen_by_t == 0:
+    if world.t_life == T_BEFORE:
+        yield "T restarts", restart_t(weakness, world)
+    if world.late_grant:
         hold = HOLD if weakness.delivers_given_up_calls else world.late_grant
-        yield "late grant", world._replace(held_by_t=hold, late_grant=0)
+        yield "late grant", deliver(world, hold)
     yield from _lease_steps(weakness, world)
     if _first_assigns(world):
         yield from _assigner_steps(weakness, world, FIRST)
@@ -125,7 +137,8 @@
     elif stage == RECORDED:
         yield from _take_back(weakness, world, who, unsure)
     else:
-        yield "grant U", world._replace(held_by_u=HOLD)
+        fence = _move_fence(who)
+        yield "grant U", take(world, U, fence)._replace(held_by_u=HOLD)
 
 
 def _keep(weakness: RangeWeakness, world: RangeWorld, who: int) -> Iterator[Step]:
@@ -134,10 +147,15 @@
     Only the first instance's grants are lost on their way: their fence is the lowest.
     """
     sure = _with(world, who, unsure=HOLD)
-    if world.fence_seen_by_t == 0 or who == SECOND:
-        yield "grant T", sure._replace(held_by_t=HOLD)
-    if who == FIRST:
-        yield "grant T, late", sure._replace(late_grant=HOLD)
+    fence = _fence_for_t(weakness, world, who)
+    if fence < _move_fence(who):
+        yield "grant T", _with_fence(grant_to_t(sure, fence), who, fence)
+        if who == FIRST:
+            late = sure._replace(late_grant=HOLD, late_fence=fence)
+            yield (
+                "grant T, late",
+                _with_fence(late, who, fence)._replace(is_first_connected=False),
+            )
     if world.is_store_up:
         yield (
             "record",
@@ -151,14 +169,40 @@
     weakness: RangeWeakness, world: RangeWorld, who: int, unsure: int
 ) -> Iterator[Step]:
     """Return the release and the wait for the end of T's grants."""
-    fence = 0 if weakness.release_keeps_fence else who + 1
-    released = world._replace(
-        held_by_t=0, fence_seen_by_t=max(world.fence_seen_by_t, fence)
-    )
+    fence = 0 if weakness.release_keeps_fence else _move_fence(who)
+    released = release_by_t(world, fence)
     yield "release", _with(released, who, stage=RELEASED)
     yield "release, answer lost", released
     if unsure == 0 or weakness.skips_wait:
         yield "wait over", _with(world, who, stage=RELEASED)
+    if world.t_life == T_AFTER and weakness.new_life_frees_keys:
+        yield "restart known", _with(world, who, stage=RELEASED)
+
+
+def _move_fence(who: int) -> int:
+    """Return the fence of an assigner's release and of its grant to U."""
+    return FENCES_A_TERM * (who + 1)
+
+
+def _fence_for_t(weakness: RangeWeakness, world: RangeWorld, who: int) -> int:
+    """Return the fence under which an assigner would grant T now."""
+    if who == FIRST:
+        fence, is_connected = world.first_fence, world.is_first_connected
+    else:
+        fence, is_connected = world.second_fence, world.is_second_connected
+        if weakness.successor_renews_recorded_fence and fence == FENCES_A_TERM:
+            return 1
+    if is_connected or weakness.fence_outlives_connection:
+        return fence
+    return fence + 1
+
+
+def _with_fence(world: RangeWorld, who: int, fence: int) -> RangeWorld:
+    """Return the world after a grant to T, which broke its connection if refused."""
+    is_connected = fence >= world.fence_seen_by_t
+    if who == FIRST:
+        return world._replace(first_fence=fence, is_first_connected=is_connected)
+    return world._replace(second_fence=fence, is_second_connected=is_connected)
 
 
 def _with(
--- a/spec/ranges/weakness.py
+++ b/spec/ranges/weakness.py
@@ -7,7 +7,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RangeWeakness:
-    """Each flag drops one rule; the model must then find two owners."""
+    """Each flag drops one rule; the model must then find a violation."""
 
     grants_before_recording: bool = False
     """The former owner is not in the record while it may hold the keys."""
@@ -30,5 +30,17 @@
     delivers_given_up_calls: bool = False
     """A grant that was given up may still arrive, and counts its time from then."""
 
+    fence_outlives_connection: bool = False
+    """A fence is sent again over a new connection, which may lead to a new life."""
+
+    call_reaches_next_life: bool = False
+    """A call that T had not carried out when it ended reaches its next life."""
+
+    successor_renews_recorded_fence: bool = False
+    """A successor renews under the fence that it finds in the record."""
+
+    new_life_frees_keys: bool = False
+    """A known restart of T counts as the end of all that was sent to its name."""
+
     lapsed_lease_counts_again: bool = False
     """A holder that told others of its lease's end goes on by a late vote."""
--- a/tests/spec/test_ranges_weaknesses.py
+++ b/tests/spec/test_ranges_weaknesses.py
@@ -11,12 +11,20 @@
 from spec.ranges.model import key_range
 from spec.ranges.weakness import RangeWeakness
 
+INVARIANTS_BY_FLAG = {
+    "call_reaches_next_life": "fences_rise",
+    "fence_outlives_connection": "fences_rise",
+    "successor_renews_recorded_fence": "fences_rise",
+}
+"""What a weakening breaks where that is not `one_owner`."""
+
 
 @pytest.mark.parametrize("flag", [item.name for item in fields(RangeWeakness)])
 def test_weakening_is_found(flag: str) -> None:
-    """The model has a trace to two targets that hold the range."""
+    """The model has a trace to two owners, or to a fence that two had."""
     protocol = key_range(flag, RangeWeakness(**{flag: True}))
+    invariant = INVARIANTS_BY_FLAG.get(flag, "one_owner")
 
-    result = refute(ModelCase(protocol=protocol, covers=""), "one_owner")
+    result = refute(ModelCase(protocol=protocol, covers=""), invariant)
 
-    assert "one_owner" in result.traces_by_invariant
+    assert invariant in result.traces_by_invariant
