--- /dev/null
+++ b/tests/keyranges/test_assignment_loader.py
@@ -0,0 +1,155 @@
+"""Tests of where an assigner begins."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import cast
+
+import pytest
+
+from swiftpin.discovery.store_health import StoreHealth
+from swiftpin.discovery.target_directory import TargetDirectory
+from swiftpin.exceptions import StoreUnavailableError
+from swiftpin.keyranges import assignment_loader as loader_module
+from swiftpin.keyranges.assignment import Assignment
+from swiftpin.keyranges.assignment_loader import AssignmentLoader
+from swiftpin.keyranges.assignment_record import AssignmentRecord
+from swiftpin.keyranges.const import CLOCK_DRIFT, CONTROL_TIMEOUT, HOLD_MARGIN
+from swiftpin.keyranges.fences import Fences
+from swiftpin.keyranges.granter import Granter
+from swiftpin.keyranges.hold_times import HoldLimit
+from swiftpin.keyranges.segment import Segment
+from swiftpin.model.target import Target
+from swiftpin.model.target_life import TargetLife
+from swiftpin.platform.target_control import TargetControl
+from swiftpin.store_errors import ObjectMissingError
+
+LONGEST = 10.0
+
+
+class FakeRecord:
+    """A record that is there, or not, or not to be reached."""
+
+    revision = 1
+
+    def __init__(self) -> None:
+        self.errors: list[Exception] = []
+        self.assignment: Assignment | None = None
+
+    async def async_read(self) -> Assignment:
+        """Return the assignment."""
+        if self.errors:
+            raise self.errors.pop()
+        if self.assignment is None:
+            raise ObjectMissingError("desk")
+        return self.assignment
+
+    async def async_create(self, assignment: Assignment) -> None:
+        """Take the first assignment."""
+        self.assignment = assignment
+
+
+@pytest.fixture(name="record")
+def record_fixture() -> FakeRecord:
+    """Return a record that is not there."""
+    return FakeRecord()
+
+
+@pytest.fixture(name="directory")
+def directory_fixture() -> TargetDirectory:
+    """Return a directory with a target."""
+    directory = TargetDirectory(StoreHealth(), 2.0)
+    directory.targets_by_id["a@1"] = Target(
+        life=TargetLife(name="a", started_ms=1),
+        service="desk",
+        address="a:1",
+        zone="z",
+        slots=2,
+        is_draining=False,
+        cold_for=0.0,
+        revision=1,
+    )
+    return directory
+
+
+@pytest.fixture(name="granter")
+def granter_fixture(directory: TargetDirectory) -> Granter:
+    """Return a granter that sends nothing."""
+    return Granter(
+        control=cast(TargetControl, None),
+        directory=directory,
+        health_path="/health",
+        usual_hold=lambda: 0.0,
+        fences=Fences(),
+        term=1,
+    )
+
+
+@pytest.fixture(name="make_loader")
+def make_loader_fixture(
+    record: FakeRecord,
+    directory: TargetDirectory,
+    granter: Granter,
+    monkeypatch: pytest.MonkeyPatch,
+) -> Callable[[], AssignmentLoader]:
+    """Return what makes a loader that does not wait."""
+    monkeypatch.setattr(loader_module, "FIRST_TARGETS_WAIT", 0.0)
+    monkeypatch.setattr(loader_module, "READ_PAUSE", 0.0)
+    return lambda: AssignmentLoader(
+        service="desk",
+        record=cast(AssignmentRecord, record),
+        granter=granter,
+        directory=directory,
+        hold_limit=HoldLimit(LONGEST),
+        term=1,
+    )
+
+
+@pytest.mark.parametrize(("recorded", "hold"), [(5.9, 5.9), (None, LONGEST)])
+async def test_successor_counts_with_the_recorded_hold(
+    record: FakeRecord,
+    granter: Granter,
+    make_loader: Callable[[], AssignmentLoader],
+    recorded: float | None,
+    hold: float,
+) -> None:
+    """Symptom: two targets held the same keys after a take-over.
+
+    Sequence: the former assigner gave long grants, then joined segments to few; its
+    successor took the grants for ended too early. Cause: it guessed how long they last
+    from the number of segments.
+    """
+    record.assignment = Assignment(
+        segments=(Segment(first=0, last=65535, owner="b@1", fence=5, former="a@1"),),
+        longest_hold=recorded,
+    )
+    loader = make_loader()
+    assert await loader.async_load(100.0) == record.assignment
+    ends_at = 100.0 + CONTROL_TIMEOUT + hold * CLOCK_DRIFT + HOLD_MARGIN
+    assert granter.session("a@1").held_until == pytest.approx(ends_at)
+    assert granter.session("b@1").held_until == pytest.approx(ends_at)
+    assert not loader.is_first_division
+
+
+async def test_store_that_does_not_serve_is_asked_again(
+    record: FakeRecord, make_loader: Callable[[], AssignmentLoader]
+) -> None:
+    """A record that cannot be read is never taken for a missing one."""
+    record.errors = [StoreUnavailableError("away") for _ in range(3)]
+    record.assignment = Assignment(
+        segments=(Segment(first=0, last=65535, owner="a@1", fence=5),)
+    )
+    assert await make_loader().async_load(100.0) == record.assignment
+    assert not record.errors
+
+
+async def test_first_division_goes_to_lives(
+    record: FakeRecord, make_loader: Callable[[], AssignmentLoader]
+) -> None:
+    """The record names lives of targets, and the longest grant from its first write."""
+    loader = make_loader()
+    assignment = await loader.async_load(100.0)
+    assert {segment.owner for segment in assignment.segments} == {"a@1"}
+    assert assignment.longest_hold is not None
+    assert loader.is_first_division
+    assert record.assignment == assignment
--- /dev/null
+++ b/tests/keyranges/test_key_map_publisher.py
@@ -0,0 +1,46 @@
+"""Tests of handing out key maps."""
+
+from __future__ import annotations
+
+import asyncio
+
+from swiftpin.keyranges.assignment import Assignment
+from swiftpin.keyranges.assignment_state import AssignmentState
+from swiftpin.keyranges.key_map import KeyMap
+from swiftpin.keyranges.key_map_publisher import KeyMapPublisher
+from swiftpin.keyranges.segment import Segment
+
+
+async def test_map_names_who_took_keys_and_is_handed_out_once() -> None:
+    """Owners that have not taken their keys yet, and keys on the move, have none."""
+    state = AssignmentState()
+    state.assignment = Assignment(
+        segments=(
+            Segment(first=0, last=9, owner="a", fence=5),
+            Segment(first=10, last=19, owner="a", fence=6),
+            Segment(first=20, last=29, owner="b", fence=7),
+            Segment(first=30, last=65535, owner="b", fence=8, former="a"),
+        )
+    )
+    state.granted_fences = {5, 6, 8}
+    maps: asyncio.Queue[KeyMap] = asyncio.Queue()
+    publisher = KeyMapPublisher(
+        service="desk",
+        term=3,
+        state=state,
+        on_map=maps.put_nowait,
+        count_members=lambda: 1,
+    )
+    publisher.publish()
+    publisher.publish()
+    key_map = await maps.get()
+    assert (key_map.term, key_map.number) == (3, 1)
+    assert (key_map.firsts, key_map.owners) == ((0, 20), ("a", ""))
+    publisher.publish()
+    state.granted_fences.add(7)
+    publisher.publish()
+    key_map = await maps.get()
+    assert (key_map.number, key_map.owners) == (2, ("a", "b", ""))
+    assert maps.empty()
+    publisher.publish()
+    publisher.unload()
