--- a/tests/router/test_target_restart.py
+++ b/tests/router/test_target_restart.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
-from swiftpin.keyranges.const import KEYS
+import asyncio
+
+from swiftpin.keyranges.const import HOLD_TIME, KEYS
 from tests.router.site import Site
 
 SAMPLE = range(0, KEYS, 997)
 
 
+def owners(site: Site, key: int) -> list[str]:
+    """Return the targets that hold a key."""
+    return [name for name, t in site.targets_by_name.items() if t.holds(key)]
+
+
 async def test_new_life_gets_its_keys_under_higher_fences(site: Site) -> None:
     """Symptom: a target took keys under a fence that its earlier life had.
 
@@ -51,3 +58,46 @@
     await target.async_restart()
     await site.async_wait(lambda: target.holds(key))
     assert (await site.async_call("/read/x", key=key)).status == 200
+
+
+async def test_keys_of_a_known_restart_are_granted_on_without_a_wait(
+    site: Site,
+) -> None:
+    """Symptom: two targets held the same keys, or keys waited for a life that ended.
+
+    Sequence: a target started again and was given keys under new fences, since nothing
+    told of its start; then it registered with the time of its start.
+    Cause: a known restart was taken for the end of all grants to its name, or for the
+    loss of a target whose grants must be waited out.
+    """
+    target = site.targets_by_name["t0"]
+    keys = [key for key in SAMPLE if target.holds(key)]
+    await target.async_restart(born=2)
+    await site.async_wait(lambda: all(target.holds(key) for key in keys))
+    site.store.put("servers", "t0", target.entry("desk"))
+    loop = asyncio.get_running_loop()
+    known_at = loop.time()
+
+    def is_moved() -> bool:
+        held = [len(owners(site, key)) for key in SAMPLE]
+        assert max(held) <= 1
+        return min(held) == 1 and site.is_served() and not site.is_owner("t0")
+
+    await site.async_wait(is_moved)
+    assert loop.time() - known_at < HOLD_TIME / 2
+    await site.async_wait(lambda: site.is_owner("t0@2"))
+    assert target.reused_fences() == []
+    assert not site.is_owner("t0")
+    for key in keys:
+        assert (await site.async_call("/read/x", key=key)).status == 200
+
+
+async def test_target_that_starts_again_and_again_gets_rising_fences(
+    site: Site,
+) -> None:
+    """Each life gets fences above those of all lives before it."""
+    target = site.targets_by_name["t0"]
+    for _ in range(3):
+        await target.async_restart()
+        await site.async_wait(lambda: bool(target.granted_fences))
+        assert target.reused_fences() == []
