Begin the next term before a term's fences run out

Cause: a term has 1,000,000 fences, and nothing kept a holder from taking more; its successor's fences would then be below, and all targets refuse its grants. Fences by connection make that nearer: a target that closes its connection after each answer costs one with each renewal, 250 a second at most, 67 minutes by arithmetic. Change: the leader asks for the next term when a tenth is left; the lease's next renewal is written under it, without giving the lease up. A record of an own earlier renewal, met by that write, is no longer taken for another holder's.

--- a/swiftpin/keyranges/fences.py
+++ b/swiftpin/keyranges/fences.py
@@ -9,6 +9,10 @@
 FENCES_A_TERM: Final = 1_000_000
 """Fences of one term; the next term's are all higher."""
 
+RESERVE: Final = FENCES_A_TERM // 10
+"""Fences that are left when the next term is asked for. Each grant over a new
+connection takes one, 250 a second at most; to begin a term takes one write."""
+
 
 class Fences:
     """Hands out fences that only rise, within a term and from term to term.
@@ -16,19 +20,29 @@
     It outlives the assigner of a service's keys: one that is started again in the same
     term, after a fault or when its service was declared anew, must not use a fence
     twice. A target would take keys under a fence below one that another had.
+
+    A holder whose term has few left begins its next term. Without that its fences would
+    run into those of its successor: all targets would refuse what that one grants.
     """
 
     def __init__(self) -> None:
         self._next = 1
+        self._end = FENCES_A_TERM
 
     @property
     def next(self) -> int:
         """Return the fence that is taken next."""
         return self._next
 
+    @property
+    def is_nearly_spent(self) -> bool:
+        """Return whether the term should end soon."""
+        return self._end - self._next < RESERVE
+
     @callback
     def begin_term(self, term: int) -> None:
         """Go on with fences above all of the terms before."""
+        self._end = (term + 1) * FENCES_A_TERM
         self._next = max(self._next, term * FENCES_A_TERM + 1)
 
     @callback
--- a/swiftpin/keyranges/lease_election.py
+++ b/swiftpin/keyranges/lease_election.py
@@ -95,6 +95,9 @@
         self.is_willing = False
         """Whether this instance knows enough to assign keys."""
 
+        self.wants_next_term = False
+        """Whether the holder is to go on under its next term, for fences are scarce."""
+
         self.members: tuple[str, ...] = ()
         """Names of the instances to be written into the record."""
 
@@ -192,8 +195,16 @@
         """Write a renewal; return the seconds until the next one."""
         record = self.record
         assert record is not None
-        renewed = replace(record, renewal=record.renewal + 1, members=self.members)
+        renewed = replace(
+            record,
+            term=record.term + 1 if self.wants_next_term else record.term,
+            renewal=record.renewal + 1,
+            members=self.members,
+        )
         if await self._async_write(renewed):
+            if renewed.term > record.term:
+                self.wants_next_term = False
+                log_message(message_type="lease_next_term", term=renewed.term)
             return LEASE_RENEW
         # On votes alone nothing is lost by a pause, and each try is two calls of a
         # store that answers nobody: 88 in an outage of 8 s (counted in a log).
@@ -352,11 +363,11 @@
             self._health.note_failure(str(err), suspend_aware_now())
             return False
         found = self.record
-        if found is None or (found.holder, found.term) != (record.holder, record.term):
+        if found is None or found.holder != record.holder or found.term > record.term:
             # Somebody else has it: no vote counts any more.
             self._lapsed_term = self._held_term
             return False
-        if found.renewal != record.renewal:
+        if (found.term, found.renewal) != (record.term, record.renewal):
             return False
         self._stands(record, sent_at)
         return True
--- a/swiftpin/router/leader.py
+++ b/swiftpin/router/leader.py
@@ -95,6 +95,9 @@
             self._tasks_by_service[service.name] = asyncio.create_task(
                 assigner.async_run()
             )
+        self._lease.wants_next_term = any(
+            fences.is_nearly_spent for fences in self._fences_by_service.values()
+        )
 
     @callback
     def _drop_all(self) -> None:
--- a/tests/keyranges/test_fences.py
+++ b/tests/keyranges/test_fences.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from swiftpin.keyranges.fences import FENCES_A_TERM, Fences
+from swiftpin.keyranges.fences import FENCES_A_TERM, RESERVE, Fences
 
 
 def test_assigner_that_starts_again_uses_no_fence_twice() -> None:
@@ -26,3 +26,18 @@
     fences.take(10)
     fences.begin_term(2)
     assert fences.next > 2 * FENCES_A_TERM
+
+
+def test_term_ends_before_its_fences_do() -> None:
+    """Symptom: no target took what a successor granted.
+
+    Sequence: a holder took more fences than a term has; its successor's were below.
+    Cause: nothing noticed that a term's fences run out.
+    """
+    fences = Fences()
+    fences.begin_term(3)
+    assert not fences.is_nearly_spent
+    fences.take(FENCES_A_TERM - RESERVE)
+    assert fences.is_nearly_spent
+    fences.begin_term(4)
+    assert not fences.is_nearly_spent
--- a/tests/keyranges/test_lease_election.py
+++ b/tests/keyranges/test_lease_election.py
@@ -310,3 +310,42 @@
     assert not holder.is_held(clock.now)
     await async_step(member, clock)
     assert member.is_held(clock.now)
+
+
+@pytest.mark.parametrize("loses_answers", [False, True])
+async def test_holder_goes_on_under_its_next_term(
+    store: FakeStore, clock: Clock, *, loses_answers: bool
+) -> None:
+    """A holder whose fences are scarce begins a term without giving the lease up."""
+    holder = make_assigner(store, "a")
+    await async_step(holder, clock)
+    term = holder.term
+    holder.wants_next_term = True
+    store.loses_answers = loses_answers
+    await async_step(holder, clock)
+    assert holder.term == term + 1
+    assert holder.is_held(clock.now)
+    assert not holder.wants_next_term
+    await async_step(holder, clock)
+    assert holder.term == term + 1
+
+
+async def test_next_term_that_was_not_written_costs_no_lease(
+    store: FakeStore, clock: Clock
+) -> None:
+    """Symptom: a holder gave up a lease that was its own.
+
+    Sequence: its renewal under the next term met a conflict with an earlier renewal of
+    its own, whose answer had been lost. Cause: the term that stood was not the one
+    written, which was taken for another holder's.
+    """
+    holder = make_assigner(store, "a")
+    await async_step(holder, clock)
+    store.revision += 1
+    holder.wants_next_term = True
+    await async_step(holder, clock)
+    assert holder.is_held(clock.now)
+    assert holder.wants_next_term
+    await async_step(holder, clock)
+    assert not holder.wants_next_term
+    assert holder.is_held(clock.now)
--- /dev/null
+++ b/tests/router/test_leader.py
@@ -0,0 +1,49 @@
+"""Tests of the duties of the instance that holds the lease."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+from typing import cast
+
+from swiftpin.keyranges.fences import FENCES_A_TERM, Fences
+from swiftpin.keyranges.lease_election import LeaseElection
+from swiftpin.keyranges.range_assigner import RangeAssigner
+from swiftpin.router.configuration_holder import ConfigurationHolder
+from swiftpin.router.leader import Leader
+
+
+async def test_next_term_is_asked_for_when_fences_are_scarce() -> None:
+    """Symptom: no target took what a successor granted.
+
+    Sequence: a holder's connections broke at each call, and each grant took a fence,
+    until they reached those of the next term. Cause: nobody began that term in time.
+    """
+    lease = SimpleNamespace(term=3, wants_next_term=False)
+    service = SimpleNamespace(name="desk", is_keyed=True)
+    configuration = SimpleNamespace(
+        current=SimpleNamespace(services_by_name={"desk": service})
+    )
+    made: list[Fences] = []
+
+    def make_assigner(name: str, fences: Fences) -> RangeAssigner:
+        fences.begin_term(lease.term)
+        made.append(fences)
+        return cast(RangeAssigner, SimpleNamespace(async_run=lambda: asyncio.sleep(60)))
+
+    leader = Leader(
+        lease=cast(LeaseElection, lease),
+        configuration=cast(ConfigurationHolder, configuration),
+        make_assigner=make_assigner,
+    )
+    leader._keep()
+    assert not lease.wants_next_term
+    made[0].take(FENCES_A_TERM - 1)
+    leader._keep()
+    assert lease.wants_next_term
+    lease.term, lease.wants_next_term = 4, False
+    leader._keep()
+    leader._keep()
+    assert len(made) == 2
+    assert not lease.wants_next_term
+    leader._drop_all()
