Keep sessions with targets in a class of their own

Change: TargetSessions finds the session of a life and the other lives of a target; tests moved along unchanged in what they ask.

--- a/swiftpin/keyranges/assignment_loader.py
+++ b/swiftpin/keyranges/assignment_loader.py
@@ -15,6 +15,7 @@
 from swiftpin.keyranges.const import CONTROL_TIMEOUT
 from swiftpin.keyranges.granter import Granter
 from swiftpin.keyranges.hold_times import HoldLimit
+from swiftpin.keyranges.target_sessions import TargetSessions
 from swiftpin.model.target import Target
 from swiftpin.store_errors import ObjectMissingError
 
@@ -35,6 +36,7 @@
         service: str,
         record: AssignmentRecord,
         granter: Granter,
+        sessions: TargetSessions,
         directory: TargetDirectory,
         hold_limit: HoldLimit,
         term: int,
@@ -42,6 +44,7 @@
         self._service = service
         self._record = record
         self._granter = granter
+        self._sessions = sessions
         self._directory = directory
         self._hold_limit = hold_limit
         self._term = term
@@ -75,7 +78,7 @@
         for segment in assignment.segments:
             for target in (segment.owner, segment.former):
                 if target:
-                    self._granter.session(target).note_grant(arrived_at, hold)
+                    self._sessions.of(target).note_grant(arrived_at, hold)
         log_message(
             message_type="assignment_loaded",
             service=self._service,
--- a/swiftpin/keyranges/grant_renewer.py
+++ b/swiftpin/keyranges/grant_renewer.py
@@ -14,6 +14,7 @@
 from swiftpin.keyranges.key_map_publisher import KeyMapPublisher
 from swiftpin.keyranges.segment import Segment
 from swiftpin.keyranges.target_session import TargetSession
+from swiftpin.keyranges.target_sessions import TargetSessions
 from swiftpin.model.target import Target
 
 RENEW_TICK: Final = 0.1
@@ -31,11 +32,13 @@
         *,
         state: AssignmentState,
         granter: Granter,
+        sessions: TargetSessions,
         directory: TargetDirectory,
         publisher: KeyMapPublisher,
     ) -> None:
         self._state = state
         self._granter = granter
+        self._sessions = sessions
         self._directory = directory
         self._publisher = publisher
 
@@ -65,7 +68,7 @@
 
     async def async_renew(self, target_id: str) -> None:
         """Renew one target's grants once."""
-        session = self._granter.session(target_id)
+        session = self._sessions.of(target_id)
         target = self._directory.targets_by_id.get(target_id)
         if target is None or session.is_gone:
             return
@@ -88,7 +91,7 @@
     @callback
     def _pause(self, target_id: str) -> float:
         """Return the seconds until a target's grants are renewed again."""
-        if self._granter.session(target_id).is_failing:
+        if self._sessions.of(target_id).is_failing:
             return FAILING_RENEW
         return renew_pause(len(self._state.present.segments))
 
--- a/swiftpin/keyranges/granter.py
+++ b/swiftpin/keyranges/granter.py
@@ -14,6 +14,7 @@
 from swiftpin.keyranges.fences import Fences
 from swiftpin.keyranges.segment import Segment
 from swiftpin.keyranges.target_session import TargetSession
+from swiftpin.keyranges.target_sessions import TargetSessions
 from swiftpin.model.target import Target
 from swiftpin.platform.target_control import (
     GrantCall,
@@ -37,6 +38,7 @@
         self,
         *,
         control: TargetControl,
+        sessions: TargetSessions,
         directory: TargetDirectory,
         health_path: str,
         usual_hold: Callable[[], float],
@@ -47,52 +49,12 @@
         """Handovers by the fence under which their segment was recorded."""
 
         self._control = control
+        self._sessions = sessions
         self._directory = directory
         self._health_path = health_path
         self._usual_hold = usual_hold
         self._fences = fences
         self._term = term
-        self._sessions_by_target: dict[str, TargetSession] = {}
-
-    @callback
-    def session(self, target_id: str) -> TargetSession:
-        """Return the session with a target.
-
-        A target that was replaced is gone, unless another life of it took its place:
-        that one may have been given keys by calls that were meant for the earlier.
-        """
-        session = self._sessions_by_target.get(target_id)
-        if session is None:
-            session = self._sessions_by_target[target_id] = TargetSession()
-        is_replaced = target_id in self._directory.replaced_ids
-        if is_replaced and self.other_life(target_id) is None:
-            session.is_gone = True
-        return session
-
-    @callback
-    def other_life(self, target_id: str) -> Target | None:
-        """Return another known life of the same target, the present one if there is."""
-        lives = [
-            target
-            for target in self._directory.targets_by_id.values()
-            if target.id != target_id and target.life.is_same_target(target_id)
-        ]
-        replaced_ids = self._directory.replaced_ids
-        return min(lives, key=lambda life: life.id in replaced_ids, default=None)
-
-    @callback
-    def is_lost(self, target_id: str, now: float) -> bool:
-        """Return whether a target's keys should go elsewhere."""
-        session = self._sessions_by_target.get(target_id)
-        return session is not None and session.is_lost(now)
-
-    @callback
-    def forget_sessions(self, needed_ids: set[str], now: float) -> None:
-        """Drop sessions with targets that are gone and hold nothing any more."""
-        known_ids = needed_ids | self._directory.targets_by_id.keys()
-        for target_id in self._sessions_by_target.keys() - known_ids:
-            if now >= self._sessions_by_target[target_id].held_until:
-                del self._sessions_by_target[target_id]
 
     @callback
     def take_fence(self) -> int:
@@ -111,7 +73,7 @@
                 target.address, target.name, grant, limit=RELEASE_TIMEOUT
             )
         except TargetReplacedError:
-            self.session(target.id).is_gone = True
+            self._sessions.of(target.id).is_gone = True
             raise
         except UnexpectedAnswerError:
             session.note_failure(suspend_aware_now())
@@ -218,7 +180,7 @@
         if found is None or found == target.name:
             return
         log_message(message_type="target_replaced", target=target.id, by=found)
-        self.session(target.id).is_gone = True
+        self._sessions.of(target.id).is_gone = True
         self._directory.note_replaced(target.id, suspend_aware_now())
 
     @callback
--- a/swiftpin/keyranges/mover.py
+++ b/swiftpin/keyranges/mover.py
@@ -15,6 +15,7 @@
 from swiftpin.keyranges.granter import Granter
 from swiftpin.keyranges.repeat_limit import RepeatLimit
 from swiftpin.keyranges.segment import Segment
+from swiftpin.keyranges.target_sessions import TargetSessions
 from swiftpin.model.target import Target
 from swiftpin.platform.target_control import (
     GrantRefusedError,
@@ -45,10 +46,12 @@
         self,
         *,
         granter: Granter,
+        sessions: TargetSessions,
         directory: TargetDirectory,
         longest_request: Callable[[], float],
     ) -> None:
         self._granter = granter
+        self._sessions = sessions
         self._directory = directory
         self._longest_request = longest_request
 
@@ -56,7 +59,7 @@
         self, segment: Segment, asked_at: float | None
     ) -> str | None:
         """Return the handover once the former owner certainly lets go of the keys."""
-        session = self._granter.session(segment.former)
+        session = self._sessions.of(segment.former)
         async with session.calls:
             # Renewals that were under way when the record changed have ended.
             held_until = session.held_until
@@ -66,7 +69,7 @@
         told = RepeatLimit()
         while True:
             now = suspend_aware_now()
-            self._granter.session(segment.former)
+            self._sessions.of(segment.former)
             if session.is_gone or now >= held_until:
                 reason = "gone" if session.is_gone else "its grants have ended"
                 _log_release(segment, grant.fence, "needless", reason)
@@ -119,7 +122,7 @@
         target = self._directory.targets_by_id.get(target_id)
         if target is not None and target_id not in self._directory.replaced_ids:
             return target
-        return self._granter.other_life(target_id) or target
+        return self._sessions.other_life(target_id) or target
 
     async def _async_pause(self, until: float) -> None:
         """Wait before the next try, at most until a time."""
@@ -140,7 +143,7 @@
 
     async def async_grant_new(self, segment: Segment) -> bool:
         """Grant keys to their new owner; return whether it took them."""
-        session = self._granter.session(segment.owner)
+        session = self._sessions.of(segment.owner)
         while True:
             target = self._directory.targets_by_id.get(segment.owner)
             now = suspend_aware_now()
--- a/swiftpin/keyranges/range_assigner.py
+++ b/swiftpin/keyranges/range_assigner.py
@@ -29,6 +29,7 @@
 from swiftpin.keyranges.move_runner import MoveRunner
 from swiftpin.keyranges.mover import Mover
 from swiftpin.keyranges.planner import plan_moves
+from swiftpin.keyranges.target_sessions import TargetSessions
 from swiftpin.keyranges.target_speed import TargetSpeed
 from swiftpin.platform.store_client import StoreClient
 from swiftpin.platform.target_control import TargetControl
@@ -78,8 +79,10 @@
         self._state = AssignmentState()
         self._hold_limit = HoldLimit(longest_hold)
         self._record = AssignmentRecord(service, client, health)
-        self._granter = Granter(
+        self._sessions = TargetSessions(directory)
+        granter = Granter(
             control=control,
+            sessions=self._sessions,
             directory=directory,
             health_path=health_path,
             usual_hold=self._usual_hold,
@@ -89,7 +92,8 @@
         self._loader = AssignmentLoader(
             service=service,
             record=self._record,
-            granter=self._granter,
+            granter=granter,
+            sessions=self._sessions,
             directory=directory,
             hold_limit=self._hold_limit,
             term=lease.term,
@@ -103,16 +107,18 @@
         )
         self._renewer = GrantRenewer(
             state=self._state,
-            granter=self._granter,
+            granter=granter,
+            sessions=self._sessions,
             directory=directory,
             publisher=self._publisher,
         )
         self._moves = MoveRunner(
             service=service,
             state=self._state,
-            granter=self._granter,
+            granter=granter,
             mover=Mover(
-                granter=self._granter,
+                granter=granter,
+                sessions=self._sessions,
                 directory=directory,
                 longest_request=longest_request,
             ),
@@ -168,7 +174,7 @@
     def _forget_gone(self, now: float) -> None:
         """Drop what is known of lives that are gone: each start brings a new one."""
         involved = self._state.involved_targets()
-        self._granter.forget_sessions(involved, now)
+        self._sessions.forget(involved, now)
         self._state.forget_fences()
         self.speed.keep(involved | self._directory.targets_by_id.keys())
 
@@ -203,7 +209,7 @@
         """Return the requests a second that each eligible target can bear."""
         capacities = {}
         for target in self._directory.serving_targets(self._service, now):
-            if self._granter.is_lost(target.id, now):
+            if self._sessions.is_lost(target.id, now):
                 continue
             capacity = self.speed.capacity(target.id, target.slots)
             seen_since = self._directory.seen_since_by_id.get(target.id, now)
--- a/tests/keyranges/conftest.py
+++ b/tests/keyranges/conftest.py
@@ -8,6 +8,9 @@
 from eliot import add_destinations, remove_destination
 import pytest
 
+from swiftpin.discovery.target_directory import TargetDirectory
+from swiftpin.keyranges.target_sessions import TargetSessions
+
 
 @pytest.fixture(name="lines")
 def lines_fixture() -> Iterator[list[dict[str, Any]]]:
@@ -18,3 +21,9 @@
     lines.clear()
     yield lines
     remove_destination(lines.append)
+
+
+@pytest.fixture(name="sessions")
+def sessions_fixture(directory: TargetDirectory) -> TargetSessions:
+    """Return the sessions with a module's directory's targets."""
+    return TargetSessions(directory)
--- a/tests/keyranges/test_assignment_loader.py
+++ b/tests/keyranges/test_assignment_loader.py
@@ -19,6 +19,7 @@
 from swiftpin.keyranges.granter import Granter
 from swiftpin.keyranges.hold_times import HoldLimit
 from swiftpin.keyranges.segment import Segment
+from swiftpin.keyranges.target_sessions import TargetSessions
 from swiftpin.model.target import Target
 from swiftpin.model.target_life import TargetLife
 from swiftpin.platform.target_control import TargetControl
@@ -73,10 +74,11 @@
 
 
 @pytest.fixture(name="granter")
-def granter_fixture(directory: TargetDirectory) -> Granter:
+def granter_fixture(directory: TargetDirectory, sessions: TargetSessions) -> Granter:
     """Return a granter that sends nothing."""
     return Granter(
         control=cast(TargetControl, None),
+        sessions=sessions,
         directory=directory,
         health_path="/health",
         usual_hold=lambda: 0.0,
@@ -91,6 +93,7 @@
     directory: TargetDirectory,
     granter: Granter,
     monkeypatch: pytest.MonkeyPatch,
+    sessions: TargetSessions,
 ) -> Callable[[], AssignmentLoader]:
     """Return what makes a loader that does not wait."""
     monkeypatch.setattr(loader_module, "FIRST_TARGETS_WAIT", 0.0)
@@ -99,6 +102,7 @@
         service="desk",
         record=cast(AssignmentRecord, record),
         granter=granter,
+        sessions=sessions,
         directory=directory,
         hold_limit=HoldLimit(LONGEST),
         term=1,
@@ -108,7 +112,7 @@
 @pytest.mark.parametrize(("recorded", "hold"), [(5.9, 5.9), (None, LONGEST)])
 async def test_successor_counts_with_the_recorded_hold(
     record: FakeRecord,
-    granter: Granter,
+    sessions: TargetSessions,
     make_loader: Callable[[], AssignmentLoader],
     recorded: float | None,
     hold: float,
@@ -126,8 +130,8 @@
     loader = make_loader()
     assert await loader.async_load(100.0) == record.assignment
     ends_at = 100.0 + CONTROL_TIMEOUT + hold * CLOCK_DRIFT + HOLD_MARGIN
-    assert granter.session("a@1").held_until == pytest.approx(ends_at)
-    assert granter.session("b@1").held_until == pytest.approx(ends_at)
+    assert sessions.of("a@1").held_until == pytest.approx(ends_at)
+    assert sessions.of("b@1").held_until == pytest.approx(ends_at)
     assert not loader.is_first_division
 
 
--- a/tests/keyranges/test_grant_renewer.py
+++ b/tests/keyranges/test_grant_renewer.py
@@ -17,6 +17,7 @@
 from swiftpin.keyranges.granter import Granter
 from swiftpin.keyranges.key_map_publisher import KeyMapPublisher
 from swiftpin.keyranges.segment import Segment
+from swiftpin.keyranges.target_sessions import TargetSessions
 from swiftpin.model.target import Target
 from swiftpin.model.target_life import TargetLife
 from swiftpin.platform.target_control import (
@@ -97,17 +98,20 @@
     published: list[None],
 ) -> GrantRenewer:
     """Return a renewer."""
+    sessions = TargetSessions(directory)
     publisher = SimpleNamespace(publish=lambda: published.append(None))
     return GrantRenewer(
         state=state,
         granter=Granter(
             control=cast(TargetControl, control),
+            sessions=sessions,
             directory=directory,
             health_path="/health",
             usual_hold=lambda: HOLD_TIME,
             fences=Fences(),
             term=1,
         ),
+        sessions=sessions,
         directory=directory,
         publisher=cast(KeyMapPublisher, publisher),
     )
--- a/tests/keyranges/test_granter.py
+++ b/tests/keyranges/test_granter.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import replace
 from typing import Any, cast
 
 import pytest
@@ -16,6 +15,7 @@
 from swiftpin.keyranges.fences import Fences
 from swiftpin.keyranges.granter import Granter
 from swiftpin.keyranges.segment import Segment
+from swiftpin.keyranges.target_sessions import TargetSessions
 from swiftpin.model.target import Target
 from swiftpin.model.target_life import TargetLife
 from swiftpin.platform.target_control import (
@@ -85,10 +85,13 @@
 
 
 @pytest.fixture(name="granter")
-def granter_fixture(control: FakeControl, directory: TargetDirectory) -> Granter:
+def granter_fixture(
+    control: FakeControl, directory: TargetDirectory, sessions: TargetSessions
+) -> Granter:
     """Return a granter that gives the usual time."""
     return Granter(
         control=cast(TargetControl, control),
+        sessions=sessions,
         directory=directory,
         health_path="/health",
         usual_hold=lambda: HOLD_TIME,
@@ -98,14 +101,14 @@
 
 
 async def test_tries_at_a_silent_target_do_not_put_its_end_off(
-    granter: Granter, control: FakeControl
+    granter: Granter, control: FakeControl, sessions: TargetSessions
 ) -> None:
     """Symptom: keys of a silent target stayed unserved for as long as it was asked.
 
     Sequence: its grants were renewed again and again without an answer.
     Cause: each try counted as a grant that the target may have taken.
     """
-    session = granter.session("a")
+    session = sessions.of("a")
     control.loses_answers = True
     started = suspend_aware_now()
     for _ in range(5):
@@ -115,7 +118,7 @@
 
 
 async def test_target_that_answers_again_gets_the_usual_time(
-    granter: Granter, control: FakeControl
+    granter: Granter, control: FakeControl, sessions: TargetSessions
 ) -> None:
     """Symptom: a target refused its keys for a second after it had come back.
 
@@ -123,7 +126,7 @@
     answered; the next renewal came later than that grant's end.
     Cause: the trial was taken for a full renewal.
     """
-    session = granter.session("a")
+    session = sessions.of("a")
     session.note_failure(suspend_aware_now())
     assert await granter.async_grant(TARGET, SEGMENT, session)
     assert control.holds[0] < 1.0
@@ -132,7 +135,11 @@
 
 @pytest.mark.parametrize("loses_answers", [False, True])
 async def test_grant_that_was_long_on_its_way_is_waited_for(
-    granter: Granter, control: FakeControl, *, loses_answers: bool
+    granter: Granter,
+    control: FakeControl,
+    sessions: TargetSessions,
+    *,
+    loses_answers: bool,
 ) -> None:
     """Symptom: two targets held the same keys.
 
@@ -140,7 +147,7 @@
     that. Cause: its end was counted from the sending, but the target counts from the
     arrival, which may be as late as the answer, or the moment at which it is given up.
     """
-    session = granter.session("a")
+    session = sessions.of("a")
     control.loses_answers = loses_answers
     control.delay = 0.5
     started = suspend_aware_now()
@@ -149,10 +156,10 @@
 
 
 async def test_renewal_keeps_its_fence_on_its_connection(
-    granter: Granter, control: FakeControl
+    granter: Granter, control: FakeControl, sessions: TargetSessions
 ) -> None:
     """At rest no fence is spent, and every renewal goes over the same connection."""
-    session = granter.session("a")
+    session = sessions.of("a")
     for _ in range(3):
         assert await granter.async_grant(TARGET, SEGMENT, session)
     assert len(set(control.fences)) == 1
@@ -160,14 +167,14 @@
 
 
 async def test_renewal_over_a_new_connection_has_a_higher_fence(
-    granter: Granter, control: FakeControl
+    granter: Granter, control: FakeControl, sessions: TargetSessions
 ) -> None:
     """Symptom: a target took keys under a fence that its earlier life had.
 
     Sequence: a target started again under its name, and its connections broke; the
     next renewal went over a new one. Cause: it repeated the fence.
     """
-    session = granter.session("a")
+    session = sessions.of("a")
     assert await granter.async_grant(TARGET, SEGMENT, session)
     control.connection += 1
     assert await granter.async_grant(TARGET, SEGMENT, session)
@@ -175,14 +182,14 @@
 
 
 async def test_grant_without_an_answer_is_not_repeated_under_its_fence(
-    granter: Granter, control: FakeControl
+    granter: Granter, control: FakeControl, sessions: TargetSessions
 ) -> None:
     """Symptom: two lives of a target had the same keys under one fence.
 
     Sequence: a grant reached a target, which ended before it answered; the second try
     reached its next life. Cause: the second try repeated the fence.
     """
-    session = granter.session("a")
+    session = sessions.of("a")
     control.loses_answers = True
     assert not await granter.async_grant(TARGET, SEGMENT, session)
     control.loses_answers = False
@@ -191,14 +198,14 @@
 
 
 async def test_refused_connections_spend_no_fence(
-    granter: Granter, control: FakeControl
+    granter: Granter, control: FakeControl, sessions: TargetSessions
 ) -> None:
     """Symptom: the fences of a term ran into those of the next one.
 
     Sequence: a target refused connections for hours, four times a second.
     Cause: each try took a fence, though nothing was sent.
     """
-    session = granter.session("a")
+    session = sessions.of("a")
     before = granter._fences.next
     control.refuses_connections = True
     assert not await granter.async_grant(TARGET, SEGMENT, session)
@@ -206,33 +213,36 @@
 
 
 async def test_refused_grant_is_sent_again_under_a_new_fence(
-    granter: Granter, control: FakeControl
+    granter: Granter, control: FakeControl, sessions: TargetSessions
 ) -> None:
     """A target that has seen a higher fence keeps the keys that are its own."""
-    session = granter.session("a")
+    session = sessions.of("a")
     control.seen_fence = 2
     assert await granter.async_grant(TARGET, SEGMENT, session)
     assert control.fences == [1, 2]
 
 
 async def test_grant_that_is_refused_for_good_is_given_up(
-    granter: Granter, control: FakeControl
+    granter: Granter, control: FakeControl, sessions: TargetSessions
 ) -> None:
     """Where another instance grants under higher fences, two tries are made."""
     control.seen_fence = 99
-    assert not await granter.async_grant(TARGET, SEGMENT, granter.session("a"))
+    assert not await granter.async_grant(TARGET, SEGMENT, sessions.of("a"))
     assert len(control.fences) == 2
 
 
 async def test_each_kind_of_unanswered_grant_is_told_once_a_second(
-    granter: Granter, control: FakeControl, lines: list[dict[str, Any]]
+    granter: Granter,
+    control: FakeControl,
+    lines: list[dict[str, Any]],
+    sessions: TargetSessions,
 ) -> None:
     """Symptom: nothing told which keys a grant without an answer may have given.
 
     Sequence: grants to a silent target were given up. Cause: only the first failure of
     a target was told, without keys, fence and hold.
     """
-    session = granter.session("a")
+    session = sessions.of("a")
     control.loses_answers = True
     for _ in range(3):
         await granter.async_grant(TARGET, SEGMENT, session)
@@ -244,40 +254,3 @@
     assert (first["target"], first["first"], first["last"]) == ("a", 0, 9)
     assert (first["fence"], first["term"], first["hold"]) == (1, 1, HOLD_TIME)
     assert first["reason"] == "lost"
-
-
-def make_target(born: int, address: str) -> Target:
-    """Return a life of target a."""
-    return replace(TARGET, life=TargetLife(name="a", started_ms=born), address=address)
-
-
-def test_replaced_target_is_gone_unless_it_started_again(
-    granter: Granter, directory: TargetDirectory
-) -> None:
-    """Symptom: two targets held the same keys.
-
-    Sequence: a target started again; a grant under a new fence reached its new life;
-    then its start became known, and its keys were granted on at once.
-    Cause: the earlier life was taken for gone with all that was sent to its name.
-    """
-    directory.replaced_ids.add("a@1")
-    assert granter.session("a@1").is_gone
-    for target in (make_target(2, "a:1"), make_target(3, "a:1")):
-        directory.targets_by_id[target.id] = target
-    directory.replaced_ids |= {"a@2", "b@1"}
-    found = granter.other_life("a@1")
-    assert found is not None
-    assert found.id == "a@3"
-    directory.replaced_ids.add("a@7")
-    assert not granter.session("a@7").is_gone
-    assert granter.session("b@1").is_gone
-
-
-def test_sessions_of_lives_that_hold_nothing_are_forgotten(granter: Granter) -> None:
-    """Each start of a target brings a session; they must not pile up."""
-    granter.session("a@1").note_grant(10.0, HOLD_TIME)
-    granter.session("a@2").note_grant(10.0, HOLD_TIME)
-    granter.forget_sessions({"a@2"}, 12.0)
-    assert set(granter._sessions_by_target) == {"a@1", "a@2"}
-    granter.forget_sessions({"a@2"}, 20.0)
-    assert set(granter._sessions_by_target) == {"a@2"}
--- a/tests/keyranges/test_mover.py
+++ b/tests/keyranges/test_mover.py
@@ -19,6 +19,7 @@
 from swiftpin.keyranges.mover import Mover
 from swiftpin.keyranges.segment import Segment
 from swiftpin.keyranges.target_session import TargetSession
+from swiftpin.keyranges.target_sessions import TargetSessions
 from swiftpin.model.target import Target
 from swiftpin.model.target_life import TargetLife
 from swiftpin.platform.target_control import (
@@ -80,10 +81,13 @@
 
 
 @pytest.fixture(name="granter")
-def granter_fixture(control: ReleaseControl, directory: TargetDirectory) -> Granter:
+def granter_fixture(
+    control: ReleaseControl, directory: TargetDirectory, sessions: TargetSessions
+) -> Granter:
     """Return a granter on the control."""
     return Granter(
         control=cast(TargetControl, control),
+        sessions=sessions,
         directory=directory,
         health_path="/health",
         fences=Fences(),
@@ -93,17 +97,24 @@
 
 
 @pytest.fixture(name="session")
-def session_fixture(granter: Granter) -> TargetSession:
+def session_fixture(sessions: TargetSessions) -> TargetSession:
     """Return the session with the former owner, which holds a short grant."""
-    session = granter.session("a")
+    session = sessions.of("a")
     session.note_grant(suspend_aware_now(), HOLD)
     return session
 
 
 @pytest.fixture(name="mover")
-def mover_fixture(granter: Granter, directory: TargetDirectory) -> Mover:
+def mover_fixture(
+    granter: Granter, sessions: TargetSessions, directory: TargetDirectory
+) -> Mover:
     """Return a mover on the granter."""
-    return Mover(granter=granter, directory=directory, longest_request=lambda: 1.0)
+    return Mover(
+        granter=granter,
+        sessions=sessions,
+        directory=directory,
+        longest_request=lambda: 1.0,
+    )
 
 
 async def test_refused_connections_do_not_free_keys(
