Read and write the lease's record in a class of its own

Change: LeaseStore says of a write that it stands, is taken or is unknown; the election goes by that. Behaviour as before.

--- a/swiftpin/keyranges/lease_election.py
+++ b/swiftpin/keyranges/lease_election.py
@@ -12,26 +12,17 @@
 
 from swiftpin.core import callback
 from swiftpin.discovery.store_health import StoreHealth
-from swiftpin.exceptions import (
-    ConfigurationError,
-    StoreConflictError,
-    StoreError,
-    StoreOutcomeUnknownError,
-    StoreUnavailableError,
-)
+from swiftpin.exceptions import StoreError
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.keyranges.const import (
     EXTENSION_LIMIT,
-    KIND_LEASE,
-    LEASE_CALL_TIMEOUT,
     LEASE_MARGIN,
     LEASE_RENEW,
     LEASE_TIME,
-    NAME_LEASE,
 )
-from swiftpin.keyranges.lease_record import LeaseRecord, decode_lease, encode_lease
+from swiftpin.keyranges.lease_record import LeaseRecord
+from swiftpin.keyranges.lease_store import LeaseStore, LeaseWrite
 from swiftpin.platform.store_client import StoreClient
-from swiftpin.store_errors import ObjectMissingError
 
 POLL: Final = 0.25
 """Seconds between two looks at the lease while its holder is not heard of."""
@@ -78,9 +69,6 @@
         strength: float,
         is_holder_heard: Callable[[str], bool],
     ) -> None:
-        self.record: LeaseRecord | None = None
-        """The record last seen, of whichever holder."""
-
         self.valid_until = 0.0
         self.extended_until = 0.0
         """Until when every member has voted not to take over, at the holder."""
@@ -105,21 +93,23 @@
         self._name = name
         self._incarnation = incarnation
         self._peer = peer
-        self._client = client
+        self._store = LeaseStore(client, health, lambda record: self.on_seen(record))
         self._health = health
         self._rng = rng
         self._strength = strength
         self._free_since: float | None = None
         self._is_holder_heard = is_holder_heard
-        self._revision: int | None = None
-        self._unchanged_since = 0.0
-        self._attempted_members: tuple[str, ...] = ()
         self._held_term = 0
         """Last term in which this instance got the lease."""
 
         self._lapsed_term = 0
         """Last term in which the lease was found to have run out, or was given up."""
 
+    @property
+    def record(self) -> LeaseRecord | None:
+        """Return the record last seen, of whichever holder."""
+        return self._store.record
+
     @property
     def voters(self) -> frozenset[str]:
         """Return the members whose votes the holder needs.
@@ -127,7 +117,7 @@
         A renewal without an answer may have been written, so those it named count too.
         """
         written = () if self.record is None else self.record.members
-        return frozenset((*written, *self._attempted_members)) - {self._name}
+        return frozenset((*written, *self._store.attempted_members)) - {self._name}
 
     @callback
     def is_held(self, now: float) -> bool:
@@ -170,7 +160,7 @@
         if self.is_held(suspend_aware_now()):
             return
         try:
-            await self._async_read()
+            await self._store.async_read()
         except StoreError as err:
             self._health.note_failure(str(err), suspend_aware_now())
 
@@ -184,9 +174,7 @@
         log_message(message_type="lease_given_up", term=record.term)
         free = replace(record, holder="", peer="", renewal=record.renewal + 1)
         try:
-            await self._client.async_replace(
-                KIND_LEASE, NAME_LEASE, encode_lease(free), self._revision
-            )
+            await self._store.async_write_last(free)
         except StoreError as err:
             # Whoever comes next then waits until the lease has run out.
             log_message(message_type="lease_not_freed", level="warning", error=str(err))
@@ -218,7 +206,7 @@
         if heard and record is not None and record.holder != self._incarnation:
             return CALM_POLL * self._rng.uniform(0.7, 1.0)
         try:
-            await self._async_read()
+            await self._store.async_read()
         except StoreError as err:
             self._health.note_failure(str(err), suspend_aware_now())
             return POLL * self._rng.uniform(0.8, 1.6)
@@ -263,46 +251,7 @@
         wait = LEASE_TIME + LEASE_MARGIN
         if self._name not in record.members:
             wait += EXTENSION_LIMIT
-        return now - self._unchanged_since > wait
-
-    async def _async_read(self) -> None:
-        """Read the lease and note whether it changed."""
-        try:
-            found = await self._client.async_get(
-                KIND_LEASE, NAME_LEASE, limit=LEASE_CALL_TIMEOUT
-            )
-        except ObjectMissingError:
-            self._health.note_answer(suspend_aware_now())
-            self.record = None
-            self._revision = None
-            return
-        now = suspend_aware_now()
-        self._health.note_answer(now)
-        try:
-            record = decode_lease(found.content)
-        except ConfigurationError as err:
-            raise StoreUnavailableError(str(err)) from err
-        if found.revision != self._revision:
-            self._revision = found.revision
-            self._unchanged_since = now
-            self._see(record)
-
-    @callback
-    def _see(self, record: LeaseRecord) -> None:
-        """Take a record that was read or written."""
-        before = self.record
-        self.record = record
-        if before is None or (before.holder, before.term) != (
-            record.holder,
-            record.term,
-        ):
-            log_message(
-                message_type="lease_seen",
-                holder=record.holder,
-                term=record.term,
-                revision=self._revision,
-            )
-        self.on_seen(record)
+        return now - self._store.unchanged_since > wait
 
     async def _async_take(self) -> None:
         """Try to become the holder, under the next term."""
@@ -321,65 +270,15 @@
     async def _async_write(self, record: LeaseRecord) -> bool:
         """Write a record of this instance's own; return whether it stands."""
         sent_at = suspend_aware_now()
-        self._attempted_members = record.members
-        content = encode_lease(record)
-        try:
-            if self._revision is None:
-                revision = await self._client.async_create(
-                    KIND_LEASE, NAME_LEASE, content, limit=LEASE_CALL_TIMEOUT
-                )
-            else:
-                revision = await self._client.async_replace(
-                    KIND_LEASE,
-                    NAME_LEASE,
-                    content,
-                    self._revision,
-                    limit=LEASE_CALL_TIMEOUT,
-                )
-        except StoreConflictError as err:
-            return await self._async_settle(record, sent_at, str(err))
-        except StoreOutcomeUnknownError as err:
-            self._health.note_failure(str(err), suspend_aware_now())
-            return await self._async_settle(record, sent_at, str(err))
-        except StoreError as err:
-            self._health.note_failure(str(err), suspend_aware_now())
-            return False
-        self._revision = revision
-        self._stands(record, sent_at)
-        return True
-
-    async def _async_settle(
-        self, record: LeaseRecord, sent_at: float, reason: str
-    ) -> bool:
-        """Read back whether a write stands whose answer was lost or a conflict.
-
-        A write whose answer was lost may meet its own effect as a conflict at the
-        next try; only the record itself tells.
-        """
-        log_message(message_type="lease_unsettled", reason=reason, term=record.term)
-        try:
-            await self._async_read()
-        except StoreError as err:
-            self._health.note_failure(str(err), suspend_aware_now())
-            return False
-        found = self.record
-        if found is None or found.holder != record.holder or found.term > record.term:
-            # Somebody else has it: no vote counts any more.
-            self._lapsed_term = self._held_term
-            return False
-        if (found.term, found.renewal) != (record.term, record.renewal):
-            return False
-        self._stands(record, sent_at)
-        return True
-
-    @callback
-    def _stands(self, record: LeaseRecord, sent_at: float) -> None:
-        """Note that a record of this instance's own was written."""
-        self._health.note_answer(suspend_aware_now())
-        self._see(record)
-        self._unchanged_since = sent_at
-        self.valid_until = sent_at + LEASE_TIME
-        self._held_term = record.term
+        match await self._store.async_write(record):
+            case LeaseWrite.STANDS:
+                self.valid_until = sent_at + LEASE_TIME
+                self._held_term = record.term
+                return True
+            case LeaseWrite.TAKEN:
+                # Somebody else has it: no vote counts any more.
+                self._lapsed_term = self._held_term
+        return False
 
 
 @callback
--- /dev/null
+++ b/swiftpin/keyranges/lease_store.py
@@ -0,0 +1,161 @@
+"""The record of the lease in the store."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import Enum, auto
+
+from eliot import log_message
+
+from swiftpin.core import callback
+from swiftpin.discovery.store_health import StoreHealth
+from swiftpin.exceptions import (
+    ConfigurationError,
+    StoreConflictError,
+    StoreError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from swiftpin.helpers.clock import suspend_aware_now
+from swiftpin.keyranges.const import KIND_LEASE, LEASE_CALL_TIMEOUT, NAME_LEASE
+from swiftpin.keyranges.lease_record import LeaseRecord, decode_lease, encode_lease
+from swiftpin.platform.store_client import StoreClient
+from swiftpin.store_errors import ObjectMissingError
+
+
+class LeaseWrite(Enum):
+    """What became of a write."""
+
+    STANDS = auto()
+    UNKNOWN = auto()
+    """It may stand, now or later, or not."""
+
+    TAKEN = auto()
+    """Another holder's record stands."""
+
+
+class LeaseStore:
+    """Reads the record, and replaces it if it is still the one last seen."""
+
+    def __init__(
+        self,
+        client: StoreClient,
+        health: StoreHealth,
+        on_seen: Callable[[LeaseRecord], None],
+    ) -> None:
+        self.record: LeaseRecord | None = None
+        """The record last seen, of whichever holder."""
+
+        self.unchanged_since = 0.0
+        """Since when the record has been the same, as far as is known here."""
+
+        self.attempted_members: tuple[str, ...] = ()
+        """Members that the last write named, whether or not it stands."""
+
+        self._client = client
+        self._health = health
+        self._on_seen = on_seen
+        self._revision: int | None = None
+
+    async def async_read(self) -> None:
+        """Read the lease and note whether it changed; raise `StoreError`."""
+        try:
+            found = await self._client.async_get(
+                KIND_LEASE, NAME_LEASE, limit=LEASE_CALL_TIMEOUT
+            )
+        except ObjectMissingError:
+            self._health.note_answer(suspend_aware_now())
+            self.record = None
+            self._revision = None
+            return
+        now = suspend_aware_now()
+        self._health.note_answer(now)
+        try:
+            record = decode_lease(found.content)
+        except ConfigurationError as err:
+            raise StoreUnavailableError(str(err)) from err
+        if found.revision != self._revision:
+            self._revision = found.revision
+            self.unchanged_since = now
+            self._see(record)
+
+    async def async_write(self, record: LeaseRecord) -> LeaseWrite:
+        """Write a record of this instance's own."""
+        sent_at = suspend_aware_now()
+        self.attempted_members = record.members
+        try:
+            revision = await self._async_put(record)
+        except StoreConflictError as err:
+            return await self._async_settle(record, sent_at, str(err))
+        except StoreOutcomeUnknownError as err:
+            self._health.note_failure(str(err), suspend_aware_now())
+            return await self._async_settle(record, sent_at, str(err))
+        except StoreError as err:
+            self._health.note_failure(str(err), suspend_aware_now())
+            return LeaseWrite.UNKNOWN
+        self._revision = revision
+        self._note_stands(record, sent_at)
+        return LeaseWrite.STANDS
+
+    async def async_write_last(self, record: LeaseRecord) -> None:
+        """Write a record after which this instance writes none; raise `StoreError`."""
+        await self._client.async_replace(
+            KIND_LEASE, NAME_LEASE, encode_lease(record), self._revision
+        )
+
+    async def _async_put(self, record: LeaseRecord) -> int:
+        """Create or replace the record; return its revision."""
+        content = encode_lease(record)
+        if self._revision is None:
+            return await self._client.async_create(
+                KIND_LEASE, NAME_LEASE, content, limit=LEASE_CALL_TIMEOUT
+            )
+        return await self._client.async_replace(
+            KIND_LEASE, NAME_LEASE, content, self._revision, limit=LEASE_CALL_TIMEOUT
+        )
+
+    async def _async_settle(
+        self, record: LeaseRecord, sent_at: float, reason: str
+    ) -> LeaseWrite:
+        """Read back whether a write stands whose answer was lost or a conflict.
+
+        A write whose answer was lost may meet its own effect as a conflict at the
+        next try; only the record itself tells.
+        """
+        log_message(message_type="lease_unsettled", reason=reason, term=record.term)
+        try:
+            await self.async_read()
+        except StoreError as err:
+            self._health.note_failure(str(err), suspend_aware_now())
+            return LeaseWrite.UNKNOWN
+        found = self.record
+        if found is None or found.holder != record.holder or found.term > record.term:
+            return LeaseWrite.TAKEN
+        if (found.term, found.renewal) != (record.term, record.renewal):
+            return LeaseWrite.UNKNOWN
+        self._note_stands(record, sent_at)
+        return LeaseWrite.STANDS
+
+    @callback
+    def _see(self, record: LeaseRecord) -> None:
+        """Take a record that was read or written."""
+        before = self.record
+        self.record = record
+        if before is None or (before.holder, before.term) != (
+            record.holder,
+            record.term,
+        ):
+            log_message(
+                message_type="lease_seen",
+                holder=record.holder,
+                term=record.term,
+                revision=self._revision,
+            )
+        self._on_seen(record)
+
+    @callback
+    def _note_stands(self, record: LeaseRecord, sent_at: float) -> None:
+        """Note that a record of this instance's own was written."""
+        self._health.note_answer(suspend_aware_now())
+        self._see(record)
+        self.unchanged_since = sent_at
--- a/tests/keyranges/test_lease_election.py
+++ b/tests/keyranges/test_lease_election.py
@@ -13,6 +13,7 @@
     StoreUnavailableError,
 )
 from swiftpin.keyranges import lease_election as lease_module
+from swiftpin.keyranges import lease_store as lease_store_module
 from swiftpin.keyranges.const import EXTENSION_LIMIT, LEASE_MARGIN, LEASE_TIME
 from swiftpin.keyranges.lease_election import LeaseElection
 from swiftpin.platform.platform_object import PlatformObject
@@ -93,7 +94,8 @@
 def clock_fixture(monkeypatch: pytest.MonkeyPatch) -> Clock:
     """Return the clock of the leases."""
     clock = Clock()
-    monkeypatch.setattr(lease_module, "suspend_aware_now", clock)
+    for module in (lease_module, lease_store_module):
+        monkeypatch.setattr(module, "suspend_aware_now", clock)
     return clock
 
 
