Leave the connection of a target's grants to its grants

Cause: by reading. A release may wait seconds for running work, and took the connection used last, which is that of the renewals; those went over another one meanwhile, each under a new fence, and kept it open afterwards. Change: grants prefer the connection of the last grant, releases avoid it.

--- a/swiftpin/dispatch/http_client.py
+++ b/swiftpin/dispatch/http_client.py
@@ -105,14 +105,18 @@
         connections: int = DEFAULT_CONNECTIONS,
         max_idle: float = math.inf,
         preferred: int | None = None,
+        avoided: int | None = None,
     ) -> HttpConnection:
         """Return an open connection for one exchange, for whoever must know which.
 
         The caller makes an exchange over it or aborts it. The connection whose number
-        is `preferred` is taken if it is open and idle. Raises `RequestNotSentError`.
+        is `preferred` is taken if it is open and idle, the one whose number is
+        `avoided` is not. Raises `RequestNotSentError`.
         """
         pool = self._pool(address, connections)
-        connection = pool.take_idle(monotonic_now(), max_idle, preferred=preferred)
+        connection = pool.take_idle(
+            monotonic_now(), max_idle, preferred=preferred, avoided=avoided
+        )
         if connection is None:
             connection = await pool.async_connect()
         return connection
--- a/swiftpin/dispatch/http_pool.py
+++ b/swiftpin/dispatch/http_pool.py
@@ -96,24 +96,30 @@
         max_idle: float = math.inf,
         *,
         preferred: int | None = None,
+        avoided: int | None = None,
     ) -> HttpConnection | None:
         """Return an open connection that carries no exchange, None if there is none.
 
         One that was idle for longer than `max_idle` seconds stays for other requests.
-        The one whose number is `preferred` is taken if it is there.
+        The one whose number is `preferred` is taken if it is there, the one whose
+        number is `avoided` never.
         """
-        for connection in self._idle:
-            if connection.number == preferred and self._is_fresh(connection, now):
-                self._idle.remove(connection)
-                return connection
-        while self._idle:
-            connection = self._idle[-1]
+        if preferred is not None:
+            for connection in self._idle:
+                if connection.number == preferred and self._is_fresh(connection, now):
+                    self._idle.remove(connection)
+                    return connection
+        for connection in reversed(self._idle[:]):
             if not self._is_fresh(connection, now):
-                self._idle.pop().abort()
+                self._idle.remove(connection)
+                connection.abort()
+                continue
+            if connection.number == avoided:
                 continue
             if now - connection.idle_since > max_idle:
                 return None
-            return self._idle.pop()
+            self._idle.remove(connection)
+            return connection
         return None
 
     async def async_connect(self) -> HttpConnection:
--- a/swiftpin/keyranges/granter.py
+++ b/swiftpin/keyranges/granter.py
@@ -70,7 +70,11 @@
         """
         try:
             handover = await self._control.async_release(
-                target.address, target.name, grant, limit=RELEASE_TIMEOUT
+                target.address,
+                target.name,
+                grant,
+                avoided_connection=session.grant_connection,
+                limit=RELEASE_TIMEOUT,
             )
         except TargetReplacedError:
             self._sessions.of(target.id).is_gone = True
@@ -129,7 +133,7 @@
             fence_over=lambda connection: session.fence_over(
                 connection, segment.fence, self._fences.take
             ),
-            preferred_connection=session.connection_of(segment.fence),
+            preferred_connection=session.grant_connection,
         )
         try:
             await self._control.async_grant(
--- a/swiftpin/keyranges/target_session.py
+++ b/swiftpin/keyranges/target_session.py
@@ -49,6 +49,11 @@
         self.is_gone = False
         """Whether another target has the address, so that this one has ended."""
 
+        self.grant_connection: int | None = None
+        """Number of the connection over which the last grant went. Grants prefer it and
+        releases, which may take seconds, avoid it: over another one each segment's next
+        renewal takes a new fence."""
+
         self._failing_since: float | None = None
         self._sent_by_segment: dict[int, SentFence] = {}
         """Fences in use, by the fence under which a segment was recorded."""
@@ -65,14 +70,9 @@
         if sent is None or sent.connection != connection:
             sent = SentFence(fence=take(), connection=connection)
             self._sent_by_segment[segment_fence] = sent
+        self.grant_connection = connection
         return sent.fence
 
-    @callback
-    def connection_of(self, segment_fence: int) -> int | None:
-        """Return the connection over which a segment's fence was sent, if any."""
-        sent = self._sent_by_segment.get(segment_fence)
-        return None if sent is None else sent.connection
-
     @callback
     def sent_fence(self, segment_fence: int) -> int | None:
         """Return the fence sent last for a segment, None before the first."""
--- a/swiftpin/platform/target_control.py
+++ b/swiftpin/platform/target_control.py
@@ -121,16 +121,32 @@
         _check(address, target_id, answer)
 
     async def async_release(
-        self, address: str, target_id: str, grant: KeyGrant, *, limit: float
+        self,
+        address: str,
+        target_id: str,
+        grant: KeyGrant,
+        *,
+        avoided_connection: int | None = None,
+        limit: float,
     ) -> str | None:
         """Take keys back; return the handover once no work runs on them.
 
+        The connection whose number is given stays free for grants.
+
         Raises the same errors as `async_grant`.
         """
         state = HttpSendState()
         request = _request(address, target_id, PATH_RELEASE, _document(grant))
         try:
-            answer = await self._async_exchange(address, request, state, limit)
+            async with asyncio.timeout(limit):
+                connection = await self._client.async_connection(
+                    address, avoided=avoided_connection
+                )
+                answer = await _async_read(
+                    await self._client.async_exchange_over(
+                        connection, request, state, self._gate
+                    )
+                )
         except (RequestNotSentError, AnswerBrokenError, TimeoutError) as err:
             raise _unreachable(target_id, state, err) from err
         _check(address, target_id, answer)
@@ -147,23 +163,17 @@
             body=WholeBody(b""),
         )
         try:
-            answer = await self._async_exchange(
-                address, request, HttpSendState(), limit
-            )
+            async with asyncio.timeout(limit):
+                answer = await _async_read(
+                    await self._client.async_exchange(
+                        address, request, HttpSendState(), self._gate
+                    )
+                )
         except (RequestNotSentError, AnswerBrokenError, TimeoutError):
             # Whoever asks goes on as if nothing was learnt, and asks again.
             return None
         return answer.headers.get(HEADER_INSTANCE)
 
-    async def _async_exchange(
-        self, address: str, request: HttpRequest, state: HttpSendState, limit: float
-    ) -> HttpAnswer:
-        """Make one exchange and read its answer to the end."""
-        async with asyncio.timeout(limit):
-            return await _async_read(
-                await self._client.async_exchange(address, request, state, self._gate)
-            )
-
 
 async def _async_read(answer: HttpAnswer) -> HttpAnswer:
     """Read an answer to its end and give its connection back."""
