--- a/tests/keyranges/test_range_assigner.py
+++ b/tests/keyranges/test_range_assigner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import cast
 
@@ -10,8 +11,10 @@
 
 from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.discovery.target_directory import TargetDirectory
+from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.keyranges import range_assigner as range_assigner_module
 from swiftpin.keyranges.assignment import Assignment
+from swiftpin.keyranges.const import HOLD_TIME
 from swiftpin.keyranges.fences import Fences
 from swiftpin.keyranges.lease_election import LeaseElection
 from swiftpin.keyranges.move import Move
@@ -155,3 +158,36 @@
     targets.seen_by_target["a"] = 2_000_009
     await assigner._renewer.async_renew("a")
     assert targets.granted_by_target["a"] == [3_000_001]
+
+
+async def test_keys_go_to_the_next_life_of_their_owner(
+    assigner: RangeAssigner,
+    store: SlowStore,
+    targets: FencedTargets,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Symptom: a restarted target's keys stayed unserved until old grants had ended.
+
+    Sequence: a target started again; its keys were planned to go to its new life, and
+    were released there first. Cause: who answers to the name was taken for the life
+    that the record names, or not asked at all.
+    """
+    directory = assigner._directory
+    former = directory.targets_by_id.pop("a")
+    for started_ms in (1, 2):
+        life = TargetLife(name="a", started_ms=started_ms)
+        directory.targets_by_id[life.id] = replace(former, life=life)
+    directory.replaced_ids.add("a@1")
+    segment = Segment(first=0, last=65535, owner="a@1", fence=5)
+    assigner._state.assignment = Assignment(segments=(segment,))
+    assigner._sessions.of("a@1").note_grant(suspend_aware_now(), HOLD_TIME)
+    move = Move(first=0, last=65535, source="a@1", to="a@2")
+    monkeypatch.setattr(range_assigner_module, "plan_moves", lambda *args: [move])
+    store.may_answer.set()
+    started = suspend_aware_now()
+    await assigner._async_plan_once(0.0)
+    while moves := assigner._moves._moves_by_first:
+        await asyncio.gather(*moves.values())
+    assert suspend_aware_now() < started + HOLD_TIME / 2
+    assert targets.released_by_target["a"] < targets.granted_by_target["a"]
+    assert [s.owner for s in assigner._state.present.segments] == ["a@2"]
