--- a/tests/keyranges/test_grant_renewer.py
+++ b/tests/keyranges/test_grant_renewer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import cast
 
@@ -151,5 +152,8 @@
     Cause: what answers to the name was taken for the life that owned the keys.
     """
     directory.replaced_ids.add("a@1")
+    former = directory.targets_by_id["a@1"]
+    life = TargetLife(name="a", started_ms=2)
+    directory.targets_by_id[life.id] = replace(former, life=life)
     await renewer.async_renew("a@1")
     assert not control.firsts
