Keep the fence of a grant that is under way

Cause: a renewal forgot the fences of segments that it does not renew, among them those on their way to the same target; a line in the log of renewals-behind-a-cut had no fence. No rule rested on it: the next try took a new one. Change: what moves to the target is kept. The test fails without it.

--- a/swiftpin/keyranges/grant_renewer.py
+++ b/swiftpin/keyranges/grant_renewer.py
@@ -79,11 +79,11 @@
             segments = [
                 segment
                 for segment in self._state.present.segments
-                if segment.owner == target_id and not segment.former
+                if segment.owner == target_id
             ]
             session.keep_fences({segment.fence for segment in segments})
             for segment in segments:
-                if not self._state.stands(segment):
+                if segment.former or not self._state.stands(segment):
                     continue
                 if not await self._async_renew_segment(target, segment, session):
                     return
--- a/tests/keyranges/test_grant_renewer.py
+++ b/tests/keyranges/test_grant_renewer.py
@@ -97,9 +97,9 @@
     directory: TargetDirectory,
     state: AssignmentState,
     published: list[None],
+    sessions: TargetSessions,
 ) -> GrantRenewer:
     """Return a renewer."""
-    sessions = TargetSessions(directory)
     publisher = SimpleNamespace(publish=lambda: published.append(None))
     return GrantRenewer(
         state=state,
@@ -157,3 +157,19 @@
     directory.targets_by_id[life.id] = replace(former, life=life)
     await renewer.async_renew("a@1")
     assert not control.firsts
+
+
+async def test_fence_of_a_grant_under_way_is_kept(
+    renewer: GrantRenewer, sessions: TargetSessions
+) -> None:
+    """Symptom: a line told of a grant without an answer, but not of its fence.
+
+    Sequence: keys on the move were granted to a target while its other grants were
+    renewed. Cause: the renewal forgot the fences of all that it does not renew.
+    """
+    session = sessions.of("a@1")
+    session.fence_over(1, 8, lambda: 77)
+    session.fence_over(1, 99, lambda: 78)
+    await renewer.async_renew("a@1")
+    assert session.sent_fence(8) == 77
+    assert session.sent_fence(99) is None
