Ask a target that an entry calls replaced before its keys are granted on

Cause: an entry of a newcomer at a target's address counted as that target's end. Entries may come from other writers now, with any address; then two targets would hold the same keys. Change: only an answer under another name ends a target; where that is so, the release gets it, so it costs one exchange.

--- a/swiftpin/keyranges/mover.py
+++ b/swiftpin/keyranges/mover.py
@@ -32,9 +32,10 @@
     """Takes keys back from one target and grants them to another.
 
     Keys are free when their former owner has answered a release, when all that it was
-    granted has ended, or when another target has its address; nothing else shows it. A
-    refused connection does not: targets refuse when they are full, and so does a link
-    that is cut, while other instances still reach the target.
+    granted has ended, or when another target answers at its address; nothing else shows
+    it. A refused connection does not: targets refuse when they are full, and so does a
+    link that is cut, while other instances still reach the target. Nor does an entry in
+    the store: another writer's may name any address.
 
     A later life of the former owner shows that what the earlier one held has ended, but
     it may hold the keys itself: grants under new fences go to whoever answers to the
@@ -69,7 +70,6 @@
         told = RepeatLimit()
         while True:
             now = suspend_aware_now()
-            self._sessions.of(segment.former)
             if session.is_gone or now >= held_until:
                 reason = "gone" if session.is_gone else "its grants have ended"
                 _log_release(segment, grant.fence, "needless", reason)
--- a/swiftpin/keyranges/target_session.py
+++ b/swiftpin/keyranges/target_session.py
@@ -47,7 +47,7 @@
         """Time at which every grant sent so far has ended on the target's clock."""
 
         self.is_gone = False
-        """Whether another target has the address, so that this one has ended."""
+        """Whether another target answered at the address, so this one has ended."""
 
         self.grant_connection: int | None = None
         """Number of the connection over which the last grant went. Grants prefer it and
--- a/swiftpin/keyranges/target_sessions.py
+++ b/swiftpin/keyranges/target_sessions.py
@@ -11,8 +11,9 @@
 class TargetSessions:
     """Sessions by id of a target's life, and what the directory tells of other lives.
 
-    A target that was replaced is gone, unless another life of it took its place: that
-    one may have been given keys by calls that were meant for the earlier.
+    A target is gone once another one has answered at its address, not when an entry in
+    the store names its address or its name. The entry may be another writer's, and a
+    new life of the target may have been given keys by calls meant for the earlier.
     """
 
     def __init__(self, directory: TargetDirectory) -> None:
@@ -25,9 +26,6 @@
         session = self._sessions_by_target.get(target_id)
         if session is None:
             session = self._sessions_by_target[target_id] = TargetSession()
-        is_replaced = target_id in self._directory.replaced_ids
-        if is_replaced and self.other_life(target_id) is None:
-            session.is_gone = True
         return session
 
     @callback
--- a/tests/keyranges/test_mover.py
+++ b/tests/keyranges/test_mover.py
@@ -157,6 +157,23 @@
     assert suspend_aware_now() < session.held_until
 
 
+async def test_address_that_an_entry_gives_to_another_is_asked(
+    mover: Mover,
+    control: ReleaseControl,
+    session: TargetSession,
+    directory: TargetDirectory,
+) -> None:
+    """Symptom: two targets held the same keys.
+
+    Sequence: another writer registered a target at a running one's address. Cause: the
+    running one was taken for gone; it still held its keys and answered for them.
+    """
+    directory.replaced_ids.add("a")
+    assert await mover.async_take_back(SEGMENT, None) == "handover"
+    assert control.addresses == ["a:1"]
+    assert not session.is_gone
+
+
 async def test_answered_release_brings_the_handover(
     mover: Mover, session: TargetSession
 ) -> None:
