--- a/swiftpin/keyranges/assignment.py
+++ b/swiftpin/keyranges/assignment.py
@@ -23,12 +23,19 @@
 ROW_LENGTH: Final = 4
 """Values of a row: first key, owner, fence, former owner."""
 
+ATTR_LONGEST_HOLD: Final = "longest_grant_ms"
+MILLISECONDS: Final = 1000
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Assignment:
     """Segments that cover all keys, in order."""
 
     segments: tuple[Segment, ...]
+    longest_hold: float | None = None
+    """Seconds of the longest grant that may still run; None in a record of a version
+    that does not tell."""
+
     firsts: tuple[int, ...] = field(init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
@@ -45,7 +52,7 @@
         for move in moves:
             segments = _apply(segments, move, next_fence)
             next_fence += 1
-        return Assignment(segments=tuple(segments))
+        return replace(self, segments=tuple(segments))
 
     def with_joined(self, next_fence: int, most: int) -> tuple[Assignment, list[int]]:
         """Return the assignment with neighbours of one owner joined, and their fences.
@@ -71,14 +78,28 @@
                 joined[-1] = replace(last, last=segment.last, fence=fences[-1])
             else:
                 joined.append(segment)
-        return Assignment(segments=tuple(joined)), fences
+        return replace(self, segments=tuple(joined)), fences
 
     def with_replaced(self, old: Segment, new: Segment) -> Assignment:
         """Return the assignment with one segment replaced, if it still stands so."""
-        return Assignment(
+        segments = tuple(
+            new if segment == old else segment for segment in self.segments
+        )
+        return replace(self, segments=segments)
+
+    def without_finished(self, present: Assignment) -> Assignment:
+        """Return this plan without the moves that have ended in the present one."""
+        open_fences = {segment.fence for segment in present.segments if segment.former}
+        known_fences = {segment.fence for segment in present.segments}
+        finished = known_fences - open_fences
+        return replace(
+            self,
             segments=tuple(
-                new if segment == old else segment for segment in self.segments
-            )
+                replace(segment, former="")
+                if segment.former and segment.fence in finished
+                else segment
+                for segment in self.segments
+            ),
         )
 
 
@@ -107,7 +128,11 @@
     return result
 
 
-def divide_evenly(weights_by_target: dict[str, float], fence: int) -> Assignment:
+def divide_evenly(
+    weights_by_target: dict[str, float],
+    fence: int,
+    longest_hold: float | None = None,
+) -> Assignment:
     """Return a first assignment with ranges in proportion to the weights."""
     total = sum(weights_by_target.values())
     segments = []
@@ -120,7 +145,7 @@
             continue
         segments.append(Segment(first=first, last=end - 1, owner=target, fence=fence))
         first = end
-    return Assignment(segments=tuple(segments))
+    return Assignment(segments=tuple(segments), longest_hold=longest_hold)
 
 
 def encode_assignment(assignment: Assignment) -> dict[str, Any]:
@@ -131,7 +156,10 @@
         owner = numbers.setdefault(segment.owner, len(numbers))
         former = numbers.setdefault(segment.former, len(numbers))
         rows.append([segment.first, owner, segment.fence, former])
-    return {"targets": list(numbers), "rows": rows}
+    content: dict[str, Any] = {"targets": list(numbers), "rows": rows}
+    if assignment.longest_hold is not None:
+        content[ATTR_LONGEST_HOLD] = round(assignment.longest_hold * MILLISECONDS)
+    return content
 
 
 def decode_assignment(content: object) -> Assignment:
@@ -142,7 +170,13 @@
         rows = read_list(read_field(fields, "rows"), "rows")
         names = [read_text(name, "a target", may_be_empty=True) for name in targets]
         starts = [_decode_row(row, names) for row in rows]
-        return Assignment(segments=_with_lasts(starts))
+        longest_hold = None
+        if ATTR_LONGEST_HOLD in fields:
+            longest_hold = read_whole(fields[ATTR_LONGEST_HOLD], ATTR_LONGEST_HOLD)
+        return Assignment(
+            segments=_with_lasts(starts),
+            longest_hold=None if longest_hold is None else longest_hold / MILLISECONDS,
+        )
     except FieldError as err:
         raise ConfigurationError(f"record of an assignment: {err}") from err
 
--- a/swiftpin/keyranges/assignment_record.py
+++ b/swiftpin/keyranges/assignment_record.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import replace
 import os
 from typing import Any, Final
@@ -17,7 +18,6 @@
     encode_assignment,
 )
 from swiftpin.keyranges.const import KIND_ASSIGNMENT
-from swiftpin.keyranges.fences import Fences
 from swiftpin.platform.store_client import StoreClient
 
 WRITER: Final = "writer"
@@ -40,7 +40,7 @@
         self._health = health
         self._writer = os.urandom(4).hex()
 
-    async def async_take_over(self, fences: Fences) -> Assignment:
+    async def async_take_over(self, take_fence: Callable[[], int]) -> Assignment:
         """Return the assignment once the record is this assigner's.
 
         Moves that are under way get new fences: an earlier assigner may have given the
@@ -49,12 +49,12 @@
         to be this assigner's; it may be so later, and can be taken over again.
         """
         found = await self._client.async_get(KIND_ASSIGNMENT, self._service)
-        assignment = Assignment(
-            segments=tuple(
-                replace(segment, fence=fences.take()) if segment.former else segment
-                for segment in decode_assignment(found.content).segments
-            )
+        recorded = decode_assignment(found.content)
+        segments = tuple(
+            replace(segment, fence=take_fence()) if segment.former else segment
+            for segment in recorded.segments
         )
+        assignment = replace(recorded, segments=segments)
         self.revision = await self._client.async_replace(
             KIND_ASSIGNMENT, self._service, self._encode(assignment), found.revision
         )
--- a/swiftpin/keyranges/mover.py
+++ b/swiftpin/keyranges/mover.py
@@ -13,7 +13,10 @@
 from swiftpin.exceptions import TargetUnreachableError
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.keyranges.granter import Granter
+from swiftpin.keyranges.repeat_limit import RepeatLimit
 from swiftpin.keyranges.segment import Segment
+from swiftpin.keyranges.target_sessions import TargetSessions
+from swiftpin.model.target import Target
 from swiftpin.platform.target_control import (
     GrantRefusedError,
     KeyGrant,
@@ -29,19 +32,27 @@
     """Takes keys back from one target and grants them to another.
 
     Keys are free when their former owner has answered a release, when all that it was
-    granted has ended, or when another target has its address; nothing else shows it. A
-    refused connection does not: targets refuse when they are full, and so does a link
-    that is cut, while other instances still reach the target.
+    granted has ended, or when another target answers at its address; nothing else shows
+    it. A refused connection does not: targets refuse when they are full, and so does a
+    link that is cut, while other instances still reach the target. Nor does an entry in
+    the store: another writer's may name any address.
+
+    A later life of the former owner shows that what the earlier one held has ended, but
+    it may hold the keys itself: grants under new fences go to whoever answers to the
+    name, and so may have reached it before its start was known here. So it gets the
+    release. Its answer shows both, and comes at once when it holds nothing.
     """
 
     def __init__(
         self,
         *,
         granter: Granter,
+        sessions: TargetSessions,
         directory: TargetDirectory,
         longest_request: Callable[[], float],
     ) -> None:
         self._granter = granter
+        self._sessions = sessions
         self._directory = directory
         self._longest_request = longest_request
 
@@ -49,53 +60,70 @@
         self, segment: Segment, asked_at: float | None
     ) -> str | None:
         """Return the handover once the former owner certainly lets go of the keys."""
-        session = self._granter.session(segment.former)
+        session = self._sessions.of(segment.former)
         async with session.calls:
             # Renewals that were under way when the record changed have ended.
             held_until = session.held_until
-        grant = KeyGrant(first=segment.first, last=segment.last, fence=segment.fence)
+        grant = KeyGrant(
+            first=segment.first, last=segment.last, fence=self._granter.take_fence()
+        )
+        told = RepeatLimit()
         while True:
             now = suspend_aware_now()
-            self._granter.session(segment.former)
             if session.is_gone or now >= held_until:
                 reason = "gone" if session.is_gone else "its grants have ended"
-                self._log_release(segment, "needless", reason)
+                _log_release(segment, grant.fence, "needless", reason)
                 return None
-            target = self._directory.targets_by_id.get(segment.former)
+            target = self._holder(segment.former)
             if target is None:
-                await asyncio.sleep(held_until - now)
+                # Its entry, or that of a later life, may still come.
+                await self._async_pause(held_until)
                 continue
             try:
                 handover = await self._granter.async_release(target, grant, session)
             except TargetReplacedError as err:
-                self._log_release(segment, "needless", str(err))
-                return None
+                if self._has_address(segment.former, target):
+                    _log_release(segment, grant.fence, "needless", str(err))
+                    session.is_gone = True
+                    return None
+                if told.is_due(now, "misdirected"):
+                    _log_release(segment, grant.fence, "misdirected", str(err))
+                await self._async_pause(held_until)
             except TargetNotReachedError as err:
-                self._log_release(segment, "not sent", str(err))
+                if told.is_due(now, "not sent", _reason_class(err)):
+                    _log_release(segment, grant.fence, "not sent", str(err))
                 await self._async_pause(held_until)
             except (TargetUnreachableError, GrantRefusedError) as err:
+                if told.is_due(now, "unanswered", _reason_class(err)):
+                    _log_release(segment, grant.fence, "unanswered", str(err))
                 # It may have taken the keys, until now, and let their work run on. Any
                 # of several tries may be the one that did, so the last one counts.
-                self._log_release(segment, "unanswered", str(err))
                 asked_at = suspend_aware_now()
                 await self._async_pause(held_until)
             else:
+                if target.id != segment.former:
+                    _log_later_life(segment, grant.fence, target)
+                # An unanswered release may have reached the later life already.
                 await self._async_wait_work(asked_at, held_until)
                 return handover
 
     @callback
-    def _log_release(self, segment: Segment, outcome: str, reason: str) -> None:
-        """Write a line for a release that brought no handover."""
-        log_message(
-            message_type="release_failed",
-            level="warning",
-            target=segment.former,
-            first=segment.first,
-            last=segment.last,
-            fence=segment.fence,
-            outcome=outcome,
-            reason=reason,
-        )
+    def _has_address(self, target_id: str, other: Target) -> bool:
+        """Return whether a target is known to have had another one's address.
+
+        Who answers at the address of a later life says nothing of the earlier one's:
+        an entry of another writer may name any address.
+        """
+        target = self._directory.targets_by_id.get(target_id)
+        return target is not None and target.address == other.address
+
+    @callback
+    def _holder(self, target_id: str) -> Target | None:
+        """Return the life of a target to ask for its keys, None when none is known."""
+        target = self._directory.targets_by_id.get(target_id)
+        if target is not None and target_id not in self._directory.replaced_ids:
+            return target
+        return self._sessions.other_life(target_id) or target
 
     async def _async_pause(self, until: float) -> None:
         """Wait before the next try, at most until a time."""
@@ -116,7 +144,7 @@
 
     async def async_grant_new(self, segment: Segment) -> bool:
         """Grant keys to their new owner; return whether it took them."""
-        session = self._granter.session(segment.owner)
+        session = self._sessions.of(segment.owner)
         while True:
             target = self._directory.targets_by_id.get(segment.owner)
             now = suspend_aware_now()
@@ -127,3 +155,37 @@
             if await self._granter.async_grant(target, segment, session):
                 return True
             await asyncio.sleep(RETRY_PAUSE)
+
+
+@callback
+def _reason_class(err: Exception) -> str:
+    """Return what tells failures of one kind from those of another."""
+    return f"{type(err).__name__} {type(err.__cause__).__name__}"
+
+
+@callback
+def _log_release(segment: Segment, fence: int, outcome: str, reason: str) -> None:
+    """Write a line for a release that brought no handover."""
+    log_message(
+        message_type="release_failed",
+        level="warning",
+        target=segment.former,
+        first=segment.first,
+        last=segment.last,
+        fence=fence,
+        outcome=outcome,
+        reason=reason,
+    )
+
+
+@callback
+def _log_later_life(segment: Segment, fence: int, holder: Target) -> None:
+    """Write a line for keys whose owner has started again since it got them."""
+    log_message(
+        message_type="released_by_later_life",
+        target=segment.former,
+        by=holder.id,
+        first=segment.first,
+        last=segment.last,
+        fence=fence,
+    )
--- a/tests/keyranges/test_late_orders.py
+++ b/tests/keyranges/test_late_orders.py
@@ -24,17 +24,18 @@
 )
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.keyranges import lease_election as lease_module
+from swiftpin.keyranges import lease_store as lease_store_module
 from swiftpin.keyranges import range_assigner as range_assigner_module
 from swiftpin.keyranges.assignment import Assignment, encode_assignment
 from swiftpin.keyranges.const import CONTROL_TIMEOUT, HOLD_TIME, LEASE_TIME
 from swiftpin.keyranges.fences import Fences
 from swiftpin.keyranges.granter import Granter
 from swiftpin.keyranges.lease_election import LeaseElection
-from swiftpin.keyranges.lease_record import LeaseRecord
 from swiftpin.keyranges.move import Move
 from swiftpin.keyranges.mover import Mover
 from swiftpin.keyranges.range_assigner import RangeAssigner
 from swiftpin.keyranges.segment import Segment
+from swiftpin.keyranges.target_sessions import TargetSessions
 from swiftpin.model.configuration import Configuration
 from swiftpin.model.instance_settings import InstanceSettings
 from swiftpin.model.target import Target
@@ -43,6 +44,7 @@
 from swiftpin.platform.platform_object import PlatformObject
 from swiftpin.platform.store_client import StoreClient
 from swiftpin.platform.target_control import (
+    GrantCall,
     GrantRefusedError,
     KeyGrant,
     TargetControl,
@@ -108,15 +110,16 @@
         self.granted_by_target: dict[str, list[int]] = {"a": [], "b": []}
 
     async def async_grant(
-        self, address: str, target_id: str, grant: KeyGrant, **rest: object
+        self, address: str, target_id: str, call: GrantCall, **rest: object
     ) -> None:
         """Take a grant, or refuse it; only the first keys are noted."""
-        if grant.first:
+        fence = call.fence_over(1)
+        if call.first:
             return
-        if grant.fence < self.seen_by_target.get(target_id, 0):
+        if fence < self.seen_by_target.get(target_id, 0):
             raise GrantRefusedError(target_id)
-        self.seen_by_target[target_id] = grant.fence
-        self.granted_by_target[target_id].append(grant.fence)
+        self.seen_by_target[target_id] = fence
+        self.granted_by_target[target_id].append(fence)
 
     async def async_release(
         self, address: str, target_id: str, grant: KeyGrant, **rest: object
@@ -190,8 +193,8 @@
 
 async def async_end_moves(assigner: RangeAssigner) -> None:
     """Wait until every move has ended."""
-    while assigner._moves_by_first:
-        await asyncio.gather(*assigner._moves_by_first.values())
+    while moves := assigner._moves._moves_by_first:
+        await asyncio.gather(*moves.values())
 
 
 @pytest.fixture(name="plan")
@@ -231,7 +234,7 @@
     store.is_late = False
     second = await async_take_over(2, store, targets, directory)
     targets.seen_by_target["a"] = 1_000_009
-    await second._async_renew("a")
+    await second._renewer.async_renew("a")
     store.carry_out()
     await async_take_over(3, store, targets, directory)
     assert_fences_rose(targets)
@@ -255,7 +258,7 @@
     store.is_late = True
     await first._async_plan_once(0.0)
     targets.seen_by_target["a"] = 900_000
-    await first._async_renew("a")
+    await first._renewer.async_renew("a")
     store.carry_out()
     await async_take_over(2, store, targets, directory)
     assert targets.granted_by_target["b"]
@@ -291,8 +294,7 @@
     assert targets.granted_by_target["b"]
     store.carry_out()
     third = await async_take_over(3, store, targets, directory)
-    assert third._assignment is not None
-    assert third._assignment.segment_of(0).owner == "b"
+    assert third._state.present.segment_of(0).owner == "b"
 
 
 async def test_work_is_waited_for_from_the_arrival_of_a_predecessors_release(
@@ -321,7 +323,7 @@
         self._losses = losses
 
     async def async_release(
-        self, address: str, target_id: str, grant: KeyGrant, *, limit: float
+        self, address: str, target_id: str, grant: KeyGrant, **rest: object
     ) -> str:
         """Take keys back, perhaps without an answer."""
         self.releases_at.append(suspend_aware_now())
@@ -332,20 +334,25 @@
 
 def make_mover(
     control: ReleaseControl, directory: TargetDirectory, longest_request: float
-) -> tuple[Mover, Granter]:
-    """Return a mover, and its granter."""
+) -> tuple[Mover, TargetSessions]:
+    """Return a mover, and the sessions that it looks at."""
+    sessions = TargetSessions(directory)
     granter = Granter(
         control=cast(TargetControl, control),
+        sessions=sessions,
         directory=directory,
         health_path="/health",
         usual_hold=lambda: HOLD_TIME,
+        fences=Fences(),
+        term=1,
     )
     mover = Mover(
         granter=granter,
+        sessions=sessions,
         directory=directory,
         longest_request=lambda: longest_request,
     )
-    return mover, granter
+    return mover, sessions
 
 
 async def test_work_is_waited_for_from_the_last_release_without_an_answer(
@@ -360,8 +367,8 @@
     may have been the one that took the keys.
     """
     control = ReleaseControl(losses=2)
-    mover, granter = make_mover(control, directory, 0.4)
-    granter.session("a").note_grant(suspend_aware_now(), HOLD_TIME)
+    mover, sessions = make_mover(control, directory, 0.4)
+    sessions.of("a").note_grant(suspend_aware_now(), HOLD_TIME)
     segment = Segment(first=0, last=9, owner="b", fence=7, former="a")
     assert await mover.async_take_back(segment, None) == "handover"
     assert suspend_aware_now() >= control.releases_at[1] + 0.4
@@ -379,8 +386,8 @@
     former = make_target("a", started_ms=1, revision=1)
     directory._known.put(former, 0.0)
     control = ReleaseControl(losses=0)
-    mover, granter = make_mover(control, directory, 0.0)
-    session = granter.session(former.id)
+    mover, sessions = make_mover(control, directory, 0.0)
+    session = sessions.of(former.id)
     session.note_grant(suspend_aware_now(), 0.5)
     directory._known.put(make_target("a", started_ms=2, revision=2), 0.0)
     segment = Segment(first=0, last=9, owner="b", fence=7, former=former.id)
@@ -472,7 +479,8 @@
         nonlocal now
         now += seconds
 
-    monkeypatch.setattr(lease_module, "suspend_aware_now", lambda: now)
+    for module in (lease_module, lease_store_module):
+        monkeypatch.setattr(module, "suspend_aware_now", lambda: now)
     store = LeaseStore(pass_time)
     lease = LeaseElection(
         name="a",
@@ -531,15 +539,15 @@
         permits=PermitBroker("a/1", "z"),
         key_maps=cast(KeyMapSharing, SimpleNamespace(hand_out=lambda key_map: None)),
     )
-    lease._stands(
-        LeaseRecord(holder="a", peer="", term=1, renewal=0), suspend_aware_now()
-    )
+    lease.is_willing = True
+    await lease._async_wait_turn(suspend_aware_now())
     assigner = factory.make("desk", configuration, Fences())
-    gate = assigner._granter._control._gate
+    gate = assigner._renewer._granter._control._gate
     gate(0.0)
-    lease._stands(
-        LeaseRecord(holder="a", peer="", term=3, renewal=0), suspend_aware_now()
-    )
+    await lease.async_give_up()
+    lease.is_standing_down = False
+    await lease._async_wait_turn(suspend_aware_now())
+    assert lease.is_held(suspend_aware_now())
     with pytest.raises(RequestNotSentError):
         gate(0.0)
 
@@ -579,11 +587,11 @@
     control = TargetControl(client, lambda now: None)
     grant = KeyGrant(first=0, last=9, fence=1)
     address = f"{host}:{port}"
-    await control.async_grant(address, "a", grant, hold=1.0, handover=None, limit=1.0)
-    try:
-        handover = await control.async_release(address, "a", grant, limit=1.0)
-    except TargetUnreachableError:
-        handover = "nothing learnt"
+    call = GrantCall(
+        first=0, last=9, hold=1.0, handover=None, fence_over=lambda connection: 1
+    )
+    await control.async_grant(address, "a", call, limit=1.0)
+    with pytest.raises(TargetUnreachableError):
+        await control.async_release(address, "a", grant, limit=1.0)
     client.unload()
     server.close()
-    assert handover is not None
--- /dev/null
+++ b/tests/keyranges/test_target_sessions.py
@@ -0,0 +1,73 @@
+"""Tests of which session a life of a target has."""
+
+from __future__ import annotations
+
+import pytest
+
+from swiftpin.discovery.store_health import StoreHealth
+from swiftpin.discovery.target_directory import TargetDirectory
+from swiftpin.keyranges.const import HOLD_TIME
+from swiftpin.keyranges.target_sessions import TargetSessions
+from swiftpin.model.target import Target
+from swiftpin.model.target_life import TargetLife
+
+
+@pytest.fixture(name="directory")
+def directory_fixture() -> TargetDirectory:
+    """Return a directory without targets."""
+    return TargetDirectory(StoreHealth(), 2.0)
+
+
+def make_target(born: int) -> Target:
+    """Return a life of target a."""
+    return Target(
+        life=TargetLife(name="a", started_ms=born),
+        service="desk",
+        address="a:1",
+        zone="z",
+        slots=2,
+        is_draining=False,
+        cold_for=0.0,
+        revision=1,
+    )
+
+
+def test_present_life_is_found(
+    sessions: TargetSessions, directory: TargetDirectory
+) -> None:
+    """The one that was not replaced itself, of the same target, and no other target."""
+    assert sessions.other_life("a@1") is None
+    for target in (make_target(2), make_target(3)):
+        directory.targets_by_id[target.id] = target
+    directory.replaced_ids.add("a@2")
+    found = sessions.other_life("a@1")
+    assert found is not None
+    assert found.id == "a@3"
+    assert sessions.other_life("a") is not None
+    assert sessions.other_life("aa@1") is None
+    assert sessions.other_life("b@1") is None
+
+
+def test_entry_of_another_target_does_not_end_a_session(
+    sessions: TargetSessions, directory: TargetDirectory
+) -> None:
+    """Symptom: two targets held the same keys.
+
+    Sequence: another writer registered a target at a running one's address; that one's
+    keys were granted on without a word to it. Cause: the entry was taken for the end
+    of the target that had the address.
+    """
+    directory.replaced_ids.add("a@1")
+    assert not sessions.of("a@1").is_gone
+
+
+def test_sessions_of_lives_that_hold_nothing_are_forgotten(
+    sessions: TargetSessions,
+) -> None:
+    """Each start of a target brings a session; they must not pile up."""
+    sessions.of("a@1").note_grant(10.0, HOLD_TIME)
+    sessions.of("a@2").note_grant(10.0, HOLD_TIME)
+    sessions.forget({"a@2"}, 12.0)
+    assert set(sessions._sessions_by_target) == {"a@1", "a@2"}
+    sessions.forget({"a@2"}, 20.0)
+    assert set(sessions._sessions_by_target) == {"a@2"}
