Forget handovers and fences of segments that are gone

Cause: each move left its handover in memory for good, 160 a second at most by the planner's bounds. Change: dropped once there are twice as many as segments; one constant and one set made in one place. A target found to be replaced while it is asked for keys is not paused for.

--- a/swiftpin/keyranges/assignment.py
+++ b/swiftpin/keyranges/assignment.py
@@ -11,9 +11,9 @@
 from swiftpin.keyranges.const import KEYS
 from swiftpin.keyranges.move import Move
 from swiftpin.keyranges.segment import Segment
+from swiftpin.platform.names import MILLISECONDS
 
 ATTR_LONGEST_HOLD: Final = "longest_grant_ms"
-MILLISECONDS: Final = 1000
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -35,6 +35,10 @@
         """Return the segment that holds a key."""
         return self.segments[bisect_right(self.firsts, key) - 1]
 
+    def fences(self) -> set[int]:
+        """Return the recorded fences of all segments."""
+        return {segment.fence for segment in self.segments}
+
     def with_moves(self, moves: Iterable[Move], next_fence: int) -> Assignment:
         """Return the assignment after moves, each under a fence of its own."""
         segments = list(self.segments)
@@ -79,8 +83,7 @@
     def without_finished(self, present: Assignment) -> Assignment:
         """Return this plan without the moves that have ended in the present one."""
         open_fences = {segment.fence for segment in present.segments if segment.former}
-        known_fences = {segment.fence for segment in present.segments}
-        finished = known_fences - open_fences
+        finished = present.fences() - open_fences
         return replace(
             self,
             segments=tuple(
--- a/swiftpin/keyranges/assignment_state.py
+++ b/swiftpin/keyranges/assignment_state.py
@@ -27,7 +27,7 @@
     def forget_fences(self) -> None:
         """Drop the fences of segments that were cut, joined or moved since."""
         if len(self.granted_fences) > 2 * len(self.present.segments):
-            self.granted_fences &= {segment.fence for segment in self.present.segments}
+            self.granted_fences &= self.present.fences()
 
     @callback
     def owners(self) -> set[str]:
--- a/swiftpin/keyranges/granter.py
+++ b/swiftpin/keyranges/granter.py
@@ -10,6 +10,7 @@
 from swiftpin.discovery.target_directory import TargetDirectory
 from swiftpin.exceptions import TargetUnreachableError
 from swiftpin.helpers.clock import suspend_aware_now
+from swiftpin.keyranges.assignment import Assignment
 from swiftpin.keyranges.const import CONTROL_TIMEOUT, RELEASE_TIMEOUT, SHORTEST_HOLD
 from swiftpin.keyranges.fences import Fences
 from swiftpin.keyranges.segment import Segment
@@ -61,6 +62,14 @@
         """Return a fence above all that were sent."""
         return self._fences.take()
 
+    @callback
+    def forget_handovers(self, present: Assignment) -> None:
+        """Drop handovers of segments that were cut, joined or moved since."""
+        if len(self.handovers_by_fence) <= 2 * len(present.segments):
+            return
+        for fence in self.handovers_by_fence.keys() - present.fences():
+            del self.handovers_by_fence[fence]
+
     async def async_release(
         self, target: Target, grant: KeyGrant, session: TargetSession
     ) -> str | None:
--- a/swiftpin/keyranges/mover.py
+++ b/swiftpin/keyranges/mover.py
@@ -98,7 +98,8 @@
                     _log_release(segment, grant.fence, "unanswered", str(err))
                 # It may have taken the keys and let their work run on.
                 asked_at = now if asked_at is None else asked_at
-                await self._async_pause(held_until)
+                if not session.is_gone:
+                    await self._async_pause(held_until)
             else:
                 if target.id != segment.former:
                     _log_later_life(segment, grant.fence, target)
--- a/swiftpin/keyranges/range_assigner.py
+++ b/swiftpin/keyranges/range_assigner.py
@@ -80,7 +80,7 @@
         self._hold_limit = HoldLimit(longest_hold)
         self._record = AssignmentRecord(service, client, health)
         self._sessions = TargetSessions(directory)
-        granter = Granter(
+        self._granter = Granter(
             control=control,
             sessions=self._sessions,
             directory=directory,
@@ -92,7 +92,7 @@
         self._loader = AssignmentLoader(
             service=service,
             record=self._record,
-            granter=granter,
+            granter=self._granter,
             sessions=self._sessions,
             directory=directory,
             hold_limit=self._hold_limit,
@@ -107,7 +107,7 @@
         )
         self._renewer = GrantRenewer(
             state=self._state,
-            granter=granter,
+            granter=self._granter,
             sessions=self._sessions,
             directory=directory,
             publisher=self._publisher,
@@ -115,9 +115,9 @@
         self._moves = MoveRunner(
             service=service,
             state=self._state,
-            granter=granter,
+            granter=self._granter,
             mover=Mover(
-                granter=granter,
+                granter=self._granter,
                 sessions=self._sessions,
                 directory=directory,
                 longest_request=longest_request,
@@ -176,6 +176,7 @@
         involved = self._state.involved_targets()
         self._sessions.forget(involved, now)
         self._state.forget_fences()
+        self._granter.forget_handovers(self._state.present)
         self.speed.keep(involved | self._directory.targets_by_id.keys())
 
     async def _async_plan_once(self, now: float) -> None:
--- a/swiftpin/keyranges/segment.py
+++ b/swiftpin/keyranges/segment.py
@@ -15,6 +15,9 @@
     """Target that has the keys or is to get them."""
 
     fence: int
+    """Fence under which the segment was recorded. It names the segment; each call has a
+    fence of its own, taken when it is sent."""
+
     former: str = ""
     """Target that may still hold the keys; empty when none does."""
 
--- a/tests/keyranges/test_granter.py
+++ b/tests/keyranges/test_granter.py
@@ -11,6 +11,7 @@
 from swiftpin.discovery.target_directory import TargetDirectory
 from swiftpin.exceptions import TargetUnreachableError
 from swiftpin.helpers.clock import suspend_aware_now
+from swiftpin.keyranges.assignment import Assignment
 from swiftpin.keyranges.const import CLOCK_DRIFT, HOLD_MARGIN, HOLD_TIME
 from swiftpin.keyranges.fences import Fences
 from swiftpin.keyranges.granter import Granter
@@ -256,3 +257,10 @@
     assert (first["target"], first["first"], first["last"]) == ("a", 0, 9)
     assert (first["fence"], first["term"], first["hold"]) == (1, 1, HOLD_TIME)
     assert first["reason"] == "lost"
+
+
+def test_handovers_of_segments_that_are_gone_are_forgotten(granter: Granter) -> None:
+    """Each move leaves one behind; where keys are hot there are many a second."""
+    granter.handovers_by_fence.update(dict.fromkeys(range(1, 9), "handover"))
+    granter.forget_handovers(Assignment(segments=(SEGMENT,)))
+    assert set(granter.handovers_by_fence) == {SEGMENT.fence}
