--- a/swiftpin/keyranges/mover.py
+++ b/swiftpin/keyranges/mover.py
@@ -99,7 +99,8 @@
                 # It may have taken the keys, until now, and let their work run on. Any
                 # of several tries may be the one that did, so the last one counts.
                 asked_at = suspend_aware_now()
-                await self._async_pause(held_until)
+                if not session.is_gone:
+                    await self._async_pause(held_until)
             else:
                 if target.id != segment.former:
                     _log_later_life(segment, grant.fence, target)
