Keep an instance that started in an outage from assigning keys at once

Change: an instance whose first targets were told while the store settles is not willing to take the lease until that is over; others knew the targets before. Conclusion: the mover's sleep to the end of the grants of an unknown target is left to keyranges.

--- a/swiftpin/discovery/target_directory.py
+++ b/swiftpin/discovery/target_directory.py
@@ -37,6 +37,9 @@
         self._freshness = Freshness()
         self._health = health
         self._drain = drain
+        self._began_unsettled = False
+        """Whether the first targets were told while lapsed entries were still missing."""
+
         self._news = TargetNews(
             known=self._known,
             revisions=self._revisions,
@@ -72,6 +75,7 @@
         self, objects: tuple[PlatformObject, ...], revision: int, now: float
     ) -> None:
         """Take the whole list as it was at a revision."""
+        self._note_beginning(now)
         self._news.adopt_list(objects, revision, now)
         self.on_change()
 
@@ -94,9 +98,16 @@
         self, targets: list[Target], ids: frozenset[str], revision: int, now: float
     ) -> None:
         """Take what a neighbour knows that saw a later revision."""
+        self._note_beginning(now)
         self._news.adopt_update(targets, ids, revision, now)
         self.on_change()
 
+    @callback
+    def _note_beginning(self, now: float) -> None:
+        """Note whether the first targets are told while many may be missing."""
+        if not self.version:
+            self._began_unsettled = self._health.is_settling(now, RETURN_TIME)
+
     # What is known.
 
     @callback
@@ -104,6 +115,20 @@
         """Return the targets whose entries are in the store and can be used."""
         return self._known.listed()
 
+    @callback
+    def knows_targets(self, now: float) -> bool:
+        """Return whether no live target is likely to be unknown.
+
+        An instance that started in an outage of the store lists few targets right
+        after it: the entries of the others have lapsed. As the assigner it would take
+        those for gone, move their keys, and have no address to release them at.
+        """
+        if not self.version:
+            return False
+        return not (
+            self._began_unsettled and self._health.is_settling(now, RETURN_TIME)
+        )
+
     @callback
     def set_drain(self, drain: float) -> None:
         """Set how long a leaving target may get requests, in seconds."""
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -150,6 +150,7 @@
             lease=self._lease,
             configuration=self._configuration,
             make_assigner=self._make_assigner,
+            knows_targets=self._directory.knows_targets,
         )
         self._fleet.on_load = self._leader.take_load
         self._sender = RequestSender(
