--- a/swiftpin/discovery/target_directory.py
+++ b/swiftpin/discovery/target_directory.py
@@ -16,7 +16,6 @@
 from swiftpin.model.target import Target
 from swiftpin.platform.platform_object import PlatformObject
 
-
 FIRST_LIST_SETTLE: Final = RETURN_TIME
 """Seconds after the first list within which targets may be missing from it."""
 
