--- a/swiftpin/discovery/target_directory.py
+++ b/swiftpin/discovery/target_directory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Final
 
 from swiftpin.core import callback
 from swiftpin.discovery.const import DRAIN_MARGIN, RETURN_TIME
@@ -15,6 +16,9 @@
 from swiftpin.model.target import Target
 from swiftpin.platform.platform_object import PlatformObject
 
+FIRST_LIST_SETTLE: Final = RETURN_TIME
+"""Seconds after the first list within which targets may be missing from it."""
+
 
 class TargetDirectory:
     """Targets by id of their lives, from the store or from a neighbour.
@@ -37,6 +41,9 @@
         self._freshness = Freshness()
         self._health = health
         self._drain = drain
+        self._told_since: float | None = None
+        """When the first targets were told."""
+
         self._news = TargetNews(
             known=self._known,
             revisions=self._revisions,
@@ -72,6 +79,7 @@
         self, objects: tuple[PlatformObject, ...], revision: int, now: float
     ) -> None:
         """Take the whole list as it was at a revision."""
+        self._note_beginning(now)
         self._news.adopt_list(objects, revision, now)
         self.on_change()
 
@@ -94,9 +102,16 @@
         self, targets: list[Target], ids: frozenset[str], revision: int, now: float
     ) -> None:
         """Take what a neighbour knows that saw a later revision."""
+        self._note_beginning(now)
         self._news.adopt_update(targets, ids, revision, now)
         self.on_change()
 
+    @callback
+    def _note_beginning(self, now: float) -> None:
+        """Note when the first targets are told."""
+        if self._told_since is None:
+            self._told_since = now
+
     # What is known.
 
     @callback
@@ -104,6 +119,19 @@
         """Return the targets whose entries are in the store and can be used."""
         return self._known.listed()
 
+    @callback
+    def knows_targets(self, now: float) -> bool:
+        """Return whether no live target is likely to be unknown.
+
+        An instance that started in an outage of the store, or right after it, lists
+        few targets: the entries of the others have lapsed, and it can't see that. As
+        the assigner it would take those for gone, move their keys, and have no address
+        to release them at; most keys were without an owner for 5 s.
+        """
+        if self._told_since is None:
+            return False
+        return now - self._told_since >= FIRST_LIST_SETTLE
+
     @callback
     def set_drain(self, drain: float) -> None:
         """Set how long a leaving target may get requests, in seconds."""
--- a/tests/router/test_leader.py
+++ b/tests/router/test_leader.py
@@ -38,6 +38,7 @@
         lease=cast(LeaseElection, lease),
         configuration=cast(ConfigurationHolder, configuration),
         make_assigner=make_assigner,
+        knows_targets=lambda now: True,
     )
     leader._keep()
     assert not lease.wants_next_term
