--- a/tests/permits/test_queue_under_overload.py
+++ b/tests/permits/test_queue_under_overload.py
@@ -178,7 +178,7 @@
 
 
 def test_hardly_anyone_is_held_to_the_end() -> None:
-    """Those who wait longest in vain still have time to be served elsewhere or later."""
+    """Those who wait longest in vain still have time to come back and be served."""
     fates = [fate for seed in range(10) for fate in play(seed, load=2.0)]
     waits = sorted(fate.wait for fate in fates if not fate.is_served)
     assert waits[int(len(waits) * 0.99)] < LIFETIME * 2 / 3
