--- a/swiftpin/permits/waiting_line.py
+++ b/swiftpin/permits/waiting_line.py
@@ -44,8 +44,8 @@
     Without the forecast requests wait to their end though their turn can't come, and
     their callers have no time left to try again; it shows as callers that left after
     most of their time without a send. Whoever will miss the objective is overtaken by
-    all that won't, so its turn depends on arrivals to come, of which no
-    more are expected than are certain by the grants of late.
+    all that won't, so its turn depends on arrivals to come, of which no more are
+    expected than the recent grants make certain.
     """
 
     def __init__(self) -> None:
