--- a/tests/permits/test_permit_queue.py
+++ b/tests/permits/test_permit_queue.py
@@ -359,3 +359,28 @@
     asker.ask("a@1")
     asker.queue.set_targets([make_target("a@2")], 0.1)
     assert asker.is_granted(asker.ask("a@2", now=0.1))
+
+
+def test_leaving_targets_serve_no_more_than_their_keys(asker: Asker) -> None:
+    """Requests for keys that a leaving target owns go on, in all its slots."""
+    leaving = make_target("a", slots=2)
+    asker.queue.set_targets([make_target("b", zone="z2")], 0.0, leaving=[leaving])
+    assert all(asker.is_granted(asker.ask("a")) for _ in range(2))
+    asker.ask("b")
+    waiting = asker.ask("")
+    assert waiting not in asker.decisions_by_number
+    asker.queue.set_targets([make_target("b", zone="z2")], 0.1, leaving=[])
+    assert waiting not in asker.decisions_by_number
+
+
+def test_target_without_slots_gives_no_error(asker: Asker) -> None:
+    """Symptom: an issuer ends by itself, and all its permits with it.
+
+    Sequence: a target registers with no slots; a request without a key comes.
+    Cause: the soonest end was looked for among no running requests.
+    """
+    targets = [make_target("a", slots=0), make_target("b")]
+    asker.queue.set_targets(targets, 0.0)
+    asker.ask("b")
+    waiting = asker.ask("")
+    assert waiting not in asker.decisions_by_number
