--- a/tests/permits/test_permit_queue.py
+++ b/tests/permits/test_permit_queue.py
@@ -291,6 +291,17 @@
         asker.end(number, seconds=0.05, now=now)
 
 
+def test_unkeyed_requests_are_judged_by_all_targets(asker: Asker) -> None:
+    """Requests that any target may serve share one queue, as fast as all of them."""
+    now = asker.run("a", seconds=0.1, times=1, now=0.0)
+    now = asker.run("b", seconds=0.1, times=1, now=now) + IDLE
+    for _ in range(2):
+        asker.ask("", now=now, ends_at=now + 2.0)
+    numbers = [asker.ask("", now=now, ends_at=now + 0.45) for _ in range(8)]
+    waiting = [number for number in numbers if not asker.is_rejected(number)]
+    assert waiting == numbers[:5]
+
+
 def test_rejected_callers_are_told_different_times(asker: Asker) -> None:
     """Symptom: callers that were rejected together come back together.
 
@@ -348,3 +359,28 @@
     asker.ask("a@1")
     asker.queue.set_targets([make_target("a@2")], 0.1)
     assert asker.is_granted(asker.ask("a@2", now=0.1))
+
+
+def test_leaving_targets_serve_no_more_than_their_keys(asker: Asker) -> None:
+    """Requests for keys that a leaving target owns go on, in all its slots."""
+    leaving = make_target("a", slots=2)
+    asker.queue.set_targets([make_target("b", zone="z2")], 0.0, leaving=[leaving])
+    assert all(asker.is_granted(asker.ask("a")) for _ in range(2))
+    asker.ask("b")
+    waiting = asker.ask("")
+    assert waiting not in asker.decisions_by_number
+    asker.queue.set_targets([make_target("b", zone="z2")], 0.1, leaving=[])
+    assert waiting not in asker.decisions_by_number
+
+
+def test_target_without_slots_gives_no_error(asker: Asker) -> None:
+    """Symptom: an issuer ends by itself, and all its permits with it.
+
+    Sequence: a target registers with no slots; a request without a key comes.
+    Cause: the soonest end was looked for among no running requests.
+    """
+    targets = [make_target("a", slots=0), make_target("b")]
+    asker.queue.set_targets(targets, 0.0)
+    asker.ask("b")
+    waiting = asker.ask("")
+    assert waiting not in asker.decisions_by_number
