--- a/tests/deploy/test_router_alerts.py
+++ b/tests/deploy/test_router_alerts.py
@@ -12,7 +12,7 @@
 import yaml
 
 from swiftpin.helpers.logging_writer import LineWriter
-from swiftpin.router.metrics import Metrics
+from swiftpin.router.metrics import FAILED_RESULTS, Metrics
 
 ROOT = Path(__file__).parents[2]
 ALERTS = ROOT / "deploy" / "prometheus" / "router_alerts.yaml"
@@ -66,6 +66,36 @@
     assert set(METRIC.findall(PAGE.read_text())) <= metric_names
 
 
+def test_page_names_events_that_exist() -> None:
+    """Symptom: a command of the page found nothing in any log.
+
+    Sequence: an event was renamed in the code. Cause: nothing joined the two.
+    """
+    known = {"request", "log", "lines_dropped"}
+    for source in (ROOT / "swiftpin").rglob("*.py"):
+        known |= set(re.findall(r'message_type="(\w+)"', source.read_text()))
+        known |= set(re.findall(r'"(move_\w+)" if granted', source.read_text()))
+        known |= set(re.findall(r'granted else "(move_\w+)"', source.read_text()))
+    text = PAGE.read_text()
+    named = set(re.findall(r"event=(\w+)", text)) - {"move_"}
+    table = text.partition("## Dependencies and roles")[2].partition("## ")[0]
+    for row in re.findall(r"^\| (`.*?`) \|", table, re.M):
+        named |= set(re.findall(r"`(\w+)`", row))
+    assert named
+    assert named <= known
+
+
+def test_page_names_results_and_reasons_that_exist() -> None:
+    """An engineer looks for `outcome` and counts by `reason`."""
+    text = PAGE.read_text()
+    results = {result.name for result in FAILED_RESULTS}
+    assert set(re.findall(r"outcome=([A-Z_]+)", text)) <= results
+    first_cells = re.findall(r"^\| (`[A-Z_]+`.*?) \|", text, re.M)
+    named = {name for cell in first_cells for name in re.findall(r"`([A-Z_]+)`", cell)}
+    assert named
+    assert named <= results
+
+
 def test_each_alert_is_explained() -> None:
     """Whoever is woken finds the alert's name on the page."""
     text = PAGE.read_text()
