--- a/swiftpin/router/extension_votes.py
+++ b/swiftpin/router/extension_votes.py
@@ -1,13 +1,15 @@
-"""ExtensionVotes to leave the lease to its holder while the store answers nobody."""
+"""Votes to leave the lease to its holder while the store answers nobody."""
 
 from __future__ import annotations
 
 import asyncio
 import math
 
+from eliot import log_message
+
 from swiftpin.core import callback
 from swiftpin.discovery.store_health import StoreHealth
-from swiftpin.fleet.link import PeerLink
+from swiftpin.fleet.link import Item, PeerLink
 from swiftpin.fleet.links import FleetLinks
 from swiftpin.keyranges.const import VOTE_TIME
 from swiftpin.keyranges.lease_election import LeaseElection
@@ -30,6 +32,9 @@
         """Incarnation of the holder that lost the store."""
 
         self._asked_at = 0.0
+        self._voted_for = ""
+        """Incarnation of the holder for which this member voted last."""
+
         self._probe: asyncio.Task[None] | None = None
 
     @callback
@@ -42,6 +47,15 @@
         heartbeat = link.heartbeat
         if heartbeat is None or not heartbeat.leads:
             return False
+        is_given = self._is_due(link, heartbeat, now)
+        if is_given:
+            self._lease.own_vote_until = now + VOTE_TIME
+        self._note(link.incarnation if is_given else "")
+        return is_given
+
+    @callback
+    def _is_due(self, link: PeerLink, heartbeat: Item, now: float) -> bool:
+        """Return whether to vote for the holder at the other end of a link."""
         if not heartbeat.store_lost:
             self._asked_by = ""
             return False
@@ -50,10 +64,18 @@
             self._asked_at = now
             self._probe = asyncio.create_task(self._lease.async_probe())
         answered_at = self._health.answered_at
-        if answered_at is not None and answered_at >= self._asked_at:
-            return False
-        self._lease.own_vote_until = now + VOTE_TIME
-        return True
+        return answered_at is None or answered_at < self._asked_at
+
+    @callback
+    def _note(self, holder: str) -> None:
+        """Write a line when votes for a holder begin or end; empty for none."""
+        if holder == self._voted_for:
+            return
+        if self._voted_for:
+            log_message(message_type="votes_ended", holder=self._voted_for)
+        if holder:
+            log_message(message_type="votes_begun", holder=holder)
+        self._voted_for = holder
 
     @callback
     def take(self, link: PeerLink, echo: float) -> None:
--- a/tests/router/test_extension_votes.py
+++ b/tests/router/test_extension_votes.py
@@ -5,6 +5,8 @@
 from types import SimpleNamespace
 from typing import cast
 
+from eliot import add_destinations, remove_destination
+
 from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.fleet.link import LinkHandler, PeerLink
 from swiftpin.fleet.links import FleetLinks
@@ -70,7 +72,31 @@
     assert lease.probes == 1
 
 
-async def test_member_that_the_store_turns_away_goes_on_pledging() -> None:
+async def test_member_that_the_store_turns_away_goes_on_voting() -> None:
     """While the store answers neither, the holder stays."""
     _, given = await _async_beats(answers=False)
     assert all(given)
+
+
+async def test_begin_and_end_of_votes_have_a_line_each() -> None:
+    """Symptom: that members had voted again and again was inferred from the code.
+
+    Sequence: a holder lost the store, found it again and no line told who had voted
+    for it and until when. Cause: votes travel in heartbeats, which have no lines.
+    """
+    messages: list[dict[str, object]] = []
+    add_destinations(messages.append)
+    messages.clear()
+    lease = FakeLease(
+        probes=0, answers=False, health=StoreHealth(), clock=0.0, own_vote_until=0.0
+    )
+    votes = make_votes(lease)
+    for number, is_lost in enumerate((False, True, True, False, False)):
+        holder = make_link("holder", leads=True, store_lost=is_lost)
+        votes.give(holder, 0.3 * number)
+        votes.give(make_link("other"), 0.3 * number)
+    remove_destination(messages.append)
+    assert [(m["message_type"], m["holder"]) for m in messages] == [
+        ("votes_begun", "holder/1"),
+        ("votes_ended", "holder/1"),
+    ]
