--- a/swiftpin/router/decision_basis.py
+++ b/swiftpin/router/decision_basis.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Final
 
 from swiftpin.core import callback
 from swiftpin.discovery.target_directory import TargetDirectory
-from swiftpin.helpers.logging_format import ABSENT
+from swiftpin.helpers.logging_format import ABSENT, cached_text
 from swiftpin.router.key_maps import KeyMaps
 
+MILLISECONDS: Final = 1000.0
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class DecisionBasis:
@@ -24,13 +27,25 @@
     targets: int
     """The store's revision up to which the list of targets is known."""
 
+    targets_age: float | None = None
+    """Seconds since the list was last confirmed, None where that is not known."""
+
+    targets_source: str = ""
+    """Whence the list was confirmed last, empty where that is not known."""
+
     @callback
     def pairs(self) -> str:
         """Return the pairs of the request's log line."""
         key_map = ABSENT
         if self.key_map is not None:
             key_map = f"{self.key_map[0]}.{self.key_map[1]}"
-        return f"key_map={key_map} targets={self.targets}"
+        pairs = f"key_map={key_map} targets={self.targets}"
+        if self.targets_age is not None:
+            age = self.targets_age * MILLISECONDS
+            pairs = f"{pairs} targets_age_ms={age:.0f}"
+        if self.targets_source:
+            pairs = f"{pairs} targets_source={cached_text(self.targets_source)}"
+        return pairs
 
 
 @callback
