--- a/swiftpin/router/decision_basis.py
+++ b/swiftpin/router/decision_basis.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Final
 
 from swiftpin.core import callback
 from swiftpin.discovery.target_directory import TargetDirectory
 from swiftpin.helpers.clock import suspend_aware_now
-from swiftpin.helpers.logging_format import ABSENT, format_value
+from swiftpin.helpers.logging_format import ABSENT, cached_text
 from swiftpin.router.key_maps import KeyMaps
 
+MILLISECONDS: Final = 1000.0
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class DecisionBasis:
@@ -37,10 +40,10 @@
         key_map = ABSENT
         if self.key_map is not None:
             key_map = f"{self.key_map[0]}.{self.key_map[1]}"
-        age = format_value(self.targets_age)
-        source = format_value(self.targets_source)
+        age = self.targets_age * MILLISECONDS
+        source = cached_text(self.targets_source)
         return (
-            f"key_map={key_map} targets={self.targets} targets_age={age} "
+            f"key_map={key_map} targets={self.targets} targets_age_ms={age:.0f} "
             f"targets_source={source}"
         )
 
