Ask no more than the mean length of who is to be in time

Cause: it served a target whose requests are alike; where short and long ones share a target the mean is long for the short ones, and a margin makes those late that would just make it.

--- a/swiftpin/permits/waiting_line.py
+++ b/swiftpin/permits/waiting_line.py
@@ -20,14 +20,6 @@
 """Seconds from the end of a request at its target until the caller has the answer:
 some round trips between zones of a few milliseconds each."""
 
-LONG_HOLD: Final = 1.5
-"""Mean holds that must be left for a request to count as one that can still make its
-objective. With one, queues under overload are as long as the objective allows, and half
-of those whose turn comes are late by chance: at twice what a target bears 46% of all
-requests are in time with one, 50% with 1.5, and as many are served (one slot, 40 ms a
-request and up to 60% more or less, 20 seeds of
-`tests/permits/test_queue_under_overload.py`)."""
-
 MOST_OVERTAKEN: Final = 0.9
 """Part of the slots at most that is taken to go to later arrivals: overload may end at
 any moment, and a request that would then be served is not rejected before."""
@@ -110,8 +102,12 @@
         for _, group in groupby(ordered, key=lambda request: request.priority):
             late = []
             for request in group:
+                # No more than the mean hold is asked for. With half of it more, short
+                # requests at a target that also runs long ones count as late: 63 of
+                # 100 are in time instead of 67, at 0.9 of what the target bears (20
+                # seeds of `tests/permits/test_queue_under_overload.py`).
                 starts_at = now + pace.free_in + ahead * pace.interval
-                if starts_at + LONG_HOLD * pace.hold <= request.objective_at:
+                if starts_at + pace.hold <= request.objective_at:
                     ahead += 1
                     yield request, True
                 else:
