Expect overtaking for no longer than it was counted

Cause: the grants of the last second were taken to go on for as long as a request waits.

Change: overtaking is expected for one second at most. Who has less than a second left is judged as before.

--- a/swiftpin/permits/waiting_line.py
+++ b/swiftpin/permits/waiting_line.py
@@ -8,7 +8,7 @@
 
 from swiftpin.core import callback
 from swiftpin.permits.permit_request import PermitRequest
-from swiftpin.permits.recent_grants import RecentGrants
+from swiftpin.permits.recent_grants import WINDOW, RecentGrants
 from swiftpin.permits.rejection import Rejection
 from swiftpin.permits.retry_spread import spread_retry
 from swiftpin.permits.slot_pace import SlotPace
@@ -88,7 +88,11 @@
         rate = self._grants.least_overtaking_rate(
             request.priority, now, is_in_time=is_in_time
         )
-        return wait / (1 - min(rate * pace.interval, MOST_OVERTAKEN))
+        overtaken = min(rate * pace.interval, MOST_OVERTAKEN)
+        # What arrived within the window says nothing of times beyond as long a one.
+        # Else callers with seconds left are rejected in each short crowd, and use up
+        # the few times that they come back.
+        return min(wait / (1 - overtaken), wait + WINDOW * overtaken)
 
     @callback
     def _in_order(
--- a/tests/permits/test_permit_queue.py
+++ b/tests/permits/test_permit_queue.py
@@ -384,3 +384,18 @@
     asker.ask("b")
     waiting = asker.ask("")
     assert waiting not in asker.decisions_by_number
+
+
+def test_arrivals_of_late_say_nothing_of_long_waits(asker: Asker) -> None:
+    """Symptom: callers with much time left are rejected though overload soon ends.
+
+    Sequence: a target was busy for a second; requests that will miss their objective
+    queue for it, the last of them with twice the time left that its turn needs.
+    Cause: those that overtook others in the last second were expected for ever.
+    """
+    now = asker.run("a", seconds=0.02, times=100, now=0.0)
+    asker.ask("a", now=now)
+    numbers = [
+        asker.ask("a", now=now, objective_at=now, ends_at=now + 2.0) for _ in range(50)
+    ]
+    assert not any(asker.is_rejected(number) for number in numbers)
