--- a/swiftpin/discovery/const.py
+++ b/swiftpin/discovery/const.py
@@ -1,4 +1,4 @@
-"""Times by which news of targets is judged."""
+"""Times by which updates of targets are judged."""
 
 from __future__ import annotations
 
--- a/swiftpin/discovery/entry_revisions.py
+++ b/swiftpin/discovery/entry_revisions.py
@@ -1,4 +1,4 @@
-"""Which news of the targets' entries is newer than what is known."""
+"""Which updates of the targets' entries are newer than what is known."""
 
 from __future__ import annotations
 
@@ -7,11 +7,11 @@
 from eliot import log_message
 
 from swiftpin.core import callback
-from swiftpin.discovery.freshness import NewsSource
+from swiftpin.discovery.freshness import UpdateSource
 from swiftpin.helpers.line_budget import LineBudget
 
 REFUSED_LINES: Final = 5
-"""Lines a second about news that was refused: a watch that is behind brings many."""
+"""Lines a second about refused updates: a watch that is behind brings many."""
 
 
 class EntryRevisions:
@@ -30,7 +30,7 @@
 
     @callback
     def of(self, name: str) -> int:
-        """Return the revision at which the last news of a name was learnt, else 0."""
+        """Return the revision at which the last update of a name was learnt, else 0."""
         return self._revisions_by_name.get(name, 0)
 
     @callback
@@ -45,12 +45,12 @@
 
     @callback
     def forget(self, name: str) -> None:
-        """Drop a name; news of it counts as old up to `version` from now on."""
+        """Drop a name; updates of it count as old up to `version` from now on."""
         self._revisions_by_name.pop(name, None)
 
     @callback
     def is_new(self, name: str, revision: int, complete: int) -> bool:
-        """Return whether an entry of a revision is news.
+        """Return whether an entry of a revision is new.
 
         `complete` is the revision up to which all entries were known when it came: a
         name that is not known by then had no entry.
@@ -59,13 +59,13 @@
 
     @callback
     def log_refused(
-        self, source: NewsSource, name: str, revision: int, known: int, now: float
+        self, source: UpdateSource, name: str, revision: int, known: int, now: float
     ) -> None:
-        """Write a line for news that is older than what is known."""
+        """Write a line for an update that is older than what is known."""
         if not self._lines.take(now):
             return
         log_message(
-            message_type="news_refused",
+            message_type="stale_update_refused",
             source=source.value,
             target=name,
             revision=revision,
--- a/swiftpin/discovery/freshness.py
+++ b/swiftpin/discovery/freshness.py
@@ -8,7 +8,7 @@
 from swiftpin.core import callback
 
 
-class NewsSource(Enum):
+class UpdateSource(Enum):
     """Who told what is known."""
 
     NONE = "none"
@@ -22,10 +22,10 @@
 
     def __init__(self) -> None:
         self.confirmed_at = -math.inf
-        self.source = NewsSource.NONE
+        self.source = UpdateSource.NONE
 
     @callback
-    def confirm(self, at: float, source: NewsSource) -> None:
+    def confirm(self, at: float, source: UpdateSource) -> None:
         """Note that nothing else had happened until a time."""
         if at > self.confirmed_at:
             self.confirmed_at = at
--- a/swiftpin/discovery/target_directory.py
+++ b/swiftpin/discovery/target_directory.py
@@ -8,10 +8,10 @@
 from swiftpin.core import callback
 from swiftpin.discovery.const import DRAIN_MARGIN, RETURN_TIME
 from swiftpin.discovery.entry_revisions import EntryRevisions
-from swiftpin.discovery.freshness import Freshness, NewsSource
+from swiftpin.discovery.freshness import Freshness, UpdateSource
 from swiftpin.discovery.known_targets import KnownTargets
 from swiftpin.discovery.store_health import StoreHealth
-from swiftpin.discovery.target_news import TargetNews
+from swiftpin.discovery.target_updates import TargetUpdates
 from swiftpin.discovery.unusable_entries import UnusableEntries
 from swiftpin.model.target import Target
 from swiftpin.platform.platform_object import PlatformObject
@@ -23,7 +23,7 @@
 class TargetDirectory:
     """Targets by id of their lives, from the store or from a neighbour.
 
-    What was learnt at a revision of the store is never undone by older news, whoever
+    What was learnt at a revision of the store is never undone by older updates, whoever
     brings it. A target that leaves, by its own word or because its entry is gone or
     can't be read, stays in `targets_by_id` with the time in `leaving_since_by_id`,
     until nobody needs it: it may hold keys.
@@ -44,7 +44,7 @@
         self._told_since: float | None = None
         """When the first targets were told."""
 
-        self._news = TargetNews(
+        self._updates = TargetUpdates(
             known=self._known,
             revisions=self._revisions,
             freshness=self._freshness,
@@ -70,9 +70,9 @@
     @callback
     def note_confirmed(self, at: float) -> None:
         """Note that a neighbour knew nothing newer at a time."""
-        self._freshness.confirm(at, NewsSource.NEIGHBOUR)
+        self._freshness.confirm(at, UpdateSource.NEIGHBOUR)
 
-    # News.
+    # Updates.
 
     @callback
     def adopt_list(
@@ -80,7 +80,7 @@
     ) -> None:
         """Take the whole list as it was at a revision."""
         self._note_beginning(now)
-        self._news.adopt_list(objects, revision, now)
+        self._updates.adopt_list(objects, revision, now)
         self.on_change()
 
     @callback
@@ -93,7 +93,9 @@
         is_catching_up: bool = False,
     ) -> None:
         """Take the changes that a watch brought, up to a revision."""
-        self._news.adopt_changes(objects, revision, now, is_catching_up=is_catching_up)
+        self._updates.adopt_changes(
+            objects, revision, now, is_catching_up=is_catching_up
+        )
         if objects:
             self.on_change()
 
@@ -103,7 +105,7 @@
     ) -> None:
         """Take what a neighbour knows that saw a later revision."""
         self._note_beginning(now)
-        self._news.adopt_update(targets, ids, revision, now)
+        self._updates.adopt_update(targets, ids, revision, now)
         self.on_change()
 
     @callback
--- a/swiftpin/discovery/target_news.py
+++ b/swiftpin/discovery/target_updates.py
@@ -7,7 +7,7 @@
 from swiftpin.core import callback
 from swiftpin.discovery.const import GOSSIP_LAG, RETURN_TIME
 from swiftpin.discovery.entry_revisions import EntryRevisions
-from swiftpin.discovery.freshness import Freshness, NewsSource
+from swiftpin.discovery.freshness import Freshness, UpdateSource
 from swiftpin.discovery.known_targets import KnownTargets
 from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.discovery.unusable_entries import UnusableEntries
@@ -17,10 +17,10 @@
 from swiftpin.platform.unusable_entry import UnusableEntryError, UnusableReason
 
 
-class TargetNews:
-    """Takes news of the targets, from whomever, as far as it is newer.
+class TargetUpdates:
+    """Takes updates of the targets, from whomever, as far as they are newer.
 
-    What was learnt at a revision of the store is never undone by older news.
+    What was learnt at a revision of the store is never undone by older updates.
     """
 
     def __init__(
@@ -46,7 +46,7 @@
         if revision < self._revisions.version:
             # The watch that goes on from this list brings what it lacks.
             self._revisions.log_refused(
-                NewsSource.LIST, "", revision, self._revisions.version, now
+                UpdateSource.LIST, "", revision, self._revisions.version, now
             )
             return
         since = self._freshness.unseen_since(now)
@@ -57,7 +57,7 @@
         for name in self._known.names() - {entry.name for entry in present}:
             self._note_missing(name, revision, now, since)
         self._revisions.advance(revision)
-        self._freshness.confirm(now, NewsSource.LIST)
+        self._freshness.confirm(now, UpdateSource.LIST)
 
     @callback
     def adopt_changes(
@@ -81,7 +81,7 @@
                 self._adopt_entry(changed, complete, now, since)
             self._revisions.advance(changed.revision)
         if revision >= complete:
-            self._freshness.confirm(now, NewsSource.WATCH)
+            self._freshness.confirm(now, UpdateSource.WATCH)
 
     @callback
     def adopt_update(
@@ -93,19 +93,19 @@
         """
         if revision <= self._revisions.version:
             self._revisions.log_refused(
-                NewsSource.NEIGHBOUR, "", revision, self._revisions.version, now
+                UpdateSource.NEIGHBOUR, "", revision, self._revisions.version, now
             )
             return
         since = self._freshness.unseen_since(now - GOSSIP_LAG)
         complete = self._revisions.version
         for target in targets:
-            self._adopt(target, complete, now, since, NewsSource.NEIGHBOUR)
+            self._adopt(target, complete, now, since, UpdateSource.NEIGHBOUR)
         for name in self._known.names():
             life = self._known.present_life(name)
             if life is not None and life.id not in ids:
                 self._note_missing(name, revision, now, since)
         self._revisions.advance(revision)
-        self._freshness.confirm(now - GOSSIP_LAG, NewsSource.NEIGHBOUR)
+        self._freshness.confirm(now - GOSSIP_LAG, UpdateSource.NEIGHBOUR)
         log_message(
             message_type="targets_from_neighbour", revision=revision, count=len(ids)
         )
@@ -122,7 +122,7 @@
                 entry.name, entry.revision, err.reason, str(err), now, since
             )
             return
-        self._adopt(target, complete, now, since, NewsSource.WATCH)
+        self._adopt(target, complete, now, since, UpdateSource.WATCH)
 
     @callback
     def _adopt(
@@ -131,7 +131,7 @@
         complete: int,
         now: float,
         since: float,
-        source: NewsSource,
+        source: UpdateSource,
     ) -> None:
         """Take a target that is in the store."""
         life = self._known.present_life(target.name)
@@ -164,7 +164,7 @@
         known = self._revisions.of(changed.name)
         if changed.revision < known:
             self._revisions.log_refused(
-                NewsSource.WATCH, changed.name, changed.revision, known, now
+                UpdateSource.WATCH, changed.name, changed.revision, known, now
             )
             return
         self._note_missing(changed.name, changed.revision, now, since)
--- a/swiftpin/router/configuration_holder.py
+++ b/swiftpin/router/configuration_holder.py
@@ -82,7 +82,7 @@
             return
         if configuration.version < self.version:
             log_message(
-                message_type="news_refused",
+                message_type="stale_update_refused",
                 source=source,
                 configuration=configuration.version,
                 known=self.version,
--- a/tests/discovery/test_older_news.py
+++ b/tests/discovery/test_older_updates.py
@@ -1,4 +1,4 @@
-"""Tests of news that is older than what is known."""
+"""Tests of updates that are older than what is known."""
 
 from __future__ import annotations
 
@@ -72,7 +72,7 @@
     """Symptom: a target was back at once after its entry had been removed.
 
     Sequence: the watch told of the removal; a neighbour told the entry that had been
-    removed. Cause: an entry of the revision already known counted as news.
+    removed. Cause: an entry of the revision already known counted as new.
     """
     directory.adopt_changes((removed("a", 4),), 4, 10.0)
     directory.adopt_update([target("a", 1)], frozenset({"a", "b"}), 6, 10.5)
--- a/tests/discovery/test_news_sequences.py
+++ b/tests/discovery/test_update_sequences.py
@@ -29,7 +29,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class News:
+class Update:
     """Something that arrives: a list, a watch's answer or a neighbour's update."""
 
     kind: str
@@ -77,18 +77,18 @@
     kind=st.sampled_from([START, REPORT, REMOVAL]),
 )
 arrivals = st.builds(
-    News,
+    Update,
     kind=st.sampled_from(["list", "watch", "neighbour"]),
     revision=st.integers(1, 12),
 )
 
 
 def arrive(
-    directory: TargetDirectory, history: History, news: News, watched: int
+    directory: TargetDirectory, history: History, update: Update, watched: int
 ) -> int:
-    """Hand news on; return up to which revision the watch has come."""
-    revision = min(news.revision, len(history.changes))
-    match news.kind:
+    """Hand an update on; return up to which revision the watch has come."""
+    revision = min(update.revision, len(history.changes))
+    match update.kind:
         case "list":
             listed = tuple(history.entries_at(revision).values())
             directory.adopt_list(listed, revision, 1.0)
@@ -107,11 +107,11 @@
 
 @given(st.lists(writes, min_size=1, max_size=12), st.lists(arrivals, max_size=12))
 def test_picture_is_the_stores_at_the_latest_revision_that_was_told(
-    written: list[Write], arrived: list[News]
+    written: list[Write], arrived: list[Update]
 ) -> None:
     """Symptom: requests went to a target that had left, or that had started again.
 
-    Sequence: any order of news from the store and from neighbours, each from any time.
+    Sequence: any order of updates from the store and from neighbours, each from any time.
     Cause: some of it was older than what was known, and was taken.
     """
     history = History()
@@ -120,8 +120,8 @@
     directory = TargetDirectory(StoreHealth(), DRAIN)
     watched = 0
     latest = 0
-    for news in arrived:
-        watched = arrive(directory, history, news, watched)
+    for update in arrived:
+        watched = arrive(directory, history, update, watched)
         assert directory.version >= latest
         latest = directory.version
         assert ids(directory) == {found.id for found in history.targets_at(latest)}
