--- a/tests/discovery/test_update_sequences.py
+++ b/tests/discovery/test_update_sequences.py
@@ -111,8 +111,8 @@
 ) -> None:
     """Symptom: requests went to a target that had left, or that had started again.
 
-    Sequence: any order of updates from the store and from neighbours, each from any time.
-    Cause: some of it was older than what was known, and was taken.
+    Sequence: any order of updates from the store and from neighbours, each from any
+    time. Cause: some of it was older than what was known, and was taken.
     """
     history = History()
     for write in written:
