Let no entry of an undeclared service end who has its address

Cause: read in the diff: another writer's entry, well formed but for its service, at a live target's address made all instances drop that target. Change: addresses are compared among declared services only; a service that is declared later has its targets from then on. Tests seen red with a set_services that does nothing: 2 of test_unusable_entries.

--- a/swiftpin/discovery/known_targets.py
+++ b/swiftpin/discovery/known_targets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Set
 from typing import Final
 
 from eliot import log_message
@@ -30,6 +31,7 @@
         self.replaced_ids: set[str] = set()
         """Lives that have ended for certain: what was granted to them ended too."""
 
+        self._service_names: frozenset[str] = frozenset()
         self._ids_by_name: dict[str, str] = {}
         """The newest life of each name."""
 
@@ -54,6 +56,20 @@
             and target_id not in self.unusable_ids
         ]
 
+    @callback
+    def set_services(self, names: Set[str], now: float) -> bool:
+        """Take the names of the declared services; return whether some are new.
+
+        Until a service is declared, an entry of it replaces nobody at its address: it
+        may be another writer's, and would end a live target for all instances.
+        """
+        added = names - self._service_names
+        self._service_names = frozenset(names)
+        for target in list(self.targets_by_id.values()):
+            if target.service in added:
+                self._note_same_address(target, now)
+        return bool(added)
+
     @callback
     def put(self, target: Target, now: float) -> None:
         """Take a target as its entry tells it."""
@@ -153,10 +169,15 @@
         """Note which of two targets at one address is gone: the older entry's.
 
         A list is in the order of names; it may name a target that crashed after the one
-        that has its address by now.
+        that has its address by now. Entries of services that nobody declared don't
+        count.
         """
+        if newcomer.service not in self._service_names:
+            return
         for target in list(self.targets_by_id.values()):
-            if target.address != newcomer.address:
+            if target.address != newcomer.address or target.id == newcomer.id:
+                continue
+            if target.service not in self._service_names:
                 continue
             is_older = target.revision < newcomer.revision
             self.note_replaced(target.id if is_older else newcomer.id, now)
--- a/swiftpin/discovery/target_directory.py
+++ b/swiftpin/discovery/target_directory.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Set
 from typing import Final
 
 from swiftpin.core import callback
@@ -132,6 +132,12 @@
             return False
         return now - self._told_since >= FIRST_LIST_SETTLE
 
+    @callback
+    def set_services(self, names: Set[str], now: float) -> None:
+        """Take the names of the services that the configuration declares."""
+        if self._known.set_services(names, now):
+            self.on_change()
+
     @callback
     def set_drain(self, drain: float) -> None:
         """Set how long a leaving target may get requests, in seconds."""
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -233,6 +233,10 @@
     def _note_configuration(self) -> None:
         """Act on a new configuration."""
         self._handler.note_configuration()
+        configuration = self._configuration.current
+        if configuration is not None:
+            names = configuration.services_by_name.keys()
+            self._directory.set_services(names, suspend_aware_now())
         self._note_targets()
 
     @callback
--- a/tests/discovery/conftest.py
+++ b/tests/discovery/conftest.py
@@ -25,17 +25,23 @@
 def directory_fixture(health: StoreHealth) -> TargetDirectory:
     """Return a directory that lists two targets at time 0."""
     directory = TargetDirectory(health, DRAIN)
+    directory.set_services({"desk"}, 0.0)
     directory.adopt_list((entry("a", 1), entry("b", 2)), 2, 0.0)
     return directory
 
 
 def content(
-    name: str, *, state: str = "ready", address: str = "", born: int | None = None
+    name: str,
+    *,
+    state: str = "ready",
+    address: str = "",
+    born: int | None = None,
+    service: str = "desk",
 ) -> dict[str, Any]:
     """Return what a target writes of itself."""
     written: dict[str, Any] = {
         "address": address or f"{name}:1",
-        "information": {"service": "desk", "version": "v1", "zone": "z", "slots": 2},
+        "information": {"service": service, "version": "v1", "zone": "z", "slots": 2},
         "status": {"state": state, "sequence": 1, "cold_ms": 0},
     }
     if born is not None:
@@ -50,9 +56,10 @@
     state: str = "ready",
     address: str = "",
     born: int | None = None,
+    service: str = "desk",
 ) -> PlatformObject:
     """Return a target's entry."""
-    written = content(name, state=state, address=address, born=born)
+    written = content(name, state=state, address=address, born=born, service=service)
     return PlatformObject(
         name=name,
         revision=revision,
--- a/tests/discovery/test_target_lives.py
+++ b/tests/discovery/test_target_lives.py
@@ -13,6 +13,7 @@
 def restarting_fixture(health: StoreHealth) -> TargetDirectory:
     """Return a directory with a life of target a that began at 100."""
     directory = TargetDirectory(health, DRAIN)
+    directory.set_services({"desk"}, 0.0)
     directory.adopt_list((entry("a", 1, born=100), entry("b", 2)), 2, 0.0)
     return directory
 
@@ -107,6 +108,7 @@
     had its address by then. Cause: the later one in the list counted as the newer.
     """
     directory = TargetDirectory(health, DRAIN)
+    directory.set_services({"desk"}, 0.0)
     newer = entry("b", 7, address="x:1")
     directory.adopt_list((newer, entry("c", 3, address="x:1")), 8, 0.0)
     assert ids(directory) == {"b"}
--- a/tests/discovery/test_unusable_entries.py
+++ b/tests/discovery/test_unusable_entries.py
@@ -147,3 +147,29 @@
     health.note_answer(15.0)
     directory.adopt_list((spoilt("a", 8), entry("b", 2)), 9, 15.0)
     assert ids(directory) == {"b"}
+
+
+def test_entry_of_an_unknown_service_does_not_replace_who_has_its_address(
+    directory: TargetDirectory,
+) -> None:
+    """Symptom: a live target got no more requests.
+
+    Sequence: another writer's entry, well formed but for a service that nobody
+    declared, named the target's address.
+    Cause: whoever registered last at an address counted as having it.
+    """
+    directory.adopt_changes((entry("c", 3, service="nobody's", address="b:1"),), 3, 1.0)
+    directory.adopt_changes((entry("d", 4, address="c:1"),), 4, 1.0)
+    assert directory.may_send("b", 1.0)
+    assert directory.may_send("d", 1.0)
+
+
+def test_service_that_is_declared_later_has_its_targets(
+    directory: TargetDirectory,
+) -> None:
+    """The address of a target that is gone goes to one of a service just declared."""
+    directory.adopt_changes((entry("c", 3, service="new", address="b:1"),), 3, 1.0)
+    assert directory.may_send("b", 1.0)
+    directory.set_services({"desk", "new"}, 2.0)
+    assert not directory.may_send("b", 2.0)
+    assert directory.may_send("c", 2.0)
--- a/tests/discovery/test_update_sequences.py
+++ b/tests/discovery/test_update_sequences.py
@@ -118,6 +118,7 @@
     for write in written:
         history.write(write)
     directory = TargetDirectory(StoreHealth(), DRAIN)
+    directory.set_services({"desk"}, 0.0)
     watched = 0
     latest = 0
     for update in arrived:
--- a/tests/keyranges/test_late_orders.py
+++ b/tests/keyranges/test_late_orders.py
@@ -383,6 +383,7 @@
     Cause: the end of a life counted as the end of what was granted to its name.
     """
     directory = TargetDirectory(StoreHealth(), 2.0)
+    directory.set_services({"desk"}, 0.0)
     former = make_target("a", started_ms=1, revision=1)
     directory._known.put(former, 0.0)
     control = ReleaseControl(losses=0)
@@ -407,6 +408,7 @@
     """
     older, newer = names
     directory = TargetDirectory(StoreHealth(), 2.0)
+    directory.set_services({"desk"}, 0.0)
     revisions = {older: 10, newer: 20}
     for name in sorted(names):
         directory._known.put(make_target(name, revision=revisions[name]), 0.0)
