--- a/swiftpin/keyranges/fences.py
+++ b/swiftpin/keyranges/fences.py
@@ -1,4 +1,4 @@
-"""Fences of one service's grants."""
+"""Fences of one service's grants, and numbers of its key maps."""
 
 from __future__ import annotations
 
@@ -27,6 +27,7 @@
 
     def __init__(self) -> None:
         self._next = 1
+        self._map_number = 0
         self._end = FENCES_A_TERM
 
     @property
@@ -51,3 +52,13 @@
         first = self._next
         self._next += count
         return first
+
+    @callback
+    def take_map_number(self) -> int:
+        """Return a number for a key map that is above all of the term before.
+
+        Counted by the assigner, one that is started again in its term would begin
+        anew, and every instance would take its maps for old ones.
+        """
+        self._map_number += 1
+        return self._map_number
--- a/swiftpin/keyranges/key_map_publisher.py
+++ b/swiftpin/keyranges/key_map_publisher.py
@@ -8,6 +8,7 @@
 
 from swiftpin.core import callback
 from swiftpin.keyranges.assignment_state import AssignmentState
+from swiftpin.keyranges.fences import Fences
 from swiftpin.keyranges.key_map import KeyMap
 
 PUBLISH_PAUSE: Final = 0.02
@@ -30,13 +31,14 @@
         state: AssignmentState,
         on_map: Callable[[KeyMap], None],
         count_members: Callable[[], int],
+        fences: Fences,
     ) -> None:
         self._service = service
         self._term = term
         self._state = state
         self._on_map = on_map
         self._count_members = count_members
-        self._number = 0
+        self._fences = fences
         self._timer: asyncio.TimerHandle | None = None
         self._published: tuple[tuple[int, ...], tuple[str, ...]] | None = None
 
@@ -62,12 +64,11 @@
         if drawn == self._published:
             return
         self._published = drawn
-        self._number += 1
         self._on_map(
             KeyMap(
                 service=self._service,
                 term=self._term,
-                number=self._number,
+                number=self._fences.take_map_number(),
                 firsts=drawn[0],
                 owners=drawn[1],
             )
--- a/swiftpin/keyranges/range_assigner.py
+++ b/swiftpin/keyranges/range_assigner.py
@@ -104,6 +104,7 @@
             state=self._state,
             on_map=on_map,
             count_members=count_members,
+            fences=fences,
         )
         self._renewer = GrantRenewer(
             state=self._state,
--- a/tests/keyranges/test_key_map_publisher.py
+++ b/tests/keyranges/test_key_map_publisher.py
@@ -6,6 +6,7 @@
 
 from swiftpin.keyranges.assignment import Assignment
 from swiftpin.keyranges.assignment_state import AssignmentState
+from swiftpin.keyranges.fences import Fences
 from swiftpin.keyranges.key_map import KeyMap
 from swiftpin.keyranges.key_map_publisher import KeyMapPublisher
 from swiftpin.keyranges.segment import Segment
@@ -30,6 +31,7 @@
         state=state,
         on_map=maps.put_nowait,
         count_members=lambda: 1,
+        fences=Fences(),
     )
     publisher.publish()
     publisher.publish()
@@ -44,3 +46,28 @@
     assert maps.empty()
     publisher.publish()
     publisher.unload()
+
+
+async def test_maps_of_an_assigner_that_starts_again_are_newer() -> None:
+    """Symptom: requests went to targets whose keys had moved, for minutes.
+
+    Sequence: the assigner of a service failed and was started again in the same term;
+    every instance passed its maps over. Cause: their numbers began anew.
+    """
+    maps: list[KeyMap] = []
+    fences = Fences()
+    for owner in ("a", "b"):
+        state = AssignmentState()
+        whole = Segment(first=0, last=65535, owner=owner, fence=5)
+        state.assignment = Assignment(segments=(whole,))
+        state.granted_fences = {5}
+        publisher = KeyMapPublisher(
+            service="desk",
+            term=3,
+            state=state,
+            on_map=maps.append,
+            count_members=lambda: 1,
+            fences=fences,
+        )
+        publisher._publish_now()
+    assert maps[1].is_newer_than(maps[0])
