--- a/tests/keyranges/test_assignment_loader.py
+++ b/tests/keyranges/test_assignment_loader.py
@@ -20,10 +20,9 @@
 from swiftpin.keyranges.hold_times import HoldLimit
 from swiftpin.keyranges.segment import Segment
 from swiftpin.keyranges.target_sessions import TargetSessions
-from swiftpin.model.target import Target
-from swiftpin.model.target_life import TargetLife
 from swiftpin.platform.target_control import TargetControl
 from swiftpin.store_errors import ObjectMissingError
+from tests.keyranges.targets import make_target
 
 LONGEST = 10.0
 
@@ -60,16 +59,7 @@
 def directory_fixture() -> TargetDirectory:
     """Return a directory with a target."""
     directory = TargetDirectory(StoreHealth(), 2.0)
-    directory.targets_by_id["a@1"] = Target(
-        life=TargetLife(name="a", started_ms=1),
-        service="desk",
-        address="a:1",
-        zone="z",
-        slots=2,
-        is_draining=False,
-        cold_for=0.0,
-        revision=1,
-    )
+    directory.targets_by_id["a@1"] = make_target("a", started_ms=1)
     return directory
 
 
--- a/tests/keyranges/test_grant_renewer.py
+++ b/tests/keyranges/test_grant_renewer.py
@@ -19,13 +19,13 @@
 from swiftpin.keyranges.key_map_publisher import KeyMapPublisher
 from swiftpin.keyranges.segment import Segment
 from swiftpin.keyranges.target_sessions import TargetSessions
-from swiftpin.model.target import Target
 from swiftpin.model.target_life import TargetLife
 from swiftpin.platform.target_control import (
     GrantCall,
     TargetControl,
     TargetNotReachedError,
 )
+from tests.keyranges.targets import make_target
 
 
 class NotedControl:
@@ -56,16 +56,7 @@
     """Return a directory with two targets."""
     directory = TargetDirectory(StoreHealth(), 2.0)
     for name in ("a", "b"):
-        target = Target(
-            life=TargetLife(name=name, started_ms=1),
-            service="desk",
-            address=f"{name}:1",
-            zone="z",
-            slots=2,
-            is_draining=False,
-            cold_for=0.0,
-            revision=1,
-        )
+        target = make_target(name, started_ms=1)
         directory.targets_by_id[target.id] = target
     return directory
 
--- a/tests/keyranges/test_granter.py
+++ b/tests/keyranges/test_granter.py
@@ -17,26 +17,16 @@
 from swiftpin.keyranges.granter import Granter
 from swiftpin.keyranges.segment import Segment
 from swiftpin.keyranges.target_sessions import TargetSessions
-from swiftpin.model.target import Target
-from swiftpin.model.target_life import TargetLife
 from swiftpin.platform.target_control import (
     GrantCall,
     GrantRefusedError,
     TargetControl,
     TargetNotReachedError,
 )
+from tests.keyranges.targets import make_target
 
 SEGMENT = Segment(first=0, last=9, owner="a", fence=5)
-TARGET = Target(
-    life=TargetLife(name="a"),
-    service="desk",
-    address="a:1",
-    zone="z",
-    slots=2,
-    is_draining=False,
-    cold_for=0.0,
-    revision=1,
-)
+TARGET = make_target("a")
 
 
 class FakeControl:
--- /dev/null
+++ b/tests/keyranges/test_late_renewals.py
@@ -0,0 +1,174 @@
+"""Tests of renewals, of the lease and of grants, that count for too long."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+from types import SimpleNamespace
+from typing import cast
+
+import pytest
+
+from swiftpin.discovery.store_health import StoreHealth
+from swiftpin.discovery.target_directory import TargetDirectory
+from swiftpin.dispatch.http_client import HttpClient
+from swiftpin.exceptions import (
+    RequestNotSentError,
+    StoreConflictError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from swiftpin.helpers.clock import suspend_aware_now
+from swiftpin.keyranges import lease_election as lease_module
+from swiftpin.keyranges import lease_store as lease_store_module
+from swiftpin.keyranges.const import LEASE_TIME
+from swiftpin.keyranges.fences import Fences
+from swiftpin.keyranges.lease_election import LeaseElection
+from swiftpin.model.configuration import Configuration
+from swiftpin.model.instance_settings import InstanceSettings
+from swiftpin.permits.permit_broker import PermitBroker
+from swiftpin.platform.platform_object import PlatformObject
+from swiftpin.platform.store_client import StoreClient
+from swiftpin.router.assigner_factory import AssignerFactory
+from swiftpin.router.configuration_holder import ConfigurationHolder
+from swiftpin.router.key_map_sharing import KeyMapSharing
+from swiftpin.store_errors import ObjectMissingError
+
+
+class LeaseStore:
+    """Holds the lease; at one write it falls silent, and stays so for one read."""
+
+    def __init__(self, pass_time: Callable[[float], None]) -> None:
+        self.falls_silent = False
+        self._is_silent = False
+        self._content: object = None
+        self._revision = 0
+        self._pass_time = pass_time
+
+    async def async_get(self, kind: str, name: str, **rest: object) -> PlatformObject:
+        """Return the lease."""
+        if self._is_silent:
+            self._is_silent = False
+            raise StoreUnavailableError("turned away")
+        if self._content is None:
+            raise ObjectMissingError(name)
+        return PlatformObject(
+            name=name,
+            revision=self._revision,
+            is_deleted=False,
+            document={"specification": self._content},
+        )
+
+    async def async_create(
+        self, kind: str, name: str, content: object, **rest: object
+    ) -> int:
+        """Create the lease."""
+        return self._write(content)
+
+    async def async_replace(
+        self, kind: str, name: str, content: object, revision: int, **rest: float
+    ) -> int:
+        """Replace the lease, perhaps without an answer."""
+        if revision != self._revision:
+            raise StoreConflictError(name, self._revision)
+        self._write(content)
+        if self.falls_silent:
+            self.falls_silent = False
+            self._is_silent = True
+            self._pass_time(rest["limit"])
+            raise StoreOutcomeUnknownError("no answer")
+        return self._revision
+
+    def _write(self, content: object) -> int:
+        self._content = content
+        self._revision += 1
+        return self._revision
+
+
+async def test_lease_counts_from_the_first_sending_of_a_renewal(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Symptom: two instances assigned keys at the same time.
+
+    Sequence: a renewal was written, but neither its answer nor what was read back came;
+    the same renewal was sent once more, met its own effect as a conflict and was read
+    back. Candidates had seen the lease change at the first sending.
+    Cause: the lease was counted from the second sending.
+    """
+    now = 100.0
+
+    def pass_time(seconds: float) -> None:
+        nonlocal now
+        now += seconds
+
+    for module in (lease_module, lease_store_module):
+        monkeypatch.setattr(module, "suspend_aware_now", lambda: now)
+    store = LeaseStore(pass_time)
+    lease = LeaseElection(
+        name="a",
+        incarnation="a/1",
+        peer="127.0.0.1:1",
+        client=cast(StoreClient, store),
+        health=StoreHealth(),
+        rng=Random(1),
+        strength=2.0,
+        is_holder_heard=lambda holder: False,
+    )
+    lease.is_willing = True
+    await lease._async_wait_turn(now)
+    assert lease.is_held(now)
+    pass_time(0.4)
+    sent_at = now
+    store.falls_silent = True
+    await lease._async_renew()
+    pass_time(0.1)
+    assert lease.is_held(now)
+    await lease._async_renew()
+    assert lease.valid_until <= sent_at + LEASE_TIME
+
+
+async def test_assigner_of_an_earlier_term_sends_nothing_in_a_later_one() -> None:
+    """Symptom: a target got keys back that another one held.
+
+    Sequence: an instance was suspended; another one took the lease over and gave it up;
+    the first one took it again before it had stopped the assigner of its earlier term,
+    whose renewals went out.
+    Cause: calls were let go while any term's lease was held.
+    """
+    store = LeaseStore(lambda seconds: None)
+    health = StoreHealth()
+    lease = LeaseElection(
+        name="a",
+        incarnation="a/1",
+        peer="127.0.0.1:1",
+        client=cast(StoreClient, store),
+        health=health,
+        rng=Random(1),
+        strength=2.0,
+        is_holder_heard=lambda holder: False,
+    )
+    services = {"desk": SimpleNamespace(health_path="/health")}
+    configuration = cast(Configuration, SimpleNamespace(services_by_name=services))
+    bounds = SimpleNamespace(longest_hold=10.0)
+    factory = AssignerFactory(
+        settings=cast(InstanceSettings, SimpleNamespace(bounds=bounds)),
+        client=cast(StoreClient, store),
+        control_http=HttpClient(),
+        configuration=ConfigurationHolder(),
+        directory=TargetDirectory(health, 1.0),
+        lease=lease,
+        health=health,
+        permits=PermitBroker("a/1", "z"),
+        key_maps=cast(KeyMapSharing, SimpleNamespace(hand_out=lambda key_map: None)),
+    )
+    lease.is_willing = True
+    await lease._async_wait_turn(suspend_aware_now())
+    assigner = factory.make("desk", configuration, Fences())
+    gate = assigner._renewer._granter._control._gate
+    gate(0.0)
+    await lease.async_give_up()
+    lease.is_standing_down = False
+    await lease._async_wait_turn(suspend_aware_now())
+    assert lease.is_held(suspend_aware_now())
+    with pytest.raises(RequestNotSentError):
+        gate(0.0)
--- a/tests/keyranges/test_mover.py
+++ b/tests/keyranges/test_mover.py
@@ -20,7 +20,6 @@
 from swiftpin.keyranges.segment import Segment
 from swiftpin.keyranges.target_session import TargetSession
 from swiftpin.keyranges.target_sessions import TargetSessions
-from swiftpin.model.target import Target
 from swiftpin.model.target_life import TargetLife
 from swiftpin.platform.target_control import (
     GrantRefusedError,
@@ -29,6 +28,7 @@
     TargetNotReachedError,
     TargetReplacedError,
 )
+from tests.keyranges.targets import make_target
 
 HOLD = 0.8
 """Seconds of the grant that the former owner has in these tests."""
@@ -67,16 +67,7 @@
 def directory_fixture() -> TargetDirectory:
     """Return a directory that knows the former owner."""
     directory = TargetDirectory(StoreHealth(), 2.0)
-    directory.targets_by_id["a"] = Target(
-        life=TargetLife(name="a"),
-        service="desk",
-        address="a:1",
-        zone="z",
-        slots=2,
-        is_draining=False,
-        cold_for=0.0,
-        revision=1,
-    )
+    directory.targets_by_id["a"] = make_target("a")
     return directory
 
 
--- a/tests/keyranges/test_range_assigner.py
+++ b/tests/keyranges/test_range_assigner.py
@@ -20,7 +20,6 @@
 from swiftpin.keyranges.move import Move
 from swiftpin.keyranges.range_assigner import RangeAssigner
 from swiftpin.keyranges.segment import Segment
-from swiftpin.model.target import Target
 from swiftpin.model.target_life import TargetLife
 from swiftpin.platform.store_client import StoreClient
 from swiftpin.platform.target_control import (
@@ -29,6 +28,7 @@
     KeyGrant,
     TargetControl,
 )
+from tests.keyranges.targets import make_target
 
 
 class SlowStore:
@@ -87,16 +87,7 @@
     """Return a assigner of two targets' keys."""
     directory = TargetDirectory(StoreHealth(), 2.0)
     for name in ("a", "b"):
-        directory.targets_by_id[name] = Target(
-            life=TargetLife(name=name),
-            service="desk",
-            address=f"{name}:1",
-            zone="z",
-            slots=2,
-            is_draining=False,
-            cold_for=0.0,
-            revision=1,
-        )
+        directory.targets_by_id[name] = make_target(name)
     assigner = RangeAssigner(
         service="desk",
         client=cast(StoreClient, store),
--- a/tests/keyranges/test_target_sessions.py
+++ b/tests/keyranges/test_target_sessions.py
@@ -9,7 +9,7 @@
 from swiftpin.keyranges.const import HOLD_TIME
 from swiftpin.keyranges.target_sessions import TargetSessions
 from swiftpin.model.target import Target
-from swiftpin.model.target_life import TargetLife
+from tests.keyranges.targets import make_target
 
 
 @pytest.fixture(name="directory")
@@ -18,18 +18,9 @@
     return TargetDirectory(StoreHealth(), 2.0)
 
 
-def make_target(born: int) -> Target:
+def make_life(born: int) -> Target:
     """Return a life of target a."""
-    return Target(
-        life=TargetLife(name="a", started_ms=born),
-        service="desk",
-        address="a:1",
-        zone="z",
-        slots=2,
-        is_draining=False,
-        cold_for=0.0,
-        revision=1,
-    )
+    return make_target("a", started_ms=born)
 
 
 def test_present_life_is_found(
@@ -37,7 +28,7 @@
 ) -> None:
     """The one that was not replaced itself, of the same target, and no other target."""
     assert sessions.other_life("a@1") is None
-    for target in (make_target(2), make_target(3)):
+    for target in (make_life(2), make_life(3)):
         directory.targets_by_id[target.id] = target
     directory.replaced_ids.add("a@2")
     found = sessions.other_life("a@1")
