Send frames between the router's instances over plain streams

Ruled out: fewer frames alone, since a request still needs three messages where issuer and asker differ. A link that is no longer wanted is told of and forgotten like a lost one (test red before: it stayed in `outgoing_by_peer` and nobody was told).

--- a/swiftpin/fleet/link.py
+++ b/swiftpin/fleet/link.py
@@ -31,8 +31,8 @@
 """A message of the generated code, which has no types."""
 
 
-class FrameStream(Protocol):
-    """The stream of a call, at either side."""
+class Frames(Protocol):
+    """A connection's frames, at either side."""
 
     async def send_message(self, message: Any) -> None:  # noqa: ANN401
         """Send a frame."""
@@ -101,7 +101,7 @@
         """Return whether an answer on the link is to be expected."""
         return not self.is_closed and now - self.heard_at < FRESH_LIMIT
 
-    async def async_run(self, stream: FrameStream) -> None:
+    async def async_run(self, stream: Frames) -> None:
         """Serve the link until either side ends it or falls silent."""
         tasks = {
             asyncio.create_task(self._async_send(stream)),
@@ -118,7 +118,7 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
-    async def _async_send(self, stream: FrameStream) -> None:
+    async def _async_send(self, stream: Frames) -> None:
         """Send what waits."""
         while not self.is_closed:
             await self._wake.wait()
@@ -128,7 +128,7 @@
                 self._sent_at = asyncio.get_running_loop().time()
                 await stream.send_message(pb.Frame(items=items))
 
-    async def _async_receive(self, stream: FrameStream) -> None:
+    async def _async_receive(self, stream: Frames) -> None:
         """Hand on what arrives."""
         loop = asyncio.get_running_loop()
         while not self.is_closed:
--- a/swiftpin/fleet/links.py
+++ b/swiftpin/fleet/links.py
@@ -4,19 +4,15 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Final
 
 from eliot import log_message
-from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
-from grpclib.server import Server
-from h2.exceptions import H2Error
 
 from swiftpin.core import callback
 from swiftpin.exceptions import ConfigurationError
-from swiftpin.fleet.link import FrameStream, LinkHandler, PeerLink
+from swiftpin.fleet.frame_stream import FrameError, FrameStream
+from swiftpin.fleet.link import LinkHandler, PeerLink
 from swiftpin.fleet.proto import fleet_pb2 as pb
-from swiftpin.fleet.proto.fleet_grpc import FleetBase, FleetStub
 from swiftpin.helpers.address import Address, parse_address
 
 RECONNECT_PAUSE: Final = 0.2
@@ -25,17 +21,10 @@
 CONNECT_TIMEOUT: Final = 1.0
 """Seconds to open a link; an instance that is gone may not even refuse."""
 
-LINK_ERRORS: Final = (
-    GRPCError,
-    ProtocolError,
-    StreamTerminatedError,
-    H2Error,
-    OSError,
-    TimeoutError,
-)
+LINK_ERRORS: Final = (FrameError, OSError, TimeoutError)
 
 
-class FleetLinks(FleetBase):  # type: ignore[misc]  # generated code has no types
+class FleetLinks:
     """Opens the links that are wanted and serves those that others open."""
 
     def __init__(
@@ -49,16 +38,16 @@
         self._strength = strength
         self._handler = handler
         self._tasks_by_peer: dict[str, asyncio.Task[None]] = {}
-        self._server: Server | None = None
+        self._server: asyncio.Server | None = None
 
     async def async_setup(self, listen: Address) -> None:
         """Listen for other instances."""
-        server = Server([self])
         try:
-            await server.start(listen.host, listen.port)
+            self._server = await asyncio.start_server(
+                self._async_take, listen.host, listen.port
+            )
         except OSError as err:
             raise ConfigurationError(f"cannot listen on {listen}: {err}") from err
-        self._server = server
 
     async def async_unload(self) -> None:
         """Close every link."""
@@ -86,64 +75,68 @@
         links = [*self.outgoing_by_peer.values(), *self.incoming]
         return [link for link in links if link.incarnation and link.is_alive(now)]
 
-    async def Link(self, stream: Any) -> None:  # noqa: N802, ANN401  # generated name
+    async def _async_take(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
         """Serve a link that another instance opened."""
         link = PeerLink(
             self._handler, asyncio.get_running_loop().time(), is_outgoing=False
         )
-        self._greet(link)
         self.incoming.add(link)
-        reason = "silent or ended"
         try:
-            await link.async_run(stream)
-        except LINK_ERRORS as err:
-            reason = repr(err)
-        except asyncio.CancelledError:
-            # How a lost connection and a link that its opener closed arrive here.
-            reason = "closed by the other side, or connection lost"
-            raise
+            await self._async_serve(link, FrameStream(reader, writer))
         finally:
             self.incoming.discard(link)
-            self._note_lost(link, reason)
-            self.on_lost(link)
 
     async def _async_keep(self, peer: str) -> None:
         """Keep a link to an address until cancelled."""
+        is_told = False
         while True:
             try:
                 await self._async_open(peer)
-            except LINK_ERRORS as err:
-                reason = repr(err)
+            except (OSError, TimeoutError) as err:
+                if not is_told:
+                    log_message(
+                        message_type="peer_not_reached",
+                        level="warning",
+                        peer=peer,
+                        reason=repr(err),
+                    )
+                is_told = True
             else:
-                reason = "ended"
-            link = self.outgoing_by_peer.pop(peer, None)
-            if link is not None:
-                self._note_lost(link, reason)
-                self.on_lost(link)
+                is_told = False
             await asyncio.sleep(RECONNECT_PAUSE)
 
     async def _async_open(self, peer: str) -> None:
         """Open a link and serve it until it ends."""
         address = parse_address(peer)
-        channel = Channel(address.host, address.port)
-        try:
-            async with FleetStub(channel).Link.open() as stream:
-                async with asyncio.timeout(CONNECT_TIMEOUT):
-                    await stream.send_request()
-                await self._async_serve(peer, stream)
-                await stream.cancel()
-        finally:
-            channel.close()
-
-    async def _async_serve(self, peer: str, stream: FrameStream) -> None:
-        """Serve a link that this instance opened."""
+        async with asyncio.timeout(CONNECT_TIMEOUT):
+            reader, writer = await asyncio.open_connection(address.host, address.port)
         link = PeerLink(
             self._handler, asyncio.get_running_loop().time(), is_outgoing=True
         )
         link.peer = peer
-        self._greet(link)
         self.outgoing_by_peer[peer] = link
-        await link.async_run(stream)
+        try:
+            await self._async_serve(link, FrameStream(reader, writer))
+        finally:
+            if self.outgoing_by_peer.get(peer) is link:
+                del self.outgoing_by_peer[peer]
+
+    async def _async_serve(self, link: PeerLink, stream: FrameStream) -> None:
+        """Serve a link until it ends, however that comes about."""
+        self._greet(link)
+        try:
+            await link.async_run(stream)
+        except LINK_ERRORS as err:
+            self._note_lost(link, repr(err))
+        else:
+            self._note_lost(link, "silent or ended")
+        finally:
+            # Also when this instance ends it: what was asked for over the link would
+            # be waited for until its time is over.
+            stream.close()
+            self.on_lost(link)
 
     @callback
     def _greet(self, link: PeerLink) -> None:
--- /dev/null
+++ b/tests/fleet/test_frame_stream.py
@@ -0,0 +1,72 @@
+"""Tests of the frames on a connection between two instances."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+
+from swiftpin.fleet.frame_stream import LONGEST_FRAME, FrameError, FrameStream
+from swiftpin.fleet.proto import fleet_pb2 as pb
+
+HELLO = pb.Frame(items=[pb.Item(hello=pb.Hello(incarnation="a/1"))])
+ENCODED = HELLO.SerializeToString()
+
+
+@pytest.fixture(name="ends")
+async def ends_fixture() -> AsyncIterator[tuple[FrameStream, asyncio.StreamWriter]]:
+    """Return the frames that arrive at one side, and what the other side writes to."""
+    arrived: asyncio.Queue[FrameStream] = asyncio.Queue()
+
+    def take(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        arrived.put_nowait(FrameStream(reader, writer))
+
+    server = await asyncio.start_server(take, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    _, writer = await asyncio.open_connection(host, port)
+    stream = await arrived.get()
+    yield stream, writer
+    writer.close()
+    stream.close()
+    server.close()
+
+
+async def test_frames_arrive_as_sent(
+    ends: tuple[FrameStream, asyncio.StreamWriter],
+) -> None:
+    """Several at once and one in pieces come out whole, then the end."""
+    stream, writer = ends
+    sender = FrameStream(asyncio.StreamReader(), writer)
+    await sender.send_message(HELLO)
+    await sender.send_message(pb.Frame())
+    assert await stream.recv_message() == HELLO
+    assert await stream.recv_message() == pb.Frame()
+    piece = len(ENCODED).to_bytes(4, "big") + ENCODED
+    writer.write(piece[:6])
+    await asyncio.sleep(0)
+    writer.write(piece[6:])
+    assert await stream.recv_message() == HELLO
+    writer.close()
+    assert await stream.recv_message() is None
+
+
+@pytest.mark.parametrize(
+    "written",
+    [
+        b"\0\0",
+        len(ENCODED).to_bytes(4, "big") + ENCODED[:-1],
+        (LONGEST_FRAME + 1).to_bytes(4, "big"),
+        b"\0\0\0\2\xff\xff",
+    ],
+    ids=["cut length", "cut frame", "too long", "no frame"],
+)
+async def test_what_is_no_frame_ends_the_link(
+    ends: tuple[FrameStream, asyncio.StreamWriter], written: bytes
+) -> None:
+    """Nothing is taken for a frame that the other side did not send as one."""
+    stream, writer = ends
+    writer.write(written)
+    writer.close()
+    with pytest.raises(FrameError):
+        await stream.recv_message()
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -89,3 +89,27 @@
     assert line["outgoing"] is False
     assert line["reason"]
     await opener.async_unload()
+
+
+async def test_link_that_is_no_longer_wanted_is_told_of(
+    listener: tuple[FleetLinks, Handler, Address],
+) -> None:
+    """Symptom: requests waited for a slot until their time was over.
+
+    Sequence: an instance asked another for slots; a new list of issuers no longer named
+    that one, and the link was ended. Cause: whoever asks learnt only of links that were
+    lost, and the ended one stayed among those to be used.
+    """
+    _, _, address = listener
+    handler = Handler()
+    opener = make_links("opener", handler)
+    lost: asyncio.Queue[PeerLink] = asyncio.Queue()
+    opener.on_lost = lost.put_nowait
+    opener.want({str(address)})
+    async with asyncio.timeout(WAIT):
+        await handler.greeted.wait()
+        (link,) = opener.outgoing_by_peer.values()
+        opener.want(set())
+        assert await lost.get() is link
+    assert not opener.outgoing_by_peer
+    await opener.async_unload()
