Split the planner by the sort of move

Cause: planner.py (327 lines) held four sorts of moves and the loads that they share; a fifth is to come. Change: one module a sort (plan_rescue, plan_newcomers, plan_balance, plan_joins), target_share for what they share; code moved as it was.

--- /dev/null
+++ b/swiftpin/keyranges/plan_balance.py
@@ -0,0 +1,146 @@
+"""Moves of busy keys from the busiest targets to those with room."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import math
+from typing import Final
+
+from swiftpin.keyranges.assignment import Assignment
+from swiftpin.keyranges.key_load import MEMORY
+from swiftpin.keyranges.move import Move
+from swiftpin.keyranges.segment import Segment
+from swiftpin.keyranges.target_share import TargetShare
+
+BUSY: Final = 0.55
+"""Utilization below which a target is left alone: queues are short there."""
+
+IMBALANCE: Final = 1.2
+"""How far above the mean a target's utilization is before it gives keys away."""
+
+CHANCE: Final = 1.5
+"""Standard deviations by which a target's load must exceed the level: a rate that was
+counted over a second and a half is off by a quarter at ten requests a second, and moves
+after chance cut the keys into thousands of pieces."""
+
+MOST_MOVES: Final = 24
+"""Moves planned at a time; each costs a release and a grant."""
+
+SMALLEST_ROOM: Final = 0.05
+"""Share of a target's capacity that must be free for it to take keys."""
+
+
+def plan_balance(
+    assignment: Assignment,
+    shares: dict[str, TargetShare],
+    rates_by_key: Mapping[int, float],
+    planned: list[Move],
+) -> list[Move]:
+    """Return moves of busy keys from the busiest targets to those with room."""
+    total_capacity = sum(share.capacity for share in shares.values())
+    mean = sum(share.load for share in shares.values()) / total_capacity
+    level = max(mean, BUSY * 0.7)
+    moves: list[Move] = []
+    # What is planned shows as segments with a former owner; those are left alone.
+    working = assignment.with_moves(planned, 0)
+    donors = sorted(shares, key=lambda name: shares[name].utilization, reverse=True)
+    for name in donors:
+        if shares[name].utilization < max(BUSY, mean * IMBALANCE):
+            break
+        if not _is_certain(shares[name], level):
+            continue
+        relief = _relieve(name, working, shares, rates_by_key, level)
+        moves += relief
+        working = working.with_moves(relief, 0)
+        if len(moves) + len(planned) >= MOST_MOVES:
+            break
+    return moves
+
+
+def _is_certain(share: TargetShare, level: float) -> bool:
+    """Return whether a target's load exceeds the level by more than chance."""
+    excess = share.load - level * share.capacity
+    return excess > CHANCE * math.sqrt(share.load / MEMORY)
+
+
+def _relieve(
+    name: str,
+    assignment: Assignment,
+    shares: dict[str, TargetShare],
+    rates_by_key: Mapping[int, float],
+    level: float,
+) -> list[Move]:
+    """Return moves that bring one target's load down to the level."""
+    share = shares[name]
+    moves: list[Move] = []
+    working = assignment
+    left = [key for key in share.keys if _may_leave(working.segment_of(key), name)]
+    while left and len(moves) < MOST_MOVES:
+        excess = share.load - level * share.capacity
+        to = min(shares, key=lambda target: shares[target].utilization)
+        room = level * shares[to].capacity - shares[to].load
+        amount = min(excess, room)
+        if to == name or amount < SMALLEST_ROOM * shares[to].capacity:
+            break
+        window = _hottest_window(left, working, rates_by_key, amount)
+        if window is None:
+            break
+        low, high = window
+        moved = sum(rates_by_key[key] for key in left[low : high + 1])
+        move = Move(first=left[low], last=left[high], source=name, to=to)
+        moves.append(move)
+        # The cut keeps later windows from reaching across the keys that left.
+        working = working.with_moves([move], 0)
+        share.load -= moved
+        shares[to].load += moved
+        del left[low : high + 1]
+    return moves
+
+
+def _may_leave(segment: Segment, owner: str) -> bool:
+    """Return whether a segment is the owner's and not on the move."""
+    return segment.owner == owner and not segment.former
+
+
+def _hottest_window(
+    keys: list[int],
+    assignment: Assignment,
+    rates_by_key: Mapping[int, float],
+    amount: float,
+) -> tuple[int, int] | None:
+    """Return positions in `keys` of neighbours with about the amount of load.
+
+    Grown from the hottest key that fits, towards its nearer neighbour, within one
+    segment: so few keys move for much load.
+    """
+    best = -1
+    for position, key in enumerate(keys):
+        rate = rates_by_key[key]
+        if rate <= amount and (best < 0 or rate > rates_by_key[keys[best]]):
+            best = position
+    if best < 0:
+        return None
+    segment = assignment.segment_of(keys[best])
+    low = high = best
+    load = rates_by_key[keys[best]]
+    while True:
+        step = _nearer_neighbour(keys, low, high, segment)
+        if step is None or load + rates_by_key[keys[step]] > amount:
+            return low, high
+        load += rates_by_key[keys[step]]
+        low, high = min(low, step), max(high, step)
+
+
+def _nearer_neighbour(
+    keys: list[int], low: int, high: int, segment: Segment
+) -> int | None:
+    """Return the position of the next key to take in, None when there is none."""
+    below = low - 1 if low > 0 and keys[low - 1] >= segment.first else None
+    above = (
+        high + 1 if high + 1 < len(keys) and keys[high + 1] <= segment.last else None
+    )
+    if below is None or above is None:
+        return above if below is None else below
+    if keys[low] - keys[below] < keys[above] - keys[high]:
+        return below
+    return above
