Have requests leave the line of their key's former owner; don't hold refusals of moved keys against targets

Cause: a hot key moves away from the very target at which its requests wait. They got that target's slots one by one, were sent and refused (421), each refusal a second send out of the budget; and each counted as a failure of the target, so that one which had just given keys away seemed to bear less and gave more away. Change: a wait for a permit ends when the key's owner in the map is another one or none; the request then goes to the new owner, or waits for it. Refusals for a key that the target lacks count as no failure. Waits for permits have a module of their own.

--- a/swiftpin/bench/decisions/modelled_router.py
+++ b/swiftpin/bench/decisions/modelled_router.py
@@ -58,6 +58,9 @@
         self._queue = PermitQueue(shape.name)
         self._numbers = count()
         self._waiting_for_owner: list[tuple[float, Try]] = []
+        self._asked: dict[tuple[str, int], tuple[Try, str]] = {}
+        """Tries that wait for a slot of a target, by the request for it."""
+
         targets = [
             Target(
                 life=TargetLife(name=name),
@@ -108,6 +111,7 @@
             ends_at=attempt.ends_at,
             decide=lambda decision: self._decide(attempt, request_id, decision),
         )
+        self._asked[request_id] = (attempt, target)
         self._clock.after(
             MESSAGE_TIME, lambda: self._queue.ask(request, self._clock.now)
         )
@@ -116,6 +120,10 @@
         self, attempt: Try, request_id: tuple[str, int], decision: PermitDecision
     ) -> None:
         """Send by a permit, or reject."""
+        if self._asked.pop(request_id, None) is None:
+            # Withdrawn before it came to the queue; a permit goes straight back.
+            self._queue.end(request_id, 0.0, failed=False, now=self._clock.now)
+            return
         if decision.is_granted:
             self._clock.after(
                 2 * MESSAGE_TIME,
@@ -149,11 +157,12 @@
     ) -> None:
         """Hand the permit back, and answer or try again."""
         is_done = answer is Answer.DONE
+        is_failure = answer is Answer.FULL
         seconds = self._clock.now - sent_at + MESSAGE_TIME if is_done else 0.0
         self._clock.after(
             MESSAGE_TIME,
             lambda: self._queue.end(
-                request_id, seconds, failed=not is_done, now=self._clock.now
+                request_id, seconds, failed=is_failure, now=self._clock.now
             ),
         )
         if is_done:
@@ -173,11 +182,19 @@
 
     def _note_owners(self) -> None:
         """Go on with requests whose keys have an owner by now."""
+        owners = self.owners
+        if owners is None:
+            return
+        for request_id, (attempt, target) in list(self._asked.items()):
+            if attempt.key is not None and owners.owner_of(attempt.key) != target:
+                del self._asked[request_id]
+                self._queue.end(request_id, 0.0, failed=False, now=self._clock.now)
+                self._find(attempt)
         waiting, self._waiting_for_owner = self._waiting_for_owner, []
         for until, attempt in waiting:
             if self._clock.now >= until:
                 self._reject(attempt, OWNER_RETRY)
-            elif self.owners is not None and self.owners.owner_of(attempt.key or 0):
+            elif owners.owner_of(attempt.key or 0):
                 self._find(attempt)
             else:
                 self._waiting_for_owner.append((until, attempt))
--- a/swiftpin/permits/permit_broker.py
+++ b/swiftpin/permits/permit_broker.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from itertools import count
 from typing import Final
 
@@ -11,6 +10,7 @@
 from swiftpin.fleet.link import Item, PeerLink
 from swiftpin.fleet.proto import fleet_pb2 as pb
 from swiftpin.model.target import Target
+from swiftpin.permits.pending_asks import AskEnd, PendingAsk, PendingAsks
 from swiftpin.permits.permit import Permit
 from swiftpin.permits.permit_decision import PermitDecision
 from swiftpin.permits.permit_issuer import PermitIssuer
@@ -22,14 +22,6 @@
 """Seconds between two looks for requests that won't be served in time."""
 
 
-@dataclass(kw_only=True, slots=True)
-class PendingAsk:
-    """A request for a permit that is not answered yet."""
-
-    future: asyncio.Future[PermitDecision | None]
-    issuer: PeerLink | None
-
-
 class PermitBroker:
     """Asks the right instance for permits, and hands out those of this one."""
 
@@ -40,41 +32,51 @@
         self._own_issuer = PermitIssuer()
         self._links_by_incarnation: dict[str, PeerLink] = {}
         self._numbers = count(1)
-        self._pending_by_number: dict[int, PendingAsk] = {}
+        self._pending = PendingAsks()
 
     async def async_ask(
         self, query: PermitQuery
-    ) -> tuple[PermitDecision, Permit | None]:
+    ) -> tuple[PermitDecision, Permit | None] | None:
         """Return the decision and, when granted, the permit.
 
-        An instance whose link breaks before it answers is replaced by the next one.
+        Returns None when the key has another owner by now, or none. An instance whose
+        link breaks before it answers is replaced by the next one.
         """
         loop = asyncio.get_running_loop()
         service = query.service
         while True:
             number = next(self._numbers)
             issuer = self._issuer_of(query.target or service, loop.time())
-            future: asyncio.Future[PermitDecision | None] = loop.create_future()
-            self._pending_by_number[number] = PendingAsk(future=future, issuer=issuer)
+            pending = PendingAsk(
+                query=query, future=loop.create_future(), issuer=issuer
+            )
+            self._pending.add(number, pending)
             try:
                 if issuer is None:
                     self._ask_self(query, number, loop.time())
                 else:
                     self._ask_peer(issuer, query, number, loop.time())
-                decision = await future
+                decision = await pending.future
             except BaseException:
                 self._end(service, number, issuer, 0.0, failed=False)
                 raise
             finally:
-                self._pending_by_number.pop(number, None)
-            if decision is None:
-                self._end(service, number, issuer, 0.0, failed=False)
-                continue
-            if not decision.is_granted:
-                return decision, None
-            return decision, Permit(
-                number=number, service=service, target=decision.target, issuer=issuer
-            )
+                self._pending.drop(number)
+            match decision:
+                case AskEnd():
+                    # A permit may be on its way.
+                    self._end(service, number, issuer, 0.0, failed=False)
+                    if decision is AskEnd.OUTDATED:
+                        return None
+                case PermitDecision(is_granted=False):
+                    return decision, None
+                case PermitDecision():
+                    return decision, Permit(
+                        number=number,
+                        service=service,
+                        target=decision.target,
+                        issuer=issuer,
+                    )
 
     @callback
     def end(
@@ -113,14 +115,17 @@
     @callback
     def note_lost(self, link: PeerLink) -> None:
         """Give up on a link that broke, and what its other side held here."""
-        for pending in self._pending_by_number.values():
-            if pending.issuer is link and not pending.future.done():
-                pending.future.set_result(None)
+        self._pending.end_of(link)
         if self._links_by_incarnation.get(link.incarnation) is link:
             del self._links_by_incarnation[link.incarnation]
         if not link.is_outgoing:
             self._own_issuer.forget_link(link, asyncio.get_running_loop().time())
 
+    @callback
+    def note_owners(self, service: str) -> None:
+        """Act on a change of the owners of a service's keys."""
+        self._pending.end_outdated(service)
+
     @callback
     def handle_ask(self, link: PeerLink, ask: Item) -> None:
         """Decide for another instance."""
@@ -129,15 +134,11 @@
     @callback
     def handle_answer(self, link: PeerLink, answer: Item) -> None:
         """Take another instance's decision."""
-        pending = self._pending_by_number.get(answer.id)
-        if pending is None or pending.issuer is not link or pending.future.done():
-            return
-        pending.future.set_result(
-            PermitDecision(
-                target=answer.target if answer.granted else "",
-                retry_after=answer.retry_after,
-            )
+        decision = PermitDecision(
+            target=answer.target if answer.granted else "",
+            retry_after=answer.retry_after,
         )
+        self._pending.settle(answer.id, link, decision)
 
     @callback
     def handle_end(self, link: PeerLink, end: Item) -> None:
@@ -151,22 +152,14 @@
             await asyncio.sleep(EXPIRE_INTERVAL)
             now = loop.time()
             self._own_issuer.expire(now)
-            for pending in self._pending_by_number.values():
-                issuer = pending.issuer
-                # A issuer that was frozen or cut off answers nothing; waiting for the
-                # link's end would take longer than the caller's objective.
-                is_stale = issuer is not None and not issuer.is_fresh(now)
-                if is_stale and not pending.future.done():
-                    pending.future.set_result(None)
+            self._pending.end_silent(now)
 
     @callback
     def _ask_self(self, query: PermitQuery, number: int, now: float) -> None:
         """Have this instance decide."""
-        future = self._pending_by_number[number].future
 
         def decide(decision: PermitDecision) -> None:
-            if not future.done():
-                future.set_result(decision)
+            self._pending.settle(number, None, decision)
 
         self._own_issuer.ask(
             PermitRequest(
--- a/swiftpin/permits/permit_query.py
+++ b/swiftpin/permits/permit_query.py
@@ -2,8 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
+from swiftpin.core import callback
+
+
+@callback
+def _always() -> bool:
+    """Return True."""
+    return True
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PermitQuery:
@@ -22,3 +31,6 @@
 
     ends_at: float
     """When the answer has no use any more."""
+
+    is_current: Callable[[], bool] = _always
+    """Whether the target still owns the key."""
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -130,6 +130,7 @@
         )
         self._configuration.on_change = self._note_configuration
         self._directory.on_change = self._note_targets
+        self._maps.on_change = self._permits.note_owners
         status = StatusEndpoints(
             started_at=suspend_aware_now(),
             lifecycle=self._lifecycle,
--- a/swiftpin/router/key_maps.py
+++ b/swiftpin/router/key_maps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Final
 
 from eliot import log_message
@@ -24,6 +25,9 @@
 
     def __init__(self) -> None:
         self.maps_by_service: dict[str, KeyMap] = {}
+        self.on_change: Callable[[str], None] = _ignore
+        """Called with the name of a service whose map is another one."""
+
         self._changes_by_service: dict[str, asyncio.Event] = {}
         self._logged_by_service: dict[str, tuple[float, int]] = {}
         self._denied_by_service: dict[str, dict[tuple[int, str], float]] = {}
@@ -45,6 +49,7 @@
         changed = self._changes_by_service.pop(key_map.service, None)
         if changed is not None:
             changed.set()
+        self.on_change(key_map.service)
         self._log(key_map)
         return True
 
@@ -99,3 +104,8 @@
         """Wait until a service's map changes."""
         changed = self._changes_by_service.setdefault(service, asyncio.Event())
         await changed.wait()
+
+
+@callback
+def _ignore(service: str) -> None:
+    """Do nothing."""
--- a/swiftpin/router/owner_finder.py
+++ b/swiftpin/router/owner_finder.py
@@ -50,6 +50,14 @@
         service = configuration.services_by_name.get(service_name)
         return service is not None and service.is_keyed
 
+    @callback
+    def is_owner(self, call: Call, target: str) -> bool:
+        """Return whether a target owns the key of a request; empty for any target."""
+        key = call.head.key
+        if not target or key is None:
+            return True
+        return self._maps.owner_of(call.service, key) == target
+
     async def async_find(self, call: Call) -> str:
         """Return the target that owns the request's key; raise `NoOwnerError`."""
         key = call.head.key
--- a/swiftpin/router/request_sender.py
+++ b/swiftpin/router/request_sender.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import Final
 
 from swiftpin.core import callback
@@ -116,14 +117,20 @@
         if self._owners.is_keyed(call.service):
             owner = await self._owners.async_find(call)
         permit = await self._async_permit(call, owner)
+        if permit is None:
+            call.note(StepFailure.MOVED, f"moved from {owner}")
+            return None
         call.basis = read_basis(self._maps, self._directory, call.service)
         return await self._exchange.async_exchange(call, permit)
 
-    async def _async_permit(self, call: Call, owner: str) -> Permit:
-        """Return a permit to send; raise `QueueFullError` when there is none."""
+    async def _async_permit(self, call: Call, owner: str) -> Permit | None:
+        """Return a permit to send, None when the owner is another one by now.
+
+        Raises `QueueFullError` when there is none.
+        """
         now = asyncio.get_running_loop().time()
         try:
-            decision, permit = await self._permits.async_ask(
+            asked = await self._permits.async_ask(
                 PermitQuery(
                     service=call.service,
                     target=owner,
@@ -131,11 +138,15 @@
                     priority=call.route.priority,
                     objective_at=call.objective_at,
                     ends_at=call.ends_at,
+                    is_current=partial(self._owners.is_owner, call, owner),
                 )
             )
         finally:
             # Also when the caller leaves: its line tells what its time went on.
             call.waited += asyncio.get_running_loop().time() - now
+        if asked is None:
+            return None
+        decision, permit = asked
         if permit is None:
             call.note(StepFailure.NO_SLOT, f"no slot at {owner or 'any target'}")
             raise QueueFullError(
--- a/swiftpin/router/step_failure.py
+++ b/swiftpin/router/step_failure.py
@@ -16,6 +16,7 @@
     NO_KEY = "no_key"
     ON_THE_MOVE = "on_the_move"
     OWNER_AWAY = "owner_away"
+    MOVED = "moved"
     NO_SLOT = "no_slot"
     NOT_SENT = "not_sent"
     REFUSED = "refused"
@@ -31,6 +32,7 @@
     StepFailure.NO_KEY: "the service is divided by key and the request names none",
     StepFailure.ON_THE_MOVE: "the key had no owner until the wait for one was over",
     StepFailure.OWNER_AWAY: "the key's owner is leaving, or said that it lacks the key",
+    StepFailure.MOVED: "the key got another owner while the request waited for a slot",
     StepFailure.NO_SLOT: "the targets had no room in the time that the request has",
     StepFailure.NOT_SENT: "no connection to the target, or no time left to send",
     StepFailure.REFUSED: "the target said that it did not run the request",
--- a/swiftpin/router/target_exchange.py
+++ b/swiftpin/router/target_exchange.py
@@ -177,29 +177,45 @@
     ) -> None:
         """Note that a target did not run the request."""
         answer.abort()
-        if (
-            answer.status == HTTPStatus.MISDIRECTED_REQUEST
-            and call.head.key is not None
-        ):
-            self._maps.note_denied(call.service, call.head.key, suspend_aware_now())
-        failure, reason = StepFailure.REFUSED, f"refused: {answer.status}"
+        key = call.head.key
+        lacks_key = False
+        if answer.status == HTTPStatus.MISDIRECTED_REQUEST and key is not None:
+            lacks_key = True
+            self._maps.note_denied(call.service, key, suspend_aware_now())
         target = self._directory.targets_by_id.get(permit.target)
         if target is not None and head.instance not in (None, target.name):
             # The target is gone and its address belongs to another one by now.
-            failure, reason = StepFailure.REPLACED, f"replaced by {head.instance}"
             self._directory.note_replaced(permit.target, suspend_aware_now())
-        self._note_failed(call, permit, failure, reason)
+            reason = f"replaced by {head.instance}"
+            self._note_failed(call, permit, StepFailure.REPLACED, reason)
+            return
+        reason = f"refused: {answer.status}"
+        if not lacks_key:
+            self._note_failed(call, permit, StepFailure.REFUSED, reason)
+            return
+        # Its keys are leaving it, or its grant has ended; the target itself is sound.
+        # Counted as failures these refusals make the target that just gave keys away
+        # seem to bear less, and more of its keys leave it.
+        self._permits.end(permit, 0.0, failed=False)
+        self._note_step(call, permit, StepFailure.REFUSED, reason)
 
     @callback
     def _note_failed(
         self, call: Call, permit: Permit, failure: StepFailure, reason: str
     ) -> None:
         """Note a send that brought no answer."""
-        call.failed_target = permit.target
-        call.note(failure, f"{permit.target} {reason}")
+        self._note_step(call, permit, failure, reason)
         self._permits.end(permit, 0.0, failed=True)
         self.load.add_time(call.service, permit.target, None)
 
+    @callback
+    def _note_step(
+        self, call: Call, permit: Permit, failure: StepFailure, reason: str
+    ) -> None:
+        """Note why a request has to be sent again."""
+        call.failed_target = permit.target
+        call.note(failure, f"{permit.target} {reason}")
+
     @callback
     def _connections(self, service: str) -> int:
         """Return how many connections to one target this instance may open."""
--- a/tests/router/test_site.py
+++ b/tests/router/test_site.py
@@ -366,7 +366,7 @@
     asked = []
     ask = sender._async_permit
 
-    async def async_permit_once(call: Call, owner: str) -> Permit:
+    async def async_permit_once(call: Call, owner: str) -> Permit | None:
         asked.append(owner)
         if len(asked) > 1:
             raise QueueFullError("no slot", retry_after=0.1)
--- /dev/null
+++ b/tests/router/test_target_exchange.py
@@ -0,0 +1,89 @@
+"""Tests of what a target's refusals count for."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import Any, cast
+from unittest.mock import Mock
+
+import pytest
+
+from swiftpin.dispatch.http_answer import HttpAnswer
+from swiftpin.model.target import Target
+from swiftpin.model.target_life import TargetLife
+from swiftpin.permits.permit import Permit
+from swiftpin.platform.request_head import AnswerHead
+from swiftpin.router.call import Call
+from swiftpin.router.key_maps import KeyMaps
+from swiftpin.router.target_exchange import TargetExchange
+
+PERMIT = Permit(number=1, service="desk", target="a", issuer=None)
+REFUSED = AnswerHead(
+    status=0,
+    request_id=None,
+    is_signed=False,
+    not_executed=True,
+    instance=None,
+    load=None,
+)
+
+
+class Exchange:
+    """An exchange with target a, whose refusals are told to it."""
+
+    def __init__(self) -> None:
+        self.permits = Mock()
+        target = Target(
+            life=TargetLife(name="a"),
+            service="desk",
+            address="127.0.0.1:1",
+            zone="z1",
+            slots=1,
+            is_draining=False,
+            cold_for=0.0,
+            revision=1,
+        )
+        self.exchange = TargetExchange(
+            client=cast("Any", None),
+            configuration=cast("Any", None),
+            directory=cast("Any", Mock(targets_by_id={"a": target})),
+            maps=KeyMaps(),
+            permits=self.permits,
+            poison=cast("Any", None),
+        )
+
+    def refuse(self, status: int) -> None:
+        """Have a request with a key refused."""
+        call = cast(Call, Mock(service="desk"))
+        answer = cast(HttpAnswer, Mock(status=status))
+        self.exchange._note_refused(call, PERMIT, answer, REFUSED)
+
+    def is_held_against_target(self) -> bool:
+        """Return whether the refusal counts as a failure of the target."""
+        (ended,) = self.permits.end.call_args_list
+        failures = self.exchange.load.failures_by_target.get(("desk", "a"), 0)
+        assert bool(failures) == ended.kwargs["failed"]
+        return bool(failures)
+
+
+@pytest.fixture(name="exchange")
+def exchange_fixture() -> Exchange:
+    """Return an exchange."""
+    return Exchange()
+
+
+def test_refusal_of_a_moved_key_is_no_failure(exchange: Exchange) -> None:
+    """Symptom: more and more keys left a target that was sound.
+
+    Sequence: a few of its keys were moved; requests that were on their way to it were
+    refused. Cause: refusals of keys that a target no longer has counted as its
+    failures, so it seemed to bear less and gave more keys away.
+    """
+    exchange.refuse(HTTPStatus.MISDIRECTED_REQUEST)
+    assert not exchange.is_held_against_target()
+
+
+def test_refusal_of_a_full_target_is_a_failure(exchange: Exchange) -> None:
+    """A target that rejects what it should run bears less than its slots promise."""
+    exchange.refuse(HTTPStatus.SERVICE_UNAVAILABLE)
+    assert exchange.is_held_against_target()
