--- a/swiftpin/bench/decisions/key_owners.py
+++ b/swiftpin/bench/decisions/key_owners.py
@@ -36,16 +36,23 @@
         self.speed = TargetSpeed()
         self.moves = 0
         self.on_change: Callable[[], None] = _ignore
+        self.leaving: set[str] = set()
+        """Targets that are to own no keys."""
+
         self._targets_by_name = targets_by_name
         self._clock = clock
         self._fence = 1
         self._assignment = divide_evenly(dict.fromkeys(targets_by_name, 1.0), 0)
         self._held = self._assignment
         self._known = self._assignment
-        for name, target in targets_by_name.items():
-            target.owns = partial(self._holds, name)
+        for target in targets_by_name.values():
+            self.add(target)
         clock.after(PLAN_INTERVAL, self._plan)
 
+    def add(self, target: ModelledTarget) -> None:
+        """Let a target own keys."""
+        target.owns = partial(self._holds, target.name)
+
     def owner_of(self, key: int) -> str:
         """Return the owner as the instances know it, empty while a key moves."""
         segment = self._known.segment_of(key)
@@ -70,13 +77,18 @@
         """Plan moves and start them."""
         self._clock.after(PLAN_INTERVAL, self._plan)
         self.load.decay(self._clock.now)
-        capacities = {
-            name: self.speed.capacity(name, target.slots)
+        eligible = [
+            target
             for name, target in self._targets_by_name.items()
+            if name not in self.leaving
+        ]
+        capacities = {
+            target.name: self.speed.capacity(target.name, target.slots)
+            for target in eligible
         }
         bounds = {
-            name: self.speed.capacity_bounds(name, target.slots)
-            for name, target in self._targets_by_name.items()
+            target.name: self.speed.capacity_bounds(target.name, target.slots)
+            for target in eligible
         }
         before = self._assignment
         moves = plan_moves(before, capacities, self.load.rates_by_key, bounds)
--- a/swiftpin/bench/decisions/modelled_router.py
+++ b/swiftpin/bench/decisions/modelled_router.py
@@ -54,30 +54,51 @@
             for number, speed in enumerate(shape.speeds)
         }
         self.owners = KeyOwners(self.targets_by_name, clock) if shape.is_keyed else None
+        self._shape = shape
         self._clock = clock
         self._queue = PermitQueue(shape.name)
         self._numbers = count()
+        self._leaving: set[str] = set()
         self._waiting_for_owner: list[tuple[float, Try]] = []
         self._asked: dict[tuple[str, int], tuple[Try, str]] = {}
         """Tries that wait for a slot of a target, by the request for it."""
 
-        targets = [
-            Target(
-                life=TargetLife(name=name),
-                service=shape.name,
-                address=name,
+        self._set_targets()
+        if self.owners is not None:
+            self.owners.on_change = self._note_owners
+        clock.after(EXPIRE_INTERVAL, self._expire)
+
+    def let_leave(self, number: int, *, is_replaced: bool) -> None:
+        """Have a target leave; another of its speed comes first if it is replaced."""
+        target = self.targets_by_name[f"{self._shape.name}-{number}"]
+        self._leaving.add(target.name)
+        if is_replaced:
+            name = f"{target.name}-again"
+            successor = ModelledTarget(name, self._shape, target.speed, self._clock)
+            self.targets_by_name[name] = successor
+            if self.owners is not None:
+                self.owners.add(successor)
+        if self.owners is not None:
+            self.owners.leaving.add(target.name)
+        self._set_targets()
+
+    def _set_targets(self) -> None:
+        """Tell the queue which targets there are."""
+        staying: list[Target] = []
+        leaving: list[Target] = []
+        for target in self.targets_by_name.values():
+            entry = Target(
+                life=TargetLife(name=target.name),
+                service=self._shape.name,
+                address=target.name,
                 zone="z",
-                slots=shape.slots,
-                is_draining=False,
+                slots=self._shape.slots,
+                is_draining=target.name in self._leaving,
                 cold_for=0.0,
                 revision=1,
             )
-            for name in self.targets_by_name
-        ]
-        self._queue.set_targets(targets, 0.0)
-        if self.owners is not None:
-            self.owners.on_change = self._note_owners
-        clock.after(EXPIRE_INTERVAL, self._expire)
+            (leaving if entry.is_draining else staying).append(entry)
+        self._queue.set_targets(staying, self._clock.now, leaving=leaving)
 
     def take(self, attempt: Try) -> None:
         """Serve a request."""
--- a/swiftpin/bench/decisions/play.py
+++ b/swiftpin/bench/decisions/play.py
@@ -12,6 +12,7 @@
 from swiftpin.bench.decisions.scenario import (
     Burst,
     HotKey,
+    LeavingTargets,
     RequestSort,
     Scenario,
     SheddingTargets,
@@ -20,9 +21,6 @@
 )
 from swiftpin.keyranges.const import KEYS
 
-WARM: Final = 4.0
-"""Seconds at the start that are not judged: speeds are learnt."""
-
 CALLER_TIME: Final = 0.003
 """Seconds from a caller to an instance, and back."""
 
@@ -45,8 +43,15 @@
             for shape in scenario.services
         }
         self._keys = [self._rng.randrange(KEYS) for _ in range(BUSY_KEYS)]
-        self._hot_key = self._rng.randrange(KEYS)
-        self._hot_share_by_service: dict[str, float] = defaultdict(float)
+        hot = [trouble for trouble in scenario.troubles if isinstance(trouble, HotKey)]
+        # One is drawn also for a load without hot keys, whose requests would else be
+        # others than those that recorded seeds stand for.
+        drawn = [self._rng.randrange(KEYS) for _ in range(max(len(hot), 1))]
+        self._first_keys_by_trouble = {
+            trouble: min(key, KEYS - trouble.count)
+            for trouble, key in zip(hot, drawn, strict=False)
+        }
+        self._hot_by_service: dict[str, list[HotKey]] = defaultdict(list)
         self._factor = 1.0
         self._fates: list[Fate] = []
 
@@ -62,7 +67,8 @@
         judged = [
             fate
             for fate in self._fates
-            if WARM <= fate.came_at <= self._scenario.seconds - fate.sort.deadline
+            if self._scenario.judged_from <= fate.came_at
+            and fate.came_at <= self._scenario.seconds - fate.sort.deadline
         ]
         owners = [router.owners for router in self._routers_by_service.values()]
         return summarize(judged, sum(owner.moves for owner in owners if owner))
@@ -81,9 +87,13 @@
 
     def _key(self, sort: RequestSort) -> int:
         """Return the key of a request."""
-        if self._rng.random() < self._hot_share_by_service[sort.service]:
-            return self._hot_key
-        return self._keys[int(BUSY_KEYS * self._rng.random() ** 3)]
+        drawn = self._rng.random()
+        for trouble in self._hot_by_service[sort.service]:
+            if drawn < trouble.share:
+                first = self._first_keys_by_trouble[trouble]
+                return first + int(trouble.count * drawn / trouble.share)
+            drawn -= trouble.share
+        return self._keys[int(BUSY_KEYS * self._rng.random() ** self._scenario.skew)]
 
     def _work(self, sort: RequestSort) -> float:
         """Return the time that a request takes at a target of speed 1."""
@@ -113,7 +123,7 @@
             key=key,
             work=work,
             came_at=now + CALLER_TIME,
-            ends_at=ends_at - CALLER_TIME,
+            ends_at=min(ends_at, now + sort.timeout) - CALLER_TIME,
             on_served=served,
             on_rejected=rejected,
         )
@@ -132,8 +142,11 @@
         """Put a trouble in force or take it back."""
         match trouble:
             case HotKey():
-                share = trouble.share if is_on else 0.0
-                self._hot_share_by_service[trouble.service] = share
+                hot = self._hot_by_service[trouble.service]
+                if is_on:
+                    hot.append(trouble)
+                else:
+                    hot.remove(trouble)
             case Burst():
                 self._factor = trouble.factor if is_on else 1.0
             case SlowTargets():
@@ -144,6 +157,18 @@
                 targets = self._routers_by_service[trouble.service].targets_by_name
                 for target in targets.values():
                     target.shed_share = trouble.share if is_on else 0.0
+            case LeavingTargets():
+                if is_on:
+                    self._leave_one(trouble, 0)
+
+    def _leave_one(self, trouble: LeavingTargets, number: int) -> None:
+        """Let a target leave, and the next ones later."""
+        if number == trouble.count:
+            return
+        router = self._routers_by_service[trouble.service]
+        router.let_leave(number, is_replaced=trouble.are_replaced)
+        gap = trouble.seconds / trouble.count
+        self._clock.after(gap, lambda: self._leave_one(trouble, number + 1))
 
 
 def play(scenario: Scenario, seed: int) -> Summary:
--- a/swiftpin/bench/decisions/scenario.py
+++ b/swiftpin/bench/decisions/scenario.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+import math
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -27,6 +28,9 @@
     priority: int = 0
     objective: float
     deadline: float
+    timeout: float = math.inf
+    """Longest time for which one try is kept waiting."""
+
     worth: float = 1.0
     late_worth: float = 0.5
     retries: int = 1
@@ -48,12 +52,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HotKey:
-    """One key gets a share of the requests for a keyed service."""
+    """One key, or some neighbours, get a share of the requests for a keyed service."""
 
     at: float
     seconds: float
     share: float
     service: str
+    count: int = 1
+    """Neighbouring keys that are asked for alike."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -86,7 +92,19 @@
     share: float
 
 
-Trouble = HotKey | Burst | SlowTargets | SheddingTargets
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LeavingTargets:
+    """Targets of a service leave, one after the other in the time given."""
+
+    at: float
+    seconds: float
+    service: str
+    count: int
+    are_replaced: bool = True
+    """Whether another of the same speed comes as each begins to leave."""
+
+
+Trouble = HotKey | Burst | SlowTargets | SheddingTargets | LeavingTargets
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -97,4 +115,10 @@
     seconds: float
     sorts: tuple[RequestSort, ...]
     services: tuple[ServiceShape, ...]
+    skew: float = 3.0
+    """Power of a uniform draw that picks a key: the first of 4,000 keys gets 6% of the
+    requests with 3, 0.4% with 1.5."""
+
     troubles: tuple[Trouble, ...] = ()
+    judged_from: float = 4.0
+    """Seconds from which on requests count; before, speeds are learnt."""
--- a/swiftpin/bench/decisions/scenarios.py
+++ b/swiftpin/bench/decisions/scenarios.py
@@ -8,6 +8,7 @@
 from swiftpin.bench.decisions.scenario import (
     Burst,
     HotKey,
+    LeavingTargets,
     RequestSort,
     Scenario,
     ServiceShape,
@@ -147,6 +148,87 @@
     troubles=(Burst(at=5.0, seconds=4.0, factor=2.0),),
 )
 
+
+def fleet(name: str, targets: int) -> Scenario:
+    """Return a calm load that uses 0.7 of what slow and fast targets bear."""
+    return Scenario(
+        name=name,
+        seconds=20.0,
+        skew=1.5,
+        sorts=(
+            RequestSort(
+                name="lookup",
+                service="keyed",
+                rate=4.33 * targets,
+                work=0.19,
+                spread=0.3,
+                tail=0.01,
+                tail_factor=5.0,
+                priority=2,
+                objective=0.8,
+                deadline=3.0,
+                timeout=1.5,
+                late_worth=0.3,
+            ),
+            RequestSort(
+                name="booking",
+                service="keyed",
+                rate=2.11 * targets,
+                work=0.24,
+                spread=0.3,
+                tail=0.01,
+                tail_factor=3.0,
+                priority=1,
+                objective=0.8,
+                deadline=3.0,
+                timeout=1.5,
+                worth=2.0,
+                late_worth=0.6,
+            ),
+        ),
+        services=(
+            ServiceShape(
+                name="keyed",
+                speeds=(0.7, 0.7, 1.6) * (targets // 3),
+                slots=2,
+                waiting=8,
+                is_keyed=True,
+            ),
+        ),
+    )
+
+
+def after_trouble(calm: Scenario, targets: int) -> Scenario:
+    """Return a load that is judged when everything is calm again.
+
+    Hot keys, half of the targets replaced, a tenth gone, and many callers at once.
+    """
+    return replace(
+        calm,
+        name=f"{calm.name}-after-trouble",
+        seconds=40.0,
+        judged_from=28.0,
+        troubles=(
+            HotKey(at=4.0, seconds=5.0, share=0.13, service="keyed"),
+            HotKey(at=9.0, seconds=5.0, share=0.13, service="keyed"),
+            HotKey(at=5.0, seconds=5.0, share=0.24, service="keyed", count=200),
+            HotKey(at=10.5, seconds=4.0, share=0.27, service="keyed", count=60),
+            LeavingTargets(at=14.0, seconds=6.0, service="keyed", count=targets // 2),
+            LeavingTargets(
+                at=15.0,
+                seconds=0.1,
+                service="keyed",
+                count=targets // 10,
+                are_replaced=False,
+            ),
+            Burst(at=20.0, seconds=5.0, factor=1.4),
+        ),
+    )
+
+
+FLEET: Final = fleet("fleet", 30)
+LARGE_FLEET: Final = fleet("large-fleet", 180)
+
 SCENARIOS_BY_NAME: Final = {
     scenario.name: scenario
     for scenario in (
@@ -158,5 +240,9 @@
         SHEDDING,
         LONG_HOT_KEY,
         LONG_BURST,
+        FLEET,
+        after_trouble(FLEET, 30),
+        LARGE_FLEET,
+        after_trouble(LARGE_FLEET, 180),
     )
 }
