--- a/swiftpin/keyranges/plan_joins.py
+++ b/swiftpin/keyranges/plan_joins.py
@@ -107,7 +107,7 @@
         )
 
 
-def _cost(piece: Piece) -> tuple[bool, float, int]:
+def _cost(piece: Piece) -> tuple[bool, int, float]:
     """Return by what pieces are chosen: narrow ones that leave two segments less."""
     return (not piece.is_between_one, piece.width, piece.load)
 
