Count for how long permits are on their way

An on-call engineer could not tell slow targets from slots that idle between two requests: both show as long waits.

--- a/swiftpin/permits/permit_broker.py
+++ b/swiftpin/permits/permit_broker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from itertools import count
 from typing import Final
 
@@ -17,6 +18,7 @@
 from swiftpin.permits.permit_issuers import NO_ISSUERS, PermitIssuers
 from swiftpin.permits.permit_query import PermitQuery
 from swiftpin.permits.permit_request import PermitRequest
+from swiftpin.permits.turnaround import ignore_turnaround
 
 EXPIRE_INTERVAL: Final = 0.05
 """Seconds between two looks for requests that won't be served in time."""
@@ -25,11 +27,16 @@
 class PermitBroker:
     """Asks the right instance for permits, and hands out those of this one."""
 
-    def __init__(self, incarnation: str, zone: str) -> None:
+    def __init__(
+        self,
+        incarnation: str,
+        zone: str,
+        on_turnaround: Callable[[str, float], None] = ignore_turnaround,
+    ) -> None:
         self._zone = zone
         self.issuers: PermitIssuers = NO_ISSUERS
         self._incarnation = incarnation
-        self._own_issuer = PermitIssuer()
+        self._own_issuer = PermitIssuer(on_turnaround)
         self._links_by_incarnation: dict[str, PeerLink] = {}
         self._numbers = count(1)
         self._pending = PendingAsks()
--- a/swiftpin/permits/permit_issuer.py
+++ b/swiftpin/permits/permit_issuer.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from swiftpin.core import callback
 from swiftpin.fleet.link import Item, PeerLink
 from swiftpin.fleet.proto import fleet_pb2 as pb
@@ -14,7 +16,8 @@
 class PermitIssuer:
     """Keeps a queue for each service, and answers those who ask over links."""
 
-    def __init__(self) -> None:
+    def __init__(self, on_turnaround: Callable[[str, float], None]) -> None:
+        self._on_turnaround = on_turnaround
         self._queues_by_service: dict[str, PermitQueue] = {}
 
     @callback
@@ -104,7 +107,9 @@
         """Return the queue of a service."""
         queue = self._queues_by_service.get(service)
         if queue is None:
-            queue = self._queues_by_service[service] = PermitQueue(service)
+            queue = self._queues_by_service[service] = PermitQueue(
+                service, self._on_turnaround
+            )
         return queue
 
 
--- a/swiftpin/permits/permit_queue.py
+++ b/swiftpin/permits/permit_queue.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from swiftpin.core import callback
@@ -12,7 +12,7 @@
 from swiftpin.permits.retry_spread import SHORTEST_RETRY
 from swiftpin.permits.slot_pace import SlotPace
 from swiftpin.permits.target_slots import FIRST_TIME, TargetSlots
-from swiftpin.permits.turnaround import Turnaround
+from swiftpin.permits.turnaround import Turnaround, ignore_turnaround
 from swiftpin.permits.waiting_line import ANSWER_WAY, WaitingLine
 
 FAR_FACTOR: Final = 2.0
@@ -31,8 +31,13 @@
     connections, and a request that must not be repeated is lost with its connection.
     """
 
-    def __init__(self, service: str) -> None:
+    def __init__(
+        self,
+        service: str,
+        on_turnaround: Callable[[str, float], None] = ignore_turnaround,
+    ) -> None:
         self._service = service
+        self._on_turnaround = on_turnaround
         self._slots_by_target: dict[str, TargetSlots] = {}
         self._eligible: frozenset[str] = frozenset()
         self._present: frozenset[str] = frozenset()
@@ -103,7 +108,9 @@
         elif seconds > (slots.mean_time if cut else 0):
             slots.note_time(seconds)
         if not failed and not cut and seconds > 0:
-            self._turnaround.note(max(hold - seconds, 0.0))
+            turnaround = max(hold - seconds, 0.0)
+            self._turnaround.note(turnaround)
+            self._on_turnaround(self._service, turnaround)
         if not failed and seconds > 0 and (not cut or hold > self._hold(slots)):
             slots.note_hold(hold)
             self._service_slots.note_hold(hold)
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -64,7 +64,9 @@
         self._store = StoreClient(
             str(settings.store), self._clients.store, self._metrics.note_store_call
         )
-        self._permits = PermitBroker(incarnation, settings.zone)
+        self._permits = PermitBroker(
+            incarnation, settings.zone, self._metrics.note_turnaround
+        )
         self._lease = LeaseElection(
             name=settings.name,
             incarnation=incarnation,
--- a/swiftpin/router/metrics.py
+++ b/swiftpin/router/metrics.py
@@ -85,6 +85,7 @@
 
         self.latencies_by_service: dict[str, BucketCounts] = {}
         self.waits_by_service: dict[str, BucketCounts] = {}
+        self.turnarounds_by_service: dict[str, BucketCounts] = {}
         self.configuration = 0
         """Version in force."""
 
@@ -142,6 +143,11 @@
         for failure in failures:
             self.step_failures[service, failure.value] += 1
 
+    @callback
+    def note_turnaround(self, service: str, seconds: float) -> None:
+        """Count a permit that came back to this instance."""
+        _observe(self.turnarounds_by_service, service, WAIT_BUCKETS, seconds)
+
 
 @callback
 def _observe(
--- a/swiftpin/router/metrics_registry.py
+++ b/swiftpin/router/metrics_registry.py
@@ -70,6 +70,11 @@
             "Time that a request waited for slots of targets, all its tries together.",
             metrics.waits_by_service,
         )
+        yield _histogram(
+            "swiftpin_router_permit_turnaround_seconds",
+            "Time for which permits of this instance were out beyond the targets' work.",
+            metrics.turnarounds_by_service,
+        )
         yield GaugeMetricFamily(
             "swiftpin_router_configuration_version",
             "Version of the configuration in force.",
--- a/tests/permits/test_permit_issuer.py
+++ b/tests/permits/test_permit_issuer.py
@@ -11,6 +11,7 @@
 from swiftpin.model.target import Target
 from swiftpin.model.target_life import TargetLife
 from swiftpin.permits.permit_issuer import PermitIssuer
+from swiftpin.permits.turnaround import ignore_turnaround
 
 
 class RecordingLink(PeerLink):
@@ -43,7 +44,7 @@
 @pytest.fixture(name="issuer")
 def issuer_fixture() -> PermitIssuer:
     """Return an issuer for one target with one slot."""
-    issuer = PermitIssuer()
+    issuer = PermitIssuer(ignore_turnaround)
     target = Target(
         life=TargetLife(name="a"),
         service="desk",
