--- a/swiftpin/router/metrics_registry.py
+++ b/swiftpin/router/metrics_registry.py
@@ -72,7 +72,7 @@
         )
         yield _histogram(
             "swiftpin_router_permit_turnaround_seconds",
-            "Time for which permits of this instance were out beyond the targets' work.",
+            "Time for which this instance's permits were out, less the targets' time.",
             metrics.turnarounds_by_service,
         )
         yield GaugeMetricFamily(
