--- a/swiftpin/keyranges/lease_election.py
+++ b/swiftpin/keyranges/lease_election.py
@@ -16,35 +16,23 @@
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.keyranges.const import (
     EXTENSION_LIMIT,
-    LEASE_MARGIN,
     LEASE_RENEW,
     LEASE_TIME,
 )
 from swiftpin.keyranges.lease_record import LeaseRecord
 from swiftpin.keyranges.lease_store import LeaseStore, LeaseWrite
+from swiftpin.keyranges.lease_turn import (
+    CALM_POLL,
+    POLL,
+    LeaseView,
+    election_delay,
+    is_free,
+)
 from swiftpin.platform.store_client import StoreClient
 
-POLL: Final = 0.25
-"""Seconds between two looks at the lease while its holder is not heard of."""
-
 RETRY: Final = 0.1
 """Seconds before a renewal that failed is tried again, while the lease still runs."""
 
-USUAL_STRENGTH: Final = 1.5
-"""Strength, in usual cores, that suits an assigner of hundreds of targets."""
-
-FIRST_ELECTION_DELAY: Final = 1.0
-"""Seconds for each core that an instance lacks, at the first start only."""
-
-RANK_ELECTION_DELAY: Final = 0.03
-"""Seconds for each stronger member: a read and a write of the store."""
-
-CALM_POLL: Final = 0.3
-"""Seconds between two checks whether the holder is still heard of."""
-
-NOTICE_TIME: Final = CALM_POLL + 1.2 * POLL
-"""Seconds within which a member sees that the lease is free, and looks once more."""
-
 
 class LeaseElection:
     """Takes the lease when its holder is gone, and renews it while this one has it.
@@ -214,58 +202,26 @@
             self._health.note_failure(str(err), suspend_aware_now())
             return POLL * self._rng.uniform(0.8, 1.6)
         now = suspend_aware_now()
-        if self.is_willing and not self.is_standing_down and self._is_free(now):
+        view = self._view()
+        is_candidate = self.is_willing and not self.is_standing_down
+        if is_candidate and is_free(view, self._name, now):
             if self._free_since is None:
                 self._free_since = now
-            if now - self._free_since >= self._election_delay():
+            delay = election_delay(view, self._name, self._strength)
+            if now - self._free_since >= delay:
                 await self._async_take()
         else:
             self._free_since = None
         return POLL * self._rng.uniform(0.6, 1.2)
 
-    @callback
-    def _election_delay(self) -> float:
-        """Return the seconds for which a free lease is left to stronger instances.
-
-        Assigning takes most of a core where there are hundreds of targets. Members are
-        named strongest first; before there is a record each goes by itself. One that is
-        not named lets all of them look first: there may be many of its kind, and the
-        first of them to look would take each lease that is given up, find the work too
-        much and give it up again.
-        """
-        record = self.record
-        if record is None:
-            return max(USUAL_STRENGTH - self._strength, 0.0) * FIRST_ELECTION_DELAY
-        if self._name in record.members:
-            return record.members.index(self._name) * RANK_ELECTION_DELAY
-        if record.members and self._was_left(record):
-            return len(record.members) * RANK_ELECTION_DELAY + NOTICE_TIME
-        # Nobody is named, or all who are had their turn while it waited out the votes.
-        return 0.0
-
-    @callback
-    def _was_left(self, record: LeaseRecord) -> bool:
-        """Return whether the holder of a lease said that it assigns keys no more."""
-        return not record.holder or self.resigned_term >= record.term
-
-    @callback
-    def _is_free(self, now: float) -> bool:
-        """Return whether the lease has run out, or was given up."""
-        record = self.record
-        if record is None:
-            return True
-        if record.holder.partition("/")[0] == self._name:
-            # An earlier incarnation of this one, so it has ended; or a lapsed lease of
-            # this incarnation that nobody took.
-            return True
-        if self._was_left(record):
-            return True
-        if now < self.own_vote_until:
-            return False
-        wait = LEASE_TIME + LEASE_MARGIN
-        if self._name not in record.members:
-            wait += EXTENSION_LIMIT
-        return now - self._store.unchanged_since > wait
+    def _view(self) -> LeaseView:
+        """Return what this instance knows of the lease."""
+        return LeaseView(
+            record=self.record,
+            resigned_term=self.resigned_term,
+            unchanged_since=self._store.unchanged_since,
+            own_vote_until=self.own_vote_until,
+        )
 
     async def _async_take(self) -> None:
         """Try to become the holder, under the next term."""
--- /dev/null
+++ b/swiftpin/keyranges/lease_turn.py
@@ -0,0 +1,92 @@
+"""When it is an instance's turn to take the lease."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final
+
+from swiftpin.core import callback
+from swiftpin.keyranges.const import EXTENSION_LIMIT, LEASE_MARGIN, LEASE_TIME
+from swiftpin.keyranges.lease_record import LeaseRecord
+
+POLL: Final = 0.25
+"""Seconds between two looks at the lease while its holder is not heard of."""
+
+CALM_POLL: Final = 0.3
+"""Seconds between two checks whether the holder is still heard of."""
+
+USUAL_STRENGTH: Final = 1.5
+"""Strength, in usual cores, that suits an assigner of hundreds of targets."""
+
+FIRST_ELECTION_DELAY: Final = 1.0
+"""Seconds for each core that an instance lacks, at the first start only."""
+
+RANK_ELECTION_DELAY: Final = 0.03
+"""Seconds for each stronger member: a read and a write of the store."""
+
+NOTICE_TIME: Final = CALM_POLL + 1.2 * POLL
+"""Seconds within which a member sees that the lease is free, and looks once more."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LeaseView:
+    """What an instance knows of the lease; times are suspend-aware."""
+
+    record: LeaseRecord | None
+    """The record last read, None before there is one."""
+
+    resigned_term: int
+    """Last term for which a holder said that it assigns keys no more."""
+
+    unchanged_since: float
+    """Since when the record has not changed."""
+
+    own_vote_until: float
+    """Until when this instance has voted not to take over."""
+
+
+@callback
+def is_free(view: LeaseView, name: str, now: float) -> bool:
+    """Return whether the lease has run out, or was given up, for an instance."""
+    record = view.record
+    if record is None:
+        return True
+    if record.holder.partition("/")[0] == name:
+        # An earlier incarnation of this one, so it has ended; or a lapsed lease of
+        # this incarnation that nobody took.
+        return True
+    if _was_given_up(record, view.resigned_term):
+        return True
+    if now < view.own_vote_until:
+        return False
+    wait = LEASE_TIME + LEASE_MARGIN
+    if name not in record.members:
+        wait += EXTENSION_LIMIT
+    return now - view.unchanged_since > wait
+
+
+@callback
+def election_delay(view: LeaseView, name: str, strength: float) -> float:
+    """Return the seconds for which a free lease is left to stronger instances.
+
+    Assigning takes most of a core where there are hundreds of targets. Members are
+    named strongest first; before there is a record each goes by itself. One that is
+    not named lets all of them look first: there may be many of its kind, and the first
+    of them to look would take each lease that is given up, find the work too much and
+    give it up again.
+    """
+    record = view.record
+    if record is None:
+        return max(USUAL_STRENGTH - strength, 0.0) * FIRST_ELECTION_DELAY
+    if name in record.members:
+        return record.members.index(name) * RANK_ELECTION_DELAY
+    if record.members and _was_given_up(record, view.resigned_term):
+        return len(record.members) * RANK_ELECTION_DELAY + NOTICE_TIME
+    # Nobody is named, or all who are had their turn while it waited out the votes.
+    return 0.0
+
+
+@callback
+def _was_given_up(record: LeaseRecord, resigned_term: int) -> bool:
+    """Return whether the holder of a lease said that it assigns keys no more."""
+    return not record.holder or resigned_term >= record.term
--- a/swiftpin/keyranges/plan_balance.py
+++ b/swiftpin/keyranges/plan_balance.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from bisect import bisect_right
 from collections.abc import Mapping
 import math
 from typing import Final
 
 from swiftpin.keyranges.assignment import Assignment
 from swiftpin.keyranges.key_load import MEMORY
+from swiftpin.keyranges.key_windows import hottest_segment, hottest_window
 from swiftpin.keyranges.move import Move
 from swiftpin.keyranges.segment import Segment
 from swiftpin.keyranges.target_share import TargetShare, mean_utilization
@@ -89,7 +89,7 @@
         amount = min(excess, room) if may_cut else _even_amount(share, shares[to])
         if to == name or amount < SMALLEST_ROOM * shares[to].capacity:
             break
-        choose = _hottest_window if may_cut else _hottest_segment
+        choose = hottest_window if may_cut else hottest_segment
         window = choose(left, working, rates_by_key, amount)
         if window is None:
             break
@@ -121,66 +121,3 @@
 def _may_leave(segment: Segment, owner: str) -> bool:
     """Return whether a segment is the owner's and not on the move."""
     return segment.owner == owner and not segment.former
-
-
-def _hottest_window(
-    keys: list[int],
-    assignment: Assignment,
-    rates_by_key: Mapping[int, float],
-    amount: float,
-) -> tuple[int, int] | None:
-    """Return positions in `keys` of neighbours with about the amount of load.
-
-    Grown from the hottest key that fits, towards its nearer neighbour, within one
-    segment: so few keys move for much load.
-    """
-    best = -1
-    for position, key in enumerate(keys):
-        rate = rates_by_key[key]
-        if rate <= amount and (best < 0 or rate > rates_by_key[keys[best]]):
-            best = position
-    if best < 0:
-        return None
-    segment = assignment.segment_of(keys[best])
-    low = high = best
-    load = rates_by_key[keys[best]]
-    while True:
-        step = _nearer_neighbour(keys, low, high, segment)
-        if step is None or load + rates_by_key[keys[step]] > amount:
-            return low, high
-        load += rates_by_key[keys[step]]
-        low, high = min(low, step), max(high, step)
-
-
-def _hottest_segment(
-    keys: list[int],
-    assignment: Assignment,
-    rates_by_key: Mapping[int, float],
-    amount: float,
-) -> tuple[int, int] | None:
-    """Return positions in `keys` of the busiest segment within the amount of load."""
-    best: tuple[int, int] | None = None
-    best_load = 0.0
-    low = 0
-    while low < len(keys):
-        high = bisect_right(keys, assignment.segment_of(keys[low]).last) - 1
-        load = sum(rates_by_key[key] for key in keys[low : high + 1])
-        if best_load < load <= amount:
-            best, best_load = (low, high), load
-        low = high + 1
-    return best
-
-
-def _nearer_neighbour(
-    keys: list[int], low: int, high: int, segment: Segment
-) -> int | None:
-    """Return the position of the next key to take in, None when there is none."""
-    below = low - 1 if low > 0 and keys[low - 1] >= segment.first else None
-    above = (
-        high + 1 if high + 1 < len(keys) and keys[high + 1] <= segment.last else None
-    )
-    if below is None or above is None:
-        return above if below is None else below
-    if keys[low] - keys[below] < keys[above] - keys[high]:
-        return below
-    return above
--- a/tests/keyranges/test_lease_election.py
+++ b/tests/keyranges/test_lease_election.py
@@ -15,7 +15,8 @@
 from swiftpin.keyranges import lease_election as lease_module
 from swiftpin.keyranges import lease_store as lease_store_module
 from swiftpin.keyranges.const import EXTENSION_LIMIT, LEASE_MARGIN, LEASE_TIME
-from swiftpin.keyranges.lease_election import CALM_POLL, POLL, LeaseElection
+from swiftpin.keyranges.lease_election import LeaseElection
+from swiftpin.keyranges.lease_turn import CALM_POLL, POLL
 from swiftpin.platform.platform_object import PlatformObject
 from swiftpin.store_errors import ObjectMissingError
 
