--- /dev/null
+++ b/tests/permits/conftest.py
@@ -0,0 +1,16 @@
+"""Shared fixtures of the tests of permits."""
+
+from __future__ import annotations
+
+import pytest
+
+from swiftpin.permits.permit_queue import PermitQueue
+from tests.permits.asker import Asker, make_target
+
+
+@pytest.fixture(name="asker")
+def asker_fixture() -> Asker:
+    """Return an asker at a queue with two targets in two zones."""
+    queue = PermitQueue("desk")
+    queue.set_targets([make_target("a"), make_target("b", zone="z2")], 0.0)
+    return Asker(queue)
--- a/tests/permits/test_permits_ahead.py
+++ b/tests/permits/test_permits_ahead.py
@@ -16,11 +16,10 @@
 from heapq import heappop, heappush
 from itertools import count
 
-from swiftpin.model.target import Target
-from swiftpin.model.target_life import TargetLife
 from swiftpin.permits.permit_decision import PermitDecision
 from swiftpin.permits.permit_queue import PermitQueue
 from swiftpin.permits.permit_request import PermitRequest
+from tests.permits.asker import make_target
 
 SLOTS = 2
 SERVICE_TIME = 0.2
@@ -46,17 +45,7 @@
         self._events: list[tuple[float, int, int, float]] = []
         self._numbers = count()
         self._queue = PermitQueue("desk")
-        target = Target(
-            life=TargetLife(name="a"),
-            service="desk",
-            address="127.0.0.1:1",
-            zone="z1",
-            slots=SLOTS,
-            is_draining=False,
-            cold_for=0.0,
-            revision=1,
-        )
-        self._queue.set_targets([target], 0.0)
+        self._queue.set_targets([make_target("a", slots=SLOTS)], 0.0)
 
     def play(self) -> float:
         """Return the part of the time for which the slots worked."""
--- a/tests/permits/test_queue_under_overload.py
+++ b/tests/permits/test_queue_under_overload.py
@@ -9,11 +9,10 @@
 
 import pytest
 
-from swiftpin.model.target import Target
-from swiftpin.model.target_life import TargetLife
 from swiftpin.permits.permit_decision import PermitDecision
 from swiftpin.permits.permit_queue import PermitQueue
 from swiftpin.permits.permit_request import PermitRequest
+from tests.permits.asker import make_target
 
 SERVICE_TIME = 0.04
 OBJECTIVE = 0.25
@@ -85,17 +84,7 @@
 
     def play(self) -> list[Fate]:
         """Play it to the end and return what became of each request."""
-        target = Target(
-            life=TargetLife(name="a"),
-            service="desk",
-            address="127.0.0.1:1",
-            zone="z1",
-            slots=1,
-            is_draining=False,
-            cold_for=0.0,
-            revision=1,
-        )
-        self.queue.set_targets([target], 0.0)
+        self.queue.set_targets([make_target("a")], 0.0)
         self.plan(0.0, "arrival")
         self.plan(0.0, "expire")
         while self.events:
