--- a/tests/permits/test_permit_broker.py
+++ b/tests/permits/test_permit_broker.py
@@ -6,11 +6,10 @@
 
 import pytest
 
-from swiftpin.model.target import Target
-from swiftpin.model.target_life import TargetLife
 from swiftpin.permits.permit import Permit
 from swiftpin.permits.permit_broker import PermitBroker
 from swiftpin.permits.permit_query import PermitQuery
+from tests.permits.asker import make_target
 
 SERVICE = "desk"
 
@@ -36,17 +35,7 @@
 async def broker_fixture() -> PermitBroker:
     """Return the permits of an instance that hands out those of target a itself."""
     broker = PermitBroker("i1/1", "z1")
-    target = Target(
-        life=TargetLife(name="a"),
-        service=SERVICE,
-        address="127.0.0.1:1",
-        zone="z1",
-        slots=1,
-        is_draining=False,
-        cold_for=0.0,
-        revision=1,
-    )
-    broker.set_targets(SERVICE, [target], [])
+    broker.set_targets(SERVICE, [make_target("a")], [])
     return broker
 
 
--- a/tests/permits/test_permit_issuer.py
+++ b/tests/permits/test_permit_issuer.py
@@ -8,10 +8,9 @@
 
 from swiftpin.fleet.link import Item, PeerLink
 from swiftpin.fleet.proto import fleet_pb2 as pb
-from swiftpin.model.target import Target
-from swiftpin.model.target_life import TargetLife
 from swiftpin.permits.permit_issuer import PermitIssuer
 from swiftpin.permits.turnaround import ignore_turnaround
+from tests.permits.asker import make_target
 
 
 class RecordingLink(PeerLink):
@@ -45,17 +44,7 @@
 def issuer_fixture() -> PermitIssuer:
     """Return an issuer for one target with one slot."""
     issuer = PermitIssuer(ignore_turnaround)
-    target = Target(
-        life=TargetLife(name="a"),
-        service="desk",
-        address="127.0.0.1:1",
-        zone="z1",
-        slots=1,
-        is_draining=False,
-        cold_for=0.0,
-        revision=1,
-    )
-    issuer.set_targets("desk", [target], [], 0.0)
+    issuer.set_targets("desk", [make_target("a")], [], 0.0)
     return issuer
 
 
