Let a tenth of the targets truly leave in the load after trouble, and test that a fleet comes back

What was wrong: both troubles of after_trouble began with the service's first targets, so the tenth that was to go unreplaced had just been replaced.

--- a/swiftpin/bench/decisions/play.py
+++ b/swiftpin/bench/decisions/play.py
@@ -174,7 +174,7 @@
         if number == trouble.count:
             return
         router = self._routers_by_service[trouble.service]
-        router.let_leave(number, is_replaced=trouble.are_replaced)
+        router.let_leave(trouble.first + number, is_replaced=trouble.are_replaced)
         gap = trouble.seconds / trouble.count
         self._clock.after(gap, lambda: self._leave_one(trouble, number + 1))
 
--- a/swiftpin/bench/decisions/scenario.py
+++ b/swiftpin/bench/decisions/scenario.py
@@ -100,6 +100,9 @@
     seconds: float
     service: str
     count: int
+    first: int = 0
+    """Position of the first that leaves, among the service's targets."""
+
     are_replaced: bool = True
     """Whether another of the same speed comes as each begins to leave."""
 
--- a/swiftpin/bench/decisions/scenarios.py
+++ b/swiftpin/bench/decisions/scenarios.py
@@ -219,6 +219,7 @@
                 seconds=0.1,
                 service="keyed",
                 count=targets // 10,
+                first=targets // 2,
                 are_replaced=False,
             ),
             Burst(at=20.0, seconds=5.0, factor=1.4),
--- a/tests/bench/decisions/test_play.py
+++ b/tests/bench/decisions/test_play.py
@@ -7,7 +7,7 @@
 import pytest
 
 from swiftpin.bench.decisions.play import play
-from swiftpin.bench.decisions.scenarios import CALM, HOT_KEY
+from swiftpin.bench.decisions.scenarios import CALM, FLEET, HOT_KEY, after_trouble
 
 SECONDS = 10.0
 
@@ -34,3 +34,16 @@
     of the slower targets owns it. Cause: a key too hot for any target's room stayed.
     """
     assert play(replace(HOT_KEY, seconds=SECONDS), seed).served > 0.9
+
+
+@pytest.mark.parametrize("seed", [1, 2, 6])
+def test_fleet_comes_back_after_trouble(seed: int) -> None:
+    """Symptom: long after the last trouble a fifth of the callers are refused or late.
+
+    Sequence: hot keys and targets that leave cut the keys into ever more ranges; eight
+    seconds after the last trouble, nothing is wrong any more. Cause: above a limit of
+    ranges no load was evened out. At least 0.9 of what calm callers get is owed.
+    """
+    calm = play(FLEET, seed)
+    after = play(after_trouble(FLEET, 30), seed)
+    assert after.in_time >= 0.9 * calm.in_time
