--- a/swiftpin/permits/target_slots.py
+++ b/swiftpin/permits/target_slots.py
@@ -60,7 +60,7 @@
         on its way to the asker, and back. A slot idles for as long between two requests
         unless the next one waits at the target already: 35 ms in the mean, one time of
         ten 130 ms, where links are thin and processors small, beside 0.2 s of work. Of
-        the worth owed in two days of 20 such instances 0.65 and 0.68 is earned without
+        the worth owed in two days of 20 such instances 0.65 and 0.72 is earned without
         permits ahead, 0.75 and 0.77 with one, 0.79 and 0.80 with two, no more with
         three (one play each). Requests that wait at the target can't be overtaken by
         more urgent ones, so there are no more than the way asks for.
