--- a/swiftpin/permits/target_slots.py
+++ b/swiftpin/permits/target_slots.py
@@ -18,11 +18,14 @@
 that: between none, if times were all equal, and a whole one, if they had no memory."""
 
 IDLE_ALLOWED: Final = 0.01
-"""Slots of a target that may idle before a permit is given ahead."""
+"""Slots of a target that may idle before a permit is given ahead: what rounding makes
+of times that are equal. At 0.02 some targets of a service get one ahead, others none,
+and fewer are served than with either: 0.982, against 0.988 without and 0.995 with one
+for all (27 simulated targets at 0.84 of what they bear, 12 seeds)."""
 
 MOST_AHEAD: Final = 2
 """Permits ahead of a target's slots at most. Targets queue a few requests themselves,
-and reset connections when they are full."""
+and reset connections when they are full. Played with targets of two and four slots."""
 
 FAILURE_PAUSE: Final = 0.6
 """Seconds for which a target that failed is passed over where another will do."""
--- a/swiftpin/permits/turnaround.py
+++ b/swiftpin/permits/turnaround.py
@@ -12,7 +12,7 @@
 
 DEVIATIONS: Final = 4.0
 """Mean deviations above the mean up to which a permit's time is taken for usual, as a
-sender of TCP does for its retransmissions."""
+sender of TCP does for its retransmissions. Other figures were not weighed."""
 
 
 class Turnaround:
