Let a few instances of a large fleet watch the store for all

Callers saw nothing of it but a busier store: every instance followed the configuration itself, all issuers the targets too, and whenever the holder of the lease fell silent or lost the store, all of them read the lease four times a second and made watches of 0.8 s.

Cause, from a line for each call on the small twin (22 instances): 1,250 of 2,080 calls were watches and lists of instances that only route by what they bring; those turned away by the store went on at their usual pace, and read the lease on and on where a holder in a later term than the record that they could read was heard. Ruled out: assignments (180) and renewals of the lease (165).

Change: beside the holder three issuers watch, those that hear the store first; the others take the changes from them by the versions in heartbeats and ask at once, of one of them at random. Without two watchers that are heard, know what was known 1.2 s ago and hear the store, an instance watches by itself, as before. One that lost the store goes on until it is answered, every 3 s. Instances that the lease's record does not name look at it every 2.5 s while others are heard. A holder of a later term than the record counts as heard.

Small fleets (12 and fewer) watch as before.

--- a/swiftpin/discovery/store_follower.py
+++ b/swiftpin/discovery/store_follower.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from typing import Final, Protocol
 
 from eliot import log_message
@@ -47,12 +46,6 @@
 """Seconds between two looks whether others still tell the changes."""
 
 
-@callback
-def _never() -> bool:
-    """Return False."""
-    return False
-
-
 class Follower(Protocol):
     """Takes what was read; called in the event loop."""
 
@@ -74,6 +67,12 @@
         `is_catching_up` tells that the changes may have been there for a while.
         """
 
+    def resume_revision(self, revision: int) -> int | None:
+        """Return the revision to go on from when others told the changes meanwhile.
+
+        `revision` is that of the last answer here; None asks for a new list.
+        """
+
 
 class Neighbours(Protocol):
     """What other instances say of the store."""
@@ -86,6 +85,19 @@
         """Return whether one that hears the store would tell of a change."""
 
 
+class Duty(Protocol):
+    """Tells whether others watch the store for this instance."""
+
+    def is_skipped(self) -> bool:
+        """Return whether others tell this instance of changes."""
+
+    def longest_pause(self, shortest: float) -> float:
+        """Return the seconds between two tries while the store does not answer."""
+
+    def change_pause(self, shortest: float) -> float:
+        """Return the seconds after a change before the next watch."""
+
+
 class NoNeighbours:
     """Nobody who says anything."""
 
@@ -97,6 +109,25 @@
         return False
 
 
+class AlwaysWatch:
+    """The duty of an instance that nobody tells of changes."""
+
+    @callback
+    def is_skipped(self) -> bool:
+        """Return False."""
+        return False
+
+    @callback
+    def longest_pause(self, shortest: float) -> float:
+        """Return the usual pause."""
+        return shortest
+
+    @callback
+    def change_pause(self, shortest: float) -> float:
+        """Return the usual pause."""
+        return shortest
+
+
 class StoreFollower:
     """Lists a kind once, then watches it, and lists again when history is gone.
 
@@ -113,10 +144,10 @@
         follower: Follower,
         health: StoreHealth,
         *,
-        may_skip_watch: Callable[[], bool] = _never,
+        duty: Duty | None = None,
         neighbours: Neighbours | None = None,
     ) -> None:
-        self._may_skip_watch = may_skip_watch
+        self._duty = duty or AlwaysWatch()
         self._neighbours = neighbours or NoNeighbours()
         self._kind = kind
         self._client = client
@@ -124,12 +155,14 @@
         self._health = health
         self._revision: int | None = None
         self._is_catching_up = False
+        self._was_skipped = False
+        """Whether others told the changes since the last answer."""
 
     async def async_run(self) -> None:
         """Follow until cancelled."""
         pause = FIRST_PAUSE
         while True:
-            if self._may_skip_watch():
+            if self._may_rest():
                 self._is_catching_up = True
                 await asyncio.sleep(SKIP_PAUSE)
                 continue
@@ -141,13 +174,24 @@
                 self._is_catching_up = True
                 self._health.note_failure(str(err), suspend_aware_now())
                 await asyncio.sleep(pause)
-                pause = min(pause * 2, LAST_PAUSE)
+                pause = min(pause * 2, self._duty.longest_pause(LAST_PAUSE))
             else:
                 pause = FIRST_PAUSE
-                await asyncio.sleep(CHANGE_PAUSE)
+                await asyncio.sleep(self._duty.change_pause(CHANGE_PAUSE))
+
+    @callback
+    def _may_rest(self) -> bool:
+        """Return whether others tell the changes at the moment."""
+        if self._revision is None or not self._duty.is_skipped():
+            return False
+        self._was_skipped = True
+        return True
 
     async def _async_step(self) -> None:
         """Make one call and hand on what it brought."""
+        if self._revision is not None and self._was_skipped:
+            self._revision = self._follower.resume_revision(self._revision)
+        self._was_skipped = False
         if self._revision is None:
             listed = await self._client.async_list(self._kind)
             now = suspend_aware_now()
--- a/swiftpin/discovery/target_directory.py
+++ b/swiftpin/discovery/target_directory.py
@@ -99,6 +99,14 @@
         if objects:
             self.on_change()
 
+    @callback
+    def resume_revision(self, revision: int) -> int | None:
+        """Return the revision from which a watch is to go on.
+
+        What neighbours told meanwhile is not asked for again.
+        """
+        return max(revision, self.version)
+
     @callback
     def adopt_update(
         self, targets: list[Target], ids: frozenset[str], revision: int, now: float
--- a/swiftpin/keyranges/lease_election.py
+++ b/swiftpin/keyranges/lease_election.py
@@ -23,10 +23,10 @@
 from swiftpin.keyranges.lease_store import LeaseStore, LeaseWrite
 from swiftpin.keyranges.lease_turn import (
     CALM_POLL,
-    POLL,
     LeaseView,
     election_delay,
     is_free,
+    poll_pause,
 )
 from swiftpin.platform.store_client import StoreClient
 
@@ -58,7 +58,8 @@
         health: StoreHealth,
         rng: Random,
         strength: float,
-        is_holder_heard: Callable[[str], bool],
+        is_holder_heard: Callable[[int], bool],
+        is_linked: Callable[[], bool],
     ) -> None:
         self.valid_until = 0.0
         self.extended_until = 0.0
@@ -90,6 +91,9 @@
         self._strength = strength
         self._free_since: float | None = None
         self._is_holder_heard = is_holder_heard
+        """Whether another instance says that it holds the lease, in a term or later."""
+
+        self._is_linked = is_linked
         self._held_term = 0
         """Last term in which this instance got the lease."""
 
@@ -192,15 +196,13 @@
 
     async def _async_wait_turn(self, now: float) -> float:
         """Look at the lease, take it when it is free; return the seconds to wait."""
-        record = self.record
-        heard = record is not None and self._is_holder_heard(record.holder)
-        if heard and record is not None and record.holder != self._incarnation:
+        if self._is_holder_heard(self.term):
             return CALM_POLL * self._rng.uniform(0.7, 1.0)
         try:
             await self._store.async_read()
         except StoreError as err:
             self._health.note_failure(str(err), suspend_aware_now())
-            return POLL * self._rng.uniform(0.8, 1.6)
+            return self._poll_pause() * self._rng.uniform(0.8, 1.6)
         now = suspend_aware_now()
         view = self._view()
         is_candidate = self.is_willing and not self.is_standing_down
@@ -212,7 +214,14 @@
                 await self._async_take()
         else:
             self._free_since = None
-        return POLL * self._rng.uniform(0.6, 1.2)
+        return self._poll_pause() * self._rng.uniform(0.6, 1.2)
+
+    @callback
+    def _poll_pause(self) -> float:
+        """Return the seconds until the next look, before they are spread."""
+        return poll_pause(
+            self._view(), self._name, self._strength, is_linked=self._is_linked()
+        )
 
     def _view(self) -> LeaseView:
         """Return what this instance knows of the lease."""
--- a/swiftpin/keyranges/lease_turn.py
+++ b/swiftpin/keyranges/lease_turn.py
@@ -15,6 +15,14 @@
 CALM_POLL: Final = 0.3
 """Seconds between two checks whether the holder is still heard of."""
 
+OUTSIDER_POLL: Final = 0.75
+"""Seconds between two looks of an instance that may not take the lease soon, since the
+record does not name it."""
+
+LINKED_OUTSIDER_POLL: Final = 2.5
+"""Seconds between two such looks while other instances are heard, which tell of a new
+holder: in a fleet of hundreds all look at once when one is lost."""
+
 USUAL_STRENGTH: Final = 1.5
 """Strength, in usual cores, that suits an assigner of hundreds of targets."""
 
@@ -65,6 +73,24 @@
     return now - view.unchanged_since > wait
 
 
+@callback
+def poll_pause(
+    view: LeaseView, name: str, strength: float, *, is_linked: bool
+) -> float:
+    """Return the seconds between two looks at a lease whose holder is not heard.
+
+    `is_linked` tells whether any other instance is heard.
+    """
+    record = view.record
+    if record is None:
+        return POLL + election_delay(view, name, strength) / 2
+    if not record.members or name in record.members:
+        return POLL
+    if record.holder.partition("/")[0] == name:
+        return POLL
+    return LINKED_OUTSIDER_POLL if is_linked else OUTSIDER_POLL
+
+
 @callback
 def election_delay(view: LeaseView, name: str, strength: float) -> float:
     """Return the seconds for which a free lease is left to stronger instances.
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -76,6 +76,7 @@
             rng=Random(incarnation),
             strength=settings.strength,
             is_holder_heard=self._is_holder_heard,
+            is_linked=self._is_linked,
         )
         self._fleet = FleetCoordinator(
             incarnation=incarnation,
@@ -174,6 +175,7 @@
             self._store,
             self._configuration,
             self._health,
+            duty=self._fleet.gossip.configuration_duty,
             neighbours=self._fleet.gossip.holder,
         )
         targets = StoreFollower(
@@ -181,7 +183,7 @@
             self._store,
             self._directory,
             self._health,
-            may_skip_watch=self._fleet.gossip.may_skip_watch,
+            duty=self._fleet.gossip.targets_duty,
             neighbours=self._fleet.gossip.holder,
         )
         self._tasks.start(configuration.async_run())
@@ -221,10 +223,15 @@
         log_message(message_type="settings_refused", level="error", error=str(err))
 
     @callback
-    def _is_holder_heard(self, holder: str) -> bool:
-        """Return whether the lease's holder says that it still has it."""
+    def _is_holder_heard(self, term: int) -> bool:
+        """Return whether another instance holds the lease, in a term or a later one."""
         now = asyncio.get_running_loop().time()
-        return self._fleet.leader.is_heard(holder, now)
+        return self._fleet.leader.is_heard(term, now)
+
+    @callback
+    def _is_linked(self) -> bool:
+        """Return whether another instance is heard, which tells of a new holder."""
+        return bool(self._fleet.links.live_links())
 
     @callback
     def _take_load(self) -> LoadReport:
--- a/swiftpin/router/configuration_holder.py
+++ b/swiftpin/router/configuration_holder.py
@@ -51,6 +51,11 @@
             if changed.name == NAME_CONFIGURATION and not changed.is_deleted:
                 self._adopt(changed.content, "store", now)
 
+    @callback
+    def resume_revision(self, revision: int) -> int | None:
+        """Return None: the list holds one object, and the revision may be long gone."""
+        return None
+
     @callback
     def adopt_encoded(self, encoded: bytes, now: float) -> None:
         """Take the configuration that a neighbour sent."""
--- a/swiftpin/router/fleet_coordinator.py
+++ b/swiftpin/router/fleet_coordinator.py
@@ -102,6 +102,7 @@
             links=links,
             lease=lease,
             permits=permits,
+            health=health,
             maps=maps,
             configuration=configuration,
             directory=directory,
--- a/swiftpin/router/gossip.py
+++ b/swiftpin/router/gossip.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
+from random import Random
 from typing import Final
 
 from eliot import log_message
 
 from swiftpin.core import callback
 from swiftpin.discovery.const import GOSSIP_LAG
+from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.discovery.target_directory import TargetDirectory
 from swiftpin.fleet.link import Item, PeerLink
 from swiftpin.fleet.links import FleetLinks
@@ -21,20 +24,11 @@
 from swiftpin.router.configuration_holder import ConfigurationHolder
 from swiftpin.router.holder_view import HolderView
 from swiftpin.router.key_maps import KeyMaps
-
-SMALL_FLEET: Final = 12
-"""Instances up to which each watches the targets itself."""
-
-LEAST_INFORMED: Final = 2
-"""Links to instances that watch, without which an instance watches by itself."""
-
-VERSION_AGE: Final = 1.2
-"""Seconds after which an informed neighbour must have told a version: a heartbeat of
-a busy link may be 0.9 s old."""
+from swiftpin.router.watch_duty import WatchDuty
 
 ASK_PAUSE: Final = 0.2
-"""Seconds for which an instance stays behind before it asks a neighbour: the store's
-own answer is most likely on its way, and costs no message between instances."""
+"""Seconds for which an instance that watches the store stays behind before it asks a
+neighbour: the store's own answer is most likely on its way."""
 
 
 class Gossip:
@@ -52,6 +46,7 @@
         links: FleetLinks,
         lease: LeaseElection,
         permits: PermitBroker,
+        health: StoreHealth,
         maps: KeyMaps,
         configuration: ConfigurationHolder,
         directory: TargetDirectory,
@@ -59,8 +54,6 @@
         self.holder = HolderView(links)
         self._incarnation = incarnation
         self._links = links
-        self._lease = lease
-        self._permits = permits
         self._maps = maps
         self._configuration = configuration
         self._directory = directory
@@ -68,36 +61,23 @@
         self._last_asked = ""
         """Incarnation of the neighbour that was asked last."""
 
-        self._aged_version = 0
-        """Version of the targets that this instance knew `VERSION_AGE` ago."""
-
-        self._ageing_version = 0
-        self._ageing_since = 0.0
-
-    @callback
-    def may_skip_watch(self) -> bool:
-        """Return whether neighbours tell this instance about targets.
-
-        In a large fleet only the assigner and the issuers, which choose targets, watch
-        the store for them: each watch is paid for at every change. The others learn
-        within a second, in time for a leaving target, and route by the key map.
-        """
-        if self._permits.issuers.members <= SMALL_FLEET or self._lease.is_held(
-            suspend_aware_now()
-        ):
-            return False
-        if self._incarnation in self._permits.issuers.peers_by_incarnation:
-            return False
-        now = asyncio.get_running_loop().time()
-        informed = [
-            link
-            for link in self._links.outgoing_by_peer.values()
-            if link.heartbeat is not None
-            and link.is_fresh(now)
-            and not link.heartbeat.store_lost
-            and link.heartbeat.targets >= self._aged_version
-        ]
-        return len(informed) >= LEAST_INFORMED
+        self._rng = Random(incarnation)
+        make_duty = partial(
+            WatchDuty,
+            incarnation=incarnation,
+            links=links,
+            lease=lease,
+            permits=permits,
+            health=health,
+        )
+        self.targets_duty = make_duty(
+            known_version=lambda: directory.version,
+            told_version=lambda heartbeat: int(heartbeat.targets),
+        )
+        self.configuration_duty = make_duty(
+            known_version=lambda: configuration.version,
+            told_version=lambda heartbeat: int(heartbeat.configuration),
+        )
 
     @callback
     def _confirm(self) -> None:
@@ -109,7 +89,8 @@
     def ask(self) -> None:
         """Ask a neighbour that knows something newer for it."""
         started_at = asyncio.get_running_loop().time()
-        self._age_version(started_at)
+        self.targets_duty.age_version(started_at)
+        self.configuration_duty.age_version(started_at)
         self.holder.look(started_at)
         self._confirm()
         ahead = [
@@ -120,8 +101,10 @@
         if not ahead:
             self._behind_since = None
         elif self._behind_since is None:
-            # The store's own answer is most likely on its way.
             self._behind_since = started_at
+            if self.targets_duty.is_skipped():
+                # No answer of the store is on its way here.
+                self._ask_link(self._choose(ahead, started_at))
         elif started_at - self._behind_since > ASK_PAUSE:
             self._behind_since = started_at
             self._ask_link(self._choose(ahead, started_at))
@@ -131,11 +114,12 @@
         """Return the neighbour to ask: one that is heard, and not the last one again.
 
         One that froze or was cut off stays among the links for a second, and whoever
-        asks it alone learns of a leaving target that much later.
+        asks it alone learns of a leaving target that much later. Each instance chooses
+        at random, since many fall behind at the same moment.
         """
         heard = [link for link in ahead if link.is_fresh(now)] or ahead
         others = [link for link in heard if link.incarnation != self._last_asked]
-        chosen = (others or heard)[0]
+        chosen = self._rng.choice(others or heard)
         self._last_asked = chosen.incarnation
         return chosen
 
@@ -154,18 +138,6 @@
             )
         )
 
-    @callback
-    def _age_version(self, now: float) -> None:
-        """Note which version of the targets is old enough to be known to all.
-
-        Compared with the newest one, neighbours seem to know less whenever one of them
-        has just told it, and every instance then watches the store, which is paid for.
-        """
-        if now - self._ageing_since >= VERSION_AGE:
-            self._aged_version = self._ageing_version
-            self._ageing_version = self._directory.version
-            self._ageing_since = now
-
     @callback
     def _is_ahead(self, heartbeat: Item) -> bool:
         """Return whether a neighbour knows something newer."""
--- a/swiftpin/router/issuer_list.py
+++ b/swiftpin/router/issuer_list.py
@@ -16,6 +16,7 @@
 from swiftpin.permits.permit_broker import PermitBroker
 from swiftpin.permits.permit_issuers import PermitIssuers
 from swiftpin.router.fleet_messages import encode_issuers
+from swiftpin.router.watch_duty import watchers
 
 MEMBERS_CHANGE: Final = 8
 """Part of the members whose coming or going is told to all: their number only shares
@@ -65,9 +66,12 @@
             assigner=self._incarnation,
             targets=len(self._directory.targets_by_id),
         )
+        chosen = self._watchers_first(chosen)
         issuers = {name: members[name][1] for name in chosen}
-        is_same = issuers == present.peers_by_incarnation and (
-            abs(len(members) - present.members) <= len(members) // MEMBERS_CHANGE
+        is_same = (
+            issuers == present.peers_by_incarnation
+            and watchers(issuers) == watchers(present.peers_by_incarnation)
+            and abs(len(members) - present.members) <= len(members) // MEMBERS_CHANGE
         )
         if is_same and present.term == self._lease.term:
             return
@@ -81,6 +85,20 @@
         for link in self._links.incoming:
             self.give(link)
 
+    @callback
+    def _watchers_first(self, chosen: list[str]) -> list[str]:
+        """Return the issuers, first those that hear the store.
+
+        The first of them watch the store for the others; with watchers that it turns
+        away every instance would have to watch by itself.
+        """
+        lost = {
+            link.incarnation
+            for link in self._links.live_links()
+            if link.heartbeat is not None and link.heartbeat.store_lost
+        }
+        return sorted(chosen, key=lost.__contains__)
+
     @callback
     def give(self, link: PeerLink) -> None:
         """Send the list over a link."""
--- a/swiftpin/router/known_leader.py
+++ b/swiftpin/router/known_leader.py
@@ -40,15 +40,15 @@
         )
 
     @callback
-    def is_heard(self, holder: str, now: float) -> bool:
-        """Return whether a holder of the lease says that it still has it.
+    def is_heard(self, term: int, now: float) -> bool:
+        """Return whether another instance says that it holds the lease, since a term.
 
         `now` is on the event loop's clock, as the times of links are.
         """
         return any(
-            link.incarnation == holder
-            and link.heartbeat is not None
+            link.heartbeat is not None
             and link.heartbeat.leads
+            and link.heartbeat.term >= term
             and now - link.heard_at < LEADER_SILENCE
             for link in self._links.live_links()
         )
--- /dev/null
+++ b/swiftpin/router/watch_duty.py
@@ -0,0 +1,160 @@
+"""Which instances watch the store for the others."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+from itertools import islice
+from typing import Final
+
+from swiftpin.core import callback
+from swiftpin.discovery.store_health import StoreHealth
+from swiftpin.fleet.link import Item, PeerLink
+from swiftpin.fleet.links import FleetLinks
+from swiftpin.helpers.clock import suspend_aware_now
+from swiftpin.keyranges.lease_election import LeaseElection
+from swiftpin.permits.permit_broker import PermitBroker
+
+SMALL_FLEET: Final = 12
+"""Instances up to which each watches the store itself."""
+
+WATCHERS: Final = 3
+"""Issuers that watch the store beside the holder of the lease."""
+
+LEAST_WATCHERS: Final = 2
+"""Watchers that must be heard, without which an instance watches by itself."""
+
+VERSION_AGE: Final = 1.2
+"""Seconds after which a watcher must have told a version: a heartbeat of a busy link
+may be 0.9 s old."""
+
+LONGEST_PAUSE: Final = 3.0
+"""Seconds between two calls of an instance that need not watch, while the store does
+not answer it: the watchers try more often, and tell of the store's return."""
+
+WATCHER_CHANGE_PAUSE: Final = 0.4
+"""Seconds after a change before the next watch of a watcher that is not the holder:
+the holder's news arrives in between, so that bursts of changes take few calls."""
+
+
+@callback
+def watchers(issuers: Iterable[str]) -> set[str]:
+    """Return those of the issuers, given in order, that watch the store."""
+    return set(islice(issuers, WATCHERS))
+
+
+class WatchDuty:
+    """Tells whether this instance watches one kind of object in the store itself.
+
+    The store answers each waiting watch at each change. If all instances of a large
+    fleet watched, calls would grow as instances times changes. The holder of the lease
+    and a few issuers watch, and the versions in their heartbeats show a change to the
+    others.
+    """
+
+    def __init__(
+        self,
+        *,
+        incarnation: str,
+        links: FleetLinks,
+        lease: LeaseElection,
+        permits: PermitBroker,
+        health: StoreHealth,
+        known_version: Callable[[], int],
+        told_version: Callable[[Item], int],
+    ) -> None:
+        self._incarnation = incarnation
+        self._links = links
+        self._lease = lease
+        self._permits = permits
+        self._health = health
+        self._known_version = known_version
+        self._told_version = told_version
+        self._aged_version = 0
+        """Version that this instance knew `VERSION_AGE` ago."""
+
+        self._ageing_version = 0
+        self._ageing_since = 0.0
+
+    @callback
+    def is_skipped(self) -> bool:
+        """Return whether others watch and tell this instance of changes.
+
+        One that has lost the store watches until it is answered: nothing else would
+        show it that the store is back.
+        """
+        if self._health.is_lost or not self._is_spared():
+            return False
+        now = asyncio.get_running_loop().time()
+        return sum(self._is_informed(link, now) for link in self._watchers()) >= (
+            LEAST_WATCHERS
+        )
+
+    @callback
+    def longest_pause(self, shortest: float) -> float:
+        """Return the seconds between two tries while the store does not answer.
+
+        `shortest` is the pause of an instance that watches for others.
+        """
+        return LONGEST_PAUSE if self._is_spared() else shortest
+
+    @callback
+    def change_pause(self, shortest: float) -> float:
+        """Return the seconds after a change before the next watch.
+
+        `shortest` is the pause of the holder, and of all in a small fleet.
+        """
+        if not self._is_large() or self._lease.is_held(suspend_aware_now()):
+            return shortest
+        return WATCHER_CHANGE_PAUSE
+
+    @callback
+    def age_version(self, now: float) -> None:
+        """Note which version is old enough to be known to all watchers.
+
+        Compared with the newest one, watchers seem to know less whenever one of them
+        has just told it, and every instance would then watch the store.
+        """
+        if now - self._ageing_since >= VERSION_AGE:
+            self._aged_version = self._ageing_version
+            self._ageing_version = self._known_version()
+            self._ageing_since = now
+
+    @callback
+    def _is_spared(self) -> bool:
+        """Return whether this instance is not one of those that watch."""
+        if not self._is_large() or self._lease.is_held(suspend_aware_now()):
+            return False
+        return self._incarnation not in self._watcher_names()
+
+    @callback
+    def _is_large(self) -> bool:
+        """Return whether the fleet is too large for all to watch."""
+        return self._permits.issuers.members > SMALL_FLEET
+
+    @callback
+    def _watcher_names(self) -> set[str]:
+        """Return the incarnations of the issuers that watch."""
+        return watchers(self._permits.issuers.peers_by_incarnation)
+
+    @callback
+    def _watchers(self) -> list[PeerLink]:
+        """Return the links to those that watch."""
+        names = self._watcher_names()
+        return [
+            link
+            for link in self._links.outgoing_by_peer.values()
+            if link.incarnation in names
+            or (link.heartbeat is not None and link.heartbeat.leads)
+        ]
+
+    @callback
+    def _is_informed(self, link: PeerLink, now: float) -> bool:
+        """Return whether a watcher is heard and would tell of a change."""
+        heartbeat = link.heartbeat
+        return (
+            heartbeat is not None
+            and link.is_fresh(now)
+            and not heartbeat.store_lost
+            and self._told_version(heartbeat) >= self._aged_version
+        )
--- a/tests/discovery/test_store_follower.py
+++ b/tests/discovery/test_store_follower.py
@@ -31,6 +31,8 @@
     waits: asyncio.Queue[float] = field(default_factory=asyncio.Queue)
     """How long each watch was to wait."""
 
+    watched_from: list[int] = field(default_factory=list)
+
     async def async_list(self, kind: str) -> ObjectList:
         """Return no objects."""
         return ObjectList(objects=(), revision=1, has_more=False)
@@ -39,6 +41,7 @@
         self, kind: str, revision: int, wait: float, *, grace: float = 1.0
     ) -> ObjectChanges:
         """Return the next answer."""
+        self.watched_from.append(revision)
         self.waits.put_nowait(wait)
         answer = await self.answers.get()
         if isinstance(answer, StoreUnavailableError):
@@ -65,6 +68,7 @@
     changes: asyncio.Queue[tuple[tuple[PlatformObject, ...], bool]] = field(
         default_factory=asyncio.Queue
     )
+    known_revision: int = 0
 
     def adopt_list(
         self, objects: tuple[PlatformObject, ...], revision: int, now: float
@@ -82,6 +86,10 @@
         """Keep changes."""
         self.changes.put_nowait((objects, is_catching_up))
 
+    def resume_revision(self, revision: int) -> int | None:
+        """Return the revision that a neighbour told."""
+        return max(revision, self.known_revision)
+
 
 @pytest.fixture(autouse=True)
 def short_pauses_fixture(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -89,6 +97,7 @@
     monkeypatch.setattr(follower_module, "LOOK_PAUSE", 0.001)
     monkeypatch.setattr(follower_module, "CHANGE_PAUSE", 0.0)
     monkeypatch.setattr(follower_module, "FIRST_PAUSE", 0.0)
+    monkeypatch.setattr(follower_module, "SKIP_PAUSE", 0.0)
 
 
 @pytest.fixture(name="store")
@@ -204,3 +213,40 @@
     store.answers.put_nowait(ObjectChanges(objects=(), revision=4))
     assert await next_wait(store) == WATCH_WAIT
     assert not health.is_lost
+
+
+@dataclass(kw_only=True)
+class ScriptedDuty:
+    """Says whether others watch."""
+
+    is_others: bool = False
+
+    def is_skipped(self) -> bool:
+        """Return whether others watch."""
+        return self.is_others
+
+    def longest_pause(self, shortest: float) -> float:
+        """Return the usual pause."""
+        return shortest
+
+    def change_pause(self, shortest: float) -> float:
+        """Return the usual pause."""
+        return shortest
+
+
+async def test_watch_goes_on_from_what_others_told(
+    store: ScriptedStore, health: StoreHealth
+) -> None:
+    """A watch from a revision of minutes ago met a history that was gone."""
+    taken, duty = Taken(known_revision=40), ScriptedDuty(is_others=True)
+    follower = StoreFollower("kind", cast(StoreClient, store), taken, health, duty=duty)
+    task = asyncio.create_task(follower.async_run())
+    try:
+        await asyncio.sleep(0.01)
+        assert store.waits.empty()
+        duty.is_others = False
+        await next_wait(store)
+        assert store.watched_from == [40]
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
--- a/tests/keyranges/test_late_renewals.py
+++ b/tests/keyranges/test_late_renewals.py
@@ -113,6 +113,7 @@
         rng=Random(1),
         strength=2.0,
         is_holder_heard=lambda holder: False,
+        is_linked=lambda: False,
     )
     lease.is_willing = True
     await lease._async_wait_turn(now)
@@ -146,6 +147,7 @@
         rng=Random(1),
         strength=2.0,
         is_holder_heard=lambda holder: False,
+        is_linked=lambda: False,
     )
     services = {"desk": SimpleNamespace(health_path="/health")}
     configuration = cast(Configuration, SimpleNamespace(services_by_name=services))
--- a/tests/keyranges/test_lease_election.py
+++ b/tests/keyranges/test_lease_election.py
@@ -117,6 +117,7 @@
         rng=Random(1),
         strength=2.0,
         is_holder_heard=lambda holder: False,
+        is_linked=lambda: False,
     )
     assigner.is_willing = True
     assigner.members = ("b", "a")
--- a/tests/keyranges/test_lease_turn.py
+++ b/tests/keyranges/test_lease_turn.py
@@ -8,7 +8,13 @@
 
 from swiftpin.keyranges.const import EXTENSION_LIMIT, LEASE_MARGIN, LEASE_TIME
 from swiftpin.keyranges.lease_record import LeaseRecord
-from swiftpin.keyranges.lease_turn import LeaseView, election_delay, is_free
+from swiftpin.keyranges.lease_turn import (
+    POLL,
+    LeaseView,
+    election_delay,
+    is_free,
+    poll_pause,
+)
 
 RECORD = LeaseRecord(
     holder="strong/1", peer="", term=3, renewal=7, members=("strong", "second", "third")
@@ -65,3 +71,17 @@
     view = replace(VIEW, record=None)
     assert election_delay(view, "a", 2.0) == 0.0
     assert election_delay(view, "b", 0.5) == pytest.approx(1.0)
+
+
+def test_looks_at_a_lost_lease_do_not_grow_with_the_fleet() -> None:
+    """All of a large fleet read the lease four times a second at each loss of it."""
+    assert poll_pause(VIEW, "second", 1.0, is_linked=True) == POLL
+    assert 300 / poll_pause(VIEW, "other", 1.0, is_linked=True) < 200
+    assert poll_pause(VIEW, "other", 1.0, is_linked=False) < 1.0
+
+
+def test_strong_instances_of_a_new_fleet_look_often() -> None:
+    """Nobody is named yet; the weak let the strong go first anyway."""
+    view = replace(VIEW, record=None)
+    assert poll_pause(view, "other", 2.0, is_linked=True) == POLL
+    assert POLL < poll_pause(view, "other", 0.5, is_linked=True) < 1.0
--- a/tests/router/test_gossip.py
+++ b/tests/router/test_gossip.py
@@ -8,9 +8,10 @@
 
 import pytest
 
+from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.fleet.link import LinkHandler, PeerLink
 from swiftpin.fleet.proto import fleet_pb2 as pb
-from swiftpin.router.gossip import SMALL_FLEET, VERSION_AGE, Gossip
+from swiftpin.router.gossip import Gossip
 from swiftpin.router.holder_view import HOLDER_CATCH_UP
 
 
@@ -37,14 +38,15 @@
 
 @pytest.fixture(name="gossip")
 def gossip_fixture(links: SimpleNamespace, directory: SimpleNamespace) -> Gossip:
-    """Return the gossip of a member of a large fleet."""
-    issuers = SimpleNamespace(members=SMALL_FLEET + 1, peers_by_incarnation={})
+    """Return the gossip of a member of a small fleet."""
+    issuers = SimpleNamespace(members=1, peers_by_incarnation={})
     permits = SimpleNamespace(issuers=issuers)
     lease = SimpleNamespace(is_held=lambda now: False)
     rest: dict[str, Any] = {
         "links": links,
         "lease": lease,
         "permits": permits,
+        "health": StoreHealth(),
         "maps": SimpleNamespace(version=(0, 0)),
         "configuration": SimpleNamespace(version=0, adopt_encoded=pytest.fail),
         "directory": directory,
@@ -52,31 +54,6 @@
     return Gossip(incarnation="me", **rest)
 
 
-async def test_version_just_told_does_not_make_a_member_watch(
-    gossip: Gossip, links: SimpleNamespace, directory: SimpleNamespace
-) -> None:
-    """Symptom: all of a large fleet watched the store, each watch paid for.
-
-    Sequence: a neighbour told a new version; the last heartbeats of the others were
-    from before it. Cause: they seemed to know less than this instance.
-    """
-    links.outgoing_by_peer = {name: make_link(name, 10) for name in ("a", "b")}
-    gossip._age_version(100.0)
-    directory.version = 12
-    assert gossip.may_skip_watch()
-
-
-async def test_neighbours_that_stay_behind_are_not_relied_on(
-    gossip: Gossip, links: SimpleNamespace, directory: SimpleNamespace
-) -> None:
-    """Who does not learn of targets can't tell of them."""
-    links.outgoing_by_peer = {name: make_link(name, 10) for name in ("a", "b")}
-    directory.version = 12
-    for number in range(3):
-        gossip._age_version(100.0 + number * VERSION_AGE)
-    assert not gossip.may_skip_watch()
-
-
 @pytest.fixture(name="asked")
 def asked_fixture(monkeypatch: pytest.MonkeyPatch) -> list[str]:
     """Return a list to which each neighbour that is asked is added."""
--- a/tests/router/test_issuer_list.py
+++ b/tests/router/test_issuer_list.py
@@ -11,6 +11,7 @@
 from swiftpin.permits.permit_broker import PermitBroker
 from swiftpin.permits.permit_issuers import NO_ISSUERS, PermitIssuers
 from swiftpin.router.issuer_list import IssuerList
+from swiftpin.router.watch_duty import WATCHERS, watchers
 from tests.router.fleet_fakes import FakeLink, make_links
 
 TERM = 5
@@ -19,7 +20,7 @@
 class Chooser:
     """The list at an instance that holds the lease, and what it works with."""
 
-    def __init__(self, *links: FakeLink) -> None:
+    def __init__(self, *links: FakeLink, targets: int = 0) -> None:
         self.lease = SimpleNamespace(term=TERM, members=())
         self.permits = SimpleNamespace(issuers=NO_ISSUERS)
         self.lifecycle = Lifecycle()
@@ -30,7 +31,10 @@
             links=make_links(*links),
             lease=cast(LeaseElection, self.lease),
             permits=cast(PermitBroker, self.permits),
-            directory=cast(TargetDirectory, SimpleNamespace(targets_by_id={})),
+            directory=cast(
+                TargetDirectory,
+                SimpleNamespace(targets_by_id=dict.fromkeys(range(targets))),
+            ),
             lifecycle=self.lifecycle,
         )
 
@@ -82,3 +86,21 @@
             )
         )
     assert chooser.chosen == {"new/1"}
+
+
+def test_issuers_that_lost_the_store_do_not_watch_it() -> None:
+    """A whole fleet called a store that had turned its few watchers away."""
+    names = [f"strong-{number}" for number in range(WATCHERS + 1)]
+    links = [FakeLink(name) for name in names]
+    for link in links:
+        link.strength = 4.0
+    chooser = Chooser(*links, targets=100)
+    chooser.list.choose()
+    lost = links[0]
+    assert lost.heartbeat is not None
+    assert lost.incarnation in watchers(chooser.permits.issuers.peers_by_incarnation)
+    lost.heartbeat.store_lost = True
+    chooser.list.choose()
+    issuers = chooser.permits.issuers.peers_by_incarnation
+    assert lost.incarnation not in watchers(issuers)
+    assert len(links[1].sent) == 2
--- a/tests/router/test_known_leader.py
+++ b/tests/router/test_known_leader.py
@@ -38,9 +38,17 @@
 
 def test_holder_is_heard_for_a_while_and_only_if_it_leads() -> None:
     """Candidates look at the lease once its holder has been silent."""
-    links = make_links(FakeLink("a", leads=True), FakeLink("b", leads=False))
-    leader = KnownLeader(links)
-    assert leader.is_heard("a/1", LEADER_SILENCE - 0.01)
-    assert not leader.is_heard("a/1", LEADER_SILENCE)
-    assert not leader.is_heard("b/1", 0.0)
-    assert not leader.is_heard("c/1", 0.0)
+    leader = KnownLeader(make_links(FakeLink("a", leads=True, term=2)))
+    assert leader.is_heard(2, LEADER_SILENCE - 0.01)
+    assert not leader.is_heard(2, LEADER_SILENCE)
+    follower = FakeLink("b", leads=False, term=2)
+    assert not KnownLeader(make_links(follower)).is_heard(2, 0.0)
+    assert not KnownLeader(make_links()).is_heard(0, 0.0)
+
+
+def test_holder_of_a_later_term_counts_as_heard() -> None:
+    """Who could not read the new record looked at it four times a second."""
+    leader = KnownLeader(make_links(FakeLink("a", leads=True, term=3)))
+    assert leader.is_heard(2, 0.0)
+    assert leader.is_heard(3, 0.0)
+    assert not leader.is_heard(4, 0.0)
