Let a restarted holder take its lease at its first look

Callers saw all keyed requests refused (NO_OWNER) for 0.25 s longer than needed after a loss of power of all instances. Ruled out: the store (4 ms an answer), the import (before the first line).

Change: an instance waits for its configuration, 0.3 s at most, before its first look at the lease; a candidate of lower rank looks again when its turn comes and not after a whole pause. Each of the two new tests fails without its part of the change.

--- a/swiftpin/keyranges/lease_election.py
+++ b/swiftpin/keyranges/lease_election.py
@@ -30,6 +30,10 @@
 )
 from swiftpin.platform.store_client import StoreClient
 
+WILLING_WAIT: Final = 0.3
+"""Seconds at the start for which an instance waits to learn its configuration before
+it looks at the lease."""
+
 RETRY: Final = 0.1
 """Seconds before a renewal that failed is tried again, while the lease still runs."""
 
@@ -72,8 +76,7 @@
         """Last term for which a holder said that it assigns keys no more."""
 
         self.is_standing_down = False
-        self.is_willing = False
-        """Whether this instance knows enough to assign keys."""
+        self._willing = asyncio.Event()
 
         self.wants_next_term = False
         """Whether the holder is to go on under its next term, for fences are scarce."""
@@ -100,6 +103,16 @@
         self._lapsed_term = 0
         """Last term in which the lease was found to have run out, or was given up."""
 
+    @property
+    def is_willing(self) -> bool:
+        """Return whether this instance knows enough to assign keys."""
+        return self._willing.is_set()
+
+    @callback
+    def note_willing(self) -> None:
+        """Note that this instance knows enough to assign keys."""
+        self._willing.set()
+
     @property
     def record(self) -> LeaseRecord | None:
         """Return the record last seen, of whichever holder."""
@@ -143,6 +156,7 @@
 
     async def async_run(self) -> None:
         """Keep the lease, or wait for it, until cancelled."""
+        await self._async_wait_willing()
         while True:
             now = suspend_aware_now()
             if self.is_held(now):
@@ -174,6 +188,22 @@
             # Whoever comes next then waits until the lease has run out.
             log_message(message_type="lease_not_freed", level="warning", error=str(err))
 
+    async def _async_wait_willing(self) -> None:
+        """Wait at the start until this instance may take the lease, but not for long.
+
+        A look just before that is wasted, and after a restart of all instances every
+        key waits for the next one.
+        """
+        try:
+            async with asyncio.timeout(WILLING_WAIT):
+                await self._willing.wait()
+        except TimeoutError:
+            log_message(
+                message_type="lease_not_wanted_yet",
+                level="warning",
+                waited=WILLING_WAIT,
+            )
+
     async def _async_renew(self) -> float:
         """Write a renewal; return the seconds until the next one."""
         record = self.record
@@ -210,8 +240,10 @@
             if self._free_since is None:
                 self._free_since = now
             delay = election_delay(view, self._name, self._strength)
-            if now - self._free_since >= delay:
-                await self._async_take()
+            left = self._free_since + delay - now
+            if left > 0:
+                return min(left, self._poll_pause())
+            await self._async_take()
         else:
             self._free_since = None
         return self._poll_pause() * self._rng.uniform(0.6, 1.2)
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -245,6 +245,7 @@
         self._handler.note_configuration()
         configuration = self._configuration.current
         if configuration is not None:
+            self._leader.note_configuration()
             names = configuration.services_by_name.keys()
             self._directory.set_services(names, suspend_aware_now())
         self._note_targets()
--- a/swiftpin/router/leader.py
+++ b/swiftpin/router/leader.py
@@ -44,7 +44,7 @@
         try:
             while True:
                 now = suspend_aware_now()
-                self._lease.is_willing = self._configuration.current is not None
+                self.note_configuration()
                 if self._lease.is_held(now):
                     self._keep()
                 else:
@@ -53,6 +53,15 @@
         finally:
             self._drop_all()
 
+    @callback
+    def note_configuration(self) -> None:
+        """Be ready for the lease as soon as there is a configuration.
+
+        The targets need not be known: their grants may end before they are.
+        """
+        if self._configuration.current is not None:
+            self._lease.note_willing()
+
     @callback
     def take_load(self, report: Item) -> None:
         """Take what an instance was asked for."""
--- a/tests/keyranges/test_late_renewals.py
+++ b/tests/keyranges/test_late_renewals.py
@@ -115,7 +115,7 @@
         is_holder_heard=lambda holder: False,
         is_linked=lambda: False,
     )
-    lease.is_willing = True
+    lease.note_willing()
     await lease._async_wait_turn(now)
     assert lease.is_held(now)
     pass_time(0.4)
@@ -163,7 +163,7 @@
         permits=PermitBroker("a/1", "z"),
         key_maps=cast(KeyMapSharing, SimpleNamespace(hand_out=lambda key_map: None)),
     )
-    lease.is_willing = True
+    lease.note_willing()
     await lease._async_wait_turn(suspend_aware_now())
     assigner = factory.make("desk", configuration, Fences())
     gate = assigner._renewer._granter._control._gate
--- a/tests/keyranges/test_lease_election.py
+++ b/tests/keyranges/test_lease_election.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from random import Random
 
 import pytest
@@ -16,7 +17,7 @@
 from swiftpin.keyranges import lease_store as lease_store_module
 from swiftpin.keyranges.const import EXTENSION_LIMIT, LEASE_MARGIN, LEASE_TIME
 from swiftpin.keyranges.lease_election import LeaseElection
-from swiftpin.keyranges.lease_turn import CALM_POLL, POLL
+from swiftpin.keyranges.lease_turn import CALM_POLL, POLL, RANK_ELECTION_DELAY
 from swiftpin.platform.platform_object import PlatformObject
 from swiftpin.store_errors import ObjectMissingError
 
@@ -106,7 +107,9 @@
     return FakeStore()
 
 
-def make_assigner(store: FakeStore, name: str) -> LeaseElection:
+def make_assigner(
+    store: FakeStore, name: str, *, is_willing: bool = True
+) -> LeaseElection:
     """Return a candidate that hears no holder."""
     assigner = LeaseElection(
         name=name,
@@ -119,7 +122,8 @@
         is_holder_heard=lambda holder: False,
         is_linked=lambda: False,
     )
-    assigner.is_willing = True
+    if is_willing:
+        assigner.note_willing()
     assigner.members = ("b", "a")
     return assigner
 
@@ -394,3 +398,38 @@
     await async_step(holder, clock)
     assert not holder.wants_next_term
     assert holder.is_held(clock.now)
+
+
+async def test_restarted_holder_takes_its_lease_once_it_is_configured(
+    store: FakeStore, clock: Clock
+) -> None:
+    """After a loss of power of all, every key waited for the second look."""
+    before = make_assigner(store, "a")
+    await async_step(before, clock)
+    again = make_assigner(store, "a", is_willing=False)
+    running = asyncio.create_task(again.async_run())
+    try:
+        await asyncio.sleep(0.01)
+        assert not again.is_held(clock.now)
+        again.note_willing()
+        await asyncio.sleep(0.01)
+        assert again.is_held(clock.now)
+    finally:
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
+
+async def test_candidate_looks_again_when_its_turn_comes(
+    store: FakeStore, clock: Clock
+) -> None:
+    """A free lease stood untaken for a whole pause between two looks."""
+    holder = make_assigner(store, "z")
+    holder.members = ("z", "y", "a")
+    await async_step(holder, clock)
+    await async_step(holder, clock)
+    candidate = make_assigner(store, "a")
+    await async_step(candidate, clock)
+    clock.now += LEASE_TIME + LEASE_MARGIN + 0.01
+    pause = await candidate._async_wait_turn(clock.now)
+    assert not candidate.is_held(clock.now)
+    assert pause == pytest.approx(2 * RANK_ELECTION_DELAY)
--- a/tests/router/test_leader.py
+++ b/tests/router/test_leader.py
@@ -58,7 +58,10 @@
     Sequence: all instances ended and started; the grants of before ended while the
     first list of targets was not yet sure. Cause: nobody took the lease until it was.
     """
-    lease = SimpleNamespace(term=0, is_willing=False, is_held=lambda now: False)
+    willing: list[bool] = []
+    lease = SimpleNamespace(
+        term=0, note_willing=lambda: willing.append(True), is_held=lambda now: False
+    )
     leader = Leader(
         lease=cast(LeaseElection, lease),
         configuration=cast(ConfigurationHolder, SimpleNamespace(current=object())),
@@ -66,5 +69,5 @@
     )
     task = asyncio.create_task(leader.async_run())
     await asyncio.sleep(0)
-    assert lease.is_willing
+    assert willing
     task.cancel()
