--- /dev/null
+++ b/swiftpin/bench/losses/__init__.py
@@ -0,0 +1,1 @@
+"""Where the worth of a played day was lost."""
--- /dev/null
+++ b/swiftpin/platform/day_report.py
@@ -0,0 +1,151 @@
+"""Reading of the report of a played day."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from swiftpin.platform.json_fields import (
+    FieldError,
+    load_json,
+    read_field,
+    read_list,
+    read_mapping,
+    read_number,
+    read_text,
+    read_whole,
+)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WorthPart:
+    """A part of the worth of a day."""
+
+    name: str
+    weight: float
+    """Share of the worth that the part can bring, 0 to 1."""
+
+    earned: float
+    """Share of it that was earned, 0 to 1."""
+
+    @property
+    def lost(self) -> float:
+        """Return the worth that was not earned."""
+        return self.weight * (1 - self.earned)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Price:
+    """What a day was charged for."""
+
+    name: str
+    amount: float
+    """In the price's own unit, which its name tells."""
+
+    worth: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RequestGroup:
+    """The requests of a kind, or of two seconds."""
+
+    name: str
+    asked: int
+    in_time: int
+    late: int
+    refused: int
+    failed: int
+    earned: float
+    """Share of the credit that was earned, 0 to 1."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DayReport:
+    """What was counted on a played day."""
+
+    worth: float
+    instances: int
+    parts: tuple[WorthPart, ...]
+    prices: tuple[Price, ...]
+    kinds: tuple[RequestGroup, ...]
+    windows: tuple[RequestGroup, ...]
+    """By the second of traffic in which they began."""
+
+    tries_by_end: dict[str, int]
+    broken_by_rule: dict[str, int]
+    peak_memory: float
+    """Megabytes of the largest instance."""
+
+    mean_cores: float
+    """Cores that an instance used in the mean."""
+
+
+def decode_day_report(encoded: bytes) -> DayReport:
+    """Return a report; raise `FieldError` if it can't be read."""
+    fields = read_mapping(load_json(encoded), "report")
+    # The same figures are kept for each role; this system has one.
+    role = read_mapping(next(iter(_rows(fields, "nodes")), None), "first of nodes")
+    return DayReport(
+        worth=_signed(read_field(fields, "G")),
+        instances=read_whole(read_field(role, "n"), "instances", least=1),
+        parts=tuple(_part(row) for row in _rows(fields, "parts")),
+        prices=tuple(_price(row) for row in _rows(fields, "prices")),
+        kinds=tuple(_group(row) for row in _rows(fields, "classes")),
+        windows=tuple(_group(row) for row in _rows(fields, "windows")),
+        tries_by_end=_counts(fields, "ends"),
+        broken_by_rule=_counts(fields, "breaks"),
+        peak_memory=read_number(read_field(role, "mem_peak_mb"), "memory"),
+        mean_cores=read_number(read_field(role, "cpu_mean"), "cores"),
+    )
+
+
+def _rows(fields: dict[str, Any], name: str) -> list[Any]:
+    """Return the rows of a table."""
+    return read_list(read_field(fields, name), name)
+
+
+def _counts(fields: dict[str, Any], name: str) -> dict[str, int]:
+    """Return counts by name."""
+    counts = read_mapping(read_field(fields, name), name)
+    return {key: read_whole(count, f"{name} {key}") for key, count in counts.items()}
+
+
+def _signed(value: object) -> float:
+    """Return a worth, which may be below nothing."""
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        raise FieldError("worth is not a number")
+    return float(value)
+
+
+def _named_pair(row: object) -> tuple[str, float, float]:
+    """Return a name and its two figures."""
+    cells = read_list(row, "row")
+    if len(cells) != 3:
+        raise FieldError(f"a row has {len(cells)} cells instead of 3")
+    return read_text(cells[0], "name"), _signed(cells[1]), _signed(cells[2])
+
+
+def _part(row: object) -> WorthPart:
+    """Return a part of the worth."""
+    name, weight, earned = _named_pair(row)
+    return WorthPart(name=name, weight=weight, earned=earned)
+
+
+def _price(row: object) -> Price:
+    """Return a price."""
+    name, amount, worth = _named_pair(row)
+    return Price(name=name, amount=amount, worth=worth)
+
+
+def _group(row: object) -> RequestGroup:
+    """Return the requests of a kind or a time."""
+    fields = read_mapping(row, "requests")
+    return RequestGroup(
+        name=read_text(read_field(fields, "name"), "name"),
+        asked=read_whole(read_field(fields, "n"), "asked"),
+        in_time=read_whole(read_field(fields, "in_aim"), "in time"),
+        late=read_whole(read_field(fields, "late"), "late"),
+        refused=read_whole(read_field(fields, "refused"), "refused"),
+        failed=read_whole(read_field(fields, "failed"), "failed"),
+        earned=_signed(read_field(fields, "worth")),
+    )
--- /dev/null
+++ b/tests/bench/losses/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the table of lost worth."""
