Order revisions by the era of the store, so that an older copy is followed

Callers of targets that registered after a drill got NO_OWNER, or were never sent there: a store that comes back from an older copy gives revisions out again, and what was known at a higher one made every list, watch and neighbour's update look stale until the numbers had passed it. A watch from a number that was given out again saw no change; a write on condition of such a number replaced another record.

Cause: revisions were compared by their number alone. Change: the client reads the era of every answer and stamps revisions with it, one ordered number for all that compares; watches and conditional writes from before the restore are not sent, and those that show it by their answer count as history gone, or as of unknown effect. Answers of an earlier or unreadable era count as none. After a change of era missing targets have the time of a store's return to register again; a draining target stays so, an earlier life in the copy ends no later one, and the copy replaces nobody at an address.

A store that tells no era behaves as before (era 0). Looked for the same cause elsewhere: configurations are ordered by their own version; assignments and the lease's record are read back on a conflict. Left, in the design: terms and fences that rise above those of before, and a record of the lease from before a takeover.

--- a/swiftpin/discovery/known_targets.py
+++ b/swiftpin/discovery/known_targets.py
@@ -8,6 +8,7 @@
 from eliot import log_message
 
 from swiftpin.core import callback
+from swiftpin.model.store_revision import era_of
 from swiftpin.model.target import Target
 
 FORGET_AFTER: Final = 120.0
@@ -179,5 +180,8 @@
                 continue
             if target.service not in self._service_names:
                 continue
+            if era_of(target.revision) != era_of(newcomer.revision):
+                # A restored store may still list who had the address before.
+                continue
             is_older = target.revision < newcomer.revision
             self.note_replaced(target.id if is_older else newcomer.id, now)
--- a/swiftpin/discovery/store_health.py
+++ b/swiftpin/discovery/store_health.py
@@ -42,6 +42,11 @@
         self.lost_at = now
         log_message(message_type="store_lost", level="warning", reason=reason)
 
+    @callback
+    def note_restored(self, now: float) -> None:
+        """Note that the store came back from an older copy."""
+        self.back_at = now
+
     @callback
     def is_settling(self, now: float, settle_time: float) -> bool:
         """Return whether the store is away or has been back only for a short time."""
--- a/swiftpin/discovery/target_updates.py
+++ b/swiftpin/discovery/target_updates.py
@@ -11,6 +11,7 @@
 from swiftpin.discovery.known_targets import KnownTargets
 from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.discovery.unusable_entries import UnusableEntries
+from swiftpin.model.store_revision import era_of
 from swiftpin.model.target import Target
 from swiftpin.platform.platform_object import PlatformObject
 from swiftpin.platform.target_entries import decode_target
@@ -49,6 +50,7 @@
                 UpdateSource.LIST, "", revision, self._revisions.version, now
             )
             return
+        self._note_era(revision, now)
         since = self._freshness.unseen_since(now)
         present = [found for found in objects if not found.is_deleted]
         for entry in present:
@@ -72,6 +74,7 @@
 
         `is_catching_up` tells that the watch had stood still for a while.
         """
+        self._note_era(revision, now)
         since = self._freshness.unseen_since(now) if is_catching_up else now
         complete = self._revisions.version
         for changed in objects:
@@ -96,6 +99,7 @@
                 UpdateSource.NEIGHBOUR, "", revision, self._revisions.version, now
             )
             return
+        self._note_era(revision, now)
         since = self._freshness.unseen_since(now - GOSSIP_LAG)
         complete = self._revisions.version
         for target in targets:
@@ -110,6 +114,25 @@
             message_type="targets_from_neighbour", revision=revision, count=len(ids)
         )
 
+    @callback
+    def _note_era(self, revision: int, now: float) -> None:
+        """Note that the store came back from an older copy, if it did.
+
+        Entries that were written since the copy are missing until they are written
+        again; taking their targets for gone would move all their keys.
+        """
+        known = self._revisions.version
+        if not known or era_of(revision) <= era_of(known):
+            return
+        self._health.note_restored(now)
+        log_message(
+            message_type="targets_in_doubt",
+            level="warning",
+            era=era_of(revision),
+            before=era_of(known),
+            targets=len(self._known.names()),
+        )
+
     @callback
     def _adopt_entry(
         self, entry: PlatformObject, complete: int, now: float, since: float
@@ -142,6 +165,11 @@
                     source, target.id, target.revision, known, now
                 )
             return
+        if life is not None and _is_of_older_copy(life, target):
+            self._revisions.log_refused(
+                source, target.id, target.revision, life.revision, now
+            )
+            return
         reason = None if life is None else _contradiction(life, target)
         if reason is not None:
             detail = "it contradicts what the same target told before"
@@ -153,7 +181,7 @@
         self._known.put(target, now)
         if target.is_draining:
             self._known.note_leaving(target.id, "draining", since, target.revision)
-        else:
+        elif life is None or not _was_draining(life, target):
             self._known.note_back(target.id)
 
     @callback
@@ -216,6 +244,26 @@
         self._known.note_leaving(life.id, "its entry can't be used", since, revision)
 
 
+@callback
+def _is_of_older_copy(life: Target, told: Target) -> bool:
+    """Return whether an entry of a restored store is of an earlier life than known."""
+    if era_of(told.revision) == era_of(life.revision):
+        return False
+    known, started = life.life.started_ms, told.life.started_ms
+    return known is not None and started is not None and started < known
+
+
+@callback
+def _was_draining(life: Target, told: Target) -> bool:
+    """Return whether a restored store lost that a target is draining.
+
+    The target writes it again. Taken at its word in between, the target would get
+    requests after it had said that it leaves.
+    """
+    is_restored = era_of(told.revision) > era_of(life.revision)
+    return is_restored and told.id == life.id and life.is_draining
+
+
 @callback
 def _contradiction(life: Target, told: Target) -> UnusableReason | None:
     """Return why an entry can't be of the target that bears its name, None if it can.
--- a/swiftpin/platform/store_answers.py
+++ b/swiftpin/platform/store_answers.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
+from typing import Any
 
-from swiftpin.exceptions import StoreUnavailableError
+from swiftpin.exceptions import AnswerBrokenError, StoreUnavailableError
+from swiftpin.model.store_revision import ERA_SIZE, LAST_ERA, make_revision
 from swiftpin.platform.json_fields import (
     FieldError,
     read_field,
@@ -34,62 +36,81 @@
     revision: int
 
 
-def decode_object(entry: object) -> PlatformObject:
+def decode_object(entry: object, era: int) -> PlatformObject:
     """Return one object; raise `StoreUnavailableError` when it is malformed."""
     try:
-        return _decode_object(entry)
+        return _decode_object(entry, era)
     except FieldError as err:
         raise StoreUnavailableError(f"a malformed object: {err}") from err
 
 
-def decode_list(answer: object) -> ObjectList:
+def decode_list(answer: object, era: int) -> ObjectList:
     """Return one page of a list."""
     try:
         fields = read_mapping(answer, "the list")
         items = read_list(read_field(fields, "items"), "items")
         return ObjectList(
-            objects=tuple(_decode_item(item) for item in items),
+            objects=tuple(_decode_item(item, era) for item in items),
             # The store's revision when it made the page.
-            revision=read_whole(read_field(fields, "at"), "at"),
+            revision=_read_revision(fields, "at", era),
             has_more=read_flag(fields.get("more", False), "more"),
         )
     except FieldError as err:
         raise StoreUnavailableError(f"a malformed list: {err}") from err
 
 
-def decode_changes(answer: object) -> ObjectChanges:
+def decode_changes(answer: object, era: int) -> ObjectChanges:
     """Return what a watch saw."""
     try:
         fields = read_mapping(answer, "the changes")
         events = read_list(read_field(fields, "events"), "events")
         return ObjectChanges(
-            objects=tuple(_decode_event(event) for event in events),
-            revision=read_whole(read_field(fields, "at"), "at"),
+            objects=tuple(_decode_event(event, era) for event in events),
+            revision=_read_revision(fields, "at", era),
         )
     except FieldError as err:
         raise StoreUnavailableError(f"malformed changes: {err}") from err
 
 
-def _decode_object(entry: object) -> PlatformObject:
+def decode_era(text: str | None) -> int | None:
+    """Return the era that an answer tells; raise `AnswerBrokenError` if unreadable."""
+    if text is None:
+        return None
+    if text.isascii() and text.isdigit() and len(text) < len(str(LAST_ERA)):
+        return int(text)
+    raise AnswerBrokenError(f"era {text[:20]!r} is not a whole number")
+
+
+def _read_revision(
+    fields: dict[str, Any], name: str, era: int, *, least: int = 0
+) -> int:
+    """Return a revision of the store in an era."""
+    most = ERA_SIZE - 1
+    return make_revision(
+        era, read_whole(read_field(fields, name), name, least=least, most=most)
+    )
+
+
+def _decode_object(entry: object, era: int) -> PlatformObject:
     """Return one object; raise `FieldError` when it is malformed."""
     fields = read_mapping(entry, "the object")
     metadata = read_mapping(read_field(fields, "metadata"), "metadata")
     return PlatformObject(
         name=read_text(read_field(metadata, "name"), "name"),
-        revision=read_whole(read_field(metadata, "revision"), "revision", least=1),
+        revision=_read_revision(metadata, "revision", era, least=1),
         is_deleted=read_flag(metadata.get("deleting", False), "deleting"),
         document=fields,
     )
 
 
-def _decode_item(entry: object) -> PlatformObject:
+def _decode_item(entry: object, era: int) -> PlatformObject:
     """Return one object of many.
 
     One that another writer spoilt must not hide the others: it stays, marked, so that
     whoever knew a target by its name learns that its entry can't be read.
     """
     try:
-        return _decode_object(entry)
+        return _decode_object(entry, era)
     except FieldError:
         return PlatformObject(
             name=_readable_name(entry),
@@ -109,10 +130,10 @@
         return ""
 
 
-def _decode_event(event: object) -> PlatformObject:
+def _decode_event(event: object, era: int) -> PlatformObject:
     """Return the object of an event."""
     fields = event if isinstance(event, dict) else {}
-    changed = _decode_item(fields.get("object"))
+    changed = _decode_item(fields.get("object"), era)
     deleted = fields.get("deleted")
     if not isinstance(deleted, bool):
         return replace(changed, is_readable=False)
--- a/swiftpin/platform/store_client.py
+++ b/swiftpin/platform/store_client.py
@@ -14,6 +14,7 @@
 import orjson
 
 from swiftpin.core import callback, monotonic_now
+from swiftpin.discovery.store_era import StoreEra
 from swiftpin.dispatch.http_client import HttpClient
 from swiftpin.dispatch.http_request import HttpRequest
 from swiftpin.dispatch.http_send_state import HttpSendState
@@ -26,13 +27,20 @@
     StoreUnavailableError,
 )
 from swiftpin.helpers.whole_body import WholeBody
+from swiftpin.model.store_revision import era_of, number_of
 from swiftpin.platform.json_fields import FieldError, load_json
-from swiftpin.platform.names import JSON_TYPE, MILLISECONDS, PATH_OBJECTS
+from swiftpin.platform.names import (
+    HEADER_ERA,
+    JSON_TYPE,
+    MILLISECONDS,
+    PATH_OBJECTS,
+)
 from swiftpin.platform.platform_object import PlatformObject
 from swiftpin.platform.store_answers import (
     ObjectChanges,
     ObjectList,
     decode_changes,
+    decode_era,
     decode_list,
     decode_object,
 )
@@ -66,6 +74,8 @@
         self._on_call = on_call
         """Called after each call with its method, kind and outcome."""
 
+        self._era = StoreEra()
+
     async def async_list(self, kind: str) -> ObjectList:
         """Return all objects of a kind and the revision at which they were read."""
         objects: list[PlatformObject] = []
@@ -73,7 +83,9 @@
         first_revision: int | None = None
         for _ in range(LIST_PAGES):
             query = f"?after={quote(after, safe='')}" if after else ""
-            page = decode_list(await self._async_read(f"{kind}{query}"))
+            page = decode_list(*await self._async_read(f"{kind}{query}"))
+            if self._era.is_outdated(first_revision):
+                raise StoreUnavailableError(f"listing {kind}: restored in between")
             objects.extend(page.objects)
             # Later pages may hold later changes; a watch from the first page's
             # revision shows those again, none can be missed.
@@ -91,7 +103,7 @@
     ) -> PlatformObject:
         """Return one object; raise `ObjectMissingError` when there is none."""
         path = f"{kind}/{quote(name, safe='')}"
-        return decode_object(await self._async_read(path, limit))
+        return decode_object(*await self._async_read(path, limit))
 
     async def async_watch(
         self, kind: str, revision: int, wait: float, *, grace: float = WATCH_GRACE
@@ -101,9 +113,15 @@
         Raises `HistoryGoneError` when the store no longer knows them, and
         `StoreUnavailableError` when nothing came `grace` seconds after the wait.
         """
-        query = f"?watch={revision}&wait_ms={int(wait * MILLISECONDS)}"
+        number = number_of(revision)
+        query = f"?watch={number}&wait_ms={int(wait * MILLISECONDS)}"
+        if self._era.is_outdated(revision):
+            raise HistoryGoneError(f"{kind}{query} of era {era_of(revision)}")
         limit = wait + grace
-        return decode_changes(await self._async_read(f"{kind}{query}", limit))
+        changes = decode_changes(*await self._async_read(f"{kind}{query}", limit))
+        if self._era.is_outdated(revision):
+            raise HistoryGoneError(f"{kind}{query} of era {era_of(revision)}")
+        return changes
 
     async def async_create(
         self, kind: str, name: str, content: object, *, limit: float = CALL_TIMEOUT
@@ -113,7 +131,7 @@
         Raises `StoreConflictError` when it is there already.
         """
         document = {"metadata": {"name": name}, "specification": content}
-        return await self._async_write("POST", kind, name, document, limit)
+        return await self._async_write("POST", kind, name, document, limit, None)
 
     async def async_replace(
         self,
@@ -130,24 +148,26 @@
         """
         metadata: dict[str, object] = {"name": name, "finalizers": []}
         if revision is not None:
-            metadata["revision"] = revision
+            metadata["revision"] = number_of(revision)
         document = {"metadata": metadata, "specification": content}
         path = f"{kind}/{quote(name, safe='')}"
-        return await self._async_write("PUT", path, name, document, limit)
+        return await self._async_write("PUT", path, name, document, limit, revision)
 
     async def async_delete(self, kind: str, name: str, revision: int) -> None:
         """Remove an object, if it is still at `revision`."""
-        path = f"{kind}/{quote(name, safe='')}?revision={revision}"
-        await self._async_write("DELETE", path, name, None, CALL_TIMEOUT)
+        path = f"{kind}/{quote(name, safe='')}?revision={number_of(revision)}"
+        await self._async_write("DELETE", path, name, None, CALL_TIMEOUT, revision)
 
-    async def _async_read(self, path: str, limit: float = CALL_TIMEOUT) -> Any:  # noqa: ANN401  # any JSON value
-        """Return the answer to a GET."""
+    async def _async_read(
+        self, path: str, limit: float = CALL_TIMEOUT
+    ) -> tuple[Any, int]:
+        """Return the answer to a GET and its era."""
         try:
-            status, body = await self._async_call("GET", path, b"", limit)
+            status, body, era = await self._async_call("GET", path, b"", limit)
         except (RequestNotSentError, AnswerBrokenError, TimeoutError) as err:
             raise StoreUnavailableError(f"reading {path}: {err!r}") from err
         if status == HTTPStatus.OK:
-            return _decode(path, body)
+            return _decode(path, body), era
         if status == HTTPStatus.GONE:
             raise HistoryGoneError(path)
         if status == HTTPStatus.NOT_FOUND:
@@ -161,19 +181,28 @@
         name: str,
         document: dict[str, Any] | None,
         limit: float,
+        expected: int | None,
     ) -> int:
-        """Send a write and return the revision that it made."""
+        """Send a write and return the revision that it made.
+
+        `expected` is the revision that the object must have, None for any.
+        """
+        if self._era.is_outdated(expected):
+            raise StoreConflictError(name, 0)
         payload = b"" if document is None else orjson.dumps(document)
         try:
-            status, body = await self._async_call(method, path, payload, limit)
+            status, body, era = await self._async_call(method, path, payload, limit)
         except RequestNotSentError as err:
             raise StoreUnavailableError(f"writing {path}: {err!r}") from err
         except (AnswerBrokenError, TimeoutError) as err:
             raise StoreOutcomeUnknownError(f"writing {path}: {err!r}") from err
         if HTTPStatus.OK <= status < HTTPStatus.MULTIPLE_CHOICES:
-            return _written_revision(path, body)
+            if self._era.is_outdated(expected):
+                # It replaced another change that had been given the same number.
+                raise StoreOutcomeUnknownError(f"writing {path}: store was restored")
+            return _written_revision(path, body, era)
         if status == HTTPStatus.CONFLICT:
-            raise StoreConflictError(name, _conflicting_revision(body))
+            raise StoreConflictError(name, _conflicting_revision(body, era))
         if status == HTTPStatus.NOT_FOUND:
             raise ObjectMissingError(path)
         if status in (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS):
@@ -184,8 +213,8 @@
 
     async def _async_call(
         self, method: str, path: str, payload: bytes, limit: float
-    ) -> tuple[int, bytes]:
-        """Return status and body of one exchange."""
+    ) -> tuple[int, bytes, int]:
+        """Return status, body and era of one exchange."""
         headers = CIMultiDict({HOST: self._address})
         if payload:
             headers[CONTENT_TYPE] = JSON_TYPE
@@ -202,6 +231,7 @@
                     self._address, request, HttpSendState(), _open
                 )
                 try:
+                    era = self._era.note(decode_era(answer.headers.get(HEADER_ERA)))
                     body = await answer.async_read_whole()
                 finally:
                     answer.finish(monotonic_now())
@@ -210,7 +240,7 @@
             if self._on_call is not None:
                 kind = re.split("[/?]", path, maxsplit=1)[0]
                 self._on_call(method, kind, outcome)
-        return answer.status, body
+        return answer.status, body, era
 
 
 def _next_name(page: ObjectList, after: str) -> str:
@@ -238,7 +268,7 @@
         raise StoreUnavailableError(f"{path}: {err}") from err
 
 
-def _written_revision(path: str, body: bytes) -> int:
+def _written_revision(path: str, body: bytes, era: int) -> int:
     """Return the revision that a write made, 0 if unsaid.
 
     The write stands whatever its answer says: taken for one without effect it would be
@@ -247,15 +277,15 @@
     if not body:
         return 0
     try:
-        return decode_object(_decode(path, body)).revision
+        return decode_object(_decode(path, body), era).revision
     except StoreUnavailableError as err:
         raise StoreOutcomeUnknownError(f"writing {path}: {err}") from err
 
 
-def _conflicting_revision(body: bytes) -> int:
+def _conflicting_revision(body: bytes, era: int) -> int:
     """Return the revision of the object that stood in a write's way, 0 if unsaid."""
     try:
-        return decode_object(load_json(body)).revision
+        return decode_object(load_json(body), era).revision
     except (FieldError, StoreError):
         # Some conflicts come without the object; whoever cares reads it again.
         return 0
--- /dev/null
+++ b/tests/model/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the shared data classes."""
--- /dev/null
+++ b/tests/model/test_store_revision.py
@@ -0,0 +1,37 @@
+"""Tests of revisions that are ordered across restores."""
+
+from __future__ import annotations
+
+import pytest
+
+from swiftpin.model.store_revision import (
+    ERA_SIZE,
+    LAST_ERA,
+    era_of,
+    make_revision,
+    number_of,
+)
+
+
+def test_later_era_is_newer_whatever_its_number() -> None:
+    """A restored store counts on from an older number."""
+    assert make_revision(2, 10) > make_revision(1, 40) > make_revision(1, 39)
+
+
+@pytest.mark.parametrize(
+    ("era", "number"), [(0, 0), (0, 7), (3, 0), (LAST_ERA, ERA_SIZE - 1)]
+)
+def test_era_and_number_can_be_read_back(era: int, number: int) -> None:
+    """The store is asked by its own number."""
+    revision = make_revision(era, number)
+    assert (era_of(revision), number_of(revision)) == (era, number)
+    assert revision < 2**63
+
+
+@pytest.mark.parametrize(
+    ("era", "number"), [(-1, 1), (LAST_ERA + 1, 1), (0, -1), (0, ERA_SIZE)]
+)
+def test_number_out_of_range_is_refused(era: int, number: int) -> None:
+    """It would run into the next era."""
+    with pytest.raises(ValueError, match="out of range"):
+        make_revision(era, number)
--- a/tests/platform/test_arbitrary_input.py
+++ b/tests/platform/test_arbitrary_input.py
@@ -110,21 +110,21 @@
 def test_page(page: object) -> None:
     """A page of a list."""
     with suppress(StoreUnavailableError):
-        decode_list(page)
+        decode_list(page, 0)
 
 
 @given(spoilt(CHANGES))
 def test_changes(changes: object) -> None:
     """What a watch brings."""
     with suppress(StoreUnavailableError):
-        decode_changes(changes)
+        decode_changes(changes, 0)
 
 
 @given(spoilt(STORED))
 def test_object(entry: object) -> None:
     """One object, and the target in it."""
     with suppress(StoreUnavailableError, UnusableEntryError):
-        decode_target(decode_object(entry))
+        decode_target(decode_object(entry, 0))
 
 
 @given(spoilt(content("a", born=5)))
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -183,7 +183,7 @@
 def test_removals_of_a_watch_are_told_from_changes() -> None:
     """The event says whether the object is gone."""
     event = {"object": {"metadata": {"name": "a", "revision": 2}}, "deleted": True}
-    changes = decode_changes({"events": [event], "at": 5})
+    changes = decode_changes({"events": [event], "at": 5}, 0)
     assert changes.revision == 5
     assert changes.objects[0].is_deleted
 
@@ -194,4 +194,4 @@
 def test_page_that_cannot_be_read_counts_as_no_answer(page: object) -> None:
     """What is wrong with the page itself is the store's."""
     with pytest.raises(StoreUnavailableError):
-        decode_list(page)
+        decode_list(page, 0)
--- a/tests/platform/test_other_writers.py
+++ b/tests/platform/test_other_writers.py
@@ -61,7 +61,7 @@
     Sequence: another writer spoilt one entry; each list held it.
     Cause: one malformed item made the whole page count as no answer.
     """
-    page = decode_list({"items": [item("a"), spoilt, item("c")], "at": 9})
+    page = decode_list({"items": [item("a"), spoilt, item("c")], "at": 9}, 0)
     assert [found.name for found in page.objects if found.is_readable] == ["a", "c"]
     assert len(page.objects) == 3
 
@@ -78,7 +78,7 @@
         {"object": spoilt, "deleted": False},
         {"object": item("c"), "deleted": True},
     ]
-    changes = decode_changes({"events": events, "at": 9})
+    changes = decode_changes({"events": events, "at": 9}, 0)
     assert [found.name for found in changes.objects if found.is_readable] == ["a", "c"]
     assert changes.revision == 9
 
@@ -87,13 +87,13 @@
 def test_spoilt_event_leaves_the_others_of_its_watch(event: object) -> None:
     """The same where the event around the object is spoilt."""
     good = {"object": item("a"), "deleted": False}
-    changes = decode_changes({"events": [event, good], "at": 9})
+    changes = decode_changes({"events": [event, good], "at": 9}, 0)
     assert [found.is_readable for found in changes.objects] == [False, True]
 
 
 def test_name_of_a_spoilt_item_is_kept() -> None:
     """Whoever knew a target by that name learns that its entry can't be read."""
-    page = decode_list({"items": [item("b", "x")], "at": 9})
+    page = decode_list({"items": [item("b", "x")], "at": 9}, 0)
     assert page.objects[0].name == "b"
 
 
--- a/tests/router/store_standin.py
+++ b/tests/router/store_standin.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from copy import deepcopy
+from dataclasses import dataclass
 from typing import Any
 
 from aiohttp.web import (
@@ -10,6 +12,7 @@
     AppRunner,
     Request,
     Response,
+    StreamResponse,
     TCPSite,
     json_response,
 )
@@ -17,6 +20,14 @@
 HISTORY = 1000
 
 
+@dataclass(frozen=True, kw_only=True)
+class StoreCopy:
+    """What a store held at a time."""
+
+    objects_by_path: dict[tuple[str, str], dict[str, Any]]
+    revision: int
+
+
 class StoreStandin:
     """Keeps objects in memory and speaks the platform's calls."""
 
@@ -32,6 +43,9 @@
         """Whether the answer to a watch that saw something is lost."""
 
         self.lost_watches = 0
+        self.era: str | None = None
+        """What answers tell of restores, None for nothing."""
+
         self.calls: list[str] = []
         self.address = ""
         self._events: list[tuple[int, str, dict[str, Any], bool]] = []
@@ -42,6 +56,7 @@
     async def async_setup(self) -> None:
         """Listen on a free port."""
         app = Application()
+        app.on_response_prepare.append(self._async_tell_era)
         app.router.add_route("*", "/api/objects/{kind}", self._async_kind)
         app.router.add_route("*", "/api/objects/{kind}/{name:.+}", self._async_object)
         self._runner = AppRunner(app, shutdown_timeout=0.1)
@@ -70,6 +85,20 @@
         gone["metadata"]["revision"] = self.revision
         self._note(kind, gone, deleted=True)
 
+    def copy(self) -> StoreCopy:
+        """Return what there is now, to come back to."""
+        return StoreCopy(
+            objects_by_path=deepcopy(self.objects_by_path), revision=self.revision
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from an older copy: what was written since is lost."""
+        self.objects_by_path = deepcopy(copy.objects_by_path)
+        self.revision = self._forgotten = copy.revision
+        self._events.clear()
+        self.era = str(int(self.era or 0) + 1)
+        self._wake()
+
     def forget_history(self) -> None:
         """Answer watches from before now with 410."""
         self._forgotten = self.revision
@@ -98,6 +127,10 @@
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
+    async def _async_tell_era(self, request: Request, response: StreamResponse) -> None:
+        if self.era is not None:
+            response.headers["Store-Era"] = self.era
+
     async def _async_outage(self) -> Response | None:
         if self.is_silent:
             await asyncio.sleep(3600)
@@ -149,7 +182,7 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + int(request.query["wait_ms"]) / 1000
         while True:
-            if since < self._forgotten:
+            if since < self._forgotten or since > self.revision:
                 return Response(status=410)
             events = [
                 {"object": item, "deleted": deleted}
