Have all issuers watch the targets again, and a few the configuration

Cause, read and not shown by a log: an issuer that learns of a leaving target from a neighbour counts it as leaving since the last confirmation, a second and more before, and of a drain time of 3 s less 0.5 s little is left; it then hands out no slots of a target that still owns keys. Before, issuers watched the targets.

Change: all issuers watch the targets, as before; three of them and the holder watch the configuration. The pause of 0.4 s between a watcher's watches goes.

--- a/swiftpin/discovery/store_follower.py
+++ b/swiftpin/discovery/store_follower.py
@@ -94,9 +94,6 @@
     def longest_pause(self, shortest: float) -> float:
         """Return the seconds between two tries while the store does not answer."""
 
-    def change_pause(self, shortest: float) -> float:
-        """Return the seconds after a change before the next watch."""
-
 
 class NoNeighbours:
     """Nobody who says anything."""
@@ -122,11 +119,6 @@
         """Return the usual pause."""
         return shortest
 
-    @callback
-    def change_pause(self, shortest: float) -> float:
-        """Return the usual pause."""
-        return shortest
-
 
 class StoreFollower:
     """Lists a kind once, then watches it, and lists again when history is gone.
@@ -177,7 +169,7 @@
                 pause = min(pause * 2, self._duty.longest_pause(LAST_PAUSE))
             else:
                 pause = FIRST_PAUSE
-                await asyncio.sleep(self._duty.change_pause(CHANGE_PAUSE))
+                await asyncio.sleep(CHANGE_PAUSE)
 
     @callback
     def _may_rest(self) -> bool:
--- a/swiftpin/router/gossip.py
+++ b/swiftpin/router/gossip.py
@@ -24,7 +24,7 @@
 from swiftpin.router.configuration_holder import ConfigurationHolder
 from swiftpin.router.holder_view import HolderView
 from swiftpin.router.key_maps import KeyMaps
-from swiftpin.router.watch_duty import WatchDuty
+from swiftpin.router.watch_duty import WatchDuty, first_issuers
 
 ASK_PAUSE: Final = 0.2
 """Seconds for which an instance that watches the store stays behind before it asks a
@@ -73,10 +73,12 @@
         self.targets_duty = make_duty(
             known_version=lambda: directory.version,
             told_version=lambda heartbeat: int(heartbeat.targets),
+            watchers=set,
         )
         self.configuration_duty = make_duty(
             known_version=lambda: configuration.version,
             told_version=lambda heartbeat: int(heartbeat.configuration),
+            watchers=first_issuers,
         )
 
     @callback
--- a/swiftpin/router/issuer_list.py
+++ b/swiftpin/router/issuer_list.py
@@ -16,7 +16,7 @@
 from swiftpin.permits.permit_broker import PermitBroker
 from swiftpin.permits.permit_issuers import PermitIssuers
 from swiftpin.router.fleet_messages import encode_issuers
-from swiftpin.router.watch_duty import watchers
+from swiftpin.router.watch_duty import first_issuers
 
 MEMBERS_CHANGE: Final = 8
 """Part of the members whose coming or going is told to all: their number only shares
@@ -70,7 +70,7 @@
         issuers = {name: members[name][1] for name in chosen}
         is_same = (
             issuers == present.peers_by_incarnation
-            and watchers(issuers) == watchers(present.peers_by_incarnation)
+            and first_issuers(issuers) == first_issuers(present.peers_by_incarnation)
             and abs(len(members) - present.members) <= len(members) // MEMBERS_CHANGE
         )
         if is_same and present.term == self._lease.term:
@@ -89,8 +89,8 @@
     def _watchers_first(self, chosen: list[str]) -> list[str]:
         """Return the issuers, first those that hear the store.
 
-        The first of them watch the store for the others; with watchers that it turns
-        away every instance would have to watch by itself.
+        The first of them watch the configuration for the others; with watchers that
+        the store turns away every instance would have to watch by itself.
         """
         lost = {
             link.incarnation
--- a/swiftpin/router/watch_duty.py
+++ b/swiftpin/router/watch_duty.py
@@ -18,8 +18,8 @@
 SMALL_FLEET: Final = 12
 """Instances up to which each watches the store itself."""
 
-WATCHERS: Final = 3
-"""Issuers that watch the store beside the holder of the lease."""
+CONFIGURATION_WATCHERS: Final = 3
+"""Issuers that watch the configuration beside the holder of the lease."""
 
 LEAST_WATCHERS: Final = 2
 """Watchers that must be heard, without which an instance watches by itself."""
@@ -32,15 +32,11 @@
 """Seconds between two calls of an instance that need not watch, while the store does
 not answer it: the watchers try more often, and tell of the store's return."""
 
-WATCHER_CHANGE_PAUSE: Final = 0.4
-"""Seconds after a change before the next watch of a watcher that is not the holder:
-the holder's news arrives in between, so that bursts of changes take few calls."""
-
 
 @callback
-def watchers(issuers: Iterable[str]) -> set[str]:
-    """Return those of the issuers, given in order, that watch the store."""
-    return set(islice(issuers, WATCHERS))
+def first_issuers(issuers: Iterable[str]) -> set[str]:
+    """Return those of the issuers, given in order, that watch the configuration."""
+    return set(islice(issuers, CONFIGURATION_WATCHERS))
 
 
 class WatchDuty:
@@ -48,8 +44,9 @@
 
     The store answers each waiting watch at each change. If all instances of a large
     fleet watched, calls would grow as instances times changes. The holder of the lease
-    and a few issuers watch, and the versions in their heartbeats show a change to the
-    others.
+    and some issuers watch, and the versions in their heartbeats show a change to the
+    others. All issuers watch the targets: what is learnt from others counts as a second
+    old, which a leaving target's drain time does not leave them.
     """
 
     def __init__(
@@ -62,6 +59,7 @@
         health: StoreHealth,
         known_version: Callable[[], int],
         told_version: Callable[[Item], int],
+        watchers: Callable[[Iterable[str]], set[str]],
     ) -> None:
         self._incarnation = incarnation
         self._links = links
@@ -70,6 +68,7 @@
         self._health = health
         self._known_version = known_version
         self._told_version = told_version
+        self._choose_watchers = watchers
         self._aged_version = 0
         """Version that this instance knew `VERSION_AGE` ago."""
 
@@ -98,16 +97,6 @@
         """
         return LONGEST_PAUSE if self._is_spared() else shortest
 
-    @callback
-    def change_pause(self, shortest: float) -> float:
-        """Return the seconds after a change before the next watch.
-
-        `shortest` is the pause of the holder, and of all in a small fleet.
-        """
-        if not self._is_large() or self._lease.is_held(suspend_aware_now()):
-            return shortest
-        return WATCHER_CHANGE_PAUSE
-
     @callback
     def age_version(self, now: float) -> None:
         """Note which version is old enough to be known to all watchers.
@@ -135,7 +124,7 @@
     @callback
     def _watcher_names(self) -> set[str]:
         """Return the incarnations of the issuers that watch."""
-        return watchers(self._permits.issuers.peers_by_incarnation)
+        return self._choose_watchers(self._permits.issuers.peers_by_incarnation)
 
     @callback
     def _watchers(self) -> list[PeerLink]:
