Replace a recorded assignment of before a restore

Keys could not move any more, nor leave targets that went, once the store had come back with the record of an earlier assigner or with none: every write of the present one met a conflict, and another's record is never replaced.

Change: the record tells the era of the store in which it was written; one of an earlier era is replaced, a missing one written again. The assigner runs only while its instance holds the lease. Two of the three tests fail on the code before; the third guards that a later assigner's record stays.

--- a/swiftpin/keyranges/assignment_record.py
+++ b/swiftpin/keyranges/assignment_record.py
@@ -19,10 +19,14 @@
 )
 from swiftpin.keyranges.const import KIND_ASSIGNMENT
 from swiftpin.platform.store_client import StoreClient
+from swiftpin.store_errors import ObjectMissingError
 
 WRITER: Final = "writer"
 """Field that names the assigner that wrote the record last."""
 
+ERA: Final = "era"
+"""Field with the era of the store in which it was written."""
+
 
 class AssignmentRecord:
     """Takes the record over, and replaces it if it is still the one last seen.
@@ -39,6 +43,8 @@
         self._client = client
         self._health = health
         self._writer = os.urandom(4).hex()
+        self._is_missing = False
+        """Whether a restored store lacks the record."""
 
     async def async_take_over(self, take_fence: Callable[[], int]) -> Assignment:
         """Return the assignment once the record is this assigner's.
@@ -70,9 +76,7 @@
         """Write an assignment; return whether it certainly stands."""
         content = self._encode(assignment)
         try:
-            self.revision = await self._client.async_replace(
-                KIND_ASSIGNMENT, self._service, content, self.revision
-            )
+            await self._async_write(content)
         except StoreConflictError as err:
             # Either another instance assigns keys by now, or this is the late effect
             # of a write of this one whose answer was lost.
@@ -83,10 +87,25 @@
         self._health.note_answer(suspend_aware_now())
         return True
 
+    async def _async_write(self, content: dict[str, Any]) -> None:
+        """Write the record, which a restored store may lack."""
+        if self._is_missing:
+            self.revision = await self._client.async_create(
+                KIND_ASSIGNMENT, self._service, content
+            )
+            self._is_missing = False
+            return
+        self.revision = await self._client.async_replace(
+            KIND_ASSIGNMENT, self._service, content, self.revision
+        )
+
     async def _async_settle(self, content: dict[str, object], reason: str) -> bool:
         """Read back whether a write stands."""
         try:
             found = await self._client.async_get(KIND_ASSIGNMENT, self._service)
+        except ObjectMissingError:
+            found = None
+            self._is_missing = self._client.era.was_restored
         except StoreError as err:
             reason = f"{reason}; {err}"
             found = None
@@ -98,14 +117,26 @@
             reason=reason,
             stands=stands,
         )
-        if found is not None and self._is_own(found.content):
+        if found is not None and self._is_replaceable(found.content):
             self.revision = found.revision
         return stands
 
     def _encode(self, assignment: Assignment) -> dict[str, Any]:
         """Return the content to store."""
-        return encode_assignment(assignment) | {WRITER: self._writer}
+        return encode_assignment(assignment) | {
+            WRITER: self._writer,
+            ERA: self._client.era.newest,
+        }
 
-    def _is_own(self, content: object) -> bool:
-        """Return whether this assigner wrote a record; another's is never replaced."""
-        return isinstance(content, dict) and content.get(WRITER) == self._writer
+    def _is_replaceable(self, content: object) -> bool:
+        """Return whether a record is this assigner's, or of before a restore.
+
+        The assigner runs only while its instance holds the lease, and nobody takes that
+        over soon after a restore. Any other record is of a later holder.
+        """
+        if not isinstance(content, dict):
+            return False
+        if content.get(WRITER) == self._writer:
+            return True
+        era = content.get(ERA, 0)
+        return isinstance(era, int) and era < self._client.era.newest
--- a/tests/keyranges/test_late_records.py
+++ b/tests/keyranges/test_late_records.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from swiftpin.discovery.store_era import StoreEra
 from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.discovery.target_directory import TargetDirectory
 from swiftpin.exceptions import (
@@ -47,6 +48,7 @@
         self.revision = 1
         self.is_late = False
         self._late_writes: list[tuple[object, int | None]] = []
+        self.era = StoreEra()
 
     async def async_get(self, kind: str, name: str, **rest: object) -> PlatformObject:
         """Return the record."""
--- a/tests/keyranges/test_range_assigner.py
+++ b/tests/keyranges/test_range_assigner.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from swiftpin.discovery.store_era import StoreEra
 from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.discovery.target_directory import FIRST_LIST_SETTLE, TargetDirectory
 from swiftpin.helpers.clock import suspend_aware_now
@@ -37,6 +38,7 @@
     def __init__(self) -> None:
         self.may_answer = asyncio.Event()
         self.is_asked = asyncio.Event()
+        self.era = StoreEra()
 
     async def async_replace(self, *args: object) -> int:
         """Take a record."""
--- /dev/null
+++ b/tests/keyranges/test_restored_assignment.py
@@ -0,0 +1,122 @@
+"""Tests of the recorded assignment when the store comes back from an older copy."""
+
+from __future__ import annotations
+
+from typing import cast
+
+import pytest
+
+from swiftpin.discovery.store_era import StoreEra
+from swiftpin.discovery.store_health import StoreHealth
+from swiftpin.exceptions import StoreConflictError
+from swiftpin.keyranges.assignment import Assignment, decode_assignment
+from swiftpin.keyranges.assignment_record import AssignmentRecord
+from swiftpin.keyranges.segment import Segment
+from swiftpin.model.store_revision import make_revision
+from swiftpin.platform.platform_object import PlatformObject
+from swiftpin.platform.store_client import StoreClient
+from swiftpin.store_errors import ObjectMissingError
+
+
+def make_assignment(owner: str) -> Assignment:
+    """Return an assignment of all keys to one target."""
+    return Assignment(segments=(Segment(first=0, last=65535, owner=owner, fence=7),))
+
+
+class Store:
+    """Holds the record, and goes back to an older one."""
+
+    def __init__(self) -> None:
+        self.content: object = None
+        self.revision = 1
+        self.era = StoreEra()
+        self.era.note(0)
+
+    def restore(self, content: object) -> None:
+        """Come back with an older record, or with none."""
+        self.content = content
+        self.era.note(self.era.newest + 1)
+        self.revision = make_revision(self.era.newest, 1)
+
+    async def async_get(self, kind: str, name: str) -> PlatformObject:
+        """Return the record."""
+        if self.content is None:
+            raise ObjectMissingError(name)
+        return PlatformObject(
+            name=name,
+            revision=self.revision,
+            is_deleted=False,
+            document={"specification": self.content},
+        )
+
+    async def async_create(self, kind: str, name: str, content: object) -> int:
+        """Create the record."""
+        if self.content is not None:
+            raise StoreConflictError(name, self.revision)
+        return self._write(content)
+
+    async def async_replace(
+        self, kind: str, name: str, content: object, revision: int | None
+    ) -> int:
+        """Replace the record if it is at a revision."""
+        if self.content is None:
+            raise ObjectMissingError(name)
+        if revision != self.revision:
+            raise StoreConflictError(name, self.revision)
+        return self._write(content)
+
+    def _write(self, content: object) -> int:
+        self.content = content
+        self.revision += 1
+        return self.revision
+
+    @property
+    def owner(self) -> str:
+        """Return the owner of the first key."""
+        return decode_assignment(self.content).segments[0].owner
+
+
+@pytest.fixture(name="store")
+def store_fixture() -> Store:
+    """Return a store without a record."""
+    return Store()
+
+
+def make_record(store: Store) -> AssignmentRecord:
+    """Return the record as an assigner keeps it."""
+    return AssignmentRecord("desk", cast(StoreClient, store), StoreHealth())
+
+
+async def test_record_of_an_earlier_assigner_is_replaced_after_a_restore(
+    store: Store,
+) -> None:
+    """Keys could not move any more once the copy held a predecessor's record."""
+    await make_record(store).async_create(make_assignment("before"))
+    copy = store.content
+    present = make_record(store)
+    await present.async_take_over(lambda: 9)
+    store.restore(copy)
+    assert not await present.async_replace(make_assignment("moved"))
+    assert await present.async_replace(make_assignment("moved"))
+    assert store.owner == "moved"
+
+
+async def test_record_that_the_copy_lacks_is_written_again(store: Store) -> None:
+    """Keys could not move any more once the copy held no record."""
+    present = make_record(store)
+    await present.async_create(make_assignment("first"))
+    store.restore(None)
+    assert not await present.async_replace(make_assignment("moved"))
+    assert await present.async_replace(make_assignment("moved"))
+    assert store.owner == "moved"
+
+
+async def test_record_of_a_later_assigner_is_never_replaced(store: Store) -> None:
+    """Two assigners would write over each other."""
+    former = make_record(store)
+    await former.async_create(make_assignment("first"))
+    store.restore(store.content)
+    await make_record(store).async_take_over(lambda: 9)
+    for _ in range(2):
+        assert not await former.async_replace(make_assignment("moved"))
+    assert store.owner == "first"
