Keep one holder of the lease, whatever copy the store comes back from

Two instances assigned keys at once: the copy named a holder of before, or none, and its restarted incarnation, a candidate beside a lease given up, or an instance without any record took the lease while the holder that the copy lacked still had it; the next term then had the number of a lost one, and targets refused its fences.

Change: the record tells the era in which it was written. One of an earlier era, or a missing one where the store was restored (or has an era at a start that is not the system's first), frees the lease only when every holder that it may hide has run out, votes included (11.9 s). A holder whose lease still runs writes its record again, in its term, so its assigners go on. Terms of an era are above all of the eras before, so fences are too, without a write that could be lost.

Tests: 150 seeds of random restores, cuts, restarts, stops and pauses of three instances never show two holders, nor one term twice. In doubt: a copy from before the first record while first_start is still told; a holder that goes on by votes and grants of 10 s.

--- a/swiftpin/discovery/store_era.py
+++ b/swiftpin/discovery/store_era.py
@@ -14,6 +14,13 @@
 
     def __init__(self) -> None:
         self._newest: int | None = None
+        self.was_restored = False
+        """Whether the store was restored since this instance started."""
+
+    @property
+    def newest(self) -> int:
+        """Return the newest era that an answer told, 0 before there is one."""
+        return self._newest or 0
 
     @callback
     def note(self, told: int | None) -> int:
@@ -24,11 +31,12 @@
         """
         newest = self._newest
         if told is None:
-            return newest or 0
+            return self.newest
         if newest is not None and told < newest:
             raise AnswerBrokenError(f"answer of era {told} after one of {newest}")
         if newest is not None and told > newest:
             log_message(message_type="store_restored", era=told, before=newest)
+            self.was_restored = True
         self._newest = told
         return told
 
--- a/swiftpin/keyranges/const.py
+++ b/swiftpin/keyranges/const.py
@@ -22,6 +22,10 @@
 """Seconds beyond `LEASE_TIME` that a candidate waits: clocks may run 2% apart and a
 renewal's answer may be on its way."""
 
+TERMS_AN_ERA: Final = 1_000_000
+"""Terms of one era of the store; the next era's are all higher, so fences rise above
+all that were handed out under records that the store has lost."""
+
 LEASE_CALL_TIMEOUT: Final = 0.6
 """Seconds for the answer to a renewal. A lost answer then leaves time to read back
 before the lease ends; the store takes 0.4 s when it is slowed a hundredfold."""
--- a/swiftpin/keyranges/lease_election.py
+++ b/swiftpin/keyranges/lease_election.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import replace
 from random import Random
 from typing import Final
 
@@ -26,6 +25,7 @@
     LeaseView,
     election_delay,
     is_free,
+    next_term,
     poll_pause,
 )
 from swiftpin.platform.store_client import StoreClient
@@ -62,6 +62,7 @@
         health: StoreHealth,
         rng: Random,
         strength: float,
+        first_start: bool,
         is_holder_heard: Callable[[int], bool],
         is_linked: Callable[[], bool],
     ) -> None:
@@ -92,6 +93,7 @@
         self._health = health
         self._rng = rng
         self._strength = strength
+        self._first_start = first_start
         self._free_since: float | None = None
         self._is_holder_heard = is_holder_heard
         """Whether another instance says that it holds the lease, in a term or later."""
@@ -100,6 +102,9 @@
         self._held_term = 0
         """Last term in which this instance got the lease."""
 
+        self._renewal = 0
+        """Number of this instance's last renewal that stands."""
+
         self._lapsed_term = 0
         """Last term in which the lease was found to have run out, or was given up."""
 
@@ -151,8 +156,9 @@
 
     @property
     def term(self) -> int:
-        """Return the term last seen."""
-        return 0 if self.record is None else self.record.term
+        """Return the highest term seen; a restored store may show an earlier one."""
+        seen = 0 if self.record is None else self.record.term
+        return max(seen, self._held_term)
 
     async def async_run(self) -> None:
         """Keep the lease, or wait for it, until cancelled."""
@@ -180,8 +186,15 @@
         if record is None or not self.is_held(suspend_aware_now()):
             return
         self._lapsed_term = self._held_term
-        log_message(message_type="lease_given_up", term=record.term)
-        free = replace(record, holder="", peer="", renewal=record.renewal + 1)
+        log_message(message_type="lease_given_up", term=self.term)
+        free = LeaseRecord(
+            holder="",
+            peer="",
+            term=self.term,
+            renewal=self._renewal + 1,
+            era=self._store.era,
+            members=record.members,
+        )
         try:
             await self._store.async_write_last(free)
         except StoreError as err:
@@ -206,16 +219,17 @@
 
     async def _async_renew(self) -> float:
         """Write a renewal; return the seconds until the next one."""
-        record = self.record
-        assert record is not None
-        renewed = replace(
-            record,
-            term=record.term + 1 if self.wants_next_term else record.term,
-            renewal=record.renewal + 1,
+        era = self._store.era
+        renewed = LeaseRecord(
+            holder=self._incarnation,
+            peer=self._peer,
+            term=next_term(self.term, era) if self.wants_next_term else self.term,
+            renewal=self._renewal + 1,
+            era=era,
             members=self.members,
         )
         if await self._async_write(renewed):
-            if renewed.term > record.term:
+            if self.wants_next_term:
                 self.wants_next_term = False
                 log_message(message_type="lease_next_term", term=renewed.term)
             return LEASE_RENEW
@@ -257,8 +271,12 @@
 
     def _view(self) -> LeaseView:
         """Return what this instance knows of the lease."""
+        era = self._store.era
+        is_first_era = era == 0 or self._first_start
         return LeaseView(
             record=self.record,
+            era=era,
+            may_lack_record=self._store.was_restored or not is_first_era,
             resigned_term=self.resigned_term,
             unchanged_since=self._store.unchanged_since,
             own_vote_until=self.own_vote_until,
@@ -270,8 +288,9 @@
         taken = LeaseRecord(
             holder=self._incarnation,
             peer=self._peer,
-            term=self.term + 1,
+            term=next_term(self.term, self._store.era),
             renewal=0,
+            era=self._store.era,
             members=() if record is None else record.members,
         )
         if await self._async_write(taken):
@@ -286,6 +305,7 @@
                 # counted from the first of these tries.
                 self.valid_until = self._store.unchanged_since + LEASE_TIME
                 self._held_term = record.term
+                self._renewal = record.renewal
                 return True
             case LeaseWrite.TAKEN:
                 # Somebody else has it: no vote counts any more.
--- a/swiftpin/keyranges/lease_record.py
+++ b/swiftpin/keyranges/lease_record.py
@@ -28,6 +28,9 @@
 
     term: int
     renewal: int
+    era: int = 0
+    """Era of the store in which it was written."""
+
     members: tuple[str, ...] = ()
     """Names of the instances that may take over as soon as the lease has run out; the
     holder asks these for votes while the store is away."""
@@ -48,6 +51,7 @@
             peer=read_text(read_field(fields, "peer"), "peer", may_be_empty=True),
             term=read_whole(read_field(fields, "term"), "term"),
             renewal=read_whole(read_field(fields, "renewal"), "renewal"),
+            era=read_whole(fields.get("era", 0), "era"),
             members=tuple(read_text(member, "a member") for member in members),
         )
     except FieldError as err:
--- a/swiftpin/keyranges/lease_store.py
+++ b/swiftpin/keyranges/lease_store.py
@@ -56,10 +56,23 @@
         self._health = health
         self._on_seen = on_seen
         self._revision: int | None = None
+        self._missing_in_era: int | None = None
+        """Era in which there was no record last."""
+
         self._attempt = (0, 0)
         self._attempted_at = 0.0
         """Term and renewal last attempted, and since when that may stand."""
 
+    @property
+    def era(self) -> int:
+        """Return the newest era of the store that an answer told."""
+        return self._client.era.newest
+
+    @property
+    def was_restored(self) -> bool:
+        """Return whether the store was restored since this instance started."""
+        return self._client.era.was_restored
+
     async def async_read(self) -> None:
         """Read the lease and note whether it changed; raise `StoreError`."""
         asked_at = suspend_aware_now()
@@ -68,7 +81,11 @@
                 KIND_LEASE, NAME_LEASE, limit=LEASE_CALL_TIMEOUT
             )
         except ObjectMissingError:
-            self._health.note_answer(suspend_aware_now())
+            now = suspend_aware_now()
+            self._health.note_answer(now)
+            if self._missing_in_era != self.era:
+                self._missing_in_era = self.era
+                self.unchanged_since = now
             self.record = None
             self._revision = None
             return
@@ -138,6 +155,10 @@
             self._health.note_failure(str(err), suspend_aware_now())
             return LeaseWrite.UNKNOWN
         found = self.record
+        if self.was_restored if found is None else found.era < self.era:
+            # The copy may lack this instance's own record. Nobody else can take the
+            # lease while it runs: all wait out whoever the copy hides.
+            return LeaseWrite.UNKNOWN
         if found is None or found.holder != record.holder or found.term > record.term:
             return LeaseWrite.TAKEN
         if (found.term, found.renewal) != (record.term, record.renewal):
--- a/swiftpin/keyranges/lease_turn.py
+++ b/swiftpin/keyranges/lease_turn.py
@@ -6,7 +6,12 @@
 from typing import Final
 
 from swiftpin.core import callback
-from swiftpin.keyranges.const import EXTENSION_LIMIT, LEASE_MARGIN, LEASE_TIME
+from swiftpin.keyranges.const import (
+    EXTENSION_LIMIT,
+    LEASE_MARGIN,
+    LEASE_TIME,
+    TERMS_AN_ERA,
+)
 from swiftpin.keyranges.lease_record import LeaseRecord
 
 POLL: Final = 0.25
@@ -43,11 +48,17 @@
     record: LeaseRecord | None
     """The record last read, None before there is one."""
 
+    era: int
+    """Era of the store as far as it is known."""
+
+    may_lack_record: bool
+    """Whether the store may have lost a record that was there."""
+
     resigned_term: int
     """Last term for which a holder said that it assigns keys no more."""
 
     unchanged_since: float
-    """Since when the record has not changed."""
+    """Since when the record has not changed, or has been missing."""
 
     own_vote_until: float
     """Until when this instance has voted not to take over."""
@@ -55,8 +66,15 @@
 
 @callback
 def is_free(view: LeaseView, name: str, now: float) -> bool:
-    """Return whether the lease has run out, or was given up, for an instance."""
+    """Return whether the lease has run out, or was given up, for an instance.
+
+    A record from before the store was restored may hide a later holder, and whom that
+    one asks for votes: it frees the lease only when every such holder has run out.
+    """
     record = view.record
+    if view.may_lack_record if record is None else record.era < view.era:
+        wait = LEASE_TIME + LEASE_MARGIN + EXTENSION_LIMIT
+        return now - view.unchanged_since > wait
     if record is None:
         return True
     if record.holder.partition("/")[0] == name:
@@ -112,6 +130,12 @@
     return 0.0
 
 
+@callback
+def next_term(term: int, era: int) -> int:
+    """Return the term after one, above all terms of the eras before."""
+    return max(term + 1, era * TERMS_AN_ERA)
+
+
 @callback
 def _was_given_up(record: LeaseRecord, resigned_term: int) -> bool:
     """Return whether the holder of a lease said that it assigns keys no more."""
--- a/swiftpin/platform/store_client.py
+++ b/swiftpin/platform/store_client.py
@@ -74,7 +74,7 @@
         self._on_call = on_call
         """Called after each call with its method, kind and outcome."""
 
-        self._era = StoreEra()
+        self.era = StoreEra()
 
     async def async_list(self, kind: str) -> ObjectList:
         """Return all objects of a kind and the revision at which they were read."""
@@ -84,7 +84,7 @@
         for _ in range(LIST_PAGES):
             query = f"?after={quote(after, safe='')}" if after else ""
             page = decode_list(*await self._async_read(f"{kind}{query}"))
-            if self._era.is_outdated(first_revision):
+            if self.era.is_outdated(first_revision):
                 raise StoreUnavailableError(f"listing {kind}: restored in between")
             objects.extend(page.objects)
             # Later pages may hold later changes; a watch from the first page's
@@ -115,11 +115,11 @@
         """
         number = number_of(revision)
         query = f"?watch={number}&wait_ms={int(wait * MILLISECONDS)}"
-        if self._era.is_outdated(revision):
+        if self.era.is_outdated(revision):
             raise HistoryGoneError(f"{kind}{query} of era {era_of(revision)}")
         limit = wait + grace
         changes = decode_changes(*await self._async_read(f"{kind}{query}", limit))
-        if self._era.is_outdated(revision):
+        if self.era.is_outdated(revision):
             raise HistoryGoneError(f"{kind}{query} of era {era_of(revision)}")
         return changes
 
@@ -187,7 +187,7 @@
 
         `expected` is the revision that the object must have, None for any.
         """
-        if self._era.is_outdated(expected):
+        if self.era.is_outdated(expected):
             raise StoreConflictError(name, 0)
         payload = b"" if document is None else orjson.dumps(document)
         try:
@@ -197,7 +197,7 @@
         except (AnswerBrokenError, TimeoutError) as err:
             raise StoreOutcomeUnknownError(f"writing {path}: {err!r}") from err
         if HTTPStatus.OK <= status < HTTPStatus.MULTIPLE_CHOICES:
-            if self._era.is_outdated(expected):
+            if self.era.is_outdated(expected):
                 # It replaced another change that had been given the same number.
                 raise StoreOutcomeUnknownError(f"writing {path}: store was restored")
             return _written_revision(path, body, era)
@@ -231,7 +231,7 @@
                     self._address, request, HttpSendState(), _open
                 )
                 try:
-                    era = self._era.note(decode_era(answer.headers.get(HEADER_ERA)))
+                    era = self.era.note(decode_era(answer.headers.get(HEADER_ERA)))
                     body = await answer.async_read_whole()
                 finally:
                     answer.finish(monotonic_now())
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -75,6 +75,7 @@
             health=self._health,
             rng=Random(incarnation),
             strength=settings.strength,
+            first_start=settings.first_start,
             is_holder_heard=self._is_holder_heard,
             is_linked=self._is_linked,
         )
--- a/tests/keyranges/test_late_renewals.py
+++ b/tests/keyranges/test_late_renewals.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from swiftpin.discovery.store_era import StoreEra
 from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.discovery.target_directory import TargetDirectory
 from swiftpin.dispatch.http_client import HttpClient
@@ -44,6 +45,7 @@
         self._content: object = None
         self._revision = 0
         self._pass_time = pass_time
+        self.era = StoreEra()
 
     async def async_get(self, kind: str, name: str, **rest: object) -> PlatformObject:
         """Return the lease."""
@@ -112,6 +114,7 @@
         health=StoreHealth(),
         rng=Random(1),
         strength=2.0,
+        first_start=True,
         is_holder_heard=lambda holder: False,
         is_linked=lambda: False,
     )
@@ -146,6 +149,7 @@
         health=health,
         rng=Random(1),
         strength=2.0,
+        first_start=True,
         is_holder_heard=lambda holder: False,
         is_linked=lambda: False,
     )
--- a/tests/keyranges/test_lease_election.py
+++ b/tests/keyranges/test_lease_election.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from swiftpin.discovery.store_era import StoreEra
 from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.exceptions import (
     StoreConflictError,
@@ -18,6 +19,7 @@
 from swiftpin.keyranges.const import EXTENSION_LIMIT, LEASE_MARGIN, LEASE_TIME
 from swiftpin.keyranges.lease_election import LeaseElection
 from swiftpin.keyranges.lease_turn import CALM_POLL, POLL, RANK_ELECTION_DELAY
+from swiftpin.model.store_revision import era_of, make_revision
 from swiftpin.platform.platform_object import PlatformObject
 from swiftpin.store_errors import ObjectMissingError
 
@@ -30,6 +32,16 @@
         self.revision = 0
         self.is_away = False
         self.loses_answers = False
+        self.era = StoreEra()
+
+    def copy(self) -> object:
+        """Return the record as it is, to come back to."""
+        return self.content
+
+    def restore(self, copy: object) -> None:
+        """Come back from an older copy."""
+        self.content = copy
+        self.revision = make_revision(era_of(self.revision) + 1, 1)
 
     async def async_get(
         self, kind: str, name: str, *, limit: float = 1.0
@@ -72,6 +84,7 @@
     def _check(self) -> None:
         if self.is_away:
             raise StoreUnavailableError("away")
+        self.era.note(era_of(self.revision))
 
     def _write(self, content: object) -> int:
         self.content = content
@@ -119,6 +132,7 @@
         health=StoreHealth(),
         rng=Random(1),
         strength=2.0,
+        first_start=True,
         is_holder_heard=lambda holder: False,
         is_linked=lambda: False,
     )
--- a/tests/keyranges/test_lease_turn.py
+++ b/tests/keyranges/test_lease_turn.py
@@ -13,6 +13,7 @@
     LeaseView,
     election_delay,
     is_free,
+    next_term,
     poll_pause,
 )
 
@@ -20,7 +21,12 @@
     holder="strong/1", peer="", term=3, renewal=7, members=("strong", "second", "third")
 )
 VIEW = LeaseView(
-    record=RECORD, resigned_term=0, unchanged_since=100.0, own_vote_until=0.0
+    record=RECORD,
+    era=0,
+    may_lack_record=False,
+    resigned_term=0,
+    unchanged_since=100.0,
+    own_vote_until=0.0,
 )
 GIVEN_UP = replace(VIEW, resigned_term=3)
 RUN_OUT = 100.0 + LEASE_TIME + LEASE_MARGIN + 0.01
@@ -85,3 +91,30 @@
     view = replace(VIEW, record=None)
     assert poll_pause(view, "other", 2.0, is_linked=True) == POLL
     assert POLL < poll_pause(view, "other", 0.5, is_linked=True) < 1.0
+
+
+@pytest.mark.parametrize("name", ["strong", "second", "other"])
+@pytest.mark.parametrize("resigned_term", [0, 3])
+def test_record_of_an_older_copy_frees_the_lease_late(
+    name: str, resigned_term: int
+) -> None:
+    """A holder that the restored store had lost was not waited for."""
+    view = replace(VIEW, era=1, resigned_term=resigned_term)
+    assert not is_free(view, name, RUN_OUT + EXTENSION_LIMIT - 0.02)
+    assert is_free(view, name, RUN_OUT + EXTENSION_LIMIT)
+
+
+def test_missing_record_frees_the_lease_late_after_a_restore() -> None:
+    """The copy may be from before there was a record."""
+    view = replace(VIEW, record=None, era=1)
+    assert is_free(view, "other", 100.0)
+    view = replace(view, may_lack_record=True)
+    assert not is_free(view, "other", RUN_OUT)
+    assert is_free(view, "other", RUN_OUT + EXTENSION_LIMIT)
+
+
+def test_terms_of_a_later_era_are_higher() -> None:
+    """Targets refused the fences of a holder whose record was an older one."""
+    assert next_term(7, 0) == 8
+    assert next_term(7, 1) > next_term(500, 0)
+    assert next_term(next_term(7, 1), 1) == next_term(7, 1) + 1
--- /dev/null
+++ b/tests/keyranges/test_restored_lease.py
@@ -0,0 +1,305 @@
+"""Tests of the lease when the store comes back from an older copy."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from random import Random
+from typing import cast
+
+import pytest
+
+from swiftpin.discovery.store_era import StoreEra
+from swiftpin.discovery.store_health import StoreHealth
+from swiftpin.exceptions import StoreConflictError, StoreUnavailableError
+from swiftpin.keyranges import lease_election as election_module
+from swiftpin.keyranges import lease_store as lease_store_module
+from swiftpin.keyranges.const import (
+    EXTENSION_LIMIT,
+    LEASE_MARGIN,
+    LEASE_TIME,
+    TERMS_AN_ERA,
+)
+from swiftpin.keyranges.lease_election import LeaseElection
+from swiftpin.model.store_revision import era_of, make_revision
+from swiftpin.platform.platform_object import PlatformObject
+from swiftpin.platform.store_client import StoreClient
+from swiftpin.store_errors import ObjectMissingError
+
+NAMES = ("a", "b", "c")
+STEPS = 400
+RUN_OUT = LEASE_TIME + LEASE_MARGIN + EXTENSION_LIMIT
+
+
+@dataclass(kw_only=True)
+class Store:
+    """One record, which goes back to an older copy when the store is restored."""
+
+    content: object = None
+    revision: int = 1
+    copies: list[object] = field(default_factory=list)
+    """What the record was after each write."""
+
+    def write(self, content: object) -> int:
+        """Replace the record."""
+        self.copies.append(self.content)
+        self.content = content
+        self.revision += 1
+        return self.revision
+
+    def restore(self, age: int) -> None:
+        """Come back as it was some writes ago."""
+        kept = max(len(self.copies) - age, 0)
+        if kept < len(self.copies):
+            self.content = self.copies[kept]
+        del self.copies[kept:]
+        number = max(kept, 1)
+        self.revision = make_revision(era_of(self.revision) + 1, number)
+
+
+@dataclass(kw_only=True)
+class Client:
+    """An instance's client of the store."""
+
+    store: Store
+    era: StoreEra = field(default_factory=StoreEra)
+    is_cut_off: bool = False
+
+    def _ask(self) -> None:
+        if self.is_cut_off:
+            raise StoreUnavailableError("cut off")
+        self.era.note(era_of(self.store.revision))
+
+    async def async_get(self, kind: str, name: str, **rest: object) -> PlatformObject:
+        """Return the record."""
+        self._ask()
+        if self.store.content is None:
+            raise ObjectMissingError(name)
+        return PlatformObject(
+            name=name,
+            revision=self.store.revision,
+            is_deleted=False,
+            document={"specification": self.store.content},
+        )
+
+    async def async_create(
+        self, kind: str, name: str, content: object, **rest: object
+    ) -> int:
+        """Create the record."""
+        self._ask()
+        if self.store.content is not None:
+            raise StoreConflictError(name, self.store.revision)
+        return self.store.write(content)
+
+    async def async_replace(
+        self, kind: str, name: str, content: object, revision: int, **rest: object
+    ) -> int:
+        """Replace the record if it is still the one known."""
+        self._ask()
+        if revision != self.store.revision:
+            raise StoreConflictError(name, self.store.revision)
+        return self.store.write(content)
+
+
+class Clock:
+    """A clock that the test sets."""
+
+    now = 100.0
+
+    def __call__(self) -> float:
+        """Return the present time."""
+        return self.now
+
+
+@pytest.fixture(name="clock")
+def clock_fixture(monkeypatch: pytest.MonkeyPatch) -> Clock:
+    """Return the clock of all instances."""
+    clock = Clock()
+    for module in (election_module, lease_store_module):
+        monkeypatch.setattr(module, "suspend_aware_now", clock)
+    return clock
+
+
+@pytest.fixture(name="store")
+def store_fixture() -> Store:
+    """Return a store without a record."""
+    return Store()
+
+
+def start(store: Store, name: str, life: int = 1) -> tuple[LeaseElection, Client]:
+    """Start an instance, which remembers nothing."""
+    client = Client(store=store)
+    election = LeaseElection(
+        name=name,
+        incarnation=f"{name}/{life}",
+        peer=f"{name}:1",
+        client=cast(StoreClient, client),
+        health=StoreHealth(),
+        rng=Random(name),
+        strength=2.0,
+        first_start=life == 1,
+        is_holder_heard=lambda term: False,
+        is_linked=lambda: False,
+    )
+    election.members = NAMES
+    election.note_willing()
+    return election, client
+
+
+async def step(election: LeaseElection, clock: Clock) -> None:
+    """Let an instance act once."""
+    if election.is_held(clock.now):
+        await election._async_renew()
+    else:
+        await election._async_wait_turn(clock.now)
+
+
+async def hand_over(
+    store: Store, clock: Clock
+) -> tuple[LeaseElection, LeaseElection, int]:
+    """Let b take the lease from a; return how many writes are after a's last one."""
+    first, second = start(store, "a")[0], start(store, "b")[0]
+    for _ in range(2):
+        await step(first, clock)
+    writes = len(store.copies)
+    await step(second, clock)
+    clock.now += LEASE_TIME + LEASE_MARGIN + 0.1
+    for _ in range(2):
+        await step(second, clock)
+        clock.now += 0.1
+    assert second.is_held(clock.now)
+    assert not first.is_held(clock.now)
+    return first, second, len(store.copies) - writes
+
+
+async def test_holder_that_the_copy_lacks_keeps_the_lease(
+    store: Store, clock: Clock
+) -> None:
+    """A holder gave way to the record of one before it, and keys had no assigner."""
+    first, second, newer = await hand_over(store, clock)
+    store.restore(newer)
+    for _ in range(3):
+        await step(second, clock)
+        await step(first, clock)
+        clock.now += 0.1
+    assert second.is_held(clock.now)
+    assert not first.is_held(clock.now)
+    clock.now += LEASE_TIME - 0.2
+    assert second.is_held(clock.now)
+
+
+async def test_terms_of_a_holder_after_a_restore_are_above_all_before(
+    store: Store, clock: Clock
+) -> None:
+    """Targets refused the grants of a holder under fences that they had seen passed."""
+    _, second, newer = await hand_over(store, clock)
+    store.restore(newer)
+    other = start(store, "c")[0]
+    await step(other, clock)
+    clock.now += RUN_OUT + 0.1
+    for _ in range(2):
+        await step(other, clock)
+        clock.now += 0.1
+    assert other.is_held(clock.now)
+    assert other.term > second.term
+    assert other.term >= TERMS_AN_ERA
+
+
+async def test_holder_goes_on_in_its_term_after_a_restore(
+    store: Store, clock: Clock
+) -> None:
+    """Assigners that began a new term took over an assignment from before a move."""
+    _, second, newer = await hand_over(store, clock)
+    before = second.term
+    store.restore(newer)
+    for _ in range(3):
+        await step(second, clock)
+        clock.now += 0.1
+    assert second.is_held(clock.now)
+    assert second.term == before
+
+
+async def test_instance_that_starts_just_then_does_not_take_a_held_lease(
+    store: Store, clock: Clock
+) -> None:
+    """The copy named its earlier life, so it took the lease beside the holder."""
+    _, second, newer = await hand_over(store, clock)
+    store.restore(newer)
+    again = start(store, "a", life=2)[0]
+    for _ in range(3):
+        await step(again, clock)
+        clock.now += 0.1
+    assert not again.is_held(clock.now)
+    assert second.is_held(clock.now)
+
+
+async def test_lost_holder_is_replaced_when_it_must_have_run_out(
+    store: Store, clock: Clock
+) -> None:
+    """A record of an older copy kept everyone from the lease."""
+    _, _, newer = await hand_over(store, clock)
+    store.restore(newer)
+    other = start(store, "c")[0]
+    await step(other, clock)
+    clock.now += RUN_OUT - 0.1
+    await step(other, clock)
+    assert not other.is_held(clock.now)
+    clock.now += 0.2
+    for _ in range(2):
+        await step(other, clock)
+        clock.now += 0.1
+    assert other.is_held(clock.now)
+
+
+async def test_holder_takes_no_lease_back_from_one_of_the_new_era(
+    store: Store, clock: Clock
+) -> None:
+    """Two instances that had both seen the copy took the lease from each other."""
+    _, second, newer = await hand_over(store, clock)
+    store.restore(newer)
+    other = start(store, "c")[0]
+    await step(other, clock)
+    clock.now += RUN_OUT + 0.1
+    for _ in range(2):
+        await step(other, clock)
+        await step(second, clock)
+        clock.now += 0.1
+    assert other.is_held(clock.now)
+    assert not second.is_held(clock.now)
+
+
+@pytest.mark.parametrize("seed", range(150))
+async def test_never_two_holders_whatever_the_copies(
+    store: Store, clock: Clock, seed: int
+) -> None:
+    """Random restores, cuts, restarts and stops showed two holders at once."""
+    rng = Random(seed)
+    lives = dict.fromkeys(NAMES, 1)
+    running = {name: start(store, name) for name in NAMES}
+    for election, _ in running.values():
+        await step(election, clock)
+    holders_by_term: dict[int, str] = {}
+    for _ in range(STEPS):
+        name = rng.choice(NAMES)
+        election, client = running[name]
+        match rng.randrange(40):
+            case 0:
+                store.restore(rng.randrange(12))
+            case 1:
+                lives[name] += 1
+                running[name] = start(store, name, lives[name])
+            case 2 | 3:
+                client.is_cut_off = not client.is_cut_off
+            case 4:
+                await election.async_give_up()
+                election.is_standing_down = False
+            case 5:
+                clock.now += rng.uniform(1.0, 14.0)
+            case _:
+                await step(election, clock)
+        clock.now += rng.uniform(0.0, 0.3)
+        held = [name for name in NAMES if running[name][0].is_held(clock.now)]
+        assert len(held) <= 1
+        for holder in held:
+            term = running[holder][0].term
+            incarnation = f"{holder}/{lives[holder]}"
+            assert holders_by_term.setdefault(term, incarnation) == incarnation
