--- a/tests/keyranges/conftest.py
+++ b/tests/keyranges/conftest.py
@@ -9,6 +9,8 @@
 import pytest
 
 from swiftpin.discovery.target_directory import TargetDirectory
+from swiftpin.keyranges import lease_election as lease_module
+from swiftpin.keyranges import lease_store as lease_store_module
 from swiftpin.keyranges.target_sessions import TargetSessions
 
 
@@ -27,3 +29,23 @@
 def sessions_fixture(directory: TargetDirectory) -> TargetSessions:
     """Return the sessions with a module's directory's targets."""
     return TargetSessions(directory)
+
+
+class Clock:
+    """Time that a test sets."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        """Return the present time."""
+        return self.now
+
+
+@pytest.fixture(name="clock")
+def clock_fixture(monkeypatch: pytest.MonkeyPatch) -> Clock:
+    """Return the clock of the leases."""
+    clock = Clock()
+    for module in (lease_module, lease_store_module):
+        monkeypatch.setattr(module, "suspend_aware_now", clock)
+    return clock
--- a/tests/keyranges/test_lease_election.py
+++ b/tests/keyranges/test_lease_election.py
@@ -14,14 +14,13 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
-from swiftpin.keyranges import lease_election as lease_module
-from swiftpin.keyranges import lease_store as lease_store_module
 from swiftpin.keyranges.const import EXTENSION_LIMIT, LEASE_MARGIN, LEASE_TIME
 from swiftpin.keyranges.lease_election import LeaseElection
 from swiftpin.keyranges.lease_turn import CALM_POLL, POLL, RANK_ELECTION_DELAY
 from swiftpin.model.store_revision import era_of, make_revision
 from swiftpin.platform.platform_object import PlatformObject
 from swiftpin.store_errors import ObjectMissingError
+from tests.keyranges.conftest import Clock
 
 
 class FakeStore:
@@ -94,26 +93,6 @@
         return self.revision
 
 
-class Clock:
-    """Time that a test sets."""
-
-    def __init__(self) -> None:
-        self.now = 100.0
-
-    def __call__(self) -> float:
-        """Return the present time."""
-        return self.now
-
-
-@pytest.fixture(name="clock")
-def clock_fixture(monkeypatch: pytest.MonkeyPatch) -> Clock:
-    """Return the clock of the leases."""
-    clock = Clock()
-    for module in (lease_module, lease_store_module):
-        monkeypatch.setattr(module, "suspend_aware_now", clock)
-    return clock
-
-
 @pytest.fixture(name="store")
 def store_fixture() -> FakeStore:
     """Return an empty store."""
