Test that keys are served on after copies from before a takeover and before a move

Two whole instances and three targets, requests all over the keys for 4 s from the drill on: share served 1.0 in both.

--- a/tests/router/test_restored_store.py
+++ b/tests/router/test_restored_store.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator
+from http import HTTPStatus
 
 import pytest
 
@@ -137,3 +139,49 @@
 
     await site.async_wait(is_known)
     await site.async_wait(site.is_served)
+
+
+async def served_share(site: Site, via: str, seconds: float) -> float:
+    """Return the share of requests for keys all over that are served for a while."""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + seconds
+    served = asked = 0
+    while loop.time() < until:
+        reply = await site.async_call("/read/x", via=via, key=asked * 4099 % 65536)
+        asked += 1
+        served += reply.status == HTTPStatus.OK
+        await asyncio.sleep(0.02)
+    return served / asked
+
+
+async def test_keys_are_served_on_after_a_copy_from_before_a_takeover(
+    site: Site,
+) -> None:
+    """The copy named a holder that was gone, and nobody assigned keys."""
+    site.store.era = "1"
+    await site.async_wait(lambda: bool(site.leader()))
+    former = site.leader()
+    copy = site.store.copy()
+    await site.async_remove_router(former)
+    await site.async_wait(lambda: site.leader() not in ("", former))
+    present = site.leader()
+    await asyncio.sleep(0.5)
+    site.store.restore(copy)
+    assert await served_share(site, present, 4.0) == 1.0
+    assert site.leader() == present
+
+
+async def test_keys_stay_with_their_owners_after_a_copy_from_before_a_move(
+    site: Site,
+) -> None:
+    """Two targets held the same keys once the copy had brought former owners back."""
+    site.store.era = "1"
+    copy = site.store.copy()
+    joined = await site.async_add_target("joined", "desk")
+    await site.async_wait(lambda: site.is_owner("joined"))
+    await asyncio.sleep(0.5)
+    site.store.restore(copy)
+    await asyncio.sleep(0.5)
+    site.store.put("servers", "joined", joined.entry("desk"))
+    assert await served_share(site, "i0", 4.0) == 1.0
+    assert site.is_owner("joined")
