Say what a record of an older copy is before it is asked for; count a new term by its number

Read as a newcomer would: two conditions of three parts had no name, and a renewal asked after its write for a wish that may have changed meanwhile, so a wish for the next term could be dropped once and be made again 0.1 s later.

--- a/swiftpin/discovery/store_follower.py
+++ b/swiftpin/discovery/store_follower.py
@@ -154,7 +154,7 @@
         """Follow until cancelled."""
         pause = FIRST_PAUSE
         while True:
-            if self._may_rest():
+            if self._skips_watch():
                 self._is_catching_up = True
                 await asyncio.sleep(SKIP_PAUSE)
                 continue
@@ -172,7 +172,7 @@
                 await asyncio.sleep(CHANGE_PAUSE)
 
     @callback
-    def _may_rest(self) -> bool:
+    def _skips_watch(self) -> bool:
         """Return whether others tell the changes at the moment."""
         if self._revision is None or not self._duty.is_skipped():
             return False
--- a/swiftpin/keyranges/lease_election.py
+++ b/swiftpin/keyranges/lease_election.py
@@ -219,17 +219,18 @@
 
     async def _async_renew(self) -> float:
         """Write a renewal; return the seconds until the next one."""
-        era = self._store.era
+        term, era = self.term, self._store.era
+        # Not made from the record last seen: a restored store shows an earlier one.
         renewed = LeaseRecord(
             holder=self._incarnation,
             peer=self._peer,
-            term=next_term(self.term, era) if self.wants_next_term else self.term,
+            term=next_term(term, era) if self.wants_next_term else term,
             renewal=self._renewal + 1,
             era=era,
             members=self.members,
         )
         if await self._async_write(renewed):
-            if self.wants_next_term:
+            if renewed.term > term:
                 self.wants_next_term = False
                 log_message(message_type="lease_next_term", term=renewed.term)
             return LEASE_RENEW
--- a/swiftpin/keyranges/lease_store.py
+++ b/swiftpin/keyranges/lease_store.py
@@ -155,9 +155,10 @@
             self._health.note_failure(str(err), suspend_aware_now())
             return LeaseWrite.UNKNOWN
         found = self.record
-        if self.was_restored if found is None else found.era < self.era:
-            # The copy may lack this instance's own record. Nobody else can take the
-            # lease while it runs: all wait out whoever the copy hides.
+        is_older_copy = self.was_restored if found is None else found.era < self.era
+        if is_older_copy:
+            # It may lack this instance's own record. Nobody else can take the lease
+            # while it runs: all wait out whoever the copy hides.
             return LeaseWrite.UNKNOWN
         if found is None or found.holder != record.holder or found.term > record.term:
             return LeaseWrite.TAKEN
--- a/swiftpin/keyranges/lease_turn.py
+++ b/swiftpin/keyranges/lease_turn.py
@@ -72,7 +72,8 @@
     one asks for votes: it frees the lease only when every such holder has run out.
     """
     record = view.record
-    if view.may_lack_record if record is None else record.era < view.era:
+    is_lost = view.may_lack_record if record is None else record.era < view.era
+    if is_lost:
         wait = LEASE_TIME + LEASE_MARGIN + EXTENSION_LIMIT
         return now - view.unchanged_since > wait
     if record is None:
