--- a/swiftpin/platform/store_client.py
+++ b/swiftpin/platform/store_client.py
@@ -14,7 +14,6 @@
 import orjson
 
 from swiftpin.core import callback, monotonic_now
-from swiftpin.discovery.store_era import StoreEra
 from swiftpin.dispatch.http_client import HttpClient
 from swiftpin.dispatch.http_request import HttpRequest
 from swiftpin.dispatch.http_send_state import HttpSendState
@@ -27,6 +26,7 @@
     StoreUnavailableError,
 )
 from swiftpin.helpers.whole_body import WholeBody
+from swiftpin.model.store_era import StoreEra
 from swiftpin.model.store_revision import era_of, number_of
 from swiftpin.platform.json_fields import FieldError, load_json
 from swiftpin.platform.names import (
--- a/tests/keyranges/test_late_records.py
+++ b/tests/keyranges/test_late_records.py
@@ -10,7 +10,6 @@
 
 import pytest
 
-from swiftpin.discovery.store_era import StoreEra
 from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.discovery.target_directory import TargetDirectory
 from swiftpin.exceptions import (
@@ -26,6 +25,7 @@
 from swiftpin.keyranges.move import Move
 from swiftpin.keyranges.range_assigner import RangeAssigner
 from swiftpin.keyranges.segment import Segment
+from swiftpin.model.store_era import StoreEra
 from swiftpin.platform.platform_object import PlatformObject
 from swiftpin.platform.store_client import StoreClient
 from swiftpin.platform.target_control import (
--- a/tests/keyranges/test_late_renewals.py
+++ b/tests/keyranges/test_late_renewals.py
@@ -9,7 +9,6 @@
 
 import pytest
 
-from swiftpin.discovery.store_era import StoreEra
 from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.discovery.target_directory import TargetDirectory
 from swiftpin.dispatch.http_client import HttpClient
@@ -27,6 +26,7 @@
 from swiftpin.keyranges.lease_election import LeaseElection
 from swiftpin.model.configuration import Configuration
 from swiftpin.model.instance_settings import InstanceSettings
+from swiftpin.model.store_era import StoreEra
 from swiftpin.permits.permit_broker import PermitBroker
 from swiftpin.platform.platform_object import PlatformObject
 from swiftpin.platform.store_client import StoreClient
--- a/tests/keyranges/test_lease_election.py
+++ b/tests/keyranges/test_lease_election.py
@@ -7,7 +7,6 @@
 
 import pytest
 
-from swiftpin.discovery.store_era import StoreEra
 from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.exceptions import (
     StoreConflictError,
@@ -17,6 +16,7 @@
 from swiftpin.keyranges.const import EXTENSION_LIMIT, LEASE_MARGIN, LEASE_TIME
 from swiftpin.keyranges.lease_election import LeaseElection
 from swiftpin.keyranges.lease_turn import CALM_POLL, POLL, RANK_ELECTION_DELAY
+from swiftpin.model.store_era import StoreEra
 from swiftpin.model.store_revision import era_of, make_revision
 from swiftpin.platform.platform_object import PlatformObject
 from swiftpin.store_errors import ObjectMissingError
--- a/tests/keyranges/test_range_assigner.py
+++ b/tests/keyranges/test_range_assigner.py
@@ -9,7 +9,6 @@
 
 import pytest
 
-from swiftpin.discovery.store_era import StoreEra
 from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.discovery.target_directory import FIRST_LIST_SETTLE, TargetDirectory
 from swiftpin.helpers.clock import suspend_aware_now
@@ -21,6 +20,7 @@
 from swiftpin.keyranges.move import Move
 from swiftpin.keyranges.range_assigner import RangeAssigner
 from swiftpin.keyranges.segment import Segment
+from swiftpin.model.store_era import StoreEra
 from swiftpin.model.target_life import TargetLife
 from swiftpin.platform.store_client import StoreClient
 from swiftpin.platform.target_control import (
--- a/tests/keyranges/test_restored_assignment.py
+++ b/tests/keyranges/test_restored_assignment.py
@@ -6,12 +6,12 @@
 
 import pytest
 
-from swiftpin.discovery.store_era import StoreEra
 from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.exceptions import StoreConflictError
 from swiftpin.keyranges.assignment import Assignment, decode_assignment
 from swiftpin.keyranges.assignment_record import AssignmentRecord
 from swiftpin.keyranges.segment import Segment
+from swiftpin.model.store_era import StoreEra
 from swiftpin.model.store_revision import make_revision
 from swiftpin.platform.platform_object import PlatformObject
 from swiftpin.platform.store_client import StoreClient
--- a/tests/keyranges/test_restored_lease.py
+++ b/tests/keyranges/test_restored_lease.py
@@ -8,7 +8,6 @@
 
 import pytest
 
-from swiftpin.discovery.store_era import StoreEra
 from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.exceptions import StoreConflictError, StoreUnavailableError
 from swiftpin.keyranges.const import (
@@ -18,6 +17,7 @@
     TERMS_AN_ERA,
 )
 from swiftpin.keyranges.lease_election import LeaseElection
+from swiftpin.model.store_era import StoreEra
 from swiftpin.model.store_revision import era_of, make_revision
 from swiftpin.platform.platform_object import PlatformObject
 from swiftpin.platform.store_client import StoreClient
