--- a/swiftpin/model/store_revision.py
+++ b/swiftpin/model/store_revision.py
@@ -12,7 +12,7 @@
 from swiftpin.core import callback
 
 ERA_SIZE: Final = 10**12
-"""Revisions of an era; at 3,200 changes a second they last for ten years."""
+"""Revisions of an era, more than any store makes between two restores."""
 
 LAST_ERA: Final = 10**6
 
