--- a/script/gen_metrics_page.py
+++ b/script/gen_metrics_page.py
@@ -36,6 +36,8 @@
     metrics.note_steps("service", 0.0, StepFailure)
     metrics.note_turnaround("service", 0.0)
     metrics.note_store_call("GET", "kind", "200")
+    metrics.link_traffic.note_items("update")
+    metrics.link_traffic.note_lost("silent")
     return metrics
 
 
--- a/swiftpin/fleet/frame_stream.py
+++ b/swiftpin/fleet/frame_stream.py
@@ -9,6 +9,7 @@
 
 from swiftpin.core import callback
 from swiftpin.exceptions import SwiftpinError
+from swiftpin.fleet.link_traffic import LinkTraffic
 from swiftpin.fleet.proto import fleet_pb2 as pb
 
 LENGTH_BYTES: Final = 4
@@ -35,14 +36,19 @@
     """
 
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        traffic: LinkTraffic | None = None,
     ) -> None:
         self._reader = reader
         self._writer = writer
+        self._traffic = traffic or LinkTraffic()
 
     async def send_message(self, message: Any) -> None:  # noqa: ANN401  # generated
         """Send a frame; wait while the other side takes none."""
         body = message.SerializeToString()
+        self._traffic.note_bytes(LENGTH_BYTES + len(body))
         self._writer.write(len(body).to_bytes(LENGTH_BYTES, "big") + body)
         await self._writer.drain()
 
--- a/swiftpin/fleet/link.py
+++ b/swiftpin/fleet/link.py
@@ -6,6 +6,7 @@
 from typing import Any, Final, Protocol
 
 from swiftpin.core import callback
+from swiftpin.fleet.link_traffic import LinkTraffic
 from swiftpin.fleet.proto import fleet_pb2 as pb
 
 HEARTBEAT_INTERVAL: Final = 0.3
@@ -54,7 +55,14 @@
 class PeerLink:
     """Sends items in frames, as many at a time as wait, and hands on what comes in."""
 
-    def __init__(self, handler: LinkHandler, now: float, *, is_outgoing: bool) -> None:
+    def __init__(
+        self,
+        handler: LinkHandler,
+        now: float,
+        *,
+        is_outgoing: bool,
+        traffic: LinkTraffic | None = None,
+    ) -> None:
         self.is_outgoing = is_outgoing
         self.incarnation = ""
         """The other side, once it said who it is."""
@@ -67,6 +75,10 @@
 
         self.heard_at = now
         self.is_closed = False
+        self.is_silent = False
+        """Whether the link ended since the other side was not heard."""
+
+        self._traffic = traffic or LinkTraffic()
         self._sent_at = now
         self._heartbeat_at = now
         self._last_heartbeat: Item | None = None
@@ -82,6 +94,7 @@
         if len(self._waiting) >= MOST_WAITING:
             self.close()
             return
+        self._traffic.note_items(item.WhichOneof("body"))
         self._waiting.append(item)
         self._wake.set()
 
@@ -151,6 +164,7 @@
                 self._last_heartbeat = item.heartbeat
                 due_at = now + HEARTBEAT_INTERVAL
             await asyncio.sleep(min(due_at - now, HEARTBEAT_INTERVAL))
+        self.is_silent = not self.is_closed
 
     @callback
     def _heartbeat_due_at(self, heartbeat: Item) -> float:
--- a/swiftpin/fleet/links.py
+++ b/swiftpin/fleet/links.py
@@ -12,6 +12,7 @@
 from swiftpin.exceptions import ConfigurationError
 from swiftpin.fleet.frame_stream import FrameError, FrameStream
 from swiftpin.fleet.link import LinkHandler, PeerLink
+from swiftpin.fleet.link_traffic import LinkTraffic
 from swiftpin.fleet.proto import fleet_pb2 as pb
 from swiftpin.helpers.address import Address, parse_address
 
@@ -33,6 +34,7 @@
         self.outgoing_by_peer: dict[str, PeerLink] = {}
         self.incoming: set[PeerLink] = set()
         self.on_lost: Callable[[PeerLink], None] = _ignore
+        self.traffic = LinkTraffic()
         self._incarnation = incarnation
         self._own_peer = own_peer
         self._strength = strength
@@ -79,12 +81,10 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serve a link that another instance opened."""
-        link = PeerLink(
-            self._handler, asyncio.get_running_loop().time(), is_outgoing=False
-        )
+        link = self._make_link(is_outgoing=False)
         self.incoming.add(link)
         try:
-            await self._async_serve(link, FrameStream(reader, writer))
+            await self._async_serve(link, FrameStream(reader, writer, self.traffic))
         finally:
             self.incoming.discard(link)
 
@@ -112,13 +112,11 @@
         address = parse_address(peer)
         async with asyncio.timeout(CONNECT_TIMEOUT):
             reader, writer = await asyncio.open_connection(address.host, address.port)
-        link = PeerLink(
-            self._handler, asyncio.get_running_loop().time(), is_outgoing=True
-        )
+        link = self._make_link(is_outgoing=True)
         link.peer = peer
         self.outgoing_by_peer[peer] = link
         try:
-            await self._async_serve(link, FrameStream(reader, writer))
+            await self._async_serve(link, FrameStream(reader, writer, self.traffic))
         finally:
             if self.outgoing_by_peer.get(peer) is link:
                 del self.outgoing_by_peer[peer]
@@ -129,15 +127,24 @@
         try:
             await link.async_run(stream)
         except LINK_ERRORS as err:
-            self._note_lost(link, repr(err))
+            self._note_lost(link, "error", repr(err))
         else:
-            self._note_lost(link, "silent or ended")
+            reason = "silent" if link.is_silent else "ended"
+            self._note_lost(link, reason, reason)
         finally:
             # Also when this instance ends it: what was asked for over the link would
             # be waited for until its time is over.
             stream.close()
             self.on_lost(link)
 
+    @callback
+    def _make_link(self, *, is_outgoing: bool) -> PeerLink:
+        """Return a link that has yet to be served."""
+        now = asyncio.get_running_loop().time()
+        return PeerLink(
+            self._handler, now, is_outgoing=is_outgoing, traffic=self.traffic
+        )
+
     @callback
     def _greet(self, link: PeerLink) -> None:
         """Say who this instance is."""
@@ -152,14 +159,15 @@
         )
 
     @callback
-    def _note_lost(self, link: PeerLink, reason: str) -> None:
-        """Write a line for a link that ended."""
+    def _note_lost(self, link: PeerLink, reason: str, detail: str) -> None:
+        """Count a link that ended, and write a line for it."""
+        self.traffic.note_lost(reason)
         log_message(
             message_type="peer_lost",
             level="warning",
             peer=link.incarnation or link.peer,
             outgoing=link.is_outgoing,
-            reason=reason,
+            reason=detail,
         )
 
 
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -93,6 +93,7 @@
             health=self._health,
             poison=self._poison,
         )
+        self._metrics.add_links(self._fleet.links.traffic)
         self._lease.on_seen = self._fleet.leader.note_record
         self._assigners = AssignerFactory(
             settings=settings,
--- a/swiftpin/router/metrics.py
+++ b/swiftpin/router/metrics.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Final
 
 from swiftpin.core import callback
+from swiftpin.fleet.link_traffic import LinkTraffic
 from swiftpin.helpers.logging_writer import LineWriter
 from swiftpin.result import ResultCode
 from swiftpin.router.bucket_counts import BucketCounts
@@ -92,6 +93,9 @@
         self.leads = False
         self.store_lost = False
         self.log_writer: LineWriter | None = None
+        self.link_traffic = LinkTraffic()
+        """What goes over the links to other instances."""
+
         self._registry: CollectorRegistry | None = None
 
     @property
@@ -108,6 +112,11 @@
         """Serve the counts of the log's writer too."""
         self.log_writer = writer
 
+    @callback
+    def add_links(self, traffic: LinkTraffic) -> None:
+        """Serve the counts of the links too."""
+        self.link_traffic = traffic
+
     @callback
     def note_store_call(self, method: str, kind: str, outcome: str) -> None:
         """Count a call of the store."""
--- a/swiftpin/router/metrics_registry.py
+++ b/swiftpin/router/metrics_registry.py
@@ -14,6 +14,7 @@
 )
 
 from swiftpin.core import callback
+from swiftpin.fleet.link_traffic import LinkTraffic
 from swiftpin.helpers.logging_writer import LineWriter
 from swiftpin.router.bucket_counts import BucketCounts
 from swiftpin.router.metrics import Metrics
@@ -102,6 +103,7 @@
             "1 while the store does not answer this instance.",
             value=metrics.store_lost,
         )
+        yield from _link_metrics(metrics.link_traffic)
         if metrics.log_writer is not None:
             yield from _log_metrics(metrics.log_writer)
 
@@ -133,6 +135,29 @@
     return family
 
 
+def _link_metrics(traffic: LinkTraffic) -> Iterator[Metric]:
+    """Return the counts of the links to other instances."""
+    yield _counter(
+        "swiftpin_router_link_items",
+        "Items sent to other instances, by kind; an `update` holds the configuration"
+        " or targets.",
+        ("kind",),
+        {(kind,): count for kind, count in traffic.items_sent.items()},
+    )
+    yield CounterMetricFamily(
+        "swiftpin_router_link_bytes",
+        "Bytes sent to other instances.",
+        value=traffic.bytes_sent,
+    )
+    yield _counter(
+        "swiftpin_router_links_lost",
+        "Links to other instances that ended: `silent` since nothing was heard,"
+        " `ended` by either side, `error` with a broken connection.",
+        ("reason",),
+        {(reason,): count for reason, count in traffic.links_lost.items()},
+    )
+
+
 def _log_metrics(writer: LineWriter) -> Iterator[Metric]:
     """Return the counts of the log's writer."""
     yield CounterMetricFamily(
