Send documents between instances in parts, so that heartbeats do not wait behind them

Cause: a configuration of 285 kB, a list of targets or a key map went out as one frame. It takes 0.46 s of a link of 5 Mbit/s, and heartbeats, grants and permits wait behind it.

Change: a link has a lane for documents. They go out in fragments of 4 kB, two unconfirmed ones a link at most, and as many on all links of an instance as its own link takes in 50 ms (`link_mbps` of the settings). A document is made when its turn comes, so what was superseded while it waited is not sent. Changes of key maps keep their place behind a whole map.

--- a/swiftpin/fleet/link.py
+++ b/swiftpin/fleet/link.py
@@ -5,7 +5,12 @@
 import asyncio
 from typing import Any, Final, Protocol
 
+from google.protobuf.message import DecodeError
+
 from swiftpin.core import callback
+from swiftpin.fleet.document_lane import DocumentBudget, DocumentLane, MakeDocument
+from swiftpin.fleet.frame_stream import FrameError
+from swiftpin.fleet.item import Item
 from swiftpin.fleet.link_traffic import LinkTraffic
 from swiftpin.fleet.proto import fleet_pb2 as pb
 
@@ -28,9 +33,6 @@
 MOST_WAITING: Final = 20_000
 """Items that may wait to be sent; a link that is further behind is closed."""
 
-Item = Any
-"""A message of the generated code, which has no types."""
-
 
 class Frames(Protocol):
     """A connection's frames, at either side."""
@@ -62,6 +64,7 @@
         *,
         is_outgoing: bool,
         traffic: LinkTraffic | None = None,
+        documents: DocumentBudget | None = None,
     ) -> None:
         self.is_outgoing = is_outgoing
         self.incarnation = ""
@@ -74,6 +77,9 @@
         """Until when the other side leaves the lease alone, on the holder's clock."""
 
         self.heard_at = now
+        self.fragment_at = now
+        """When a part of a document arrived last."""
+
         self.is_closed = False
         self.is_silent = False
         """Whether the link ended since the other side was not heard."""
@@ -84,6 +90,7 @@
         self._last_heartbeat: Item | None = None
         self._handler = handler
         self._waiting: list[Item] = []
+        self._lane = DocumentLane(documents or DocumentBudget(0.0), self.send)
         self._wake = asyncio.Event()
 
     @callback
@@ -98,10 +105,28 @@
         self._waiting.append(item)
         self._wake.set()
 
+    @callback
+    def send_document(self, make: MakeDocument) -> None:
+        """Send what may be long, without delaying what is sent meanwhile.
+
+        It is made when its turn comes, from what is known then.
+        """
+        if not self.is_closed:
+            self._lane.add(make)
+
+    @callback
+    def send_after_documents(self, item: Item) -> None:
+        """Send an item that must not arrive before documents sent earlier."""
+        if self._lane.is_idle:
+            self.send(item)
+        else:
+            self.send_document(lambda: item)
+
     @callback
     def close(self) -> None:
         """End the link."""
         self.is_closed = True
+        self._lane.close()
         self._wake.set()
 
     @callback
@@ -126,7 +151,7 @@
             for task in done:
                 task.result()
         finally:
-            self.is_closed = True
+            self.close()
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
@@ -150,8 +175,30 @@
                 return
             self.heard_at = loop.time()
             for item in frame.items:
+                self._take(item)
+
+    @callback
+    def _take(self, item: Item) -> None:
+        """Hand on an item, a document once it is whole."""
+        match item.WhichOneof("body"):
+            case "fragment":
+                self.fragment_at = self.heard_at
+                self._take_fragment(item.fragment)
+            case "fragment_taken":
+                self._lane.confirm()
+            case _:
                 self._handler.handle_item(self, item)
 
+    @callback
+    def _take_fragment(self, fragment: pb.Fragment) -> None:
+        """Take a part of a document."""
+        try:
+            document = self._lane.take(fragment)
+        except DecodeError as err:
+            raise FrameError(f"unreadable document: {err}") from err
+        if document is not None:
+            self._handler.handle_item(self, document)
+
     async def _async_watch(self) -> None:
         """Send heartbeats, and end the link when none come back."""
         loop = asyncio.get_running_loop()
--- a/swiftpin/fleet/links.py
+++ b/swiftpin/fleet/links.py
@@ -10,6 +10,7 @@
 
 from swiftpin.core import callback
 from swiftpin.exceptions import ConfigurationError
+from swiftpin.fleet.document_lane import DocumentBudget
 from swiftpin.fleet.frame_stream import FrameError, FrameStream
 from swiftpin.fleet.link import LinkHandler, PeerLink
 from swiftpin.fleet.link_traffic import LinkTraffic
@@ -29,12 +30,19 @@
     """Opens the links that are wanted and serves those that others open."""
 
     def __init__(
-        self, *, incarnation: str, own_peer: str, strength: float, handler: LinkHandler
+        self,
+        *,
+        incarnation: str,
+        own_peer: str,
+        strength: float,
+        handler: LinkHandler,
+        bandwidth: float = 0.0,
     ) -> None:
         self.outgoing_by_peer: dict[str, PeerLink] = {}
         self.incoming: set[PeerLink] = set()
         self.on_lost: Callable[[PeerLink], None] = _ignore
         self.traffic = LinkTraffic()
+        self._documents = DocumentBudget(bandwidth)
         self._incarnation = incarnation
         self._own_peer = own_peer
         self._strength = strength
@@ -142,7 +150,11 @@
         """Return a link that has yet to be served."""
         now = asyncio.get_running_loop().time()
         return PeerLink(
-            self._handler, now, is_outgoing=is_outgoing, traffic=self.traffic
+            self._handler,
+            now,
+            is_outgoing=is_outgoing,
+            traffic=self.traffic,
+            documents=self._documents,
         )
 
     @callback
--- a/swiftpin/model/instance_settings.py
+++ b/swiftpin/model/instance_settings.py
@@ -34,5 +34,8 @@
     strength: float
     """Share of a usual core that the instance may use."""
 
+    bandwidth: float
+    """Bytes a second of the instance's own link; 0 where it is not told."""
+
     first_start: bool
     """Whether the whole system starts for the first time."""
--- a/swiftpin/permits/permit_broker.py
+++ b/swiftpin/permits/permit_broker.py
@@ -8,7 +8,8 @@
 from typing import Final
 
 from swiftpin.core import callback
-from swiftpin.fleet.link import Item, PeerLink
+from swiftpin.fleet.item import Item
+from swiftpin.fleet.link import PeerLink
 from swiftpin.fleet.proto import fleet_pb2 as pb
 from swiftpin.model.target import Target
 from swiftpin.permits.pending_asks import AskEnd, PendingAsk, PendingAsks
--- a/swiftpin/permits/permit_issuer.py
+++ b/swiftpin/permits/permit_issuer.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 
 from swiftpin.core import callback
-from swiftpin.fleet.link import Item, PeerLink
+from swiftpin.fleet.item import Item
+from swiftpin.fleet.link import PeerLink
 from swiftpin.fleet.proto import fleet_pb2 as pb
 from swiftpin.model.target import Target
 from swiftpin.permits.permit_decision import PermitDecision
--- a/swiftpin/platform/names.py
+++ b/swiftpin/platform/names.py
@@ -26,4 +26,5 @@
 
 VARIABLE_SETTINGS: Final = "SWIFTPIN_SETTINGS"
 JSON_TYPE: Final = "application/json"
+BYTES_A_MEGABIT: Final = 125_000
 MILLISECONDS: Final = 1000.0
--- a/swiftpin/platform/settings.py
+++ b/swiftpin/platform/settings.py
@@ -11,7 +11,7 @@
 from swiftpin.helpers.address import parse_address
 from swiftpin.model.bounds import Bounds
 from swiftpin.model.instance_settings import InstanceSettings
-from swiftpin.platform.names import MILLISECONDS
+from swiftpin.platform.names import BYTES_A_MEGABIT, MILLISECONDS
 
 
 def read_settings(path: str) -> InstanceSettings:
@@ -60,6 +60,7 @@
         # A core is that many times as fast as a usual one, and only a share of it is
         # the process's own.
         strength=own["limits"]["cpu_share"] * own["limits"]["cores"],
+        bandwidth=own["limits"].get("link_mbps", 0.0) * BYTES_A_MEGABIT,
         first_start=bool(own["bootstrap"]),
     )
 
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -83,6 +83,7 @@
             incarnation=incarnation,
             own_peer=str(settings.peers),
             strength=settings.strength,
+            bandwidth=settings.bandwidth,
             seeds=settings.seeds,
             lease=self._lease,
             permits=self._permits,
--- a/swiftpin/router/extension_votes.py
+++ b/swiftpin/router/extension_votes.py
@@ -9,7 +9,8 @@
 
 from swiftpin.core import callback
 from swiftpin.discovery.store_health import StoreHealth
-from swiftpin.fleet.link import Item, PeerLink
+from swiftpin.fleet.item import Item
+from swiftpin.fleet.link import PeerLink
 from swiftpin.fleet.links import FleetLinks
 from swiftpin.keyranges.const import VOTE_TIME
 from swiftpin.keyranges.lease_election import LeaseElection
--- a/swiftpin/router/fleet_coordinator.py
+++ b/swiftpin/router/fleet_coordinator.py
@@ -11,7 +11,8 @@
 from swiftpin.core import callback
 from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.discovery.target_directory import TargetDirectory
-from swiftpin.fleet.link import Item, PeerLink
+from swiftpin.fleet.item import Item
+from swiftpin.fleet.link import PeerLink
 from swiftpin.fleet.links import FleetLinks
 from swiftpin.gateway.lifecycle import Lifecycle
 from swiftpin.helpers.clock import suspend_aware_now
@@ -51,6 +52,7 @@
         incarnation: str,
         own_peer: str,
         strength: float,
+        bandwidth: float,
         seeds: tuple[str, ...],
         lease: LeaseElection,
         permits: PermitBroker,
@@ -66,6 +68,7 @@
             own_peer=own_peer,
             strength=strength,
             handler=self,
+            bandwidth=bandwidth,
         )
         links.on_lost = permits.note_lost
         self._seeds = seeds
--- a/swiftpin/router/fleet_messages.py
+++ b/swiftpin/router/fleet_messages.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from swiftpin.fleet.link import Item
+from swiftpin.fleet.item import Item
 from swiftpin.fleet.proto import fleet_pb2 as pb
 from swiftpin.keyranges.key_map import KeyMap, OwnerChange
 from swiftpin.permits.permit_issuers import PermitIssuers
--- a/swiftpin/router/gossip.py
+++ b/swiftpin/router/gossip.py
@@ -13,7 +13,8 @@
 from swiftpin.discovery.const import GOSSIP_LAG
 from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.discovery.target_directory import TargetDirectory
-from swiftpin.fleet.link import Item, PeerLink
+from swiftpin.fleet.item import Item
+from swiftpin.fleet.link import PeerLink
 from swiftpin.fleet.links import FleetLinks
 from swiftpin.fleet.proto import fleet_pb2 as pb
 from swiftpin.helpers.clock import suspend_aware_now
@@ -151,7 +152,12 @@
 
     @callback
     def give(self, link: PeerLink, ask: Item) -> None:
-        """Answer a neighbour that is behind."""
+        """Answer a neighbour that is behind, with what is known when its turn comes."""
+        link.send_document(partial(self._make_update, ask))
+
+    @callback
+    def _make_update(self, ask: Item) -> Item | None:
+        """Return what a neighbour that asked lacks."""
         update = pb.Update()
         if self._configuration.version > ask.configuration:
             update.configuration = self._configuration.encoded
@@ -162,7 +168,7 @@
                 target for target in present if target.revision > ask.targets
             )
             update.target_ids.extend(target.id for target in present)
-        link.send(pb.Item(update=update))
+        return pb.Item(update=update)
 
     @callback
     def take(self, update: Item) -> None:
--- a/swiftpin/router/heartbeats.py
+++ b/swiftpin/router/heartbeats.py
@@ -5,7 +5,8 @@
 from swiftpin.core import callback
 from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.discovery.target_directory import TargetDirectory
-from swiftpin.fleet.link import Item, PeerLink
+from swiftpin.fleet.item import Item
+from swiftpin.fleet.link import PeerLink
 from swiftpin.fleet.proto import fleet_pb2 as pb
 from swiftpin.gateway.lifecycle import Lifecycle
 from swiftpin.keyranges.lease_election import LeaseElection
--- a/swiftpin/router/holder_view.py
+++ b/swiftpin/router/holder_view.py
@@ -6,7 +6,8 @@
 from typing import Final
 
 from swiftpin.core import callback
-from swiftpin.fleet.link import Item, PeerLink
+from swiftpin.fleet.item import Item
+from swiftpin.fleet.link import PeerLink
 from swiftpin.fleet.links import FleetLinks
 
 HOLDER_CATCH_UP: Final = 2.0
--- a/swiftpin/router/key_map_sharing.py
+++ b/swiftpin/router/key_map_sharing.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 from swiftpin.core import callback
+from swiftpin.fleet.item import Item
 from swiftpin.fleet.link import PeerLink
 from swiftpin.fleet.links import FleetLinks
 from swiftpin.fleet.proto import fleet_pb2 as pb
@@ -30,17 +33,24 @@
         """
         before = self._maps.maps_by_service.get(key_map.service)
         self._maps.adopt(key_map)
-        item = encode_key_map(key_map)
         if before is not None and _follows(key_map, before):
-            item = encode_key_map_change(key_map, key_map.changes_since(before))
+            change = encode_key_map_change(key_map, key_map.changes_since(before))
+            for link in self._links.incoming:
+                link.send_after_documents(change)
+            return
         for link in self._links.incoming:
-            link.send(item)
+            link.send_document(partial(self._encode, key_map.service))
 
     @callback
     def give(self, link: PeerLink) -> None:
         """Give all maps whole."""
-        for key_map in self._maps.maps_by_service.values():
-            link.send(encode_key_map(key_map))
+        for service in self._maps.maps_by_service:
+            link.send_document(partial(self._encode, service))
+
+    @callback
+    def _encode(self, service: str) -> Item:
+        """Return the present map of a service."""
+        return encode_key_map(self._maps.maps_by_service[service])
 
     @callback
     def take_change(self, link: PeerLink, change: pb.KeyMapChange) -> None:
--- a/swiftpin/router/leader.py
+++ b/swiftpin/router/leader.py
@@ -9,7 +9,7 @@
 from eliot import log_message
 
 from swiftpin.core import callback
-from swiftpin.fleet.link import Item
+from swiftpin.fleet.item import Item
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.keyranges.fences import Fences
 from swiftpin.keyranges.lease_election import LeaseElection
--- a/swiftpin/router/load_reports.py
+++ b/swiftpin/router/load_reports.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from swiftpin.core import callback
-from swiftpin.fleet.link import Item
+from swiftpin.fleet.item import Item
 from swiftpin.fleet.links import FleetLinks
 from swiftpin.keyranges.lease_election import LeaseElection
 from swiftpin.router.fleet_messages import LoadReport, encode_load
--- a/swiftpin/router/watch_duty.py
+++ b/swiftpin/router/watch_duty.py
@@ -9,7 +9,8 @@
 
 from swiftpin.core import callback
 from swiftpin.discovery.store_health import StoreHealth
-from swiftpin.fleet.link import Item, PeerLink
+from swiftpin.fleet.item import Item
+from swiftpin.fleet.link import PeerLink
 from swiftpin.fleet.links import FleetLinks
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.keyranges.lease_election import LeaseElection
--- a/tests/fleet/test_link.py
+++ b/tests/fleet/test_link.py
@@ -7,10 +7,10 @@
 
 import pytest
 
+from swiftpin.fleet.item import Item
 from swiftpin.fleet.link import (
     HEARTBEAT_INTERVAL,
     LONGEST_HEARTBEAT_INTERVAL,
-    Item,
     PeerLink,
 )
 from swiftpin.fleet.proto import fleet_pb2 as pb
@@ -117,3 +117,15 @@
         link._sent_at = 11.0
         link._last_heartbeat = pb.Heartbeat(targets=1)
         assert link._heartbeat_due_at(pb.Heartbeat(targets=2)) == 10.0 + pause
+
+
+def test_what_follows_a_document_does_not_overtake_it() -> None:
+    """Guards against a change of a key map that arrives before the map."""
+    sender = PeerLink(Handler(), 10.0, is_outgoing=True)
+    change = pb.Item(key_map_change=pb.KeyMapChange(number=2))
+    sender.send_after_documents(change)
+    assert sender._waiting == [change]
+    sender.send_document(lambda: pb.Item(key_map=pb.KeyMap(targets=["t" * 50_000])))
+    sender.send_after_documents(change)
+    kinds = [item.WhichOneof("body") for item in sender._waiting[1:]]
+    assert kinds == ["fragment", "fragment"]
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -10,7 +10,8 @@
 from eliot import add_destinations, remove_destination
 import pytest
 
-from swiftpin.fleet.link import Item, PeerLink
+from swiftpin.fleet.item import Item
+from swiftpin.fleet.link import PeerLink
 from swiftpin.fleet.links import FleetLinks
 from swiftpin.fleet.proto import fleet_pb2 as pb
 from swiftpin.helpers.address import Address
--- a/tests/permits/test_permit_issuer.py
+++ b/tests/permits/test_permit_issuer.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from swiftpin.fleet.link import Item, PeerLink
+from swiftpin.fleet.item import Item
+from swiftpin.fleet.link import PeerLink
 from swiftpin.fleet.proto import fleet_pb2 as pb
 from swiftpin.permits.permit_issuer import PermitIssuer
 from swiftpin.permits.turnaround import ignore_turnaround
--- a/tests/router/fleet_fakes.py
+++ b/tests/router/fleet_fakes.py
@@ -4,7 +4,9 @@
 
 from typing import cast
 
-from swiftpin.fleet.link import Item, LinkHandler, PeerLink
+from swiftpin.fleet.document_lane import MakeDocument
+from swiftpin.fleet.item import Item
+from swiftpin.fleet.link import LinkHandler, PeerLink
 from swiftpin.fleet.links import FleetLinks
 from swiftpin.fleet.proto import fleet_pb2 as pb
 
@@ -25,6 +27,12 @@
         """Keep an item."""
         self.sent.append(item)
 
+    def send_document(self, make: MakeDocument) -> None:
+        """Keep a document."""
+        item = make()
+        if item is not None:
+            self.sent.append(item)
+
 
 class FakeLinks:
     """The links of an instance, all of them alive."""
--- a/tests/router/site.py
+++ b/tests/router/site.py
@@ -169,6 +169,7 @@
             bounds=BOUNDS,
             target_heartbeat=0.9,
             strength=1.0,
+            bandwidth=0.0,
             first_start=True,
         )
         router = Router(settings, logging or LoggingSetup(BytesIO(), "info"))
--- a/tests/router/slow_links.py
+++ b/tests/router/slow_links.py
@@ -9,7 +9,9 @@
 from typing import Any, Final
 
 from swiftpin.discovery.store_health import StoreHealth
-from swiftpin.fleet.link import Item, PeerLink
+from swiftpin.fleet.document_lane import DocumentBudget
+from swiftpin.fleet.item import Item
+from swiftpin.fleet.link import PeerLink
 from swiftpin.fleet.proto import fleet_pb2 as pb
 from swiftpin.platform.platform_object import PlatformObject
 from swiftpin.router.configuration_holder import ConfigurationHolder
@@ -92,6 +94,7 @@
         self.name = name
         self.configuration = ConfigurationHolder()
         self.outgoing, self.incoming = Port(bandwidth), Port(bandwidth)
+        self.documents = DocumentBudget(bandwidth)
         self.outgoing_by_peer: dict[str, PeerLink] = {}
         self.links: list[PeerLink] = []
         self.heartbeat_delays: list[float] = []
@@ -244,7 +247,7 @@
     now = asyncio.get_running_loop().time()
     ends = []
     for own, other, is_outgoing in ((member, watcher, True), (watcher, member, False)):
-        link = PeerLink(own, now, is_outgoing=is_outgoing)
+        link = PeerLink(own, now, is_outgoing=is_outgoing, documents=own.documents)
         link.incarnation = link.peer = other.name
         own.links.append(link)
         if is_outgoing:
--- a/tests/router/test_load_reports.py
+++ b/tests/router/test_load_reports.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from swiftpin.fleet.link import Item
+from swiftpin.fleet.item import Item
 from swiftpin.keyranges.lease_election import LeaseElection
 from swiftpin.keyranges.lease_record import LeaseRecord
 from swiftpin.router.fleet_messages import LoadReport
