Ask one neighbour at a time for a document, and wait while it is arriving

Cause: an instance that was behind asked another neighbour every 0.4 s until an answer had arrived. Each answer was the whole document, and on a full link it took longer than 0.4 s, so several copies shared the link, each of them later. The same held for lists of targets and, at each change of a key map after a missed one, for whole key maps. Whether to ask at once hung on the duty to watch the targets, also for configurations.

Change: DocumentAsk keeps account, one for each kind of document: it asks one neighbour, waits as long as parts of the answer arrive, and asks another one 0.6 s after the last part or when the link ends. Whoever is asked makes the answer when its turn comes, and sends none to a neighbour whose heartbeat tells that it has the version by now. The question for configurations is one of its own, by its own duty.

--- a/swiftpin/fleet/link.py
+++ b/swiftpin/fleet/link.py
@@ -77,7 +77,7 @@
         """Until when the other side leaves the lease alone, on the holder's clock."""
 
         self.heard_at = now
-        self.fragment_at = now
+        self.fragment_at = 0.0
         """When a part of a document arrived last."""
 
         self.is_closed = False
--- /dev/null
+++ b/swiftpin/router/document_ask.py
@@ -0,0 +1,97 @@
+"""Asking neighbours for a document that one of them knows in a newer version."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+from typing import Final
+
+from swiftpin.core import callback
+from swiftpin.fleet.item import Item
+from swiftpin.fleet.link import PeerLink
+from swiftpin.fleet.links import FleetLinks
+
+ANSWER_LIMIT: Final = 0.6
+"""Seconds without a part of the answer after which another neighbour is asked."""
+
+
+class DocumentAsk:
+    """Asks one neighbour at a time, and waits while its answer is arriving.
+
+    An answer may take longer over a thin link than a neighbour needs to be asked again;
+    several answers under way delay each other and everything else on the link.
+    """
+
+    def __init__(
+        self,
+        *,
+        links: FleetLinks,
+        rng: Random,
+        is_ahead: Callable[[Item], bool],
+        send_ask: Callable[[PeerLink], None],
+        pause: Callable[[], float],
+    ) -> None:
+        self._links = links
+        self._rng = rng
+        self._is_ahead = is_ahead
+        """Tells by a neighbour's heartbeat whether it knows something newer."""
+
+        self._send_ask = send_ask
+        self._pause = pause
+        """Returns the seconds to stay behind before a neighbour is asked."""
+
+        self._behind_since: float | None = None
+        self._asked: PeerLink | None = None
+        self._asked_at = 0.0
+        self._last_asked = ""
+        """Incarnation of the neighbour that was asked last."""
+
+    @callback
+    def look(self, now: float) -> None:
+        """Ask a neighbour, if one is ahead and no answer is on its way."""
+        ahead = [
+            link
+            for link in self._links.live_links()
+            if link.heartbeat is not None and self._is_ahead(link.heartbeat)
+        ]
+        if not ahead:
+            self._behind_since = self._asked = None
+            return
+        if self._behind_since is None:
+            self._behind_since = now
+        if now - self._behind_since >= self._pause():
+            self.ask(self._choose(ahead, now), now)
+
+    @callback
+    def ask(self, link: PeerLink, now: float) -> None:
+        """Ask a neighbour, unless another one's answer is on its way."""
+        if self._is_answering(now):
+            return
+        self._asked, self._asked_at = link, now
+        self._last_asked = link.incarnation
+        self._send_ask(link)
+
+    @callback
+    def note_answer(self) -> None:
+        """Note that an answer has arrived; it may be outdated already."""
+        self._asked = None
+
+    @callback
+    def _is_answering(self, now: float) -> bool:
+        """Return whether an answer is on its way."""
+        link = self._asked
+        if link is None or link.is_closed:
+            return False
+        return now - max(self._asked_at, link.fragment_at) < ANSWER_LIMIT
+
+    @callback
+    def _choose(self, ahead: list[PeerLink], now: float) -> PeerLink:
+        """Return the neighbour to ask: one that is heard, and not the last one again.
+
+        One that froze or was cut off stays among the links for a second, and whoever
+        asks it alone learns of a leaving target that much later. Each instance chooses
+        at random, since many fall behind at the same moment.
+        """
+        heard = [link for link in ahead if link.is_fresh(now)] or ahead
+        others = [link for link in heard if link.incarnation != self._last_asked]
+        return self._rng.choice(others or heard)
--- a/swiftpin/router/fleet_coordinator.py
+++ b/swiftpin/router/fleet_coordinator.py
@@ -76,7 +76,7 @@
         self._permits = permits
         self._maps = maps
         self.leader = KnownLeader(links)
-        self.key_maps = KeyMapSharing(links, maps)
+        self.key_maps = KeyMapSharing(links, maps, self._ask_key_maps)
         self.load = LoadReports(links, self.leader, lease)
         self._poison = PoisonReports(links, self.leader, poison)
         self._heartbeats = Heartbeats(
@@ -141,6 +141,7 @@
                 self.load.on_load(item.load)
             case "key_map":
                 self._maps.adopt(decode_key_map(item.key_map))
+                self.gossip.note_key_map()
             case "key_map_change":
                 self.key_maps.take_change(link, item.key_map_change)
             case "key_map_ask":
@@ -153,10 +154,14 @@
                 self._issuers.take(decode_issuers(item.issuers))
             case "hello":
                 self._take_hello(link, item.hello)
+            case "configuration_ask":
+                self.gossip.give_configuration(link, item.configuration_ask)
+            case "configuration":
+                self.gossip.take_configuration(item.configuration)
             case "update_ask":
-                self.gossip.give(link, item.update_ask)
+                self.gossip.give_targets(link, item.update_ask)
             case "update":
-                self.gossip.take(item.update)
+                self.gossip.take_targets(item.update)
 
     @callback
     def make_heartbeat(self, link: PeerLink) -> Item:
@@ -181,6 +186,11 @@
         if self._permits.issuers.number:
             self._issuers.give(link)
 
+    @callback
+    def _ask_key_maps(self, link: PeerLink) -> None:
+        """Ask for key maps of which a change was missed."""
+        self.gossip.ask_key_maps(link)
+
     @callback
     def _keep_links(self) -> None:
         """Keep links to the leader and the issuers; to seeds while neither is known."""
--- a/swiftpin/router/gossip.py
+++ b/swiftpin/router/gossip.py
@@ -23,13 +23,14 @@
 from swiftpin.platform.target_entries import decode_target_list, encode_target_list
 from swiftpin.platform.unusable_entry import UnusableEntryError
 from swiftpin.router.configuration_holder import ConfigurationHolder
+from swiftpin.router.document_ask import DocumentAsk
 from swiftpin.router.holder_view import HolderView
 from swiftpin.router.key_maps import KeyMaps
 from swiftpin.router.watch_duty import WatchDuty, first_issuers
 
 ASK_PAUSE: Final = 0.2
-"""Seconds for which an instance that watches the store stays behind before it asks a
-neighbour: the store's own answer is most likely on its way."""
+"""Seconds for which an instance that is told of changes stays behind before it asks a
+neighbour: what the store or the lease's holder sends is most likely on its way."""
 
 
 class Gossip:
@@ -54,15 +55,8 @@
     ) -> None:
         self.holder = HolderView(links)
         self._incarnation = incarnation
-        self._links = links
-        self._maps = maps
         self._configuration = configuration
         self._directory = directory
-        self._behind_since: float | None = None
-        self._last_asked = ""
-        """Incarnation of the neighbour that was asked last."""
-
-        self._rng = Random(incarnation)
         make_duty = partial(
             WatchDuty,
             incarnation=incarnation,
@@ -81,6 +75,23 @@
             told_version=lambda heartbeat: int(heartbeat.configuration),
             watchers=first_issuers,
         )
+        make_ask = partial(DocumentAsk, links=links, rng=Random(incarnation))
+        self._configuration_ask = make_ask(
+            is_ahead=lambda heartbeat: heartbeat.configuration > configuration.version,
+            send_ask=self._ask_configuration,
+            pause=partial(_pause, self.configuration_duty),
+        )
+        self._targets_ask = make_ask(
+            is_ahead=lambda heartbeat: heartbeat.targets > directory.version,
+            send_ask=self._ask_targets,
+            pause=partial(_pause, self.targets_duty),
+        )
+        self._key_maps_ask = make_ask(
+            is_ahead=lambda heartbeat: _maps_version(heartbeat) > maps.version,
+            send_ask=_ask_key_maps,
+            pause=lambda: ASK_PAUSE if maps.maps_by_service else 0.0,
+        )
+        self._asks = (self._configuration_ask, self._targets_ask, self._key_maps_ask)
 
     @callback
     def _confirm(self) -> None:
@@ -90,99 +101,107 @@
 
     @callback
     def ask(self) -> None:
-        """Ask a neighbour that knows something newer for it."""
-        started_at = asyncio.get_running_loop().time()
-        self.targets_duty.age_version(started_at)
-        self.configuration_duty.age_version(started_at)
-        self.holder.look(started_at)
+        """Ask neighbours that know something newer for it."""
+        now = asyncio.get_running_loop().time()
+        self.targets_duty.age_version(now)
+        self.configuration_duty.age_version(now)
+        self.holder.look(now)
         self._confirm()
-        ahead = [
-            link
-            for link in self._links.live_links()
-            if link.heartbeat is not None and self._is_ahead(link.heartbeat)
-        ]
-        if not ahead:
-            self._behind_since = None
-        elif self._behind_since is None:
-            self._behind_since = started_at
-            if self.targets_duty.is_skipped():
-                # No answer of the store is on its way here.
-                self._ask_link(self._choose(ahead, started_at))
-        elif started_at - self._behind_since > ASK_PAUSE:
-            self._behind_since = started_at
-            self._ask_link(self._choose(ahead, started_at))
+        for ask in self._asks:
+            ask.look(now)
 
     @callback
-    def _choose(self, ahead: list[PeerLink], now: float) -> PeerLink:
-        """Return the neighbour to ask: one that is heard, and not the last one again.
-
-        One that froze or was cut off stays among the links for a second, and whoever
-        asks it alone learns of a leaving target that much later. Each instance chooses
-        at random, since many fall behind at the same moment.
-        """
-        heard = [link for link in ahead if link.is_fresh(now)] or ahead
-        others = [link for link in heard if link.incarnation != self._last_asked]
-        chosen = self._rng.choice(others or heard)
-        self._last_asked = chosen.incarnation
-        return chosen
+    def ask_key_maps(self, link: PeerLink) -> None:
+        """Ask a neighbour for all key maps, unless they are on their way."""
+        self._key_maps_ask.ask(link, asyncio.get_running_loop().time())
 
     @callback
-    def _ask_link(self, link: PeerLink) -> None:
-        """Ask a neighbour for what it knows and this instance does not."""
-        heartbeat: Item = link.heartbeat
-        if (heartbeat.maps_term, heartbeat.maps_number) > self._maps.version:
-            link.send(pb.Item(key_map_ask=pb.KeyMapAsk()))
-        link.send(
-            pb.Item(
-                update_ask=pb.UpdateAsk(
-                    configuration=self._configuration.version,
-                    targets=self._directory.version,
-                )
-            )
-        )
+    def _ask_configuration(self, link: PeerLink) -> None:
+        """Ask a neighbour for its configuration."""
+        ask = pb.ConfigurationAsk(version=self._configuration.version)
+        link.send(pb.Item(configuration_ask=ask))
 
     @callback
-    def _is_ahead(self, heartbeat: Item) -> bool:
-        """Return whether a neighbour knows something newer."""
-        return bool(
-            heartbeat.configuration > self._configuration.version
-            or heartbeat.targets > self._directory.version
-            or (heartbeat.maps_term, heartbeat.maps_number) > self._maps.version
-        )
+    def _ask_targets(self, link: PeerLink) -> None:
+        """Ask a neighbour for the targets that changed since this instance's list."""
+        link.send(pb.Item(update_ask=pb.UpdateAsk(targets=self._directory.version)))
 
     @callback
-    def give(self, link: PeerLink, ask: Item) -> None:
-        """Answer a neighbour that is behind, with what is known when its turn comes."""
-        link.send_document(partial(self._make_update, ask))
+    def give_configuration(self, link: PeerLink, ask: Item) -> None:
+        """Answer a neighbour whose configuration is an older one."""
+        link.send_document(partial(self._make_configuration, link, ask))
 
     @callback
-    def _make_update(self, ask: Item) -> Item | None:
-        """Return what a neighbour that asked lacks."""
-        update = pb.Update()
-        if self._configuration.version > ask.configuration:
-            update.configuration = self._configuration.encoded
-        if self._directory.version > ask.targets:
-            update.targets_revision = self._directory.version
-            present = self._directory.present_targets()
-            update.targets = encode_target_list(
+    def _make_configuration(self, link: PeerLink, ask: Item) -> Item | None:
+        """Return the configuration, None if the neighbour has it by now."""
+        told = 0 if link.heartbeat is None else link.heartbeat.configuration
+        if max(ask.version, told) >= self._configuration.version:
+            return None
+        document = pb.ConfigurationDocument(document=self._configuration.encoded)
+        return pb.Item(configuration=document)
+
+    @callback
+    def give_targets(self, link: PeerLink, ask: Item) -> None:
+        """Answer a neighbour that lacks changes of the targets."""
+        link.send_document(partial(self._make_update, link, ask))
+
+    @callback
+    def _make_update(self, link: PeerLink, ask: Item) -> Item | None:
+        """Return what changed since a neighbour's list, None if it knows by now."""
+        told = 0 if link.heartbeat is None else link.heartbeat.targets
+        if max(ask.targets, told) >= self._directory.version:
+            return None
+        present = self._directory.present_targets()
+        update = pb.Update(
+            targets_revision=self._directory.version,
+            targets=encode_target_list(
                 target for target in present if target.revision > ask.targets
-            )
-            update.target_ids.extend(target.id for target in present)
+            ),
+            target_ids=[target.id for target in present],
+        )
         return pb.Item(update=update)
 
     @callback
-    def take(self, update: Item) -> None:
-        """Take what a neighbour knows."""
-        now = suspend_aware_now()
-        if update.configuration:
-            self._configuration.adopt_encoded(update.configuration, now)
-        if not update.targets_revision:
-            return
+    def note_key_map(self) -> None:
+        """Note that a neighbour sent a whole key map."""
+        self._key_maps_ask.note_answer()
+
+    @callback
+    def take_configuration(self, message: Item) -> None:
+        """Take the configuration that a neighbour knows."""
+        self._configuration_ask.note_answer()
+        self._configuration.adopt_encoded(message.document, suspend_aware_now())
+
+    @callback
+    def take_targets(self, update: Item) -> None:
+        """Take what a neighbour knows of the targets."""
+        self._targets_ask.note_answer()
         try:
             targets = decode_target_list(update.targets)
         except UnusableEntryError as err:
             log_message(message_type="update_refused", level="warning", error=str(err))
             return
         self._directory.adopt_update(
-            targets, frozenset(update.target_ids), update.targets_revision, now
+            targets,
+            frozenset(update.target_ids),
+            update.targets_revision,
+            suspend_aware_now(),
         )
+
+
+@callback
+def _pause(duty: WatchDuty) -> float:
+    """Return the seconds to wait for the store before a neighbour is asked."""
+    return 0.0 if duty.is_skipped() else ASK_PAUSE
+
+
+@callback
+def _maps_version(heartbeat: Item) -> tuple[int, int]:
+    """Return the version of a neighbour's key maps."""
+    return heartbeat.maps_term, heartbeat.maps_number
+
+
+@callback
+def _ask_key_maps(link: PeerLink) -> None:
+    """Ask a neighbour for all its key maps."""
+    link.send(pb.Item(key_map_ask=pb.KeyMapAsk()))
--- a/swiftpin/router/key_map_sharing.py
+++ b/swiftpin/router/key_map_sharing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from functools import partial
 
 from swiftpin.core import callback
@@ -21,9 +22,16 @@
 class KeyMapSharing:
     """Hands maps out whole or as changes, and asks for what was missed."""
 
-    def __init__(self, links: FleetLinks, maps: KeyMaps) -> None:
+    def __init__(
+        self,
+        links: FleetLinks,
+        maps: KeyMaps,
+        ask_whole: Callable[[PeerLink], None],
+    ) -> None:
         self._links = links
         self._maps = maps
+        self._ask_whole = ask_whole
+        """Called with the neighbour that sent a change of a map that is not known."""
 
     @callback
     def hand_out(self, key_map: KeyMap) -> None:
@@ -61,7 +69,7 @@
             self._maps.adopt(known.with_changes(decode_owner_changes(change)))
             return
         if known is None or (known.term, known.number) < changed:
-            link.send(pb.Item(key_map_ask=pb.KeyMapAsk()))
+            self._ask_whole(link)
 
 
 @callback
--- a/tests/router/slow_links.py
+++ b/tests/router/slow_links.py
@@ -107,7 +107,7 @@
                 issuers=SimpleNamespace(members=99, peers_by_incarnation={})
             ),
             "health": StoreHealth(),
-            "maps": SimpleNamespace(version=(0, 0)),
+            "maps": SimpleNamespace(version=(0, 0), maps_by_service={}),
             "directory": SimpleNamespace(version=0),
         }
         self.gossip = Gossip(incarnation=name, configuration=self.configuration, **rest)
@@ -134,10 +134,10 @@
                 now = asyncio.get_running_loop().time()
                 self.heartbeat_delays.append(now - item.heartbeat.sent_at)
                 link.heartbeat = item.heartbeat
-            case "update_ask":
-                self.gossip.give(link, item.update_ask)
-            case "update":
-                self.gossip.take(item.update)
+            case "configuration_ask":
+                self.gossip.give_configuration(link, item.configuration_ask)
+            case "configuration":
+                self.gossip.take_configuration(item.configuration)
 
     def adopt_from_store(self, document: dict[str, Any]) -> None:
         """Take a configuration that a watch brought."""
--- a/tests/router/test_gossip.py
+++ b/tests/router/test_gossip.py
@@ -11,6 +11,7 @@
 from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.fleet.link import LinkHandler, PeerLink
 from swiftpin.fleet.proto import fleet_pb2 as pb
+from swiftpin.router.document_ask import ANSWER_LIMIT
 from swiftpin.router.gossip import Gossip
 from swiftpin.router.holder_view import HOLDER_CATCH_UP
 
@@ -47,7 +48,7 @@
         "lease": lease,
         "permits": permits,
         "health": StoreHealth(),
-        "maps": SimpleNamespace(version=(0, 0)),
+        "maps": SimpleNamespace(version=(0, 0), maps_by_service={}),
         "configuration": SimpleNamespace(version=0, adopt_encoded=pytest.fail),
         "directory": directory,
     }
@@ -67,8 +68,9 @@
 
 
 def ask_again(gossip: Gossip) -> None:
-    """Let a gossip that is behind ask now."""
-    gossip._behind_since = -1.0
+    """Let a gossip that is behind ask now, though nobody answers."""
+    gossip._targets_ask._behind_since = -1.0
+    gossip._targets_ask._asked_at -= ANSWER_LIMIT
     gossip.ask()
 
 
@@ -200,4 +202,4 @@
     not know. Cause: nothing caught the error.
     """
     directory.adopt_update = pytest.fail
-    gossip.take(pb.Update(targets=b'[{"name": 3}]', targets_revision=12))
+    gossip.take_targets(pb.Update(targets=b'[{"name": 3}]', targets_revision=12))
--- a/tests/router/test_key_map_sharing.py
+++ b/tests/router/test_key_map_sharing.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from swiftpin.fleet.link import PeerLink
 from swiftpin.keyranges.key_map import KeyMap, OwnerChange
 from swiftpin.router.key_map_sharing import KeyMapSharing
 from swiftpin.router.key_maps import KeyMaps
@@ -19,6 +20,11 @@
     )
 
 
+def make_sharing(maps: KeyMaps, *links: FakeLink) -> KeyMapSharing:
+    """Return the sharing of an instance that misses nothing."""
+    return KeyMapSharing(make_links(*links), maps, lambda link: pytest.fail("asks"))
+
+
 @pytest.fixture(name="maps")
 def maps_fixture() -> KeyMaps:
     """Return maps, of which one is known."""
@@ -30,7 +36,7 @@
 def test_next_map_goes_out_as_a_change(maps: KeyMaps) -> None:
     """Only a map that does not follow the last one goes out whole."""
     link = FakeLink("a")
-    sharing = KeyMapSharing(make_links(link), maps)
+    sharing = make_sharing(maps, link)
     change = OwnerChange(first=5, last=9, owner="t2")
     sharing.hand_out(make_map(1).with_changes([change]))
     sharing.hand_out(make_map(9, term=2))
@@ -47,8 +53,8 @@
     sender = KeyMaps()
     sender.adopt(make_map(1))
     change = OwnerChange(first=5, last=9, owner="t2")
-    KeyMapSharing(make_links(link), sender).hand_out(make_map(1).with_changes([change]))
-    sharing = KeyMapSharing(make_links(), maps)
+    make_sharing(sender, link).hand_out(make_map(1).with_changes([change]))
+    sharing = make_sharing(maps)
     sharing.take_change(link, link.sent[0].key_map_change)
     assert [maps.owner_of(SERVICE, key) for key in (4, 5, 9, 10)] == [
         "t1",
@@ -71,11 +77,10 @@
     sender = KeyMaps()
     sender.adopt(make_map(number - 1))
     change = OwnerChange(first=5, last=9, owner="t2")
-    KeyMapSharing(make_links(source), sender).hand_out(
-        make_map(number - 1).with_changes([change])
-    )
+    make_sharing(sender, source).hand_out(make_map(number - 1).with_changes([change]))
     link = FakeLink("b")
-    sharing = KeyMapSharing(make_links(), maps)
+    asked: list[PeerLink] = []
+    sharing = KeyMapSharing(make_links(), maps, asked.append)
     sharing.take_change(link, source.sent[0].key_map_change)
-    assert [item.WhichOneof("body") for item in link.sent] == ["key_map_ask"] * asks
+    assert asked == [link] * asks
     assert maps.maps_by_service[SERVICE] == make_map(1)
