Compress configurations on their way between instances

Cause: a configuration travels as JSON, which repeats its field names in each route. With 2,000 routes it has 285 kB, 0.46 s of a link of 5 Mbit/s that does nothing else; callers take most of such a link, and the next version came before this one was there.

Change: instances send each other zlib's format, made once by those who read the store, and keep it as it came to pass it on.

--- a/swiftpin/router/configuration_holder.py
+++ b/swiftpin/router/configuration_holder.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Final
+import zlib
 
 from eliot import log_message
 import orjson
@@ -15,6 +17,12 @@
 from swiftpin.platform.names import NAME_CONFIGURATION
 from swiftpin.platform.platform_object import PlatformObject
 
+PACKING_LEVEL: Final = 1
+"""Level of zlib's compression; higher ones take longer and save little of JSON."""
+
+LARGEST_DOCUMENT: Final = 64 * 1024 * 1024
+"""Bytes of a configuration at most that is unpacked."""
+
 
 class ConfigurationHolder:
     """Adopts only higher versions, from the store or from neighbours."""
@@ -22,7 +30,9 @@
     def __init__(self) -> None:
         self.current: Configuration | None = None
         self.adopted_at = 0.0
-        self.encoded = b""
+        self.packed = b""
+        """What the version in force was read from, for neighbours."""
+
         self.on_change: Callable[[], None] = _ignore
 
     @property
@@ -57,11 +67,11 @@
         return None
 
     @callback
-    def adopt_encoded(self, encoded: bytes, now: float) -> None:
+    def adopt_packed(self, packed: bytes, now: float) -> None:
         """Take the configuration that a neighbour sent."""
         try:
-            document = load_json(encoded)
-        except FieldError as err:
+            document = load_json(_unpack(packed))
+        except (FieldError, zlib.error) as err:
             self._refuse("neighbour", str(err))
             return
         self._adopt(document, "neighbour", now)
@@ -81,7 +91,7 @@
         """Put a document in force if its version is higher."""
         try:
             configuration = decode_configuration(document)
-            encoded = _encode(document)
+            packed = _pack(document)
         except ConfigurationError as err:
             self._refuse(source, str(err))
             return
@@ -103,19 +113,25 @@
         )
         self.current = configuration
         self.adopted_at = now
-        self.encoded = encoded
+        self.packed = packed
         self.on_change()
 
 
 @callback
-def _encode(document: object) -> bytes:
+def _pack(document: object) -> bytes:
     """Return a document for neighbours; raise `ConfigurationError` if it can't be."""
     try:
-        return orjson.dumps(document)
+        return zlib.compress(orjson.dumps(document), PACKING_LEVEL)
     except TypeError as err:
         raise ConfigurationError(f"configuration: {err}") from err
 
 
+@callback
+def _unpack(packed: bytes) -> bytes:
+    """Return what a neighbour packed; raise `zlib.error` if it is not readable."""
+    return zlib.decompressobj().decompress(packed, LARGEST_DOCUMENT)
+
+
 @callback
 def _ignore() -> None:
     """Do nothing."""
--- a/swiftpin/router/gossip.py
+++ b/swiftpin/router/gossip.py
@@ -137,7 +137,7 @@
         told = 0 if link.heartbeat is None else link.heartbeat.configuration
         if max(ask.version, told) >= self._configuration.version:
             return None
-        document = pb.ConfigurationDocument(document=self._configuration.encoded)
+        document = pb.ConfigurationDocument(packed=self._configuration.packed)
         return pb.Item(configuration=document)
 
     @callback
@@ -170,7 +170,7 @@
     def take_configuration(self, message: Item) -> None:
         """Take the configuration that a neighbour knows."""
         self._configuration_ask.note_answer()
-        self._configuration.adopt_encoded(message.document, suspend_aware_now())
+        self._configuration.adopt_packed(message.packed, suspend_aware_now())
 
     @callback
     def take_targets(self, update: Item) -> None:
--- a/tests/platform/test_arbitrary_input.py
+++ b/tests/platform/test_arbitrary_input.py
@@ -5,6 +5,7 @@
 from contextlib import suppress
 from pathlib import Path
 from typing import Any
+import zlib
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -153,7 +154,8 @@
         load_json(body)
     with suppress(UnusableEntryError):
         decode_target_list(body)
-    ConfigurationHolder().adopt_encoded(body, 0.0)
+    ConfigurationHolder().adopt_packed(body, 0.0)
+    ConfigurationHolder().adopt_packed(zlib.compress(body), 0.0)
 
 
 @given(spoilt(configuration(3, ROUTES)))
--- a/tests/router/test_gossip.py
+++ b/tests/router/test_gossip.py
@@ -49,7 +49,7 @@
         "permits": permits,
         "health": StoreHealth(),
         "maps": SimpleNamespace(version=(0, 0), maps_by_service={}),
-        "configuration": SimpleNamespace(version=0, adopt_encoded=pytest.fail),
+        "configuration": SimpleNamespace(version=0, adopt_packed=pytest.fail),
         "directory": directory,
     }
     return Gossip(incarnation="me", **rest)
