Refuse requests while the configuration should have been replaced by now

What callers saw: 404 for routes that had been acknowledged 2.5 s and more before, and requests run by the service of an older version.

Cause: an instance that knew from heartbeats of a newer configuration went on to answer by the one that it had, however long it did not get the newer one. A 404 is final: no caller comes back.

Change: an instance notes when it was first told of each version above its own.

Evidence: test_route_of_a_newer_configuration_is_not_denied, red without the check (404 in place of 503), and the tests of the lag itself.

--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -56,6 +56,7 @@
         self._metrics.add_log(logging.writer)
         self._health = StoreHealth()
         self._configuration = ConfigurationHolder()
+        self._configuration.lag.set_apply_bound(settings.bounds.apply)
         self._directory = TargetDirectory(self._health, settings.bounds.drain)
         self._directory.unusable.on_unusable = self._metrics.note_unusable_entry
         self._maps = KeyMaps()
@@ -218,6 +219,7 @@
         self._settings = settings
         self._assigners.settings = settings
         self._directory.set_drain(settings.bounds.drain)
+        self._configuration.lag.set_apply_bound(settings.bounds.apply)
         self._sender.retries.set_bounds(settings.bounds)
 
     @callback
--- a/swiftpin/router/configuration_holder.py
+++ b/swiftpin/router/configuration_holder.py
@@ -19,6 +19,7 @@
 from swiftpin.platform.json_fields import FieldError, load_json
 from swiftpin.platform.names import NAME_CONFIGURATION
 from swiftpin.platform.platform_object import PlatformObject
+from swiftpin.router.configuration_lag import ConfigurationLag
 
 PACKING_LEVEL: Final = 1
 """Level of zlib's compression; higher ones take longer and save little of JSON."""
@@ -51,6 +52,7 @@
     def __init__(self) -> None:
         self.current: Configuration | None = None
         self.adopted_at = 0.0
+        self.lag = ConfigurationLag()
         self.packed = b""
         """What the version in force was read from, for neighbours."""
 
@@ -61,6 +63,11 @@
         """Return the version in force, 0 before there is one."""
         return 0 if self.current is None else self.current.version
 
+    @callback
+    def note_told(self, version: int, now: float) -> None:
+        """Note that another instance has a version in force."""
+        self.lag.note_told(version, self.version, now)
+
     @callback
     def adopt_list(
         self, objects: tuple[PlatformObject, ...], revision: int, now: float
@@ -162,6 +169,7 @@
         self.current = configuration
         self.adopted_at = now
         self.packed = source.packed
+        self.lag.note_adopted(configuration.version)
         self.on_change()
 
 
--- /dev/null
+++ b/swiftpin/router/configuration_lag.py
@@ -0,0 +1,48 @@
+"""For how long newer configurations than the one in force are known to exist."""
+
+from __future__ import annotations
+
+import math
+from typing import Final
+
+from swiftpin.core import callback
+
+TOLD_LAG: Final = 1.0
+"""Seconds by which an instance may be told late of a new version: the watch of whoever
+tells it, and a heartbeat."""
+
+
+class ConfigurationLag:
+    """Tells when an instance is behind for too long to answer by what it knows.
+
+    It would refuse requests whose routes are there by now, for good, or send them to
+    targets that must not get them any more.
+    """
+
+    def __init__(self) -> None:
+        self._limit = math.inf
+        self._told_at_by_version: dict[int, float] = {}
+        """When others first told of each version above the one in force."""
+
+    @callback
+    def set_apply_bound(self, seconds: float) -> None:
+        """Set how long an accepted configuration may take to be in force."""
+        self._limit = max(seconds - TOLD_LAG, 0.0)
+
+    @callback
+    def note_told(self, version: int, in_force: int, now: float) -> None:
+        """Note that another instance has a version in force."""
+        if version > in_force:
+            self._told_at_by_version.setdefault(version, now)
+
+    @callback
+    def note_adopted(self, version: int) -> None:
+        """Note which version is in force."""
+        for told in [told for told in self._told_at_by_version if told <= version]:
+            del self._told_at_by_version[told]
+
+    @callback
+    def is_outdated(self, now: float) -> bool:
+        """Return whether a newer configuration should be in force by now."""
+        told_at = min(self._told_at_by_version.values(), default=math.inf)
+        return now - told_at > self._limit
--- a/swiftpin/router/heartbeats.py
+++ b/swiftpin/router/heartbeats.py
@@ -9,6 +9,7 @@
 from swiftpin.fleet.link import PeerLink
 from swiftpin.fleet.proto import fleet_pb2 as pb
 from swiftpin.gateway.lifecycle import Lifecycle
+from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.keyranges.lease_election import LeaseElection
 from swiftpin.router.configuration_holder import ConfigurationHolder
 from swiftpin.router.extension_votes import ExtensionVotes
@@ -70,6 +71,7 @@
     def take(self, link: PeerLink, heartbeat: pb.Heartbeat) -> None:
         """Take a heartbeat that came over a link."""
         link.heartbeat = heartbeat
+        self._configuration.note_told(heartbeat.configuration, suspend_aware_now())
         if heartbeat.vote:
             self._votes.take(link, heartbeat.echo)
         lease = self._lease
--- a/swiftpin/router/request_handler.py
+++ b/swiftpin/router/request_handler.py
@@ -21,6 +21,7 @@
 from swiftpin.gateway.http_listener import GatewayProtocol
 from swiftpin.gateway.lifecycle import Lifecycle
 from swiftpin.gateway.request_body import RequestBody
+from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.platform.request_head import RequestHead, decode_request_head
 from swiftpin.router.call import Call
 from swiftpin.router.caller_answer import CallerAnswer
@@ -32,7 +33,8 @@
 from swiftpin.router.step_failure import StepFailure
 
 NOT_READY_RETRY: Final = 0.5
-"""Seconds after which a caller may come back to an instance that just started."""
+"""Seconds after which a caller may come back to an instance that has just started or
+whose configuration is out of date."""
 
 LEAVING_RETRY: Final = 0.05
 """Seconds after which a caller may come back, through the balancer, to another one."""
@@ -148,6 +150,11 @@
             raise NotReadyError(
                 "the instance knows no configuration yet", retry_after=NOT_READY_RETRY
             )
+        if self._configuration.lag.is_outdated(suspend_aware_now()):
+            raise NotReadyError(
+                "the instance's configuration is out of date",
+                retry_after=NOT_READY_RETRY,
+            )
         protocol = request.protocol
         if isinstance(protocol, GatewayProtocol):
             protocol.set_idle_limit(configuration.limits.idle_time)
--- /dev/null
+++ b/tests/router/test_configuration_lag.py
@@ -0,0 +1,63 @@
+"""Tests of instances that know of a newer configuration and do not have it."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from swiftpin.router.configuration_lag import TOLD_LAG, ConfigurationLag
+from tests.router.site import BOUNDS, ROUTES, Site, configuration, route
+
+LIMIT = BOUNDS.apply - TOLD_LAG
+
+
+@pytest.fixture(name="lag")
+def lag_fixture() -> ConfigurationLag:
+    """Return the lag of an instance with version 5 in force, at second 10."""
+    lag = ConfigurationLag()
+    lag.set_apply_bound(BOUNDS.apply)
+    lag.note_adopted(5)
+    return lag
+
+
+def test_known_version_makes_nothing_outdated(lag: ConfigurationLag) -> None:
+    """Others that know the same, or less, say nothing new."""
+    lag.note_told(5, in_force=5, now=10.0)
+    lag.note_told(4, in_force=5, now=10.0)
+    assert not lag.is_outdated(1_000.0)
+
+
+def test_time_counts_from_the_first_word_of_the_oldest(lag: ConfigurationLag) -> None:
+    """Guards against versions in quick succession that put the limit off for ever."""
+    for step in range(10):
+        lag.note_told(6 + step, in_force=5, now=10.0 + step * LIMIT / 5)
+    assert not lag.is_outdated(10.0 + LIMIT)
+    assert lag.is_outdated(10.0 + LIMIT + 0.01)
+    lag.note_adopted(7)
+    assert not lag.is_outdated(10.0 + LIMIT * 7 / 5)
+    assert lag.is_outdated(10.0 + LIMIT * 7 / 5 + 0.01)
+
+
+def test_adopted_version_ends_it(lag: ConfigurationLag) -> None:
+    """An instance that has caught up answers again."""
+    lag.note_told(6, in_force=5, now=10.0)
+    lag.note_adopted(6)
+    assert not lag.is_outdated(1_000.0)
+
+
+async def test_route_of_a_newer_configuration_is_not_denied(site: Site) -> None:
+    """Guards against a final 404 for a route that is in force elsewhere."""
+    behind = site.routers_by_name["i1"]._configuration
+    behind.adopt_changes = lambda *args, **kwargs: None  # type: ignore[method-assign]
+    behind.adopt_packed = lambda *args: None  # type: ignore[method-assign]
+    added = route("/added/", "safe")
+    site.store.put("config", "main", configuration(2, [*ROUTES, added]))
+    ahead = site.routers_by_name["i0"]._configuration
+    await site.async_wait(lambda: ahead.version == 2)
+    await asyncio.sleep(LIMIT + 1.0)
+    assert (await site.async_call("/added/x", via="i0")).status == 200
+    for path in ("/added/x", "/read/x"):
+        reply = await site.async_call(path, via="i1")
+        assert reply.status == 503
+        assert float(reply.headers["Retry-After"]) > 0
--- a/tests/router/test_status_endpoints.py
+++ b/tests/router/test_status_endpoints.py
@@ -12,6 +12,7 @@
 from swiftpin.keyranges.key_map import KeyMap
 from swiftpin.keyranges.lease_election import LeaseElection
 from swiftpin.router.configuration_holder import ConfigurationHolder
+from swiftpin.router.configuration_lag import ConfigurationLag
 from swiftpin.router.key_maps import KeyMaps
 from swiftpin.router.metrics import Metrics
 from swiftpin.router.status_endpoints import MAP_WAIT, StatusEndpoints
@@ -23,7 +24,7 @@
     def __init__(self) -> None:
         self.lifecycle = Lifecycle()
         self.maps = KeyMaps()
-        self.configuration = SimpleNamespace(current=None)
+        self.configuration = SimpleNamespace(current=None, lag=ConfigurationLag())
         self.status = StatusEndpoints(
             started_at=0.0,
             lifecycle=self.lifecycle,
@@ -67,3 +68,13 @@
     starting.configure()
     starting.lifecycle.leaving = True
     assert not starting.status.is_ready(MAP_WAIT + 1)
+
+
+def test_outdated_instance_is_not_ready(starting: Starting) -> None:
+    """Guards against callers that are sent to an instance that refuses them."""
+    starting.configure()
+    lag = starting.configuration.lag
+    lag.set_apply_bound(2.0)
+    lag.note_told(2, in_force=1, now=MAP_WAIT)
+    assert starting.status.is_ready(MAP_WAIT + 0.5)
+    assert not starting.status.is_ready(MAP_WAIT + 2.0)
