Read long answers of the store as long as they arrive

Cause: the limit of a call, 1.4 or 1.5 s, held for the whole answer. A configuration of 286 kB takes 0.23 s of such a link alone, and longer than the limit when callers and other instances use it too. Given up and asked for again, it began anew each time.

Change: an answer of more than 16 kB is read on as long as pieces of it arrive at most a second apart. Short answers, those of the lease among them, keep their limit.

--- a/swiftpin/dispatch/http_answer.py
+++ b/swiftpin/dispatch/http_answer.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 import math
 import re
 from typing import Final
@@ -22,6 +23,12 @@
 """Seconds before the server's own limit at which an idle connection is given up: a
 request that crosses the server's close is lost."""
 
+LONG_BODY: Final = 16 * 1024
+"""Bytes of a body above which its way over a thin link takes time of its own."""
+
+ARRIVAL_PAUSE: Final = 1.0
+"""Seconds between two pieces of a long body after which it counts as broken off."""
+
 
 class HttpAnswer:
     """Head of an answer, and its body as it arrives.
@@ -88,6 +95,16 @@
             chunk = await self.async_read_chunk()
         return b"".join(chunks)
 
+    @callback
+    def extend_while_arriving(self, timeout: asyncio.Timeout) -> None:
+        """Let a time limit end no long body as long as pieces of it arrive.
+
+        Given up and asked for again it would never arrive over a link that needs longer
+        than the limit.
+        """
+        if self.length is None or self.length > LONG_BODY:
+            self.on_chunk = partial(_extend, timeout)
+
     async def async_read_rest(self) -> None:
         """Read what is left of the body and forget it."""
         while await self.async_read_chunk():
@@ -112,6 +129,15 @@
         self._connection.abort()
 
 
+@callback
+def _extend(timeout: asyncio.Timeout, chunk: bytes) -> None:
+    """Let a time limit hold until the next piece of a body is due."""
+    due_at = asyncio.get_running_loop().time() + ARRIVAL_PAUSE
+    ends_at = timeout.when()
+    if chunk and ends_at is not None and ends_at < due_at:
+        timeout.reschedule(due_at)
+
+
 @callback
 def _idle_limit(text: str | None) -> float:
     """Return the seconds for which a server keeps an idle connection, less a margin."""
--- a/swiftpin/platform/configuration.py
+++ b/swiftpin/platform/configuration.py
@@ -33,10 +33,7 @@
 
 
 def decode_in_steps(document: object) -> Generator[None, None, Configuration]:
-    """Return the configuration at the end, after a step for each route.
-
-    Raises `ConfigurationError` when it is malformed.
-    """
+    """Return the configuration, a step a route; raise `ConfigurationError` if wrong."""
     try:
         fields = read_mapping(document, "the configuration")
         services = read_list(read_field(fields, "services"), "services")
--- a/swiftpin/platform/store_client.py
+++ b/swiftpin/platform/store_client.py
@@ -226,11 +226,12 @@
         )
         outcome = "no_answer"
         try:
-            async with asyncio.timeout(limit):
+            async with asyncio.timeout(limit) as timeout:
                 answer = await self._client.async_exchange(
                     self._address, request, HttpSendState(), _open
                 )
                 try:
+                    answer.extend_while_arriving(timeout)
                     era = self.era.note(decode_era(answer.headers.get(HEADER_ERA)))
                     body = await answer.async_read_whole()
                 finally:
