Ask for key maps instead of getting a copy from each neighbour of a new link

Each link that was lost and opened again brought all key maps whole (10 kB for 200 targets), and an instance has a link to every issuer: 441 links were lost in 3 s.

Change: heartbeats tell who is behind, and an instance asks one neighbour; at once while it has no map, as after a start. Documents count by their kind again in the metrics, beside their fragments.

Evidence: test_key_maps_are_asked_for_once_after_a_start needs the new call; the push itself is gone from the code.

--- a/swiftpin/fleet/document_lane.py
+++ b/swiftpin/fleet/document_lane.py
@@ -8,6 +8,7 @@
 
 from swiftpin.core import callback
 from swiftpin.fleet.item import Item
+from swiftpin.fleet.link_traffic import LinkTraffic
 from swiftpin.fleet.proto import fleet_pb2 as pb
 
 FRAGMENT_SIZE: Final = 4 * 1024
@@ -76,8 +77,14 @@
     the time that it takes on the thinnest link of its way.
     """
 
-    def __init__(self, budget: DocumentBudget, send: Callable[[Item], None]) -> None:
+    def __init__(
+        self,
+        budget: DocumentBudget,
+        send: Callable[[Item], None],
+        traffic: LinkTraffic,
+    ) -> None:
         self._budget = budget
+        self._traffic = traffic
         self._send = send
         self._documents: deque[MakeDocument] = deque()
         self._rest = NOTHING
@@ -122,6 +129,7 @@
         """Make a document, if the other side still needs it."""
         item = make()
         if item is not None:
+            self._traffic.note_items(item.WhichOneof("body"))
             self._rest = memoryview(item.SerializeToString())
 
     @callback
--- a/swiftpin/fleet/link.py
+++ b/swiftpin/fleet/link.py
@@ -90,7 +90,9 @@
         self._last_heartbeat: Item | None = None
         self._handler = handler
         self._waiting: list[Item] = []
-        self._lane = DocumentLane(documents or DocumentBudget(0.0), self.send)
+        self._lane = DocumentLane(
+            documents or DocumentBudget(0.0), self.send, self._traffic
+        )
         self._wake = asyncio.Event()
 
     @callback
--- a/swiftpin/router/fleet_coordinator.py
+++ b/swiftpin/router/fleet_coordinator.py
@@ -137,6 +137,7 @@
                 self._permits.handle_end(link, item.end)
             case "heartbeat":
                 self._heartbeats.take(link, item.heartbeat)
+                self.gossip.note_heartbeat()
             case "load":
                 self.load.on_load(item.load)
             case "key_map":
@@ -182,7 +183,6 @@
         )
         if link.is_outgoing:
             return
-        self.key_maps.give(link)
         if self._permits.issuers.number:
             self._issuers.give(link)
 
--- a/swiftpin/router/gossip.py
+++ b/swiftpin/router/gossip.py
@@ -55,6 +55,7 @@
     ) -> None:
         self.holder = HolderView(links)
         self._incarnation = incarnation
+        self._maps = maps
         self._configuration = configuration
         self._directory = directory
         make_duty = partial(
@@ -110,6 +111,12 @@
         for ask in self._asks:
             ask.look(now)
 
+    @callback
+    def note_heartbeat(self) -> None:
+        """Ask for key maps at once while none is known, as after a start."""
+        if not self._maps.maps_by_service:
+            self._key_maps_ask.look(asyncio.get_running_loop().time())
+
     @callback
     def ask_key_maps(self, link: PeerLink) -> None:
         """Ask a neighbour for all key maps, unless they are on their way."""
--- a/swiftpin/router/metrics_registry.py
+++ b/swiftpin/router/metrics_registry.py
@@ -139,8 +139,8 @@
     """Return the counts of the links to other instances."""
     yield _counter(
         "swiftpin_router_link_items",
-        "Items sent to other instances, by kind; an `update` holds the configuration"
-        " or targets.",
+        "Items sent to other instances, by kind; a long one counts once and each of its"
+        " parts as a `fragment`.",
         ("kind",),
         {(kind,): count for kind, count in traffic.items_sent.items()},
     )
--- a/tests/fleet/test_document_lane.py
+++ b/tests/fleet/test_document_lane.py
@@ -16,6 +16,7 @@
     DocumentLane,
 )
 from swiftpin.fleet.item import Item
+from swiftpin.fleet.link_traffic import LinkTraffic
 from swiftpin.fleet.proto import fleet_pb2 as pb
 
 
@@ -29,7 +30,10 @@
 
     def __init__(self, budget: DocumentBudget | None = None) -> None:
         self.sent: list[Item] = []
-        self.lane = DocumentLane(budget or DocumentBudget(0.0), self.sent.append)
+        self.traffic = LinkTraffic()
+        self.lane = DocumentLane(
+            budget or DocumentBudget(0.0), self.sent.append, self.traffic
+        )
 
     def take_sent(self) -> list[Item]:
         """Return what was sent since the last call."""
@@ -57,6 +61,7 @@
         sender.lane.add(partial(lambda item: item, item))
     assert pass_on(sender, receiver) == items
     assert sender.lane.is_idle
+    assert sender.traffic.items_sent == {"issuers": 3}
 
 
 def test_few_fragments_are_under_way_on_a_link() -> None:
--- a/tests/router/test_gossip.py
+++ b/tests/router/test_gossip.py
@@ -193,6 +193,24 @@
     assert counts == [0, 1, 1, 2]
 
 
+async def test_key_maps_are_asked_for_once_after_a_start(
+    gossip: Gossip, links: SimpleNamespace, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a copy of all key maps from each neighbour of a new instance."""
+    asked: list[str | None] = []
+    monkeypatch.setattr(
+        PeerLink, "send", lambda link, item: asked.append(item.WhichOneof("body"))
+    )
+    neighbours = [make_link(name, targets=10) for name in "abc"]
+    for link in neighbours:
+        assert link.heartbeat is not None
+        link.heartbeat.maps_term = link.heartbeat.maps_number = 1
+    links.live_links = lambda: neighbours
+    for _ in neighbours:
+        gossip.note_heartbeat()
+    assert asked == ["key_map_ask"]
+
+
 async def test_update_that_cannot_be_read_changes_nothing(
     gossip: Gossip, directory: SimpleNamespace
 ) -> None:
