--- a/tests/router/test_gossip.py
+++ b/tests/router/test_gossip.py
@@ -11,9 +11,11 @@
 from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.fleet.link import LinkHandler, PeerLink
 from swiftpin.fleet.proto import fleet_pb2 as pb
+from swiftpin.router.configuration_holder import ConfigurationHolder
 from swiftpin.router.document_ask import ANSWER_LIMIT
 from swiftpin.router.gossip import Gossip
 from swiftpin.router.holder_view import HOLDER_CATCH_UP
+from tests.router.fleet_fakes import FakeLink
 
 
 def make_link(name: str, targets: int) -> PeerLink:
@@ -221,3 +223,27 @@
     """
     directory.adopt_update = pytest.fail
     gossip.take_targets(pb.Update(targets=b'[{"name": 3}]', targets_revision=12))
+
+
+@pytest.mark.parametrize(("told", "answers"), [(9, 1), (10, 0)])
+def test_neighbour_that_caught_up_meanwhile_gets_no_list(
+    gossip: Gossip, directory: SimpleNamespace, told: int, answers: int
+) -> None:
+    """Guards against a list for each question that was asked twice."""
+    directory.present_targets = list
+    link = FakeLink("a", targets=told)
+    gossip.give_targets(link, pb.UpdateAsk(targets=8))
+    assert [item.WhichOneof("body") for item in link.sent] == ["update"] * answers
+
+
+@pytest.mark.parametrize(("told", "answers"), [(4, 1), (5, 0)])
+def test_neighbour_that_caught_up_meanwhile_gets_no_configuration(
+    gossip: Gossip, told: int, answers: int
+) -> None:
+    """Guards against a configuration for each question that was asked twice."""
+    known = SimpleNamespace(version=5, packed=b"x")
+    gossip._configuration = cast(ConfigurationHolder, known)
+    link = FakeLink("a", configuration=told)
+    gossip.give_configuration(link, pb.ConfigurationAsk(version=3))
+    kinds = [item.WhichOneof("body") for item in link.sent]
+    assert kinds == ["configuration"] * answers
