Serve by an outdated configuration while nobody is left who has the newer one

What callers would have seen: all requests refused for the length of an outage of the store.

Change: all requests are refused only while a neighbour that is heard, or the store, has what is missing. Without one, known routes are served on, and an unknown one is answered 503 instead of the final 404.

Evidence: test_nothing_is_refused_while_nobody_has_the_newer_one and test_missing_configuration_needs_someone_who_has_it need the new property; test_unknown_route_is_not_denied_while_nobody_has_the_newer_one covers the rest.

--- a/swiftpin/router/configuration_lag.py
+++ b/swiftpin/router/configuration_lag.py
@@ -20,6 +20,9 @@
     """
 
     def __init__(self) -> None:
+        self.has_source = True
+        """Whether the store or a neighbour that is heard has what is missing."""
+
         self._limit = math.inf
         self._told_at_by_version: dict[int, float] = {}
         """When others first told of each version above the one in force."""
@@ -46,3 +49,12 @@
         """Return whether a newer configuration should be in force by now."""
         told_at = min(self._told_at_by_version.values(), default=math.inf)
         return now - told_at > self._limit
+
+    @callback
+    def is_refusing(self, now: float) -> bool:
+        """Return whether all requests are to be refused until the newer one is there.
+
+        When nobody is left who has it, as after the loss of the only instance that read
+        it before the store went away, all would refuse until the store is back.
+        """
+        return self.has_source and self.is_outdated(now)
--- a/swiftpin/router/document_ask.py
+++ b/swiftpin/router/document_ask.py
@@ -46,6 +46,11 @@
         self._last_asked = ""
         """Incarnation of the neighbour that was asked last."""
 
+    @property
+    def is_behind(self) -> bool:
+        """Return whether a neighbour that was heard at the last look is ahead."""
+        return self._behind_since is not None
+
     @callback
     def look(self, now: float) -> None:
         """Ask a neighbour, if one is ahead and no answer is on its way."""
--- a/swiftpin/router/gossip.py
+++ b/swiftpin/router/gossip.py
@@ -55,6 +55,7 @@
     ) -> None:
         self.holder = HolderView(links)
         self._incarnation = incarnation
+        self._health = health
         self._maps = maps
         self._configuration = configuration
         self._directory = directory
@@ -110,6 +111,9 @@
         self._confirm()
         for ask in self._asks:
             ask.look(now)
+        self._configuration.lag.has_source = (
+            self._configuration_ask.is_behind or not self._health.is_lost
+        )
 
     @callback
     def note_heartbeat(self) -> None:
--- a/swiftpin/router/request_handler.py
+++ b/swiftpin/router/request_handler.py
@@ -150,15 +150,15 @@
             raise NotReadyError(
                 "the instance knows no configuration yet", retry_after=NOT_READY_RETRY
             )
-        if self._configuration.lag.is_outdated(suspend_aware_now()):
-            raise NotReadyError(
-                "the instance's configuration is out of date",
-                retry_after=NOT_READY_RETRY,
-            )
+        now = suspend_aware_now()
+        if self._configuration.lag.is_refusing(now):
+            raise _outdated_error()
         protocol = request.protocol
         if isinstance(protocol, GatewayProtocol):
             protocol.set_idle_limit(configuration.limits.idle_time)
         route = configuration.find_route(request.host, request.path)
+        if route is None and self._configuration.lag.is_outdated(now):
+            raise _outdated_error()
         if route is None:
             raise NoRouteError("no route matches the host and path")
         timeout = min(head.deadline, route.timeout)
@@ -202,6 +202,14 @@
         raise MalformedRequestError(f"a header is malformed: {err}") from err
 
 
+@callback
+def _outdated_error() -> RequestError:
+    """Return what a caller is told while a newer configuration is missing."""
+    return NotReadyError(
+        "the instance's configuration is out of date", retry_after=NOT_READY_RETRY
+    )
+
+
 @callback
 def _timeout_error(call: Call) -> RequestError:
     """Return what a caller is told whose time is over, and note where it ended."""
--- a/swiftpin/router/status_endpoints.py
+++ b/swiftpin/router/status_endpoints.py
@@ -52,7 +52,7 @@
         configuration = self._configuration.current
         if configuration is None or self._lifecycle.leaving:
             return False
-        if self._configuration.lag.is_outdated(now):
+        if self._configuration.lag.is_refusing(now):
             return False
         if now - self._started_at > MAP_WAIT:
             return True
--- a/tests/router/test_configuration_lag.py
+++ b/tests/router/test_configuration_lag.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.router.configuration_lag import TOLD_LAG, ConfigurationLag
 from tests.router.site import BOUNDS, ROUTES, Site, configuration, route
 
@@ -46,6 +47,28 @@
     assert not lag.is_outdated(1_000.0)
 
 
+def test_nothing_is_refused_while_nobody_has_the_newer_one(
+    lag: ConfigurationLag,
+) -> None:
+    """Guards against a fleet that refuses all requests for as long as an outage."""
+    lag.note_told(6, in_force=5, now=10.0)
+    assert lag.is_refusing(10.0 + BOUNDS.apply)
+    lag.has_source = False
+    assert not lag.is_refusing(10.0 + BOUNDS.apply)
+    assert lag.is_outdated(10.0 + BOUNDS.apply)
+
+
+async def test_unknown_route_is_not_denied_while_nobody_has_the_newer_one(
+    site: Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a final 404 where only a lost instance knew a new route."""
+    monkeypatch.setattr(ConfigurationLag, "is_refusing", lambda self, now: False)
+    lag = site.routers_by_name["i1"]._configuration.lag
+    lag.note_told(2, in_force=1, now=suspend_aware_now() - BOUNDS.apply)
+    assert (await site.async_call("/added/x", via="i1")).status == 503
+    assert (await site.async_call("/read/x", via="i1")).status == 200
+
+
 async def test_route_of_a_newer_configuration_is_not_denied(site: Site) -> None:
     """Guards against a final 404 for a route that is in force elsewhere."""
     behind = site.routers_by_name["i1"]._configuration
--- a/tests/router/test_gossip.py
+++ b/tests/router/test_gossip.py
@@ -12,6 +12,7 @@
 from swiftpin.fleet.link import LinkHandler, PeerLink
 from swiftpin.fleet.proto import fleet_pb2 as pb
 from swiftpin.router.configuration_holder import ConfigurationHolder
+from swiftpin.router.configuration_lag import ConfigurationLag
 from swiftpin.router.document_ask import ANSWER_LIMIT
 from swiftpin.router.gossip import Gossip
 from swiftpin.router.holder_view import HOLDER_CATCH_UP
@@ -51,7 +52,9 @@
         "permits": permits,
         "health": StoreHealth(),
         "maps": SimpleNamespace(version=(0, 0), maps_by_service={}),
-        "configuration": SimpleNamespace(version=0, adopt_packed=pytest.fail),
+        "configuration": SimpleNamespace(
+            version=0, adopt_packed=pytest.fail, lag=ConfigurationLag()
+        ),
         "directory": directory,
     }
     return Gossip(incarnation="me", **rest)
@@ -213,6 +216,24 @@
     assert asked == ["key_map_ask"]
 
 
+@pytest.mark.parametrize(
+    ("is_lost", "told", "has_source"),
+    [(False, 0, True), (True, 7, True), (True, 0, False)],
+)
+async def test_missing_configuration_needs_someone_who_has_it(
+    gossip: Gossip, links: SimpleNamespace, is_lost: bool, told: int, has_source: bool
+) -> None:
+    """Guards against a fleet that waits for what only a lost instance had."""
+    link = make_link("a", targets=10)
+    assert link.heartbeat is not None
+    link.heartbeat.configuration = told
+    links.live_links = lambda: [link]
+    if is_lost:
+        gossip._health.note_failure("silent", 1.0)
+    gossip.ask()
+    assert gossip._configuration.lag.has_source is has_source
+
+
 async def test_update_that_cannot_be_read_changes_nothing(
     gossip: Gossip, directory: SimpleNamespace
 ) -> None:
