Ask for a kind of document at most every 0.4 s

Suspected cause, read: with one question at a time the next one followed at the next tick, 0.2 s, after an answer; before, every other tick. While many targets come and go each answer is out of date when it arrives, and costs both sides the list of all targets' names.

Whether it ends the fault is not shown by this commit.

--- a/swiftpin/router/document_ask.py
+++ b/swiftpin/router/document_ask.py
@@ -14,6 +14,10 @@
 ANSWER_LIMIT: Final = 0.6
 """Seconds without a part of the answer after which another neighbour is asked."""
 
+ASK_INTERVAL: Final = 0.4
+"""Seconds between two questions at least: each answer costs processor time at both
+sides, and targets change many times a second while many of them come and go."""
+
 
 class DocumentAsk:
     """Asks one neighbour at a time, and waits while its answer is arriving.
@@ -42,7 +46,7 @@
 
         self._behind_since: float | None = None
         self._asked: PeerLink | None = None
-        self._asked_at = 0.0
+        self._asked_at = -ASK_INTERVAL
         self._last_asked = ""
         """Incarnation of the neighbour that was asked last."""
 
@@ -64,6 +68,8 @@
             return
         if self._behind_since is None:
             self._behind_since = now
+        if now - self._asked_at < ASK_INTERVAL:
+            return
         if now - self._behind_since >= self._pause():
             self.ask(self._choose(ahead, now), now)
 
