--- a/script/lost_worth.py
+++ b/script/lost_worth.py
@@ -12,8 +12,8 @@
 import sys
 
 from swiftpin.bench.losses.loss_table import PlayedDay, format_table
+from swiftpin.bench.losses.report_decoder import decode_day_report
 from swiftpin.bench.losses.request_outcomes import count_outcomes
-from swiftpin.platform.day_report import decode_day_report
 from swiftpin.platform.json_fields import FieldError
 
 
--- a/swiftpin/bench/losses/loss_table.py
+++ b/swiftpin/bench/losses/loss_table.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from swiftpin.model.day_report import DayReport, RequestGroup
+from swiftpin.bench.losses.day_report import DayReport, RequestGroup
 
 LEAST_REQUESTS: Final = 50
 """Requests of a time below which its share says little."""
--- a/swiftpin/platform/day_report.py
+++ b/swiftpin/bench/losses/report_decoder.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from swiftpin.model.day_report import DayReport, Price, RequestGroup, WorthPart
+from swiftpin.bench.losses.day_report import DayReport, Price, RequestGroup, WorthPart
 from swiftpin.platform.json_fields import (
     FieldError,
     load_json,
--- a/tests/bench/losses/test_loss_table.py
+++ b/tests/bench/losses/test_loss_table.py
@@ -7,7 +7,7 @@
 import orjson
 
 from swiftpin.bench.losses.loss_table import PlayedDay, format_table
-from swiftpin.platform.day_report import decode_day_report
+from swiftpin.bench.losses.report_decoder import decode_day_report
 from tests.bench.losses.reports import make_report
 
 
--- a/tests/platform/test_day_report.py
+++ b/tests/bench/losses/test_report_decoder.py
@@ -7,7 +7,7 @@
 import orjson
 import pytest
 
-from swiftpin.platform.day_report import decode_day_report
+from swiftpin.bench.losses.report_decoder import decode_day_report
 from swiftpin.platform.json_fields import FieldError
 from tests.bench.losses.reports import make_report
 
