Decode what the platform says of cold targets, shared machines and evacuations

The load header with a fourth figure decoded to nothing ("3,0,8,140"), and no code knew the declared rate and time of cold targets, the bounds `cold_overshoot`, `cold_slack`, `evacuation_ms`, or the kind of objects that names evacuated zones. They are now read at the border into `ServiceSpec`, `Bounds` and `TargetLoad`; deployments that leave them out get no limit and no evacuations.

Tests: figures with and without the new fields; spoilt load headers say nothing.

--- a/swiftpin/model/bounds.py
+++ b/swiftpin/model/bounds.py
@@ -32,3 +32,19 @@
 
     stability: float
     """Calm time after which a disturbed instance counts as undisturbed again."""
+
+    evacuation: float | None = None
+    """How long after an evacuation's acceptance the targets of its zone may still get
+    requests; None where zones are not evacuated."""
+
+    cold_overshoot: float = 1.0
+    cold_slack: float = 0.0
+    """Requests that a cold target may get within a second, as a multiple of what it
+    bears and beyond that."""
+
+    def cold_limit(self, rate: float) -> float:
+        """Return how many requests a cold target that bears `rate` a second may get.
+
+        Within any second, from all instances together.
+        """
+        return rate * self.cold_overshoot + self.cold_slack
--- a/swiftpin/model/service_spec.py
+++ b/swiftpin/model/service_spec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+import math
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -19,3 +20,9 @@
 
     warmup: float
     """Seconds for which a target serves keys slowly that came without a handover."""
+
+    cold_start: float = 0.0
+    """Seconds for which a target is cold after its start."""
+
+    cold_rate: float = math.inf
+    """Requests a second that a cold target bears."""
--- a/swiftpin/platform/configuration.py
+++ b/swiftpin/platform/configuration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Generator
+import math
 from typing import Any, Final
 
 from swiftpin.exceptions import ConfigurationError
@@ -120,9 +121,17 @@
         health_path=read_text(read_field(entry, "health_path"), "health_path"),
         max_connections=read_whole(connections, "max_connections"),
         warmup=read_number(entry.get("warmup_s", 0.0), "warmup_s"),
+        cold_start=read_number(entry.get("cold_start_s", 0.0), "cold_start_s"),
+        cold_rate=_read_cold_rate(entry),
     )
 
 
+def _read_cold_rate(entry: dict[str, Any]) -> float:
+    """Return the requests a second that a cold target bears, infinite if undeclared."""
+    rate = read_number(entry.get("cold_per_s", 0.0), "cold_per_s")
+    return rate or math.inf
+
+
 def _decode_limits(entry: dict[str, Any]) -> CallerLimits:
     """Return the limits for callers."""
     return CallerLimits(
--- a/swiftpin/platform/names.py
+++ b/swiftpin/platform/names.py
@@ -23,6 +23,7 @@
 KIND_CONFIGURATION: Final = "config"
 NAME_CONFIGURATION: Final = "main"
 KIND_TARGETS: Final = "servers"
+KIND_EVACUATIONS: Final = "evacuations"
 
 VARIABLE_SETTINGS: Final = "SWIFTPIN_SETTINGS"
 JSON_TYPE: Final = "application/json"
--- a/swiftpin/platform/request_head.py
+++ b/swiftpin/platform/request_head.py
@@ -28,6 +28,9 @@
 """Seconds for a caller that names none; callers of the platform always name one."""
 
 MAX_KEY: Final = 65535
+USUAL_WORK: Final = 100
+"""What the load header gives for a machine on which work takes as long as usual."""
+
 REQUEST_DROPPED: Final = HOP_BY_HOP | {
     "content-length",
     "expect",
@@ -51,11 +54,13 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TargetLoad:
-    """Requests that a target runs and queues, and how many it can run."""
+    """What a target says of its queue and its machine."""
 
     running: int
     waiting: int
     slots: int
+    work_factor: float = 1.0
+    """How many times as long as usual work takes on its machine at the moment."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -147,8 +152,16 @@
     if text is None:
         return None
     try:
-        running, waiting, slots = (int(part) for part in text.split(","))
+        running, waiting, slots, *shared = (int(part) for part in text.split(","))
     except ValueError:
         # A spoilt header says nothing about the load; the answer may still be good.
         return None
-    return TargetLoad(running=running, waiting=waiting, slots=slots)
+    percent = shared[0] if shared else USUAL_WORK
+    if min(running, waiting, slots) < 0 or percent <= 0 or len(shared) > 1:
+        return None
+    return TargetLoad(
+        running=running,
+        waiting=waiting,
+        slots=slots,
+        work_factor=percent / USUAL_WORK,
+    )
--- a/swiftpin/platform/settings.py
+++ b/swiftpin/platform/settings.py
@@ -76,4 +76,11 @@
         retry_window=float(bounds["budget_window_s"]),
         retry_slack=float(bounds["budget_slack"]),
         stability=bounds["stability_window_ms"] / MILLISECONDS,
+        evacuation=(
+            bounds["evacuation_ms"] / MILLISECONDS
+            if "evacuation_ms" in bounds
+            else None
+        ),
+        cold_overshoot=float(bounds.get("cold_overshoot", 1.0)),
+        cold_slack=float(bounds.get("cold_slack", 0.0)),
     )
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 import pytest
@@ -102,44 +103,86 @@
         run_whole(decode_in_steps({"version": "r9"}))
 
 
-def test_settings_name_addresses_and_bounds() -> None:
-    """Milliseconds of the file become seconds; peers take the first inner port."""
+def settings_document(**more_bounds: float) -> dict[str, Any]:
+    """Return a settings file."""
     bounds = dict.fromkeys(
         ("drain_ms", "config_apply_ms", "hold_max_ms", "stability_window_ms"), 2000
     )
-    settings = decode_settings(
-        {
-            "self": {
-                "node": "n1",
-                "zone": "z1",
-                "ip": "10.0.0.2",
-                "bootstrap": True,
-                "limits": {"cpu_share": 0.5, "cores": 3},
-            },
-            "network": {
-                "listen": {"front": "10.0.0.2:80", "ready": "10.0.0.2:81"},
-                "internal_ports": [7720, 7735],
-                "seeds": ["10.0.0.9:8166"],
-            },
-            "platform": {
-                "heartbeat_ms": 870,
-                "platform": {"address": "10.9.0.1:8169"},
-            },
-            "terms": {
-                "bounds": {
-                    **bounds,
-                    "grace_s": 6,
-                    "budget_ratio": 0.2,
-                    "budget_window_s": 10,
-                    "budget_slack": 56,
-                }
-            },
-        }
-    )
+    return {
+        "self": {
+            "node": "n1",
+            "zone": "z1",
+            "ip": "10.0.0.2",
+            "bootstrap": True,
+            "limits": {"cpu_share": 0.5, "cores": 3},
+        },
+        "network": {
+            "listen": {"front": "10.0.0.2:80", "ready": "10.0.0.2:81"},
+            "internal_ports": [7720, 7735],
+            "seeds": ["10.0.0.9:8166"],
+        },
+        "platform": {
+            "heartbeat_ms": 870,
+            "platform": {"address": "10.9.0.1:8169"},
+        },
+        "terms": {
+            "bounds": {
+                **bounds,
+                "grace_s": 6,
+                "budget_ratio": 0.2,
+                "budget_window_s": 10,
+                "budget_slack": 56,
+                **more_bounds,
+            }
+        },
+    }
+
+
+def test_settings_name_addresses_and_bounds() -> None:
+    """Milliseconds of the file become seconds; peers take the first inner port."""
+    settings = decode_settings(settings_document())
     assert str(settings.peers) == "10.0.0.2:7720"
     assert settings.seeds == ("10.0.0.9:7720",)
     assert settings.bounds.drain == 2.0
     assert settings.strength == 1.5
+    assert settings.bounds.evacuation is None
+
+
+def test_settings_bound_evacuations_and_cold_targets() -> None:
+    """Deployments without such rules leave the figures out."""
+    document = settings_document(evacuation_ms=5000, cold_overshoot=1.5, cold_slack=8)
+    bounds = decode_settings(document).bounds
+    assert bounds.evacuation == 5.0
+    assert bounds.cold_limit(4.0) == 14.0
+
+
+def test_services_declare_what_cold_targets_bear() -> None:
+    """A service that declares no rate has no limit."""
+    document = configuration(7, ROUTES)
+    document["services"][0].update(cold_start_s=3.0, cold_per_s=4.7)
+    document["services"][1].pop("cold_per_s")
+    declared = run_whole(decode_in_steps(document)).services_by_name
+    assert declared["desk"].cold_start == 3.0
+    assert declared["desk"].cold_rate == 4.7
+    assert math.isinf(declared["vault"].cold_rate)
+
+
+@pytest.mark.parametrize(
+    ("text", "work_factor"), [("3,0,8", 1.0), ("3,0,8,140", 1.4), ("0,2,4,300", 3.0)]
+)
+def test_target_tells_its_load_and_how_slow_its_machine_is(
+    text: str, work_factor: float
+) -> None:
+    """Guards against a load that is lost with the figure of a shared machine."""
+    load = decode_answer_head(200, {"Swiftpin-Upstream-Load": text}).load
+    assert load is not None
+    assert load.work_factor == pytest.approx(work_factor)
+
+
+@pytest.mark.parametrize("text", ["", "3,0", "3,0,8,0", "-1,0,8", "3,0,8,9,1", "a,b,c"])
+def test_spoilt_load_says_nothing(text: str) -> None:
+    """Guards against decisions by figures that no target tells."""
+    assert decode_answer_head(200, {"Swiftpin-Upstream-Load": text}).load is None
 
 
 def test_only_end_to_end_headers_go_on() -> None:
