Send nothing new to targets of an evacuated zone, and move their keys away

Cause: nobody read the operators' entries; a zone was no more than a preference.

- `Evacuations` follows them like the targets: the lease's holder and some issuers watch, heartbeats tell the others the zones, for how long each has been known, and up to which revision; older updates undo nothing, and a restored store gets the time in which operators write their entries again.
- Targets of such a zone are no longer eligible for keys or for requests without a key.
- An assigner that does not know the evacuations yet plans nothing.
- Targets of a zone that is taken back count as cold for the declared time: their entries tell it late.
`TargetDirectory.cold_left` is by entry, so a target that is cold again is known to be; neighbours are told what is left.

--- a/swiftpin/discovery/known_targets.py
+++ b/swiftpin/discovery/known_targets.py
@@ -26,6 +26,9 @@
         self.missing_since_by_id: dict[str, float] = {}
         """When the entry was first seen missing, of lives whose entry is missing."""
 
+        self.cold_until_by_id: dict[str, float] = {}
+        """Until when targets said they would be cold."""
+
         self.unusable_ids: set[str] = set()
         """Lives whose entry is there and can't be used."""
 
@@ -88,10 +91,20 @@
                 revision=target.revision,
             )
         self.targets_by_id[target.id] = target
+        self._note_cold(target, now)
         self._ids_by_name[target.name] = target.id
         self.missing_since_by_id.pop(target.id, None)
         self.unusable_ids.discard(target.id)
 
+    @callback
+    def _note_cold(self, target: Target, now: float) -> None:
+        """Note until when a target is cold; it may be so more than once."""
+        if target.cold_for and self.cold_until_by_id.get(target.id, now) <= now:
+            log_message(
+                message_type="target_cold", target=target.id, seconds=target.cold_for
+            )
+        self.cold_until_by_id[target.id] = now + target.cold_for
+
     @callback
     def note_leaving(
         self, target_id: str, reason: str, since: float, revision: int = 0
@@ -138,6 +151,7 @@
             del self._ids_by_name[target.name]
         self.leaving_since_by_id.pop(target_id, None)
         self.seen_since_by_id.pop(target_id, None)
+        self.cold_until_by_id.pop(target_id, None)
         self.missing_since_by_id.pop(target_id, None)
         self.unusable_ids.discard(target_id)
         self.replaced_ids.discard(target_id)
--- a/swiftpin/discovery/target_directory.py
+++ b/swiftpin/discovery/target_directory.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Set
+from dataclasses import replace
 from typing import Final
 
 from swiftpin.core import callback
 from swiftpin.discovery.const import DRAIN_MARGIN, RETURN_TIME
 from swiftpin.discovery.entry_revisions import EntryRevisions
+from swiftpin.discovery.evacuations import Evacuations
 from swiftpin.discovery.freshness import Freshness, UpdateSource
 from swiftpin.discovery.known_targets import KnownTargets
 from swiftpin.discovery.store_health import StoreHealth
@@ -29,7 +31,13 @@
     until nobody needs it: it may hold keys.
     """
 
-    def __init__(self, health: StoreHealth, drain: float) -> None:
+    def __init__(
+        self,
+        health: StoreHealth,
+        drain: float,
+        evacuations: Evacuations | None = None,
+    ) -> None:
+        self.evacuations = evacuations or Evacuations(None)
         self._known = KnownTargets()
         self.targets_by_id = self._known.targets_by_id
         self.leaving_since_by_id = self._known.leaving_since_by_id
@@ -131,12 +139,12 @@
 
     @callback
     def knows_targets(self, now: float) -> bool:
-        """Return whether no live target is likely to be unknown.
+        """Return whether no live target or evacuation is likely to be unknown.
 
         An instance that started in an outage of the store, or right after it, lists
         few targets: the entries of the others have lapsed, and it can't see that.
         """
-        if self._told_since is None:
+        if self._told_since is None or not self.evacuations.is_known:
             return False
         return now - self._told_since >= FIRST_LIST_SETTLE
 
@@ -153,26 +161,74 @@
 
     @callback
     def serving_targets(self, service: str, now: float) -> list[Target]:
-        """Return the targets of a service that are not leaving."""
+        """Return the targets of a service that are neither leaving nor evacuated."""
+        return [
+            target
+            for target in self.targets_by_id.values()
+            if target.service == service
+            and target.id not in self.leaving_since_by_id
+            and not self.evacuations.is_evacuated(target.zone)
+        ]
+
+    @callback
+    def retiring_targets(self, service: str, now: float) -> list[Target]:
+        """Return the targets of a service that get requests for their keys only.
+
+        They are leaving or evacuated.
+        """
         return [
             target
             for target in self.targets_by_id.values()
-            if target.service == service and target.id not in self.leaving_since_by_id
+            if target.service == service
+            and (
+                target.id in self.leaving_since_by_id
+                or self.evacuations.is_evacuated(target.zone)
+            )
+            and self.may_send(target.id, now)
         ]
 
     @callback
     def may_send(self, target_id: str, now: float) -> bool:
         """Return whether a request may still go to a target."""
-        if target_id not in self.targets_by_id or target_id in self.replaced_ids:
+        target = self.targets_by_id.get(target_id)
+        if target is None or target_id in self.replaced_ids:
             return False
         since = self.leaving_since_by_id.get(target_id)
-        return since is None or now - since < self._drain - DRAIN_MARGIN
+        if since is not None and now - since >= self._drain - DRAIN_MARGIN:
+            return False
+        return self.evacuations.may_send(target.zone, now)
+
+    @callback
+    def cold_left(self, target: Target, cold_start: float, now: float) -> float:
+        """Return for how many seconds a target is still cold, 0 when it is not.
+
+        `cold_start` is for how long targets of its service are cold after a start. They
+        may be cold after an evacuation too, and an entry tells it late.
+        """
+        until = self._known.cold_until_by_id.get(target.id, now)
+        evacuated_until = self.evacuations.ended_at(target.zone)
+        return max(until - now, evacuated_until + cold_start - now, 0.0)
+
+    @callback
+    def targets_since(self, revision: int, now: float) -> list[Target]:
+        """Return the listed targets whose entries changed after a revision.
+
+        They tell for how long they are still cold.
+        """
+        return [
+            replace(target, cold_for=self.cold_left(target, 0.0, now))
+            for target in self.present_targets()
+            if target.revision > revision
+        ]
 
     @callback
     def is_leaving(self, target_id: str) -> bool:
-        """Return whether a target is leaving or unknown."""
+        """Return whether a target is leaving, evacuated or unknown."""
+        target = self.targets_by_id.get(target_id)
         return (
-            target_id in self.leaving_since_by_id or target_id not in self.targets_by_id
+            target is None
+            or target_id in self.leaving_since_by_id
+            or self.evacuations.is_evacuated(target.zone)
         )
 
     @callback
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -10,6 +10,7 @@
 from eliot import log_message
 
 from swiftpin.core import callback
+from swiftpin.discovery.evacuations import Evacuations
 from swiftpin.discovery.store_follower import StoreFollower
 from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.discovery.target_directory import TargetDirectory
@@ -20,7 +21,11 @@
 from swiftpin.keyranges.lease_election import LeaseElection
 from swiftpin.model.instance_settings import InstanceSettings
 from swiftpin.permits.permit_broker import PermitBroker
-from swiftpin.platform.names import KIND_CONFIGURATION, KIND_TARGETS
+from swiftpin.platform.names import (
+    KIND_CONFIGURATION,
+    KIND_EVACUATIONS,
+    KIND_TARGETS,
+)
 from swiftpin.platform.store_client import StoreClient
 from swiftpin.router.assigner_factory import AssignerFactory
 from swiftpin.router.background_tasks import BackgroundTasks
@@ -57,7 +62,10 @@
         self._health = StoreHealth()
         self._configuration = ConfigurationHolder()
         self._configuration.lag.set_apply_bound(settings.bounds.apply)
-        self._directory = TargetDirectory(self._health, settings.bounds.drain)
+        self._evacuations = Evacuations(settings.bounds.evacuation)
+        self._directory = TargetDirectory(
+            self._health, settings.bounds.drain, self._evacuations
+        )
         self._directory.unusable.on_unusable = self._metrics.note_unusable_entry
         self._maps = KeyMaps()
         self._poison = PoisonWatch()
@@ -137,6 +145,7 @@
         )
         self._configuration.on_change = self._note_configuration
         self._directory.on_change = self._note_targets
+        self._evacuations.on_change = self._note_targets
         self._maps.on_change = self._permits.note_owners
         status = StatusEndpoints(
             started_at=suspend_aware_now(),
@@ -192,6 +201,16 @@
         )
         self._tasks.start(configuration.async_run())
         self._tasks.start(targets.async_run())
+        if settings.bounds.evacuation is not None:
+            evacuations = StoreFollower(
+                KIND_EVACUATIONS,
+                self._store,
+                self._evacuations,
+                self._health,
+                duty=self._fleet.gossip.evacuations_duty,
+                neighbours=self._fleet.gossip.holder,
+            )
+            self._tasks.start(evacuations.async_run())
         self._tasks.start(self._lease.async_run())
         self._tasks.start(self._leader.async_run())
         self._tasks.start(self._fleet.async_run(self._take_load))
@@ -219,6 +238,7 @@
         self._settings = settings
         self._assigners.settings = settings
         self._directory.set_drain(settings.bounds.drain)
+        self._evacuations.set_bound(settings.bounds.evacuation)
         self._configuration.lag.set_apply_bound(settings.bounds.apply)
         self._sender.retries.set_bounds(settings.bounds)
 
@@ -262,16 +282,10 @@
         configuration = self._configuration.current
         if configuration is None:
             return
-        for service in configuration.services_by_name:
-            serving = self._directory.serving_targets(service, now)
-            leaving = [
-                target
-                for target in self._directory.targets_by_id.values()
-                if target.service == service
-                and target.id in self._directory.leaving_since_by_id
-                and self._directory.may_send(target.id, now)
-            ]
-            self._permits.set_targets(service, serving, leaving)
+        for service in configuration.services_by_name.values():
+            serving = self._directory.serving_targets(service.name, now)
+            retiring = self._directory.retiring_targets(service.name, now)
+            self._permits.set_targets(service.name, serving, retiring)
 
     async def _async_housekeeping(self) -> None:
         """Close idle connections again and again."""
@@ -279,6 +293,7 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING)
             self._directory.sweep(suspend_aware_now())
+            self._evacuations.sweep(suspend_aware_now())
             # A leaving target's drain time ends without a change that tells of it.
             self._note_targets()
             self._clients.close_idle(loop.time())
--- a/swiftpin/router/gossip.py
+++ b/swiftpin/router/gossip.py
@@ -77,6 +77,11 @@
             told_version=lambda heartbeat: int(heartbeat.configuration),
             watchers=first_issuers,
         )
+        self.evacuations_duty = make_duty(
+            known_version=lambda: directory.evacuations.changed_version,
+            told_version=lambda heartbeat: int(heartbeat.evacuations),
+            watchers=first_issuers,
+        )
         make_ask = partial(DocumentAsk, links=links, rng=Random(incarnation))
         self._configuration_ask = make_ask(
             is_ahead=lambda heartbeat: heartbeat.configuration > configuration.version,
@@ -107,6 +112,7 @@
         now = asyncio.get_running_loop().time()
         self.targets_duty.age_version(now)
         self.configuration_duty.age_version(now)
+        self.evacuations_duty.age_version(now)
         self.holder.look(now)
         self._confirm()
         for ask in self._asks:
@@ -162,13 +168,11 @@
         told = 0 if link.heartbeat is None else link.heartbeat.targets
         if max(ask.targets, told) >= self._directory.version:
             return None
-        present = self._directory.present_targets()
+        now = suspend_aware_now()
         update = pb.Update(
             targets_revision=self._directory.version,
-            targets=encode_target_list(
-                target for target in present if target.revision > ask.targets
-            ),
-            target_ids=[target.id for target in present],
+            targets=encode_target_list(self._directory.targets_since(ask.targets, now)),
+            target_ids=[target.id for target in self._directory.present_targets()],
         )
         return pb.Item(update=update)
 
--- a/swiftpin/router/heartbeats.py
+++ b/swiftpin/router/heartbeats.py
@@ -47,6 +47,8 @@
     def make(self, link: PeerLink, now: float) -> Item:
         """Return the heartbeat to send on a link."""
         leader = self._leader.record
+        evacuations = self._directory.evacuations
+        ages_by_zone = evacuations.ages_by_zone(now)
         return pb.Item(
             heartbeat=pb.Heartbeat(
                 incarnation=self._incarnation,
@@ -64,6 +66,9 @@
                 maps_number=self._maps.version[1],
                 vote=self._votes.give(link, now),
                 resigned_term=self._lease.own_resigned_term(now),
+                evacuations=evacuations.version,
+                evacuated_zones=ages_by_zone.keys(),
+                evacuated_for=ages_by_zone.values(),
             )
         )
 
@@ -71,7 +76,13 @@
     def take(self, link: PeerLink, heartbeat: pb.Heartbeat) -> None:
         """Take a heartbeat that came over a link."""
         link.heartbeat = heartbeat
-        self._configuration.note_told(heartbeat.configuration, suspend_aware_now())
+        now = suspend_aware_now()
+        self._configuration.note_told(heartbeat.configuration, now)
+        zones = heartbeat.evacuated_zones
+        ages_by_zone = dict(zip(zones, heartbeat.evacuated_for, strict=False))
+        self._directory.evacuations.adopt_update(
+            ages_by_zone, heartbeat.evacuations, now
+        )
         if heartbeat.vote:
             self._votes.take(link, heartbeat.echo)
         lease = self._lease
--- a/tests/router/site.py
+++ b/tests/router/site.py
@@ -33,8 +33,13 @@
     retry_window=10.0,
     retry_slack=56.0,
     stability=3.0,
+    evacuation=5.0,
+    cold_overshoot=1.5,
+    cold_slack=8.0,
 )
 WAIT = 15.0
+COLD_RATE = 5.0
+"""Requests a second that a cold target bears."""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -65,7 +70,12 @@
 
 def configuration(version: int, routes: list[dict[str, Any]]) -> dict[str, Any]:
     """Return a configuration with a keyed desk and an unkeyed vault."""
-    common = {"health_path": "/health", "max_connections": 110}
+    common = {
+        "health_path": "/health",
+        "max_connections": 110,
+        "cold_start_s": 3.0,
+        "cold_per_s": COLD_RATE,
+    }
     services = [
         {"name": "desk", "sharding": True, "warmup_s": 3.0, **common},
         {"name": "vault", **common},
@@ -143,9 +153,13 @@
         if self._session is not None:
             await self._session.close()
 
-    async def async_add_target(self, name: str, service: str) -> TargetStandin:
+    async def async_add_target(
+        self, name: str, service: str, *, zone: str = "z1", cold_ms: int = 0
+    ) -> TargetStandin:
         """Start a target and register it."""
         target = TargetStandin(name, is_keyed=service == "desk")
+        target.zone = zone
+        target.cold_ms = cold_ms
         await target.async_setup()
         self.targets_by_name[name] = target
         self.store.put("servers", name, target.entry(service))
--- a/tests/router/slow_links.py
+++ b/tests/router/slow_links.py
@@ -8,6 +8,7 @@
 from types import SimpleNamespace
 from typing import Any, Final
 
+from swiftpin.discovery.evacuations import Evacuations
 from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.fleet.document_lane import DocumentBudget
 from swiftpin.fleet.item import Item
@@ -108,7 +109,7 @@
             ),
             "health": StoreHealth(),
             "maps": SimpleNamespace(version=(0, 0), maps_by_service={}),
-            "directory": SimpleNamespace(version=0),
+            "directory": SimpleNamespace(version=0, evacuations=Evacuations(None)),
         }
         self.gossip = Gossip(incarnation=name, configuration=self.configuration, **rest)
 
--- a/tests/router/target_standin.py
+++ b/tests/router/target_standin.py
@@ -32,6 +32,8 @@
     def __init__(self, name: str, *, is_keyed: bool = True) -> None:
         self.name = name
         self.is_keyed = is_keyed
+        self.zone = "z1"
+        self.cold_ms = 0
         self.address = ""
         self.work = 0.005
         self.runs: list[str] = []
@@ -108,10 +110,10 @@
             "information": {
                 "service": service,
                 "version": "v1",
-                "zone": "z1",
+                "zone": self.zone,
                 "slots": 2,
             },
-            "status": {"state": state, "sequence": 1, "cold_ms": 0},
+            "status": {"state": state, "sequence": 1, "cold_ms": self.cold_ms},
         }
 
     def holds(self, key: int) -> bool:
--- /dev/null
+++ b/tests/router/test_evacuated_zones.py
@@ -0,0 +1,89 @@
+"""Tests of whole instances while a zone is evacuated and taken back."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+
+from swiftpin.keyranges.const import KEYS
+from tests.router.site import BOUNDS, COLD_RATE, Site
+
+SAMPLE = range(0, KEYS, 997)
+ZONE = "z2"
+
+
+@pytest.fixture(name="two_zones")
+async def two_zones_fixture(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[Site]:
+    """Return a running site whose targets stand in two zones."""
+    site = Site(monkeypatch)
+    try:
+        await site.async_setup(targets=2)
+        for name, service in (("e0", "desk"), ("e1", "desk"), ("f0", "vault")):
+            await site.async_add_target(name, service, zone=ZONE)
+        await site.async_wait(lambda: site.is_owner("e0") and site.is_owner("e1"))
+        await site.async_wait(lambda: all(owner_of(site, key) for key in SAMPLE))
+        yield site
+    finally:
+        await site.async_unload()
+
+
+def owner_of(site: Site, key: int) -> str:
+    """Return the target that holds a key, empty when none does."""
+    names = [name for name, target in site.targets_by_name.items() if target.holds(key)]
+    assert len(names) <= 1
+    return names[0] if names else ""
+
+
+def runs_in_zone(site: Site) -> int:
+    """Return how many requests the evacuated zone's targets ran."""
+    return sum(len(site.targets_by_name[name].runs) for name in ("e0", "e1", "f0"))
+
+
+async def async_ask_on(site: Site, stop: asyncio.Event) -> list[int]:
+    """Ask for all sampled keys in turn until told to stop; return the statuses."""
+    statuses = []
+    while not stop.is_set():
+        for key in SAMPLE[::6]:
+            statuses.append((await site.async_call("/read/x", key=key)).status)
+    return statuses
+
+
+async def test_keys_leave_an_evacuated_zone_and_are_served_all_the_while(
+    two_zones: Site,
+) -> None:
+    """Guards against requests to an evacuated zone, and a gap while it empties."""
+    site = two_zones
+    stop = asyncio.Event()
+    asking = asyncio.create_task(async_ask_on(site, stop))
+    site.store.put("evacuations", ZONE, {})
+    assert BOUNDS.evacuation is not None
+    async with asyncio.timeout(BOUNDS.evacuation):
+        while any(owner_of(site, key) in ("e0", "e1") for key in SAMPLE):  # noqa: ASYNC110  # no event tells
+            await asyncio.sleep(0.01)
+    stop.set()
+    assert set(await asking) == {200}
+    before = runs_in_zone(site)
+    for key in SAMPLE:
+        assert (await site.async_call("/read/x", key=key)).status == 200
+    for _ in range(10):
+        assert (await site.async_call("/files/x", key=None)).status == 200
+    assert runs_in_zone(site) == before
+
+
+async def test_zone_that_is_taken_back_gets_what_cold_targets_bear(
+    two_zones: Site,
+) -> None:
+    """Guards against a crowd at targets that are cold after an evacuation."""
+    site = two_zones
+    site.store.put("evacuations", ZONE, {})
+    await site.async_wait(lambda: not any(owner_of(site, k) == "e0" for k in SAMPLE))
+    before = len(site.targets_by_name["f0"].runs)
+    site.store.remove("evacuations", ZONE)
+    calls = [site.async_call("/files/x", key=None) for _ in range(60)]
+    await asyncio.gather(*calls)
+    await asyncio.sleep(0.5)
+    limit = BOUNDS.cold_limit(COLD_RATE)
+    assert len(site.targets_by_name["f0"].runs) - before <= limit
+    await site.async_wait(lambda: any(owner_of(site, k) == "e0" for k in SAMPLE))
--- a/tests/router/test_gossip.py
+++ b/tests/router/test_gossip.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from swiftpin.discovery.evacuations import Evacuations
 from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.fleet.link import LinkHandler, PeerLink
 from swiftpin.fleet.proto import fleet_pb2 as pb
@@ -31,7 +32,7 @@
 @pytest.fixture(name="directory")
 def directory_fixture() -> SimpleNamespace:
     """Return a directory of which only the version matters."""
-    return SimpleNamespace(version=10)
+    return SimpleNamespace(version=10, evacuations=Evacuations(None))
 
 
 @pytest.fixture(name="links")
@@ -252,6 +253,7 @@
 ) -> None:
     """Guards against a list for each question that was asked twice."""
     directory.present_targets = list
+    directory.targets_since = lambda revision, now: []
     link = FakeLink("a", targets=told)
     gossip.give_targets(link, pb.UpdateAsk(targets=8))
     assert [item.WhichOneof("body") for item in link.sent] == ["update"] * answers
--- a/tests/router/test_heartbeats.py
+++ b/tests/router/test_heartbeats.py
@@ -5,12 +5,16 @@
 from types import SimpleNamespace
 from typing import cast
 
+import pytest
+
+from swiftpin.discovery.evacuations import Evacuations
 from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.discovery.target_directory import TargetDirectory
 from swiftpin.fleet.proto import fleet_pb2 as pb
 from swiftpin.gateway.lifecycle import Lifecycle
 from swiftpin.keyranges.lease_election import LeaseElection
 from swiftpin.keyranges.lease_record import LeaseRecord
+from swiftpin.platform.platform_object import PlatformObject
 from swiftpin.router.configuration_holder import ConfigurationHolder
 from swiftpin.router.extension_votes import ExtensionVotes
 from swiftpin.router.heartbeats import Heartbeats
@@ -31,6 +35,7 @@
             own_resigned_term=lambda now: 2,
         )
         self.echoes: list[float] = []
+        self.evacuations = Evacuations(5.0)
         votes = SimpleNamespace(
             give=lambda link, now: True,
             take=lambda link, echo: self.echoes.append(echo),
@@ -46,7 +51,10 @@
             votes=cast(ExtensionVotes, votes),
             maps=KeyMaps(),
             configuration=ConfigurationHolder(),
-            directory=cast(TargetDirectory, SimpleNamespace(version=7)),
+            directory=cast(
+                TargetDirectory,
+                SimpleNamespace(version=7, evacuations=self.evacuations),
+            ),
             lifecycle=Lifecycle(),
             health=StoreHealth(),
         )
@@ -72,3 +80,16 @@
     assert member.echoes == [9.0]
     assert member.lease.resigned_term == 2
     assert member.leader.record.holder == "c/1"
+
+
+def test_heartbeat_brings_evacuations_that_are_newer() -> None:
+    """Guards against a zone that stays in use where the store is not heard."""
+    teller, learner = Member(), Member()
+    zone = PlatformObject(name="z1", revision=5, is_deleted=False, document={})
+    teller.evacuations.adopt_changes((zone,), 5, NOW - 2.0)
+    heartbeat = teller.heartbeats.make(FakeLink("b"), NOW).heartbeat
+    learner.heartbeats.take(FakeLink("a"), heartbeat)
+    assert learner.evacuations.is_evacuated("z1")
+    assert learner.evacuations.version == 5
+    (age,) = heartbeat.evacuated_for
+    assert age == pytest.approx(2.0)
