Limit the permits for cold targets, over the whole fleet

Cause: a target's slots were the only bound on it. A fast one with four slots, two permits ahead and nothing running takes fifteen requests and more in its first second.

Ways weighed: - a share of the rate for each of 79 instances: safe, and 0.06 requests a second each; nobody would use the target while it is cold; - the target's refusal as the signal: cold targets do not refuse, they crash; - kept: the issuer of the target's permits spaces them by the declared rate. It is one writer; an issuer that takes over begins with an empty account. Instances that do not see each other choose issuers side by side, so only the first in rank give permits for a cold target, as many as the bounds allow at the full rate (two here: 2 x 5.7 of 15.05); the others let callers wait until it is warm, or reject them at once with a time that is true. Targets that are warm are chosen first where any will do.

--- a/swiftpin/permits/permit_broker.py
+++ b/swiftpin/permits/permit_broker.py
@@ -12,6 +12,7 @@
 from swiftpin.fleet.link import PeerLink
 from swiftpin.fleet.proto import fleet_pb2 as pb
 from swiftpin.model.target import Target
+from swiftpin.permits.cold_targets import ALL_WARM, ColdTargets
 from swiftpin.permits.pending_asks import AskEnd, PendingAsk, PendingAsks
 from swiftpin.permits.permit import Permit
 from swiftpin.permits.permit_decision import PermitDecision
@@ -105,14 +106,23 @@
 
     @callback
     def set_targets(
-        self, service: str, targets: list[Target], leaving: list[Target]
+        self,
+        service: str,
+        targets: list[Target],
+        leaving: list[Target],
+        cold: ColdTargets = ALL_WARM,
     ) -> None:
         """Take the targets of a service and their slots.
 
         Those that are `leaving` serve no more than the keys that they still own.
         """
-        now = asyncio.get_running_loop().time()
-        self._own_issuer.set_targets(service, targets, leaving, now)
+        self._own_issuer.set_targets(
+            service,
+            targets,
+            leaving,
+            asyncio.get_running_loop().time(),
+            cold_by_id=cold.for_issuer(service, self._incarnation, self.issuers),
+        )
 
     @callback
     def note_link(self, link: PeerLink) -> None:
--- a/swiftpin/permits/permit_issuer.py
+++ b/swiftpin/permits/permit_issuer.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from swiftpin.core import callback
 from swiftpin.fleet.item import Item
 from swiftpin.fleet.link import PeerLink
 from swiftpin.fleet.proto import fleet_pb2 as pb
 from swiftpin.model.target import Target
+from swiftpin.permits.cold_limit import ColdTarget
 from swiftpin.permits.permit_decision import PermitDecision
 from swiftpin.permits.permit_queue import PermitQueue
 from swiftpin.permits.permit_request import PermitRequest
@@ -23,10 +24,18 @@
 
     @callback
     def set_targets(
-        self, service: str, targets: list[Target], leaving: list[Target], now: float
+        self,
+        service: str,
+        targets: list[Target],
+        leaving: list[Target],
+        now: float,
+        *,
+        cold_by_id: Mapping[str, ColdTarget] | None = None,
     ) -> None:
         """Take the targets of a service and their slots."""
-        self._queue(service).set_targets(targets, now, leaving=leaving)
+        self._queue(service).set_targets(
+            targets, now, leaving=leaving, cold_by_id=cold_by_id
+        )
 
     @callback
     def ask(self, request: PermitRequest, now: float) -> None:
--- a/swiftpin/permits/permit_queue.py
+++ b/swiftpin/permits/permit_queue.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Final
 
 from swiftpin.core import callback
 from swiftpin.model.target import Target
+from swiftpin.permits.cold_limit import ColdTarget
 from swiftpin.permits.permit_decision import PermitDecision
 from swiftpin.permits.permit_request import PermitRequest
 from swiftpin.permits.retry_spread import SHORTEST_RETRY
@@ -50,13 +51,19 @@
 
     @callback
     def set_targets(
-        self, targets: Iterable[Target], now: float, *, leaving: Iterable[Target] = ()
+        self,
+        targets: Iterable[Target],
+        now: float,
+        *,
+        leaving: Iterable[Target] = (),
+        cold_by_id: Mapping[str, ColdTarget] | None = None,
     ) -> None:
         """Take the targets to which requests without a key may go.
 
         Those that are `leaving` may still get requests for the keys that they own. A
-        target that was in either and is in none is gone: who waits for it is rejected.
+        target that was in either and is in none is gone: its waiters are rejected.
         """
+        cold_by_id = cold_by_id or {}
         targets = list(targets)
         present = [*targets, *leaving]
         gone = self._present - {target.id for target in present}
@@ -66,6 +73,7 @@
             slots = self._slots(target.id)
             slots.limit = target.slots
             slots.zone = target.zone
+            slots.cold.set(cold_by_id.get(target.id), now)
         for target_id in gone:
             self._reject_all(target_id)
             self._forget_unused(target_id)
@@ -131,7 +139,8 @@
     def expire(self, now: float) -> None:
         """Reject what can't be served in time any more, and forget idle targets."""
         for target, line in list(self._lines_by_target.items()):
-            self._review(target, now)
+            # Permits for cold targets become due without the end of another one.
+            self._serve_line(target, now)
             if not line.requests and line.is_idle(now):
                 del self._lines_by_target[target]
         for target in list(self._slots_by_target):
@@ -169,12 +178,16 @@
         """Return the target that a request may be sent to at once."""
         names = (request.target,) if request.target else self._eligible
         uses_by_target = {name: self._slots(name) for name in names}
-        candidates = [name for name, use in uses_by_target.items() if use.is_free]
+        candidates = [
+            name
+            for name, use in uses_by_target.items()
+            if use.is_free and not use.cold.opens_in(now)
+        ]
         if not candidates:
             candidates = [
                 name
                 for name, use in uses_by_target.items()
-                if use.running < self._permits(use)
+                if use.running < self._permits(use) and not use.cold.is_cold(now)
             ]
         if not candidates:
             return None
@@ -183,7 +196,7 @@
     @callback
     def _rank(
         self, target: str, request: PermitRequest, now: float
-    ) -> tuple[bool, bool, float, str]:
+    ) -> tuple[bool, bool, bool, float, str]:
         """Return by what free targets are chosen: sound ones first, then fast ones."""
         slots = self._slots_by_target[target]
         load = (slots.running + 1) / slots.limit
@@ -191,6 +204,7 @@
         return (
             target == request.avoided,
             now < slots.avoided_until,
+            slots.cold.is_cold(now),
             slots.mean_time * (1 + load) * distance,
             target,
         )
@@ -205,17 +219,22 @@
         """Return how fast the slots of a target, or of all, become free."""
         names = (target,) if target else self._eligible
         uses = [(use, self._permits(use)) for use in map(self._slots, names)]
-        rate = sum(permits / self._hold(use) for use, permits in uses)
-        if not rate:
+        rates = [permits / self._hold(use) for use, permits in uses]
+        if not any(rates):
             return IDLE_PACE
+        limits = [use.cold.rate(now) for use, _ in uses]
         return SlotPace(
-            free_in=min(
-                use.free_in(permits, self._hold(use), now) for use, permits in uses
-            ),
-            interval=1 / rate,
-            hold=sum(permits for _, permits in uses) / rate,
+            free_in=min(self._free_in(use, permits, now) for use, permits in uses),
+            interval=1 / sum(map(min, rates, limits)),
+            hold=sum(permits for _, permits in uses) / sum(rates),
         )
 
+    @callback
+    def _free_in(self, slots: TargetSlots, permits: int, now: float) -> float:
+        """Return the seconds until a target's next permit may be given."""
+        free_in = slots.free_in(permits, self._hold(slots), now)
+        return max(free_in, slots.cold.opens_in(now))
+
     @callback
     def _permits(self, slots: TargetSlots) -> int:
         """Return how many permits may be out for a target while no slot is free."""
@@ -226,7 +245,9 @@
         """Give a permit."""
         pace = self._pace(request.target, now)
         self._line(request.target).record_grant(request, pace, now)
-        self._slots(target).granted_at_by_request[request.id] = now
+        slots = self._slots(target)
+        slots.granted_at_by_request[request.id] = now
+        slots.cold.record(now)
         self._running[request.id] = target
         request.decide(PermitDecision(target=target))
 
@@ -249,6 +270,13 @@
     @callback
     def _serve(self, target: str, now: float) -> None:
         """Give a slot that became free to whoever waits for it."""
+        self._serve_line(target, now)
+        if target in self._eligible:
+            self._serve_line("", now)
+
+    @callback
+    def _serve_line(self, target: str, now: float) -> None:
+        """Give the free slots of a target, or of any, to those who wait for them."""
         self._review(target, now)
         line = self._lines_by_target.get(target)
         while line is not None and line.requests:
@@ -258,8 +286,6 @@
                 break
             line.requests.pop(0)
             self._grant(request, free, now)
-        if target in self._eligible:
-            self._serve("", now)
 
     @callback
     def _withdraw(self, request_id: tuple[str, int]) -> None:
--- a/swiftpin/permits/target_slots.py
+++ b/swiftpin/permits/target_slots.py
@@ -7,6 +7,8 @@
 import math
 from typing import Final
 
+from swiftpin.permits.cold_limit import ColdLimit
+
 FIRST_TIME: Final = 0.2
 """Seconds assumed for a request before any was seen."""
 
@@ -43,6 +45,7 @@
     """Seconds for which a permit is out, the messages that give and return it included;
     None until one was seen."""
 
+    cold: ColdLimit = field(default_factory=ColdLimit)
     avoided_until: float = 0.0
     recent_failures: deque[float] = field(default_factory=lambda: deque(maxlen=8))
 
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -20,6 +20,9 @@
 from swiftpin.helpers.logging_setup import LoggingSetup
 from swiftpin.keyranges.lease_election import LeaseElection
 from swiftpin.model.instance_settings import InstanceSettings
+from swiftpin.model.service_spec import ServiceSpec
+from swiftpin.model.target import Target
+from swiftpin.permits.cold_targets import ColdTargets
 from swiftpin.permits.permit_broker import PermitBroker
 from swiftpin.platform.names import (
     KIND_CONFIGURATION,
@@ -285,7 +288,28 @@
         for service in configuration.services_by_name.values():
             serving = self._directory.serving_targets(service.name, now)
             retiring = self._directory.retiring_targets(service.name, now)
-            self._permits.set_targets(service.name, serving, retiring)
+            self._permits.set_targets(
+                service.name,
+                serving,
+                retiring,
+                self._cold_targets(service, [*serving, *retiring], now),
+            )
+
+    @callback
+    def _cold_targets(
+        self, service: ServiceSpec, targets: list[Target], now: float
+    ) -> ColdTargets:
+        """Return the targets of a service that are cold."""
+        left_by_id = {
+            target.id: self._directory.cold_left(target, service.cold_start, now)
+            for target in targets
+        }
+        return ColdTargets(
+            left_by_id={name: left for name, left in left_by_id.items() if left},
+            rate=service.cold_rate,
+            most_a_second=self._settings.bounds.cold_limit(service.cold_rate),
+            is_keyed=service.is_keyed,
+        )
 
     async def _async_housekeeping(self) -> None:
         """Close idle connections again and again."""
