Plan with what cold targets bear

One cause, read in the code: a cold target counted with half of its capacity, 8 requests a second of the 4.7 that it bears, and as empty newcomer got half of a busy target's range whatever its load; keys of lost targets went to those first.

Capacities of cold targets are bounded by the declared rate, also of targets that are cold again and still own keys; newcomers that are cold get their first keys by load, from targets that are busy, and a range of their own once they are warm.

It is kept for what it guards against: callers who are refused at a cold target while others have room.

--- a/swiftpin/keyranges/plan_balance.py
+++ b/swiftpin/keyranges/plan_balance.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 import math
 from typing import Final
 
@@ -38,10 +38,12 @@
     planned: list[Move],
     *,
     may_cut: bool = True,
+    limited: Collection[str] = (),
 ) -> list[Move]:
     """Return moves of busy keys from the busiest targets to those with room.
 
-    Whole segments only, unless they may be cut.
+    Whole segments only, unless they may be cut. Targets that are `limited` for a while
+    get their first keys here.
     """
     mean = mean_utilization(shares)
     level = max(mean, BUSY * 0.7)
@@ -52,7 +54,8 @@
     for name in donors:
         if shares[name].utilization < max(BUSY, mean * IMBALANCE):
             break
-        if not _is_certain(shares[name], level):
+        has_idle = any(not shares[target].load for target in limited)
+        if not has_idle and not _is_certain(shares[name], level):
             continue
         relief = _relieve(name, working, shares, rates_by_key, level, may_cut=may_cut)
         moves += relief
--- a/swiftpin/keyranges/plan_newcomers.py
+++ b/swiftpin/keyranges/plan_newcomers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 from swiftpin.keyranges.assignment import Assignment
 from swiftpin.keyranges.move import Move
 from swiftpin.keyranges.segment import Segment
@@ -12,13 +14,14 @@
     assignment: Assignment,
     shares: dict[str, TargetShare],
     planned: list[Move],
+    limited: Collection[str] = (),
 ) -> list[Move]:
-    """Return a first range for each target that owns nothing."""
+    """Return a first range for each target that owns nothing and is not limited."""
     moves: list[Move] = []
     fed = {move.to for move in planned}
     taken = {(move.first, move.last) for move in planned}
     for target, share in shares.items():
-        if share.width or target in fed:
+        if share.width or target in fed or target in limited:
             continue
         segments = [
             segment
--- a/swiftpin/keyranges/planner.py
+++ b/swiftpin/keyranges/planner.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from typing import Final
 
 from swiftpin.keyranges.assignment import Assignment
@@ -31,13 +31,15 @@
     capacities_by_target: Mapping[str, float],
     rates_by_key: Mapping[int, float],
     bounds_by_target: Mapping[str, CapacityBounds] | None = None,
+    *,
+    limited: Collection[str] = (),
 ) -> list[Move]:
     """Return moves that empty lost targets and then even the load out.
 
     `capacities_by_target` holds the targets that may own keys, with the requests a
     second that each can bear; `bounds_by_target` tells between what that certainly
-    lies, if it is not known exactly. Segments on the move, which have a former owner,
-    stay.
+    lies, if it is not known exactly. Targets that are `limited` for a while get keys by
+    their load only. Segments on the move, which have a former owner, stay.
     """
     if not capacities_by_target:
         return []
@@ -46,7 +48,7 @@
     most_segments = MOST_SEGMENTS * len(shares)
     may_cut = len(assignment.segments) < most_segments
     if may_cut:
-        moves += plan_newcomers(assignment, shares, moves)
+        moves += plan_newcomers(assignment, shares, moves, limited)
         moves += plan_hot_keys(
             assignment.with_moves(moves, 0),
             shares,
@@ -54,7 +56,9 @@
             bounds_by_target or _exact(capacities_by_target),
         )
     if len(moves) < MOST_MOVES:
-        moves += plan_balance(assignment, shares, rates_by_key, moves, may_cut=may_cut)
+        moves += plan_balance(
+            assignment, shares, rates_by_key, moves, may_cut=may_cut, limited=limited
+        )
     # Cuts need room below the limit. Unless pieces are given back beside other moves,
     # some seconds of hot keys and replaced targets use it up, and keys that become hot
     # stay where they are: targets refuse requests while others idle. Of requests after
--- a/swiftpin/keyranges/range_assigner.py
+++ b/swiftpin/keyranges/range_assigner.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import replace
+import math
 from typing import Final
 
 from eliot import log_message
@@ -31,6 +32,8 @@
 from swiftpin.keyranges.planner import plan_moves
 from swiftpin.keyranges.target_sessions import TargetSessions
 from swiftpin.keyranges.target_speed import CapacityBounds, TargetSpeed
+from swiftpin.model.service_spec import ServiceSpec
+from swiftpin.model.target import Target
 from swiftpin.platform.store_client import StoreClient
 from swiftpin.platform.target_control import TargetControl
 
@@ -66,10 +69,12 @@
         on_map: Callable[[KeyMap], None],
         count_members: Callable[[], int],
         longest_request: Callable[[], float],
+        declared: Callable[[], ServiceSpec],
     ) -> None:
         self.load = KeyLoad()
         self.speed = TargetSpeed()
         self._service = service
+        self._declared = declared
         self._directory = directory
         self._lease = lease
         self._health = health
@@ -207,7 +212,13 @@
             target: self._capacity_bounds(target, capacity)
             for target, capacity in capacities.items()
         }
-        moves = plan_moves(before, capacities, self.load.rates_by_key, bounds)
+        moves = plan_moves(
+            before,
+            capacities,
+            self.load.rates_by_key,
+            bounds,
+            limited=self._limited_targets(now) & capacities.keys(),
+        )
         joined, joined_fences = before.with_joined(self._fences.next, MOST_JOINED)
         if not moves and len(joined_fences) < LEAST_JOINED:
             return
@@ -238,12 +249,28 @@
             if self._sessions.is_lost(target.id, now):
                 continue
             capacity = self.speed.capacity(target.id, target.slots)
-            seen_since = self._directory.seen_since_by_id.get(target.id, now)
-            if now - seen_since < target.cold_for:
-                capacity *= COLD_SHARE
+            if self._is_cold(target, now):
+                capacity = min(capacity * COLD_SHARE, self._declared().cold_rate)
             capacities[target.id] = capacity
         return capacities
 
+    @callback
+    def _is_cold(self, target: Target, now: float) -> bool:
+        """Return whether a target bears less than usual."""
+        cold_start = self._declared().cold_start
+        return self._directory.cold_left(target, cold_start, now) > 0
+
+    @callback
+    def _limited_targets(self, now: float) -> set[str]:
+        """Return the targets that bear only the rate of cold ones."""
+        if math.isinf(self._declared().cold_rate):
+            return set()
+        return {
+            target.id
+            for target in self._directory.serving_targets(self._service, now)
+            if self._is_cold(target, now)
+        }
+
     @callback
     def _capacity_bounds(self, target_id: str, capacity: float) -> CapacityBounds:
         """Return between what the capacity of an eligible target certainly lies."""
--- a/swiftpin/router/assigner_factory.py
+++ b/swiftpin/router/assigner_factory.py
@@ -16,6 +16,7 @@
 from swiftpin.keyranges.range_assigner import RangeAssigner
 from swiftpin.model.configuration import Configuration
 from swiftpin.model.instance_settings import InstanceSettings
+from swiftpin.model.service_spec import ServiceSpec
 from swiftpin.permits.permit_broker import PermitBroker
 from swiftpin.platform.store_client import StoreClient
 from swiftpin.platform.target_control import TargetControl
@@ -73,8 +74,17 @@
             on_map=self._key_maps.hand_out,
             count_members=lambda: self._permits.issuers.members,
             longest_request=self._longest_request,
+            declared=partial(self._declared, configuration.services_by_name[service]),
         )
 
+    @callback
+    def _declared(self, known: ServiceSpec) -> ServiceSpec:
+        """Return the present declaration of a service, the one known if it has none."""
+        configuration = self._configuration.current
+        if configuration is None:
+            return known
+        return configuration.services_by_name.get(known.name, known)
+
     @callback
     def _check_lease(self, term: int, now: float) -> None:
         """Hold back a call to a target by an assigner whose term is over.
--- a/tests/keyranges/targets.py
+++ b/tests/keyranges/targets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from swiftpin.model.service_spec import ServiceSpec
 from swiftpin.model.target import Target
 from swiftpin.model.target_life import TargetLife
 
@@ -20,3 +21,9 @@
         cold_for=0.0,
         revision=revision,
     )
+
+
+KEYED = ServiceSpec(
+    name="desk", is_keyed=True, health_path="/health", max_connections=100, warmup=3.0
+)
+"""Declaration of the service of these tests."""
--- a/tests/keyranges/test_late_records.py
+++ b/tests/keyranges/test_late_records.py
@@ -34,7 +34,7 @@
     KeyGrant,
     TargetControl,
 )
-from tests.keyranges.targets import make_target
+from tests.keyranges.targets import KEYED, make_target
 
 MOVE = Move(first=0, last=99, source="a", to="b")
 REST = Segment(first=100, last=65535, owner="b", fence=5)
@@ -152,6 +152,7 @@
         on_map=lambda key_map: None,
         count_members=lambda: 1,
         longest_request=lambda: 0.0,
+        declared=lambda: KEYED,
     )
     await assigner._async_load()
     await async_end_moves(assigner)
@@ -169,7 +170,9 @@
     """Return what sets the move that every plan makes."""
 
     def plan(move: Move) -> None:
-        monkeypatch.setattr(range_assigner_module, "plan_moves", lambda *args: [move])
+        monkeypatch.setattr(
+            range_assigner_module, "plan_moves", lambda *_, **__: [move]
+        )
 
     return plan
 
--- a/tests/keyranges/test_range_assigner.py
+++ b/tests/keyranges/test_range_assigner.py
@@ -29,7 +29,7 @@
     KeyGrant,
     TargetControl,
 )
-from tests.keyranges.targets import make_target
+from tests.keyranges.targets import KEYED, make_target
 
 
 class SlowStore:
@@ -103,6 +103,7 @@
         on_map=lambda key_map: None,
         count_members=lambda: 1,
         longest_request=lambda: 1.0,
+        declared=lambda: KEYED,
     )
     assigner._state.assignment = Assignment(
         segments=(
@@ -127,7 +128,7 @@
     Cause: fences were taken for renewals while a plan was on its way to the record.
     """
     move = Move(first=0, last=99, source="a", to="b")
-    monkeypatch.setattr(range_assigner_module, "plan_moves", lambda *args: [move])
+    monkeypatch.setattr(range_assigner_module, "plan_moves", lambda *_, **__: [move])
     targets.seen_by_target["a"] = 2_000_009
     plan = asyncio.create_task(assigner._async_plan_once(0.0))
     await store.is_asked.wait()
@@ -175,7 +176,7 @@
     assigner._state.assignment = Assignment(segments=(segment,))
     assigner._sessions.of("a@1").note_grant(suspend_aware_now(), HOLD_TIME)
     move = Move(first=0, last=65535, source="a@1", to="a@2")
-    monkeypatch.setattr(range_assigner_module, "plan_moves", lambda *args: [move])
+    monkeypatch.setattr(range_assigner_module, "plan_moves", lambda *_, **__: [move])
     store.may_answer.set()
     started = suspend_aware_now()
     await assigner._async_plan_once(0.0)
