--- a/swiftpin/bench/decisions/key_owners.py
+++ b/swiftpin/bench/decisions/key_owners.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 from functools import partial
+import math
 from typing import Final
 
 from swiftpin.bench.decisions.event_queue import EventQueue
@@ -84,8 +85,16 @@
             for name, target in self._targets_by_name.items()
             if name not in self.leaving
         ]
+        limited = {
+            target.name: target.cold_rate
+            for target in eligible
+            if target.cold_until > self._clock.now
+        }
         capacities = {
-            target.name: self.speed.capacity(target.name, target.slots)
+            target.name: min(
+                self.speed.capacity(target.name, target.slots),
+                limited.get(target.name, math.inf),
+            )
             for target in eligible
         }
         bounds = {
@@ -93,7 +102,9 @@
             for target in eligible
         }
         before = self._assignment
-        moves = plan_moves(before, capacities, self.load.rates_by_key, bounds)
+        moves = plan_moves(
+            before, capacities, self.load.rates_by_key, bounds, limited=limited
+        )
         joined, joined_fences = before.with_joined(self._fence, MOST_JOINED)
         if not moves and len(joined_fences) < LEAST_JOINED:
             return
--- a/swiftpin/bench/decisions/modelled_router.py
+++ b/swiftpin/bench/decisions/modelled_router.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from itertools import count
+import math
 from typing import Final
 
 from swiftpin.bench.decisions.event_queue import EventQueue
@@ -13,6 +14,7 @@
 from swiftpin.bench.decisions.scenario import RequestSort, ServiceShape
 from swiftpin.model.target import Target
 from swiftpin.model.target_life import TargetLife
+from swiftpin.permits.cold_limit import ColdTarget
 from swiftpin.permits.permit_broker import EXPIRE_INTERVAL
 from swiftpin.permits.permit_decision import PermitDecision
 from swiftpin.permits.permit_queue import PermitQueue
@@ -82,6 +84,27 @@
             self.owners.leaving.add(target.name)
         self._set_targets()
 
+    def begin_cold(self, number: int, seconds: float) -> None:
+        """Let a cold target come in the place of one that has left."""
+        former = self.targets_by_name[f"{self._shape.name}-{number}"]
+        name = f"{former.name}-cold"
+        target = ModelledTarget(name, self._shape, former.speed, self._clock)
+        target.cold_until = self._clock.now + seconds
+        self.targets_by_name[name] = target
+        if self.owners is not None:
+            self.owners.add(target)
+        self._set_targets()
+        self._clock.after(seconds, self._set_targets)
+
+    def _cold_targets(self) -> dict[str, ColdTarget]:
+        """Return the cold targets by name."""
+        now = self._clock.now
+        return {
+            name: ColdTarget(left=target.cold_until - now, rate=self._shape.cold_rate)
+            for name, target in self.targets_by_name.items()
+            if target.cold_until > now and not math.isinf(self._shape.cold_rate)
+        }
+
     def _set_targets(self) -> None:
         """Tell the queue which targets there are."""
         staying: list[Target] = []
@@ -98,7 +121,12 @@
                 revision=1,
             )
             (leaving if entry.is_draining else staying).append(entry)
-        self._queue.set_targets(staying, self._clock.now, leaving=leaving)
+        self._queue.set_targets(
+            staying,
+            self._clock.now,
+            leaving=leaving,
+            cold_by_id=self._cold_targets(),
+        )
 
     def take(self, attempt: Try) -> None:
         """Serve a request."""
--- a/swiftpin/bench/decisions/modelled_target.py
+++ b/swiftpin/bench/decisions/modelled_target.py
@@ -42,6 +42,11 @@
         self.speed = speed
         self.slowness = 1.0
         self.shed_share = 0.0
+        self.cold_until = 0.0
+        self.cold_rate = shape.cold_rate
+        self.came_cold: list[float] = []
+        """When requests came while the target was cold."""
+
         self.owns: Callable[[int], bool] = _any_key
         self._shape = shape
         self._clock = clock
@@ -52,6 +57,8 @@
 
     def take(self, work: Work) -> None:
         """Run, queue or reject a request."""
+        if self._clock.now < self.cold_until:
+            self.came_cold.append(self._clock.now)
         if work.key is not None and not self.owns(work.key):
             work.reply(Answer.NOT_OWNED)
         elif self._rng.random() < self.shed_share:
@@ -73,10 +80,21 @@
         self._releases.append((keys, done))
         self._check_releases()
 
+    def work_factor(self) -> float:
+        """Return how many times as long work takes on the target's machine now."""
+        machines = self._shape.machines
+        if machines is None:
+            return 1.0
+        period = int(self._clock.now / machines.seconds)
+        is_slow = Random(f"{self.name}/{period}").random() < machines.share
+        return machines.factor if is_slow else 1.0
+
     def _run(self, work: Work) -> None:
         """Begin a request."""
         self._running.append(work)
-        seconds = work.seconds * self.slowness / self.speed
+        seconds = work.seconds * self.slowness * self.work_factor() / self.speed
+        if self._clock.now < self.cold_until:
+            seconds *= self._shape.cold_factor
         self._clock.after(seconds, lambda: self._finish(work))
 
     def _finish(self, work: Work) -> None:
--- a/swiftpin/bench/decisions/play.py
+++ b/swiftpin/bench/decisions/play.py
@@ -11,6 +11,7 @@
 from swiftpin.bench.decisions.outcome import Fate, Summary, summarize
 from swiftpin.bench.decisions.scenario import (
     Burst,
+    ColdReturn,
     HotKey,
     LeavingTargets,
     RequestSort,
@@ -77,10 +78,23 @@
         ]
         return summarize(
             judged,
+            self._most_at_cold_targets(),
             sum(owner.moves for owner in owners),
             sum(owner.moved_keys for owner in owners) / KEYS,
         )
 
+    def _most_at_cold_targets(self) -> int:
+        """Return the most requests that a cold target got within a second."""
+        return max(
+            (
+                sum(began <= at < began + 1 for at in target.came_cold)
+                for router in self._routers_by_service.values()
+                for target in router.targets_by_name.values()
+                for began in target.came_cold
+            ),
+            default=0,
+        )
+
     def _arrive_later(self, sort: RequestSort) -> None:
         """Plan the next request of a sort."""
         gap = self._rng.expovariate(sort.rate * self._factor)
@@ -168,6 +182,13 @@
             case LeavingTargets():
                 if is_on:
                     self._leave_one(trouble, 0)
+            case ColdReturn():
+                router = self._routers_by_service[trouble.service]
+                for number in range(trouble.count):
+                    if is_on:
+                        router.let_leave(number, is_replaced=False)
+                    else:
+                        router.begin_cold(number, trouble.cold_seconds)
 
     def _leave_one(self, trouble: LeavingTargets, number: int) -> None:
         """Let a target leave, and the next ones later."""
--- a/swiftpin/bench/decisions/scenario.py
+++ b/swiftpin/bench/decisions/scenario.py
@@ -37,6 +37,18 @@
     """How often a caller comes back after a rejection."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SharedMachines:
+    """Other work on the targets' machines, which slows some down for a while."""
+
+    share: float
+    """Part of the machines that are slow at a time."""
+
+    factor: float
+    seconds: float
+    """How long a machine stays slow."""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ServiceShape:
     """The targets of one service."""
@@ -48,6 +60,26 @@
     """Requests that a target queues itself."""
 
     is_keyed: bool = False
+    machines: SharedMachines | None = None
+    cold_rate: float = math.inf
+    """Requests a second that a cold target bears."""
+
+    cold_factor: float = 2.0
+    """How many times as long a cold target works."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ColdReturn:
+    """Some targets of a service are gone for a while and come back cold.
+
+    They come back as new ones, which own no keys.
+    """
+
+    at: float
+    seconds: float
+    service: str
+    count: int
+    cold_seconds: float = 3.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -107,7 +139,7 @@
     """Whether another of the same speed comes as each begins to leave."""
 
 
-Trouble = HotKey | Burst | SlowTargets | SheddingTargets | LeavingTargets
+Trouble = HotKey | Burst | SlowTargets | SheddingTargets | LeavingTargets | ColdReturn
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/swiftpin/bench/decisions/scenarios.py
+++ b/swiftpin/bench/decisions/scenarios.py
@@ -7,11 +7,13 @@
 
 from swiftpin.bench.decisions.scenario import (
     Burst,
+    ColdReturn,
     HotKey,
     LeavingTargets,
     RequestSort,
     Scenario,
     ServiceShape,
+    SharedMachines,
     SheddingTargets,
     SlowTargets,
 )
@@ -227,7 +229,94 @@
     )
 
 
+def orders(name: str, targets: int, load: float) -> Scenario:
+    """Return a load of orders and lookups on shared machines.
+
+    Most of the work are orders. `load` is the part that is used of what the targets
+    bear, were their machines their own.
+    """
+    slots = 4
+    speeds = (0.7, 0.7, 1.6) * (targets // 3)
+    lookups, booked = 0.4, 0.6
+    work = lookups * 0.22 + booked * 0.29
+    rate = load * slots * sum(speeds) / work
+    return Scenario(
+        name=name,
+        seconds=24.0,
+        skew=1.5,
+        sorts=(
+            RequestSort(
+                name="lookup",
+                service="keyed",
+                rate=lookups * rate,
+                work=0.22,
+                spread=0.3,
+                tail=0.01,
+                tail_factor=3.0,
+                priority=2,
+                objective=1.0,
+                deadline=4.0,
+                timeout=2.0,
+                late_worth=0.3,
+            ),
+            RequestSort(
+                name="booking",
+                service="keyed",
+                rate=booked * rate,
+                work=0.29,
+                spread=0.3,
+                tail=0.01,
+                tail_factor=3.0,
+                priority=1,
+                objective=1.2,
+                deadline=4.0,
+                timeout=2.0,
+                worth=2.0,
+                late_worth=0.6,
+            ),
+        ),
+        services=(
+            ServiceShape(
+                name="keyed",
+                speeds=speeds,
+                slots=slots,
+                is_keyed=True,
+                machines=SharedMachines(share=0.2, factor=3.0, seconds=0.4),
+                cold_rate=4.7,
+            ),
+        ),
+    )
+
+
+def hot_keys(calm: Scenario, factor: float) -> Scenario:
+    """Return a load with hot keys of several widths, and a crowd of callers."""
+    return replace(
+        calm,
+        name=f"{calm.name}-hot",
+        seconds=30.0,
+        troubles=(
+            HotKey(at=5.0, seconds=5.0, share=0.03, service="keyed"),
+            HotKey(at=6.0, seconds=5.0, share=0.34, service="keyed", count=200),
+            HotKey(at=12.0, seconds=4.0, share=0.32, service="keyed", count=60),
+            Burst(at=12.0, seconds=2.5, factor=factor),
+        ),
+    )
+
+
+def cold_zone(calm: Scenario, targets: int) -> Scenario:
+    """Return a load of which a quarter of the targets is away and comes back cold."""
+    return replace(
+        calm,
+        name=f"{calm.name}-cold-zone",
+        troubles=(
+            ColdReturn(at=8.0, seconds=2.0, service="keyed", count=targets // 4),
+            Burst(at=9.5, seconds=5.0, factor=1.3),
+        ),
+    )
+
+
 FLEET: Final = fleet("fleet", 30)
+ORDERS: Final = orders("orders", 24, 0.55)
 LARGE_FLEET: Final = fleet("large-fleet", 180)
 
 SCENARIOS_BY_NAME: Final = {
@@ -245,5 +334,8 @@
         after_trouble(FLEET, 30),
         LARGE_FLEET,
         after_trouble(LARGE_FLEET, 180),
+        ORDERS,
+        hot_keys(ORDERS, 1.7),
+        cold_zone(ORDERS, 24),
     )
 }
