Name the parts of the permit queue as usual, and drop how values were chosen

`WaitingLine` is `TargetQueue`, `usual_most` `round_trip_bound`, `MOST_...` `MAX_...`; comments of constants tell what they do. No change of behaviour; tests only follow the names.

--- a/swiftpin/keyranges/plan_hot_keys.py
+++ b/swiftpin/keyranges/plan_hot_keys.py
@@ -18,9 +18,7 @@
 FASTER: Final = 1.5
 """By how much the new owner must bear more than the present one, at least, to be worth
 a move: while it is released the key is unserved for as long as its longest request, and
-an owner at its limit looks slower than one that idles. Of requests for a service with a
-hot key 1.8 of 100 more are served than without the move, at 1.3, 1.5 and 1.8 alike (42
-seeds of `hot-key` in `swiftpin.bench.decisions`)."""
+an owner at its limit looks slower than one that idles."""
 
 
 def plan_hot_keys(
--- a/swiftpin/keyranges/plan_joins.py
+++ b/swiftpin/keyranges/plan_joins.py
@@ -15,9 +15,7 @@
 
 COLD_SHARE: Final = 0.06
 """Part of a target's capacity up to which a piece is given to the owner of the keys
-beside it: each piece is a grant of its own to renew. Set so that pieces become fewer
-than half of the limit in an idle service; under load 0.04, 0.06 and 0.08 serve alike
-(in time 0.889, 0.888, 0.884 in `fleet-after-trouble`, 8 seeds, sd 0.006)."""
+beside it: each piece is a grant of its own to renew."""
 
 MOST_JOINS: Final = 6
 """Pieces given back at a time."""
--- a/swiftpin/keyranges/planner.py
+++ b/swiftpin/keyranges/planner.py
@@ -22,8 +22,7 @@
 CROWDED: Final = 0.8
 CROWDED_WHEN_IDLE: Final = 0.4
 """Parts of `MOST_SEGMENTS` above which pieces are joined under load, and when nothing
-else is to be done. At 0.4 under load nobody is served better, and two fifths more keys
-change hands (2.9 and 2.1 times all keys in `fleet-after-trouble`, 12 seeds)."""
+else is to be done."""
 
 
 def plan_moves(
@@ -61,9 +60,7 @@
         )
     # Cuts need room below the limit. Unless pieces are given back beside other moves,
     # some seconds of hot keys and replaced targets use it up, and keys that become hot
-    # stay where they are: targets refuse requests while others idle. Of requests after
-    # such a time 94 of 100 are in time with it and 84 without (`fleet-after-trouble` of
-    # `swiftpin.bench.decisions`, 12 seeds; 93 and 81 with 180 targets, 4 seeds).
+    # stay where they are.
     is_idle = not moves and mean_utilization(shares) < BUSY
     crowded = CROWDED_WHEN_IDLE if is_idle else CROWDED
     is_crowded = len(assignment.segments) > most_segments * crowded
--- a/swiftpin/permits/permit_queue.py
+++ b/swiftpin/permits/permit_queue.py
@@ -12,9 +12,9 @@
 from swiftpin.permits.permit_request import PermitRequest
 from swiftpin.permits.retry_spread import SHORTEST_RETRY
 from swiftpin.permits.slot_pace import SlotPace
+from swiftpin.permits.target_queue import ANSWER_WAY, TargetQueue
 from swiftpin.permits.target_slots import FIRST_TIME, TargetSlots
 from swiftpin.permits.turnaround import Turnaround, ignore_turnaround
-from swiftpin.permits.waiting_line import ANSWER_WAY, WaitingLine
 
 FAR_FACTOR: Final = 2.0
 """By how much faster a target in another zone must be to be preferred: bytes between
@@ -42,7 +42,7 @@
         self._slots_by_target: dict[str, TargetSlots] = {}
         self._eligible: frozenset[str] = frozenset()
         self._present: frozenset[str] = frozenset()
-        self._lines_by_target: dict[str, WaitingLine] = {}
+        self._queues_by_target: dict[str, TargetQueue] = {}
         self._running: dict[tuple[str, int], str] = {}
         self._service_slots = TargetSlots(limit=1)
         """How long permits of all its targets were out lately."""
@@ -77,7 +77,7 @@
         for target_id in gone:
             self._reject_all(target_id)
             self._forget_unused(target_id)
-        for target_id in list(self._lines_by_target):
+        for target_id in list(self._queues_by_target):
             self._serve(target_id, now)
 
     @callback
@@ -87,7 +87,7 @@
         if target is not None and now + ANSWER_WAY <= request.ends_at:
             self._grant(request, target, now)
             return
-        self._line(request.target).requests.append(request)
+        self._queue_for(request.target).requests.append(request)
         self._review(request.target, now)
 
     @callback
@@ -128,9 +128,9 @@
     @callback
     def end_all_of(self, incarnation: str, now: float) -> None:
         """Take back everything of an instance that is gone."""
-        for line in self._lines_by_target.values():
-            line.requests = [
-                request for request in line.requests if request.id[0] != incarnation
+        for queue in self._queues_by_target.values():
+            queue.requests = [
+                request for request in queue.requests if request.id[0] != incarnation
             ]
         for request_id in [key for key in self._running if key[0] == incarnation]:
             self.end(request_id, 0.0, failed=False, now=now)
@@ -138,11 +138,11 @@
     @callback
     def expire(self, now: float) -> None:
         """Reject what can't be served in time any more, and forget idle targets."""
-        for target, line in list(self._lines_by_target.items()):
+        for target, queue in list(self._queues_by_target.items()):
             # Permits for cold targets become due without the end of another one.
-            self._serve_line(target, now)
-            if not line.requests and line.is_idle(now):
-                del self._lines_by_target[target]
+            self._serve_queue(target, now)
+            if not queue.requests and queue.is_idle(now):
+                del self._queues_by_target[target]
         for target in list(self._slots_by_target):
             self._forget_unused(target)
 
@@ -166,12 +166,12 @@
             del self._slots_by_target[target]
 
     @callback
-    def _line(self, target: str) -> WaitingLine:
+    def _queue_for(self, target: str) -> TargetQueue:
         """Return those who wait for a target, or for any when it is empty."""
-        line = self._lines_by_target.get(target)
-        if line is None:
-            line = self._lines_by_target[target] = WaitingLine()
-        return line
+        queue = self._queues_by_target.get(target)
+        if queue is None:
+            queue = self._queues_by_target[target] = TargetQueue()
+        return queue
 
     @callback
     def _free_target(self, request: PermitRequest, now: float) -> str | None:
@@ -238,13 +238,13 @@
     @callback
     def _permits(self, slots: TargetSlots) -> int:
         """Return how many permits may be out for a target while no slot is free."""
-        return slots.permits(self._turnaround.usual_most)
+        return slots.permits(self._turnaround.round_trip_bound)
 
     @callback
     def _grant(self, request: PermitRequest, target: str, now: float) -> None:
         """Give a permit."""
         pace = self._pace(request.target, now)
-        self._line(request.target).record_grant(request, pace, now)
+        self._queue_for(request.target).record_grant(request, pace, now)
         slots = self._slots(target)
         slots.granted_at_by_request[request.id] = now
         slots.cold.record(now)
@@ -254,46 +254,46 @@
     @callback
     def _review(self, target: str, now: float) -> None:
         """Order those who wait for a target; reject those whose turn comes too late."""
-        line = self._lines_by_target.get(target)
-        if line is None or not line.requests:
+        queue = self._queues_by_target.get(target)
+        if queue is None or not queue.requests:
             return
-        for rejection in line.review(self._pace(target, now), now):
+        for rejection in queue.review(self._pace(target, now), now):
             _reject(rejection.request, rejection.retry_after)
 
     @callback
     def _reject_all(self, target: str) -> None:
         """Reject everyone who waits for a target that is gone."""
-        line = self._lines_by_target.pop(target, None)
-        for request in line.requests if line is not None else ():
+        queue = self._queues_by_target.pop(target, None)
+        for request in queue.requests if queue is not None else ():
             _reject(request, SHORTEST_RETRY)
 
     @callback
     def _serve(self, target: str, now: float) -> None:
         """Give a slot that became free to whoever waits for it."""
-        self._serve_line(target, now)
+        self._serve_queue(target, now)
         if target in self._eligible:
-            self._serve_line("", now)
+            self._serve_queue("", now)
 
     @callback
-    def _serve_line(self, target: str, now: float) -> None:
+    def _serve_queue(self, target: str, now: float) -> None:
         """Give the free slots of a target, or of any, to those who wait for them."""
         self._review(target, now)
-        line = self._lines_by_target.get(target)
-        while line is not None and line.requests:
-            request = line.requests[0]
+        queue = self._queues_by_target.get(target)
+        while queue is not None and queue.requests:
+            request = queue.requests[0]
             free = self._free_target(request, now)
             if free is None:
                 break
-            line.requests.pop(0)
+            queue.requests.pop(0)
             self._grant(request, free, now)
 
     @callback
     def _withdraw(self, request_id: tuple[str, int]) -> None:
         """Forget a request that waits no longer."""
-        for line in self._lines_by_target.values():
-            for request in line.requests:
+        for queue in self._queues_by_target.values():
+            for request in queue.requests:
                 if request.id == request_id:
-                    line.requests.remove(request)
+                    queue.requests.remove(request)
                     return
 
 
--- a/swiftpin/permits/recent_grants.py
+++ b/swiftpin/permits/recent_grants.py
@@ -9,16 +9,12 @@
 from swiftpin.core import callback
 
 WINDOW: Final = 1.0
-"""Seconds over which is counted: some objectives, and at the 30 requests a second of a
-busy target enough to tell half its load from all of it."""
+"""Seconds over which grants are counted."""
 
 DEVIATIONS: Final = 3.0
-"""Standard deviations of a random count by which it is taken to be lower in future.
-With none, callers are rejected whom a pause in the arrivals would have served: 1.5% of
-all at 0.7 of what a target bears, with two 0.65%, with three 0.40% (0.2% without any
-forecast). At twice what it bears, those rejected have waited 0, 0.04 and 0.16 s in the
-middle, without a forecast 0.46 s (one slot, 40 ms a request, 0.8 s to serve it in, 20
-seeds of `tests/permits/test_queue_under_overload.py`)."""
+"""Standard deviations by which future arrivals are assumed to stay below the recent
+count. Without a margin, callers are rejected whom a pause in the arrivals would have
+served."""
 
 
 class RecentGrants:
--- a/swiftpin/permits/target_queue.py
+++ b/swiftpin/permits/target_queue.py
@@ -12,31 +12,25 @@
 from swiftpin.permits.service_order import order_requests
 from swiftpin.permits.slot_pace import SlotPace
 
-MOST_WAITING: Final = 200
-"""Requests that wait for one target, or one unkeyed service, at most."""
+MAX_WAITING: Final = 200
+"""Requests that wait for one target, or one unkeyed service."""
 
 ANSWER_WAY: Final = 0.02
 """Seconds from the end of a request at its target until the caller has the answer:
 some round trips between zones of a few milliseconds each."""
 
-MOST_OVERTAKEN: Final = 0.9
-"""Part of the slots at most that is taken to go to later arrivals: overload may end at
-any moment, and a request that would then be served is not rejected before."""
+MAX_OVERTAKING_SHARE: Final = 0.9
+"""Upper bound on the share of slots assumed to go to later arrivals: overload may end
+at any moment."""
 
 
-class WaitingLine:
-    """Orders requests and finds those that won't be served.
+class TargetQueue:
+    """Orders requests and rejects those that can't be served.
 
-    By priority; within one, the largest number that can still make their objective
-    goes first, the nearest objective before the others (Moore and Hodgson's rule for
-    jobs of equal length), then the others, the nearest end first. A request whose turn
-    comes too late to finish before its end is taken out.
-
-    Without the forecast requests wait to their end though their turn can't come, and
-    their callers have no time left to try again; it shows as callers that left after
-    most of their time without a send. Whoever will miss the objective is overtaken by
-    all that won't, so its turn depends on arrivals to come, of which no more are
-    expected than the recent grants make certain.
+    A request whose turn comes too late to finish before its end is rejected at once:
+    its caller still has time to try again. A request that will miss its objective is
+    overtaken by all that won't, so its turn depends on later arrivals, of which no more
+    are assumed than the recent grants make certain.
     """
 
     def __init__(self) -> None:
@@ -65,7 +59,7 @@
         for request, is_in_time in ranked:
             starts_at = now + self._wait(request, len(kept), is_in_time, pace, now)
             is_served = starts_at + pace.hold + ANSWER_WAY <= request.ends_at
-            if is_served and len(kept) < MOST_WAITING:
+            if is_served and len(kept) < MAX_WAITING:
                 kept.append(request)
             else:
                 rejected.append(request)
@@ -90,7 +84,7 @@
         rate = self._grants.least_overtaking_rate(
             request.priority, now, is_in_time=is_in_time
         )
-        overtaken = min(rate * pace.interval, MOST_OVERTAKEN)
+        overtaken = min(rate * pace.interval, MAX_OVERTAKING_SHARE)
         # What arrived within the window says nothing of times beyond as long a one.
         # Else callers with seconds left are rejected in each short crowd, and use up
         # the few times that they come back.
--- a/swiftpin/permits/target_slots.py
+++ b/swiftpin/permits/target_slots.py
@@ -20,14 +20,11 @@
 that: between none, if times were all equal, and a whole one, if they had no memory."""
 
 IDLE_ALLOWED: Final = 0.01
-"""Slots of a target that may idle before a permit is given ahead: what rounding makes
-of times that are equal. At 0.02 some targets of a service get one ahead, others none,
-and fewer are served than with either: 0.982, against 0.988 without and 0.995 with one
-for all (27 simulated targets at 0.84 of what they bear, 12 seeds)."""
+"""Idle slots below which no permit is issued ahead, for rounding errors."""
 
-MOST_AHEAD: Final = 2
-"""Permits ahead of a target's slots at most. Targets queue a few requests themselves,
-and reset connections when they are full. Played with targets of two and four slots."""
+MAX_PIPELINED_PERMITS: Final = 2
+"""Permits issued beyond a target's slots. Targets reset connections when their own
+queue is full."""
 
 FAILURE_PAUSE: Final = 0.6
 """Seconds for which a target that failed is passed over where another will do."""
@@ -59,20 +56,17 @@
         """Return whether a request would run at once."""
         return self.running < self.limit
 
-    def permits(self, turnaround: float) -> int:
+    def permits(self, round_trip: float) -> int:
         """Return how many requests a target may have while no other has a free slot.
 
-        `turnaround` is for how many seconds a permit is out beyond the target's work:
-        on its way to the asker, and back. A slot idles for as long between two requests
-        unless the next one waits at the target already: 35 ms in the mean, one time of
-        ten 130 ms, where links are thin and processors small, beside 0.2 s of work. Of
-        the worth owed in two days of 20 such instances 0.65 and 0.72 is earned without
-        permits ahead, 0.75 and 0.77 with one, 0.79 and 0.80 with two, no more with
-        three (one play each). Requests that wait at the target can't be overtaken by
-        more urgent ones, so there are no more than the way asks for.
+        `round_trip` is for how many seconds a permit is out beyond the target's work. A
+        slot idles for as long between two requests unless the next one waits at the
+        target. Requests that wait there can't be overtaken by more urgent ones.
         """
-        idle_slots = self.limit * turnaround / self.mean_time
-        return self.limit + min(math.ceil(idle_slots - IDLE_ALLOWED), MOST_AHEAD)
+        idle_slots = self.limit * round_trip / self.mean_time
+        return self.limit + min(
+            math.ceil(idle_slots - IDLE_ALLOWED), MAX_PIPELINED_PERMITS
+        )
 
     def note_time(self, seconds: float) -> None:
         """Take an observed time."""
--- a/swiftpin/permits/turnaround.py
+++ b/swiftpin/permits/turnaround.py
@@ -7,12 +7,11 @@
 from swiftpin.core import callback
 
 WEIGHT: Final = 0.03
-"""Weight of one permit's time; single ones say little, one of ten takes four times the
-mean where links are thin."""
+"""Weight of one permit's time."""
 
 DEVIATIONS: Final = 4.0
-"""Mean deviations above the mean up to which a permit's time is taken for usual, as a
-sender of TCP does for its retransmissions. Other figures were not weighed."""
+"""Mean deviations above the mean for the upper bound, as in TCP's retransmission
+timer."""
 
 
 class Turnaround:
@@ -28,8 +27,8 @@
         self._deviation = 0.0
 
     @property
-    def usual_most(self) -> float:
-        """Return the seconds that hardly any permit exceeds."""
+    def round_trip_bound(self) -> float:
+        """Return an upper bound for a permit's round trip, in seconds."""
         return self._mean + DEVIATIONS * self._deviation
 
     @callback
--- a/swiftpin/router/answer_way.py
+++ b/swiftpin/router/answer_way.py
@@ -8,7 +8,7 @@
 from swiftpin.model.request_kind import RequestKind
 
 WEIGHT: Final = 0.1
-"""Weight of one answer; those of one kind differ in length by a factor of two."""
+"""Weight of one answer."""
 
 PASSES: Final = 2
 """Times that an answer goes over the instance's own link. What is measured is its way
@@ -18,10 +18,8 @@
 class AnswerWay:
     """Means of the time from an answer's beginning to its end, by service and kind.
 
-    Requests get slots early enough to meet their objective, and no earlier where there
-    is a line. An answer of 90 kB then comes 0.15 s too late over a link of 10 Mbit/s,
-    and so does each of its kind: 445 of 686 downloads were in time, and 531 with their
-    way in mind, in a day in which a few targets had to bear them all (one play each).
+    Requests get slots early enough to meet their objective, and no earlier where
+    others wait. Without the transfer time, long answers over thin links are all late.
     """
 
     def __init__(self) -> None:
--- a/swiftpin/router/retry_policy.py
+++ b/swiftpin/router/retry_policy.py
@@ -29,7 +29,7 @@
 
 
 class RetryPolicy:
-    """Keeps second sends safe, to the route's attempts and to the service's budget.
+    """Decides whether a request may be retried.
 
     A request that must not run twice is sent again only when the last target certainly
     did not run it; one that may be repeated also after a failure.
--- a/tests/permits/test_turnaround.py
+++ b/tests/permits/test_turnaround.py
@@ -12,7 +12,7 @@
     turnaround = Turnaround()
     for _ in range(3):
         turnaround.note(0.004)
-    assert turnaround.usual_most == pytest.approx(0.004)
+    assert turnaround.round_trip_bound == pytest.approx(0.004)
 
 
 def test_way_that_is_seldom_slow_counts_as_slow() -> None:
@@ -20,9 +20,9 @@
     turnaround = Turnaround()
     for number in range(200):
         turnaround.note(0.13 if number % 10 == 0 else 0.008)
-    assert turnaround.usual_most > 0.08
+    assert turnaround.round_trip_bound > 0.08
 
 
 def test_nothing_is_known_at_first() -> None:
     """Nothing is given ahead before a permit came back."""
-    assert Turnaround().usual_most == 0.0
+    assert Turnaround().round_trip_bound == 0.0
