--- a/spec/cases.py
+++ b/spec/cases.py
@@ -25,6 +25,9 @@
 from spec.ranges.weakness import RangeWeakness
 from spec.wide.model import wide_group
 from spec.wide.weakness import WideWeakness
+from spec.zones.cold import cold_permits
+from spec.zones.evacuation import evacuated_zone
+from spec.zones.weakness import ColdWeakness, EvacuationWeakness
 
 
 def all_cases() -> list[ModelCase]:
@@ -53,6 +56,14 @@
             protocol=key_range("ranges", RangeWeakness()),
             covers="lease, votes, pause, late grants, lost answers, T restarts",
         ),
+        ModelCase(
+            protocol=cold_permits("cold permits", ColdWeakness()),
+            covers="three issuers apart, each begins anew at any time",
+        ),
+        ModelCase(
+            protocol=evacuated_zone("evacuated zone", EvacuationWeakness()),
+            covers="late news by store and neighbour, a restored store",
+        ),
     ]
 
 
--- /dev/null
+++ b/spec/zones/__init__.py
@@ -0,0 +1,1 @@
+"""Models of cold targets and of evacuated zones."""
