--- a/tests/router/test_evacuated_zones.py
+++ b/tests/router/test_evacuated_zones.py
@@ -59,11 +59,14 @@
     asking = asyncio.create_task(async_ask_on(site, stop))
     site.store.put("evacuations", ZONE, {})
     assert BOUNDS.evacuation is not None
-    async with asyncio.timeout(BOUNDS.evacuation):
-        while any(owner_of(site, key) in ("e0", "e1") for key in SAMPLE):  # noqa: ASYNC110  # no event tells
-            await asyncio.sleep(0.01)
-    stop.set()
-    assert set(await asking) == {200}
+    try:
+        async with asyncio.timeout(BOUNDS.evacuation):
+            while any(owner_of(site, key) in ("e0", "e1") for key in SAMPLE):  # noqa: ASYNC110  # no event tells
+                await asyncio.sleep(0.01)
+    finally:
+        stop.set()
+        statuses = await asking
+    assert set(statuses) == {200}
     before = runs_in_zone(site)
     for key in SAMPLE:
         assert (await site.async_call("/read/x", key=key)).status == 200
