Keep an evacuation that a neighbour's restored store does not list

What callers would see: requests to an emptied zone. Sequence: the store comes back from a copy from before the evacuation; an instance that has just started lists it, knows none, and its heartbeat tells so at the higher era; all others end theirs at once, though the operator writes the entry again within about two seconds. Cause: only lists were judged by their era, not what neighbours tell. The test fails on the code before. Doubts about zones that were known no more are dropped too.

--- a/swiftpin/discovery/evacuations.py
+++ b/swiftpin/discovery/evacuations.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Set
 import math
 from typing import Final
 
@@ -78,14 +78,9 @@
         if revision < self.version:
             return
         listed = {found.name for found in objects if _is_present(found)}
-        missing = self.since_by_zone.keys() - listed
-        if self.version and era_of(revision) > era_of(self.version):
-            # What the operators wrote since the store's older copy is written again.
-            for zone in missing:
-                self._unconfirmed_until_by_zone.setdefault(zone, now + RETURN_TIME)
-            missing = set()
+        ended = self._ended(listed, revision, now)
         self.version = revision
-        self._change(listed, missing, now)
+        self._change(listed, ended, now)
 
     @callback
     def adopt_changes(
@@ -122,9 +117,9 @@
         """
         if revision <= self.version:
             return
+        ended = self._ended(ages_by_zone.keys(), revision, now)
         self.version = revision
-        missing = self.since_by_zone.keys() - ages_by_zone.keys()
-        self._change(set(ages_by_zone), missing, now)
+        self._change(set(ages_by_zone), ended, now)
         for zone, age in ages_by_zone.items():
             known = self.since_by_zone[zone]
             self.since_by_zone[zone] = min(known, now - age - GOSSIP_LAG)
@@ -144,6 +139,19 @@
         }
         self._change(set(), due, now)
 
+    @callback
+    def _ended(self, listed: Set[str], revision: int, now: float) -> set[str]:
+        """Return the evacuations that are over, as all are told at a revision.
+
+        What the operators wrote since a restored store's copy is written again.
+        """
+        missing = self.since_by_zone.keys() - listed
+        if not self.version or era_of(revision) <= era_of(self.version):
+            return missing
+        for zone in missing:
+            self._unconfirmed_until_by_zone.setdefault(zone, now + RETURN_TIME)
+        return set()
+
     @callback
     def _change(self, begun: set[str], ended: set[str], now: float) -> None:
         """Note which evacuations there are, and which are over."""
@@ -151,8 +159,9 @@
         for zone in begun:
             self._unconfirmed_until_by_zone.pop(zone, None)
             self.since_by_zone.setdefault(zone, now)
-        for zone in ended & before:
+        for zone in ended:
             self._unconfirmed_until_by_zone.pop(zone, None)
+        for zone in ended & before:
             del self.since_by_zone[zone]
             self.ended_at_by_zone[zone] = now
         if before == self.since_by_zone.keys():
--- a/tests/discovery/test_evacuations.py
+++ b/tests/discovery/test_evacuations.py
@@ -94,3 +94,14 @@
     unknown.adopt_update({}, 3, 0.0)
     assert unknown.is_known
     assert Evacuations(None).is_known
+
+
+def test_neighbour_that_lists_a_restored_store_does_not_end_an_evacuation_at_once(
+    evacuations: Evacuations,
+) -> None:
+    """Guards against use of a zone that an instance which has just started lacks."""
+    evacuations.adopt_changes((entry("a", 11),), 11, 1.0)
+    evacuations.adopt_update({}, ERA_SIZE + 9, 2.0)
+    assert evacuations.is_evacuated("a")
+    evacuations.sweep(2.0 + RETURN_TIME)
+    assert not evacuations.is_evacuated("a")
