--- a/swiftpin/dispatch/http_answer.py
+++ b/swiftpin/dispatch/http_answer.py
@@ -97,7 +97,7 @@
 
     @callback
     def extend_while_arriving(self, timeout: asyncio.Timeout) -> None:
-        """Let a time limit end no long body as long as pieces of it arrive.
+        """Extend the read timeout whenever a chunk arrives.
 
         Given up and asked for again it would never arrive over a link that needs longer
         than the limit.
--- a/swiftpin/fleet/document_lane.py
+++ b/swiftpin/fleet/document_lane.py
@@ -30,7 +30,7 @@
 
 
 class DocumentBudget:
-    """Bounds the fragments that all links of an instance have under way.
+    """Flow control across all links of an instance.
 
     Links are served in the order in which they were given something to send, so that
     the first receivers have it whole early and can pass it on.
@@ -55,7 +55,7 @@
 
     @callback
     def withdraw(self, lane: DocumentLane) -> None:
-        """Send nothing more of a link."""
+        """Drop what is queued for a link."""
         self._waiting.pop(lane, None)
 
     @callback
--- a/swiftpin/permits/permit_broker.py
+++ b/swiftpin/permits/permit_broker.py
@@ -20,7 +20,6 @@
 from swiftpin.permits.permit_issuers import NO_ISSUERS, PermitIssuers
 from swiftpin.permits.permit_query import PermitQuery
 from swiftpin.permits.permit_request import PermitRequest
-from swiftpin.permits.turnaround import ignore_turnaround
 
 EXPIRE_INTERVAL: Final = 0.05
 """Seconds between two looks for requests that won't be served in time."""
@@ -33,7 +32,7 @@
         self,
         incarnation: str,
         zone: str,
-        on_turnaround: Callable[[str, float], None] = ignore_turnaround,
+        on_turnaround: Callable[[str, float], None] | None = None,
     ) -> None:
         self._zone = zone
         self.issuers: PermitIssuers = NO_ISSUERS
--- a/swiftpin/permits/permit_issuer.py
+++ b/swiftpin/permits/permit_issuer.py
@@ -18,7 +18,9 @@
 class PermitIssuer:
     """Keeps a queue for each service, and answers those who ask over links."""
 
-    def __init__(self, on_turnaround: Callable[[str, float], None]) -> None:
+    def __init__(
+        self, on_turnaround: Callable[[str, float], None] | None = None
+    ) -> None:
         self._on_turnaround = on_turnaround
         self._queues_by_service: dict[str, PermitQueue] = {}
 
--- a/swiftpin/permits/permit_queue.py
+++ b/swiftpin/permits/permit_queue.py
@@ -14,7 +14,7 @@
 from swiftpin.permits.slot_pace import SlotPace
 from swiftpin.permits.target_queue import ANSWER_WAY, TargetQueue
 from swiftpin.permits.target_slots import FIRST_TIME, TargetSlots
-from swiftpin.permits.turnaround import Turnaround, ignore_turnaround
+from swiftpin.permits.turnaround import Turnaround
 
 FAR_FACTOR: Final = 2.0
 """By how much faster a target in another zone must be to be preferred: bytes between
@@ -35,7 +35,7 @@
     def __init__(
         self,
         service: str,
-        on_turnaround: Callable[[str, float], None] = ignore_turnaround,
+        on_turnaround: Callable[[str, float], None] | None = None,
     ) -> None:
         self._service = service
         self._on_turnaround = on_turnaround
@@ -118,7 +118,8 @@
         if not failed and not cut and seconds > 0:
             turnaround = max(hold - seconds, 0.0)
             self._turnaround.note(turnaround)
-            self._on_turnaround(self._service, turnaround)
+            if self._on_turnaround is not None:
+                self._on_turnaround(self._service, turnaround)
         if not failed and seconds > 0 and (not cut or hold > self._hold(slots)):
             slots.note_hold(hold)
             self._service_slots.note_hold(hold)
--- a/swiftpin/permits/turnaround.py
+++ b/swiftpin/permits/turnaround.py
@@ -40,8 +40,3 @@
         self._mean += weight * (seconds - self._mean)
         if self._count == 1:
             self._deviation = 0.0
-
-
-@callback
-def ignore_turnaround(service: str, seconds: float) -> None:
-    """Take a permit's time of which nobody wants to know."""
--- a/tests/permits/test_permit_issuer.py
+++ b/tests/permits/test_permit_issuer.py
@@ -10,7 +10,6 @@
 from swiftpin.fleet.link import PeerLink
 from swiftpin.fleet.proto import fleet_pb2 as pb
 from swiftpin.permits.permit_issuer import PermitIssuer
-from swiftpin.permits.turnaround import ignore_turnaround
 from tests.permits.asker import make_target
 
 
@@ -44,7 +43,7 @@
 @pytest.fixture(name="issuer")
 def issuer_fixture() -> PermitIssuer:
     """Return an issuer for one target with one slot."""
-    issuer = PermitIssuer(ignore_turnaround)
+    issuer = PermitIssuer()
     issuer.set_targets("desk", [make_target("a")], [], 0.0)
     return issuer
 
