Count retries by service, and tell among how many instances their budgets are shared

Now a counter of second sends by service, a gauge of the members, and a line when that count changes. No decision is changed.

--- a/script/gen_metrics_page.py
+++ b/script/gen_metrics_page.py
@@ -33,7 +33,7 @@
     metrics.add_log(LineWriter(io.BytesIO()))
     metrics.note_served("service", 200, 0.0, late=True)
     metrics.note_failed("service", ResultCode.INTERNAL, 0.0)
-    metrics.note_steps("service", 0.0, StepFailure)
+    metrics.note_steps("service", 0.0, StepFailure, sends=2)
     metrics.note_turnaround("service", 0.0)
     metrics.note_store_call("GET", "kind", "200")
     metrics.link_traffic.note_items("update")
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -264,9 +264,16 @@
     @callback
     def _take_load(self) -> LoadReport:
         """Return what was noted since the last call."""
-        self._sender.retries.members = self._permits.issuers.members
+        self._note_members(self._permits.issuers.members)
         return self._sender.take_load()
 
+    @callback
+    def _note_members(self, members: int) -> None:
+        """Share the budgets of retries between so many instances."""
+        if members != self._sender.retries.members:
+            log_message(message_type="retry_members_changed", members=members)
+        self._sender.retries.members = self._metrics.retry_members = members
+
     @callback
     def _note_configuration(self) -> None:
         """Act on a new configuration."""
--- a/swiftpin/router/metrics.py
+++ b/swiftpin/router/metrics.py
@@ -75,6 +75,12 @@
         self.step_failures: Counter[tuple[str, ...]] = Counter()
         """Failed steps by service and reason."""
 
+        self.retries: Counter[str] = Counter()
+        """Sends of requests after their first, by service."""
+
+        self.retry_members = 0
+        """Instances that share the budgets of retries, as this one knows."""
+
         self.late: Counter[str] = Counter()
         """Late answers by service."""
 
@@ -145,9 +151,11 @@
 
     @callback
     def note_steps(
-        self, service: str, waited: float, failures: Iterable[StepFailure]
+        self, service: str, waited: float, failures: Iterable[StepFailure], sends: int
     ) -> None:
         """Count what happened to a request on its way to its end."""
+        if sends > 1:
+            self.retries[service] += sends - 1
         _observe(self.waits_by_service, service, WAIT_BUCKETS, waited)
         for failure in failures:
             self.step_failures[service, failure.value] += 1
--- a/swiftpin/router/metrics_registry.py
+++ b/swiftpin/router/metrics_registry.py
@@ -55,6 +55,17 @@
             ("service", "reason"),
             metrics.step_failures,
         )
+        yield _counter(
+            "swiftpin_router_retries",
+            "Sends of requests after their first.",
+            ("service",),
+            {(service,): count for service, count in metrics.retries.items()},
+        )
+        yield GaugeMetricFamily(
+            "swiftpin_router_retry_members",
+            "Instances that share the budgets of retries, as this one knows.",
+            value=metrics.retry_members,
+        )
         yield _counter(
             "swiftpin_router_late_answers",
             "Targets' answers that came after the objective of their route.",
--- a/swiftpin/router/request_log.py
+++ b/swiftpin/router/request_log.py
@@ -107,7 +107,9 @@
     def _count_steps(self, call: Call | None) -> None:
         """Count what happened before the end."""
         if call is not None:
-            self._metrics.note_steps(call.service, call.waited, call.step_failures)
+            self._metrics.note_steps(
+                call.service, call.waited, call.step_failures, call.sends
+            )
 
     @callback
     def _write(
--- a/tests/router/test_request_log.py
+++ b/tests/router/test_request_log.py
@@ -60,6 +60,7 @@
     router = site.routers_by_name[INSTANCE]
     name = "swiftpin_router_step_failures_total"
     assert sample(router, name, service="desk", reason="refused") == 1
+    assert sample(router, "swiftpin_router_retries_total", service="desk") == 1
 
 
 async def test_request_whose_time_ends_in_the_queue_says_so(
