Show that the retries of a fleet exceed its budget when instances start

A simulated fleet of eight, each with its own RetryPolicy, told of the members by a holder that is lost and replaced; 0.9 of all sends are rejected. Its retries are added up in sliding windows, as the users count them.

--- /dev/null
+++ b/tests/router/retry_fleet.py
@@ -0,0 +1,288 @@
+"""A simulated fleet of instances that send requests to targets which reject them."""
+
+from __future__ import annotations
+
+from bisect import bisect_left, bisect_right
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from functools import partial
+from heapq import heappop, heappush
+from itertools import count
+import math
+from random import Random
+from typing import Any, Final, cast
+
+from swiftpin.exceptions import RequestError
+from swiftpin.model.bounds import Bounds
+from swiftpin.model.request_kind import RequestKind
+from swiftpin.model.route import Route, WeightedService
+from swiftpin.platform.request_head import RequestHead
+from swiftpin.router.call import Call
+from swiftpin.router.retry_policy import RetryPolicy
+
+SERVICE: Final = "desk"
+WINDOW: Final = 10.0
+RATIO: Final = 0.2
+SLACK: Final = 56.0
+ATTEMPTS: Final = 3
+LEAD: Final = 12.0
+TICK: Final = 0.2
+TAKEOVER: Final = 1.3
+LINK_TIME: Final = 0.2
+SILENCE: Final = 1.2
+BOUNDS: Final = Bounds(
+    drain=2.0,
+    apply=2.0,
+    grace=3.0,
+    longest_hold=10.0,
+    retry_ratio=RATIO,
+    retry_window=WINDOW,
+    retry_slack=SLACK,
+    stability=3.0,
+)
+ROUTE: Final = Route(
+    name="r",
+    host="desk.example",
+    prefix="/",
+    kind=RequestKind.IDEMPOTENT,
+    timeout=2.5,
+    objective=0.5,
+    priority=1,
+    attempts=ATTEMPTS,
+    parts=(WeightedService(service=SERVICE, weight=1.0),),
+)
+
+
+@dataclass(kw_only=True)
+class Load:
+    """What callers send, and what targets do with it."""
+
+    rate: float
+    """Requests a second, all instances together."""
+
+    rejected: float = 0.9
+    longest_wait: float = 0.03
+    """Seconds that a retry waits for its permit at most."""
+
+
+class Instance:
+    """One process of the router, as far as its retries go."""
+
+    def __init__(self, started_at: float) -> None:
+        self.started_at = started_at
+        self.frozen_until = -math.inf
+        self.policy = RetryPolicy(BOUNDS)
+
+    def hear_holder(self, members: int, now: float) -> None:
+        """Take the number of members from the holder of the lease."""
+        self.policy.members = members
+
+    def note_sent(self, call: Call, now: float) -> None:
+        """Note that a retry is about to be written."""
+
+    def end(self, call: Call) -> None:
+        """Note the end of a request."""
+
+
+def told_members(members: int, present: int) -> int:
+    """Return the number of members that the holder tells."""
+    return present if abs(members - present) <= members // 8 else members
+
+
+class RetryFleet:
+    """Callers, instances by name, and the holder that tells them of each other."""
+
+    def __init__(self, size: int, load: Load, seed: int) -> None:
+        self.now = -LEAD
+        self.random = Random(seed)
+        self.load = load
+        self.instances_by_name = {name: Instance(-LEAD) for name in range(size)}
+        self.requests: list[float] = []
+        self.retries: list[float] = []
+        self.served_retries = 0
+        self._cut: set[int] = set()
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = count()
+        self._linked_since_by_pair: dict[tuple[Instance, Instance], float] = {}
+        self._holder: Instance | None = None
+        self._holder_lost_at = -math.inf
+        self._told = 0
+
+    def at(self, when: float, event: Callable[[], None]) -> None:
+        """Have something happen."""
+        heappush(self._events, (when, next(self._order), event))
+
+    def run(self, until: float) -> None:
+        """Play until a time, in seconds."""
+        self.at(-LEAD, self._tick)
+        self.at(0.0, self._arrive)
+        while self._events and self._events[0][0] < until:
+            self.now, _, event = heappop(self._events)
+            event()
+
+    def worst_excess(self) -> float:
+        """Return by how much retries exceed what is allowed in the worst window."""
+        return max(
+            (self._retries_until(end) - self._allowed(end) for end in self.retries),
+            default=-SLACK,
+        )
+
+    def kill(self, share: float, down: float = 0.5) -> None:
+        """Kill a part of the instances, which start again."""
+        names = sorted(self.instances_by_name)
+        for name in self.random.sample(names, round(share * len(names))):
+            del self.instances_by_name[name]
+            self.at(self.now + down, partial(self.start, name))
+
+    def start(self, name: int) -> None:
+        """Start an instance."""
+        self.instances_by_name[name] = Instance(self.now)
+
+    def cut_off(self, share: float, seconds: float) -> None:
+        """Cut instances off from the others and from the store, not from callers."""
+        names = sorted(self.instances_by_name)
+        cut = self.random.sample(names, round(share * len(names)))
+        self._cut.update(cut)
+        self.at(self.now + seconds, lambda: self._cut.difference_update(cut))
+
+    def freeze(self, share: float, seconds: float) -> None:
+        """Stop processes for a while; what comes in meanwhile waits."""
+        names = sorted(self.instances_by_name)
+        for name in self.random.sample(names, round(share * len(names))):
+            self.instances_by_name[name].frozen_until = self.now + seconds
+
+    def reload(self, slack: float) -> None:
+        """Have all instances read settings with another slack."""
+        for instance in self.instances_by_name.values():
+            instance.policy.set_bounds(replace(BOUNDS, retry_slack=slack))
+
+    def _retries_until(self, end: float) -> int:
+        """Return the retries of the window that ends at a time."""
+        return bisect_right(self.retries, end) - bisect_left(self.retries, end - WINDOW)
+
+    def _allowed(self, end: float) -> float:
+        """Return the retries that the window may have."""
+        requests = max(
+            bisect_right(self.requests, end - back)
+            - bisect_left(self.requests, end - back - WINDOW)
+            for back in (0.0, WINDOW / 2, WINDOW)
+        )
+        return RATIO * requests + SLACK
+
+    def _arrive(self) -> None:
+        """Have a request come in at some instance."""
+        self.at(self.now + self.random.expovariate(self.load.rate), self._arrive)
+        self.requests.append(self.now)
+        running = list(self.instances_by_name.values())
+        if running:
+            instance = self.random.choice(running)
+            self._at_instance(instance, self.now, lambda: self._begin(instance))
+
+    def _at_instance(
+        self, instance: Instance, when: float, step: Callable[[], None]
+    ) -> None:
+        """Have an instance do something, unless it has ended by then."""
+
+        def run() -> None:
+            if instance.frozen_until > self.now:
+                self.at(instance.frozen_until, run)
+            elif instance in self.instances_by_name.values():
+                step()
+
+        self.at(when, run)
+
+    def _begin(self, instance: Instance) -> None:
+        """Send a request for the first time."""
+        instance.policy.record_first(SERVICE, self.now)
+        self._answer(instance, make_call(self.now))
+
+    def _answer(self, instance: Instance, call: Call) -> None:
+        """Have a target take or reject a request."""
+        call.sends += 1
+        if self.random.random() >= self.load.rejected:
+            self.served_retries += call.sends > 1
+            instance.end(call)
+            return
+        try:
+            instance.policy.check_may_retry(call, self.now)
+        except RequestError:
+            instance.end(call)
+            return
+        wait = self.random.uniform(0.002, self.load.longest_wait)
+        self._at_instance(
+            instance, self.now + wait, lambda: self._send_again(instance, call)
+        )
+
+    def _send_again(self, instance: Instance, call: Call) -> None:
+        """Send a request once more."""
+        instance.note_sent(call, self.now)
+        self.retries.append(self.now)
+        self._answer(instance, call)
+
+    def _tick(self) -> None:
+        """Have the holder tell all that it hears how many they are."""
+        self.at(self.now + TICK, self._tick)
+        self._choose_holder()
+        holder = self._holder
+        if holder is None:
+            return
+        linked = [other for other in self._reachable() if self._is_linked(other)]
+        self._told = told_members(len(linked), self._told)
+        for instance in linked:
+            heard_at = self.now + self.random.uniform(0.0, TICK)
+            hear = partial(self._hear, instance, self._told)
+            self._at_instance(instance, heard_at, hear)
+
+    def _hear(self, instance: Instance, members: int) -> None:
+        """Have an instance hear the holder."""
+        instance.hear_holder(members, self.now)
+
+    def _reachable(self) -> list[Instance]:
+        """Return the instances that are not cut off."""
+        return [
+            instance
+            for name, instance in sorted(self.instances_by_name.items())
+            if name not in self._cut
+        ]
+
+    def _is_linked(self, instance: Instance) -> bool:
+        """Return whether the holder has a link to an instance that it can reach."""
+        assert self._holder is not None
+        pair = (self._holder, instance)
+        since = self._linked_since_by_pair.setdefault(pair, self.now)
+        return instance is self._holder or self.now - since >= LINK_TIME
+
+    def _choose_holder(self) -> None:
+        """Keep the holder, or have another one take over after a while."""
+        able = [it for it in self._reachable() if it.frozen_until <= self.now]
+        if self._holder is not None and self._holder not in able:
+            self._holder = None
+            self._holder_lost_at = self.now
+        if self._holder is None and able and self._is_lease_free():
+            self._holder = able[0]
+            self._told = 0
+            self._linked_since_by_pair.clear()
+
+    def _is_lease_free(self) -> bool:
+        """Return whether the lease of the last holder has ended."""
+        return self.now - self._holder_lost_at >= TAKEOVER
+
+
+def make_call(now: float) -> Call:
+    """Return a request that has just come in."""
+    return Call(
+        request=cast("Any", None),
+        head=RequestHead(id="q1", deadline=ROUTE.timeout, key=None),
+        route=ROUTE,
+        service=SERVICE,
+        body=cast("Any", Body()),
+        started_at=now,
+        ends_at=now + ROUTE.timeout,
+    )
+
+
+@dataclass(kw_only=True)
+class Body:
+    """Body of a request that can be sent again."""
+
+    can_be_sent: bool = field(default=True)
