Tell members a count of instances that is never below their number

One part of it: the holder of the lease told the number of members again only when it had changed by more than an eighth, and left out instances that were stopping though they still send retries. So the shares of the slack that instances took added up to more than the whole.

Now the count that is told is an upper bound with an eighth of headroom: a member more is either within it or told at once; instances that stop count until they are gone.

--- a/swiftpin/permits/permit_issuers.py
+++ b/swiftpin/permits/permit_issuers.py
@@ -17,7 +17,8 @@
     number: int
     peers_by_incarnation: dict[str, str]
     members: int
-    """Instances linked to the one that made the list, itself included."""
+    """Upper bound of the instances linked to the one that made the list, itself
+    included."""
 
     @callback
     def ranked(self, subject: str) -> list[str]:
--- a/swiftpin/router/issuer_list.py
+++ b/swiftpin/router/issuer_list.py
@@ -16,12 +16,9 @@
 from swiftpin.permits.permit_broker import PermitBroker
 from swiftpin.permits.permit_issuers import PermitIssuers
 from swiftpin.router.fleet_messages import encode_issuers
+from swiftpin.router.fleet_size import members_to_tell
 from swiftpin.router.watch_duty import first_issuers
 
-MEMBERS_CHANGE: Final = 8
-"""Part of the members whose coming or going is told to all: their number only shares
-the budget of second sends out, and each list goes to everyone."""
-
 MOST_CANDIDATES: Final = 16
 """Instances named in the lease; the record is written several times a second."""
 
@@ -68,10 +65,11 @@
         )
         chosen = self._watchers_first(chosen)
         issuers = {name: members[name][1] for name in chosen}
+        count = members_to_tell(self._count_members(), present.members)
         is_same = (
             issuers == present.peers_by_incarnation
             and first_issuers(issuers) == first_issuers(present.peers_by_incarnation)
-            and abs(len(members) - present.members) <= len(members) // MEMBERS_CHANGE
+            and count == present.members
         )
         if is_same and present.term == self._lease.term:
             return
@@ -80,7 +78,7 @@
             term=self._lease.term,
             number=self._number,
             peers_by_incarnation=issuers,
-            members=len(members),
+            members=count,
         )
         for link in self._links.incoming:
             self.give(link)
@@ -119,6 +117,16 @@
             members=issuers.members,
         )
 
+    @callback
+    def _count_members(self) -> int:
+        """Return how many instances there are; those that end still send retries."""
+        others = {
+            link.incarnation
+            for link in self._links.live_links()
+            if not link.is_outgoing
+        }
+        return len(others) + 1
+
     @callback
     def _members(self) -> dict[str, tuple[float, str]]:
         """Return strength and address of each instance that stays, by incarnation."""
--- a/tests/router/test_issuer_list.py
+++ b/tests/router/test_issuer_list.py
@@ -66,6 +66,26 @@
     assert chooser.chosen == {"a/1"}
 
 
+def test_instances_that_leave_are_counted() -> None:
+    """Failure: the shares of instances that ended, and still sent, were given away."""
+    chooser = Chooser(FakeLink("a"), FakeLink("b", stopping=True))
+    chooser.lifecycle.leaving = True
+    chooser.list.choose()
+    assert chooser.permits.issuers.members == 3
+
+
+def test_every_member_is_counted() -> None:
+    """Failure: one member more in eight was told to nobody."""
+    links = [FakeLink(f"m-{number}") for number in range(7)]
+    chooser = Chooser(*links)
+    chooser.list.choose()
+    for number in range(7, 20):
+        links.append(FakeLink(f"m-{number}"))
+        chooser.list._links = make_links(*links)
+        chooser.list.choose()
+        assert chooser.permits.issuers.members > len(links)
+
+
 def test_list_of_a_new_term_is_told_even_if_it_is_the_same() -> None:
     """Members keep to the list of the newest term only."""
     link = FakeLink("a")
