Have requests earn retries, and the slack shared by instances that know each other

Cause: a limit of the whole fleet that each process keeps by itself, from a memory that ends with the process. A process that started had a window's allowance anew, on top of what its predecessor had sent; it took itself for the only instance until its first list; a count that was told too low, or a reload, had the same effect.

Change: a retry is paid for by what was there before it, counted once wherever it came in. The slack is spent only by an instance that has been in touch with holders of the lease for longer than a window, so all that spend it were there when the window began, and by the greatest count that it was told in the last minute. The argument stands in RetryLimits and FleetSize. Reloaded bounds keep what was counted.

Tests changed: a reload that brought a new budget was asserted by test_new_bounds_begin_a_new_budget; that is the fault, and the test now asserts that what was counted stays, and that more slack is there at once. Three tests of a whole site had an instance send a retry right after its start; its requests have to be counted first now, what they assert is unchanged.

--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -35,6 +35,7 @@
 from swiftpin.router.configuration_holder import ConfigurationHolder
 from swiftpin.router.fleet_coordinator import FleetCoordinator
 from swiftpin.router.fleet_messages import LoadReport
+from swiftpin.router.fleet_size import FleetSize
 from swiftpin.router.http_clients import HttpClients
 from swiftpin.router.key_maps import KeyMaps
 from swiftpin.router.leader import Leader
@@ -72,6 +73,7 @@
         self._directory.unusable.on_unusable = self._metrics.note_unusable_entry
         self._maps = KeyMaps()
         self._poison = PoisonWatch()
+        self._fleet_size = FleetSize()
         self._clients = HttpClients()
         self._store = StoreClient(
             str(settings.store), self._clients.store, self._metrics.note_store_call
@@ -105,6 +107,7 @@
             lifecycle=self._lifecycle,
             health=self._health,
             poison=self._poison,
+            fleet_size=self._fleet_size,
         )
         self._metrics.add_links(self._fleet.links.traffic)
         self._lease.on_seen = self._fleet.leader.note_record
@@ -133,6 +136,7 @@
             permits=self._permits,
             bounds=settings.bounds,
             poison=self._poison,
+            fleet_size=self._fleet_size,
         )
         log = RequestLog(
             destination=logging.destination,
@@ -264,15 +268,15 @@
     @callback
     def _take_load(self) -> LoadReport:
         """Return what was noted since the last call."""
-        self._note_members(self._permits.issuers.members)
+        self._note_members(self._sender.retries.members(suspend_aware_now()) or 0)
         return self._sender.take_load()
 
     @callback
     def _note_members(self, members: int) -> None:
-        """Share the budgets of retries between so many instances."""
-        if members != self._sender.retries.members:
+        """Show among how many instances the budgets of retries are shared."""
+        if members != self._metrics.retry_members:
             log_message(message_type="retry_members_changed", members=members)
-        self._sender.retries.members = self._metrics.retry_members = members
+        self._metrics.retry_members = members
 
     @callback
     def _note_configuration(self) -> None:
--- a/swiftpin/router/fleet_coordinator.py
+++ b/swiftpin/router/fleet_coordinator.py
@@ -25,6 +25,7 @@
     decode_issuers,
     decode_key_map,
 )
+from swiftpin.router.fleet_size import FleetSize
 from swiftpin.router.gossip import Gossip
 from swiftpin.router.heartbeats import Heartbeats
 from swiftpin.router.issuer_list import IssuerList
@@ -62,6 +63,7 @@
         lifecycle: Lifecycle,
         health: StoreHealth,
         poison: PoisonWatch,
+        fleet_size: FleetSize,
     ) -> None:
         links = self.links = FleetLinks(
             incarnation=incarnation,
@@ -79,6 +81,7 @@
         self.key_maps = KeyMapSharing(links, maps, self._ask_key_maps)
         self.load = LoadReports(links, self.leader, lease)
         self._poison = PoisonReports(links, self.leader, poison)
+        self._fleet_size = fleet_size
         self._heartbeats = Heartbeats(
             incarnation=incarnation,
             leader=self.leader,
@@ -119,6 +122,7 @@
             self._keep_links()
             if self._lease.is_held(now):
                 self._issuers.choose()
+            self._note_members(now)
             self.gossip.ask()
             if now >= report_at:
                 report_at = now + report_pause(self._permits.issuers.members) - TICK / 2
@@ -186,6 +190,22 @@
         if self._permits.issuers.number:
             self._issuers.give(link)
 
+    @callback
+    def _note_members(self, now: float) -> None:
+        """Note how many instances there are, while the holder of the lease is heard."""
+        issuers = self._permits.issuers
+        if self._lease.is_held(now):
+            term = self._lease.term
+        else:
+            link = self.links.outgoing_by_peer.get(self.leader.record.peer)
+            if link is None or link.heartbeat is None or not link.heartbeat.leads:
+                return
+            if not link.is_alive(asyncio.get_running_loop().time()):
+                return
+            term = link.heartbeat.term
+        if issuers.number and issuers.term == term:
+            self._fleet_size.note_told(issuers.members, now)
+
     @callback
     def _ask_key_maps(self, link: PeerLink) -> None:
         """Ask for key maps of which a change was missed."""
--- a/swiftpin/router/metrics.py
+++ b/swiftpin/router/metrics.py
@@ -79,7 +79,8 @@
         """Sends of requests after their first, by service."""
 
         self.retry_members = 0
-        """Instances that share the budgets of retries, as this one knows."""
+        """Instances that share the slack of the budgets of retries, 0 while this one
+        has no share."""
 
         self.late: Counter[str] = Counter()
         """Late answers by service."""
--- a/swiftpin/router/metrics_registry.py
+++ b/swiftpin/router/metrics_registry.py
@@ -63,7 +63,8 @@
         )
         yield GaugeMetricFamily(
             "swiftpin_router_retry_members",
-            "Instances that share the budgets of retries, as this one knows.",
+            "Instances that share the slack of the budgets of retries, as this one"
+            " knows; 0 while it has no share.",
             value=metrics.retry_members,
         )
         yield _counter(
--- a/swiftpin/router/request_sender.py
+++ b/swiftpin/router/request_sender.py
@@ -21,6 +21,7 @@
 from swiftpin.router.decision_basis import read_basis
 from swiftpin.router.exceptions import PoisonRequestError
 from swiftpin.router.fleet_messages import LoadReport
+from swiftpin.router.fleet_size import FleetSize
 from swiftpin.router.key_maps import KeyMaps
 from swiftpin.router.owner_finder import OwnerFinder
 from swiftpin.router.poison_watch import PoisonWatch
@@ -49,8 +50,9 @@
         permits: PermitBroker,
         bounds: Bounds,
         poison: PoisonWatch,
+        fleet_size: FleetSize,
     ) -> None:
-        self.retries = RetryPolicy(bounds)
+        self.retries = RetryPolicy(bounds, fleet_size)
         self.answer_way = AnswerWay()
         self._owners = OwnerFinder(
             configuration=configuration, directory=directory, maps=maps
--- /dev/null
+++ b/swiftpin/router/retry_budget.py
@@ -0,0 +1,94 @@
+"""Budget of the retries of one service."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Final
+
+from swiftpin.core import callback
+from swiftpin.router.retry_limits import LEAST_SAVED, RetryLimits
+
+STEPS: Final = 10
+"""Parts of a window in which requests are counted."""
+
+
+class RetryBudget:
+    """Retries that requests have earned, and the slack.
+
+    A retry is reserved when it is decided on and counts when it is sent: it may wait
+    for a permit until its caller's deadline.
+    """
+
+    def __init__(self) -> None:
+        self._earned = 0.0
+        self._earned_reserved = 0
+        self._slack_reserved = 0
+        self._slack_sent_at: deque[float] = deque()
+        self._counts: deque[tuple[float, int]] = deque()
+        self._requests = 0
+
+    @callback
+    def record_request(self, limits: RetryLimits, now: float) -> None:
+        """Count a request."""
+        self._drop_old(limits, now)
+        self._count(limits.window / STEPS, now)
+        self._earned = min(self._earned + limits.earned, self._most_saved(limits))
+
+    @callback
+    def reserve(self, limits: RetryLimits, now: float) -> bool:
+        """Keep a retry back if there is one."""
+        self._drop_old(limits, now)
+        if self._earned >= self._earned_reserved + 1:
+            self._earned_reserved += 1
+            return True
+        saved_beyond = max(LEAST_SAVED - limits.saved_ratio * self._requests, 0.0)
+        spent = len(self._slack_sent_at) + self._slack_reserved
+        if spent + 1 > limits.slack - saved_beyond:
+            return False
+        self._slack_reserved += 1
+        return True
+
+    @callback
+    def release(self) -> None:
+        """Give a reserved retry back."""
+        if self._slack_reserved:
+            self._slack_reserved -= 1
+        else:
+            self._earned_reserved -= 1
+
+    @callback
+    def spend(self, now: float) -> None:
+        """Count a reserved retry as sent."""
+        if self._earned_reserved:
+            self._earned_reserved -= 1
+            self._earned -= 1
+        else:
+            self._slack_reserved -= 1
+            self._slack_sent_at.append(now)
+
+    @callback
+    def _most_saved(self, limits: RetryLimits) -> float:
+        """Return how many earned retries may be saved."""
+        saved = max(limits.saved_ratio * self._requests, LEAST_SAVED)
+        return max(saved, self._earned_reserved)
+
+    @callback
+    def _count(self, step: float, now: float) -> None:
+        """Count a request in the present part of the window, of `step` seconds."""
+        if self._counts and now - self._counts[-1][0] < step:
+            began_at, count = self._counts.pop()
+            self._counts.append((began_at, count + 1))
+        else:
+            self._counts.append((now, 1))
+        self._requests += 1
+
+    @callback
+    def _drop_old(self, limits: RetryLimits, now: float) -> None:
+        """Forget what left the window."""
+        oldest = now - limits.window
+        while self._counts and self._counts[0][0] <= oldest:
+            _, count = self._counts.popleft()
+            self._requests -= count
+        while self._slack_sent_at and self._slack_sent_at[0] <= oldest:
+            self._slack_sent_at.popleft()
+        self._earned = min(self._earned, self._most_saved(limits))
--- a/swiftpin/router/retry_policy.py
+++ b/swiftpin/router/retry_policy.py
@@ -16,8 +16,10 @@
 from swiftpin.model.bounds import Bounds
 from swiftpin.model.request_kind import RequestKind
 from swiftpin.router.call import Call
+from swiftpin.router.fleet_size import FleetSize
+from swiftpin.router.retry_budget import RetryBudget
+from swiftpin.router.retry_limits import RetryLimits, retry_limits
 from swiftpin.router.step_failure import StepFailure
-from swiftpin.router.window_budget import WindowBudget
 
 REFUSED_RETRY: Final = 0.1
 """Seconds after which a caller may come back whose request a target refused: one that
@@ -35,24 +37,25 @@
     did not run it; one that may be repeated also after a failure.
     """
 
-    def __init__(self, bounds: Bounds) -> None:
-        self.members = 1
-        """Instances that share the budgets."""
-
+    def __init__(self, bounds: Bounds, fleet_size: FleetSize) -> None:
         self._bounds = bounds
-        self._budgets_by_service: dict[str, WindowBudget] = {}
+        self._fleet_size = fleet_size
+        self._budgets_by_service: dict[str, RetryBudget] = {}
 
     @callback
     def set_bounds(self, bounds: Bounds) -> None:
-        """Begin to count by new bounds."""
-        if bounds != self._bounds:
-            self._bounds = bounds
-            self._budgets_by_service.clear()
+        """Take new bounds; what was counted stays."""
+        self._bounds = bounds
+
+    @callback
+    def members(self, now: float) -> int | None:
+        """Return how many instances share the slack, None if this one has no share."""
+        return self._fleet_size.members(self._bounds.retry_window, now)
 
     @callback
     def record_first(self, service: str, now: float) -> None:
         """Count a request, whether it is sent or not."""
-        self._budget(service).record_first(now)
+        self._budget(service).record_request(self._limits(now), now)
 
     @callback
     def check_may_retry(self, call: Call, now: float) -> None:
@@ -66,7 +69,7 @@
             return
         if call.sends >= call.route.attempts or not call.body.can_be_sent:
             raise self.failure(call)
-        if not self._budget(call.service).spend(now, self.members):
+        if not self._reserve(call, now):
             call.note(StepFailure.BUDGET_SPENT, "no retry: budget spent")
             if call.may_have_run:
                 raise self.failure(call)
@@ -89,7 +92,7 @@
             and call.sends < call.route.attempts
             and call.body.can_be_sent
             and left > call.route.objective * RETRY_SHARE
-            and self._budget(call.service).spend(now, self.members)
+            and self._reserve(call, now)
         )
 
     @callback
@@ -106,14 +109,23 @@
         )
 
     @callback
-    def _budget(self, service: str) -> WindowBudget:
-        """Return the budget for second sends to a service."""
+    def _reserve(self, call: Call, now: float) -> bool:
+        """Take a retry off the budget, if there is one."""
+        budget = self._budget(call.service)
+        if not budget.reserve(self._limits(now), now):
+            return False
+        budget.spend(now)
+        return True
+
+    @callback
+    def _limits(self, now: float) -> RetryLimits:
+        """Return what this instance may spend on one service."""
+        return retry_limits(self._bounds, self.members(now))
+
+    @callback
+    def _budget(self, service: str) -> RetryBudget:
+        """Return the budget of the retries of a service."""
         budget = self._budgets_by_service.get(service)
         if budget is None:
-            bounds = self._bounds
-            budget = self._budgets_by_service[service] = WindowBudget(
-                ratio=bounds.retry_ratio,
-                slack=bounds.retry_slack,
-                window=bounds.retry_window,
-            )
+            budget = self._budgets_by_service[service] = RetryBudget()
         return budget
--- a/tests/router/retry_fleet.py
+++ b/tests/router/retry_fleet.py
@@ -18,6 +18,7 @@
 from swiftpin.model.route import Route, WeightedService
 from swiftpin.platform.request_head import RequestHead
 from swiftpin.router.call import Call
+from swiftpin.router.fleet_size import FleetSize, members_to_tell
 from swiftpin.router.retry_policy import RetryPolicy
 
 SERVICE: Final = "desk"
@@ -25,7 +26,7 @@
 RATIO: Final = 0.2
 SLACK: Final = 56.0
 ATTEMPTS: Final = 3
-LEAD: Final = 12.0
+LEAD: Final = 16.0
 TICK: Final = 0.2
 TAKEOVER: Final = 1.3
 LINK_TIME: Final = 0.2
@@ -61,8 +62,8 @@
     """Requests a second, all instances together."""
 
     rejected: float = 0.9
-    longest_wait: float = 0.03
-    """Seconds that a retry waits for its permit at most."""
+    waits: tuple[float, float] = (0.002, 0.03)
+    """Seconds that a retry waits for its permit, at least and at most."""
 
 
 class Instance:
@@ -71,22 +72,8 @@
     def __init__(self, started_at: float) -> None:
         self.started_at = started_at
         self.frozen_until = -math.inf
-        self.policy = RetryPolicy(BOUNDS)
-
-    def hear_holder(self, members: int, now: float) -> None:
-        """Take the number of members from the holder of the lease."""
-        self.policy.members = members
-
-    def note_sent(self, call: Call, now: float) -> None:
-        """Note that a retry is about to be written."""
-
-    def end(self, call: Call) -> None:
-        """Note the end of a request."""
-
-
-def told_members(members: int, present: int) -> int:
-    """Return the number of members that the holder tells."""
-    return present if abs(members - present) <= members // 8 else members
+        self.fleet_size = FleetSize()
+        self.policy = RetryPolicy(BOUNDS, self.fleet_size)
 
 
 class RetryFleet:
@@ -201,21 +188,18 @@
         call.sends += 1
         if self.random.random() >= self.load.rejected:
             self.served_retries += call.sends > 1
-            instance.end(call)
             return
         try:
             instance.policy.check_may_retry(call, self.now)
         except RequestError:
-            instance.end(call)
             return
-        wait = self.random.uniform(0.002, self.load.longest_wait)
+        wait = self.random.uniform(*self.load.waits)
         self._at_instance(
             instance, self.now + wait, lambda: self._send_again(instance, call)
         )
 
     def _send_again(self, instance: Instance, call: Call) -> None:
         """Send a request once more."""
-        instance.note_sent(call, self.now)
         self.retries.append(self.now)
         self._answer(instance, call)
 
@@ -227,7 +211,7 @@
         if holder is None:
             return
         linked = [other for other in self._reachable() if self._is_linked(other)]
-        self._told = told_members(len(linked), self._told)
+        self._told = members_to_tell(len(linked), self._told)
         for instance in linked:
             heard_at = self.now + self.random.uniform(0.0, TICK)
             hear = partial(self._hear, instance, self._told)
@@ -235,7 +219,7 @@
 
     def _hear(self, instance: Instance, members: int) -> None:
         """Have an instance hear the holder."""
-        instance.hear_holder(members, self.now)
+        instance.fleet_size.note_told(members, self.now)
 
     def _reachable(self) -> list[Instance]:
         """Return the instances that are not cut off."""
--- a/tests/router/site.py
+++ b/tests/router/site.py
@@ -15,6 +15,7 @@
 
 from swiftpin.discovery import target_directory as directory_module
 from swiftpin.helpers.address import Address
+from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.helpers.logging_setup import LoggingSetup
 from swiftpin.model.bounds import Bounds
 from swiftpin.model.instance_settings import InstanceSettings
@@ -131,6 +132,12 @@
         monkeypatch.setattr(planned_stop, "BALANCER_TIME", 0.2)
         monkeypatch.setattr(directory_module, "FIRST_LIST_SETTLE", 0.0)
 
+    def earn_retries(self) -> None:
+        """Have every instance count some requests; one that starts has no retries."""
+        for router in self.routers_by_name.values():
+            for _ in range(10):
+                router._sender.retries.record_first("desk", suspend_aware_now())
+
     async def async_setup(self, targets: int = 3, routers: int = 2) -> None:
         """Start everything and wait until it serves."""
         await self.store.async_setup()
--- a/tests/router/test_answer_way.py
+++ b/tests/router/test_answer_way.py
@@ -72,6 +72,7 @@
         permits=cast(Any, permits),
         bounds=BOUNDS,
         poison=parts,
+        fleet_size=parts,
     )
     await sender._async_permit(make_call(), "")
     sender.answer_way.note("vault", RequestKind.IDEMPOTENT, 0.1)
--- a/tests/router/test_fleet_retries.py
+++ b/tests/router/test_fleet_retries.py
@@ -12,6 +12,7 @@
 
 SIZE = 8
 LENGTH = 32.0
+SHORT_WAITS = (0.002, 0.03)
 Trouble = Callable[[RetryFleet], None]
 
 
@@ -107,11 +108,20 @@
 @pytest.mark.parametrize("rate", [14.0, 129.0, 430.0])
 def test_retries_that_waited_count_when_they_are_sent(rate: float) -> None:
     """Failure: retries of two windows arrived in one, having waited for permits."""
-    fleet = RetryFleet(SIZE, Load(rate=rate, rejected=0.0, longest_wait=0.03), 1)
+    fleet = RetryFleet(SIZE, Load(rate=rate, rejected=0.0), 1)
     for when in (3.0, 13.0):
         fleet.at(when, lambda: setattr(fleet.load, "rejected", 0.9))
         fleet.at(when + 2.0, lambda: setattr(fleet.load, "rejected", 0.0))
-    fleet.at(2.0, lambda: setattr(fleet.load, "longest_wait", 2.5))
-    fleet.at(12.5, lambda: setattr(fleet.load, "longest_wait", 0.03))
+    fleet.at(2.0, lambda: setattr(fleet.load, "waits", (0.002, 2.5)))
+    fleet.at(12.5, lambda: setattr(fleet.load, "waits", SHORT_WAITS))
+    fleet.run(LENGTH)
+    assert fleet.worst_excess() <= 0
+
+
+@pytest.mark.parametrize("rate", [14.0, 129.0, 430.0])
+def test_shorter_waits_bring_no_more_retries(rate: float) -> None:
+    """Failure: retries that had waited arrived beside a whole window's of later ones."""
+    fleet = RetryFleet(SIZE, Load(rate=rate, waits=(2.0, 2.5)), 1)
+    fleet.at(12.5, lambda: setattr(fleet.load, "waits", SHORT_WAITS))
     fleet.run(LENGTH)
     assert fleet.worst_excess() <= 0
--- a/tests/router/test_request_log.py
+++ b/tests/router/test_request_log.py
@@ -50,6 +50,7 @@
     site: Site, logging: LoggingSetup
 ) -> None:
     """The counters tell why requests need second sends."""
+    site.earn_retries()
     site.targets_by_name[owner_of(site, 1)].sheds = 1
     reply = await site.async_call("/read/x", via=INSTANCE)
     assert reply.status == 200
--- /dev/null
+++ b/tests/router/test_retry_budget.py
@@ -0,0 +1,95 @@
+"""Tests of the budget of the retries of one service."""
+
+from __future__ import annotations
+
+import pytest
+
+from swiftpin.router.retry_budget import RetryBudget
+from swiftpin.router.retry_limits import RetryLimits
+
+NOW = 100.0
+WINDOW = 10.0
+LIMITS = RetryLimits(earned=0.25, saved_ratio=0.05, slack=0.0, window=WINDOW)
+
+
+@pytest.fixture(name="budget")
+def budget_fixture() -> RetryBudget:
+    """Return the budget of an instance that has just started."""
+    return RetryBudget()
+
+
+def spend_all(budget: RetryBudget, limits: RetryLimits, now: float) -> int:
+    """Return how many retries the budget has at a time, and spend them."""
+    spent = 0
+    while budget.reserve(limits, now):
+        budget.spend(now)
+        spent += 1
+    return spent
+
+
+def record(budget: RetryBudget, count: int, now: float) -> None:
+    """Count some requests."""
+    for _ in range(count):
+        budget.record_request(LIMITS, now)
+
+
+def test_start_brings_no_retries(budget: RetryBudget) -> None:
+    """Failure: each process that started had the retries of a whole window."""
+    assert spend_all(budget, LIMITS, NOW) == 0
+    record(budget, 4, NOW)
+    assert spend_all(budget, LIMITS, NOW) == 1
+
+
+def test_retries_that_nobody_needed_are_saved_in_part(budget: RetryBudget) -> None:
+    """What was saved is a part of what the window before may have."""
+    record(budget, 100, NOW)
+    assert spend_all(budget, LIMITS, NOW) == 5
+    record(budget, 100, NOW)
+    assert spend_all(budget, LIMITS, NOW) == 10
+
+
+def test_savings_of_a_service_that_falls_silent_end(budget: RetryBudget) -> None:
+    """Failure: requests of more than a window ago paid for retries."""
+    record(budget, 100, NOW)
+    assert spend_all(budget, LIMITS, NOW + WINDOW) == 1
+
+
+def test_retries_may_be_as_many_as_earned(budget: RetryBudget) -> None:
+    """A service that rejects all the time uses its whole ratio."""
+    spent = 0
+    for number in range(400):
+        record(budget, 1, NOW + number / 40)
+        spent += spend_all(budget, LIMITS, NOW + number / 40)
+    assert spent == 100
+
+
+def test_slack_is_spent_once_a_window(budget: RetryBudget) -> None:
+    """The slack is there again when the retries have left the window."""
+    limits = RetryLimits(earned=0.0, saved_ratio=0.0, slack=4.0, window=WINDOW)
+    # One of the four may be saved of what was earned instead.
+    assert spend_all(budget, limits, NOW) == 3
+    assert spend_all(budget, limits, NOW + WINDOW - 0.1) == 0
+    assert spend_all(budget, limits, NOW + WINDOW) == 3
+
+
+def test_reserved_retries_count_when_they_are_sent(budget: RetryBudget) -> None:
+    """Failure: retries that waited for permits arrived beside those of a window."""
+    limits = RetryLimits(earned=0.0, saved_ratio=0.0, slack=4.0, window=WINDOW)
+    for _ in range(3):
+        assert budget.reserve(limits, NOW)
+    assert not budget.reserve(limits, NOW)
+    for _ in range(3):
+        budget.spend(NOW + 5)
+    assert not budget.reserve(limits, NOW + WINDOW)
+    assert budget.reserve(limits, NOW + 5 + WINDOW)
+
+
+def test_reserved_retries_do_not_outlive_their_savings(budget: RetryBudget) -> None:
+    """A retry that is reserved keeps its place among those that may be saved."""
+    record(budget, 100, NOW)
+    for _ in range(5):
+        assert budget.reserve(LIMITS, NOW)
+    record(budget, 40, NOW + 1)
+    assert spend_all(budget, LIMITS, NOW + 1) == 2
+    budget.release()
+    assert spend_all(budget, LIMITS, NOW + 1) == 1
--- a/tests/router/test_retry_policy.py
+++ b/tests/router/test_retry_policy.py
@@ -20,6 +20,7 @@
 from swiftpin.model.route import Route, WeightedService
 from swiftpin.platform.request_head import RequestHead
 from swiftpin.router.call import Call
+from swiftpin.router.fleet_size import TELL_TIME, FleetSize
 from swiftpin.router.retry_policy import RetryPolicy
 
 NOW = 100.0
@@ -35,7 +36,8 @@
     stability=3.0,
 )
 SPENDABLE = 8
-"""Second sends in a window: the part of the slack that is used."""
+"""Retries in a window of the only instance: its part of the slack, less what it may
+save of earned ones."""
 
 
 @dataclass(kw_only=True)
@@ -78,14 +80,22 @@
     )
 
 
+def make_policy(members: int = 1, bounds: Bounds = BOUNDS) -> RetryPolicy:
+    """Return a policy of one of several instances, which has its share of the slack."""
+    fleet_size = FleetSize()
+    for seconds in range(round(WINDOW + TELL_TIME) + 1):
+        fleet_size.note_told(members, NOW - WINDOW - TELL_TIME + seconds)
+    return RetryPolicy(bounds, fleet_size)
+
+
 @pytest.fixture(name="policy")
 def policy_fixture() -> RetryPolicy:
-    """Return a policy with a whole budget, of one instance."""
-    return RetryPolicy(BOUNDS)
+    """Return the policy of the only instance."""
+    return make_policy()
 
 
 def error_of(policy: RetryPolicy, call: Call, now: float = NOW) -> RequestError | None:
-    """Return why a request may not be tried again, None when it may."""
+    """Return why a request may not be tried again, None when it was."""
     try:
         policy.check_may_retry(call, now)
     except RequestError as err:
@@ -152,30 +162,38 @@
     # What may have run is not called refused, whatever ended it.
     lost = error_of(policy, make_call(may_have_run=True))
     assert isinstance(lost, AnswerLostError)
-    assert error_of(policy, make_call(), NOW + 2 * WINDOW) is None
+    later = NOW + WINDOW
+    keep_in_touch(policy, until=later)
+    assert error_of(policy, make_call(), later) is None
+
+
+def keep_in_touch(policy: RetryPolicy, *, until: float) -> None:
+    """Have the instance hear the holder until a time."""
+    for seconds in range(round(until - NOW) + 1):
+        policy._fleet_size.note_told(1, NOW + seconds)
 
 
-def test_budget_is_shared_by_the_instances(policy: RetryPolicy) -> None:
+def test_budget_is_shared_by_the_instances() -> None:
     """Each of several instances spends its part of the slack."""
-    policy.members = SPENDABLE
+    policy = make_policy(members=4)
     assert error_of(policy, make_call()) is None
     assert error_of(policy, make_call()) is not None
 
 
 def test_budget_grows_with_the_requests() -> None:
     """A share of the requests may be sent again, beyond the slack."""
-    policy = RetryPolicy(replace(BOUNDS, retry_ratio=0.5, retry_slack=0.0))
+    policy = make_policy(bounds=replace(BOUNDS, retry_ratio=0.5, retry_slack=0.0))
     assert error_of(policy, make_call()) is not None
     for _ in range(10):
         policy.record_first("desk", NOW)
     assert error_of(policy, make_call()) is None
 
 
-def test_new_bounds_begin_a_new_budget(policy: RetryPolicy) -> None:
-    """Bounds that are reloaded count from then on; the same ones change nothing."""
+def test_reloaded_bounds_keep_what_was_counted(policy: RetryPolicy) -> None:
+    """Failure: each reload of the settings brought a window's retries anew."""
     for _ in range(SPENDABLE):
         error_of(policy, make_call())
-    policy.set_bounds(BOUNDS)
+    policy.set_bounds(replace(BOUNDS, retry_slack=10.5))
     assert error_of(policy, make_call()) is not None
     policy.set_bounds(replace(BOUNDS, retry_slack=20.0))
     assert error_of(policy, make_call()) is None
--- a/tests/router/test_site.py
+++ b/tests/router/test_site.py
@@ -58,6 +58,7 @@
 
 async def test_refused_request_is_sent_again(site: Site) -> None:
     """A target's word that it did not run allows a second try, for any kind."""
+    site.earn_retries()
     target = site.targets_by_name[owners(site, 1)[0]]
     target.sheds = 1
     reply = await site.async_call("/book/x", method="POST", body=b"x")
@@ -80,6 +81,7 @@
 
 async def test_lost_answer_is_repeated_for_idempotent(site: Site) -> None:
     """A read whose answer was lost is asked for again."""
+    site.earn_retries()
     target = site.targets_by_name[owners(site, 1)[0]]
     target.breaks_answers = 1
     reply = await site.async_call("/read/x")
