Count a retry when it is sent, not when it is decided on

What callers saw: nothing yet; found by the test of a whole fleet.

A retry is now reserved when it is decided on, keeps its place among what may be saved, and counts right before it is written. One that gets no permit, whose caller leaves, or that is tried at several targets before one takes it, gives back or keeps its one reservation: such tries cost the budget each time before.

--- a/swiftpin/router/call.py
+++ b/swiftpin/router/call.py
@@ -31,6 +31,9 @@
     is_sent: bool = False
     """Whether a target has the request now."""
 
+    is_retry_reserved: bool = False
+    """Whether the service's budget keeps a retry for the request."""
+
     may_have_run: bool = False
     """Whether a target got the request and did not say that it did not run it."""
 
--- a/swiftpin/router/request_sender.py
+++ b/swiftpin/router/request_sender.py
@@ -64,6 +64,7 @@
             maps=maps,
             permits=permits,
             poison=poison,
+            retries=self.retries,
         )
         self._directory = directory
         self._maps = maps
@@ -96,6 +97,8 @@
                 raise
             # What ended the last try did not run it; an earlier one may have.
             raise AnswerLostError(f"an earlier answer was lost; {err.hint}") from err
+        finally:
+            self.retries.release(call)
 
     async def _async_try_all(self, call: Call) -> Received:
         """Try until there is an answer, or nothing more may be tried."""
--- a/swiftpin/router/retry_policy.py
+++ b/swiftpin/router/retry_policy.py
@@ -57,6 +57,20 @@
         """Count a request, whether it is sent or not."""
         self._budget(service).record_request(self._limits(now), now)
 
+    @callback
+    def note_send(self, call: Call, now: float) -> None:
+        """Take a retry off the budget; a target is about to get it."""
+        if call.is_retry_reserved:
+            call.is_retry_reserved = False
+            self._budget(call.service).spend(now)
+
+    @callback
+    def release(self, call: Call) -> None:
+        """Give back what was kept for a retry that is not sent."""
+        if call.is_retry_reserved:
+            call.is_retry_reserved = False
+            self._budget(call.service).release()
+
     @callback
     def check_may_retry(self, call: Call, now: float) -> None:
         """Raise the final error unless the request may be tried once more.
@@ -110,12 +124,11 @@
 
     @callback
     def _reserve(self, call: Call, now: float) -> bool:
-        """Take a retry off the budget, if there is one."""
-        budget = self._budget(call.service)
-        if not budget.reserve(self._limits(now), now):
-            return False
-        budget.spend(now)
-        return True
+        """Keep a part of the budget for a request's next send, if there is one."""
+        if not call.is_retry_reserved:
+            budget = self._budget(call.service)
+            call.is_retry_reserved = budget.reserve(self._limits(now), now)
+        return call.is_retry_reserved
 
     @callback
     def _limits(self, now: float) -> RetryLimits:
--- a/swiftpin/router/target_exchange.py
+++ b/swiftpin/router/target_exchange.py
@@ -34,6 +34,7 @@
 from swiftpin.router.key_maps import KeyMaps
 from swiftpin.router.poison_watch import PoisonWatch, fingerprint_of
 from swiftpin.router.received import Received
+from swiftpin.router.retry_policy import RetryPolicy
 from swiftpin.router.step_failure import StepFailure
 
 ONCE_IDLE: Final = 1.0
@@ -60,6 +61,7 @@
         maps: KeyMaps,
         permits: PermitBroker,
         poison: PoisonWatch,
+        retries: RetryPolicy,
     ) -> None:
         self.load = LoadReport()
         """What was seen since the last report."""
@@ -70,6 +72,7 @@
         self._maps = maps
         self._permits = permits
         self._poison = poison
+        self._retries = retries
 
     async def async_exchange(self, call: Call, permit: Permit) -> Received | None:
         """Return the answer, its beginning read; None when there was none."""
@@ -168,8 +171,10 @@
         Time for a slot and for a connection may have passed since the target was
         chosen; one that announced its leaving gets nothing more after its drain time.
         """
-        if not self._directory.may_send(target_id, suspend_aware_now()):
+        sent_at = suspend_aware_now()
+        if not self._directory.may_send(target_id, sent_at):
             raise RequestNotSentError(f"{target_id} has left")
+        self._retries.note_send(call, sent_at)
         call.is_sent = True
 
     @callback
--- a/tests/router/retry_fleet.py
+++ b/tests/router/retry_fleet.py
@@ -188,10 +188,12 @@
         call.sends += 1
         if self.random.random() >= self.load.rejected:
             self.served_retries += call.sends > 1
+            instance.policy.release(call)
             return
         try:
             instance.policy.check_may_retry(call, self.now)
         except RequestError:
+            instance.policy.release(call)
             return
         wait = self.random.uniform(*self.load.waits)
         self._at_instance(
@@ -200,6 +202,7 @@
 
     def _send_again(self, instance: Instance, call: Call) -> None:
         """Send a request once more."""
+        instance.policy.note_send(call, self.now)
         self.retries.append(self.now)
         self._answer(instance, call)
 
--- a/tests/router/test_retry_policy.py
+++ b/tests/router/test_retry_policy.py
@@ -100,6 +100,7 @@
         policy.check_may_retry(call, now)
     except RequestError as err:
         return err
+    policy.note_send(call, now)
     return None
 
 
@@ -199,6 +200,25 @@
     assert error_of(policy, make_call()) is None
 
 
+def test_retry_that_is_not_sent_costs_nothing(policy: RetryPolicy) -> None:
+    """Retries that got no permit are left for other requests."""
+    for _ in range(3 * SPENDABLE):
+        call = make_call()
+        policy.check_may_retry(call, NOW)
+        policy.release(call)
+    assert error_of(policy, make_call()) is None
+
+
+def test_retry_is_reserved_once_for_several_tries(policy: RetryPolicy) -> None:
+    """A retry that could not be sent to one target is still there for the next."""
+    call = make_call()
+    for _ in range(3 * SPENDABLE):
+        policy.check_may_retry(call, NOW)
+    for _ in range(SPENDABLE - 1):
+        assert error_of(policy, make_call()) is None
+    assert error_of(policy, make_call()) is not None
+
+
 def test_failures_of_targets_are_followed_by_a_try(policy: RetryPolicy) -> None:
     """A target's own error is not the answer while another target may have a better."""
     call = make_call()
--- a/tests/router/test_target_exchange.py
+++ b/tests/router/test_target_exchange.py
@@ -50,6 +50,7 @@
             maps=KeyMaps(),
             permits=self.permits,
             poison=cast("Any", None),
+            retries=cast("Any", None),
         )
 
     def refuse(self, status: int) -> None:
