--- a/tests/router/test_fleet_retries.py
+++ b/tests/router/test_fleet_retries.py
@@ -120,7 +120,7 @@
 
 @pytest.mark.parametrize("rate", [14.0, 129.0, 430.0])
 def test_shorter_waits_bring_no_more_retries(rate: float) -> None:
-    """Failure: retries that had waited arrived beside a window's worth of later ones."""
+    """Failure: retries that had waited arrived beside those of a whole window."""
     fleet = RetryFleet(SIZE, Load(rate=rate, waits=(2.0, 2.5)), 1)
     fleet.at(12.5, lambda: setattr(fleet.load, "waits", SHORT_WAITS))
     fleet.run(LENGTH)
