Keep the counts of requests that crash targets over a takeover, and tell verdicts to newcomers

Targets that a request silenced were reported once to the leader, which alone counts to three; after a takeover its successor began at none, so the request crashed as many targets again, and again at each takeover. A verdict went to the links that were open at that moment; an instance that started later let the request pass.

Every instance keeps what it reported for the minute in which it counts, tells it to a new leader or over a new link, and counts it itself. A leader tells an instance that opens a link which requests to refuse.

--- a/swiftpin/router/fleet_coordinator.py
+++ b/swiftpin/router/fleet_coordinator.py
@@ -123,6 +123,7 @@
             if self._lease.is_held(now):
                 self._issuers.choose()
             self._note_members(now)
+            self._poison.report(now)
             self.gossip.ask()
             if now >= report_at:
                 report_at = now + report_pause(self._permits.issuers.members) - TICK / 2
@@ -189,6 +190,7 @@
             return
         if self._permits.issuers.number:
             self._issuers.give(link)
+        self._poison.give(link, suspend_aware_now())
 
     @callback
     def _note_members(self, now: float) -> None:
--- a/swiftpin/router/poison_watch.py
+++ b/swiftpin/router/poison_watch.py
@@ -38,7 +38,7 @@
     """
 
     def __init__(self) -> None:
-        self.on_suspect: Callable[[int, str], None] = _ignore
+        self.on_suspect: Callable[[int, str, float], None] = _ignore
         self.on_quarantine: Callable[[int], None] = _ignore_verdict
         self._targets_by_fingerprint: dict[int, dict[str, float]] = {}
         self._until_by_fingerprint: dict[int, float] = {}
@@ -48,6 +48,15 @@
         """Return whether a request is to be refused."""
         return now < self._until_by_fingerprint.get(fingerprint, 0.0)
 
+    @callback
+    def quarantined(self, now: float) -> list[int]:
+        """Return the requests to refuse, by their fingerprints."""
+        return [
+            fingerprint
+            for fingerprint in self._until_by_fingerprint
+            if self.is_quarantined(fingerprint, now)
+        ]
+
     @callback
     def quarantine(self, fingerprint: int, now: float) -> None:
         """Refuse a request for a while."""
@@ -82,7 +91,7 @@
 
 
 @callback
-def _ignore(fingerprint: int, target: str) -> None:
+def _ignore(fingerprint: int, target: str, now: float) -> None:
     """Do nothing."""
 
 
--- a/swiftpin/router/target_exchange.py
+++ b/swiftpin/router/target_exchange.py
@@ -87,7 +87,9 @@
         except AnswerBrokenError as err:
             call.may_have_run = True
             self._note_failed(call, permit, StepFailure.BROKEN, f"broken: {err}")
-            self._poison.on_suspect(fingerprint(call), permit.target)
+            self._poison.on_suspect(
+                fingerprint(call), permit.target, suspend_aware_now()
+            )
             return None
         except BaseException:
             # The deadline passed or the caller left.
--- a/tests/router/test_poison_reports.py
+++ b/tests/router/test_poison_reports.py
@@ -6,7 +6,12 @@
 from swiftpin.keyranges.lease_record import LeaseRecord
 from swiftpin.router.known_leader import KnownLeader
 from swiftpin.router.poison_reports import PoisonReports
-from swiftpin.router.poison_watch import CRASHES, PoisonWatch
+from swiftpin.router.poison_watch import (
+    CRASHES,
+    MEMORY,
+    QUARANTINE_TIME,
+    PoisonWatch,
+)
 from tests.router.fleet_fakes import FakeLink, make_links
 
 FINGERPRINT = 77
@@ -23,7 +28,7 @@
     )
     poison = PoisonWatch()
     PoisonReports(links, leader, poison)
-    poison.on_suspect(FINGERPRINT, "t1")
+    poison.on_suspect(FINGERPRINT, "t1", NOW)
     (item,) = link.sent
     assert (item.suspect.fingerprint, item.suspect.target) == (FINGERPRINT, "t1")
 
@@ -41,3 +46,67 @@
     told = PoisonReports(make_links(), KnownLeader(make_links()), poison)
     told.take_quarantine(item.quarantine, NOW)
     assert poison.is_quarantined(FINGERPRINT, NOW)
+
+
+def test_suspects_are_counted_on_after_a_takeover() -> None:
+    """Failure: a new leader knew no crashes, and the request crashed as many again."""
+    old, new = (FakeLink(name, is_outgoing=True) for name in ("old", "new"))
+    links = make_links(old, new)
+    leader = KnownLeader(links)
+    poison = PoisonWatch()
+    reports = PoisonReports(links, leader, poison)
+    leader.note_record(LeaseRecord(holder="old/1", peer=old.peer, term=1, renewal=0))
+    for number in range(CRASHES - 1):
+        poison.on_suspect(FINGERPRINT, f"t{number}", NOW)
+    reports.report(NOW)
+    leader.note_record(LeaseRecord(holder="new/1", peer=new.peer, term=2, renewal=0))
+    reports.report(NOW + 1)
+    reports.report(NOW + 2)
+    assert [item.suspect.target for item in old.sent] == ["t0", "t1"]
+    assert [item.suspect.target for item in new.sent] == ["t0", "t1"]
+
+
+def test_suspects_wait_for_a_leader() -> None:
+    """Failure: crashes seen while no leader was linked were counted by nobody else."""
+    link = FakeLink("leader", is_outgoing=True)
+    links = make_links()
+    leader = KnownLeader(links)
+    poison = PoisonWatch()
+    reports = PoisonReports(links, leader, poison)
+    poison.on_suspect(FINGERPRINT, "t1", NOW)
+    reports.report(NOW)
+    links.outgoing_by_peer[link.peer] = link
+    leader.note_record(
+        LeaseRecord(holder="leader/1", peer=link.peer, term=1, renewal=0)
+    )
+    reports.report(NOW + 1)
+    assert [item.suspect.target for item in link.sent] == ["t1"]
+
+
+def test_own_suspects_are_forgotten_in_time() -> None:
+    """A crash of long ago is reported to nobody."""
+    link = FakeLink("leader", is_outgoing=True)
+    links = make_links(link)
+    leader = KnownLeader(links)
+    poison = PoisonWatch()
+    reports = PoisonReports(links, leader, poison)
+    poison.on_suspect(FINGERPRINT, "t1", NOW)
+    reports.report(NOW)
+    leader.note_record(
+        LeaseRecord(holder="leader/1", peer=link.peer, term=1, renewal=0)
+    )
+    reports.report(NOW + MEMORY)
+    assert not link.sent
+
+
+def test_verdicts_are_told_to_instances_that_start() -> None:
+    """Failure: an instance that had just started let a quarantined request pass."""
+    poison = PoisonWatch()
+    reports = PoisonReports(make_links(), KnownLeader(make_links()), poison)
+    poison.quarantine(FINGERPRINT, NOW)
+    started = FakeLink("started")
+    reports.give(started, NOW + 1)
+    (item,) = started.sent
+    assert list(item.quarantine.fingerprints) == [FINGERPRINT]
+    reports.give(started, NOW + QUARANTINE_TIME)
+    assert len(started.sent) == 1
