Reject requests whose callers left before they were read

A request that lies unread while the instance is overloaded counts as new when it is read, and the event loop learns of the closed connection only in its next turn: by then the request may be at a target.

Closing the write side only counted as leaving before as well.

--- a/swiftpin/gateway/http_listener.py
+++ b/swiftpin/gateway/http_listener.py
@@ -5,6 +5,7 @@
 import asyncio
 from asyncio import AbstractServer
 from collections.abc import Awaitable, Callable
+import select
 from typing import Final
 
 from aiohttp.http_exceptions import LineTooLong
@@ -55,6 +56,20 @@
         """Set how long the connection may be idle after the present request."""
         self._keepalive_timeout = seconds
 
+    @callback
+    def has_caller_left(self) -> bool:
+        """Return whether the caller has closed its side of the connection.
+
+        Of a request that lay unread the event loop learns that only after the request.
+        """
+        if self.transport is None or self.transport.is_closing():
+            return True
+        poll = select.poll()
+        poll.register(
+            self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP
+        )
+        return bool(poll.poll(0))
+
     def handle_error(
         self,
         request: BaseRequest,
--- a/swiftpin/router/request_handler.py
+++ b/swiftpin/router/request_handler.py
@@ -141,6 +141,9 @@
         self, request: BaseRequest, head: RequestHead, started_at: float
     ) -> Call:
         """Find the route; raise what the caller is to be told when there is none."""
+        protocol = request.protocol
+        if isinstance(protocol, GatewayProtocol) and protocol.has_caller_left():
+            raise CallerLeftError("the caller left before its request was read")
         if self._refuses_new:
             raise ShuttingDownError(
                 "the instance is about to end", retry_after=LEAVING_RETRY
@@ -153,7 +156,6 @@
         now = suspend_aware_now()
         if self._configuration.lag.is_refusing(now):
             raise _outdated_error()
-        protocol = request.protocol
         if isinstance(protocol, GatewayProtocol):
             protocol.set_idle_limit(configuration.limits.idle_time)
         route = configuration.find_route(request.host, request.path)
