Test that whole instances share the slack of retries

The fleet of the other tests is simulated; here the holder of the lease and a member count each other over real links, a restarted instance has no share at first, and the one that is left after a loss of the holder keeps the share it had.

--- /dev/null
+++ b/tests/router/test_retry_members.py
@@ -0,0 +1,55 @@
+"""Tests of whole instances that share the slack of retries."""
+
+from __future__ import annotations
+
+import pytest
+
+from swiftpin.helpers.clock import suspend_aware_now
+from swiftpin.router import fleet_size
+from tests.router.site import BOUNDS, Site
+
+SETTLE = 1.0
+"""Seconds after which an instance has its share, here."""
+
+
+@pytest.fixture(autouse=True)
+def settle_fixture(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let instances have their share sooner."""
+    monkeypatch.setattr(fleet_size, "TELL_TIME", SETTLE - BOUNDS.retry_window)
+
+
+def members(site: Site) -> dict[str, int | None]:
+    """Return among how many each instance shares, by its name."""
+    now = suspend_aware_now()
+    return {
+        name: router._sender.retries.members(now)
+        for name, router in site.routers_by_name.items()
+    }
+
+
+async def test_instances_in_touch_share_the_slack(site: Site) -> None:
+    """The holder and the member count each other."""
+    await site.async_wait(lambda: members(site) == {"i0": 2, "i1": 2})
+
+
+async def test_restarted_instance_has_no_share_at_first(site: Site) -> None:
+    """Failure: a process that started spent what its predecessor had spent."""
+    await site.async_wait(lambda: members(site) == {"i0": 2, "i1": 2})
+    restarted = next(name for name in site.routers_by_name if name != site.leader())
+    await site.async_remove_router(restarted)
+    started_at = suspend_aware_now()
+    router = await site.async_add_router(restarted)
+    await site.async_wait(lambda: members(site)[restarted] is not None)
+    assert suspend_aware_now() - started_at > SETTLE
+    assert router._sender.retries.members(suspend_aware_now()) in (2, 3)
+
+
+async def test_instance_keeps_its_share_when_the_holder_is_lost(site: Site) -> None:
+    """Failure: an instance that was left alone took what the lost one had taken."""
+    await site.async_wait(lambda: members(site) == {"i0": 2, "i1": 2})
+    lost = site.leader()
+    (left,) = site.routers_by_name.keys() - {lost}
+    await site.async_remove_router(lost)
+    await site.async_wait(lambda: site.leader() == left)
+    await site.async_wait(lambda: members(site)[left] is not None)
+    assert members(site) == {left: 2}
