Count members that were lost for as long as they may spend their share

Found by reading, for the model of shares: a member that is cut off keeps its share for 3 s (MAX_GAP), but the holder's count left it out as soon as its link was lost, after 1.2 s. Two members that are cut off in turn, each for less than 3 s, would be told one each and take the whole slack each. Now whoever was linked within those 3 s counts.

--- a/swiftpin/router/fleet_coordinator.py
+++ b/swiftpin/router/fleet_coordinator.py
@@ -121,7 +121,7 @@
             now = suspend_aware_now()
             self._keep_links()
             if self._lease.is_held(now):
-                self._issuers.choose()
+                self._issuers.choose(now)
             self._note_members(now)
             self._poison.report(now)
             self.gossip.ask()
--- a/swiftpin/router/issuer_list.py
+++ b/swiftpin/router/issuer_list.py
@@ -16,7 +16,7 @@
 from swiftpin.permits.permit_broker import PermitBroker
 from swiftpin.permits.permit_issuers import PermitIssuers
 from swiftpin.router.fleet_messages import encode_issuers
-from swiftpin.router.fleet_size import members_to_tell
+from swiftpin.router.fleet_size import MAX_GAP, members_to_tell
 from swiftpin.router.watch_duty import first_issuers
 
 MOST_CANDIDATES: Final = 16
@@ -47,9 +47,10 @@
         self._directory = directory
         self._lifecycle = lifecycle
         self._number = 0
+        self._seen_at_by_incarnation: dict[str, float] = {}
 
     @callback
-    def choose(self) -> None:
+    def choose(self, now: float) -> None:
         """Choose the issuers, and tell everyone when the list has changed."""
         members = self._members()
         strengths = {name: strength for name, (strength, _) in members.items()}
@@ -65,7 +66,7 @@
         )
         chosen = self._watchers_first(chosen)
         issuers = {name: members[name][1] for name in chosen}
-        count = members_to_tell(self._count_members(), present.members)
+        count = members_to_tell(self._count_members(now), present.members)
         is_same = (
             issuers == present.peers_by_incarnation
             and first_issuers(issuers) == first_issuers(present.peers_by_incarnation)
@@ -118,14 +119,20 @@
         )
 
     @callback
-    def _count_members(self) -> int:
-        """Return how many instances there are; those that end still send retries."""
-        others = {
-            link.incarnation
-            for link in self._links.live_links()
-            if not link.is_outgoing
+    def _count_members(self, now: float) -> int:
+        """Return how many instances may spend a share of the fleet's limits.
+
+        Those that end still do, and one that is cut off does for a while.
+        """
+        for link in self._links.live_links():
+            if not link.is_outgoing:
+                self._seen_at_by_incarnation[link.incarnation] = now
+        self._seen_at_by_incarnation = {
+            incarnation: seen_at
+            for incarnation, seen_at in self._seen_at_by_incarnation.items()
+            if now - seen_at <= MAX_GAP
         }
-        return len(others) + 1
+        return len(self._seen_at_by_incarnation) + 1
 
     @callback
     def _members(self) -> dict[str, tuple[float, str]]:
