--- a/spec/cases.py
+++ b/spec/cases.py
@@ -23,6 +23,8 @@
 from spec.model_case import ModelCase
 from spec.ranges.model import key_range
 from spec.ranges.weakness import RangeWeakness
+from spec.shares.model import shared_limit
+from spec.shares.weakness import ShareWeakness
 from spec.wide.model import wide_group
 from spec.wide.weakness import WideWeakness
 from spec.zones.cold import cold_permits
@@ -64,6 +66,10 @@
             protocol=evacuated_zone("evacuated zone", EvacuationWeakness()),
             covers="late news by store and neighbour, a restored store",
         ),
+        ModelCase(
+            protocol=shared_limit("shares", ShareWeakness()),
+            covers="three processes, each restarts or is cut off at any time",
+        ),
     ]
 
 
--- /dev/null
+++ b/spec/shares/__init__.py
@@ -0,0 +1,1 @@
+"""Model of a limit of the fleet that its instances share."""
--- a/swiftpin/router/step_failure.py
+++ b/swiftpin/router/step_failure.py
@@ -39,7 +39,7 @@
     StepFailure.REPLACED: "another instance of the service answered at the address",
     StepFailure.BROKEN: "the request was written and no whole, signed answer came",
     StepFailure.TARGET_FAILED: "the target answered 5xx and the request was sent again",
-    StepFailure.BUDGET_SPENT: "no second send was left in the service's budget",
+    StepFailure.BUDGET_SPENT: "no retry was left in the service's budget",
     StepFailure.TIME_OVER: "the request's time ended while no target had it",
     StepFailure.GIVEN_UP: "time ended or the caller left while a target had it",
 }
