--- a/swiftpin/fleet/link.py
+++ b/swiftpin/fleet/link.py
@@ -19,8 +19,7 @@
 
 LONGEST_HEARTBEAT_INTERVAL: Final = 0.9
 """Seconds between two heartbeats at most on a link that has other frames: versions
-travel in them. A frame costs about 0.4 ms at each end, and with 72 instances 38% of all
-frames were heartbeats (cProfile of all)."""
+travel in them. Each frame costs processor time at both ends."""
 
 SILENT_LIMIT: Final = 1.2
 """Seconds without a frame after which a link is closed: four heartbeats. A connection
--- a/swiftpin/gateway/deadline_watch.py
+++ b/swiftpin/gateway/deadline_watch.py
@@ -19,9 +19,8 @@
 
     `asyncio.timeout` makes a timer for each request, which hardly ever fires and costs
     several times what a set entry does. Here deadlines are collected in sets by
-    tick; the timer is set for the first set that has entries. One that looked at every
-    tick woke an instance with 21 requests/s 85 times a second, which took 3% of its
-    processor time (cProfile).
+    tick; the timer is set for the first set that has entries, so that an instance with
+    few requests is not woken at every tick.
     """
 
     def __init__(self) -> None:
--- a/swiftpin/keyranges/plan_hot_keys.py
+++ b/swiftpin/keyranges/plan_hot_keys.py
@@ -31,13 +31,10 @@
 
     A key can't be shared out. So what callers of a key get that is asked for more often
     than a target bears depends on its owner's speed, and the speeds of one service's
-    targets differ by a factor of two. Left where it was, it was served by the target
-    that happened to own it: 41 of 175 requests a second at one of the slower targets.
-    What else the faster target has leaves it as from any busy one.
+    targets differ. What else the faster target has leaves it as from any busy one.
 
     The new owner's least capacity is compared with the present one's most: by single
-    estimates a hot key went from one target to the next of the same speed, five times
-    in 2.5 s.
+    estimates a hot key would go back and forth between targets of the same speed.
     """
     moves: list[Move] = []
     by_utilization = sorted(
--- a/swiftpin/permits/issuer_choice.py
+++ b/swiftpin/permits/issuer_choice.py
@@ -9,8 +9,7 @@
 from swiftpin.core import callback
 
 TARGETS_AN_ISSUER: Final = 16
-"""Targets whose permits one instance hands out. A permit takes three messages of about
-0.1 ms each, and 16 targets with 2 slots bear about 150 requests a second."""
+"""Targets whose permits one instance hands out. Each permit takes it three messages."""
 
 LEAST_ISSUERS: Final = 3
 """Issuers at least, so that the loss of one leaves most targets' permits untouched."""
--- a/swiftpin/router/load_reports.py
+++ b/swiftpin/router/load_reports.py
@@ -14,11 +14,11 @@
 
 REPORT_PAUSE: Final = 0.2
 """Seconds between two reports of an instance of a small fleet: hot keys change within
-seconds, and a report of some hundred keys takes about 0.4 ms at the receiver."""
+seconds."""
 
 REPORTERS: Final = 36
 """Instances above which each reports its load less often, in proportion: the one that
-assigns keys takes at most 180 reports a second, each about 0.4 ms of its time."""
+assigns keys takes all reports."""
 
 
 class LoadReports:
--- a/swiftpin/router/metrics.py
+++ b/swiftpin/router/metrics.py
@@ -64,8 +64,7 @@
 
     Kept in plain counters; `registry` presents them to Prometheus. Its library is
     imported with the first scrape only, since all that an instance imports before it
-    listens is time in which callers are not served after a loss of power: 0.05 of 0.6 s
-    of processor time (`-X importtime`), and 1.0 MB.
+    listens is time in which callers are not served after a loss of power.
     """
 
     def __init__(self) -> None:
