Test restores of the store in the middle of moves, stops, releases and a loss of power

Six tests: the store is away for 0.5 s and comes back from a copy of before; operators and targets write again 0.8 s later. No key may be held by two targets at any time, and all keys are served again within 15 s.

--- /dev/null
+++ b/tests/router/test_restore_drills.py
@@ -0,0 +1,159 @@
+"""Tests of whole instances whose store comes back from a copy at awkward moments."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from http import HTTPStatus
+
+import pytest
+
+from tests.router.site import Site
+from tests.router.store_standin import StoreCopy
+
+KEYS = range(0, 65536, 1021)
+AWAY = 0.5
+"""Seconds for which the store is away before it comes back."""
+
+REWRITE = 0.8
+"""Seconds after which operators and targets have written again what was lost."""
+
+SERVED_AGAIN = 15.0
+
+
+class Drill:
+    """A site whose keys are watched: no two targets may hold one at a time."""
+
+    def __init__(self, site: Site) -> None:
+        self.site = site
+        self.held_twice: set[int] = set()
+        site.store.era = "1"
+
+    async def async_watch(self) -> None:
+        """Look again and again who holds which keys, until cancelled."""
+        while True:
+            for key in KEYS:
+                holders = [
+                    target
+                    for target in self.site.targets_by_name.values()
+                    if target.holds(key)
+                ]
+                if len(holders) > 1:
+                    self.held_twice.add(key)
+            await asyncio.sleep(0.02)
+
+    async def async_restore(self, copy: StoreCopy) -> None:
+        """Have the store go away and come back from a copy."""
+        store = self.site.store
+        store.is_silent = True
+        await asyncio.sleep(AWAY)
+        store.restore(copy)
+        store.is_silent = False
+        await asyncio.sleep(REWRITE)
+        for name, target in self.site.targets_by_name.items():
+            if target.is_keyed:
+                store.put("servers", name, target.entry("desk"))
+
+    async def async_all_served(self) -> bool:
+        """Return whether requests for keys all over are served by every instance."""
+        for via in list(self.site.routers_by_name):
+            for key in range(0, 65536, 8191):
+                reply = await self.site.async_call("/read/x", via=via, key=key)
+                if reply.status != HTTPStatus.OK:
+                    return False
+        return True
+
+    async def async_until_served(self) -> None:
+        """Wait until all keys are served again."""
+        async with asyncio.timeout(SERVED_AGAIN):
+            while not await self.async_all_served():  # noqa: ASYNC110  # no event tells
+                await asyncio.sleep(0.1)
+
+
+@pytest.fixture(name="drill")
+async def drill_fixture(site: Site) -> AsyncIterator[Drill]:
+    """Return a drill; no key is held by two targets at any time of it."""
+    drill = Drill(site)
+    watch = asyncio.create_task(drill.async_watch())
+    await site.async_wait(lambda: bool(site.leader()))
+    yield drill
+    watch.cancel()
+    await asyncio.gather(watch, return_exceptions=True)
+    assert not drill.held_twice
+
+
+async def test_restore_in_the_middle_of_a_move(drill: Drill) -> None:
+    """Failure: the owner that the copy names and the new one hold the same keys."""
+    site = drill.site
+    copy = site.store.copy()
+    joined = await site.async_add_target("joined", "desk")
+    await site.async_wait(lambda: bool(joined.granted_fences))
+    await drill.async_restore(copy)
+    await drill.async_until_served()
+
+
+async def test_restore_in_the_middle_of_a_takeover(drill: Drill) -> None:
+    """Failure: the holder that the copy names is gone, and nobody assigns keys."""
+    site = drill.site
+    copy = site.store.copy()
+    await site.async_remove_router(site.leader())
+    await drill.async_restore(copy)
+    await drill.async_until_served()
+
+
+async def test_restore_in_the_middle_of_a_planned_stop(drill: Drill) -> None:
+    """Failure: the copy gives the lease back to a holder that has resigned."""
+    site = drill.site
+    copy = site.store.copy()
+    stopped = site.leader()
+    router = site.routers_by_name[stopped]
+    stop = asyncio.create_task(router.async_stop())
+    await asyncio.sleep(0.3)
+    await drill.async_restore(copy)
+    await stop
+    await site.async_remove_router(stopped)
+    await drill.async_until_served()
+
+
+async def test_restore_in_the_middle_of_a_release(drill: Drill) -> None:
+    """Failure: targets that were replaced are used again, beside their successors."""
+    site = drill.site
+    copy = site.store.copy()
+    old = [name for name, it in site.targets_by_name.items() if it.is_keyed]
+    for name in old:
+        await site.async_add_target(f"new-{name}", "desk")
+        draining = site.targets_by_name[name].entry("desk", state="draining")
+        site.store.put("servers", name, draining)
+    await asyncio.sleep(0.5)
+    await drill.async_restore(copy)
+    for name in old:
+        draining = site.targets_by_name[name].entry("desk", state="draining")
+        site.store.put("servers", name, draining)
+    await drill.async_until_served()
+    await site.async_wait(lambda: not any(site.is_owner(name) for name in old))
+
+
+async def test_restore_while_all_instances_are_gone(drill: Drill) -> None:
+    """Failure: instances that remember nothing take the copy's owners for true."""
+    site = drill.site
+    copy = site.store.copy()
+    joined = await site.async_add_target("joined", "desk")
+    await site.async_wait(lambda: bool(joined.granted_fences))
+    names = list(site.routers_by_name)
+    for name in names:
+        await site.async_remove_router(name)
+    await drill.async_restore(copy)
+    for name in names:
+        await site.async_add_router(name)
+    await drill.async_until_served()
+
+
+async def test_restore_twice_in_a_row(drill: Drill) -> None:
+    """Failure: what was written between two restores counts as newer than both."""
+    site = drill.site
+    copy = site.store.copy()
+    await site.async_add_target("joined", "desk")
+    await site.async_wait(lambda: site.is_owner("joined"))
+    await drill.async_restore(copy)
+    await drill.async_restore(copy)
+    await drill.async_until_served()
