--- a/swiftpin/gateway/http_listener.py
+++ b/swiftpin/gateway/http_listener.py
@@ -60,7 +60,8 @@
     def has_caller_left(self) -> bool:
         """Return whether the caller has closed its side of the connection.
 
-        Of a request that lay unread the event loop learns that only after the request.
+        The event loop reads a request that lay unread before it notices the end of its
+        connection.
         """
         if self.transport is None or self.transport.is_closing():
             return True
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -268,11 +268,11 @@
     @callback
     def _take_load(self) -> LoadReport:
         """Return what was noted since the last call."""
-        self._note_members(self._sender.retries.members(suspend_aware_now()) or 0)
+        self._show_members(self._sender.retries.members(suspend_aware_now()) or 0)
         return self._sender.take_load()
 
     @callback
-    def _note_members(self, members: int) -> None:
+    def _show_members(self, members: int) -> None:
         """Show among how many instances the budgets of retries are shared."""
         if members != self._metrics.retry_members:
             log_message(message_type="retry_members_changed", members=members)
--- a/swiftpin/router/request_handler.py
+++ b/swiftpin/router/request_handler.py
@@ -140,7 +140,7 @@
     def _begin(
         self, request: BaseRequest, head: RequestHead, started_at: float
     ) -> Call:
-        """Find the route; raise what the caller is to be told when there is none."""
+        """Find the route; raise what ends the request when there is none."""
         protocol = request.protocol
         if isinstance(protocol, GatewayProtocol) and protocol.has_caller_left():
             raise CallerLeftError("the caller left before its request was read")
--- a/swiftpin/router/retry_limits.py
+++ b/swiftpin/router/retry_limits.py
@@ -14,7 +14,7 @@
 
 SLACK_SHARE: Final = 0.9
 """Part of the slack that is shared out. What is left covers requests that are counted
-late, and retries that arrive late."""
+late, retries that arrive late, and what instances without a share have saved."""
 
 LEAST_SAVED: Final = 1.0
 """Retries that every instance may save; with less it could never retry."""
