--- a/tests/router/retry_fleet.py
+++ b/tests/router/retry_fleet.py
@@ -4,33 +4,37 @@
 
 from bisect import bisect_left, bisect_right
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from functools import partial
 from heapq import heappop, heappush
 from itertools import count
 import math
 from random import Random
-from typing import Any, Final, cast
+from typing import Final
 
 from swiftpin.exceptions import RequestError
 from swiftpin.model.bounds import Bounds
-from swiftpin.model.request_kind import RequestKind
-from swiftpin.model.route import Route, WeightedService
-from swiftpin.platform.request_head import RequestHead
 from swiftpin.router.call import Call
 from swiftpin.router.fleet_size import FleetSize, members_to_tell
 from swiftpin.router.retry_policy import RetryPolicy
+from tests.router.calls import SERVICE, make_call
 
-SERVICE: Final = "desk"
 WINDOW: Final = 10.0
 RATIO: Final = 0.2
 SLACK: Final = 56.0
 ATTEMPTS: Final = 3
 LEAD: Final = 16.0
+"""Seconds for which instances run before the first request."""
+
 TICK: Final = 0.2
+"""Seconds between two looks of the holder at its members."""
+
 TAKEOVER: Final = 1.3
+"""Seconds without a holder after one is lost."""
+
 LINK_TIME: Final = 0.2
-SILENCE: Final = 1.2
+"""Seconds until the holder hears an instance."""
+
 BOUNDS: Final = Bounds(
     drain=2.0,
     apply=2.0,
@@ -41,17 +45,6 @@
     retry_slack=SLACK,
     stability=3.0,
 )
-ROUTE: Final = Route(
-    name="r",
-    host="desk.example",
-    prefix="/",
-    kind=RequestKind.IDEMPOTENT,
-    timeout=2.5,
-    objective=0.5,
-    priority=1,
-    attempts=ATTEMPTS,
-    parts=(WeightedService(service=SERVICE, weight=1.0),),
-)
 
 
 @dataclass(kw_only=True)
@@ -69,8 +62,7 @@
 class Instance:
     """One process of the router, as far as its retries go."""
 
-    def __init__(self, started_at: float) -> None:
-        self.started_at = started_at
+    def __init__(self) -> None:
         self.frozen_until = -math.inf
         self.fleet_size = FleetSize()
         self.policy = RetryPolicy(BOUNDS, self.fleet_size)
@@ -83,7 +75,7 @@
         self.now = -LEAD
         self.random = Random(seed)
         self.load = load
-        self.instances_by_name = {name: Instance(-LEAD) for name in range(size)}
+        self.instances_by_name = {name: Instance() for name in range(size)}
         self.requests: list[float] = []
         self.retries: list[float] = []
         self.served_retries = 0
@@ -123,7 +115,7 @@
 
     def start(self, name: int) -> None:
         """Start an instance."""
-        self.instances_by_name[name] = Instance(self.now)
+        self.instances_by_name[name] = Instance()
 
     def cut_off(self, share: float, seconds: float) -> None:
         """Cut instances off from the others and from the store, not from callers."""
@@ -181,7 +173,8 @@
     def _begin(self, instance: Instance) -> None:
         """Send a request for the first time."""
         instance.policy.record_first(SERVICE, self.now)
-        self._answer(instance, make_call(self.now))
+        call = make_call(now=self.now, sends=0, attempts=ATTEMPTS)
+        self._answer(instance, call)
 
     def _answer(self, instance: Instance, call: Call) -> None:
         """Have a target take or reject a request."""
@@ -253,23 +246,3 @@
     def _is_lease_free(self) -> bool:
         """Return whether the lease of the last holder has ended."""
         return self.now - self._holder_lost_at >= TAKEOVER
-
-
-def make_call(now: float) -> Call:
-    """Return a request that has just come in."""
-    return Call(
-        request=cast("Any", None),
-        head=RequestHead(id="q1", deadline=ROUTE.timeout, key=None),
-        route=ROUTE,
-        service=SERVICE,
-        body=cast("Any", Body()),
-        started_at=now,
-        ends_at=now + ROUTE.timeout,
-    )
-
-
-@dataclass(kw_only=True)
-class Body:
-    """Body of a request that can be sent again."""
-
-    can_be_sent: bool = field(default=True)
--- a/tests/router/test_retry_policy.py
+++ b/tests/router/test_retry_policy.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from http import HTTPStatus
-from typing import Any, cast
 
 import pytest
 
@@ -17,13 +16,11 @@
 )
 from swiftpin.model.bounds import Bounds
 from swiftpin.model.request_kind import RequestKind
-from swiftpin.model.route import Route, WeightedService
-from swiftpin.platform.request_head import RequestHead
 from swiftpin.router.call import Call
 from swiftpin.router.fleet_size import TELL_TIME, FleetSize
 from swiftpin.router.retry_policy import RetryPolicy
+from tests.router.calls import NOW, make_call
 
-NOW = 100.0
 WINDOW = 10.0
 BOUNDS = Bounds(
     drain=2.0,
@@ -40,46 +37,6 @@
 save of earned ones."""
 
 
-@dataclass(kw_only=True)
-class Body:
-    """Body of a request; one that was streamed can't be sent again."""
-
-    can_be_sent: bool = True
-
-
-def make_call(
-    kind: RequestKind = RequestKind.IDEMPOTENT,
-    *,
-    sends: int = 1,
-    may_have_run: bool = False,
-    attempts: int = 2,
-    can_be_sent: bool = True,
-) -> Call:
-    """Return a call that was sent."""
-    route = Route(
-        name="r",
-        host="desk.example",
-        prefix="/",
-        kind=kind,
-        timeout=1.0,
-        objective=0.5,
-        priority=1,
-        attempts=attempts,
-        parts=(WeightedService(service="desk", weight=1.0),),
-    )
-    return Call(
-        request=cast("Any", None),
-        head=RequestHead(id="q1", deadline=1.0, key=None),
-        route=route,
-        service="desk",
-        body=cast("Any", Body(can_be_sent=can_be_sent)),
-        started_at=NOW,
-        ends_at=NOW + 1.0,
-        sends=sends,
-        may_have_run=may_have_run,
-    )
-
-
 def make_policy(members: int = 1, bounds: Bounds = BOUNDS) -> RetryPolicy:
     """Return a policy of one of several instances, which has its share of the slack."""
     fleet_size = FleetSize()
