--- a/tests/router/test_retry_policy.py
+++ b/tests/router/test_retry_policy.py
@@ -45,6 +45,12 @@
     return RetryPolicy(bounds, fleet_size)
 
 
+def keep_in_touch(policy: RetryPolicy, *, until: float) -> None:
+    """Have the instance hear the holder until a time."""
+    for seconds in range(round(until - NOW) + 1):
+        policy._fleet_size.note_told(1, NOW + seconds)
+
+
 @pytest.fixture(name="policy")
 def policy_fixture() -> RetryPolicy:
     """Return the policy of the only instance."""
@@ -125,12 +131,6 @@
     assert error_of(policy, make_call(), later) is None
 
 
-def keep_in_touch(policy: RetryPolicy, *, until: float) -> None:
-    """Have the instance hear the holder until a time."""
-    for seconds in range(round(until - NOW) + 1):
-        policy._fleet_size.note_told(1, NOW + seconds)
-
-
 def test_budget_is_shared_by_the_instances() -> None:
     """Each of several instances spends its part of the slack."""
     policy = make_policy(members=4)
