Let no busy machine end the slice of a test's decoding

Decoding goes on in slices of 2 ms of real time; a process that is held up for longer within its first slice goes on in the next turn of an event loop, which this test has none of. With a clock that jumps by 3 ms at each look the same steps end in the same place: RuntimeError, no running event loop.

The test's clock stands still now. What it asserts is unchanged, and other tests cover that decoding goes on over several turns. The router always has a loop: no fault of its own.

--- a/tests/router/test_configuration_holder.py
+++ b/tests/router/test_configuration_holder.py
@@ -61,8 +61,12 @@
 
 
 @pytest.mark.parametrize("packed", [b"", b"x", zlib.compress(b"[]")])
-def test_unreadable_configuration_ends_the_question(packed: bytes) -> None:
+def test_unreadable_configuration_ends_the_question(
+    packed: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Guards against an instance that asks nobody any more."""
+    # A busy machine must not end the only slice that the decoding gets here.
+    monkeypatch.setattr(slices, "monotonic_now", lambda: 0.0)
     done: list[bool] = []
     holder = ConfigurationHolder()
     holder.adopt_packed(packed, 0.0, lambda: done.append(True))
