--- a/swiftpin/router/retry_limits.py
+++ b/swiftpin/router/retry_limits.py
@@ -32,6 +32,9 @@
       the window before. An instance that starts has saved nothing.
     - Only instances that have been in touch for longer than a window spend slack. All
       of them were there when the window began, and their shares add up to the whole.
+
+    Each instance may save one retry beside that, so the sum holds while there are
+    fewer instances than retries in the slack.
     """
 
     earned: float
--- a/tests/router/test_retry_budget.py
+++ b/tests/router/test_retry_budget.py
@@ -84,7 +84,7 @@
     assert budget.reserve(limits, NOW + 5 + WINDOW)
 
 
-def test_reserved_retries_do_not_outlive_their_savings(budget: RetryBudget) -> None:
+def test_reserved_retries_count_among_the_saved_ones(budget: RetryBudget) -> None:
     """A retry that is reserved keeps its place among those that may be saved."""
     record(budget, 100, NOW)
     for _ in range(5):
