Log and count the rate limits that targets name

The adapter decodes the header. Reports are kept by target with the times between which the target named the limit, since answers arrive in another order than they are made. `rate_limit_changed` is one line a change, `swiftpin_router_limited_targets` the number known. No decision depends on them yet.

--- a/swiftpin/permits/permit_broker.py
+++ b/swiftpin/permits/permit_broker.py
@@ -24,6 +24,7 @@
 from swiftpin.permits.permit_issuers import NO_ISSUERS, PermitIssuers
 from swiftpin.permits.permit_query import PermitQuery
 from swiftpin.permits.permit_request import PermitRequest
+from swiftpin.permits.rate_reports import RateReports
 
 EXPIRE_INTERVAL: Final = 0.05
 """Seconds between two checks for requests that can't be served in time."""
@@ -38,6 +39,7 @@
         zone: str,
         on_turnaround: Callable[[str, float], None] | None = None,
     ) -> None:
+        self.rate_reports = RateReports()
         self._zone = zone
         self.issuers: PermitIssuers = NO_ISSUERS
         self._incarnation = incarnation
--- /dev/null
+++ b/swiftpin/permits/rate_reports.py
@@ -0,0 +1,61 @@
+"""Rate limits of targets as known to one instance."""
+
+from __future__ import annotations
+
+from collections.abc import Set
+import math
+
+from eliot import log_message
+
+from swiftpin.core import callback
+from swiftpin.permits.rate_report import RateReport, merge_reports
+
+
+class RateReports:
+    """Reports of the rate limits of targets, by target id.
+
+    There is no report for a target that never named a limit.
+    """
+
+    def __init__(self) -> None:
+        self._reports_by_target: dict[str, RateReport] = {}
+
+    @property
+    def limited_count(self) -> int:
+        """Return the number of targets that currently name a limit."""
+        return sum(report.is_limited for report in self._reports_by_target.values())
+
+    @callback
+    def report_for(self, target: str) -> RateReport | None:
+        """Return the report for a target, None if it never named a limit."""
+        return self._reports_by_target.get(target)
+
+    @callback
+    def limit_of(self, target: str) -> float:
+        """Return the requests per second that a target accepts, or infinity."""
+        report = self._reports_by_target.get(target)
+        return math.inf if report is None else report.limit
+
+    @callback
+    def add(self, target: str, report: RateReport, now: float, *, source: str) -> None:
+        """Add a report from an answer of the target or from another instance."""
+        current = self._reports_by_target.get(target)
+        if current is None and not report.is_limited:
+            return
+        merged = merge_reports(current, report)
+        self._reports_by_target[target] = merged
+        if current is None or merged.limit != current.limit:
+            log_message(
+                message_type="rate_limit_changed",
+                target=target,
+                limit=merged.limit,
+                previous=math.inf if current is None else current.limit,
+                source=source,
+                age=round(now - merged.received_at, 3),
+            )
+
+    @callback
+    def retain_targets(self, targets: Set[str]) -> None:
+        """Drop the reports for all other targets."""
+        for target in self._reports_by_target.keys() - targets:
+            del self._reports_by_target[target]
--- a/swiftpin/platform/names.py
+++ b/swiftpin/platform/names.py
@@ -13,6 +13,7 @@
 HEADER_INSTANCE: Final = "Swiftpin-Instance-Id"
 HEADER_KEY: Final = "Swiftpin-Shard-Key"
 HEADER_HANDOVER: Final = "Swiftpin-Handover"
+HEADER_RATE_LIMIT: Final = "Server-Limit"
 HEADER_STORE_ERA: Final = "Store-Era"
 
 PATH_READINESS: Final = "/api/readiness"
--- a/swiftpin/platform/request_head.py
+++ b/swiftpin/platform/request_head.py
@@ -19,6 +19,7 @@
     HEADER_KEY,
     HEADER_LOAD,
     HEADER_NOT_EXECUTED,
+    HEADER_RATE_LIMIT,
     HEADER_REQUEST_ID,
     HEADER_SIGNATURE,
     MILLISECONDS_PER_SECOND,
@@ -77,6 +78,9 @@
     """Id of the answering target, None if it sends none."""
 
     load: TargetLoad | None
+    rate_limit: float | None
+    """Requests per second that the target accepts from all instances together, infinite
+    without a limit, None if the answer doesn't tell."""
 
 
 def decode_request_head(headers: Mapping[str, str]) -> RequestHead:
@@ -125,6 +129,7 @@
         not_executed=HEADER_NOT_EXECUTED in headers or is_misdirected,
         instance=headers.get(HEADER_INSTANCE),
         load=_decode_load(headers.get(HEADER_LOAD)),
+        rate_limit=_decode_rate_limit(headers),
     )
 
 
@@ -175,3 +180,20 @@
         slots=slots,
         slowdown_factor=percent / NORMAL_WORK_PERCENT,
     )
+
+
+def _decode_rate_limit(headers: Mapping[str, str]) -> float | None:
+    """Return the requests per second that a target accepts, None if unknown.
+
+    Only an answer with the target's signature shows that there is no limit: rejections
+    are not known to name it.
+    """
+    text = headers.get(HEADER_RATE_LIMIT)
+    if text is None:
+        return math.inf if HEADER_SIGNATURE in headers else None
+    try:
+        rate_limit = float(text)
+    except ValueError:
+        # A malformed limit does not invalidate the answer.
+        return None
+    return rate_limit if rate_limit >= 0 else None
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -284,6 +284,13 @@
             log_message(message_type="retry_members_changed", members=members)
         self._metrics.retry_members = members
 
+    @callback
+    def _update_rate_limits(self) -> None:
+        """Drop the rate limits of targets that are gone and update their metric."""
+        rate_reports = self._permits.rate_reports
+        rate_reports.retain_targets(self._directory.targets_by_id.keys())
+        self._metrics.limited_targets = rate_reports.limited_count
+
     @callback
     def _handle_configuration_change(self) -> None:
         """Apply a new configuration to the components that depend on it."""
@@ -338,6 +345,7 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL)
             self._directory.expire_targets(suspend_aware_now())
+            self._update_rate_limits()
             self._evacuations.end_unconfirmed(suspend_aware_now())
             # No change event marks the end of a target's drain time.
             self._update_permit_targets()
--- a/swiftpin/router/metrics.py
+++ b/swiftpin/router/metrics.py
@@ -81,6 +81,9 @@
         """Instances that share the slack of the retry budgets, 0 while this instance
         has no share."""
 
+        self.limited_targets = 0
+        """Targets that name a rate limit, as known to this instance."""
+
         self.late_answers: Counter[str] = Counter()
         """Answers after their latency objective, by service."""
 
--- a/swiftpin/router/metrics_registry.py
+++ b/swiftpin/router/metrics_registry.py
@@ -67,6 +67,11 @@
             " knows; 0 while it has no share.",
             value=metrics.retry_members,
         )
+        yield GaugeMetricFamily(
+            "swiftpin_router_limited_targets",
+            "Targets that name a rate limit, as known to this instance.",
+            value=metrics.limited_targets,
+        )
         yield _counter(
             "swiftpin_router_late_answers",
             "Targets' answers that came after the objective of their route.",
--- a/swiftpin/router/target_exchange.py
+++ b/swiftpin/router/target_exchange.py
@@ -19,8 +19,10 @@
 from swiftpin.exceptions import AnswerBrokenError, RequestNotSentError
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.model.request_kind import RequestKind
+from swiftpin.model.target import Target
 from swiftpin.permits.permit import Permit
 from swiftpin.permits.permit_broker import PermitBroker
+from swiftpin.permits.rate_report import RateReport
 from swiftpin.platform.request_head import (
     AnswerHead,
     decode_answer_head,
@@ -117,6 +119,7 @@
         time_left = call.ends_at - began_at
         if target is None or time_left < MIN_SEND_TIME:
             raise RequestNotSentError(f"{permit.target} is gone, or no time is left")
+        asked_at = suspend_aware_now()
         request = call.request
         headers = encode_request_headers(
             request.headers.items(),
@@ -140,6 +143,7 @@
             max_idle=MAX_IDLE_FOR_ONCE if is_once else math.inf,
         )
         head = decode_answer_head(answer.status, answer.headers)
+        self._record_rate_limit(target, head, asked_at)
         if head.not_executed:
             return self._handle_refusal(call, permit, answer, head)
         return await self._async_receive(call, permit, answer, head, began_at)
@@ -173,6 +177,20 @@
             answer=answer, first_chunks=first_chunks, answer_began_at=answered_at
         )
 
+    @callback
+    def _record_rate_limit(
+        self, target: Target, head: AnswerHead, asked_at: float
+    ) -> None:
+        """Record the rate limit that a target named in an answer, or that it has none.
+
+        `asked_at` is a time before the request was sent.
+        """
+        if head.rate_limit is None or head.instance not in (None, target.name):
+            return
+        now = suspend_aware_now()
+        report = RateReport(limit=head.rate_limit, sent_at=asked_at, received_at=now)
+        self._permits.rate_reports.add(target.id, report, now, source="answer")
+
     @callback
     def _check_target(self, call: Call, target_id: str, now: float) -> None:
         """Raise `RequestNotSentError` if the target has left in the meantime.
--- a/tests/platform/test_arbitrary_input.py
+++ b/tests/platform/test_arbitrary_input.py
@@ -239,7 +239,11 @@
         decode_request_head({"Swiftpin-Deadline-Milliseconds": deadline})
 
 
-@given(status=st.integers(100, 599), load=st.text(max_size=12))
-def test_answer_head(status: int, load: str) -> None:
-    """Decode a target's headers; a malformed load is ignored."""
-    decode_answer_head(status, {"Swiftpin-Upstream-Load": load})
+@given(
+    status=st.integers(100, 599),
+    load=st.text(max_size=12),
+    limit=st.text(max_size=12),
+)
+def test_answer_head(status: int, load: str, limit: str) -> None:
+    """Decode a target's headers; a malformed load or rate limit is ignored."""
+    decode_answer_head(status, {"Swiftpin-Upstream-Load": load, "Server-Limit": limit})
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -187,6 +187,28 @@
     assert decode_answer_head(200, {"Swiftpin-Upstream-Load": text}).load is None
 
 
+SIGNED = {"Swiftpin-Upstream-Signature": "x"}
+
+
+@pytest.mark.parametrize(
+    ("headers", "limit"),
+    [
+        ({"Server-Limit": "1.8"}, 1.8),
+        ({"Server-Limit": "0", **SIGNED}, 0.0),
+        (SIGNED, math.inf),
+        ({}, None),
+        ({"Server-Limit": "-1", **SIGNED}, None),
+        ({"Server-Limit": "nan", **SIGNED}, None),
+        ({"Server-Limit": "two", **SIGNED}, None),
+    ],
+)
+def test_only_a_signed_answer_without_a_rate_limit_shows_that_there_is_none(
+    headers: dict[str, str], limit: float | None
+) -> None:
+    """Guards against taking a rejection or a malformed limit for the end of a limit."""
+    assert decode_answer_head(200, headers).rate_limit == limit
+
+
 def test_only_end_to_end_headers_are_forwarded() -> None:
     """Hop-by-hop headers are dropped, and the router sets its own headers."""
     received = [
--- a/tests/router/test_target_exchange.py
+++ b/tests/router/test_target_exchange.py
@@ -25,6 +25,7 @@
     not_executed=True,
     instance=None,
     load=None,
+    rate_limit=None,
 )
 
 
