--- a/tests/router/target_standin.py
+++ b/tests/router/target_standin.py
@@ -43,6 +43,12 @@
         self.release_answers_to_lose = 0
         self.answers_to_break = 0
         self.requests_to_refuse = 0
+        self.rate_limit: float | None = None
+        """Requests per second named in answers, which the target doesn't enforce."""
+
+        self.arrivals: list[float] = []
+        """Event loop times at which requests for its keys arrived."""
+
         self.crash_task: asyncio.Task[None] | None = None
         self.born: int | None = None
         self.earlier_fences: list[tuple[int, int, int]] = []
@@ -196,6 +202,7 @@
         not_run = {"Swiftpin-Not-Executed": "1", "Swiftpin-Instance-Id": self.name}
         if self.is_keyed and (key is None or not self.holds(int(key))):
             return Response(status=421, headers=not_run)
+        self.arrivals.append(asyncio.get_running_loop().time())
         if self.requests_to_refuse:
             self.requests_to_refuse -= 1
             return Response(status=503, headers=not_run)
@@ -223,5 +230,10 @@
                 "Swiftpin-Request-Id": request_id,
                 "Swiftpin-Upstream-Signature": f"signed-{request_id}",
                 "Swiftpin-Upstream-Load": "1,0,2",
+                **self._rate_limit_header(),
             },
         )
+
+    def _rate_limit_header(self) -> dict[str, str]:
+        """Return the header that names the rate limit, if there is one."""
+        return {} if self.rate_limit is None else {"Server-Limit": str(self.rate_limit)}
