Keep to the rate limits that targets name, over all instances together

Cause: nothing in the router knew the limit; permits followed the free slots. Reading it at each instance would not have been enough: permits may be issued by several instances at once (two lists of issuers in force behind a cut, an instance that reaches no issuer, a new issuer that knows nothing of the last one's permits).

Change: - `IssuerAuthority`: permits for a limited target are granted only by the issuer that the newest list ranks first, while the lease holder has confirmed that list within 2 s (number of the list in its heartbeats, counted from the echoed time), and not before 2.1 s after it became first. An instance that knows a limit uses only permits that were granted under it, for 1 s at most. - Requests that the rate allows no place in time are rejected at once, with a `Retry-After` that may exceed 2 s; others prefer targets without a limit. The note `rate limit of <target>: <limit>/s named <age> s ago` is on the request's line.

Costs: after the loss of an issuer or of the lease holder, limited targets get nothing for 2 to 3.5 s.

--- /dev/null
+++ b/swiftpin/permits/issuer_authority.py
@@ -0,0 +1,114 @@
+"""Exclusive right of one issuer to grant permits for targets with a rate limit."""
+
+from __future__ import annotations
+
+from collections import deque
+import math
+from typing import Final
+
+from swiftpin.core import callback
+from swiftpin.permits.permit_issuers import PermitIssuers
+
+CONFIRMATION_TIME: Final = 2.0
+"""Seconds for which a list of issuers stays confirmed, counted from a time before the
+lease holder confirmed it. Long enough for several heartbeats."""
+
+CLOCK_DRIFT_FACTOR: Final = 1.05
+"""Ratio of the clock rates of two instances, with a margin."""
+
+TAKEOVER_WAIT: Final = CONFIRMATION_TIME * CLOCK_DRIFT_FACTOR
+"""Seconds for which a new issuer waits after it was named for a subject."""
+
+
+class IssuerAuthority:
+    """Decides whether this instance alone grants permits for a subject.
+
+    A subject is a target of a keyed service, or a service without keys. At any time at
+    most one instance is authorized for it, even while some instances use an older list
+    of issuers or can't reach each other:
+
+    - Only the issuer that the newest list known to it ranks first is authorized, and
+      only while the lease holder has confirmed this list within `CONFIRMATION_TIME`.
+    - The lease holder confirms no list after it has published the next one or after its
+      lease has ended, so all confirmations of earlier lists expire within
+      `CONFIRMATION_TIME` of the publication of a list.
+    - An issuer that a list names first for a subject waits longer than that, unless it
+      was also first in the list right before.
+
+    Times are on a clock that includes suspensions.
+    """
+
+    def __init__(self, incarnation: str) -> None:
+        self._incarnation = incarnation
+        self._adopted_lists: deque[tuple[float, PermitIssuers]] = deque()
+        """Time of adoption and list, each published right after the one before it."""
+
+        self._confirmed_until = -math.inf
+        self._authorized_from_by_subject: dict[str, float | None] = {}
+
+    @callback
+    def record_list(self, issuers: PermitIssuers, now: float) -> None:
+        """Record the newest list of issuers."""
+        if self._adopted_lists:
+            current = self._adopted_lists[-1][1]
+            if (issuers.term, issuers.number) <= (current.term, current.number):
+                return
+            if not _is_next(current, issuers):
+                # In a list between the two, another issuer may have been first.
+                self._adopted_lists.clear()
+                self._confirmed_until = -math.inf
+        self._authorized_from_by_subject.clear()
+        self._adopted_lists.append((now, issuers))
+        while (
+            len(self._adopted_lists) > 1
+            and self._adopted_lists[1][0] <= now - TAKEOVER_WAIT
+        ):
+            self._adopted_lists.popleft()
+
+    @callback
+    def record_confirmation(self, term: int, number: int, asked_at: float) -> None:
+        """Record that the lease holder had a list in effect at or after `asked_at`."""
+        if not self._adopted_lists:
+            return
+        current = self._adopted_lists[-1][1]
+        if (term, number) == (current.term, current.number):
+            self._confirmed_until = max(
+                self._confirmed_until, asked_at + CONFIRMATION_TIME
+            )
+
+    @callback
+    def authorized_from(self, subject: str) -> float | None:
+        """Return the time from which this issuer may be authorized for a subject.
+
+        Return None if it is not the first issuer of the subject.
+        """
+        if subject not in self._authorized_from_by_subject:
+            first_since = self._first_since(subject)
+            self._authorized_from_by_subject[subject] = (
+                None if first_since is None else first_since + TAKEOVER_WAIT
+            )
+        return self._authorized_from_by_subject[subject]
+
+    @callback
+    def time_until_authorized(self, subject: str, now: float) -> float:
+        """Return the seconds until permits may be granted, infinite if unknown."""
+        authorized_from = self.authorized_from(subject)
+        if authorized_from is None or now > self._confirmed_until:
+            return math.inf
+        return max(authorized_from - now, 0.0)
+
+    @callback
+    def _first_since(self, subject: str) -> float | None:
+        """Return since when this issuer has been first without interruption."""
+        first_since = None
+        for adopted_at, issuers in reversed(self._adopted_lists):
+            if issuers.ranked(subject)[:1] != [self._incarnation]:
+                break
+            first_since = adopted_at
+        return first_since
+
+
+@callback
+def _is_next(current: PermitIssuers, issuers: PermitIssuers) -> bool:
+    """Return whether a list was published right after the current one."""
+    return issuers.term == current.term and issuers.number == current.number + 1
--- a/swiftpin/permits/permit.py
+++ b/swiftpin/permits/permit.py
@@ -16,3 +16,9 @@
     target: str
     issuer: PeerLink | None
     """Link to the issuing instance; None if it is this instance."""
+
+    is_rate_limited: bool = False
+    """Whether the issuer took a rate limit named by the target into account."""
+
+    received_at: float = 0.0
+    """Time at which the permit was received, on the suspend-aware clock."""
--- a/swiftpin/permits/permit_broker.py
+++ b/swiftpin/permits/permit_broker.py
@@ -5,14 +5,17 @@
 import asyncio
 from collections.abc import Callable
 from itertools import count
+import math
 from typing import Final
 
 from swiftpin.core import callback
 from swiftpin.fleet.item import Item
 from swiftpin.fleet.link import PeerLink
 from swiftpin.fleet.proto import fleet_pb2 as pb
+from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.model.target import Target
 from swiftpin.permits.cold_targets import ALL_WARM, ColdTargets
+from swiftpin.permits.issuer_authority import TAKEOVER_WAIT, IssuerAuthority
 from swiftpin.permits.pending_requests import (
     AbortReason,
     PendingRequest,
@@ -24,11 +27,21 @@
 from swiftpin.permits.permit_issuers import NO_ISSUERS, PermitIssuers
 from swiftpin.permits.permit_query import PermitQuery
 from swiftpin.permits.permit_request import PermitRequest
+from swiftpin.permits.rate_report_messages import decode_rate_report
 from swiftpin.permits.rate_reports import RateReports
 
 EXPIRE_INTERVAL: Final = 0.05
 """Seconds between two checks for requests that can't be served in time."""
 
+MAX_LIMITED_PERMIT_AGE: Final = 1.0
+"""Seconds for which a permit for a target with a rate limit is valid; opening a
+connection takes up to as long."""
+
+UNLIMITED_PERMIT_REJECTION: Final = PermitDecision(
+    target="", retry_after=TAKEOVER_WAIT, is_rate_limited=True
+)
+"""Rejection of a request whose issuer ignores the target's rate limit."""
+
 
 class PermitBroker:
     """Requests permits from the responsible issuer, which may be this instance."""
@@ -38,12 +51,17 @@
         incarnation: str,
         zone: str,
         on_turnaround: Callable[[str, float], None] | None = None,
+        suspend_aware_clock: Callable[[], float] = suspend_aware_now,
     ) -> None:
+        self._suspend_aware_clock = suspend_aware_clock
         self.rate_reports = RateReports()
         self._zone = zone
         self.issuers: PermitIssuers = NO_ISSUERS
         self._incarnation = incarnation
-        self._local_issuer = PermitIssuer(on_turnaround)
+        self.authority = IssuerAuthority(incarnation)
+        self._local_issuer = PermitIssuer(
+            self.rate_reports, self.authority, on_turnaround, suspend_aware_clock
+        )
         self._links_by_incarnation: dict[str, PeerLink] = {}
         self._request_numbers = count(1)
         self._pending = PendingRequests()
@@ -54,10 +72,12 @@
         """Return the decision and, when granted, the permit.
 
         Return None if the target no longer owns the key. If the link to the issuer is
-        lost before it answers, the next issuer is asked.
+        lost before it answers, the next issuer is asked. An issuer that did not know
+        the target's rate limit is told, and asked again.
         """
         loop = asyncio.get_running_loop()
         service = query.service
+        is_issuer_informed = False
         while True:
             number = next(self._request_numbers)
             issuer = self._find_issuer(query.target or service, loop.time())
@@ -85,12 +105,33 @@
                 case PermitDecision(is_granted=False):
                     return decision, None
                 case PermitDecision():
-                    return decision, Permit(
+                    permit = Permit(
                         number=number,
                         service=service,
                         target=decision.target,
                         issuer=issuer,
+                        is_rate_limited=decision.is_rate_limited,
+                        received_at=self._suspend_aware_clock(),
                     )
+                    if self.is_valid(permit, permit.received_at):
+                        return decision, permit
+                    self.release(permit, 0.0, failed=False)
+                    if is_issuer_informed:
+                        return UNLIMITED_PERMIT_REJECTION, None
+                    is_issuer_informed = True
+
+    @callback
+    def is_valid(self, permit: Permit, now: float) -> bool:
+        """Return whether a permit may still be used, right before the request is sent.
+
+        For a target with a rate limit, a permit is valid for a short time, and only if
+        its issuer knew the limit: otherwise too many requests could be sent at once.
+        `now` is on the suspend-aware clock.
+        """
+        if math.isinf(self.rate_reports.limit_of(permit.target)):
+            return True
+        age = now - permit.received_at
+        return permit.is_rate_limited and age <= MAX_LIMITED_PERMIT_AGE
 
     @callback
     def release(
@@ -108,6 +149,7 @@
             seconds,
             failed=failed,
             abandoned=abandoned,
+            target=permit.target,
         )
 
     @callback
@@ -132,9 +174,25 @@
 
     @callback
     def add_link(self, link: PeerLink) -> None:
-        """Add a link whose peer is identified."""
+        """Add a link whose peer is identified, and send it the known rate limits.
+
+        After a restart, an instance would otherwise learn the limits from targets that
+        it has sent too many requests.
+        """
         if link.is_outgoing:
             self._links_by_incarnation[link.incarnation] = link
+        reports = self.rate_reports.encode_limited(self._suspend_aware_clock())
+        if reports is not None:
+            link.send(pb.Item(rate_reports=reports))
+
+    @callback
+    def handle_rate_reports(self, reports: Item) -> None:
+        """Handle the rate limits known to another instance."""
+        now = self._suspend_aware_clock()
+        for report in reports.reports:
+            self.rate_reports.add(
+                report.target, decode_rate_report(report, now), now, source="peer"
+            )
 
     @callback
     def remove_link(self, link: PeerLink) -> None:
@@ -158,9 +216,13 @@
     @callback
     def handle_answer(self, link: PeerLink, answer: Item) -> None:
         """Handle another instance's decision."""
+        self.rate_reports.handle_message(
+            answer, self._suspend_aware_clock(), source="peer"
+        )
         decision = PermitDecision(
             target=answer.target if answer.granted else "",
             retry_after=answer.retry_after,
+            is_rate_limited=answer.rate_limited,
         )
         self._pending.resolve(answer.id, link, decision)
 
@@ -174,9 +236,13 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(EXPIRE_INTERVAL)
-            now = loop.time()
-            self._local_issuer.expire(now)
-            self._pending.abort_unresponsive(now)
+            self.expire(loop.time())
+
+    @callback
+    def expire(self, now: float) -> None:
+        """Reject and abort requests that won't be served."""
+        self._local_issuer.expire(now)
+        self._pending.abort_unresponsive(now)
 
     @callback
     def _request_locally(self, query: PermitQuery, number: int, now: float) -> None:
@@ -230,8 +296,12 @@
         *,
         failed: bool,
         abandoned: bool = False,
+        target: str = "",
     ) -> None:
-        """Release a permit, or withdraw a request that is no longer pending."""
+        """Release a permit, or withdraw a request that is no longer pending.
+
+        The issuer is told the rate limit of `target`, if it named one.
+        """
         if issuer is None:
             self._local_issuer.release(
                 service,
@@ -250,6 +320,9 @@
                     seconds=seconds,
                     failed=failed,
                     cut=abandoned,
+                    rate_report=self.rate_reports.encode(
+                        target, self._suspend_aware_clock()
+                    ),
                 )
             )
         )
--- a/swiftpin/permits/permit_decision.py
+++ b/swiftpin/permits/permit_decision.py
@@ -15,6 +15,9 @@
     retry_after: float = 0.0
     """Seconds after which a rejected request should be tried again."""
 
+    is_rate_limited: bool = False
+    """Whether the decision took a rate limit named by the target into account."""
+
     @property
     def is_granted(self) -> bool:
         """Return whether the request may be sent."""
--- a/swiftpin/permits/permit_issuer.py
+++ b/swiftpin/permits/permit_issuer.py
@@ -8,19 +8,30 @@
 from swiftpin.fleet.item import Item
 from swiftpin.fleet.link import PeerLink
 from swiftpin.fleet.proto import fleet_pb2 as pb
+from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.model.target import Target
 from swiftpin.permits.cold_limit import ColdTarget
+from swiftpin.permits.issuer_authority import IssuerAuthority
 from swiftpin.permits.permit_decision import PermitDecision
 from swiftpin.permits.permit_queue import PermitQueue
 from swiftpin.permits.permit_request import PermitRequest
+from swiftpin.permits.rate_limits import RateLimits
+from swiftpin.permits.rate_reports import RateReports
 
 
 class PermitIssuer:
     """Keeps a permit queue per service and answers the requests of peers."""
 
     def __init__(
-        self, on_turnaround: Callable[[str, float], None] | None = None
+        self,
+        rate_reports: RateReports,
+        authority: IssuerAuthority,
+        on_turnaround: Callable[[str, float], None] | None = None,
+        suspend_aware_clock: Callable[[], float] = suspend_aware_now,
     ) -> None:
+        self._rate_reports = rate_reports
+        self._rate_limits = RateLimits(rate_reports, authority, suspend_aware_clock)
+        self._suspend_aware_clock = suspend_aware_clock
         self._on_turnaround = on_turnaround
         self._queues_by_service: dict[str, PermitQueue] = {}
 
@@ -73,6 +84,10 @@
                         granted=decision.is_granted,
                         target=decision.target,
                         retry_after=decision.retry_after,
+                        rate_limited=decision.is_rate_limited,
+                        rate_report=self._rate_reports.encode(
+                            decision.target or ask.target, self._suspend_aware_clock()
+                        ),
                     )
                 )
             )
@@ -95,6 +110,9 @@
     @callback
     def handle_end(self, link: PeerLink, end: Item, now: float) -> None:
         """Handle the release of another instance's permit."""
+        self._rate_reports.handle_message(
+            end, self._suspend_aware_clock(), source="peer"
+        )
         self.release(
             end.service,
             (_requester_id(link), end.id),
@@ -122,7 +140,7 @@
         queue = self._queues_by_service.get(service)
         if queue is None:
             queue = self._queues_by_service[service] = PermitQueue(
-                service, self._on_turnaround
+                service, self._on_turnaround, self._rate_limits
             )
         return queue
 
--- a/swiftpin/permits/permit_queue.py
+++ b/swiftpin/permits/permit_queue.py
@@ -10,8 +10,11 @@
 from swiftpin.permits.cold_limit import ColdTarget
 from swiftpin.permits.permit_decision import PermitDecision
 from swiftpin.permits.permit_request import PermitRequest
+from swiftpin.permits.rate_limits import RateLimits, no_rate_limits
+from swiftpin.permits.rejection import Rejection
 from swiftpin.permits.retry_spread import MIN_RETRY_AFTER
 from swiftpin.permits.slot_pace import SlotPace
+from swiftpin.permits.target_pace import TargetPace, combine_paces
 from swiftpin.permits.target_queue import ANSWER_TRANSFER_TIME, TargetQueue
 from swiftpin.permits.target_slots import INITIAL_REQUEST_TIME, TargetSlots
 from swiftpin.permits.turnaround import Turnaround
@@ -37,8 +40,10 @@
         self,
         service: str,
         on_turnaround: Callable[[str, float], None] | None = None,
+        rate_limits: RateLimits | None = None,
     ) -> None:
         self._service = service
+        self._rate_limits = rate_limits or no_rate_limits()
         self._on_turnaround = on_turnaround
         self._slots_by_target: dict[str, TargetSlots] = {}
         self._eligible_targets: frozenset[str] = frozenset()
@@ -193,7 +198,9 @@
         candidates = [
             name
             for name, slots in slots_by_target.items()
-            if slots.is_free and not slots.cold.time_until_permit(now)
+            if slots.is_free
+            and not slots.cold.time_until_permit(now)
+            and not self._time_until_rate_permit(request.target, name, now)
         ]
         if not candidates:
             candidates = [
@@ -201,6 +208,7 @@
                 for name, slots in slots_by_target.items()
                 if slots.running < self._max_permits(slots)
                 and not slots.cold.is_cold(now)
+                and not self._rate_limits.is_limited(name)
             ]
         if not candidates:
             return None
@@ -209,7 +217,7 @@
     @callback
     def _rank(
         self, target: str, request: PermitRequest, now: float
-    ) -> tuple[bool, bool, bool, float, str]:
+    ) -> tuple[bool, bool, bool, bool, float, str]:
         """Return the sort key of a target: healthy ones first, then fast ones."""
         slots = self._slots_by_target[target]
         load = (slots.running + 1) / slots.limit
@@ -218,6 +226,7 @@
             target == request.avoided,
             now < slots.avoided_until,
             slots.cold.is_cold(now),
+            self._rate_limits.is_limited(target),
             slots.mean_time * (1 + load) * distance,
             target,
         )
@@ -233,33 +242,40 @@
     def _slot_pace(self, target: str, now: float) -> SlotPace:
         """Return the pace of the slots of a target, or of all eligible targets."""
         names = (target,) if target else self._eligible_targets
-        slots_and_permits = [
-            (slots, self._max_permits(slots))
-            for slots in map(self._get_or_create_slots, names)
-        ]
-        rates = [
-            max_permits / self._expected_hold(slots)
-            for slots, max_permits in slots_and_permits
-        ]
-        if not any(rates):
-            return NO_TARGETS_PACE
-        limits = [slots.cold.rate(now) for slots, _ in slots_and_permits]
-        return SlotPace(
-            free_in=min(
-                self._time_until_permit(slots, max_permits, now)
-                for slots, max_permits in slots_and_permits
-            ),
-            interval=1 / sum(map(min, rates, limits)),
-            hold=sum(max_permits for _, max_permits in slots_and_permits) / sum(rates),
+        paces = [self._target_pace(target, name, now) for name in names]
+        return combine_paces(paces) or NO_TARGETS_PACE
+
+    @callback
+    def _target_pace(self, queue_name: str, target: str, now: float) -> TargetPace:
+        """Return the pace of one target for the requests of a queue."""
+        slots = self._get_or_create_slots(target)
+        max_permits = self._max_permits(slots)
+        hold = self._expected_hold(slots)
+        slot_rate = max_permits / hold
+        limit = self._rate_limits.limit_of(target)
+        rate_wait = self._time_until_rate_permit(queue_name, target, now)
+        free_in = max(
+            slots.free_in(max_permits, hold, now), slots.cold.time_until_permit(now)
+        )
+        return TargetPace(
+            max_permits=max_permits,
+            slot_rate=slot_rate,
+            max_rate=min(slots.cold.rate(now), limit),
+            free_in=max(free_in, rate_wait),
+            is_rate_limited=limit < slot_rate or rate_wait > free_in,
         )
 
     @callback
-    def _time_until_permit(
-        self, slots: TargetSlots, max_permits: int, now: float
+    def _time_until_rate_permit(
+        self, queue_name: str, target: str, now: float
     ) -> float:
-        """Return the seconds until a target's next permit may be granted."""
-        free_in = slots.free_in(max_permits, self._expected_hold(slots), now)
-        return max(free_in, slots.cold.time_until_permit(now))
+        """Return the seconds until the rate limit of a target allows a permit."""
+        return self._rate_limits.time_until_permit(
+            queue_name or self._service,
+            target,
+            self._get_or_create_slots(target).rate_limiter,
+            now,
+        )
 
     @callback
     def _max_permits(self, slots: TargetSlots) -> int:
@@ -274,8 +290,13 @@
         slots = self._get_or_create_slots(target)
         slots.granted_at_by_request[request.id] = now
         slots.cold.record(now)
+        slots.rate_limiter.record(self._rate_limits.limit_of(target), now)
         self._target_by_request[request.id] = target
-        request.on_decision(PermitDecision(target=target))
+        request.on_decision(
+            PermitDecision(
+                target=target, is_rate_limited=self._rate_limits.is_limited(target)
+            )
+        )
 
     @callback
     def _review(self, target: str, now: float) -> None:
@@ -284,14 +305,14 @@
         if queue is None or not queue.requests:
             return
         for rejection in queue.review(self._slot_pace(target, now), now):
-            _reject(rejection.request, rejection.retry_after)
+            _reject(rejection)
 
     @callback
     def _reject_all(self, target: str) -> None:
         """Reject all requests that wait for a removed target."""
         queue = self._queues_by_target.pop(target, None)
         for request in queue.requests if queue is not None else ():
-            _reject(request, MIN_RETRY_AFTER)
+            _reject(Rejection(request=request, retry_after=MIN_RETRY_AFTER))
 
     @callback
     def _grant_waiting(self, target: str, now: float) -> None:
@@ -324,6 +345,12 @@
 
 
 @callback
-def _reject(request: PermitRequest, retry_after: float) -> None:
+def _reject(rejection: Rejection) -> None:
     """Reject a request and say when to retry."""
-    request.on_decision(PermitDecision(target="", retry_after=retry_after))
+    rejection.request.on_decision(
+        PermitDecision(
+            target="",
+            retry_after=rejection.retry_after,
+            is_rate_limited=rejection.is_rate_limited,
+        )
+    )
--- a/swiftpin/permits/rate_report.py
+++ b/swiftpin/permits/rate_report.py
@@ -35,6 +35,11 @@
         """Return whether the target named a limit."""
         return not math.isinf(self.limit)
 
+    @callback
+    def describe(self, now: float) -> str:
+        """Return the limit and its age, for the log."""
+        return f"{self.limit:g}/s named {now - self.received_at:.1f} s ago"
+
 
 @callback
 def merge_reports(current: RateReport | None, other: RateReport) -> RateReport:
--- a/swiftpin/permits/rate_reports.py
+++ b/swiftpin/permits/rate_reports.py
@@ -8,7 +8,13 @@
 from eliot import log_message
 
 from swiftpin.core import callback
+from swiftpin.fleet.item import Item
+from swiftpin.fleet.proto import fleet_pb2 as pb
 from swiftpin.permits.rate_report import RateReport, merge_reports
+from swiftpin.permits.rate_report_messages import (
+    decode_rate_report,
+    encode_rate_report,
+)
 
 
 class RateReports:
@@ -54,6 +60,29 @@
                 age=round(now - merged.received_at, 3),
             )
 
+    @callback
+    def encode(self, target: str, now: float) -> pb.RateReport | None:
+        """Return the report for a target as a message, None if there is none."""
+        report = self._reports_by_target.get(target)
+        return None if report is None else encode_rate_report(target, report, now)
+
+    @callback
+    def encode_limited(self, now: float) -> pb.RateReports | None:
+        """Return the reports of all limited targets as a message, None if none is."""
+        reports = [
+            encode_rate_report(target, report, now)
+            for target, report in self._reports_by_target.items()
+            if report.is_limited
+        ]
+        return pb.RateReports(reports=reports) if reports else None
+
+    @callback
+    def handle_message(self, message: Item, now: float, *, source: str) -> None:
+        """Add the report in a message of another instance, if it contains one."""
+        if message.HasField("rate_report"):
+            report = message.rate_report
+            self.add(report.target, decode_rate_report(report, now), now, source=source)
+
     @callback
     def retain_targets(self, targets: Set[str]) -> None:
         """Drop the reports for all other targets."""
--- a/swiftpin/permits/rejection.py
+++ b/swiftpin/permits/rejection.py
@@ -14,3 +14,6 @@
     request: PermitRequest
     retry_after: float
     """Seconds after which the caller should try again."""
+
+    is_rate_limited: bool = False
+    """Whether a rate limit named by the target is the reason."""
--- a/swiftpin/permits/slot_pace.py
+++ b/swiftpin/permits/slot_pace.py
@@ -17,3 +17,7 @@
 
     hold: float
     """Time for which a request holds its slot."""
+
+    is_rate_limited: bool = False
+    """Whether a rate limit named by the target, rather than its slots, determines the
+    pace."""
--- a/swiftpin/permits/target_queue.py
+++ b/swiftpin/permits/target_queue.py
@@ -8,7 +8,11 @@
 from swiftpin.permits.permit_request import PermitRequest
 from swiftpin.permits.recent_grants import WINDOW, RecentGrants
 from swiftpin.permits.rejection import Rejection
-from swiftpin.permits.retry_spread import spread_retry
+from swiftpin.permits.retry_spread import (
+    MAX_RATE_LIMITED_RETRY_AFTER,
+    MAX_RETRY_AFTER,
+    spread_retry,
+)
 from swiftpin.permits.service_order import order_requests
 from swiftpin.permits.slot_pace import SlotPace
 
@@ -67,8 +71,15 @@
                 rejected.append(request)
         self.requests = kept
         drain_time = pace.free_in + len(kept) * pace.interval
+        max_delay = (
+            MAX_RATE_LIMITED_RETRY_AFTER if pace.is_rate_limited else MAX_RETRY_AFTER
+        )
         return [
-            Rejection(request=request, retry_after=spread_retry(request.id, drain_time))
+            Rejection(
+                request=request,
+                retry_after=spread_retry(request.id, drain_time, max_delay),
+                is_rate_limited=pace.is_rate_limited,
+            )
             for request in rejected
         ]
 
--- a/swiftpin/permits/target_slots.py
+++ b/swiftpin/permits/target_slots.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from swiftpin.permits.cold_limit import ColdLimit
+from swiftpin.permits.rate_limiter import RateLimiter
 
 INITIAL_REQUEST_TIME: Final = 0.2
 """Seconds assumed for a request before any was observed."""
@@ -43,6 +44,7 @@
     and release it; None until one was released."""
 
     cold: ColdLimit = field(default_factory=ColdLimit)
+    rate_limiter: RateLimiter = field(default_factory=RateLimiter)
     avoided_until: float = 0.0
     recent_failures: deque[float] = field(default_factory=lambda: deque(maxlen=8))
 
--- a/swiftpin/router/fleet_coordinator.py
+++ b/swiftpin/router/fleet_coordinator.py
@@ -92,6 +92,7 @@
             directory=directory,
             lifecycle=lifecycle,
             health=health,
+            permits=permits,
         )
         self._issuer_list = IssuerList(
             incarnation=incarnation,
@@ -122,6 +123,7 @@
             self._update_links()
             if self._lease.is_held(now):
                 self._issuer_list.update(now)
+                self._confirm_own_list(now)
             self._update_fleet_size(now)
             self._poison_reports.report_suspects(now)
             self.gossip.request_updates()
@@ -144,6 +146,8 @@
                 self._permits.handle_answer(link, item.answer)
             case "end":
                 self._permits.handle_end(link, item.end)
+            case "rate_reports":
+                self._permits.handle_rate_reports(item.rate_reports)
             case "heartbeat":
                 self._heartbeats.handle(link, item.heartbeat)
                 self.gossip.handle_heartbeat()
@@ -164,6 +168,9 @@
                 )
             case "issuers":
                 self._issuer_list.adopt(decode_issuers(item.issuers))
+                self._permits.authority.record_list(
+                    self._permits.issuers, suspend_aware_now()
+                )
             case "hello":
                 self._handle_hello(link, item.hello)
             case "configuration_ask":
@@ -198,6 +205,14 @@
             self._issuer_list.send(link)
         self._poison_reports.send_quarantines(link, suspend_aware_now())
 
+    @callback
+    def _confirm_own_list(self, now: float) -> None:
+        """Record the list of issuers that this instance published as lease holder."""
+        issuers = self._permits.issuers
+        authority = self._permits.authority
+        authority.record_list(issuers, now)
+        authority.record_confirmation(issuers.term, issuers.number, now)
+
     @callback
     def _update_fleet_size(self, now: float) -> None:
         """Record the announced fleet size while the lease holder is connected."""
--- a/swiftpin/router/heartbeats.py
+++ b/swiftpin/router/heartbeats.py
@@ -11,6 +11,7 @@
 from swiftpin.gateway.lifecycle import Lifecycle
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.keyranges.lease_election import LeaseElection
+from swiftpin.permits.permit_broker import PermitBroker
 from swiftpin.router.configuration_holder import ConfigurationHolder
 from swiftpin.router.extension_votes import ExtensionVotes
 from swiftpin.router.key_maps import KeyMaps
@@ -32,6 +33,7 @@
         directory: TargetDirectory,
         lifecycle: Lifecycle,
         health: StoreHealth,
+        permits: PermitBroker,
     ) -> None:
         self._incarnation = incarnation
         self._leader = leader
@@ -42,6 +44,7 @@
         self._directory = directory
         self._lifecycle = lifecycle
         self._health = health
+        self._permits = permits
 
     @callback
     def make(self, link: PeerLink, now: float) -> Item:
@@ -69,6 +72,7 @@
                 evacuations=evacuations.version,
                 evacuated_zones=ages_by_zone.keys(),
                 evacuated_for=ages_by_zone.values(),
+                issuers_number=self._published_list_number(now),
             )
         )
 
@@ -83,8 +87,19 @@
         self._directory.evacuations.adopt_update(
             ages_by_zone, heartbeat.evacuations, now
         )
+        if heartbeat.leads and heartbeat.issuers_number:
+            self._permits.authority.record_confirmation(
+                heartbeat.term, heartbeat.issuers_number, heartbeat.echo
+            )
         if heartbeat.vote:
             self._votes.handle_vote(link, heartbeat.echo)
         lease = self._lease
         lease.resigned_term = max(lease.resigned_term, heartbeat.resigned_term)
         self._leader.adopt_heartbeat(heartbeat)
+
+    @callback
+    def _published_list_number(self, now: float) -> int:
+        """Return the number of the issuer list published as lease holder, or 0."""
+        issuers = self._permits.issuers
+        is_own_list = self._lease.is_held(now) and issuers.term == self._lease.term
+        return issuers.number if is_own_list else 0
--- a/swiftpin/router/request_sender.py
+++ b/swiftpin/router/request_sender.py
@@ -14,6 +14,7 @@
 from swiftpin.model.bounds import Bounds
 from swiftpin.permits.permit import Permit
 from swiftpin.permits.permit_broker import PermitBroker
+from swiftpin.permits.permit_decision import PermitDecision
 from swiftpin.permits.permit_query import PermitQuery
 from swiftpin.router.call import Call
 from swiftpin.router.configuration_holder import ConfigurationHolder
@@ -162,11 +163,22 @@
             return None
         decision, permit = permit_result
         if permit is None:
-            call.record_failure(
-                StepFailure.NO_SLOT, f"no slot at {owner or 'any target'}"
-            )
+            self._record_rejection(call, owner, decision)
             raise QueueFullError(
                 "the targets have no room in time",
                 retry_after=decision.retry_after,
             )
         return permit
+
+    @callback
+    def _record_rejection(
+        self, call: Call, owner: str, decision: PermitDecision
+    ) -> None:
+        """Record why there was no permit: a rate limit with its age, or no slot."""
+        name = owner or "any target"
+        if not decision.is_rate_limited:
+            call.record_failure(StepFailure.NO_SLOT, f"no slot at {name}")
+            return
+        report = self._permits.rate_reports.report_for(owner)
+        limit = "" if report is None else f": {report.describe(suspend_aware_now())}"
+        call.record_failure(StepFailure.RATE_LIMITED, f"rate limit of {name}{limit}")
--- a/swiftpin/router/step_failure.py
+++ b/swiftpin/router/step_failure.py
@@ -18,6 +18,7 @@
     OWNER_AWAY = "owner_away"
     MOVED = "moved"
     NO_SLOT = "no_slot"
+    RATE_LIMITED = "rate_limited"
     NOT_SENT = "not_sent"
     REFUSED = "refused"
     REPLACED = "replaced"
@@ -34,6 +35,7 @@
     StepFailure.OWNER_AWAY: "the key's owner is leaving or does not hold the key",
     StepFailure.MOVED: "the key got a new owner while the request waited for a slot",
     StepFailure.NO_SLOT: "no target had a free slot in time",
+    StepFailure.RATE_LIMITED: "the rate limit of the target allowed no request in time",
     StepFailure.NOT_SENT: "no connection to the target, or too little time to send",
     StepFailure.REFUSED: "the target stated that it did not run the request",
     StepFailure.REPLACED: "another instance of the service answered at the address",
--- a/swiftpin/router/target_exchange.py
+++ b/swiftpin/router/target_exchange.py
@@ -137,7 +137,7 @@
                 body=call.body,
             ),
             state,
-            partial(self._check_target, call, permit.target),
+            partial(self._check_target, call, permit),
             connections=self._connection_limit(call.service),
             check=partial(is_answer_to, call.head.id),
             max_idle=MAX_IDLE_FOR_ONCE if is_once else math.inf,
@@ -192,15 +192,20 @@
         self._permits.rate_reports.add(target.id, report, now, source="answer")
 
     @callback
-    def _check_target(self, call: Call, target_id: str, now: float) -> None:
-        """Raise `RequestNotSentError` if the target has left in the meantime.
+    def _check_target(self, call: Call, permit: Permit, now: float) -> None:
+        """Raise `RequestNotSentError` if the request must no longer be sent.
 
         The request may have waited for a slot and a connection since the target was
-        chosen, and a leaving target must not receive requests after its drain time.
+        chosen. A leaving target must not receive requests after its drain time, and the
+        permit for one with a rate limit may have expired.
         """
         sent_at = suspend_aware_now()
-        if not self._directory.may_send(target_id, sent_at):
-            raise RequestNotSentError(f"{target_id} has left")
+        if not self._directory.may_send(permit.target, sent_at):
+            raise RequestNotSentError(f"{permit.target} has left")
+        if not self._permits.is_valid(permit, sent_at):
+            raise RequestNotSentError(
+                f"{permit.target} has a rate limit and the permit has expired"
+            )
         self._retries.record_send(call, sent_at)
         call.is_at_target = True
 
--- a/tests/permits/test_permit_issuer.py
+++ b/tests/permits/test_permit_issuer.py
@@ -9,7 +9,9 @@
 from swiftpin.fleet.item import Item
 from swiftpin.fleet.link import PeerLink
 from swiftpin.fleet.proto import fleet_pb2 as pb
+from swiftpin.permits.issuer_authority import IssuerAuthority
 from swiftpin.permits.permit_issuer import PermitIssuer
+from swiftpin.permits.rate_reports import RateReports
 from tests.permits.requester import make_target
 
 
@@ -43,7 +45,7 @@
 @pytest.fixture(name="issuer")
 def issuer_fixture() -> PermitIssuer:
     """Return an issuer for one target with one slot."""
-    issuer = PermitIssuer()
+    issuer = PermitIssuer(RateReports(), IssuerAuthority("i1"))
     issuer.set_targets("desk", [make_target("a")], [], 0.0)
     return issuer
 
--- a/tests/router/test_heartbeats.py
+++ b/tests/router/test_heartbeats.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+import math
 from types import SimpleNamespace
 from typing import cast
 
@@ -14,6 +16,9 @@
 from swiftpin.gateway.lifecycle import Lifecycle
 from swiftpin.keyranges.lease_election import LeaseElection
 from swiftpin.keyranges.lease_record import LeaseRecord
+from swiftpin.permits.issuer_authority import CONFIRMATION_TIME, TAKEOVER_WAIT
+from swiftpin.permits.permit_broker import PermitBroker
+from swiftpin.permits.permit_issuers import NO_ISSUERS
 from swiftpin.platform.platform_object import PlatformObject
 from swiftpin.router.configuration_holder import ConfigurationHolder
 from swiftpin.router.extension_votes import ExtensionVotes
@@ -40,6 +45,7 @@
             cast_vote=lambda link, now: True,
             handle_vote=lambda link, echo: self.echoes.append(echo),
         )
+        self.permits = PermitBroker("own/1", "z1")
         self.leader = KnownLeader(make_links())
         self.leader.adopt_record(
             LeaseRecord(holder="a/1", peer="a:1", term=4, renewal=1)
@@ -57,6 +63,7 @@
             ),
             lifecycle=Lifecycle(),
             health=StoreHealth(),
+            permits=self.permits,
         )
 
 
@@ -93,3 +100,27 @@
     assert receiver.evacuations.version == 5
     (age,) = heartbeat.evacuated_for
     assert age == pytest.approx(2.0)
+
+
+@pytest.mark.parametrize(("list_term", "number"), [(4, 3), (3, 0)])
+def test_holder_confirms_only_the_list_of_its_term(list_term: int, number: int) -> None:
+    """Failure: a new holder confirmed a list that its predecessor had published."""
+    member = Member()
+    member.lease.is_held = lambda now: True
+    member.lease.term = 4
+    member.permits.issuers = replace(NO_ISSUERS, term=list_term, number=3)
+    heartbeat = member.heartbeats.make(FakeLink("b"), NOW).heartbeat
+    assert heartbeat.issuers_number == number
+
+
+def test_heartbeat_of_the_holder_confirms_the_list_of_issuers() -> None:
+    """The confirmation counts from the echoed time, not from its arrival."""
+    member = Member()
+    authority = member.permits.authority
+    issuers = replace(NO_ISSUERS, term=4, number=3, peers_by_incarnation={"own/1": ""})
+    authority.record_list(issuers, NOW - TAKEOVER_WAIT)
+    heartbeat = pb.Heartbeat(leads=True, term=4, issuers_number=3, echo=NOW - 1.0)
+    member.heartbeats.handle(FakeLink("b"), heartbeat)
+    assert authority.time_until_authorized("a", NOW) == 0.0
+    later = NOW - 1.0 + CONFIRMATION_TIME + 0.1
+    assert math.isinf(authority.time_until_authorized("a", later))
