Plan the keys by the rate limits that targets name

What callers got: a target with a limit keeps all its keys, so whatever its rate does not allow is rejected, also while other targets of the service have room.

Cause: the planner took a target's capacity from its slots and speed alone.

Change: load reports carry the limits of the targets that an instance sent to, and the assigner's capacity of a target is at most its limit, the upper bound too.

--- a/swiftpin/keyranges/range_assigner.py
+++ b/swiftpin/keyranges/range_assigner.py
@@ -43,10 +43,20 @@
 is written if there are no moves. Each segment is a grant to renew, and each write of
 the record has a cost."""
 
+MIN_RATE_LIMIT: Final = 0.01
+"""Minimum capacity, in requests per second, of a target that names a rate limit: a
+utilization can't be computed for a capacity of zero."""
+
 COLD_CAPACITY_SHARE: Final = 0.5
 """Share of its capacity that a target has in the seconds after its start."""
 
 
+@callback
+def _no_rate_limit(target_id: str) -> float:
+    """Return infinity, for targets without a rate limit."""
+    return math.inf
+
+
 class RangeAssigner:
     """Grants a service's keys, renews the grants and moves keys to balance the load.
 
@@ -72,11 +82,15 @@
         count_members: Callable[[], int],
         max_request_time: Callable[[], float],
         get_service_spec: Callable[[], ServiceSpec],
+        get_rate_limit: Callable[[str], float] = _no_rate_limit,
     ) -> None:
         self.load = KeyLoad()
         self.speed = TargetSpeed()
         self._service = service
         self._get_service_spec = get_service_spec
+        self._get_rate_limit = get_rate_limit
+        """Returns the requests per second that a target accepts, or infinity."""
+
         self._directory = directory
         self._lease = lease
         self._health = health
@@ -256,9 +270,14 @@
                 capacity = min(
                     capacity * COLD_CAPACITY_SHARE, self._get_service_spec().cold_rate
                 )
-            capacities[target.id] = capacity
+            capacities[target.id] = min(capacity, self._max_rate(target.id))
         return capacities
 
+    @callback
+    def _max_rate(self, target_id: str) -> float:
+        """Return the maximum capacity that the rate limit of a target allows."""
+        return max(self._get_rate_limit(target_id), MIN_RATE_LIMIT)
+
     @callback
     def _is_cold(self, target: Target, now: float) -> bool:
         """Return whether a target has reduced capacity after its start."""
@@ -282,7 +301,10 @@
         slots = self._directory.targets_by_id[target_id].slots
         bounds = self.speed.capacity_bounds(target_id, slots)
         # A target that has just started may have less capacity than ever measured.
-        return replace(bounds, low=min(bounds.low, capacity))
+        return CapacityBounds(
+            low=min(bounds.low, capacity),
+            high=min(bounds.high, self._max_rate(target_id)),
+        )
 
     @callback
     def _log_moves(self, moves: list[Move], first_fence: int) -> None:
--- a/swiftpin/router/assigner_factory.py
+++ b/swiftpin/router/assigner_factory.py
@@ -77,6 +77,7 @@
             get_service_spec=partial(
                 self._current_spec, configuration.services_by_name[service]
             ),
+            get_rate_limit=self._permits.rate_reports.limit_of,
         )
 
     @callback
--- a/swiftpin/router/fleet_coordinator.py
+++ b/swiftpin/router/fleet_coordinator.py
@@ -79,7 +79,9 @@
         self._maps = maps
         self.known_leader = KnownLeader(links)
         self.key_maps = KeyMapSharing(links, maps, self._request_key_maps)
-        self.load_reports = LoadReports(links, self.known_leader, lease)
+        self.load_reports = LoadReports(
+            links, self.known_leader, lease, permits.rate_reports
+        )
         self._poison_reports = PoisonReports(links, self.known_leader, poison)
         self._fleet_size = fleet_size
         self._heartbeats = Heartbeats(
@@ -152,6 +154,10 @@
                 self._heartbeats.handle(link, item.heartbeat)
                 self.gossip.handle_heartbeat()
             case "load":
+                for times in item.load.times:
+                    self._permits.rate_reports.handle_message(
+                        times, suspend_aware_now(), source="peer"
+                    )
                 self.load_reports.on_load(item.load)
             case "key_map":
                 self._maps.adopt(decode_key_map(item.key_map))
--- a/swiftpin/router/fleet_messages.py
+++ b/swiftpin/router/fleet_messages.py
@@ -9,6 +9,7 @@
 from swiftpin.fleet.proto import fleet_pb2 as pb
 from swiftpin.keyranges.key_map import KeyMap, OwnerChange
 from swiftpin.permits.permit_issuers import PermitIssuers
+from swiftpin.permits.rate_reports import RateReports
 
 
 @dataclass(kw_only=True, slots=True)
@@ -42,8 +43,8 @@
         )
 
 
-def encode_load(report: LoadReport) -> Item:
-    """Return a load report as a message."""
+def encode_load(report: LoadReport, rate_reports: RateReports, now: float) -> Item:
+    """Return a load report with the rate limits of its targets as a message."""
     message = pb.LoadReport()
     for service, counts in report.counts_by_service.items():
         message.loads.add(service=service, keys=counts.keys(), counts=counts.values())
@@ -59,6 +60,7 @@
             seconds=report.seconds_by_target.get((service, target), ()),
             failures=report.failures_by_target.get((service, target), 0),
             cut_seconds=report.abandoned_seconds_by_target.get((service, target), ()),
+            rate_report=rate_reports.encode(target, now),
         )
     return pb.Item(load=message)
 
--- a/swiftpin/router/load_reports.py
+++ b/swiftpin/router/load_reports.py
@@ -9,6 +9,7 @@
 from swiftpin.fleet.item import Item
 from swiftpin.fleet.links import FleetLinks
 from swiftpin.keyranges.lease_election import LeaseElection
+from swiftpin.permits.rate_reports import RateReports
 from swiftpin.router.fleet_messages import LoadReport, encode_load
 from swiftpin.router.known_leader import KnownLeader
 
@@ -25,7 +26,11 @@
     """Sends the load reports of an instance to the lease holder."""
 
     def __init__(
-        self, links: FleetLinks, leader: KnownLeader, lease: LeaseElection
+        self,
+        links: FleetLinks,
+        leader: KnownLeader,
+        lease: LeaseElection,
+        rate_reports: RateReports,
     ) -> None:
         self.on_load: Callable[[Item], None] = _noop
         """Handles the reports received while this instance holds the lease."""
@@ -33,13 +38,14 @@
         self._links = links
         self._leader = leader
         self._lease = lease
+        self._rate_reports = rate_reports
 
     @callback
     def send(self, report: LoadReport, now: float) -> None:
         """Send a report to the lease holder, or handle it if this is the holder."""
         if not report.counts_by_service and not report.seconds_by_target:
             return
-        item = encode_load(report)
+        item = encode_load(report, self._rate_reports, now)
         if self._lease.is_held(now):
             self.on_load(item.load)
             return
--- a/tests/router/test_load_reports.py
+++ b/tests/router/test_load_reports.py
@@ -10,6 +10,7 @@
 from swiftpin.fleet.item import Item
 from swiftpin.keyranges.lease_election import LeaseElection
 from swiftpin.keyranges.lease_record import LeaseRecord
+from swiftpin.permits.rate_reports import RateReports
 from swiftpin.router.fleet_messages import LoadReport
 from swiftpin.router.known_leader import KnownLeader
 from swiftpin.router.load_reports import (
@@ -44,7 +45,7 @@
     leader = KnownLeader(links)
     leader.adopt_record(LeaseRecord(holder="a/1", peer=link.peer, term=1, renewal=0))
     lease = SimpleNamespace(is_held=lambda now: leads)
-    return LoadReports(links, leader, cast(LeaseElection, lease))
+    return LoadReports(links, leader, cast(LeaseElection, lease), RateReports())
 
 
 def test_report_is_sent_to_the_leader_unless_it_is_empty() -> None:
