Limit how many issuers grant permits for a cold target at a time

Cause: the first two issuers in rank granted permits, each at the full rate, but each by its own list. With half of the instances cut off, two lists are in force, and up to four issuers are first or second.

Change: an issuer grants permits for cold targets only while it is authorized, as for rate limits, with as many issuers at a time as the bound allows at the full rate side by side (two). The proof is the same: all that are authorized at a time are among the highest-ranked of one list. The second in rank goes on without a pause when the first is lost.

Tests changed: who grants was asserted of `ColdTargets.for_issuer`, which is gone; it is asserted of the permits themselves now, with the same bound. "Rate 0" no longer stands for "left to others", so its test is renamed.

Costs: without a holder of the lease for 2 s, and for 2 s after a new one's list, cold targets get nothing.

--- a/swiftpin/permits/cold_limit.py
+++ b/swiftpin/permits/cold_limit.py
@@ -21,18 +21,22 @@
     """Seconds until the target is warm."""
 
     rate: float
-    """Permits per second that the issuer may grant; 0 leaves them to other issuers."""
+    """Permits per second that each issuer may grant."""
+
+    max_issuers: int = 1
+    """Number of issuers that may grant permits at that rate."""
 
 
 class ColdLimit:
-    """Limits the rate at which one instance grants permits for a cold target.
+    """Limits the rate at which one issuer grants permits for a cold target.
 
     A cold target crashes when it receives many more requests than it can handle.
     """
 
-    __slots__ = ("_next_permit_at", "_rate", "_warm_at")
+    __slots__ = ("_next_permit_at", "_rate", "_warm_at", "max_issuers")
 
     def __init__(self) -> None:
+        self.max_issuers = 1
         self._warm_at = -math.inf
         self._rate = math.inf
         self._next_permit_at = -math.inf
@@ -48,12 +52,18 @@
             self._next_permit_at = now + _interval(target.rate)
         self._warm_at = now + target.remaining
         self._rate = target.rate
+        self.max_issuers = target.max_issuers
 
     @callback
     def is_cold(self, now: float) -> bool:
         """Return whether the target is cold."""
         return now < self._warm_at
 
+    @callback
+    def remaining(self, now: float) -> float:
+        """Return the seconds until the target is warm."""
+        return max(self._warm_at - now, 0.0)
+
     @callback
     def rate(self, now: float) -> float:
         """Return the permits per second, infinite when the target is warm."""
@@ -61,20 +71,17 @@
 
     @callback
     def time_until_permit(self, now: float) -> float:
-        """Return the seconds until the next permit may be granted."""
+        """Return the seconds until the rate allows the next permit."""
         if not self.is_cold(now):
             return 0.0
-        remaining = self._warm_at - now
-        return (
-            min(max(self._next_permit_at - now, 0.0), remaining)
-            if self._rate
-            else remaining
-        )
+        if not self._rate:
+            return self.remaining(now)
+        return min(max(self._next_permit_at - now, 0.0), self.remaining(now))
 
     @callback
     def record(self, now: float) -> None:
         """Record that a permit was granted."""
-        if self.is_cold(now) and self._rate:
+        if self.is_cold(now):
             earliest = max(self._next_permit_at, now - EARLY_GRANT_TOLERANCE)
             self._next_permit_at = earliest + _interval(self._rate)
 
--- a/swiftpin/permits/cold_targets.py
+++ b/swiftpin/permits/cold_targets.py
@@ -9,7 +9,6 @@
 
 from swiftpin.core import callback
 from swiftpin.permits.cold_limit import ColdTarget
-from swiftpin.permits.permit_issuers import PermitIssuers
 
 COLD_BURST: Final = 1.0
 """Permits beyond the rate that one issuer may grant within a second."""
@@ -28,32 +27,20 @@
     max_per_second: float = math.inf
     """Requests that one cold target may receive within a second from all instances."""
 
-    is_keyed: bool = False
-
     @callback
-    def for_issuer(
-        self, service: str, incarnation: str, issuers: PermitIssuers
-    ) -> dict[str, ColdTarget]:
-        """Return the cold targets by id, with the rate that one issuer may grant.
+    def by_id(self) -> dict[str, ColdTarget]:
+        """Return the cold targets by id.
 
-        Instances that can't reach each other grant permits independently, each at the
-        full rate. Therefore only the highest-ranked issuers grant any.
+        Issuers grant permits independently of each other, each at the full rate.
         """
+        if math.isinf(self.rate):
+            return {}
         max_issuers = self._max_issuers()
         return {
             target: ColdTarget(
-                remaining=remaining,
-                rate=(
-                    self.rate
-                    if incarnation
-                    in issuers.ranked(target if self.is_keyed else service)[
-                        :max_issuers
-                    ]
-                    else 0.0
-                ),
+                remaining=remaining, rate=self.rate, max_issuers=max_issuers
             )
             for target, remaining in self.remaining_by_id.items()
-            if not math.isinf(self.rate)
         }
 
     @callback
--- a/swiftpin/permits/issuer_authority.py
+++ b/swiftpin/permits/issuer_authority.py
@@ -1,4 +1,4 @@
-"""Exclusive right of one issuer to grant permits for targets with a rate limit."""
+"""Right of a limited number of issuers to grant permits for limited targets."""
 
 from __future__ import annotations
 
@@ -21,19 +21,21 @@
 
 
 class IssuerAuthority:
-    """Decides whether this instance alone grants permits for a subject.
+    """Decides whether this instance may grant permits for a subject with a limit.
 
     A subject is a target of a keyed service, or a service without keys. At any time at
-    most one instance is authorized for it, even while some instances use an older list
-    of issuers or can't reach each other:
+    most `max_issuers` instances are authorized for it, even while some instances use an
+    older list of issuers or can't reach each other:
 
-    - Only the issuer that the newest list known to it ranks first is authorized, and
-      only while the lease holder has confirmed this list within `CONFIRMATION_TIME`.
+    - Only the highest-ranked issuers of the newest list known to them are authorized,
+      and only while the lease holder has confirmed this list within
+      `CONFIRMATION_TIME`.
     - The lease holder confirms no list after it has published the next one or after its
       lease has ended, so all confirmations of earlier lists expire within
       `CONFIRMATION_TIME` of the publication of a list.
-    - An issuer that a list names first for a subject waits longer than that, unless it
-      was also first in the list right before.
+    - An issuer waits longer than that after it became one of the highest-ranked. Before
+      it is authorized, it has been one of them in every list that could still be
+      confirmed, so all that are authorized at a time are among those of one list.
 
     Times are on a clock that includes suspensions.
     """
@@ -44,7 +46,7 @@
         """Time of adoption and list, each published right after the one before it."""
 
         self._confirmed_until = -math.inf
-        self._authorized_from_by_subject: dict[str, float | None] = {}
+        self._authorized_from_by_query: dict[tuple[str, int], float | None] = {}
 
     @callback
     def record_list(self, issuers: PermitIssuers, now: float) -> None:
@@ -57,7 +59,7 @@
                 # In a list between the two, another issuer may have been first.
                 self._adopted_lists.clear()
                 self._confirmed_until = -math.inf
-        self._authorized_from_by_subject.clear()
+        self._authorized_from_by_query.clear()
         self._adopted_lists.append((now, issuers))
         while (
             len(self._adopted_lists) > 1
@@ -77,35 +79,38 @@
             )
 
     @callback
-    def authorized_from(self, subject: str) -> float | None:
+    def authorized_from(self, subject: str, *, max_issuers: int = 1) -> float | None:
         """Return the time from which this issuer may be authorized for a subject.
 
-        Return None if it is not the first issuer of the subject.
+        Return None if it is not one of the highest-ranked issuers.
         """
-        if subject not in self._authorized_from_by_subject:
-            first_since = self._first_since(subject)
-            self._authorized_from_by_subject[subject] = (
-                None if first_since is None else first_since + TAKEOVER_WAIT
+        query = (subject, max_issuers)
+        if query not in self._authorized_from_by_query:
+            ranked_since = self._ranked_since(subject, max_issuers)
+            self._authorized_from_by_query[query] = (
+                None if ranked_since is None else ranked_since + TAKEOVER_WAIT
             )
-        return self._authorized_from_by_subject[subject]
+        return self._authorized_from_by_query[query]
 
     @callback
-    def time_until_authorized(self, subject: str, now: float) -> float:
+    def time_until_authorized(
+        self, subject: str, now: float, *, max_issuers: int = 1
+    ) -> float:
         """Return the seconds until permits may be granted, infinite if unknown."""
-        authorized_from = self.authorized_from(subject)
+        authorized_from = self.authorized_from(subject, max_issuers=max_issuers)
         if authorized_from is None or now > self._confirmed_until:
             return math.inf
         return max(authorized_from - now, 0.0)
 
     @callback
-    def _first_since(self, subject: str) -> float | None:
-        """Return since when this issuer has been first without interruption."""
-        first_since = None
+    def _ranked_since(self, subject: str, max_issuers: int) -> float | None:
+        """Return since when this issuer has been ranked high without interruption."""
+        ranked_since = None
         for adopted_at, issuers in reversed(self._adopted_lists):
-            if issuers.ranked(subject)[:1] != [self._incarnation]:
+            if self._incarnation not in issuers.ranked(subject)[:max_issuers]:
                 break
-            first_since = adopted_at
-        return first_since
+            ranked_since = adopted_at
+        return ranked_since
 
 
 @callback
--- a/swiftpin/permits/permit_broker.py
+++ b/swiftpin/permits/permit_broker.py
@@ -169,7 +169,7 @@
             targets,
             leaving,
             asyncio.get_running_loop().time(),
-            cold_by_id=cold.for_issuer(service, self._incarnation, self.issuers),
+            cold_by_id=cold.by_id(),
         )
 
     @callback
--- a/swiftpin/permits/permit_issuer.py
+++ b/swiftpin/permits/permit_issuer.py
@@ -15,8 +15,8 @@
 from swiftpin.permits.permit_decision import PermitDecision
 from swiftpin.permits.permit_queue import PermitQueue
 from swiftpin.permits.permit_request import PermitRequest
-from swiftpin.permits.rate_limits import RateLimits
 from swiftpin.permits.rate_reports import RateReports
+from swiftpin.permits.shared_limits import SharedLimits
 
 
 class PermitIssuer:
@@ -30,7 +30,7 @@
         suspend_aware_clock: Callable[[], float] = suspend_aware_now,
     ) -> None:
         self._rate_reports = rate_reports
-        self._rate_limits = RateLimits(rate_reports, authority, suspend_aware_clock)
+        self._shared_limits = SharedLimits(rate_reports, authority, suspend_aware_clock)
         self._suspend_aware_clock = suspend_aware_clock
         self._on_turnaround = on_turnaround
         self._queues_by_service: dict[str, PermitQueue] = {}
@@ -140,7 +140,7 @@
         queue = self._queues_by_service.get(service)
         if queue is None:
             queue = self._queues_by_service[service] = PermitQueue(
-                service, self._on_turnaround, self._rate_limits
+                service, self._on_turnaround, self._shared_limits
             )
         return queue
 
--- a/swiftpin/permits/permit_queue.py
+++ b/swiftpin/permits/permit_queue.py
@@ -10,9 +10,9 @@
 from swiftpin.permits.cold_limit import ColdTarget
 from swiftpin.permits.permit_decision import PermitDecision
 from swiftpin.permits.permit_request import PermitRequest
-from swiftpin.permits.rate_limits import RateLimits, no_rate_limits
 from swiftpin.permits.rejection import Rejection
 from swiftpin.permits.retry_spread import MIN_RETRY_AFTER
+from swiftpin.permits.shared_limits import SharedLimits, limits_of_only_issuer
 from swiftpin.permits.slot_pace import SlotPace
 from swiftpin.permits.target_pace import TargetPace, combine_paces
 from swiftpin.permits.target_queue import ANSWER_TRANSFER_TIME, TargetQueue
@@ -40,10 +40,10 @@
         self,
         service: str,
         on_turnaround: Callable[[str, float], None] | None = None,
-        rate_limits: RateLimits | None = None,
+        shared_limits: SharedLimits | None = None,
     ) -> None:
         self._service = service
-        self._rate_limits = rate_limits or no_rate_limits()
+        self._shared_limits = shared_limits or limits_of_only_issuer()
         self._on_turnaround = on_turnaround
         self._slots_by_target: dict[str, TargetSlots] = {}
         self._eligible_targets: frozenset[str] = frozenset()
@@ -198,9 +198,7 @@
         candidates = [
             name
             for name, slots in slots_by_target.items()
-            if slots.is_free
-            and not slots.cold.time_until_permit(now)
-            and not self._time_until_rate_permit(request.target, name, now)
+            if slots.is_free and not self._time_until_limits(request.target, name, now)
         ]
         if not candidates:
             candidates = [
@@ -208,7 +206,7 @@
                 for name, slots in slots_by_target.items()
                 if slots.running < self._max_permits(slots)
                 and not slots.cold.is_cold(now)
-                and not self._rate_limits.is_limited(name)
+                and not self._shared_limits.has_rate_limit(name)
             ]
         if not candidates:
             return None
@@ -226,7 +224,7 @@
             target == request.avoided,
             now < slots.avoided_until,
             slots.cold.is_cold(now),
-            self._rate_limits.is_limited(target),
+            self._shared_limits.has_rate_limit(target),
             slots.mean_time * (1 + load) * distance,
             target,
         )
@@ -252,10 +250,11 @@
         max_permits = self._max_permits(slots)
         hold = self._expected_hold(slots)
         slot_rate = max_permits / hold
-        limit = self._rate_limits.limit_of(target)
+        limit = self._shared_limits.rate_limit_of(target)
         rate_wait = self._time_until_rate_permit(queue_name, target, now)
         free_in = max(
-            slots.free_in(max_permits, hold, now), slots.cold.time_until_permit(now)
+            slots.free_in(max_permits, hold, now),
+            self._time_until_cold_permit(queue_name, target, now),
         )
         return TargetPace(
             max_permits=max_permits,
@@ -265,12 +264,29 @@
             is_rate_limited=limit < slot_rate or rate_wait > free_in,
         )
 
+    @callback
+    def _time_until_limits(self, queue_name: str, target: str, now: float) -> float:
+        """Return the seconds until the limits of a target allow a permit."""
+        return max(
+            self._time_until_cold_permit(queue_name, target, now),
+            self._time_until_rate_permit(queue_name, target, now),
+        )
+
+    @callback
+    def _time_until_cold_permit(
+        self, queue_name: str, target: str, now: float
+    ) -> float:
+        """Return the seconds until the rate of a cold target allows a permit."""
+        return self._shared_limits.time_until_cold_permit(
+            queue_name or self._service, self._get_or_create_slots(target).cold, now
+        )
+
     @callback
     def _time_until_rate_permit(
         self, queue_name: str, target: str, now: float
     ) -> float:
         """Return the seconds until the rate limit of a target allows a permit."""
-        return self._rate_limits.time_until_permit(
+        return self._shared_limits.time_until_rate_permit(
             queue_name or self._service,
             target,
             self._get_or_create_slots(target).rate_limiter,
@@ -290,11 +306,12 @@
         slots = self._get_or_create_slots(target)
         slots.granted_at_by_request[request.id] = now
         slots.cold.record(now)
-        slots.rate_limiter.record(self._rate_limits.limit_of(target), now)
+        slots.rate_limiter.record(self._shared_limits.rate_limit_of(target), now)
         self._target_by_request[request.id] = target
         request.on_decision(
             PermitDecision(
-                target=target, is_rate_limited=self._rate_limits.is_limited(target)
+                target=target,
+                is_rate_limited=self._shared_limits.has_rate_limit(target),
             )
         )
 
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -336,7 +336,6 @@
             },
             rate=service.cold_rate,
             max_per_second=self._settings.bounds.cold_limit(service.cold_rate),
-            is_keyed=service.is_keyed,
         )
 
     async def _async_housekeeping(self) -> None:
--- a/tests/permits/test_cold_limit.py
+++ b/tests/permits/test_cold_limit.py
@@ -9,11 +9,14 @@
 
 from swiftpin.permits.cold_limit import ColdTarget
 from swiftpin.permits.cold_targets import ColdTargets
+from swiftpin.permits.issuer_authority import TAKEOVER_WAIT, IssuerAuthority
 from swiftpin.permits.permit_broker import EXPIRE_INTERVAL
 from swiftpin.permits.permit_decision import PermitDecision
 from swiftpin.permits.permit_issuers import PermitIssuers
 from swiftpin.permits.permit_queue import PermitQueue
 from swiftpin.permits.permit_request import PermitRequest
+from swiftpin.permits.rate_reports import RateReports
+from swiftpin.permits.shared_limits import SharedLimits
 from tests.permits.requester import Requester, make_target
 
 RATE = 4.7
@@ -126,8 +129,8 @@
     assert third not in requester.decisions_by_number
 
 
-def test_issuer_with_rate_zero_grants_no_permit_for_cold_targets() -> None:
-    """Guards against many issuers that each grant a cold target its full rate."""
+def test_cold_targets_with_rate_zero_get_no_permit() -> None:
+    """Guards against permits for targets that can't handle any request while cold."""
     queue = PermitQueue("desk")
     no_rate = ColdTarget(remaining=3.0, rate=0.0)
     queue.set_targets([make_target("a")], 0.0, cold_by_id={"a": no_rate})
@@ -151,23 +154,25 @@
         term=1, number=1, peers_by_incarnation=dict.fromkeys(names, ""), members=40
     )
     cold = ColdTargets(
-        remaining_by_id={"a": 3.0},
-        rate=RATE,
-        max_per_second=MAX_PER_SECOND,
-        is_keyed=is_keyed,
-    )
-    rates = [
-        cold.for_issuer("desk", name, issuers)["a"].rate for name in [*names, "other"]
-    ]
-    assert sorted(rates, reverse=True)[:3] == [RATE, RATE, 0.0]
-    assert sum(rate + 1 for rate in rates if rate) <= MAX_PER_SECOND
-    first = issuers.ranked("a" if is_keyed else "desk")[0]
-    assert cold.for_issuer("desk", first, issuers)["a"].rate == RATE
+        remaining_by_id={"a": 3.0}, rate=RATE, max_per_second=MAX_PER_SECOND
+    ).by_id()
+    subject = "a" if is_keyed else "desk"
+    granting = []
+    for name in [*names, "other"]:
+        authority = IssuerAuthority(name)
+        authority.record_list(issuers, -TAKEOVER_WAIT)
+        authority.record_confirmation(1, 1, 0.0)
+        limits = SharedLimits(RateReports(), authority, lambda: 1.0)
+        queue = PermitQueue("desk", shared_limits=limits)
+        queue.set_targets([make_target("a")], 0.0, cold_by_id=cold)
+        requester = Requester(queue)
+        number = requester.submit("a" if is_keyed else "", now=1.0, ends_at=2.0)
+        if requester.is_granted(number):
+            granting.append(name)
+    assert sorted(granting) == sorted(issuers.ranked(subject)[:2])
+    assert len(granting) * (RATE + 1) <= MAX_PER_SECOND
 
 
 def test_service_without_a_declared_rate_has_no_limit() -> None:
     """Cold targets of such a service can handle as many requests as their slots."""
-    issuers = PermitIssuers(term=1, number=1, peers_by_incarnation={}, members=1)
-    assert (
-        ColdTargets(remaining_by_id={"a": 3.0}).for_issuer("desk", "i", issuers) == {}
-    )
+    assert ColdTargets(remaining_by_id={"a": 3.0}).by_id() == {}
--- a/tests/permits/test_issuer_authority.py
+++ b/tests/permits/test_issuer_authority.py
@@ -128,3 +128,19 @@
     authority.record_list(make_list(1, OWN), START + 1.1)
     confirm(authority, 1, START + 5.0)
     assert math.isinf(wait(authority, START + 5.0))
+
+
+def test_deputy_takes_over_without_a_pause() -> None:
+    """Guards against a pause where two issuers at a time do no harm."""
+    names = (OWN, "i1/1", "i2/1")
+    first = make_list(1, *names)
+    subject = next(it for it in map(str, range(99)) if first.ranked(it)[1] == OWN)
+    authority = IssuerAuthority(OWN)
+    authority.record_list(first, START)
+    confirm(authority, 1, START + 3.0)
+    now = START + 3.1
+    assert authority.time_until_authorized(subject, now, max_issuers=2) == 0.0
+    assert math.isinf(authority.time_until_authorized(subject, now))
+    authority.record_list(make_list(2, OWN, first.ranked(subject)[2]), now)
+    assert authority.time_until_authorized(subject, now, max_issuers=2) == 0.0
+    assert authority.time_until_authorized(subject, now) == pytest.approx(TAKEOVER_WAIT)
--- a/tests/permits/test_limited_targets.py
+++ b/tests/permits/test_limited_targets.py
@@ -15,10 +15,10 @@
 from swiftpin.permits.permit_issuers import PermitIssuers
 from swiftpin.permits.permit_query import PermitQuery
 from swiftpin.permits.permit_queue import PermitQueue
-from swiftpin.permits.rate_limits import RateLimits
 from swiftpin.permits.rate_report import RateReport
 from swiftpin.permits.rate_reports import RateReports
 from swiftpin.permits.retry_spread import MAX_RETRY_AFTER
+from swiftpin.permits.shared_limits import SharedLimits
 from tests.permits.requester import Requester, make_target
 from tests.router.fleet_fakes import FakeLink
 
@@ -40,8 +40,8 @@
         self.authority = IssuerAuthority(OWN)
         self.authority.record_list(ISSUERS, NOW - 10 * TAKEOVER_WAIT)
         self.authority.record_confirmation(1, 1, math.inf)
-        limits = RateLimits(self.reports, self.authority, lambda: NOW)
-        self.queue = PermitQueue("desk", rate_limits=limits)
+        limits = SharedLimits(self.reports, self.authority, lambda: NOW)
+        self.queue = PermitQueue("desk", shared_limits=limits)
         self.queue.set_targets([make_target("a", slots=9), make_target("b")], NOW)
         self.requester = Requester(self.queue)
 
--- a/tests/router/limit_fleet.py
+++ b/tests/router/limit_fleet.py
@@ -11,13 +11,14 @@
 from typing import Final
 
 from swiftpin.keyranges.lease_record import LeaseRecord
+from swiftpin.permits.cold_targets import ALL_WARM, ColdTargets
 from swiftpin.permits.permit import Permit
 from swiftpin.permits.permit_query import PermitQuery
 from swiftpin.permits.rate_report import RateReport
 from tests.permits.requester import make_target
 from tests.router.limit_instance import Instance
 from tests.router.limit_network import Network
-from tests.router.limit_window import WINDOW, max_requests
+from tests.router.limit_window import WINDOW, max_requests, most_in_window
 
 SERVICE: Final = "desk"
 SETTLE_TIME: Final = 3.0
@@ -60,6 +61,7 @@
     """Minimum and maximum seconds from a permit to the arrival of the request."""
 
     slots: int = 2
+    cold: ColdTargets = ALL_WARM
 
 
 @dataclass(kw_only=True)
@@ -162,16 +164,17 @@
         """Start an instance."""
         incarnation = f"{name}/{next(self._starts)}"
         instance = self.instances_by_name[name] = Instance(self, name, incarnation)
-        instance.permits.set_targets(
-            SERVICE,
-            [
-                make_target(target, slots=self.load.slots)
-                for target in self.targets_by_name
-            ],
-            [],
-        )
+        self.set_targets(instance)
         instance.start()
 
+    def set_targets(self, instance: Instance) -> None:
+        """Pass the targets to an instance."""
+        targets = [
+            make_target(target, slots=self.load.slots)
+            for target in self.targets_by_name
+        ]
+        instance.permits.set_targets(SERVICE, targets, [], self.load.cold)
+
     def kill(self, share: float, downtime: float = 0.5) -> None:
         """Kill a share of the instances; they restart after `downtime` seconds."""
         for name in self._sample(share):
@@ -408,6 +411,13 @@
                 worst = (requests - allowed, requests, allowed)
         return worst
 
+    def max_per_second(self) -> int:
+        """Return the most requests that a target got within a second."""
+        return max(
+            most_in_window([it.at for it in target.arrivals], 0.0, window=1.0)
+            for target in self.targets_by_name.values()
+        )
+
     def used_share(self, start: float, end: float) -> float:
         """Return the used share of all targets' limits between two times."""
         requests = sum(
--- a/tests/router/limit_instance.py
+++ b/tests/router/limit_instance.py
@@ -17,6 +17,7 @@
 from swiftpin.gateway.lifecycle import Lifecycle
 from swiftpin.keyranges.lease_election import LeaseElection
 from swiftpin.permits.permit_broker import EXPIRE_INTERVAL, PermitBroker
+from swiftpin.router.app import HOUSEKEEPING_INTERVAL
 from swiftpin.router.configuration_holder import ConfigurationHolder
 from swiftpin.router.extension_votes import ExtensionVotes
 from swiftpin.router.fleet_coordinator import UPDATE_INTERVAL
@@ -121,6 +122,7 @@
         """Start the periodic work."""
         self.run(self._async_repeat(EXPIRE_INTERVAL, self._expire))
         self.run(self._async_repeat(UPDATE_INTERVAL, self.update))
+        self.run(self._async_repeat(HOUSEKEEPING_INTERVAL, self._update_targets))
 
     def kill(self) -> None:
         """End the process: its tasks stop and its connections close."""
@@ -181,6 +183,9 @@
         for peer in sorted(wanted - self.outgoing_by_peer.keys() - self._connecting):
             self.run(self._async_connect(peer))
 
+    def _update_targets(self) -> None:
+        self._fleet.set_targets(self)
+
     def _expire(self) -> None:
         self.permits.expire(self._fleet.now())
 
--- a/tests/router/limit_window.py
+++ b/tests/router/limit_window.py
@@ -16,11 +16,13 @@
     return RATE_FACTOR * limit * WINDOW + EXTRA_REQUESTS
 
 
-def most_in_window(arrivals: Sequence[float], since: float) -> int:
+def most_in_window(
+    arrivals: Sequence[float], since: float, window: float = WINDOW
+) -> int:
     """Return the arrivals in the worst window that ends at or after `since`."""
     arrivals = sorted(arrivals)
     counts = [
-        index + 1 - bisect_left(arrivals, arrival - WINDOW)
+        index + 1 - bisect_left(arrivals, arrival - window)
         for index, arrival in enumerate(arrivals)
         if arrival >= since
     ]
--- a/tests/router/test_fleet_limits.py
+++ b/tests/router/test_fleet_limits.py
@@ -7,13 +7,19 @@
 
 import pytest
 
+from swiftpin.permits.cold_targets import ColdTargets
 from tests.fleet.virtual_time import run_in_virtual_time
 from tests.router.limit_disturbances import (
     DISTURBANCES,
     Disturbance,
     all_disturbances,
     change_limits,
+    isolate_half,
+    isolate_repeatedly,
+    kill_most,
     none,
+    separate_briefly,
+    separate_repeatedly,
 )
 from tests.router.limit_fleet import WARM_UP, LimitFleet, Load
 
@@ -23,6 +29,17 @@
 MIN_USED_SHARE = 0.8
 """Share of a limit that must be used while there is enough demand."""
 
+COLD_RATE = 4.7
+MAX_COLD_PER_SECOND = 15.05
+COLD_DISTURBANCES = (
+    none,
+    kill_most,
+    isolate_half,
+    isolate_repeatedly,
+    separate_repeatedly,
+    separate_briefly,
+)
+
 LOADS = (
     (0.3, Load(rate=8.0)),
     (1.8, Load(rate=8.0, is_keyed=False)),
@@ -114,3 +131,20 @@
     load = Load(rate=14.0, slots=3, connect_range=(0.0, 2.0))
     for seed in range(3):
         assert run_fleet(6.0, load, seed, change_limits).max_excess() <= 0
+
+
+@pytest.mark.parametrize("disturbance", COLD_DISTURBANCES, ids=lambda it: it.__name__)
+def test_cold_targets_get_no_more_than_they_can_handle(
+    disturbance: Disturbance,
+) -> None:
+    """Failure: issuers by two lists in use each granted a cold target its full rate."""
+    cold = ColdTargets(
+        remaining_by_id=dict.fromkeys(("t0", "t1", "t2"), 1.5 * END),
+        rate=COLD_RATE,
+        max_per_second=MAX_COLD_PER_SECOND,
+    )
+    load = Load(rate=60.0, slots=12, work=0.1, cold=cold)
+    fleet = LimitFleet(INSTANCES, 3, load, 0)
+    disturbance(fleet)
+    run_in_virtual_time(fleet.async_run(END))
+    assert fleet.max_per_second() <= MAX_COLD_PER_SECOND
