Check the authority of permit issuers with a model

`spec/issuers`: three instances, lists that arrive late or never, confirmations at any time, new holders of the lease, restarts.

--- a/spec/cases.py
+++ b/spec/cases.py
@@ -20,6 +20,8 @@
     THIRD_RESTARTS,
 )
 from spec.fenced.weakness import Weakness
+from spec.issuers.model import issuer_authority
+from spec.issuers.weakness import IssuerWeakness
 from spec.model_case import ModelCase
 from spec.ranges.model import key_range
 from spec.ranges.weakness import RangeWeakness
@@ -70,6 +72,10 @@
             protocol=shared_limit("shares", ShareWeakness()),
             covers="three processes, each may restart or be cut off at any time",
         ),
+        ModelCase(
+            protocol=issuer_authority("issuers", IssuerWeakness(), 1),
+            covers="three instances, late and missed lists, new holders, restarts",
+        ),
     ]
 
 
--- /dev/null
+++ b/spec/issuers/__init__.py
@@ -0,0 +1,1 @@
+"""Model of the authority of permit issuers."""
