Log whether the holder has confirmed the list of issuers

An instance without a confirmed list issues no permits for limited and cold targets; on-call engineers had nothing to tell that from a target whose rate is used up. `issuers_confirmed` and `issuers_unconfirmed`, one line a change.

The test with a real target now also asks that 0.8 of its limit is used.

--- a/swiftpin/permits/issuer_authority.py
+++ b/swiftpin/permits/issuer_authority.py
@@ -78,6 +78,11 @@
                 self._confirmed_until, asked_at + CONFIRMATION_TIME
             )
 
+    @callback
+    def is_confirmed(self, now: float) -> bool:
+        """Return whether the lease holder has confirmed the newest list recently."""
+        return now <= self._confirmed_until
+
     @callback
     def authorized_from(self, subject: str, *, max_issuers: int = 1) -> float | None:
         """Return the time from which this issuer may be authorized for a subject.
@@ -98,7 +103,7 @@
     ) -> float:
         """Return the seconds until permits may be granted, infinite if unknown."""
         authorized_from = self.authorized_from(subject, max_issuers=max_issuers)
-        if authorized_from is None or now > self._confirmed_until:
+        if authorized_from is None or not self.is_confirmed(now):
             return math.inf
         return max(authorized_from - now, 0.0)
 
--- a/swiftpin/router/fleet_coordinator.py
+++ b/swiftpin/router/fleet_coordinator.py
@@ -84,6 +84,7 @@
         )
         self._poison_reports = PoisonReports(links, self.known_leader, poison)
         self._fleet_size = fleet_size
+        self._is_list_confirmed = False
         self._heartbeats = Heartbeats(
             incarnation=incarnation,
             leader=self.known_leader,
@@ -126,6 +127,7 @@
             if self._lease.is_held(now):
                 self._issuer_list.update(now)
                 self._confirm_own_list(now)
+            self._log_list_confirmation(now)
             self._update_fleet_size(now)
             self._poison_reports.report_suspects(now)
             self.gossip.request_updates()
@@ -219,6 +221,19 @@
         authority.record_list(issuers, now)
         authority.record_confirmation(issuers.term, issuers.number, now)
 
+    @callback
+    def _log_list_confirmation(self, now: float) -> None:
+        """Log when the list of issuers becomes confirmed or unconfirmed."""
+        is_confirmed = self._permits.authority.is_confirmed(now)
+        if is_confirmed == self._is_list_confirmed:
+            return
+        self._is_list_confirmed = is_confirmed
+        log_message(
+            message_type="issuers_confirmed" if is_confirmed else "issuers_unconfirmed",
+            term=self._permits.issuers.term,
+            number=self._permits.issuers.number,
+        )
+
     @callback
     def _update_fleet_size(self, now: float) -> None:
         """Record the announced fleet size while the lease holder is connected."""
--- a/tests/router/test_limited_targets.py
+++ b/tests/router/test_limited_targets.py
@@ -11,6 +11,7 @@
 from tests.router.site import BOUNDS, Reply, Site
 
 LIMIT = 2.0
+MIN_USED_SHARE = 0.8
 CALL_INTERVAL = 0.15
 """Seconds between two calls, far less than the limit allows."""
 
@@ -32,7 +33,7 @@
 
 
 async def test_target_gets_no_more_than_the_rate_that_it_names(site: Site) -> None:
-    """Failure: a target that named a rate limit still got all requests for its keys."""
+    """Failure: a target that named a rate limit still got all of its requests."""
     loop = asyncio.get_running_loop()
     target = site.targets_by_name["v0"]
     target.rate_limit = LIMIT
@@ -40,6 +41,8 @@
     replies = await async_call_until(site, "/files/x", [None], named_at + 8.0)
     settled_at = named_at + BOUNDS.stability_period
     assert most_in_window(target.arrivals, settled_at) <= max_requests(LIMIT)
+    in_last_window = sum(at > named_at + 4.0 for at in target.arrivals)
+    assert in_last_window >= MIN_USED_SHARE * LIMIT * 4.0
     rejected = [reply for reply in replies if reply.status != 200]
     assert rejected
     for reply in rejected:
