Let instances that exchange reports of a rate limit agree

What callers could see: all requests for a limited target through one instance rejected for good, after the target had withdrawn its limit.

Cause: whether an older or a newer report was kept depended on which was there first. The issuer kept "no limit" (sent 0.5 s after the last answer with a limit), the requesting instance kept the limit; it used no permit that was granted without it, the issuer granted no other, and if nobody else sent to the target no answer came.

--- a/swiftpin/permits/rate_report.py
+++ b/swiftpin/permits/rate_report.py
@@ -46,17 +46,17 @@
     """Return the report to keep for a target.
 
     Answers arrive in another order than they were created, and the times of a report
-    that another instance forwarded are too late by its transit time. A higher limit
-    therefore replaces a lower one only if it was certainly named later, and a lower one
-    replaces a higher one unless it was certainly named earlier.
+    that another instance forwarded are too late by its transit time. Therefore the
+    higher of two limits is kept only if it was certainly named later. The result does
+    not depend on which report is the current one, so instances that exchange their
+    reports agree.
     """
     if current is None:
         return other
-    if other.limit > current.limit:
-        is_later = other.sent_at >= current.received_at + MAX_REPORT_DELAY
-        return other if is_later else current
     if other.limit == current.limit:
         # Otherwise each forwarding would add its transit time to the report.
         is_later = other.received_at > current.received_at + MAX_REPORT_DELAY
         return other if is_later else current
-    return current if other.received_at < current.sent_at else other
+    lower, higher = sorted((current, other), key=lambda report: report.limit)
+    is_higher_later = higher.sent_at >= lower.received_at + MAX_REPORT_DELAY
+    return higher if is_higher_later else lower
--- a/tests/permits/test_rate_report.py
+++ b/tests/permits/test_rate_report.py
@@ -33,6 +33,17 @@
     assert merge_reports(KNOWN, later) is later
 
 
+@pytest.mark.parametrize("sent_at", [10.0, 10.5, 11.3])
+def test_instances_that_exchange_reports_agree(sent_at: float) -> None:
+    """Failure: an issuer and a requesting instance kept different limits for good.
+
+    The instance used no permits that were granted without the limit, the issuer granted
+    no others, and no answer could settle it.
+    """
+    other = report(math.inf, sent_at, sent_at + 0.1)
+    assert merge_reports(KNOWN, other) is merge_reports(other, KNOWN)
+
+
 def test_outdated_lower_limit_is_ignored() -> None:
     """Guards against a withdrawn limit that other instances still report."""
     withdrawn = report(math.inf, 12.0, 12.1)
