Count the age of a permit for a limited target from its grant

What could be seen: an instance that was frozen, or behind a slow link, used the permits that had arrived meanwhile together with new ones; a burst at a target that named a limit.

Cause: a permit's age was counted from when it was read. The decision now says how long the issuer took, and the age counts from the request's time plus that, which is never later than the grant. So the bound of 5 s of permits in 4 s needs no bound of links any more.

--- a/swiftpin/permits/permit.py
+++ b/swiftpin/permits/permit.py
@@ -20,5 +20,5 @@
     is_rate_limited: bool = False
     """Whether the issuer took a rate limit named by the target into account."""
 
-    received_at: float = 0.0
-    """Time at which the permit was received, on the suspend-aware clock."""
+    granted_at: float = 0.0
+    """Earliest possible time of the grant, on the suspend-aware clock."""
--- a/swiftpin/permits/permit_broker.py
+++ b/swiftpin/permits/permit_broker.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 from itertools import count
 from typing import Final
 
@@ -33,8 +34,8 @@
 """Seconds between two checks for requests that can't be served in time."""
 
 MAX_LIMITED_PERMIT_AGE: Final = 1.0
-"""Seconds for which a permit for a target with a rate limit is valid; opening a
-connection takes up to as long."""
+"""Seconds from its grant for which a permit for a target with a rate limit is valid.
+Permits that were delayed, or saved by a frozen process, would be used in a burst."""
 
 UNLIMITED_PERMIT_REJECTION: Final = PermitDecision(
     target="", retry_after=TAKEOVER_WAIT, is_rate_limited=True
@@ -79,6 +80,7 @@
         is_issuer_informed = False
         while True:
             number = next(self._request_numbers)
+            asked_at = self._suspend_aware_clock()
             issuer = self._find_issuer(query.target or service, loop.time())
             pending = PendingRequest(
                 query=query, future=loop.create_future(), issuer=issuer
@@ -110,9 +112,9 @@
                         target=decision.target,
                         issuer=issuer,
                         is_rate_limited=decision.is_rate_limited,
-                        received_at=self._suspend_aware_clock(),
+                        granted_at=asked_at + decision.waited,
                     )
-                    if self.is_valid(permit, permit.received_at):
+                    if self.is_valid(permit, self._suspend_aware_clock()):
                         return decision, permit
                     self.release(permit, 0.0, failed=False)
                     if is_issuer_informed:
@@ -129,7 +131,7 @@
         """
         if permit.target not in self.rate_reports.limited_targets:
             return True
-        age = now - permit.received_at
+        age = now - permit.granted_at
         return permit.is_rate_limited and age <= MAX_LIMITED_PERMIT_AGE
 
     @callback
@@ -222,6 +224,7 @@
             target=answer.target if answer.granted else "",
             retry_after=answer.retry_after,
             is_rate_limited=answer.rate_limited,
+            waited=answer.waited,
         )
         self._pending.resolve(answer.id, link, decision)
 
@@ -246,9 +249,11 @@
     @callback
     def _request_locally(self, query: PermitQuery, number: int, now: float) -> None:
         """Submit a request to this instance's own issuer."""
+        asked_at = self._suspend_aware_clock()
 
         def on_decision(decision: PermitDecision) -> None:
-            self._pending.resolve(number, None, decision)
+            waited = self._suspend_aware_clock() - asked_at
+            self._pending.resolve(number, None, replace(decision, waited=waited))
 
         self._local_issuer.submit(
             PermitRequest(
--- a/swiftpin/permits/permit_issuer.py
+++ b/swiftpin/permits/permit_issuer.py
@@ -75,8 +75,10 @@
     def handle_ask(self, link: PeerLink, ask: Item, now: float) -> None:
         """Handle a permit request of another instance."""
         number = ask.id
+        asked_at = self._suspend_aware_clock()
 
         def on_decision(decision: PermitDecision) -> None:
+            decided_at = self._suspend_aware_clock()
             link.send(
                 pb.Item(
                     answer=pb.PermitAnswer(
@@ -86,8 +88,9 @@
                         retry_after=decision.retry_after,
                         rate_limited=decision.is_rate_limited,
                         rate_report=self._rate_reports.encode(
-                            decision.target or ask.target, self._suspend_aware_clock()
+                            decision.target or ask.target, decided_at
                         ),
+                        waited=decided_at - asked_at,
                     )
                 )
             )
