--- a/swiftpin/router/fleet_coordinator.py
+++ b/swiftpin/router/fleet_coordinator.py
@@ -228,11 +228,12 @@
         if is_confirmed == self._is_list_confirmed:
             return
         self._is_list_confirmed = is_confirmed
-        log_message(
-            message_type="issuers_confirmed" if is_confirmed else "issuers_unconfirmed",
-            term=self._permits.issuers.term,
-            number=self._permits.issuers.number,
-        )
+        issuers = self._permits.issuers
+        version = {"term": issuers.term, "number": issuers.number}
+        if is_confirmed:
+            log_message(message_type="issuers_confirmed", **version)
+        else:
+            log_message(message_type="issuers_unconfirmed", **version)
 
     @callback
     def _update_fleet_size(self, now: float) -> None:
