Save no permits for the time before an issuer is authorized

Cause: tokens of a limit were dropped when an issuer became the first, 2.1 s before it may grant, and filled up again until then, the time in which the last issuer granted. The spacing of a cold target's permits knew no change of issuers at all.

Why it holds: a limiter is told the period in which it is the only issuer and when that starts. A bucket starts with one token at that time; a cold target's first permit comes one interval after it. Ran: tests of permits, limited targets, evacuated zones, deploy, scripts.

--- a/swiftpin/permits/cold_limit.py
+++ b/swiftpin/permits/cold_limit.py
@@ -33,13 +33,14 @@
     A cold target crashes when it receives many more requests than it can handle.
     """
 
-    __slots__ = ("_next_permit_at", "_rate", "_warm_at", "max_issuers")
+    __slots__ = ("_next_permit_at", "_period", "_rate", "_warm_at", "max_issuers")
 
     def __init__(self) -> None:
         self.max_issuers = 1
         self._warm_at = -math.inf
         self._rate = math.inf
         self._next_permit_at = -math.inf
+        self._period: float | None = None
 
     @callback
     def set(self, target: ColdTarget | None, now: float) -> None:
@@ -54,6 +55,19 @@
         self._rate = target.rate
         self.max_issuers = target.max_issuers
 
+    @callback
+    def set_period(self, period: float | None, starts_in: float, now: float) -> None:
+        """Wait for one interval after another issuer may have granted permits.
+
+        `period` identifies the time during which this issuer may grant permits, None if
+        it may not; it starts in `starts_in` seconds.
+        """
+        if period is not None and period == self._period and not starts_in:
+            return
+        self._period = period
+        earliest = now + starts_in + _interval(self._rate)
+        self._next_permit_at = max(self._next_permit_at, earliest)
+
     @callback
     def is_cold(self, now: float) -> bool:
         """Return whether the target is cold."""
--- a/swiftpin/permits/rate_limiter.py
+++ b/swiftpin/permits/rate_limiter.py
@@ -38,24 +38,26 @@
     loop's clock.
     """
 
-    __slots__ = ("_authorized_from", "_granted_at", "_tokens", "_updated_at")
+    __slots__ = ("_granted_at", "_period", "_tokens", "_updated_at")
 
     def __init__(self) -> None:
         self._tokens = INITIAL_TOKENS
         self._updated_at = -math.inf
-        self._authorized_from: float | None = None
+        self._period: float | None = None
         self._granted_at: deque[float] = deque()
 
     @callback
-    def set_authorized_from(self, authorized_from: float | None, now: float) -> None:
+    def set_period(self, period: float | None, starts_in: float, now: float) -> None:
         """Drop saved tokens if another issuer may have granted permits meanwhile.
 
-        `authorized_from` identifies the period in which this issuer is the only one.
+        `period` identifies the time during which this issuer may be the only one, None
+        if it is not. No tokens are saved until it starts in `starts_in` seconds.
         """
-        if authorized_from != self._authorized_from:
-            self._authorized_from = authorized_from
-            self._tokens = min(self._tokens, INITIAL_TOKENS)
-            self._updated_at = now
+        if period is not None and period == self._period and not starts_in:
+            return
+        self._period = period
+        self._tokens = min(self._tokens, INITIAL_TOKENS)
+        self._updated_at = now + starts_in
 
     @callback
     def time_until_permit(self, limit: float, now: float) -> float:
@@ -76,10 +78,12 @@
     @callback
     def _refill(self, limit: float, now: float) -> None:
         """Add the tokens for the time since the last call."""
-        elapsed = 0.0 if math.isinf(self._updated_at) else now - self._updated_at
+        if math.isinf(self._updated_at):
+            self._updated_at = now
+        elapsed = max(now - self._updated_at, 0.0)
         max_tokens = BURST_TOKENS + limit * GRANT_DELAY
         self._tokens = min(self._tokens + limit * elapsed, max_tokens)
-        self._updated_at = now
+        self._updated_at = max(self._updated_at, now)
 
     @callback
     def _time_until_window_has_room(self, limit: float, now: float) -> float:
--- a/swiftpin/permits/shared_limits.py
+++ b/swiftpin/permits/shared_limits.py
@@ -50,11 +50,13 @@
         if target not in self.rate_limited_targets:
             return 0.0
         limit = self.rate_limit_of(target)
-        if self._authority is not None:
-            limiter.set_authorized_from(self._authority.authorized_from(subject), now)
-        return max(
-            self._time_until_authorized(subject), limiter.time_until_permit(limit, now)
-        )
+        if self._authority is None:
+            return limiter.time_until_permit(limit, now)
+        authority_now = self._suspend_aware_clock()
+        period = self._authority.authorized_from(subject)
+        limiter.set_period(period, _time_until(period, authority_now), now)
+        wait = self._authority.time_until_authorized(subject, authority_now)
+        return max(_expected_wait(wait), limiter.time_until_permit(limit, now))
 
     @callback
     def time_until_cold_permit(
@@ -63,21 +65,29 @@
         """Return the seconds until a cold target's rate allows the next permit."""
         if not cold.is_cold(now):
             return 0.0
-        wait = self._time_until_authorized(subject, cold.max_issuers)
-        return min(max(wait, cold.time_until_permit(now)), cold.remaining(now))
-
-    @callback
-    def _time_until_authorized(self, subject: str, max_issuers: int = 1) -> float:
-        """Return the seconds until this issuer may grant permits for a subject.
-
-        If that is not known, return the time that a change of issuers usually takes.
-        """
         if self._authority is None:
-            return 0.0
+            return cold.time_until_permit(now)
+        authority_now = self._suspend_aware_clock()
+        max_issuers = cold.max_issuers
+        period = self._authority.authorized_from(subject, max_issuers=max_issuers)
+        cold.set_period(period, _time_until(period, authority_now), now)
         wait = self._authority.time_until_authorized(
-            subject, self._suspend_aware_clock(), max_issuers=max_issuers
+            subject, authority_now, max_issuers=max_issuers
         )
-        return TAKEOVER_WAIT if math.isinf(wait) else wait
+        wait = max(_expected_wait(wait), cold.time_until_permit(now))
+        return min(wait, cold.remaining(now))
+
+
+@callback
+def _time_until(period: float | None, now: float) -> float:
+    """Return the seconds until a period starts, 0 if there is none."""
+    return 0.0 if period is None else max(period - now, 0.0)
+
+
+@callback
+def _expected_wait(wait: float) -> float:
+    """Return the wait for authority, or the usual one if it is not known."""
+    return TAKEOVER_WAIT if math.isinf(wait) else wait
 
 
 @callback
--- a/tests/permits/test_cold_limit.py
+++ b/tests/permits/test_cold_limit.py
@@ -167,6 +167,9 @@
         queue.set_targets([make_target("a")], 0.0, cold_by_id=cold)
         requester = Requester(queue)
         number = requester.submit("a" if is_keyed else "", now=1.0, ends_at=2.0)
+        # A new issuer waits for one interval, as others may have granted permits.
+        assert not requester.is_granted(number)
+        queue.expire(1.0 + 1 / RATE)
         if requester.is_granted(number):
             granting.append(name)
     assert sorted(granting) == sorted(issuers.ranked(subject)[:2])
--- a/tests/permits/test_rate_limiter.py
+++ b/tests/permits/test_rate_limiter.py
@@ -67,7 +67,29 @@
 def test_tokens_are_dropped_when_another_issuer_may_have_granted_permits() -> None:
     """Failure: two issuers spent the tokens saved in the same period."""
     limiter = RateLimiter()
-    limiter.set_authorized_from(1.0, 1.0)
+    limiter.set_period(1.0, 0.0, 1.0)
     limiter.time_until_permit(10.0, 1.0)
-    limiter.set_authorized_from(9.0, 9.0)
+    limiter.set_period(9.0, 0.0, 9.0)
+    assert len(grant_while_possible(limiter, 10.0, 9.0, 9.05)) == INITIAL_TOKENS
+
+
+@pytest.mark.parametrize("checked_at", [(7.0,), (7.0, 7.5, 8.9)])
+def test_no_tokens_are_saved_before_the_issuer_is_authorized(
+    checked_at: tuple[float, ...],
+) -> None:
+    """Failure: an issuer spent tokens of the time in which another one granted."""
+    limiter = RateLimiter()
+    for now in checked_at:
+        limiter.set_period(9.0, 9.0 - now, now)
+        limiter.time_until_permit(10.0, now)
+    limiter.set_period(9.0, 0.0, 9.0)
+    assert len(grant_while_possible(limiter, 10.0, 9.0, 9.05)) == INITIAL_TOKENS
+
+
+def test_issuer_without_authority_saves_no_tokens() -> None:
+    """Failure: a former issuer had a full bucket when it became the first again."""
+    limiter = RateLimiter()
+    for now in (1.0, 5.0, 9.0):
+        limiter.set_period(None, 0.0, now)
+        limiter.time_until_permit(10.0, now)
     assert len(grant_while_possible(limiter, 10.0, 9.0, 9.05)) == INITIAL_TOKENS
