--- a/tests/router/limit_disturbances.py
+++ b/tests/router/limit_disturbances.py
@@ -8,7 +8,8 @@
 from random import Random
 from typing import Final
 
-from tests.router.limit_fleet import LimitedTarget, LimitFleet
+from tests.router.limit_fleet import LimitFleet
+from tests.router.limited_target import LimitedTarget
 
 Disturbance = Callable[[LimitFleet], None]
 
--- a/tests/router/limit_fleet.py
+++ b/tests/router/limit_fleet.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from itertools import count
 import math
 from random import Random
@@ -18,12 +18,10 @@
 from tests.permits.requester import make_target
 from tests.router.limit_instance import SETTLE_TIME, Instance
 from tests.router.limit_network import Network
-from tests.router.limit_window import WINDOW, max_requests, most_in_window
+from tests.router.limit_window import most_in_window
+from tests.router.limited_target import Arrival, LimitedTarget
 
 SERVICE: Final = "desk"
-TOLD_TIME: Final = 0.5
-"""Seconds after an instance passed on such an answer from which its requests count."""
-
 LEASE_TIME: Final = 1.6
 LEASE_MARGIN: Final = 0.3
 LEASE_INTERVAL: Final = 0.4
@@ -61,38 +59,6 @@
     cold: ColdTargets = ALL_WARM
 
 
-@dataclass(kw_only=True)
-class Arrival:
-    """A request that reached a target."""
-
-    at: float
-    instance: Instance
-    is_excused: bool
-
-
-@dataclass(kw_only=True)
-class LimitedTarget:
-    """A target, the limits that it named over time and the requests that it got."""
-
-    name: str
-    limits: list[tuple[float, float]] = field(default_factory=list)
-    """Times at which the target began to name a limit, and the limits."""
-
-    arrivals: list[Arrival] = field(default_factory=list)
-    first_named_at: float = math.inf
-
-    def limit_at(self, now: float) -> float:
-        """Return the limit that the target names, or infinity."""
-        return max(
-            ((at, it) for at, it in self.limits if at <= now), default=(0, math.inf)
-        )[1]
-
-    def highest_limit(self, start: float, end: float) -> float:
-        """Return the highest limit named between two times."""
-        changes = [limit for at, limit in self.limits if start < at <= end]
-        return max([self.limit_at(start), *changes])
-
-
 class LimitFleet:
     """Callers, instances, targets, and the lease that one instance holds."""
 
@@ -389,32 +355,13 @@
 
         Windows in which a target named no limit for a while are left out.
         """
-        worst = [self._worst_window(it) for it in self.targets_by_name.values()]
+        worst = [it.worst_window() for it in self.targets_by_name.values()]
         return [window for window in worst if window is not None]
 
     def max_excess(self) -> float:
         """Return the excess in the worst window of any target."""
         return max((excess for excess, _, _ in self.worst_windows()), default=-math.inf)
 
-    def _worst_window(self, target: LimitedTarget) -> tuple[float, int, float] | None:
-        """Return excess, requests and allowed requests of a target's worst window."""
-        worst: tuple[float, int, float] | None = None
-        for last in target.arrivals:
-            if last.at < target.first_named_at + SETTLE_TIME:
-                continue
-            start = last.at - WINDOW
-            limit = target.highest_limit(start - SETTLE_TIME, last.at)
-            if math.isinf(limit):
-                continue
-            requests = sum(
-                start < arrival.at <= last.at and _counts(target, arrival, last.at)
-                for arrival in target.arrivals
-            )
-            allowed = max_requests(limit)
-            if worst is None or requests - allowed > worst[0]:
-                worst = (requests - allowed, requests, allowed)
-        return worst
-
     def max_per_second(self) -> int:
         """Return the most requests that a target got within a second."""
         return max(
@@ -431,13 +378,3 @@
         )
         limit = sum(it.limit_at(end) for it in self.targets_by_name.values())
         return requests / (limit * (end - start))
-
-
-def _counts(target: LimitedTarget, arrival: Arrival, end: float) -> bool:
-    """Return whether a request counts in a window.
-
-    Requests of an instance count once it has passed on an answer with a limit, except
-    for those sent right after its start or a freeze.
-    """
-    told_at = arrival.instance.told_at_by_target.get(target.name, math.inf)
-    return told_at <= end - TOLD_TIME and not arrival.is_excused
