Log and count the links to targets that an instance holds lost

TargetLinks collects the evidence of each instance about its own links (failed connections, answers); target_link_lost and target_link_regained name the target, the reason and the age of the last sign of work, target_links_presumed_lost says that most links failed together; the gauge swiftpin_router_lost_target_links counts them. Nothing decides by it yet.

--- a/swiftpin/dispatch/http_pool.py
+++ b/swiftpin/dispatch/http_pool.py
@@ -12,7 +12,7 @@
 
 from swiftpin.core import callback
 from swiftpin.dispatch.http_connection import HttpConnection
-from swiftpin.exceptions import RequestNotSentError
+from swiftpin.exceptions import ConnectionFailedError, RequestNotSentError
 from swiftpin.helpers.address import Address
 from swiftpin.security.client_tls import CLOSE_TIMEOUT, ClientTls
 
@@ -123,7 +123,11 @@
         return None
 
     async def async_connect(self) -> HttpConnection:
-        """Open a new connection; raise `RequestNotSentError` when that fails."""
+        """Open a new connection.
+
+        Raises `ConnectionFailedError` when that fails, and `RequestNotSentError` when
+        there are too many.
+        """
         if len(self._open) >= self.limit:
             raise RequestNotSentError(
                 f"all {self.limit} connections to {self.address} are in use"
@@ -140,7 +144,7 @@
                     ssl_shutdown_timeout=None if tls is None else CLOSE_TIMEOUT,
                 )
         except (OSError, TimeoutError) as err:
-            raise RequestNotSentError(
+            raise ConnectionFailedError(
                 f"no connection to {self.address}: {err!r}"
             ) from err
         _watch_for_silence(protocol, self._untaken_limit)
--- a/swiftpin/exceptions.py
+++ b/swiftpin/exceptions.py
@@ -71,6 +71,10 @@
     """No byte of the request was written, so it cannot have been run."""
 
 
+class ConnectionFailedError(RequestNotSentError):
+    """No connection could be opened."""
+
+
 class AnswerBrokenError(ExchangeError):
     """The request was written but no complete answer arrived; it may have run."""
 
--- /dev/null
+++ b/swiftpin/relays/__init__.py
@@ -0,0 +1,1 @@
+"""Ways to targets through other instances while an instance's own links are lost."""
--- /dev/null
+++ b/swiftpin/relays/target_links.py
@@ -0,0 +1,238 @@
+"""What an instance knows about its own links to the targets."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
+import math
+from typing import Final
+
+from eliot import log_message
+
+from swiftpin.core import callback
+
+FAILURES_UNTIL_LOST: Final = 2
+"""Failures in a row after which a link counts as lost. A single lost packet makes a
+connection attempt fail."""
+
+MIN_FAILED_LINKS: Final = 3
+"""Minimum number of links that must fail at the same time for the instance to presume
+that it has lost its links to all targets."""
+
+FAILED_TO_WORKING_RATIO: Final = 2
+"""Minimum ratio, for the same presumption, of failed links to those that have worked
+since the first of these failures."""
+
+EVIDENCE_PERIOD: Final = 1.5
+"""Seconds for which one failure or answer counts towards the presumption."""
+
+
+@dataclass(kw_only=True, slots=True)
+class LinkEvidence:
+    """Evidence about the link to one target; times are suspend-aware."""
+
+    failures: int = 0
+    """Failures since the last success."""
+
+    failed_at: float = -math.inf
+    worked_at: float = -math.inf
+    """Time of the last answer or opened connection."""
+
+    silent_at: float = -math.inf
+    """Time at which open connections were last found not to carry answers."""
+
+    answered_at: float = -math.inf
+    """Time of the last answer on an open connection."""
+
+    relayed_at: float = -math.inf
+    """Time at which the target last answered through another instance."""
+
+    lost_since: float | None = None
+
+
+class TargetLinks:
+    """Tells an instance's own links from the targets that lie behind them.
+
+    An instance that gets no answer can't tell whether the target or its own link is at
+    fault. The evidence collected here only decides by which way this instance sends,
+    never what others are told about a target.
+    """
+
+    def __init__(self) -> None:
+        self._evidence_by_target: dict[str, LinkEvidence] = {}
+        self._presumed_lost_since: float | None = None
+        """Time since which all links without newer evidence are presumed lost."""
+
+        self._silent_at = -math.inf
+        self._relayed_at = -math.inf
+        self.on_lost: Callable[[], None] = _do_nothing
+        """Called when a link is held lost."""
+
+    @callback
+    def record_answer(self, target: str, now: float) -> None:
+        """Record an answer of a target over this instance's own link."""
+        self._evidence_for(target).answered_at = now
+        self.record_working(target, now)
+
+    @callback
+    def record_working(self, target: str, now: float) -> None:
+        """Record that a connection to a target was opened or answered."""
+        evidence = self._evidence_for(target)
+        evidence.worked_at = now
+        evidence.failures = 0
+        lost_since, evidence.lost_since = evidence.lost_since, None
+        if lost_since is not None:
+            log_message(
+                message_type="target_link_regained",
+                target=target,
+                lost_for=now - lost_since,
+            )
+        if self._presumed_lost_since is not None:
+            self._review_presumption(now)
+
+    @callback
+    def record_failure(self, target: str, reason: str, now: float) -> None:
+        """Record that no connection to a target could be opened."""
+        evidence = self._evidence_for(target)
+        evidence.failures += 1
+        evidence.failed_at = now
+        if evidence.lost_since is None and evidence.failures >= FAILURES_UNTIL_LOST:
+            evidence.lost_since = now
+            log_message(
+                message_type="target_link_lost",
+                level="warning",
+                target=target,
+                reason=reason,
+                last_worked=_age(evidence.worked_at, now),
+            )
+        self._review_presumption(now)
+        if self.is_lost(target, now):
+            self.on_lost()
+
+    @callback
+    def record_silence(self, target: str, now: float) -> None:
+        """Record that open connections to a target don't carry answers.
+
+        Found together with a failure to open another connection.
+        """
+        self._evidence_for(target).silent_at = now
+        if self._presumed_lost_since is not None:
+            self._silent_at = now
+
+    @callback
+    def record_relayed(self, target: str, now: float) -> None:
+        """Record that a target answered through another instance."""
+        self._evidence_for(target).relayed_at = now
+        self._relayed_at = now
+
+    @callback
+    def is_lost(self, target: str, now: float) -> bool:
+        """Return whether no connection to a target can be expected to open."""
+        evidence = self._evidence_by_target.get(target)
+        if evidence is not None and evidence.lost_since is not None:
+            return True
+        presumed_since = self._presumed_lost_since
+        if presumed_since is None:
+            return False
+        return evidence is None or evidence.worked_at < presumed_since
+
+    @callback
+    def is_silent(self, target: str) -> bool:
+        """Return whether open connections to a target are known to be useless."""
+        evidence = self._evidence_by_target.get(target)
+        if evidence is None:
+            return self._silent_at > -math.inf and self._presumed_lost_since is not None
+        silent_at = evidence.silent_at
+        if self._presumed_lost_since is not None:
+            silent_at = max(silent_at, self._silent_at)
+        return silent_at > max(evidence.answered_at, evidence.worked_at)
+
+    @callback
+    def is_reached_by_others(self, target: str, now: float) -> bool:
+        """Return whether a lost link is at fault, and not the target behind it.
+
+        Known from an answer that came through another instance while the link was
+        lost, of the target itself or, if all links are presumed lost, of any target.
+        """
+        evidence = self._evidence_by_target.get(target)
+        if evidence is None or not self.is_lost(target, now):
+            return False
+        presumed_since = self._presumed_lost_since
+        if presumed_since is not None and self._relayed_at > presumed_since:
+            return True
+        return evidence.relayed_at > max(evidence.worked_at, now - EVIDENCE_PERIOD)
+
+    @callback
+    def lost_targets(self, targets: Collection[str], now: float) -> list[str]:
+        """Return the targets whose links are lost."""
+        return [target for target in targets if self.is_lost(target, now)]
+
+    @callback
+    def evidence_age(self, target: str, now: float) -> float:
+        """Return the seconds since the last evidence that a link is lost."""
+        evidence = self._evidence_by_target.get(target)
+        failed_at = -math.inf if evidence is None else evidence.failed_at
+        if math.isinf(failed_at) and self._presumed_lost_since is not None:
+            failed_at = self._presumed_lost_since
+        return now - failed_at
+
+    @callback
+    def retain_targets(self, targets: Collection[str]) -> None:
+        """Drop the evidence about all other targets."""
+        for target in self._evidence_by_target.keys() - set(targets):
+            del self._evidence_by_target[target]
+
+    @callback
+    def _evidence_for(self, target: str) -> LinkEvidence:
+        """Return the evidence about a target's link."""
+        evidence = self._evidence_by_target.get(target)
+        if evidence is None:
+            evidence = self._evidence_by_target[target] = LinkEvidence()
+        return evidence
+
+    @callback
+    def _review_presumption(self, now: float) -> None:
+        """Presume that all links are lost while most links with news have failed."""
+        since = now - EVIDENCE_PERIOD
+        evidence_by_target = self._evidence_by_target.values()
+        failure_times = [
+            evidence.failed_at
+            for evidence in evidence_by_target
+            if evidence.failed_at > max(evidence.worked_at, since)
+        ]
+        failed = len(failure_times)
+        first_failure_at = min(failure_times, default=now)
+        working = sum(
+            evidence.worked_at > first_failure_at for evidence in evidence_by_target
+        )
+        is_presumed = (
+            failed >= MIN_FAILED_LINKS and failed >= FAILED_TO_WORKING_RATIO * working
+        )
+        if is_presumed == (self._presumed_lost_since is not None):
+            return
+        presumed_since, self._presumed_lost_since = self._presumed_lost_since, None
+        if is_presumed:
+            self._presumed_lost_since = now
+            log_message(
+                message_type="target_links_presumed_lost",
+                level="warning",
+                failed=failed,
+                working=working,
+            )
+        elif presumed_since is not None:
+            log_message(
+                message_type="target_links_presumed_regained",
+                failed=failed,
+                working=working,
+                lost_for=now - presumed_since,
+            )
+
+
+def _age(at: float, now: float) -> float | None:
+    """Return the seconds since a time, None if it never was."""
+    return None if math.isinf(at) else now - at
+
+
+@callback
+def _do_nothing() -> None:
+    """Do nothing."""
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -30,6 +30,7 @@
     KIND_TARGETS,
 )
 from swiftpin.platform.store_client import StoreClient
+from swiftpin.relays.target_links import TargetLinks
 from swiftpin.router.assigner_factory import AssignerFactory
 from swiftpin.router.background_tasks import BackgroundTasks
 from swiftpin.router.configuration_holder import ConfigurationHolder
@@ -76,6 +77,7 @@
         self._maps = KeyMaps()
         self._poison = PoisonDetector()
         self._fleet_size = FleetSize()
+        self._target_links = TargetLinks()
         self._clients = HttpClients()
         self._store = StoreClient(
             str(settings.store_address),
@@ -141,6 +143,7 @@
             bounds=settings.bounds,
             poison=self._poison,
             fleet_size=self._fleet_size,
+            links=self._target_links,
         )
         request_log = RequestLog(
             destination=logging.destination,
@@ -291,6 +294,14 @@
         rate_reports.retain_targets(self._directory.targets_by_id.keys())
         self._metrics.limited_targets = len(rate_reports.limited_targets)
 
+    @callback
+    def _update_target_links(self, now: float) -> None:
+        """Drop the links to targets that are gone and update their metric."""
+        targets = self._directory.targets_by_id.keys()
+        self._target_links.retain_targets(targets)
+        lost = self._target_links.lost_targets(targets, now)
+        self._metrics.lost_target_links = len(lost)
+
     @callback
     def _handle_configuration_change(self) -> None:
         """Apply a new configuration to the components that depend on it."""
@@ -345,6 +356,7 @@
             await asyncio.sleep(HOUSEKEEPING_INTERVAL)
             self._directory.expire_targets(suspend_aware_now())
             self._update_rate_limits()
+            self._update_target_links(suspend_aware_now())
             self._evacuations.end_unconfirmed(suspend_aware_now())
             # No change event marks the end of a target's drain time.
             self._update_permit_targets()
--- a/swiftpin/router/metrics.py
+++ b/swiftpin/router/metrics.py
@@ -84,6 +84,9 @@
         self.limited_targets = 0
         """Targets that name a rate limit, as known to this instance."""
 
+        self.lost_target_links = 0
+        """Targets to which this instance's own links are held lost."""
+
         self.late_answers: Counter[str] = Counter()
         """Answers after their latency objective, by service."""
 
--- a/swiftpin/router/metrics_registry.py
+++ b/swiftpin/router/metrics_registry.py
@@ -72,6 +72,11 @@
             "Targets that name a rate limit, as known to this instance.",
             value=metrics.limited_targets,
         )
+        yield GaugeMetricFamily(
+            "swiftpin_router_lost_target_links",
+            "Targets to which this instance's own links are held lost.",
+            value=metrics.lost_target_links,
+        )
         yield _counter(
             "swiftpin_router_late_answers",
             "Targets' answers that came after the objective of their route.",
--- a/swiftpin/router/request_sender.py
+++ b/swiftpin/router/request_sender.py
@@ -16,6 +16,7 @@
 from swiftpin.permits.permit_broker import PermitBroker
 from swiftpin.permits.permit_decision import PermitDecision
 from swiftpin.permits.permit_query import PermitQuery
+from swiftpin.relays.target_links import TargetLinks
 from swiftpin.router.call import Call
 from swiftpin.router.configuration_holder import ConfigurationHolder
 from swiftpin.router.decision_basis import current_basis
@@ -53,6 +54,7 @@
         bounds: Bounds,
         poison: PoisonDetector,
         fleet_size: FleetSize,
+        links: TargetLinks,
     ) -> None:
         self.retries = RetryPolicy(bounds, fleet_size)
         self.transfer_times = TransferTimes()
@@ -67,6 +69,7 @@
             permits=permits,
             poison=poison,
             retries=self.retries,
+            links=links,
         )
         self._directory = directory
         self._maps = maps
--- a/swiftpin/router/target_exchange.py
+++ b/swiftpin/router/target_exchange.py
@@ -16,7 +16,11 @@
 from swiftpin.dispatch.http_client import HttpClient
 from swiftpin.dispatch.http_request import HttpRequest
 from swiftpin.dispatch.http_send_state import HttpSendState
-from swiftpin.exceptions import AnswerBrokenError, RequestNotSentError
+from swiftpin.exceptions import (
+    AnswerBrokenError,
+    ConnectionFailedError,
+    RequestNotSentError,
+)
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.model.request_kind import RequestKind
 from swiftpin.model.target import Target
@@ -29,6 +33,7 @@
     encode_request_headers,
     is_answer_to,
 )
+from swiftpin.relays.target_links import TargetLinks
 from swiftpin.router.call import Call
 from swiftpin.router.caller_answer import MAX_BUFFERED_ANSWER
 from swiftpin.router.configuration_holder import ConfigurationHolder
@@ -64,6 +69,7 @@
         permits: PermitBroker,
         poison: PoisonDetector,
         retries: RetryPolicy,
+        links: TargetLinks,
     ) -> None:
         self.load = LoadReport()
         """Load observed since the last report."""
@@ -75,6 +81,7 @@
         self._permits = permits
         self._poison = poison
         self._retries = retries
+        self._links = links
 
     async def async_exchange(self, call: Call, permit: Permit) -> ReceivedAnswer | None:
         """Return the answer with the start of its body, or None if the send failed."""
@@ -84,6 +91,8 @@
         try:
             received = await self._async_send(call, permit, state, began_at)
         except RequestNotSentError as err:
+            if isinstance(err, ConnectionFailedError):
+                self._links.record_failure(permit.target, str(err), suspend_aware_now())
             self._record_failed_send(
                 call, permit, StepFailure.NOT_SENT, f"not sent: {err}"
             )
@@ -142,6 +151,7 @@
             check=partial(is_answer_to, call.head.id),
             max_idle=MAX_IDLE_FOR_ONCE if is_once else math.inf,
         )
+        self._links.record_answer(permit.target, suspend_aware_now())
         head = decode_answer_head(answer.status, answer.headers)
         self._record_rate_limit(target, head, asked_at)
         if head.not_executed:
--- /dev/null
+++ b/tests/relays/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the ways to targets through other instances."""
--- a/tests/router/test_target_exchange.py
+++ b/tests/router/test_target_exchange.py
@@ -52,6 +52,7 @@
             permits=self.permits,
             poison=cast("Any", None),
             retries=cast("Any", None),
+            links=cast("Any", None),
         )
 
     def refuse(self, status: int) -> None:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -19,13 +19,15 @@
         "keyranges",
         "permits",
         "platform",
+        "relays",
         "router",
     },
-    "platform": {"discovery", "fleet", "keyranges", "permits", "router"},
-    "discovery": {"fleet", "keyranges", "permits", "router"},
-    "fleet": {"discovery", "keyranges", "permits", "platform", "router"},
-    "keyranges": {"fleet", "permits", "router"},
-    "permits": {"discovery", "keyranges", "platform", "router"},
+    "platform": {"discovery", "fleet", "keyranges", "permits", "relays", "router"},
+    "discovery": {"fleet", "keyranges", "permits", "relays", "router"},
+    "fleet": {"discovery", "keyranges", "permits", "platform", "relays", "router"},
+    "keyranges": {"fleet", "permits", "relays", "router"},
+    "permits": {"discovery", "keyranges", "platform", "relays", "router"},
+    "relays": {"keyranges", "router"},
 }
 """Packages that a package must not import: those of the same or a higher layer."""
 
