Show that callers of an instance without target links are not served

A fleet of real instances in one process, whose links to the targets hang, are reset, carry no answers, or refuse new connections while open ones work.

--- a/tests/router/site.py
+++ b/tests/router/site.py
@@ -194,11 +194,15 @@
             first_start=True,
         )
         router = Router(settings, logging or LoggingSetup(BytesIO(), "info"))
+        self.prepare(name, router)
         await router.async_setup()
         self.routers_by_name[name] = router
         self.settings_by_name[name] = settings
         return router
 
+    def prepare(self, name: str, router: Router) -> None:
+        """Prepare an instance before it starts."""
+
     async def async_remove_router(self, name: str) -> None:
         """Stop an instance at once, as a kill does."""
         await self.routers_by_name.pop(name).async_unload()
--- /dev/null
+++ b/tests/router/test_cut_instances.py
@@ -0,0 +1,41 @@
+"""Tests of instances that are cut off from the targets, but not from callers."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+
+import pytest
+
+from tests.router.cut_links import CutKind
+from tests.router.cut_site import CutOptions, CutSite
+
+STABILITY_PERIOD = 3.0
+"""Seconds after the start of a cut from which callers must be served."""
+
+MIN_SERVED = 0.9
+
+
+@pytest.fixture(name="site")
+async def site_fixture(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[CutSite]:
+    """Return a fleet of three instances with callers."""
+    site = CutSite(monkeypatch, CutOptions())
+    try:
+        await site.async_setup_fleet()
+        yield site
+    finally:
+        await site.async_unload()
+
+
+@pytest.mark.parametrize("kind", CutKind, ids=lambda kind: kind.value)
+async def test_callers_of_an_instance_without_target_links_are_served(
+    site: CutSite, kind: CutKind
+) -> None:
+    """Guards against requests that fail at an instance while others could send them."""
+    await site.async_play(1.0)
+    cut = await site.async_cut(0.3, kind, 5.5, with_holder=False)
+    await site.async_settle()
+    start = cut.began_at + STABILITY_PERIOD
+    assert site.served_share(start, cut.ended_at, cut.instances) >= MIN_SERVED
+    assert site.served_share(start, cut.ended_at, site.others(cut)) >= MIN_SERVED
+    assert not site.repeated_once_only()
+    assert not site.untrue_rejections()
