Send requests through another instance while the own links to targets are lost

Now the instance that got the request keeps the permit, the attempts, the retry budget, the deadline and the poison check, and hands the bytes to a relay: an instance that sends them over its own link, once, and never on to another relay (it has no way to). The relay checks itself, right before its write, that the target may still be sent to, and that a rate limit it knows of was known to the permit and the permit is not too old; the remaining time is counted anew from the caller's deadline less the time at the relay.

Kept connections are used while they answer. Unanswered requests are found by SilenceWatch, which probes; a permit on a silent link is released at once, and an idempotent request sent again, but only if the target answers others meanwhile. Failures of lost links no longer count against the target at issuer and assigner.

--- a/swiftpin/dispatch/http_client.py
+++ b/swiftpin/dispatch/http_client.py
@@ -80,19 +80,23 @@
         connections: int = DEFAULT_CONNECTIONS,
         check: AnswerCheck | None = None,
         max_idle: float = math.inf,
+        may_connect: bool = True,
     ) -> HttpAnswer:
         """Send the request and return the head of its answer.
 
-        Only a connection that was used within `max_idle` seconds is used again. An
-        answer that `check` does not accept belongs to an earlier request on the
-        connection and is passed over.
+        Only a connection that was used within `max_idle` seconds is used again, and
+        without `may_connect` none is opened. An answer that `check` does not accept
+        belongs to an earlier request on the connection and is passed over.
 
         Raises `RequestNotSentError` when no byte was written, `AnswerBrokenError`
         when the answer's head did not come, and whatever `gate` or the request's
         body raise. A cancelled exchange closes its connection.
         """
         connection = await self.async_connection(
-            address, connections=connections, max_idle=max_idle
+            address,
+            connections=connections,
+            max_idle=max_idle,
+            may_connect=may_connect,
         )
         return await self.async_exchange_over(
             connection, request, state, gate, check=check
@@ -106,6 +110,7 @@
         max_idle: float = math.inf,
         preferred: int | None = None,
         avoided: int | None = None,
+        may_connect: bool = True,
     ) -> HttpConnection:
         """Return an open connection for one exchange, for whoever must know which.
 
@@ -117,10 +122,23 @@
         connection = pool.take_idle(
             monotonic_now(), max_idle, preferred=preferred, avoided=avoided
         )
+        if connection is None and not may_connect:
+            raise RequestNotSentError(f"no open connection to {address}")
         if connection is None:
             connection = await pool.async_connect()
         return connection
 
+    async def async_open_idle(
+        self, address: str, *, connections: int, limit: float
+    ) -> None:
+        """Open a connection for later requests within `limit` seconds.
+
+        Raises `RequestNotSentError` or `TimeoutError`.
+        """
+        async with asyncio.timeout(limit):
+            connection = await self._pool(address, connections).async_connect()
+        connection.release(monotonic_now())
+
     async def async_exchange_over(
         self,
         connection: HttpConnection,
--- a/swiftpin/fleet/link.py
+++ b/swiftpin/fleet/link.py
@@ -76,6 +76,10 @@
         self.peer = ""
         """Address of the other side, empty until it is known."""
 
+        self.relay = ""
+        """Address at which the other side passes requests on, empty if it does not."""
+
+        self.zone = ""
         self.cpu_capacity = 1.0
         self.heartbeat: Item | None = None
         self.vote_expires_at = 0.0
--- a/swiftpin/fleet/links.py
+++ b/swiftpin/fleet/links.py
@@ -37,6 +37,8 @@
         cpu_capacity: float,
         handler: LinkHandler,
         bandwidth: float = 0.0,
+        relay: str = "",
+        zone: str = "",
     ) -> None:
         self.outgoing_by_peer: dict[str, PeerLink] = {}
         self.incoming: set[PeerLink] = set()
@@ -46,6 +48,8 @@
         self._incarnation = incarnation
         self._own_peer = own_peer
         self._cpu_capacity = cpu_capacity
+        self._relay = relay
+        self._zone = zone
         self._handler = handler
         self._tasks_by_peer: dict[str, asyncio.Task[None]] = {}
         self._server: asyncio.Server | None = None
@@ -166,6 +170,8 @@
                     incarnation=self._incarnation,
                     peer=self._own_peer,
                     strength=self._cpu_capacity,
+                    relay=self._relay,
+                    zone=self._zone,
                 )
             )
         )
--- a/swiftpin/model/instance_settings.py
+++ b/swiftpin/model/instance_settings.py
@@ -23,6 +23,9 @@
     peer_address: Address
     """Listens for links from other instances."""
 
+    relay_address: Address
+    """Listens for requests that other instances pass on."""
+
     seeds: tuple[str, ...]
     """Peer addresses of instances to contact while the store is unreachable."""
 
--- a/swiftpin/permits/permit_broker.py
+++ b/swiftpin/permits/permit_broker.py
@@ -134,6 +134,17 @@
         age = now - permit.granted_at
         return permit.is_rate_limited and age <= MAX_LIMITED_PERMIT_AGE
 
+    @callback
+    def time_left(self, permit: Permit, now: float) -> float | None:
+        """Return the seconds for which a permit for a limited target is valid.
+
+        Return None if the permit did not take a rate limit into account. `now` is on
+        the suspend-aware clock.
+        """
+        if not permit.is_rate_limited:
+            return None
+        return permit.granted_at + MAX_LIMITED_PERMIT_AGE - now
+
     @callback
     def release(
         self, permit: Permit, seconds: float, *, failed: bool, abandoned: bool = False
--- a/swiftpin/platform/settings.py
+++ b/swiftpin/platform/settings.py
@@ -42,8 +42,10 @@
     network = document["network"]
     platform = document["platform"]
     listen = network["listen"]
-    # The first internal port is used for the links between instances.
+    # The first internal port is used for the links between instances, the second for
+    # the requests that they pass on.
     peer_port = network["internal_ports"][0]
+    relay_port = peer_port + 1
     seeds = tuple(
         f"{seed.rpartition(':')[0]}:{peer_port}" for seed in network.get("seeds") or ()
     )
@@ -53,6 +55,7 @@
         caller_address=parse_address(listen["front"]),
         readiness_address=parse_address(listen["ready"]),
         peer_address=parse_address(f"{instance['ip']}:{peer_port}"),
+        relay_address=parse_address(f"{instance['ip']}:{relay_port}"),
         seeds=seeds,
         store_address=parse_address(platform["platform"]["address"]),
         bounds=_decode_bounds(document["terms"]["bounds"]),
--- a/swiftpin/relays/target_links.py
+++ b/swiftpin/relays/target_links.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection
+from collections.abc import Collection
 from dataclasses import dataclass
 import math
 from typing import Final
@@ -63,10 +63,13 @@
         self._presumed_lost_since: float | None = None
         """Time since which all links without newer evidence are presumed lost."""
 
+        self._has_lost_links = False
+        """Whether a link was lost since they were last counted."""
+
         self._silent_at = -math.inf
         self._relayed_at = -math.inf
-        self.on_lost: Callable[[], None] = _do_nothing
-        """Called when a link is held lost."""
+        self.lost_count = 0
+        """Number of lost links, as last counted by `lost_targets`."""
 
     @callback
     def record_answer(self, target: str, now: float) -> None:
@@ -98,6 +101,7 @@
         evidence.failed_at = now
         if evidence.lost_since is None and evidence.failures >= FAILURES_UNTIL_LOST:
             evidence.lost_since = now
+            self._has_lost_links = True
             log_message(
                 message_type="target_link_lost",
                 level="warning",
@@ -106,8 +110,6 @@
                 last_worked=_age(evidence.worked_at, now),
             )
         self._review_presumption(now)
-        if self.is_lost(target, now):
-            self.on_lost()
 
     @callback
     def record_silence(self, target: str, now: float) -> None:
@@ -162,10 +164,28 @@
             return True
         return evidence.relayed_at > max(evidence.worked_at, now - EVIDENCE_PERIOD)
 
+    @callback
+    def is_own_fault(self, target: str, now: float) -> bool:
+        """Return whether failures of a link say nothing about the target behind it."""
+        is_presumed = self._presumed_lost_since is not None
+        return is_presumed or self.is_reached_by_others(target, now)
+
     @callback
     def lost_targets(self, targets: Collection[str], now: float) -> list[str]:
-        """Return the targets whose links are lost."""
-        return [target for target in targets if self.is_lost(target, now)]
+        """Return the targets whose links are lost, and keep their number."""
+        lost = [target for target in targets if self.is_lost(target, now)]
+        self.lost_count = len(lost)
+        self._has_lost_links = False
+        return lost
+
+    @property
+    def has_failures(self) -> bool:
+        """Return whether links are lost, or were when last counted."""
+        return (
+            self.lost_count > 0
+            or self._presumed_lost_since is not None
+            or self._has_lost_links
+        )
 
     @callback
     def evidence_age(self, target: str, now: float) -> float:
@@ -231,8 +251,3 @@
 def _age(at: float, now: float) -> float | None:
     """Return the seconds since a time, None if it never was."""
     return None if math.isinf(at) else now - at
-
-
-@callback
-def _do_nothing() -> None:
-    """Do nothing."""
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -30,6 +30,10 @@
     KIND_TARGETS,
 )
 from swiftpin.platform.store_client import StoreClient
+from swiftpin.relays.relay import Relay
+from swiftpin.relays.relay_choice import RelayChoice
+from swiftpin.relays.relay_client import RelayClient
+from swiftpin.relays.silence_watch import SilenceWatch
 from swiftpin.relays.target_links import TargetLinks
 from swiftpin.router.assigner_factory import AssignerFactory
 from swiftpin.router.background_tasks import BackgroundTasks
@@ -40,14 +44,17 @@
 from swiftpin.router.http_clients import HttpClients
 from swiftpin.router.key_maps import KeyMaps
 from swiftpin.router.leader import Leader
+from swiftpin.router.link_probes import LinkProbes
 from swiftpin.router.listeners import Listeners
 from swiftpin.router.metrics import Metrics
 from swiftpin.router.planned_stop import PlannedStop
 from swiftpin.router.poison_detector import PoisonDetector
+from swiftpin.router.relay_handler import RelayHandler
 from swiftpin.router.request_handler import RequestHandler
 from swiftpin.router.request_log import RequestLog
 from swiftpin.router.request_sender import RequestSender
 from swiftpin.router.status_endpoints import StatusEndpoints
+from swiftpin.router.target_ways import TargetWays
 
 HOUSEKEEPING_INTERVAL: Final = 1.0
 """Seconds between two runs of the periodic clean-up."""
@@ -78,6 +85,8 @@
         self._poison = PoisonDetector()
         self._fleet_size = FleetSize()
         self._target_links = TargetLinks()
+        self._silence_watch = SilenceWatch(self._target_links)
+        self._relays = RelayChoice(settings.zone)
         self._clients = HttpClients()
         self._store = StoreClient(
             str(settings.store_address),
@@ -114,6 +123,9 @@
             health=self._health,
             poison=self._poison,
             fleet_size=self._fleet_size,
+            own_relay=Relay(address=str(settings.relay_address), zone=settings.zone),
+            target_links=self._target_links,
+            relays=self._relays,
         )
         self._metrics.set_link_traffic(self._fleet.links.traffic)
         self._lease.on_record = self._fleet.known_leader.adopt_record
@@ -134,10 +146,33 @@
             make_assigner=self._assigner_factory.make,
         )
         self._fleet.load_reports.on_load = self._leader.handle_load_report
-        self._sender = RequestSender(
+        ways = TargetWays(
+            client=self._clients.targets,
+            relay_client=RelayClient(self._clients.relays),
+            links=self._target_links,
+            watch=self._silence_watch,
+            relays=self._relays,
+        )
+        ways.on_relays_needed = self._request_relays
+        self._relay_handler = RelayHandler(
+            client=self._clients.targets,
+            configuration=self._configuration,
+            directory=self._directory,
+            rate_reports=self._permits.rate_reports,
+            lifecycle=self._lifecycle,
+            links=self._target_links,
+        )
+        self._link_probes = LinkProbes(
             client=self._clients.targets,
             configuration=self._configuration,
             directory=self._directory,
+            links=self._target_links,
+            watch=self._silence_watch,
+        )
+        self._sender = RequestSender(
+            ways=ways,
+            configuration=self._configuration,
+            directory=self._directory,
             maps=self._maps,
             permits=self._permits,
             bounds=settings.bounds,
@@ -173,6 +208,7 @@
         self._listeners = Listeners(
             handler=self._handler.async_handle,
             on_unparsed=request_log.write_unparsed,
+            relayed=self._relay_handler.async_handle,
             status=status_endpoints,
         )
         self._planned_stop = PlannedStop(
@@ -181,6 +217,7 @@
             health=self._health,
             callers=self._listeners.callers,
             handler=self._handler,
+            relayed=self._relay_handler,
         )
         # The platform restarts a process that exits.
         self._tasks = BackgroundTasks(on_failed=self.stop_requested.set)
@@ -229,6 +266,7 @@
         self._tasks.start(self._leader.async_run())
         self._tasks.start(self._fleet.async_run(self._collect_load_report))
         self._tasks.start(self._permits.async_run())
+        self._tasks.start(self._link_probes.async_run())
         self._tasks.start(self._async_housekeeping())
 
     async def async_stop(self) -> None:
@@ -241,6 +279,7 @@
         await self._listeners.async_unload()
         await self._fleet.links.async_unload()
         self._handler.unload()
+        self._relay_handler.unload()
         self._clients.unload()
 
     @callback
@@ -294,11 +333,19 @@
         rate_reports.retain_targets(self._directory.targets_by_id.keys())
         self._metrics.limited_targets = len(rate_reports.limited_targets)
 
+    @callback
+    def _request_relays(self) -> None:
+        """Learn which instances can pass requests on."""
+        now = asyncio.get_running_loop().time()
+        self._fleet.relay_directory.request_relays(now)
+
     @callback
     def _update_target_links(self, now: float) -> None:
         """Drop the links to targets that are gone and update their metric."""
         targets = self._directory.targets_by_id.keys()
         self._target_links.retain_targets(targets)
+        self._silence_watch.retain_targets(set(targets))
+        self._metrics.passed_on = self._relay_handler.relayed
         lost = self._target_links.lost_targets(targets, now)
         self._metrics.lost_target_links = len(lost)
 
--- a/swiftpin/router/call.py
+++ b/swiftpin/router/call.py
@@ -41,6 +41,13 @@
     """Whether a target received the request without stating that it did not run it."""
 
     target: str = ""
+    relay: str = ""
+    """Address of the instance that passed on the last send, empty if sent directly."""
+
+    relay_evidence_age: float = 0.0
+    """Age in seconds, at the last relayed send, of the evidence that this instance's
+    own link was lost."""
+
     failed_target: str = ""
     """Target of the last send that failed."""
 
--- a/swiftpin/router/caller_answer.py
+++ b/swiftpin/router/caller_answer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from http import HTTPStatus
 from typing import Final
 
@@ -57,13 +58,21 @@
         """Set the request id for answers created by this instance."""
         self._request_id = request_id
 
-    async def async_relay(self, answer: HttpAnswer, first_chunks: list[bytes]) -> None:
+    async def async_relay(
+        self,
+        answer: HttpAnswer,
+        first_chunks: list[bytes],
+        own_headers: Mapping[str, str] | None = None,
+    ) -> None:
         """Relay a target's answer; `first_chunks` is the part of its body read so far.
 
+        `own_headers` are added to those of the target.
+
         Raises `AnswerCutShortError` after resetting the caller's connection if the
         target breaks its answer off.
         """
         headers = encode_answer_headers(answer.headers.items())
+        headers.update(own_headers or {})
         writer = self._request.writer
         is_complete = answer.is_read
         if is_complete:
@@ -103,6 +112,13 @@
             headers[RETRY_AFTER] = f"{err.retry_after:.3f}"
         await self._async_write(err.status, headers, error_body(err))
 
+    async def async_own(self, status: int, headers: Mapping[str, str]) -> None:
+        """Write an answer of this instance without a body."""
+        if not self._request.content.is_eof():
+            # The rest of the request body would be parsed as the next request.
+            self.closes_connection = True
+        await self._async_write(status, CIMultiDict(headers), b"")
+
     def abort_connection(self) -> None:
         """Reset the connection, so that a partial answer can't look complete."""
         transport = self._request.transport
--- a/swiftpin/router/fleet_coordinator.py
+++ b/swiftpin/router/fleet_coordinator.py
@@ -18,6 +18,9 @@
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.keyranges.lease_election import LeaseElection
 from swiftpin.permits.permit_broker import PermitBroker
+from swiftpin.relays.relay import Relay
+from swiftpin.relays.relay_choice import RelayChoice
+from swiftpin.relays.target_links import TargetLinks
 from swiftpin.router.configuration_holder import ConfigurationHolder
 from swiftpin.router.extension_votes import ExtensionVotes
 from swiftpin.router.fleet_messages import (
@@ -35,6 +38,7 @@
 from swiftpin.router.load_reports import LoadReports, report_interval
 from swiftpin.router.poison_detector import PoisonDetector
 from swiftpin.router.poison_reports import PoisonReports
+from swiftpin.router.relay_directory import RelayDirectory
 
 UPDATE_INTERVAL: Final = 0.2
 """Seconds between two updates of links, issuers and reports."""
@@ -64,6 +68,9 @@
         health: StoreHealth,
         poison: PoisonDetector,
         fleet_size: FleetSize,
+        own_relay: Relay,
+        target_links: TargetLinks,
+        relays: RelayChoice,
     ) -> None:
         links = self.links = FleetLinks(
             incarnation=incarnation,
@@ -71,6 +78,8 @@
             cpu_capacity=cpu_capacity,
             handler=self,
             bandwidth=bandwidth,
+            relay=own_relay.address,
+            zone=own_relay.zone,
         )
         links.on_lost = permits.remove_link
         self._seeds = seeds
@@ -85,6 +94,15 @@
         self._poison_reports = PoisonReports(links, self.known_leader, poison)
         self._fleet_size = fleet_size
         self._is_list_confirmed = False
+        self.relay_directory = RelayDirectory(
+            own_relay=own_relay,
+            links=links,
+            leader=self.known_leader,
+            lease=lease,
+            directory=directory,
+            target_links=target_links,
+            choice=relays,
+        )
         self._heartbeats = Heartbeats(
             incarnation=incarnation,
             leader=self.known_leader,
@@ -96,6 +114,7 @@
             lifecycle=lifecycle,
             health=health,
             permits=permits,
+            target_links=target_links,
         )
         self._issuer_list = IssuerList(
             incarnation=incarnation,
@@ -174,6 +193,10 @@
                 self._poison_reports.handle_quarantine(
                     item.quarantine, suspend_aware_now()
                 )
+            case "relay_ask":
+                self.relay_directory.handle_ask(link)
+            case "relay_list":
+                self.relay_directory.handle_list(item.relay_list)
             case "issuers":
                 self._issuer_list.adopt(decode_issuers(item.issuers))
                 self._permits.authority.record_list(
@@ -201,6 +224,8 @@
         link.incarnation = hello.incarnation
         link.peer = hello.peer
         link.cpu_capacity = hello.strength
+        link.relay = hello.relay
+        link.zone = hello.zone
         self._permits.add_link(link)
         log_message(
             message_type="peer_linked",
--- a/swiftpin/router/heartbeats.py
+++ b/swiftpin/router/heartbeats.py
@@ -12,6 +12,7 @@
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.keyranges.lease_election import LeaseElection
 from swiftpin.permits.permit_broker import PermitBroker
+from swiftpin.relays.target_links import TargetLinks
 from swiftpin.router.configuration_holder import ConfigurationHolder
 from swiftpin.router.extension_votes import ExtensionVotes
 from swiftpin.router.key_maps import KeyMaps
@@ -34,6 +35,7 @@
         lifecycle: Lifecycle,
         health: StoreHealth,
         permits: PermitBroker,
+        target_links: TargetLinks,
     ) -> None:
         self._incarnation = incarnation
         self._leader = leader
@@ -45,6 +47,7 @@
         self._lifecycle = lifecycle
         self._health = health
         self._permits = permits
+        self._target_links = target_links
 
     @callback
     def make(self, link: PeerLink, now: float) -> Item:
@@ -73,6 +76,7 @@
                 evacuated_zones=ages_by_zone.keys(),
                 evacuated_for=ages_by_zone.values(),
                 issuers_number=self._published_list_number(now),
+                lost_target_links=self._target_links.lost_count,
             )
         )
 
--- a/swiftpin/router/http_clients.py
+++ b/swiftpin/router/http_clients.py
@@ -29,15 +29,20 @@
             idle_limit=IDLE_LIMIT,
             untaken_limit=CONTROL_TIMEOUT,
         )
+        self.relays = HttpClient(connect_limit=CONNECT_TIMEOUT, idle_limit=IDLE_LIMIT)
 
     @callback
     def close_idle(self, now: float) -> None:
         """Close connections that have been idle for longer than their limit."""
-        for client in (self.targets, self.control, self.store):
+        for client in self._all():
             client.close_idle(now)
 
     @callback
     def unload(self) -> None:
         """Close all connections."""
-        for client in (self.targets, self.control, self.store):
+        for client in self._all():
             client.unload()
+
+    def _all(self) -> tuple[HttpClient, ...]:
+        """Return all clients."""
+        return (self.targets, self.control, self.store, self.relays)
--- a/swiftpin/router/listeners.py
+++ b/swiftpin/router/listeners.py
@@ -20,13 +20,14 @@
 
 
 class Listeners:
-    """Listeners for callers, for the load balancer and for metrics."""
+    """Listeners for callers, other instances, the load balancer and for metrics."""
 
     def __init__(
         self,
         *,
         handler: HttpHandler,
         on_unparsed: Callable[[RequestError], None],
+        relayed: HttpHandler,
         status: StatusEndpoints,
     ) -> None:
         self.callers = HttpListener(
@@ -35,19 +36,26 @@
             max_headers=MAX_HEADERS,
             on_unparsed=on_unparsed,
         )
+        self._relayed = _listener(relayed)
         self._readiness = _listener(status.async_readiness)
         self._metrics = _listener(status.async_metrics)
 
     async def async_setup(self, settings: InstanceSettings) -> None:
         """Start listening, on the load balancer's address first."""
         await self._readiness.async_setup(settings.readiness_address)
+        await self._relayed.async_setup(settings.relay_address)
         await self.callers.async_setup(settings.caller_address)
         metrics = Address(host=settings.peer_address.host, port=METRICS_PORT)
         await self._metrics.async_setup(metrics)
 
     async def async_unload(self) -> None:
         """Close all connections."""
-        for listener in (self.callers, self._readiness, self._metrics):
+        for listener in (
+            self.callers,
+            self._relayed,
+            self._readiness,
+            self._metrics,
+        ):
             await listener.async_unload()
 
 
--- a/swiftpin/router/metrics.py
+++ b/swiftpin/router/metrics.py
@@ -84,6 +84,12 @@
         self.limited_targets = 0
         """Targets that name a rate limit, as known to this instance."""
 
+        self.ways: Counter[tuple[str, ...]] = Counter()
+        """Requests sent, by service and the way of their last send."""
+
+        self.passed_on = 0
+        """Requests of other instances that this one passed on to targets."""
+
         self.lost_target_links = 0
         """Targets to which this instance's own links are held lost."""
 
@@ -176,6 +182,11 @@
         for failure in failures:
             self.step_failures[service, failure.value] += 1
 
+    @callback
+    def record_way(self, service: str, *, is_relayed: bool) -> None:
+        """Count a request that was sent, by the way of its last send."""
+        self.ways[service, "relayed" if is_relayed else "direct"] += 1
+
     @callback
     def record_turnaround(self, service: str, seconds: float) -> None:
         """Record the turnaround of a permit of this instance."""
--- a/swiftpin/router/metrics_registry.py
+++ b/swiftpin/router/metrics_registry.py
@@ -72,6 +72,18 @@
             "Targets that name a rate limit, as known to this instance.",
             value=metrics.limited_targets,
         )
+        yield _counter(
+            "swiftpin_router_sent_requests",
+            "Requests that were sent, by the way of their last send: `direct`, or"
+            " `relayed` through another instance.",
+            ("service", "way"),
+            metrics.ways,
+        )
+        yield CounterMetricFamily(
+            "swiftpin_router_passed_on_requests",
+            "Requests of other instances that this one passed on to targets.",
+            value=metrics.passed_on,
+        )
         yield GaugeMetricFamily(
             "swiftpin_router_lost_target_links",
             "Targets to which this instance's own links are held lost.",
--- a/swiftpin/router/planned_stop.py
+++ b/swiftpin/router/planned_stop.py
@@ -13,6 +13,7 @@
 from swiftpin.gateway.lifecycle import Lifecycle
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.keyranges.lease_election import LeaseElection
+from swiftpin.router.relay_handler import RelayHandler
 from swiftpin.router.request_handler import RequestHandler
 
 BALANCER_REMOVAL_TIME: Final = 2.4
@@ -42,12 +43,14 @@
         health: StoreHealth,
         callers: HttpListener,
         handler: RequestHandler,
+        relayed: RelayHandler,
     ) -> None:
         self._lifecycle = lifecycle
         self._lease = lease
         self._health = health
         self._callers = callers
         self._handler = handler
+        self._relayed = relayed
 
     async def async_run(self, grace: float) -> None:
         """Shut down within `grace` seconds."""
@@ -67,9 +70,8 @@
                 handler.refuse_new_requests()
             if loop.time() >= queue_until:
                 handler.refuse_waiting_requests()
-                if not handler.in_flight and not self._must_keep_lease(
-                    suspend_aware_now()
-                ):
+                in_flight = handler.in_flight + self._relayed.in_flight
+                if not in_flight and not self._must_keep_lease(suspend_aware_now()):
                     break
             await asyncio.sleep(STOP_POLL_INTERVAL)
         await self._lease.async_give_up()
--- /dev/null
+++ b/swiftpin/router/relay_handler.py
@@ -0,0 +1,233 @@
+"""Passing on of other instances' requests to targets."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+from functools import partial
+from http import HTTPStatus
+import math
+from typing import Final
+
+from aiohttp.hdrs import CONTENT_LENGTH, HOST
+from aiohttp.web import BaseRequest, StreamResponse
+
+from swiftpin.core import callback
+from swiftpin.discovery.target_directory import TargetDirectory
+from swiftpin.dispatch.http_answer import HttpAnswer
+from swiftpin.dispatch.http_client import HttpClient
+from swiftpin.dispatch.http_request import HttpRequest
+from swiftpin.dispatch.http_send_state import HttpSendState
+from swiftpin.exceptions import (
+    AnswerBrokenError,
+    CallerLeftError,
+    CallerMistakeError,
+    ConnectionFailedError,
+    RequestError,
+    RequestNotSentError,
+)
+from swiftpin.gateway.deadline_watch import DeadlineWatch
+from swiftpin.gateway.lifecycle import Lifecycle
+from swiftpin.gateway.request_body import RequestBody
+from swiftpin.helpers.clock import suspend_aware_now
+from swiftpin.model.target import Target
+from swiftpin.permits.rate_report import RateReport
+from swiftpin.permits.rate_reports import RateReports
+from swiftpin.platform.request_head import (
+    RequestHead,
+    decode_answer_head,
+    decode_request_head,
+    encode_request_headers,
+    is_answer_to,
+)
+from swiftpin.relays.relay_terms import (
+    HEADER_RELAY_REASON,
+    HEADER_RELAY_RESULT,
+    RELAY_HEADERS,
+    RelayResult,
+    RelayTerms,
+    decode_relay_terms,
+)
+from swiftpin.relays.target_links import TargetLinks
+from swiftpin.router.caller_answer import CallerAnswer
+from swiftpin.router.configuration_holder import ConfigurationHolder
+from swiftpin.router.connection_limit import MAX_IDLE_FOR_ONCE, connection_limit
+
+MAX_RELAYED_REQUESTS: Final = 128
+"""Maximum requests of other instances at a time, so that they leave room for those of
+this instance's own callers."""
+
+
+class RelayHandler:
+    """Sends requests of other instances over this instance's own links.
+
+    The sending instance holds the permit and decides on retries. This one sends each
+    request once, and only if it may send to the target itself.
+    """
+
+    def __init__(
+        self,
+        *,
+        client: HttpClient,
+        configuration: ConfigurationHolder,
+        directory: TargetDirectory,
+        rate_reports: RateReports,
+        lifecycle: Lifecycle,
+        links: TargetLinks,
+    ) -> None:
+        self.in_flight = 0
+        """Number of requests that are being passed on."""
+
+        self.relayed = 0
+        """Number of requests that were answered by a target."""
+
+        self._client = client
+        self._configuration = configuration
+        self._directory = directory
+        self._rate_reports = rate_reports
+        self._lifecycle = lifecycle
+        self._links = links
+        self._deadline_watch = DeadlineWatch()
+
+    @callback
+    def unload(self) -> None:
+        """Stop the deadline timer."""
+        self._deadline_watch.unload()
+
+    async def async_handle(self, request: BaseRequest) -> StreamResponse:
+        """Pass one request on and return its finished response."""
+        answer = CallerAnswer(request, "")
+        if self._lifecycle.leaving or self.in_flight >= MAX_RELAYED_REQUESTS:
+            return await _async_refuse(answer, RelayResult.BUSY, "no room")
+        self.in_flight += 1
+        try:
+            return await self._async_serve(request, answer)
+        except CallerLeftError:
+            # The sending instance logs the request.
+            return answer.response
+        finally:
+            self.in_flight -= 1
+
+    async def _async_serve(
+        self, request: BaseRequest, answer: CallerAnswer
+    ) -> StreamResponse:
+        """Pass one request on; turn errors into answers for the sending instance."""
+        state = HttpSendState()
+        started_at = asyncio.get_running_loop().time()
+        try:
+            terms = decode_relay_terms(request.headers)
+            head = decode_request_head(request.headers)
+            with self._deadline_watch.until(started_at + head.deadline):
+                received = await self._async_send(request, head, terms, state)
+        except ConnectionFailedError as err:
+            return await _async_refuse(answer, RelayResult.NO_LINK, str(err))
+        except (RequestNotSentError, ValueError, CallerMistakeError) as err:
+            result = RelayResult.BROKEN if state.written else RelayResult.NOT_ALLOWED
+            return await _async_refuse(answer, result, str(err))
+        except (AnswerBrokenError, RequestError, TimeoutError) as err:
+            result = RelayResult.BROKEN if state.written else RelayResult.NOT_ALLOWED
+            return await _async_refuse(answer, result, repr(err))
+        try:
+            await answer.async_relay(
+                received, [], {HEADER_RELAY_RESULT: RelayResult.ANSWERED}
+            )
+            self.relayed += 1
+        except RequestError:
+            # The connection was reset, so the answer does not look complete.
+            return answer.response
+        finally:
+            received.finish(asyncio.get_running_loop().time())
+        return answer.response
+
+    async def _async_send(
+        self,
+        request: BaseRequest,
+        head: RequestHead,
+        terms: RelayTerms,
+        state: HttpSendState,
+    ) -> HttpAnswer:
+        """Send a request to its target and return the head of the answer."""
+        started_at = suspend_aware_now()
+        target = self._directory.targets_by_id.get(terms.target)
+        configuration = self._configuration.current
+        if target is None or configuration is None:
+            raise RequestNotSentError(f"{terms.target} is not known here")
+        body = RequestBody(request, configuration.limits.body_bytes)
+        await body.async_prefetch()
+        remaining = head.deadline - (suspend_aware_now() - started_at)
+        service = configuration.services_by_name.get(target.service)
+        try:
+            answer = await self._client.async_exchange(
+                target.address,
+                HttpRequest(
+                    method=request.method,
+                    path=request.raw_path,
+                    headers=encode_request_headers(
+                        _target_headers(request.headers),
+                        request.headers.get(HOST, ""),
+                        target.name,
+                        remaining,
+                    ),
+                    body=body,
+                ),
+                state,
+                partial(self._check_send, terms, started_at),
+                connections=connection_limit(service),
+                check=partial(is_answer_to, head.id),
+                max_idle=MAX_IDLE_FOR_ONCE if terms.is_once else math.inf,
+            )
+        except ConnectionFailedError as err:
+            self._links.record_failure(target.id, str(err), suspend_aware_now())
+            raise
+        now = suspend_aware_now()
+        self._links.record_answer(target.id, now)
+        self._record_rate_limit(target, answer, started_at, now)
+        return answer
+
+    @callback
+    def _check_send(self, terms: RelayTerms, started_at: float, now: float) -> None:
+        """Raise `RequestNotSentError` if the request must not be sent any more."""
+        sent_at = suspend_aware_now()
+        if not self._directory.may_send(terms.target, sent_at):
+            raise RequestNotSentError(f"{terms.target} has left")
+        if terms.target not in self._rate_reports.limited_targets:
+            return
+        if terms.permit_left is None or sent_at - started_at > terms.permit_left:
+            raise RequestNotSentError(
+                f"{terms.target} has a rate limit and the permit has expired"
+            )
+
+    @callback
+    def _record_rate_limit(
+        self, target: Target, answer: HttpAnswer, asked_at: float, now: float
+    ) -> None:
+        """Record the rate limit that a target named in an answer."""
+        head = decode_answer_head(answer.status, answer.headers)
+        if head.rate_limit is None or head.instance not in (None, target.name):
+            return
+        report = RateReport(limit=head.rate_limit, sent_at=asked_at, received_at=now)
+        self._rate_reports.add(target.id, report, now, source="answer")
+
+
+def _target_headers(headers: Mapping[str, str]) -> list[tuple[str, str]]:
+    """Return the headers of a relayed request without those for the relay."""
+    return [
+        (name, value)
+        for name, value in headers.items()
+        if name.lower() not in RELAY_HEADERS
+    ]
+
+
+async def _async_refuse(
+    answer: CallerAnswer, result: RelayResult, reason: str
+) -> StreamResponse:
+    """Tell the sending instance that a request got no answer of its target."""
+    await answer.async_own(
+        HTTPStatus.BAD_GATEWAY,
+        {
+            HEADER_RELAY_RESULT: result,
+            HEADER_RELAY_REASON: " ".join(reason.split()),
+            CONTENT_LENGTH: "0",
+        },
+    )
+    return answer.response
--- a/swiftpin/router/request_log.py
+++ b/swiftpin/router/request_log.py
@@ -110,6 +110,8 @@
             self._metrics.record_steps(
                 call.service, call.waited, call.step_failures, call.sends
             )
+            if call.sends:
+                self._metrics.record_way(call.service, is_relayed=bool(call.relay))
 
     @callback
     def _write(
@@ -136,13 +138,17 @@
         basis = call.basis or current_basis(self._maps, self._directory, call.service)
         notes = format_text("; ".join(call.notes)) if call.notes else ABSENT
         key = ABSENT if call.head.key is None else call.head.key
+        way = ""
+        if call.relay:
+            age = call.relay_evidence_age * MILLISECONDS
+            way = f" relay={call.relay} link_evidence_age_ms={age:.0f}"
         return (
             f" request_id={format_text(call.head.id)}"
             f" route={format_text_cached(call.route.name)}"
             f" kind={call.route.kind.value} service={format_text_cached(call.service)}"
             f" configuration={call.configuration} key={key} {basis.format_fields()}"
             f" target={format_text_cached(call.target) if call.target else ABSENT}"
-            f" sends={call.sends} waited_ms={call.waited * MILLISECONDS:.1f}"
+            f"{way} sends={call.sends} waited_ms={call.waited * MILLISECONDS:.1f}"
             f" may_have_run={'true' if call.may_have_run else 'false'} notes={notes}"
         )
 
--- a/swiftpin/router/request_sender.py
+++ b/swiftpin/router/request_sender.py
@@ -8,7 +8,6 @@
 
 from swiftpin.core import callback
 from swiftpin.discovery.target_directory import TargetDirectory
-from swiftpin.dispatch.http_client import HttpClient
 from swiftpin.exceptions import AnswerLostError, NotRunError, QueueFullError
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.model.bounds import Bounds
@@ -30,6 +29,7 @@
 from swiftpin.router.retry_policy import RetryPolicy
 from swiftpin.router.step_failure import StepFailure
 from swiftpin.router.target_exchange import TargetExchange, request_fingerprint
+from swiftpin.router.target_ways import TargetWays
 from swiftpin.router.transfer_times import TransferTimes
 
 QUARANTINED_RETRY_AFTER: Final = 5.0
@@ -46,7 +46,7 @@
     def __init__(
         self,
         *,
-        client: HttpClient,
+        ways: TargetWays,
         configuration: ConfigurationHolder,
         directory: TargetDirectory,
         maps: KeyMaps,
@@ -62,7 +62,7 @@
             configuration=configuration, directory=directory, maps=maps
         )
         self._exchange = TargetExchange(
-            client=client,
+            ways=ways,
             configuration=configuration,
             directory=directory,
             maps=maps,
--- a/swiftpin/router/step_failure.py
+++ b/swiftpin/router/step_failure.py
@@ -23,6 +23,7 @@
     REFUSED = "refused"
     REPLACED = "replaced"
     BROKEN = "broken"
+    LINK_LOST = "link_lost"
     TARGET_FAILED = "target_failed"
     BUDGET_SPENT = "budget_spent"
     TIME_OVER = "time_over"
@@ -40,6 +41,7 @@
     StepFailure.REFUSED: "the target stated that it did not run the request",
     StepFailure.REPLACED: "another instance of the service answered at the address",
     StepFailure.BROKEN: "the request was sent, but no complete, signed answer came",
+    StepFailure.LINK_LOST: "the own link was lost while a target had the request",
     StepFailure.TARGET_FAILED: "the target answered 5xx and the request was sent again",
     StepFailure.BUDGET_SPENT: "the service's retry budget was spent",
     StepFailure.TIME_OVER: "the request's deadline passed while it was not at a target",
--- a/swiftpin/router/target_exchange.py
+++ b/swiftpin/router/target_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from functools import partial
 from http import HTTPStatus
 import math
@@ -13,16 +14,17 @@
 from swiftpin.core import callback
 from swiftpin.discovery.target_directory import TargetDirectory
 from swiftpin.dispatch.http_answer import HttpAnswer
-from swiftpin.dispatch.http_client import HttpClient
 from swiftpin.dispatch.http_request import HttpRequest
 from swiftpin.dispatch.http_send_state import HttpSendState
 from swiftpin.exceptions import (
     AnswerBrokenError,
     ConnectionFailedError,
+    ExchangeError,
     RequestNotSentError,
 )
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.model.request_kind import RequestKind
+from swiftpin.model.service_spec import ServiceSpec
 from swiftpin.model.target import Target
 from swiftpin.permits.permit import Permit
 from swiftpin.permits.permit_broker import PermitBroker
@@ -33,24 +35,22 @@
     encode_request_headers,
     is_answer_to,
 )
+from swiftpin.relays.relay_client import RelayedAnswerBrokenError
+from swiftpin.relays.relay_terms import RelayTerms
 from swiftpin.relays.target_links import TargetLinks
 from swiftpin.router.call import Call
 from swiftpin.router.caller_answer import MAX_BUFFERED_ANSWER
 from swiftpin.router.configuration_holder import ConfigurationHolder
+from swiftpin.router.connection_limit import MAX_IDLE_FOR_ONCE, connection_limit
 from swiftpin.router.fleet_messages import LoadReport
 from swiftpin.router.key_maps import KeyMaps
+from swiftpin.router.permit_use import PermitUse
 from swiftpin.router.poison_detector import PoisonDetector, compute_fingerprint
 from swiftpin.router.received_answer import ReceivedAnswer
 from swiftpin.router.retry_policy import RetryPolicy
+from swiftpin.router.silent_link import SilentLinkError, SilentLinkInterrupt
 from swiftpin.router.step_failure import StepFailure
-
-MAX_IDLE_FOR_ONCE: Final = 1.0
-"""Seconds for which a connection may have been idle before it carries a request that
-must not run twice. Targets close idle connections, sometimes without notice, and a
-request that is sent at that moment is lost."""
-
-CONNECTION_DIVISOR: Final = 6
-"""Each instance opens at most a target's connection limit divided by this."""
+from swiftpin.router.target_ways import OutgoingRequest, TargetWays
 
 MIN_SEND_TIME: Final = 0.02
 """Seconds that must remain until the deadline for a request to be sent."""
@@ -62,7 +62,7 @@
     def __init__(
         self,
         *,
-        client: HttpClient,
+        ways: TargetWays,
         configuration: ConfigurationHolder,
         directory: TargetDirectory,
         maps: KeyMaps,
@@ -74,7 +74,7 @@
         self.load = LoadReport()
         """Load observed since the last report."""
 
-        self._client = client
+        self._ways = ways
         self._configuration = configuration
         self._directory = directory
         self._maps = maps
@@ -86,23 +86,35 @@
     async def async_exchange(self, call: Call, permit: Permit) -> ReceivedAnswer | None:
         """Return the answer with the start of its body, or None if the send failed."""
         call.target = permit.target
+        call.relay = ""
         state = HttpSendState()
+        use = PermitUse(self._permits, permit)
         began_at = asyncio.get_running_loop().time()
         try:
-            received = await self._async_send(call, permit, state, began_at)
+            with SilentLinkInterrupt() as interrupt:
+                received = await self._async_send(
+                    call,
+                    use,
+                    state,
+                    began_at,
+                    partial(_on_silent, call, use, interrupt),
+                )
         except RequestNotSentError as err:
-            if isinstance(err, ConnectionFailedError):
-                self._links.record_failure(permit.target, str(err), suspend_aware_now())
             self._record_failed_send(
-                call, permit, StepFailure.NOT_SENT, f"not sent: {err}"
+                call,
+                use,
+                StepFailure.NOT_SENT,
+                f"not sent: {err}",
+                failed=not self._is_own_fault(permit.target, err),
             )
             return None
+        except SilentLinkError as err:
+            call.may_have_run = True
+            self._record_step_failure(call, permit, StepFailure.LINK_LOST, str(err))
+            return None
         except AnswerBrokenError as err:
             call.may_have_run = True
-            self._record_failed_send(call, permit, StepFailure.BROKEN, f"broken: {err}")
-            self._poison.on_suspect(
-                request_fingerprint(call), permit.target, suspend_aware_now()
-            )
+            self._record_broken(call, use, err)
             return None
         except BaseException:
             # The deadline passed or the caller disconnected.
@@ -112,8 +124,9 @@
                     StepFailure.GIVEN_UP, f"{permit.target} had it to the end"
                 )
             elapsed = asyncio.get_running_loop().time() - began_at
-            self._permits.release(permit, elapsed, failed=False, abandoned=True)
-            self.load.add_abandoned(call.service, permit.target, elapsed)
+            if not use.is_link_silent:
+                self.load.add_abandoned(call.service, permit.target, elapsed)
+            use.release(elapsed, failed=False, abandoned=True)
             raise
         finally:
             call.sends += state.written
@@ -121,47 +134,47 @@
         return received
 
     async def _async_send(
-        self, call: Call, permit: Permit, state: HttpSendState, began_at: float
+        self,
+        call: Call,
+        use: PermitUse,
+        state: HttpSendState,
+        began_at: float,
+        on_silent: Callable[[], None],
     ) -> ReceivedAnswer | None:
         """Send the request and read the start of the answer."""
+        permit = use.permit
         target = self._directory.targets_by_id.get(permit.target)
         time_left = call.ends_at - began_at
         if target is None or time_left < MIN_SEND_TIME:
             raise RequestNotSentError(f"{permit.target} is gone, or no time is left")
         asked_at = suspend_aware_now()
-        request = call.request
-        headers = encode_request_headers(
-            request.headers.items(),
-            request.headers.get(HOST, ""),
-            target.name,
-            time_left,
-        )
         is_once = call.route.kind is RequestKind.ONCE
-        answer = await self._client.async_exchange(
-            target.address,
-            HttpRequest(
-                method=request.method,
-                path=request.raw_path,
-                headers=headers,
-                body=call.body,
-            ),
-            state,
-            partial(self._check_target, call, permit),
-            connections=self._connection_limit(call.service),
+        outgoing = OutgoingRequest(
+            target=target,
+            make_request=partial(_make_request, call, target),
+            can_be_sent=lambda: call.body.can_be_sent,
+            terms=partial(self._relay_terms, call, permit),
+            state=state,
+            gate=partial(self._check_target, call, permit),
             check=partial(is_answer_to, call.head.id),
+            connections=connection_limit(self._service(call.service)),
             max_idle=MAX_IDLE_FOR_ONCE if is_once else math.inf,
+            on_silent=on_silent,
         )
-        self._links.record_answer(permit.target, suspend_aware_now())
+        try:
+            answer = await self._ways.async_exchange(outgoing)
+        finally:
+            _record_way(call, outgoing)
         head = decode_answer_head(answer.status, answer.headers)
         self._record_rate_limit(target, head, asked_at)
         if head.not_executed:
-            return self._handle_refusal(call, permit, answer, head)
-        return await self._async_receive(call, permit, answer, head, began_at)
+            return self._handle_refusal(call, use, answer, head)
+        return await self._async_receive(call, use, answer, head, began_at)
 
     async def _async_receive(
         self,
         call: Call,
-        permit: Permit,
+        use: PermitUse,
         answer: HttpAnswer,
         head: AnswerHead,
         began_at: float,
@@ -173,7 +186,7 @@
         # The target's work is done when the answer starts. Its slot is freed before the
         # body is transferred, since the transfer over a slow link takes longer than the
         # work itself.
-        self._permits.release(permit, elapsed, failed=failed)
+        use.release(elapsed, failed=failed)
         try:
             if not head.is_signed and answer.status < HTTPStatus.MULTIPLE_CHOICES:
                 raise AnswerBrokenError("a success without the target's signature")
@@ -181,7 +194,10 @@
         except BaseException:
             answer.abort()
             raise
-        self.load.add_duration(call.service, permit.target, None if failed else elapsed)
+        if not use.is_link_silent:
+            self.load.add_duration(
+                call.service, use.permit.target, None if failed else elapsed
+            )
         call.status = answer.status
         return ReceivedAnswer(
             answer=answer, first_chunks=first_chunks, answer_began_at=answered_at
@@ -221,9 +237,10 @@
 
     @callback
     def _handle_refusal(
-        self, call: Call, permit: Permit, answer: HttpAnswer, head: AnswerHead
+        self, call: Call, use: PermitUse, answer: HttpAnswer, head: AnswerHead
     ) -> None:
         """Handle a target's refusal to run the request."""
+        permit = use.permit
         answer.abort()
         key = call.head.key
         is_key_denied = False
@@ -235,26 +252,79 @@
             # The target is gone and its address now belongs to another one.
             self._directory.mark_replaced(permit.target, suspend_aware_now())
             reason = f"replaced by {head.instance}"
-            self._record_failed_send(call, permit, StepFailure.REPLACED, reason)
+            self._record_failed_send(call, use, StepFailure.REPLACED, reason)
             return
         reason = f"refused: {answer.status}"
         if not is_key_denied:
-            self._record_failed_send(call, permit, StepFailure.REFUSED, reason)
+            self._record_failed_send(call, use, StepFailure.REFUSED, reason)
             return
         # The key is being moved away or its grant has expired; the target itself is
         # healthy. If such refusals counted as failures, a target that has just lost
         # keys would seem to have less capacity, and more of its keys would be moved.
-        self._permits.release(permit, 0.0, failed=False)
+        use.release(0.0, failed=False)
         self._record_step_failure(call, permit, StepFailure.REFUSED, reason)
 
+    @callback
+    def _record_broken(
+        self, call: Call, use: PermitUse, err: AnswerBrokenError
+    ) -> None:
+        """Record a request that was sent and got no complete answer."""
+        target = use.permit.target
+        is_own_fault = self._is_own_fault(target, err)
+        self._record_failed_send(
+            call, use, StepFailure.BROKEN, f"broken: {err}", failed=not is_own_fault
+        )
+        if not is_own_fault:
+            now = suspend_aware_now()
+            self._poison.on_suspect(request_fingerprint(call), target, now)
+
+    @callback
+    def _is_own_fault(self, target: str, err: ExchangeError) -> bool:
+        """Return whether a failure says nothing about the target.
+
+        Others may reach a target whose link to this instance is lost, and a relay may
+        fail behind which the target is well.
+        """
+        if isinstance(err, RelayedAnswerBrokenError):
+            return True
+        is_connection_error = isinstance(err, ConnectionFailedError | AnswerBrokenError)
+        return is_connection_error and self._links.is_own_fault(
+            target, suspend_aware_now()
+        )
+
     @callback
     def _record_failed_send(
-        self, call: Call, permit: Permit, failure: StepFailure, reason: str
+        self,
+        call: Call,
+        use: PermitUse,
+        failure: StepFailure,
+        reason: str,
+        *,
+        failed: bool = True,
     ) -> None:
-        """Record a send that got no answer and release its permit as failed."""
-        self._record_step_failure(call, permit, failure, reason)
-        self._permits.release(permit, 0.0, failed=True)
-        self.load.add_duration(call.service, permit.target, None)
+        """Record a send that got no answer and release its permit.
+
+        `failed` tells whether it counts as a failure of the target.
+        """
+        self._record_step_failure(call, use.permit, failure, reason)
+        use.release(0.0, failed=failed)
+        if failed:
+            self.load.add_duration(call.service, use.permit.target, None)
+
+    @callback
+    def _service(self, name: str) -> ServiceSpec | None:
+        """Return the specification of a service, None if it is unknown."""
+        configuration = self._configuration.current
+        return configuration.services_by_name.get(name) if configuration else None
+
+    @callback
+    def _relay_terms(self, call: Call, permit: Permit) -> RelayTerms:
+        """Return the conditions under which a relay may send a request."""
+        return RelayTerms(
+            target=permit.target,
+            is_once=call.route.kind is RequestKind.ONCE,
+            permit_left=self._permits.time_left(permit, suspend_aware_now()),
+        )
 
     @callback
     def _record_step_failure(
@@ -264,13 +334,43 @@
         call.failed_target = permit.target
         call.record_failure(failure, f"{permit.target} {reason}")
 
-    @callback
-    def _connection_limit(self, service: str) -> int:
-        """Return the maximum number of connections of this instance to one target."""
-        configuration = self._configuration.current
-        spec = configuration.services_by_name.get(service) if configuration else None
-        target_limit = spec.max_connections if spec is not None else CONNECTION_DIVISOR
-        return max(target_limit // CONNECTION_DIVISOR, 2)
+
+@callback
+def _make_request(call: Call, target: Target) -> HttpRequest:
+    """Return the request to a target, with the time that is left now."""
+    request = call.request
+    return HttpRequest(
+        method=request.method,
+        path=request.raw_path,
+        headers=encode_request_headers(
+            request.headers.items(),
+            request.headers.get(HOST, ""),
+            target.name,
+            call.ends_at - asyncio.get_running_loop().time(),
+        ),
+        body=call.body,
+    )
+
+
+@callback
+def _on_silent(call: Call, use: PermitUse, interrupt: SilentLinkInterrupt) -> None:
+    """Handle that the link is lost on which a request awaits its answer.
+
+    The target has finished the request or never got it, so others may use the slot. An
+    idempotent request is sent again; the answer to another one may still arrive.
+    """
+    use.release_silent()
+    if call.route.kind is RequestKind.IDEMPOTENT:
+        interrupt.interrupt()
+
+
+@callback
+def _record_way(call: Call, outgoing: OutgoingRequest) -> None:
+    """Record the relay that a request was sent through, for its log line."""
+    if outgoing.relay is None:
+        return
+    call.relay = outgoing.relay.address
+    call.relay_evidence_age = outgoing.link_evidence_age
 
 
 @callback
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -143,6 +143,7 @@
     """Milliseconds become seconds, and peers use the first internal port."""
     settings = decode_settings(settings_document())
     assert str(settings.peer_address) == "10.0.0.2:7720"
+    assert str(settings.relay_address) == "10.0.0.2:7721"
     assert settings.seeds == ("10.0.0.9:7720",)
     assert settings.bounds.drain_limit == 2.0
     assert settings.cpu_capacity == 1.5
--- a/tests/router/limit_instance.py
+++ b/tests/router/limit_instance.py
@@ -17,6 +17,7 @@
 from swiftpin.gateway.lifecycle import Lifecycle
 from swiftpin.keyranges.lease_election import LeaseElection
 from swiftpin.permits.permit_broker import EXPIRE_INTERVAL, PermitBroker
+from swiftpin.relays.target_links import TargetLinks
 from swiftpin.router.app import HOUSEKEEPING_INTERVAL
 from swiftpin.router.configuration_holder import ConfigurationHolder
 from swiftpin.router.extension_votes import ExtensionVotes
@@ -105,6 +106,7 @@
                 ExtensionVotes, SimpleNamespace(cast_vote=lambda link, now: False)
             ),
             maps=KeyMaps(),
+            target_links=TargetLinks(),
             configuration=ConfigurationHolder(),
             directory=directory,
             lifecycle=self.lifecycle,
--- a/tests/router/site.py
+++ b/tests/router/site.py
@@ -183,6 +183,7 @@
             caller_address=Address(host=host, port=free_port(host)),
             readiness_address=Address(host=host, port=free_port(host)),
             peer_address=Address(host=host, port=free_port(host)),
+            relay_address=Address(host=host, port=free_port(host)),
             seeds=(),
             store_address=Address(
                 host="127.0.0.1", port=int(self.store.address.rpartition(":")[2])
--- a/tests/router/test_heartbeats.py
+++ b/tests/router/test_heartbeats.py
@@ -20,6 +20,7 @@
 from swiftpin.permits.permit_broker import PermitBroker
 from swiftpin.permits.permit_issuers import NO_ISSUERS
 from swiftpin.platform.platform_object import PlatformObject
+from swiftpin.relays.target_links import TargetLinks
 from swiftpin.router.configuration_holder import ConfigurationHolder
 from swiftpin.router.extension_votes import ExtensionVotes
 from swiftpin.router.heartbeats import Heartbeats
@@ -56,6 +57,7 @@
             lease=cast(LeaseElection, self.lease),
             votes=cast(ExtensionVotes, votes),
             maps=KeyMaps(),
+            target_links=TargetLinks(),
             configuration=ConfigurationHolder(),
             directory=cast(
                 TargetDirectory,
--- a/tests/router/test_planned_stop.py
+++ b/tests/router/test_planned_stop.py
@@ -14,6 +14,7 @@
 from swiftpin.keyranges.lease_election import LeaseElection
 from swiftpin.router import planned_stop
 from swiftpin.router.planned_stop import PlannedStop
+from swiftpin.router.relay_handler import RelayHandler
 from swiftpin.router.request_handler import RequestHandler
 
 GRACE = 0.6
@@ -42,6 +43,7 @@
             health=self.health,
             callers=cast(HttpListener, callers),
             handler=cast(RequestHandler, handler),
+            relayed=cast(RelayHandler, SimpleNamespace(in_flight=0)),
         )
 
     def _record(self, step: str) -> None:
--- a/tests/router/test_target_exchange.py
+++ b/tests/router/test_target_exchange.py
@@ -15,6 +15,7 @@
 from swiftpin.platform.request_head import AnswerHead
 from swiftpin.router.call import Call
 from swiftpin.router.key_maps import KeyMaps
+from swiftpin.router.permit_use import PermitUse
 from swiftpin.router.target_exchange import TargetExchange
 
 PERMIT = Permit(number=1, service="desk", target="a", issuer=None)
@@ -45,7 +46,7 @@
             revision=1,
         )
         self.exchange = TargetExchange(
-            client=cast("Any", None),
+            ways=cast("Any", None),
             configuration=cast("Any", None),
             directory=cast("Any", Mock(targets_by_id={"a": target})),
             maps=KeyMaps(),
@@ -59,7 +60,8 @@
         """Let the target refuse a request with a key."""
         call = cast(Call, Mock(service="desk"))
         answer = cast(HttpAnswer, Mock(status=status))
-        self.exchange._handle_refusal(call, PERMIT, answer, REFUSED)
+        use = PermitUse(self.permits, PERMIT)
+        self.exchange._handle_refusal(call, use, answer, REFUSED)
 
     def counts_as_target_failure(self) -> bool:
         """Return whether the refusal counts as a failure of the target."""
--- a/tests/router/test_transfer_times.py
+++ b/tests/router/test_transfer_times.py
@@ -64,7 +64,7 @@
     permits = RecordingPermits()
     parts: Any = SimpleNamespace()
     sender = RequestSender(
-        client=parts,
+        ways=parts,
         configuration=parts,
         directory=parts,
         maps=parts,
