Give keys again to targets that were lost once they answer

The holder of the lease had been cut off, so its grants failed and all keys of 18 targets were moved. A target counts as lost from 1.2 s of unanswered calls until its next answer, and one without keys is never called: it stayed lost for the life of the assigner.

The assigner now asks lost targets that own no keys for their name, as it does for addresses that answer strangely, and notes the answer. Another target at the address changes nothing. Targets that are frozen or partitioned for longer than their grants come back by the same way.

--- a/swiftpin/keyranges/range_assigner.py
+++ b/swiftpin/keyranges/range_assigner.py
@@ -26,6 +26,7 @@
 from swiftpin.keyranges.key_map import KeyMap
 from swiftpin.keyranges.key_map_publisher import KeyMapPublisher
 from swiftpin.keyranges.lease_election import LeaseElection
+from swiftpin.keyranges.lost_target_check import LostTargetCheck
 from swiftpin.keyranges.move import Move
 from swiftpin.keyranges.move_runner import MoveRunner
 from swiftpin.keyranges.mover import Mover
@@ -134,6 +135,14 @@
             directory=directory,
             publisher=self._publisher,
         )
+        self._lost_target_check = LostTargetCheck(
+            service=service,
+            state=self._state,
+            sessions=self._sessions,
+            directory=directory,
+            control=control,
+            health_path=health_path,
+        )
         self._moves = MoveRunner(
             service=service,
             state=self._state,
@@ -153,6 +162,7 @@
             await self._async_load()
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._renewer.async_run())
+                group.create_task(self._lost_target_check.async_run())
                 group.create_task(self._async_plan())
         finally:
             self._moves.unload()
