--- a/swiftpin/relays/relay_choice.py
+++ b/swiftpin/relays/relay_choice.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from collections.abc import Collection, Iterable
+from itertools import count
 import math
 from typing import Final
 
@@ -39,6 +40,8 @@
         self._zone = zone
         self._relays: tuple[Relay, ...] = ()
         self._requests_by_address: Counter[str] = Counter()
+        self._use_numbers = count(1)
+        self._last_use_by_address: dict[str, int] = {}
         self._avoided_until_by_address: dict[str, float] = {}
         self._no_link_until: dict[tuple[str, str], float] = {}
         """End of the pause by target and address of the relay."""
@@ -47,6 +50,9 @@
     def set_relays(self, relays: Iterable[Relay]) -> None:
         """Replace the known relays."""
         self._relays = tuple(relays)
+        addresses = {relay.address for relay in self._relays}
+        for address in self._last_use_by_address.keys() - addresses:
+            del self._last_use_by_address[address]
 
     @callback
     def choose(self, target: str, tried: Collection[str], now: float) -> Relay | None:
@@ -76,6 +82,7 @@
     def begin(self, relay: Relay) -> None:
         """Count a request that goes to a relay."""
         self._requests_by_address[relay.address] += 1
+        self._last_use_by_address[relay.address] = next(self._use_numbers)
 
     @callback
     def end(self, relay: Relay) -> None:
@@ -97,11 +104,12 @@
                 self._avoided_until_by_address[relay.address] = now + BUSY_PAUSE
 
     @callback
-    def _rank(self, relay: Relay) -> tuple[float, str]:
-        """Return the sort key of a relay."""
+    def _rank(self, relay: Relay) -> tuple[float, int]:
+        """Return the sort key of a relay: few requests first, then in turn."""
         requests = self._requests_by_address[relay.address] + 1
         distance = 1.0 if relay.zone == self._zone else OTHER_ZONE_FACTOR
-        return (requests * distance, relay.address)
+        last_use = self._last_use_by_address.get(relay.address, 0)
+        return (requests * distance, last_use)
 
     @callback
     def _drop_ended_pauses(self, now: float) -> None:
--- a/tests/relays/test_relay_choice.py
+++ b/tests/relays/test_relay_choice.py
@@ -41,6 +41,18 @@
     assert chosen == {"near": 4, "near-too": 4, "far": 2}
 
 
+def test_relays_without_requests_are_used_in_turn(choice: RelayChoice) -> None:
+    """Short requests seldom overlap, and would all go to the same relay."""
+    chosen: Counter[str] = Counter()
+    for _ in range(10):
+        relay = choice.choose("t", (), 0.0)
+        assert relay is not None
+        choice.begin(relay)
+        choice.end(relay)
+        chosen[relay.address] += 1
+    assert chosen == {"near": 5, "near-too": 5}
+
+
 def test_load_of_a_relay_is_bounded(choice: RelayChoice) -> None:
     """An instance that passes requests on needs room for its own callers."""
     for _ in range(3 * MAX_REQUESTS_PER_RELAY):
