Count a failure against a target only if another instance confirms it

Requests of callers could be quarantined at all instances when links were reset: a broken connection counted as a crash of the target, whoever's link it was, and three in 60 s refuse the request for a minute (test red: all broken requests were suspects). A suspect is now reported 1 s after the break, and only if the target was not reached meanwhile by any way: its link is probed, and requests that went through relays show that it is well.

A failed connection counts for issuers and the assigner only if a relay does not reach the target either, or there is no relay.

Links that fail for long no longer raise the presumption, probes of the others end it, and a presumption alone excuses nothing: a witness is needed, 0.4 s after it began.

--- a/swiftpin/relays/relay_choice.py
+++ b/swiftpin/relays/relay_choice.py
@@ -54,6 +54,11 @@
         for address in self._last_use_by_address.keys() - addresses:
             del self._last_use_by_address[address]
 
+    @property
+    def has_relays(self) -> bool:
+        """Return whether any relay is known."""
+        return bool(self._relays)
+
     @callback
     def choose(self, target: str, tried: Collection[str], now: float) -> Relay | None:
         """Return the relay for a request, None if the target can't be reached so."""
--- a/swiftpin/relays/silence_watch.py
+++ b/swiftpin/relays/silence_watch.py
@@ -49,14 +49,20 @@
     def __init__(self, links: TargetLinks) -> None:
         self._links = links
         self._exchanges: dict[OpenExchange, None] = {}
+        self._requested_probes: set[str] = set()
         self._answered_at = -math.inf
         self._answered_at_by_target: dict[str, float] = {}
         self._probed_at_by_target: dict[str, float] = {}
 
     @property
     def is_idle(self) -> bool:
-        """Return whether no request is unanswered."""
-        return not self._exchanges
+        """Return whether no request is unanswered and no probe was requested."""
+        return not self._exchanges and not self._requested_probes
+
+    @callback
+    def request_probe(self, target: str) -> None:
+        """Let the link to a target be probed soon."""
+        self._requested_probes.add(target)
 
     @callback
     def begin(self, exchange: OpenExchange) -> None:
@@ -90,7 +96,8 @@
                 for target in suspects
                 if now - unanswered_since_by_target[target] >= TARGET_SILENT_TIME
             ]
-        return self.take_due(suspects, now)
+        requested, self._requested_probes = self._requested_probes, set()
+        return self.take_due(list(dict.fromkeys([*suspects, *sorted(requested)])), now)
 
     @callback
     def take_due(self, targets: list[str], now: float) -> list[str]:
--- a/swiftpin/relays/target_links.py
+++ b/swiftpin/relays/target_links.py
@@ -23,6 +23,9 @@
 """Minimum ratio, for the same presumption, of failed links to those that have worked
 since the first of these failures."""
 
+PRESUMPTION_CHECK_TIME: Final = 0.4
+"""Seconds after which a presumption has been checked by probes of other links."""
+
 REPORT_DELAY: Final = 0.5
 """Seconds for which another instance's report may tell of answers from before a link
 was lost."""
@@ -38,6 +41,9 @@
     failures: int = 0
     """Failures since the last success."""
 
+    failing_since: float = -math.inf
+    """Time of the first of these failures."""
+
     failed_at: float = -math.inf
     worked_at: float = -math.inf
     """Time of the last answer or opened connection."""
@@ -104,6 +110,8 @@
     def record_failure(self, target: str, reason: str, now: float) -> None:
         """Record that no connection to a target could be opened."""
         evidence = self._evidence_for(target)
+        if not evidence.failures:
+            evidence.failing_since = now
         evidence.failures += 1
         evidence.failed_at = now
         if evidence.lost_since is None and evidence.failures >= FAILURES_UNTIL_LOST:
@@ -177,7 +185,11 @@
         if evidence is None or not self.is_lost(target, now):
             return False
         presumed_since = self._presumed_lost_since
-        if presumed_since is not None and self._relayed_at > presumed_since:
+        if (
+            presumed_since is not None
+            and now - presumed_since >= PRESUMPTION_CHECK_TIME
+            and self._relayed_at > presumed_since
+        ):
             return True
         lost_since = evidence.lost_since or presumed_since or now
         if evidence.reported_at > max(lost_since + REPORT_DELAY, now - EVIDENCE_PERIOD):
@@ -185,8 +197,16 @@
         return evidence.relayed_at > max(evidence.worked_at, now - EVIDENCE_PERIOD)
 
     @callback
-    def is_own_fault(self, target: str, now: float) -> bool:
-        """Return whether failures of a link say nothing about the target behind it."""
+    def has_worked_since(self, target: str, at: float) -> bool:
+        """Return whether a target was reached after a time, by whichever way."""
+        evidence = self._evidence_by_target.get(target)
+        return (
+            evidence is not None and max(evidence.worked_at, evidence.relayed_at) > at
+        )
+
+    @callback
+    def may_be_own_fault(self, target: str, now: float) -> bool:
+        """Return whether failures of a link may say nothing about the target."""
         is_presumed = self._presumed_lost_since is not None
         return is_presumed or self.is_reached_by_others(target, now)
 
@@ -232,40 +252,47 @@
 
     @callback
     def _review_presumption(self, now: float) -> None:
-        """Presume that all links are lost while most links with news have failed."""
-        since = now - EVIDENCE_PERIOD
-        evidence_by_target = self._evidence_by_target.values()
-        failure_times = [
-            evidence.failed_at
-            for evidence in evidence_by_target
-            if evidence.failed_at > max(evidence.worked_at, since)
-        ]
-        failed = len(failure_times)
-        first_failure_at = min(failure_times, default=now)
+        """Presume that all links are lost while most links with news have failed.
+
+        Links that began to fail together raise the presumption. As long as it holds
+        all links are probed, and those that work end it. Targets that have been down
+        for longer count for neither.
+        """
+        presumed_since = self._presumed_lost_since
+        if presumed_since is None:
+            failing = self._failing_since(now - EVIDENCE_PERIOD)
+            began_at = min((it.failing_since for it in failing), default=now)
+        else:
+            failing = self._failing_since(-math.inf)
+            began_at = presumed_since
         working = sum(
-            evidence.worked_at > first_failure_at for evidence in evidence_by_target
+            evidence.worked_at > began_at
+            for evidence in self._evidence_by_target.values()
+            if not evidence.failures
         )
-        is_presumed = (
-            failed >= MIN_FAILED_LINKS and failed >= FAILED_TO_WORKING_RATIO * working
+        is_presumed = len(failing) >= max(
+            MIN_FAILED_LINKS, FAILED_TO_WORKING_RATIO * working
         )
-        if is_presumed == (self._presumed_lost_since is not None):
+        if is_presumed == (presumed_since is not None):
             return
-        presumed_since, self._presumed_lost_since = self._presumed_lost_since, None
-        if is_presumed:
-            self._presumed_lost_since = now
-            log_message(
-                message_type="target_links_presumed_lost",
-                level="warning",
-                failed=failed,
-                working=working,
-            )
-        elif presumed_since is not None:
-            log_message(
-                message_type="target_links_presumed_regained",
-                failed=failed,
-                working=working,
-                lost_for=now - presumed_since,
-            )
+        self._presumed_lost_since = now if is_presumed else None
+        log_message(
+            message_type="target_links_presumption_changed",
+            level="warning",
+            presumed_lost=is_presumed,
+            failed=len(failing),
+            working=working,
+            previous_for=None if presumed_since is None else now - presumed_since,
+        )
+
+    @callback
+    def _failing_since(self, at: float) -> list[LinkEvidence]:
+        """Return the evidence about links that fail and began to after a time."""
+        return [
+            evidence
+            for evidence in self._evidence_by_target.values()
+            if evidence.failures and evidence.failing_since > at
+        ]
 
 
 def _age(at: float, now: float) -> float | None:
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -326,7 +326,7 @@
         """Return whether this instance does not reach targets that others may reach."""
         now = suspend_aware_now()
         return self._target_links.has_failures and any(
-            self._target_links.is_own_fault(target, now)
+            self._target_links.may_be_own_fault(target, now)
             for target in self._target_links.lost_targets(
                 self._directory.targets_by_id.keys(), now
             )
--- a/swiftpin/router/holder_link_check.py
+++ b/swiftpin/router/holder_link_check.py
@@ -41,11 +41,10 @@
         if self._links.has_failures:
             targets = self._directory.targets_by_id.keys()
             lost = self._links.lost_targets(targets, now)
+        target_links = self._links
         links = HolderLinks(
-            own_faults=sum(self._links.is_own_fault(target, now) for target in lost),
-            witnessed=sum(
-                self._links.is_reached_by_others(target, now) for target in lost
-            ),
+            own_faults=sum(target_links.may_be_own_fault(it, now) for it in lost),
+            witnessed=sum(target_links.is_reached_by_others(it, now) for it in lost),
             least_of_others=self._relay_directory.least_lost_links_of_others(),
             is_store_lost=self._health.is_lost,
         )
--- a/swiftpin/router/target_exchange.py
+++ b/swiftpin/router/target_exchange.py
@@ -50,7 +50,16 @@
 from swiftpin.router.retry_policy import RetryPolicy
 from swiftpin.router.silent_link import SilentLinkError, SilentLinkInterrupt
 from swiftpin.router.step_failure import StepFailure
-from swiftpin.router.target_ways import OutgoingRequest, TargetWays
+from swiftpin.router.target_ways import (
+    OutgoingRequest,
+    TargetWays,
+    UnconfirmedConnectionError,
+)
+
+SUSPECT_DELAY: Final = 1.0
+"""Seconds after a connection broke until the request is suspected to have crashed the
+target. The target takes some seconds to come back. Others of its requests that were
+sent through another instance are answered by then if only the link was lost."""
 
 MIN_SEND_TIME: Final = 0.02
 """Seconds that must remain until the deadline for a request to be sent."""
@@ -105,7 +114,7 @@
                 use,
                 StepFailure.NOT_SENT,
                 f"not sent: {err}",
-                failed=not self._is_own_fault(permit.target, err),
+                failed=self._counts_against(permit.target, err),
             )
             return None
         except SilentLinkError as err:
@@ -270,27 +279,47 @@
     ) -> None:
         """Record a request that was sent and got no complete answer."""
         target = use.permit.target
-        is_own_fault = self._is_own_fault(target, err)
+        counts = self._counts_against(target, err)
         self._record_failed_send(
-            call, use, StepFailure.BROKEN, f"broken: {err}", failed=not is_own_fault
+            call, use, StepFailure.BROKEN, f"broken: {err}", failed=counts
         )
-        if not is_own_fault:
-            now = suspend_aware_now()
-            self._poison.on_suspect(request_fingerprint(call), target, now)
+        if counts:
+            self._ways.probe(target)
+            asyncio.get_running_loop().call_later(
+                SUSPECT_DELAY,
+                self._report_suspect,
+                request_fingerprint(call),
+                target,
+                suspend_aware_now(),
+            )
+
+    @callback
+    def _report_suspect(self, fingerprint: int, target: str, broke_at: float) -> None:
+        """Report a request whose connection broke, unless its target is still well.
+
+        A target that crashed accepts no connection, and a link that was lost breaks
+        the connections of other requests too.
+        """
+        now = suspend_aware_now()
+        if self._links.has_worked_since(target, broke_at):
+            return
+        if not self._links.is_reached_by_others(target, now):
+            self._poison.on_suspect(fingerprint, target, now)
 
     @callback
-    def _is_own_fault(self, target: str, err: ExchangeError) -> bool:
-        """Return whether a failure says nothing about the target.
+    def _counts_against(self, target: str, err: ExchangeError) -> bool:
+        """Return whether a failure counts against a target for all instances.
 
         Others may reach a target whose link to this instance is lost, and a relay may
         fail behind which the target is well.
         """
-        if isinstance(err, RelayedAnswerBrokenError):
-            return True
-        is_connection_error = isinstance(err, ConnectionFailedError | AnswerBrokenError)
-        return is_connection_error and self._links.is_own_fault(
-            target, suspend_aware_now()
-        )
+        match err:
+            case RelayedAnswerBrokenError() | UnconfirmedConnectionError():
+                return False
+            case ConnectionFailedError() | AnswerBrokenError():
+                now = suspend_aware_now()
+                return not self._links.is_reached_by_others(target, now)
+        return True
 
     @callback
     def _record_failed_send(
--- a/swiftpin/router/target_ways.py
+++ b/swiftpin/router/target_ways.py
@@ -17,7 +17,7 @@
 from swiftpin.relays.relay import Relay
 from swiftpin.relays.relay_choice import RelayChoice
 from swiftpin.relays.relay_client import RelayClient, RelayNotSentError
-from swiftpin.relays.relay_terms import RelayTerms
+from swiftpin.relays.relay_terms import RelayResult, RelayTerms
 from swiftpin.relays.silence_watch import OpenExchange, SilenceWatch
 from swiftpin.relays.target_links import TargetLinks
 
@@ -25,6 +25,10 @@
 """Maximum number of relays that one send of a request may ask."""
 
 
+class UnconfirmedConnectionError(ConnectionFailedError):
+    """No connection was opened, and no other instance confirms that none can be."""
+
+
 @dataclass(kw_only=True, slots=True)
 class OutgoingRequest:
     """A request to a target, and how it may be sent."""
@@ -78,6 +82,11 @@
         self._watch = watch
         self._relays = relays
 
+    @callback
+    def probe(self, target: str) -> None:
+        """Let the link to a target be probed soon."""
+        self._watch.request_probe(target)
+
     async def async_exchange(self, outgoing: OutgoingRequest) -> HttpAnswer:
         """Return the head of the target's answer.
 
@@ -141,6 +150,9 @@
         """Send a request through a relay; raise `error` if there is none."""
         target_id = outgoing.target.id
         tried: list[str] = []
+        is_confirmed = not self._relays.has_relays or self._relays.is_unreachable(
+            target_id, suspend_aware_now()
+        )
         while len(tried) < MAX_RELAYS_PER_SEND and outgoing.can_be_sent():
             now = suspend_aware_now()
             relay = self._relays.choose(target_id, tried, now)
@@ -163,13 +175,16 @@
                 now = suspend_aware_now()
                 self._relays.record_refusal(relay, target_id, err.result, now)
                 error = ConnectionFailedError(f"{error}; {err}")
+                is_confirmed = is_confirmed or err.result is RelayResult.NO_LINK
                 outgoing.relay = None
                 continue
             finally:
                 self._relays.end(relay)
             self._links.record_relayed(target_id, suspend_aware_now())
             return answer
-        raise error
+        if is_confirmed:
+            raise error
+        raise UnconfirmedConnectionError(str(error)) from error
 
 
 @callback
--- a/tests/router/test_cut_instances.py
+++ b/tests/router/test_cut_instances.py
@@ -87,3 +87,26 @@
     for name in (f"t{number}" for number in range(site.options.targets)):
         assert site.is_owner(name)
     assert cut.ended_at < recovered_at
+
+
+async def test_request_is_not_quarantined_for_broken_links(site: CutSite) -> None:
+    """Guards against links that are reset counting as targets that crashed."""
+    for target in site.targets_by_name.values():
+        target.work = 0.4
+    for name in ("i0", "i1", "i2"):
+        calls = [
+            asyncio.create_task(site.async_call("/files/popular", via=name, key=None))
+            for _ in range(4)
+        ]
+        calls += [
+            asyncio.create_task(site.async_call("/read/popular", via=name, key=key))
+            for key in range(0, 65536, 8192)
+        ]
+        await asyncio.sleep(0.25)
+        site.cuts.cut(name, CutKind.RESET)
+        await asyncio.gather(*calls)
+        await asyncio.sleep(1.0)
+        site.cuts.heal(name)
+    for router in site.routers_by_name.values():
+        suspects = router._poison._targets_by_fingerprint
+        assert not any(suspects.values())
--- a/tests/router/test_relays.py
+++ b/tests/router/test_relays.py
@@ -182,3 +182,14 @@
             )
         )
     )
+
+
+async def test_failure_that_no_other_instance_confirms_counts_against_no_target(
+    site: CutSite, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against one instance's links that slow a target down for all."""
+    monkeypatch.setattr(relay_handler, "MAX_RELAYED_REQUESTS", 0)
+    exchange = site.routers_by_name["i0"]._sender._exchange
+    exchange.load.failures_by_target.clear()
+    assert (await async_book(site)).status == 503
+    assert not exchange.load.failures_by_target
