--- a/tests/router/test_cut_instances.py
+++ b/tests/router/test_cut_instances.py
@@ -110,3 +110,31 @@
     for router in site.routers_by_name.values():
         suspects = router._poison._targets_by_fingerprint
         assert not any(suspects.values())
+
+
+async def test_requests_on_lost_links_are_answered_through_others_and_hold_no_slots(
+    site: CutSite,
+) -> None:
+    """Guards against slots that hanging requests keep from other instances."""
+    name = min({"i0", "i1", "i2"} - {site.leader()})
+    keys = range(0, 65536, 8192)
+    for _ in range(100):
+        site.earn_retry_credit()
+    await asyncio.gather(*(site.async_call("/slow/x", via=name, key=k) for k in keys))
+    site.cuts.cut(name, CutKind.HANG)
+    hanging = [
+        asyncio.create_task(site.async_call("/slow/x", via=name, key=k, deadline=8000))
+        for k in keys
+    ]
+    await site.async_play(3.0)
+    assert all(call.done() and call.result().status == 200 for call in hanging)
+    await site.async_settle()
+    await site.async_wait(
+        lambda: (
+            not any(
+                queue._target_by_request
+                for router in site.routers_by_name.values()
+                for queue in router._permits._local_issuer._queues_by_service.values()
+            )
+        )
+    )
