Refuse at once at a relay whose own link is lost, and keep refusals apart

Found by reading the diff: a relay that was cut off too waited 0.5 s for a connection before it refused, three times in a row for one request; a permit that expired while a request was on its way to a relay counted as a relay without room; and a refused probe made open connections that work count as silent, although the refusal had come back over the same link. Each has a test but the last.

--- a/swiftpin/exceptions.py
+++ b/swiftpin/exceptions.py
@@ -75,6 +75,10 @@
     """No connection could be opened."""
 
 
+class SendNotAllowedError(RequestNotSentError):
+    """The request must not be sent to the target any more."""
+
+
 class AnswerBrokenError(ExchangeError):
     """The request was written but no complete answer arrived; it may have run."""
 
--- a/swiftpin/relays/relay_client.py
+++ b/swiftpin/relays/relay_client.py
@@ -11,7 +11,11 @@
 from swiftpin.dispatch.http_client import AnswerCheck, HttpClient, SendGate
 from swiftpin.dispatch.http_request import HttpRequest
 from swiftpin.dispatch.http_send_state import HttpSendState
-from swiftpin.exceptions import AnswerBrokenError, RequestNotSentError
+from swiftpin.exceptions import (
+    AnswerBrokenError,
+    RequestNotSentError,
+    SendNotAllowedError,
+)
 from swiftpin.relays.relay import Relay
 from swiftpin.relays.relay_terms import (
     HEADER_RELAY_REASON,
@@ -56,8 +60,8 @@
         """Return the target's answer.
 
         Raises `RelayNotSentError` if the request certainly did not leave the relay,
-        `RelayedAnswerBrokenError` if that is unknown, and `AnswerBrokenError` if the
-        relay reports that the target broke its answer off.
+        `RelayedAnswerBrokenError` if that is unknown, `AnswerBrokenError` if the relay
+        reports that the target broke its answer off, and what `gate` raises.
         """
         encode_relay_terms(terms, request.headers)
         try:
@@ -66,9 +70,9 @@
             )
         except AnswerBrokenError as err:
             raise RelayedAnswerBrokenError(f"relay {relay.address}: {err}") from err
+        except SendNotAllowedError:
+            raise
         except RequestNotSentError as err:
-            if state.written:
-                raise
             raise RelayNotSentError(str(err), RelayResult.BUSY) from err
         result = decode_relay_result(answer.headers)
         if result is RelayResult.ANSWERED:
--- a/swiftpin/router/link_probes.py
+++ b/swiftpin/router/link_probes.py
@@ -89,7 +89,9 @@
         except (ConnectionFailedError, TimeoutError) as err:
             now = suspend_aware_now()
             self._links.record_failure(target.id, f"probe: {err!r}", now)
-            self._watch.handle_failed_probe(target.id, began_at, now)
+            if not isinstance(err.__cause__, ConnectionError):
+                # A refusal has come back, so open connections may still work.
+                self._watch.handle_failed_probe(target.id, began_at, now)
         except RequestNotSentError:
             # All connections to the target are in use, so its link works or all of them
             # are silent; the requests on them show which.
--- a/swiftpin/router/relay_handler.py
+++ b/swiftpin/router/relay_handler.py
@@ -25,6 +25,7 @@
     ConnectionFailedError,
     RequestError,
     RequestNotSentError,
+    SendNotAllowedError,
 )
 from swiftpin.gateway.deadline_watch import DeadlineWatch
 from swiftpin.gateway.lifecycle import Lifecycle
@@ -154,6 +155,9 @@
             raise RequestNotSentError(f"{terms.target} is not known here")
         body = RequestBody(request, configuration.limits.body_bytes)
         await body.async_prefetch()
+        is_lost = self._links.is_lost(target.id, started_at)
+        if is_lost and self._links.is_silent(target.id):
+            raise ConnectionFailedError(f"the link to {target.id} is lost here too")
         remaining = head.deadline - (suspend_aware_now() - started_at)
         service = configuration.services_by_name.get(target.service)
         try:
@@ -175,10 +179,17 @@
                 connections=connection_limit(service),
                 check=partial(is_answer_to, head.id),
                 max_idle=MAX_IDLE_FOR_ONCE if terms.is_once else math.inf,
+                may_connect=not is_lost,
             )
         except ConnectionFailedError as err:
             self._links.record_failure(target.id, str(err), suspend_aware_now())
             raise
+        except SendNotAllowedError:
+            raise
+        except RequestNotSentError as err:
+            if not is_lost:
+                raise
+            raise ConnectionFailedError(f"the link is lost here too; {err}") from err
         now = suspend_aware_now()
         self._links.record_answer(target.id, now)
         self._record_rate_limit(target, answer, started_at, now)
@@ -186,14 +197,14 @@
 
     @callback
     def _check_send(self, terms: RelayTerms, started_at: float, now: float) -> None:
-        """Raise `RequestNotSentError` if the request must not be sent any more."""
+        """Raise `SendNotAllowedError` if the request must not be sent any more."""
         sent_at = suspend_aware_now()
         if not self._directory.may_send(terms.target, sent_at):
-            raise RequestNotSentError(f"{terms.target} has left")
+            raise SendNotAllowedError(f"{terms.target} has left")
         if terms.target not in self._rate_reports.limited_targets:
             return
         if terms.permit_left is None or sent_at - started_at > terms.permit_left:
-            raise RequestNotSentError(
+            raise SendNotAllowedError(
                 f"{terms.target} has a rate limit and the permit has expired"
             )
 
--- a/swiftpin/router/target_exchange.py
+++ b/swiftpin/router/target_exchange.py
@@ -21,6 +21,7 @@
     ConnectionFailedError,
     ExchangeError,
     RequestNotSentError,
+    SendNotAllowedError,
 )
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.model.request_kind import RequestKind
@@ -228,7 +229,7 @@
 
     @callback
     def _check_target(self, call: Call, permit: Permit, now: float) -> None:
-        """Raise `RequestNotSentError` if the request must no longer be sent.
+        """Raise `SendNotAllowedError` if the request must no longer be sent.
 
         The request may have waited for a slot and a connection since the target was
         chosen. A leaving target must not receive requests after its drain time, and the
@@ -236,9 +237,9 @@
         """
         sent_at = suspend_aware_now()
         if not self._directory.may_send(permit.target, sent_at):
-            raise RequestNotSentError(f"{permit.target} has left")
+            raise SendNotAllowedError(f"{permit.target} has left")
         if not self._permits.is_valid(permit, sent_at):
-            raise RequestNotSentError(
+            raise SendNotAllowedError(
                 f"{permit.target} has a rate limit and the permit has expired"
             )
         self._retries.record_send(call, sent_at)
--- a/swiftpin/router/target_ways.py
+++ b/swiftpin/router/target_ways.py
@@ -11,7 +11,11 @@
 from swiftpin.dispatch.http_client import AnswerCheck, HttpClient, SendGate
 from swiftpin.dispatch.http_request import HttpRequest
 from swiftpin.dispatch.http_send_state import HttpSendState
-from swiftpin.exceptions import ConnectionFailedError, RequestNotSentError
+from swiftpin.exceptions import (
+    ConnectionFailedError,
+    RequestNotSentError,
+    SendNotAllowedError,
+)
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.model.target import Target
 from swiftpin.relays.relay import Relay
@@ -105,8 +109,10 @@
             except ConnectionFailedError as err:
                 self._links.record_failure(target_id, str(err), suspend_aware_now())
                 error = err
+            except SendNotAllowedError:
+                raise
             except RequestNotSentError as err:
-                if not is_lost or outgoing.state.written:
+                if not is_lost:
                     raise
                 error = ConnectionFailedError(f"the link is lost; {err}")
         self.on_relays_needed()
--- a/tests/router/test_relays.py
+++ b/tests/router/test_relays.py
@@ -193,3 +193,34 @@
     exchange.load.failures_by_target.clear()
     assert (await async_book(site)).status == 503
     assert not exchange.load.failures_by_target
+
+
+async def test_relay_whose_own_link_is_lost_refuses_at_once(
+    site: CutSite, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against requests that wait for one connection timeout after the other."""
+    site.cuts.cut("i1", CutKind.HANG)
+    tried: list[object] = []
+    client = site.routers_by_name["i1"]._clients.targets
+    monkeypatch.setattr(client, "async_exchange", lambda *args, **_: tried.append(args))
+    links = site.routers_by_name["i1"]._target_links
+    for target in ("t0", "t1"):
+        for _ in range(2):
+            links.record_failure(target, "timeout", suspend_aware_now())
+        links.record_silence(target, suspend_aware_now())
+    assert (await async_book(site)).status == 503
+    assert not tried
+
+
+async def test_permit_that_expired_on_the_way_is_not_blamed_on_the_relay(
+    site: CutSite, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against relays that are left out although nobody asked them."""
+    directory = site.routers_by_name["i0"]._directory
+    monkeypatch.setattr(directory, "may_send", lambda target, now: False)
+    monkeypatch.setattr(
+        site.routers_by_name["i0"]._sender._owners, "_can_send", lambda *args: True
+    )
+    assert (await async_book(site)).status == 503
+    relays = site.routers_by_name["i0"]._relays
+    assert not relays._avoided_until_by_address
