Say once what callers of a cut fleet must get

Two tests repeated the same five assertions; they share one function now, with the same bounds. A test of relays was named after an expired permit and checks any send that this instance does not allow.

--- a/tests/router/test_cut_instances.py
+++ b/tests/router/test_cut_instances.py
@@ -8,7 +8,7 @@
 import pytest
 
 from tests.router.cut_links import CutKind
-from tests.router.cut_site import CutOptions, CutSite
+from tests.router.cut_site import Cut, CutOptions, CutSite
 
 STABILITY_PERIOD = 3.0
 """Seconds after the start of a cut from which callers must be served."""
@@ -29,6 +29,15 @@
         await site.async_unload()
 
 
+def assert_callers_were_served(site: CutSite, cut: Cut) -> None:
+    """Assert that a cut cost few first attempts, and no request ran twice for it."""
+    start = cut.began_at + STABILITY_PERIOD
+    assert site.served_share(start, cut.ended_at, cut.instances) >= MIN_SERVED
+    assert site.served_share(start, cut.ended_at, site.others(cut)) >= MIN_SERVED
+    assert not site.repeated_once_only()
+    assert not site.untrue_rejections()
+
+
 @pytest.mark.parametrize("kind", CutKind, ids=lambda kind: kind.value)
 async def test_callers_of_an_instance_without_target_links_are_served(
     site: CutSite, kind: CutKind
@@ -37,11 +46,7 @@
     await site.async_play(1.0)
     cut = await site.async_cut(0.3, kind, 5.5, with_holder=False)
     await site.async_settle()
-    start = cut.began_at + STABILITY_PERIOD
-    assert site.served_share(start, cut.ended_at, cut.instances) >= MIN_SERVED
-    assert site.served_share(start, cut.ended_at, site.others(cut)) >= MIN_SERVED
-    assert not site.repeated_once_only()
-    assert not site.untrue_rejections()
+    assert_callers_were_served(site, cut)
 
 
 @pytest.mark.parametrize(
@@ -54,11 +59,7 @@
     await site.async_play(1.0)
     cut = await site.async_cut(0.6, kind, 7.0, with_holder=True)
     await site.async_settle()
-    start = cut.began_at + STABILITY_PERIOD
-    assert site.served_share(start, cut.ended_at, cut.instances) >= MIN_SERVED
-    assert site.served_share(start, cut.ended_at, site.others(cut)) >= MIN_SERVED
-    assert not site.repeated_once_only()
-    assert not site.untrue_rejections()
+    assert_callers_were_served(site, cut)
 
 
 async def test_all_targets_serve_again_after_the_lease_holder_had_lost_most(
--- a/tests/router/test_relays.py
+++ b/tests/router/test_relays.py
@@ -212,7 +212,7 @@
     assert not tried
 
 
-async def test_permit_that_expired_on_the_way_is_not_blamed_on_the_relay(
+async def test_send_that_is_not_allowed_here_is_not_blamed_on_the_relay(
     site: CutSite, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against relays that are left out although nobody asked them."""
