Move the data classes and errors of grants out of the adapter

KeyGrant, GrantCall and four errors contain no wire names. Change: moved to swiftpin/model/key_grant.py and swiftpin/exceptions.py, imports follow; nothing else.

--- a/swiftpin/exceptions.py
+++ b/swiftpin/exceptions.py
@@ -45,6 +45,22 @@
     """The target did not answer; a control message may have taken effect."""
 
 
+class TargetNotReachedError(TargetUnreachableError):
+    """The call was not sent, so it has no effect."""
+
+
+class UnexpectedAnswerError(TargetUnreachableError):
+    """The address answered with an unexpected status."""
+
+
+class TargetReplacedError(TargetError):
+    """Another target answers at the address; the addressed one is gone."""
+
+
+class GrantRefusedError(TargetError):
+    """The target has seen a higher fence on one of the keys."""
+
+
 class TargetFencedError(TargetError):
     """The target has seen a higher term, or the same term with another holder."""
 
--- a/swiftpin/keyranges/granter.py
+++ b/swiftpin/keyranges/granter.py
@@ -8,7 +8,13 @@
 
 from swiftpin.core import callback
 from swiftpin.discovery.target_directory import TargetDirectory
-from swiftpin.exceptions import TargetUnreachableError
+from swiftpin.exceptions import (
+    GrantRefusedError,
+    TargetNotReachedError,
+    TargetReplacedError,
+    TargetUnreachableError,
+    UnexpectedAnswerError,
+)
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.keyranges.assignment import Assignment
 from swiftpin.keyranges.const import CONTROL_TIMEOUT, MIN_HOLD, RELEASE_TIMEOUT
@@ -16,16 +22,9 @@
 from swiftpin.keyranges.segment import Segment
 from swiftpin.keyranges.target_session import TargetSession
 from swiftpin.keyranges.target_sessions import TargetSessions
+from swiftpin.model.key_grant import GrantCall, KeyGrant
 from swiftpin.model.target import Target
-from swiftpin.platform.target_control import (
-    GrantCall,
-    GrantRefusedError,
-    KeyGrant,
-    TargetControl,
-    TargetNotReachedError,
-    TargetReplacedError,
-    UnexpectedAnswerError,
-)
+from swiftpin.platform.target_control import TargetControl
 
 
 class Granter:
--- a/swiftpin/keyranges/mover.py
+++ b/swiftpin/keyranges/mover.py
@@ -10,19 +10,19 @@
 
 from swiftpin.core import callback
 from swiftpin.discovery.target_directory import TargetDirectory
-from swiftpin.exceptions import TargetUnreachableError
+from swiftpin.exceptions import (
+    GrantRefusedError,
+    TargetNotReachedError,
+    TargetReplacedError,
+    TargetUnreachableError,
+)
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.keyranges.granter import Granter
 from swiftpin.keyranges.repeated_log_filter import RepeatedLogFilter
 from swiftpin.keyranges.segment import Segment
 from swiftpin.keyranges.target_sessions import TargetSessions
+from swiftpin.model.key_grant import KeyGrant
 from swiftpin.model.target import Target
-from swiftpin.platform.target_control import (
-    GrantRefusedError,
-    KeyGrant,
-    TargetNotReachedError,
-    TargetReplacedError,
-)
 
 RETRY_INTERVAL: Final = 0.15
 """Seconds between two attempts of the same call to a target."""
--- a/swiftpin/platform/target_control.py
+++ b/swiftpin/platform/target_control.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
-from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Final
 
@@ -19,11 +17,15 @@
 from swiftpin.dispatch.http_send_state import HttpSendState
 from swiftpin.exceptions import (
     AnswerBrokenError,
+    GrantRefusedError,
     RequestNotSentError,
-    TargetError,
+    TargetNotReachedError,
+    TargetReplacedError,
     TargetUnreachableError,
+    UnexpectedAnswerError,
 )
 from swiftpin.helpers.bytes_body import BytesBody
+from swiftpin.model.key_grant import GrantCall, KeyGrant
 from swiftpin.platform.names import (
     CONTENT_TYPE_JSON,
     HEADER_EXPECTED_INSTANCE,
@@ -37,46 +39,6 @@
 METHOD: Final = "POST"
 
 
-class GrantRefusedError(TargetError):
-    """The target has seen a higher fence on one of the keys."""
-
-
-class TargetReplacedError(TargetError):
-    """Another target answers at the address; the addressed one is gone."""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class KeyGrant:
-    """Keys `first` to `last` (inclusive) with a fence."""
-
-    first: int
-    last: int
-    fence: int
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class GrantCall:
-    """Grant of the keys `first` to `last` (inclusive) for `hold` seconds."""
-
-    first: int
-    last: int
-    hold: float
-    handover: str | None
-    fence_for_connection: Callable[[int], int]
-    """Returns the fence; called with the number of the connection that the call uses,
-    once it is open."""
-
-    preferred_connection: int | None = None
-
-
-class UnexpectedAnswerError(TargetUnreachableError):
-    """The address answered with an unexpected status."""
-
-
-class TargetNotReachedError(TargetUnreachableError):
-    """The call was not sent, so it has no effect."""
-
-
 class TargetControl:
     """Sends grants and releases without retries.
 
--- a/tests/keyranges/test_grant_renewer.py
+++ b/tests/keyranges/test_grant_renewer.py
@@ -10,6 +10,7 @@
 
 from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.discovery.target_directory import TargetDirectory
+from swiftpin.exceptions import TargetNotReachedError
 from swiftpin.keyranges.assignment import Assignment
 from swiftpin.keyranges.assignment_state import AssignmentState
 from swiftpin.keyranges.const import MIN_REGULAR_HOLD
@@ -19,12 +20,9 @@
 from swiftpin.keyranges.key_map_publisher import KeyMapPublisher
 from swiftpin.keyranges.segment import Segment
 from swiftpin.keyranges.target_sessions import TargetSessions
+from swiftpin.model.key_grant import GrantCall
 from swiftpin.model.target_life import TargetLife
-from swiftpin.platform.target_control import (
-    GrantCall,
-    TargetControl,
-    TargetNotReachedError,
-)
+from swiftpin.platform.target_control import TargetControl
 from tests.keyranges.targets import make_target
 
 
--- a/tests/keyranges/test_granter.py
+++ b/tests/keyranges/test_granter.py
@@ -9,7 +9,11 @@
 
 from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.discovery.target_directory import TargetDirectory
-from swiftpin.exceptions import TargetUnreachableError
+from swiftpin.exceptions import (
+    GrantRefusedError,
+    TargetNotReachedError,
+    TargetUnreachableError,
+)
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.keyranges.assignment import Assignment
 from swiftpin.keyranges.const import CLOCK_DRIFT_FACTOR, HOLD_MARGIN, MIN_REGULAR_HOLD
@@ -17,12 +21,8 @@
 from swiftpin.keyranges.granter import Granter
 from swiftpin.keyranges.segment import Segment
 from swiftpin.keyranges.target_sessions import TargetSessions
-from swiftpin.platform.target_control import (
-    GrantCall,
-    GrantRefusedError,
-    TargetControl,
-    TargetNotReachedError,
-)
+from swiftpin.model.key_grant import GrantCall
+from swiftpin.platform.target_control import TargetControl
 from tests.keyranges.targets import make_target
 
 SEGMENT = Segment(first=0, last=9, owner="a", fence=5)
--- a/tests/keyranges/test_late_calls.py
+++ b/tests/keyranges/test_late_calls.py
@@ -21,11 +21,8 @@
 from swiftpin.keyranges.mover import Mover
 from swiftpin.keyranges.segment import Segment
 from swiftpin.keyranges.target_sessions import TargetSessions
-from swiftpin.platform.target_control import (
-    GrantCall,
-    KeyGrant,
-    TargetControl,
-)
+from swiftpin.model.key_grant import GrantCall, KeyGrant
+from swiftpin.platform.target_control import TargetControl
 from tests.keyranges.targets import make_target
 
 
--- a/tests/keyranges/test_late_records.py
+++ b/tests/keyranges/test_late_records.py
@@ -13,6 +13,7 @@
 from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.discovery.target_directory import TargetDirectory
 from swiftpin.exceptions import (
+    GrantRefusedError,
     StoreConflictError,
     StoreOutcomeUnknownError,
 )
@@ -25,15 +26,11 @@
 from swiftpin.keyranges.move import Move
 from swiftpin.keyranges.range_assigner import RangeAssigner
 from swiftpin.keyranges.segment import Segment
+from swiftpin.model.key_grant import GrantCall, KeyGrant
 from swiftpin.model.store_era import StoreEra
 from swiftpin.platform.platform_object import PlatformObject
 from swiftpin.platform.store_client import StoreClient
-from swiftpin.platform.target_control import (
-    GrantCall,
-    GrantRefusedError,
-    KeyGrant,
-    TargetControl,
-)
+from swiftpin.platform.target_control import TargetControl
 from tests.keyranges.targets import KEYED_SERVICE, make_target
 
 MOVE = Move(first=0, last=99, source="a", to="b")
--- a/tests/keyranges/test_mover.py
+++ b/tests/keyranges/test_mover.py
@@ -11,7 +11,12 @@
 
 from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.discovery.target_directory import TargetDirectory
-from swiftpin.exceptions import TargetUnreachableError
+from swiftpin.exceptions import (
+    GrantRefusedError,
+    TargetNotReachedError,
+    TargetReplacedError,
+    TargetUnreachableError,
+)
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.keyranges.const import MIN_REGULAR_HOLD
 from swiftpin.keyranges.fences import Fences
@@ -20,14 +25,9 @@
 from swiftpin.keyranges.segment import Segment
 from swiftpin.keyranges.target_session import TargetSession
 from swiftpin.keyranges.target_sessions import TargetSessions
+from swiftpin.model.key_grant import KeyGrant
 from swiftpin.model.target_life import TargetLife
-from swiftpin.platform.target_control import (
-    GrantRefusedError,
-    KeyGrant,
-    TargetControl,
-    TargetNotReachedError,
-    TargetReplacedError,
-)
+from swiftpin.platform.target_control import TargetControl
 from tests.keyranges.targets import make_target
 
 HOLD = 0.8
--- a/tests/keyranges/test_range_assigner.py
+++ b/tests/keyranges/test_range_assigner.py
@@ -11,6 +11,7 @@
 
 from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.discovery.target_directory import FIRST_LIST_SETTLE_TIME, TargetDirectory
+from swiftpin.exceptions import GrantRefusedError
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.keyranges import range_assigner as range_assigner_module
 from swiftpin.keyranges.assignment import Assignment
@@ -20,15 +21,11 @@
 from swiftpin.keyranges.move import Move
 from swiftpin.keyranges.range_assigner import RangeAssigner
 from swiftpin.keyranges.segment import Segment
+from swiftpin.model.key_grant import GrantCall, KeyGrant
 from swiftpin.model.store_era import StoreEra
 from swiftpin.model.target_life import TargetLife
 from swiftpin.platform.store_client import StoreClient
-from swiftpin.platform.target_control import (
-    GrantCall,
-    GrantRefusedError,
-    KeyGrant,
-    TargetControl,
-)
+from swiftpin.platform.target_control import TargetControl
 from tests.keyranges.targets import KEYED_SERVICE, make_target
 
 
--- a/tests/platform/test_target_control.py
+++ b/tests/platform/test_target_control.py
@@ -11,16 +11,16 @@
 
 from swiftpin.core import monotonic_now
 from swiftpin.dispatch.http_client import HttpClient
-from swiftpin.exceptions import RequestNotSentError, TargetUnreachableError
-from swiftpin.platform.names import HEADER_HANDOVER, HEADER_INSTANCE
-from swiftpin.platform.target_control import (
-    GrantCall,
-    KeyGrant,
-    TargetControl,
+from swiftpin.exceptions import (
+    RequestNotSentError,
     TargetNotReachedError,
     TargetReplacedError,
+    TargetUnreachableError,
     UnexpectedAnswerError,
 )
+from swiftpin.model.key_grant import GrantCall, KeyGrant
+from swiftpin.platform.names import HEADER_HANDOVER, HEADER_INSTANCE
+from swiftpin.platform.target_control import TargetControl
 
 GRANT = KeyGrant(first=0, last=9, fence=1)
 
