Move the errors of unusable entries out of the adapter

The reasons why an entry can't be used contain no wire names and are used by discovery. Change: swiftpin/platform/unusable_entry.py is now swiftpin/model/unusable_entry.py, imports follow.

--- a/swiftpin/discovery/target_updates.py
+++ b/swiftpin/discovery/target_updates.py
@@ -13,9 +13,9 @@
 from swiftpin.discovery.unusable_entries import UnusableEntries
 from swiftpin.model.store_revision import era_of
 from swiftpin.model.target import Target
+from swiftpin.model.unusable_entry import UnusableEntryError, UnusableReason
 from swiftpin.platform.platform_object import PlatformObject
 from swiftpin.platform.target_entries import decode_target
-from swiftpin.platform.unusable_entry import UnusableEntryError, UnusableReason
 
 
 class TargetUpdates:
--- a/swiftpin/discovery/unusable_entries.py
+++ b/swiftpin/discovery/unusable_entries.py
@@ -9,7 +9,7 @@
 
 from swiftpin.core import callback
 from swiftpin.helpers.line_rate_limiter import LineRateLimiter
-from swiftpin.platform.unusable_entry import UnusableReason
+from swiftpin.model.unusable_entry import UnusableReason
 
 MAX_UNUSABLE_LINES_PER_SECOND: Final = 2
 """Limit on log lines about unusable entries: another writer may corrupt all entries,
--- a/swiftpin/platform/target_entries.py
+++ b/swiftpin/platform/target_entries.py
@@ -11,6 +11,7 @@
 from swiftpin.helpers.address import parse_address
 from swiftpin.model.target import Target
 from swiftpin.model.target_life import TargetLife
+from swiftpin.model.unusable_entry import UnusableEntryError, UnusableReason
 from swiftpin.platform.json_fields import (
     FieldError,
     FieldRangeError,
@@ -25,7 +26,6 @@
 )
 from swiftpin.platform.names import MILLISECONDS_PER_SECOND
 from swiftpin.platform.platform_object import PlatformObject
-from swiftpin.platform.unusable_entry import UnusableEntryError, UnusableReason
 
 STATE_READY: Final = "ready"
 STATE_DRAINING: Final = "draining"
--- a/swiftpin/router/gossip.py
+++ b/swiftpin/router/gossip.py
@@ -19,9 +19,9 @@
 from swiftpin.fleet.proto import fleet_pb2 as pb
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.keyranges.lease_election import LeaseElection
+from swiftpin.model.unusable_entry import UnusableEntryError
 from swiftpin.permits.permit_broker import PermitBroker
 from swiftpin.platform.target_entries import decode_target_list, encode_target_list
-from swiftpin.platform.unusable_entry import UnusableEntryError
 from swiftpin.router.configuration_holder import ConfigurationHolder
 from swiftpin.router.document_ask import DocumentRequester
 from swiftpin.router.holder_view import HolderView
--- a/tests/platform/test_arbitrary_input.py
+++ b/tests/platform/test_arbitrary_input.py
@@ -22,6 +22,7 @@
 )
 from swiftpin.keyranges.const import KEY_COUNT
 from swiftpin.keyranges.lease_record import LeaseRecord, decode_lease, encode_lease
+from swiftpin.model.unusable_entry import UnusableEntryError
 from swiftpin.platform.configuration import decode_configuration
 from swiftpin.platform.json_fields import FieldError, load_json
 from swiftpin.platform.platform_object import PlatformObject
@@ -33,7 +34,6 @@
     decode_target_list,
     encode_target_list,
 )
-from swiftpin.platform.unusable_entry import UnusableEntryError
 from swiftpin.router.configuration_holder import ConfigurationHolder
 from tests.discovery.conftest import content, target
 from tests.router.site import ROUTES, configuration
--- a/tests/platform/test_other_writers.py
+++ b/tests/platform/test_other_writers.py
@@ -7,11 +7,11 @@
 
 import pytest
 
+from swiftpin.model.unusable_entry import UnusableEntryError, UnusableReason
 from swiftpin.platform.json_fields import FieldError, load_json
 from swiftpin.platform.platform_object import PlatformObject
 from swiftpin.platform.store_answers import decode_changes, decode_list
 from swiftpin.platform.target_entries import decode_target
-from swiftpin.platform.unusable_entry import UnusableEntryError, UnusableReason
 from tests.discovery.conftest import content
 
 Change = Callable[[dict[str, Any]], object]
