Hear, log and count what targets state of themselves in answers

Change: the adapter decodes Server-Leaving and Retry-After. AnswerListener records the statements of every answer: of requests, of relayed requests at the relay, of grants, releases and checks of names. It takes the place of the two copies that recorded rate limits. New lines target_drain_announced and target_backoff_began, new gauges swiftpin_router_announced_drains and swiftpin_router_backoff_targets; notes of rejections name the delay. Nothing decides by them yet.

--- a/swiftpin/discovery/target_directory.py
+++ b/swiftpin/discovery/target_directory.py
@@ -137,6 +137,11 @@
         """Return the targets whose entries are in the store and can be used."""
         return self._known.listed_targets()
 
+    @callback
+    def current_life(self, name: str) -> Target | None:
+        """Return the newest known life of a target, None if there is none."""
+        return self._known.current_life(name)
+
     @callback
     def is_likely_complete(self, now: float) -> bool:
         """Return whether all live targets and evacuations are likely to be known.
--- /dev/null
+++ b/swiftpin/notices/__init__.py
@@ -0,0 +1,1 @@
+"""What targets state about themselves in their answers."""
--- a/swiftpin/platform/names.py
+++ b/swiftpin/platform/names.py
@@ -14,6 +14,7 @@
 HEADER_KEY: Final = "Swiftpin-Shard-Key"
 HEADER_HANDOVER: Final = "Swiftpin-Handover"
 HEADER_RATE_LIMIT: Final = "Server-Limit"
+HEADER_DRAINING: Final = "Server-Leaving"
 HEADER_STORE_ERA: Final = "Store-Era"
 
 PATH_READINESS: Final = "/api/readiness"
--- a/swiftpin/platform/request_head.py
+++ b/swiftpin/platform/request_head.py
@@ -8,12 +8,13 @@
 import math
 from typing import Final
 
-from aiohttp.hdrs import CONNECTION, HOST
+from aiohttp.hdrs import CONNECTION, HOST, RETRY_AFTER
 from multidict import CIMultiDict
 
 from swiftpin.const import HOP_BY_HOP
 from swiftpin.platform.names import (
     HEADER_DEADLINE,
+    HEADER_DRAINING,
     HEADER_EXPECTED_INSTANCE,
     HEADER_INSTANCE,
     HEADER_KEY,
@@ -29,6 +30,9 @@
 """Seconds for a request without the header; the platform's callers always send it."""
 
 MAX_KEY: Final = 65535
+DRAINING: Final = "1"
+"""Value of the header by which a target announces that it is leaving."""
+
 NORMAL_WORK_PERCENT: Final = 100
 """Work time in the load header of a target that is not slowed down."""
 
@@ -82,6 +86,12 @@
     """Requests per second that the target accepts from all instances together, infinite
     without a limit, None if the answer doesn't tell."""
 
+    is_draining: bool = False
+    """Whether the target announces that it is leaving."""
+
+    retry_after: float | None = None
+    """Seconds for which the target asks not to be called, None if it doesn't."""
+
 
 def decode_request_head(headers: Mapping[str, str]) -> RequestHead:
     """Decode a request's headers; raise `ValueError` if a value is malformed."""
@@ -130,6 +140,8 @@
         instance=headers.get(HEADER_INSTANCE),
         load=_decode_load(headers.get(HEADER_LOAD)),
         rate_limit=_decode_rate_limit(headers),
+        is_draining=headers.get(HEADER_DRAINING, "").strip() == DRAINING,
+        retry_after=_decode_retry_after(headers.get(RETRY_AFTER)),
     )
 
 
@@ -197,3 +209,19 @@
         # A malformed limit does not invalidate the answer.
         return None
     return rate_limit if rate_limit >= 0 else None
+
+
+def _decode_retry_after(text: str | None) -> float | None:
+    """Return the seconds in a `Retry-After` header, None if missing or malformed.
+
+    Targets state seconds. A date, which HTTP also allows, counts as malformed: it would
+    have to be compared with the clock of another machine.
+    """
+    if text is None:
+        return None
+    try:
+        seconds = float(text)
+    except ValueError:
+        # A malformed delay does not invalidate the answer.
+        return None
+    return seconds if math.isfinite(seconds) and seconds >= 0 else None
--- a/swiftpin/platform/target_control.py
+++ b/swiftpin/platform/target_control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Final
 
@@ -35,6 +36,7 @@
     PATH_GRANT,
     PATH_RELEASE,
 )
+from swiftpin.platform.request_head import AnswerHead, decode_answer_head
 
 METHOD: Final = "POST"
 
@@ -43,12 +45,19 @@
     """Sends grants and releases without retries.
 
     `gate` is called immediately before each send and raises `RequestNotSentError` if
-    this instance may no longer assign keys.
+    this instance may no longer assign keys. `on_answer` is called with the name of the
+    target and the head of each answer.
     """
 
-    def __init__(self, client: HttpClient, gate: SendGate) -> None:
+    def __init__(
+        self,
+        client: HttpClient,
+        gate: SendGate,
+        on_answer: Callable[[str, AnswerHead], None] | None = None,
+    ) -> None:
         self._client = client
         self._gate = gate
+        self._on_answer = on_answer
 
     async def async_grant(
         self,
@@ -73,10 +82,11 @@
                 request = _make_request(
                     address, target_id, PATH_GRANT, _grant_document(call, fence)
                 )
-                answer = await _async_read(
+                answer = await self._async_read(
+                    target_id,
                     await self._client.async_exchange_over(
                         connection, request, send_state, self._gate
-                    )
+                    ),
                 )
         except (RequestNotSentError, AnswerBrokenError, TimeoutError) as err:
             raise _unreachable_error(target_id, send_state, err) from err
@@ -104,10 +114,11 @@
                 connection = await self._client.async_connection(
                     address, avoided=avoided_connection
                 )
-                answer = await _async_read(
+                answer = await self._async_read(
+                    target_id,
                     await self._client.async_exchange_over(
                         connection, request, send_state, self._gate
-                    )
+                    ),
                 )
         except (RequestNotSentError, AnswerBrokenError, TimeoutError) as err:
             raise _unreachable_error(target_id, send_state, err) from err
@@ -132,24 +143,33 @@
         )
         try:
             async with asyncio.timeout(limit):
-                answer = await _async_read(
+                answer = await self._async_read(
+                    None,
                     await self._client.async_exchange(
                         address, request, HttpSendState(), self._gate
-                    )
+                    ),
                 )
         except (RequestNotSentError, AnswerBrokenError, TimeoutError):
             # The caller keeps its state and calls again later.
             return None
         return answer.headers.get(HEADER_INSTANCE)
 
+    async def _async_read(
+        self, target_id: str | None, answer: HttpAnswer
+    ) -> HttpAnswer:
+        """Read an answer completely and release its connection.
 
-async def _async_read(answer: HttpAnswer) -> HttpAnswer:
-    """Read an answer completely and release its connection."""
-    try:
-        await answer.async_read_whole()
-    finally:
-        answer.finish(monotonic_now())
-    return answer
+        `target_id` is None if any target may answer, which then names itself.
+        """
+        head = decode_answer_head(answer.status, answer.headers)
+        name = head.instance if target_id is None else target_id
+        if name is not None and self._on_answer is not None:
+            self._on_answer(name, head)
+        try:
+            await answer.async_read_whole()
+        finally:
+            answer.finish(monotonic_now())
+        return answer
 
 
 def _make_request(
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -10,6 +10,7 @@
 from eliot import log_message
 
 from swiftpin.core import callback
+from swiftpin.discovery.announced_drains import AnnouncedDrains
 from swiftpin.discovery.evacuations import Evacuations
 from swiftpin.discovery.store_follower import StoreFollower
 from swiftpin.discovery.store_health import StoreHealth
@@ -22,6 +23,8 @@
 from swiftpin.model.instance_settings import InstanceSettings
 from swiftpin.model.service_spec import ServiceSpec
 from swiftpin.model.target import Target
+from swiftpin.notices.answer_listener import AnswerListener
+from swiftpin.notices.target_backoffs import TargetBackoffs
 from swiftpin.permits.cold_targets import ColdTargets
 from swiftpin.permits.permit_broker import PermitBroker
 from swiftpin.platform.names import (
@@ -97,6 +100,13 @@
         self._permits = PermitBroker(
             incarnation, settings.zone, self._metrics.record_turnaround
         )
+        self._drains = AnnouncedDrains()
+        self._backoffs = TargetBackoffs()
+        listener = AnswerListener(
+            rate_reports=self._permits.rate_reports,
+            drains=self._drains,
+            backoffs=self._backoffs,
+        )
         self._lease = LeaseElection(
             name=settings.name,
             incarnation=incarnation,
@@ -148,6 +158,7 @@
             permits=self._permits,
             key_maps=self._fleet.key_maps,
             may_plan=link_check.may_plan,
+            listener=listener,
         )
         self._leader = Leader(
             lease=self._lease,
@@ -171,6 +182,7 @@
             rate_reports=self._permits.rate_reports,
             lifecycle=self._lifecycle,
             links=self._target_links,
+            listener=listener,
         )
         self._link_probes = LinkProbes(
             client=self._clients.targets,
@@ -189,6 +201,7 @@
             poison=self._poison,
             fleet_size=self._fleet_size,
             links=self._target_links,
+            listener=listener,
         )
         request_log = RequestLog(
             destination=logging.destination,
@@ -354,6 +367,15 @@
         rate_reports.retain_targets(self._directory.targets_by_id.keys())
         self._metrics.limited_targets = len(rate_reports.limited_targets)
 
+    @callback
+    def _update_notices(self, now: float) -> None:
+        """Drop the statements of targets that are gone and update their metrics."""
+        targets = self._directory.targets_by_id.keys()
+        self._drains.retain_targets(targets)
+        self._backoffs.retain_targets(targets, now)
+        self._metrics.announced_drains = self._drains.count()
+        self._metrics.backoff_targets = self._backoffs.count(now)
+
     @callback
     def _request_relays(self) -> None:
         """Learn which instances can pass requests on."""
@@ -424,6 +446,7 @@
             await asyncio.sleep(HOUSEKEEPING_INTERVAL)
             self._directory.expire_targets(suspend_aware_now())
             self._update_rate_limits()
+            self._update_notices(suspend_aware_now())
             self._update_target_links(suspend_aware_now())
             self._evacuations.end_unconfirmed(suspend_aware_now())
             # No change event marks the end of a target's drain time.
--- a/swiftpin/router/assigner_factory.py
+++ b/swiftpin/router/assigner_factory.py
@@ -12,13 +12,16 @@
 from swiftpin.dispatch.http_client import HttpClient
 from swiftpin.exceptions import RequestNotSentError
 from swiftpin.helpers.clock import suspend_aware_now
+from swiftpin.keyranges.const import RELEASE_TIMEOUT
 from swiftpin.keyranges.fences import Fences
 from swiftpin.keyranges.lease_election import LeaseElection
 from swiftpin.keyranges.range_assigner import RangeAssigner
 from swiftpin.model.configuration import Configuration
 from swiftpin.model.instance_settings import InstanceSettings
 from swiftpin.model.service_spec import ServiceSpec
+from swiftpin.notices.answer_listener import AnswerListener
 from swiftpin.permits.permit_broker import PermitBroker
+from swiftpin.platform.request_head import AnswerHead
 from swiftpin.platform.store_client import StoreClient
 from swiftpin.platform.target_control import TargetControl
 from swiftpin.router.configuration_holder import ConfigurationHolder
@@ -46,6 +49,7 @@
         permits: PermitBroker,
         key_maps: KeyMapSharing,
         may_plan: Callable[[], bool],
+        listener: AnswerListener,
     ) -> None:
         self.settings = settings
         self._client = client
@@ -57,6 +61,7 @@
         self._permits = permits
         self._key_maps = key_maps
         self._may_plan = may_plan
+        self._listener = listener
 
     @callback
     def make(
@@ -67,7 +72,7 @@
         return RangeAssigner(
             service=service,
             client=self._client,
-            control=TargetControl(self._control_http, gate),
+            control=TargetControl(self._control_http, gate, self._hear),
             directory=self._directory,
             lease=self._lease,
             fences=fences,
@@ -84,6 +89,15 @@
             may_plan=self._may_plan,
         )
 
+    @callback
+    def _hear(self, name: str, head: AnswerHead) -> None:
+        """Record what a target states in an answer to a grant, release or check."""
+        target = self._directory.current_life(name)
+        if target is not None:
+            now = suspend_aware_now()
+            asked_at = now - RELEASE_TIMEOUT
+            self._listener.hear(target, head, asked_at=asked_at, now=now)
+
     @callback
     def _current_spec(self, fallback: ServiceSpec) -> ServiceSpec:
         """Return the current specification of a service, or `fallback` if removed."""
--- a/swiftpin/router/metrics.py
+++ b/swiftpin/router/metrics.py
@@ -84,6 +84,12 @@
         self.limited_targets = 0
         """Targets that name a rate limit, as known to this instance."""
 
+        self.announced_drains = 0
+        """Targets that announced in answers to this instance that they are leaving."""
+
+        self.backoff_targets = 0
+        """Targets that asked this instance not to call them for now."""
+
         self.ways: Counter[tuple[str, ...]] = Counter()
         """Requests sent, by service and the way of their last send."""
 
--- a/swiftpin/router/metrics_registry.py
+++ b/swiftpin/router/metrics_registry.py
@@ -72,6 +72,16 @@
             "Targets that name a rate limit, as known to this instance.",
             value=metrics.limited_targets,
         )
+        yield GaugeMetricFamily(
+            "swiftpin_router_announced_drains",
+            "Targets that announced in answers to this instance that they are leaving.",
+            value=metrics.announced_drains,
+        )
+        yield GaugeMetricFamily(
+            "swiftpin_router_backoff_targets",
+            "Targets that asked this instance not to call them for now.",
+            value=metrics.backoff_targets,
+        )
         yield _counter(
             "swiftpin_router_sent_requests",
             "Requests that were sent, by the way of their last send: `direct`, or"
--- a/swiftpin/router/relay_handler.py
+++ b/swiftpin/router/relay_handler.py
@@ -31,8 +31,7 @@
 from swiftpin.gateway.lifecycle import Lifecycle
 from swiftpin.gateway.request_body import RequestBody
 from swiftpin.helpers.clock import suspend_aware_now
-from swiftpin.model.target import Target
-from swiftpin.permits.rate_report import RateReport
+from swiftpin.notices.answer_listener import AnswerListener
 from swiftpin.permits.rate_reports import RateReports
 from swiftpin.platform.request_head import (
     RequestHead,
@@ -75,6 +74,7 @@
         rate_reports: RateReports,
         lifecycle: Lifecycle,
         links: TargetLinks,
+        listener: AnswerListener,
     ) -> None:
         self.in_flight = 0
         """Number of requests that are being passed on."""
@@ -88,6 +88,7 @@
         self._rate_reports = rate_reports
         self._lifecycle = lifecycle
         self._links = links
+        self._listener = listener
         self._deadline_watch = DeadlineWatch()
 
     @callback
@@ -192,7 +193,12 @@
             raise ConnectionFailedError(f"the link is lost here too; {err}") from err
         now = suspend_aware_now()
         self._links.record_answer(target.id, now)
-        self._record_rate_limit(target, answer, started_at, now)
+        self._listener.hear(
+            target,
+            decode_answer_head(answer.status, answer.headers),
+            asked_at=started_at,
+            now=now,
+        )
         return answer
 
     @callback
@@ -208,17 +214,6 @@
                 f"{terms.target} has a rate limit and the permit has expired"
             )
 
-    @callback
-    def _record_rate_limit(
-        self, target: Target, answer: HttpAnswer, asked_at: float, now: float
-    ) -> None:
-        """Record the rate limit that a target named in an answer."""
-        head = decode_answer_head(answer.status, answer.headers)
-        if head.rate_limit is None or head.instance not in (None, target.name):
-            return
-        report = RateReport(limit=head.rate_limit, sent_at=asked_at, received_at=now)
-        self._rate_reports.add(target.id, report, now, source="answer")
-
 
 def _target_headers(headers: Mapping[str, str]) -> list[tuple[str, str]]:
     """Return the headers of a relayed request without those for the relay."""
--- a/swiftpin/router/request_sender.py
+++ b/swiftpin/router/request_sender.py
@@ -11,6 +11,7 @@
 from swiftpin.exceptions import AnswerLostError, NotRunError, QueueFullError
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.model.bounds import Bounds
+from swiftpin.notices.answer_listener import AnswerListener
 from swiftpin.permits.permit import Permit
 from swiftpin.permits.permit_broker import PermitBroker
 from swiftpin.permits.permit_decision import PermitDecision
@@ -55,6 +56,7 @@
         poison: PoisonDetector,
         fleet_size: FleetSize,
         links: TargetLinks,
+        listener: AnswerListener,
     ) -> None:
         self.retries = RetryPolicy(bounds, fleet_size)
         self.transfer_times = TransferTimes()
@@ -70,6 +72,7 @@
             poison=poison,
             retries=self.retries,
             links=links,
+            listener=listener,
         )
         self._directory = directory
         self._maps = maps
--- a/swiftpin/router/target_exchange.py
+++ b/swiftpin/router/target_exchange.py
@@ -27,9 +27,9 @@
 from swiftpin.model.request_kind import RequestKind
 from swiftpin.model.service_spec import ServiceSpec
 from swiftpin.model.target import Target
+from swiftpin.notices.answer_listener import AnswerListener
 from swiftpin.permits.permit import Permit
 from swiftpin.permits.permit_broker import PermitBroker
-from swiftpin.permits.rate_report import RateReport
 from swiftpin.platform.request_head import (
     AnswerHead,
     decode_answer_head,
@@ -80,6 +80,7 @@
         poison: PoisonDetector,
         retries: RetryPolicy,
         links: TargetLinks,
+        listener: AnswerListener,
     ) -> None:
         self.load = LoadReport()
         """Load observed since the last report."""
@@ -92,6 +93,7 @@
         self._poison = poison
         self._retries = retries
         self._links = links
+        self._listener = listener
 
     async def async_exchange(self, call: Call, permit: Permit) -> ReceivedAnswer | None:
         """Return the answer with the start of its body, or None if the send failed."""
@@ -176,7 +178,7 @@
         finally:
             _record_way(call, outgoing)
         head = decode_answer_head(answer.status, answer.headers)
-        self._record_rate_limit(target, head, asked_at)
+        self._listener.hear(target, head, asked_at=asked_at, now=suspend_aware_now())
         if head.not_executed:
             return self._handle_refusal(call, use, answer, head)
         return await self._async_receive(call, use, answer, head, began_at)
@@ -213,20 +215,6 @@
             answer=answer, first_chunks=first_chunks, answer_began_at=answered_at
         )
 
-    @callback
-    def _record_rate_limit(
-        self, target: Target, head: AnswerHead, asked_at: float
-    ) -> None:
-        """Record the rate limit that a target named in an answer, or that it has none.
-
-        `asked_at` is a time before the request was sent.
-        """
-        if head.rate_limit is None or head.instance not in (None, target.name):
-            return
-        now = suspend_aware_now()
-        report = RateReport(limit=head.rate_limit, sent_at=asked_at, received_at=now)
-        self._permits.rate_reports.add(target.id, report, now, source="answer")
-
     @callback
     def _check_target(self, call: Call, permit: Permit, now: float) -> None:
         """Raise `SendNotAllowedError` if the request must no longer be sent.
@@ -265,6 +253,8 @@
             self._record_failed_send(call, use, StepFailure.REPLACED, reason)
             return
         reason = f"refused: {answer.status}"
+        if head.retry_after is not None:
+            reason = f"{reason}, retry after {head.retry_after:g} s"
         if not is_key_denied:
             self._record_failed_send(call, use, StepFailure.REFUSED, reason)
             return
--- a/tests/keyranges/test_late_renewals.py
+++ b/tests/keyranges/test_late_renewals.py
@@ -27,6 +27,7 @@
 from swiftpin.model.configuration import Configuration
 from swiftpin.model.instance_settings import InstanceSettings
 from swiftpin.model.store_era import StoreEra
+from swiftpin.notices.answer_listener import AnswerListener
 from swiftpin.permits.permit_broker import PermitBroker
 from swiftpin.platform.platform_object import PlatformObject
 from swiftpin.platform.store_client import StoreClient
@@ -164,6 +165,7 @@
         permits=PermitBroker("a/1", "z"),
         key_maps=cast(KeyMapSharing, SimpleNamespace(publish=lambda key_map: None)),
         may_plan=lambda: True,
+        listener=cast(AnswerListener, SimpleNamespace()),
     )
     lease.note_eligible()
     await lease._async_poll(suspend_aware_now())
--- /dev/null
+++ b/tests/notices/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what targets state about themselves in their answers."""
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -210,6 +210,39 @@
     assert decode_answer_head(200, headers).rate_limit == limit
 
 
+@pytest.mark.parametrize(
+    ("text", "seconds"),
+    [
+        (None, None),
+        ("3", 3.0),
+        ("0.25", 0.25),
+        ("0", 0.0),
+        ("259200", 259200.0),
+        ("-1", None),
+        ("inf", None),
+        ("nan", None),
+        ("soon", None),
+        ("", None),
+        ("Thu, 03 Dec 2026 23:10:00 GMT", None),
+    ],
+)
+def test_only_a_number_of_seconds_is_a_backoff(
+    text: str | None, seconds: float | None
+) -> None:
+    """Guards against malformed delays that fail a request or block a target."""
+    headers = {} if text is None else {"Retry-After": text}
+    assert decode_answer_head(503, headers).retry_after == seconds
+
+
+@pytest.mark.parametrize(
+    ("headers", "is_draining"),
+    [({}, False), ({"Server-Leaving": "1"}, True), ({"Server-Leaving": "0"}, False)],
+)
+def test_announced_drain_is_decoded(headers: dict[str, str], is_draining: bool) -> None:
+    """Guards against announcements in answers that nobody reads."""
+    assert decode_answer_head(200, headers).is_draining is is_draining
+
+
 def test_only_end_to_end_headers_are_forwarded() -> None:
     """Hop-by-hop headers are dropped, and the router sets its own headers."""
     received = [
--- a/tests/platform/test_wire_names.py
+++ b/tests/platform/test_wire_names.py
@@ -12,7 +12,7 @@
 WIRE_NAMES: Final = re.compile(
     r"Swiftpin-(Request-Id|Deadline-Milliseconds|Upstream-|Expected-|Not-Executed"
     r"|Shard-Key|Handover|Instance-Id)"
-    r"|Server-Limit"
+    r"|Server-(Limit|Leaving)"
     r"|traffic_split|path_prefix|stability_window|config_apply|target_latency"
     r"|api/(objects|grant|release|readiness)|hold_max|drain_ms|hold_ms"
     r"|[\"'](specification|sharding|warmup_s|cold_ms|internal_ports)[\"']"
--- a/tests/router/test_target_exchange.py
+++ b/tests/router/test_target_exchange.py
@@ -54,6 +54,7 @@
             poison=cast("Any", None),
             retries=cast("Any", None),
             links=cast("Any", None),
+            listener=cast("Any", None),
         )
 
     def refuse(self, status: int) -> None:
