--- a/tests/router/cut_links.py
+++ b/tests/router/cut_links.py
@@ -38,6 +38,9 @@
 
     def __init__(self) -> None:
         self._cuts: dict[str, tuple[CutKind, frozenset[str] | None]] = {}
+        self.instances_by_port: dict[int, str] = {}
+        """Instances by the local port of the connections that they opened."""
+
         self._transports: dict[str, list[CutTransport]] = {}
 
     def cut(
@@ -108,6 +111,9 @@
                 raise ConnectionFailedError(f"no connection to {address}: refused")
         connection = await super().async_connect()
         protocol = connection.protocol
+        assert protocol.transport is not None
+        port = protocol.transport.get_extra_info("sockname")[1]
+        self.cuts.instances_by_port[port] = self.instance
         transport = CutTransport(self.cuts, self.instance, address, protocol)
         self.cuts.add(self.instance, transport)
         return connection
--- a/tests/router/site.py
+++ b/tests/router/site.py
@@ -125,6 +125,7 @@
         self.targets_by_name: dict[str, TargetStandin] = {}
         self.routers_by_name: dict[str, Router] = {}
         self.settings_by_name: dict[str, InstanceSettings] = {}
+        self.routes = ROUTES
         self._numbers = count(1)
         self._hosts = count(1)
         self._session: ClientSession | None = None
@@ -142,7 +143,7 @@
         """Start all components and wait until all keys are served."""
         await self.store.async_setup()
         self._session = ClientSession()
-        self.store.put("config", "main", configuration(1, ROUTES))
+        self.store.put("config", "main", configuration(1, self.routes))
         for number in range(targets):
             await self.async_add_target(f"t{number}", "desk")
         await self.async_add_target("v0", "vault")
@@ -164,7 +165,7 @@
         self, name: str, service: str, *, zone: str = "z1", cold_ms: int = 0
     ) -> TargetStandin:
         """Start a target and register it."""
-        target = TargetStandin(name, is_keyed=service == "desk")
+        target = self.make_target(name, is_keyed=service == "desk")
         target.zone = zone
         target.cold_ms = cold_ms
         await target.async_setup()
@@ -201,6 +202,10 @@
         self.settings_by_name[name] = settings
         return router
 
+    def make_target(self, name: str, *, is_keyed: bool) -> TargetStandin:
+        """Return a target that is not started yet."""
+        return TargetStandin(name, is_keyed=is_keyed)
+
     def prepare(self, name: str, router: Router) -> None:
         """Prepare an instance before it starts."""
 
@@ -235,6 +240,10 @@
             while not condition():  # noqa: ASYNC110  # not all conditions have an event
                 await asyncio.sleep(0.01)
 
+    def next_request_id(self) -> str:
+        """Return an id that no request had before."""
+        return f"q{next(self._numbers)}"
+
     async def async_call(
         self,
         path: str,
@@ -244,12 +253,13 @@
         method: str = "GET",
         body: bytes = b"",
         deadline: int = 2000,
+        request_id: str | None = None,
     ) -> Reply:
-        """Send a request with a unique id."""
+        """Send a request, by default with a new id."""
         assert self._session is not None
         headers = {
             "Host": HOST,
-            "Swiftpin-Request-Id": f"q{next(self._numbers)}",
+            "Swiftpin-Request-Id": request_id or self.next_request_id(),
             "Swiftpin-Deadline-Milliseconds": str(deadline),
         }
         if key is not None:
--- a/tests/router/target_standin.py
+++ b/tests/router/target_standin.py
@@ -11,6 +11,7 @@
     AppRunner,
     Request,
     Response,
+    StreamResponse,
     TCPSite,
     json_response,
 )
@@ -63,6 +64,7 @@
     async def async_setup(self, port: int = 0) -> None:
         """Listen on a port, by default any free one."""
         app = Application()
+        app.on_response_prepare.append(self.async_prepare_answer)
         app.router.add_post("/api/grant", self._async_grant)
         app.router.add_post("/api/release", self._async_release)
         app.router.add_get("/health", self._async_health)
@@ -72,6 +74,11 @@
         await TCPSite(self._runner, "127.0.0.1", port).start()
         self.address = f"127.0.0.1:{self._runner.addresses[0][1]}"
 
+    async def async_prepare_answer(
+        self, request: Request, response: StreamResponse
+    ) -> None:
+        """Change the head of an answer before it is sent."""
+
     async def async_unload(self) -> None:
         """Stop listening and close all connections."""
         if self._runner is not None:
