Stop sending to targets that announce in their answers that they leave

Cause: only the entry in the store marked a target as leaving, and the store was silent. Evidence: nothing decoded the header; arrivals went on until the entry was accepted.

AnnouncedDrains keeps announcements by life, apart from the entries, so no entry, older or newer, takes one back; a new life has none. Two consequences, by who has heard: - This instance sends nothing later than the drain time after it read the first one. The bound needs no margin: a caller's request is written no earlier than it was sent, the answer is passed on no earlier than it was read. - Once confirmed, by a second answer or a check of the health endpoint, all linked instances are told: the holder moves the keys, issuers grant nothing without a key. A single announcement does not: it may be spoilt, and a later signed answer without it ends it. TargetClient is now the only writer of callers' requests, direct, relayed and at relays: it asks SendGate right before each write and lets AnswerListener hear each answer first. The gate holds what stood in two places (drain, evacuation, rate limits). Grants and releases are heard too, so a holder without requests of its own learns within a renewal. Callers of keys whose owner has left while the holder can't record moves are rejected at once; before, they waited 0.5 s for nothing.

Why it holds: every write is behind one gate with no await in between, every answer is recorded before anyone else sees it (tests: no other module has the clients; relay and sender; stale entries; new lives; spoilt answers; holder without requests).

--- a/swiftpin/discovery/target_directory.py
+++ b/swiftpin/discovery/target_directory.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from swiftpin.core import callback
+from swiftpin.discovery.announced_drains import AnnouncedDrains
 from swiftpin.discovery.const import DRAIN_MARGIN, REREGISTRATION_TIME
 from swiftpin.discovery.entry_revisions import EntryRevisions
 from swiftpin.discovery.evacuations import Evacuations
@@ -26,9 +27,10 @@
     """Targets by life id, as reported by the store or a neighbour.
 
     Updates older than the known revision of a target are ignored, whatever their
-    source. A target is leaving if it announced so, or if its entry was removed or can't
-    be used. It may hold keys, so it stays in `targets_by_id`, with the time in
-    `leaving_since_by_id`, until it is removed.
+    source. A target is leaving if its entry or its answers say so, or if its entry was
+    removed or can't be used. It may hold keys, so it stays in `targets_by_id` until it
+    is removed. `leaving_since_by_id` holds the time for those that are leaving by their
+    entries, `announced_drains` knows those that are by their answers.
     """
 
     def __init__(
@@ -38,6 +40,7 @@
         evacuations: Evacuations | None = None,
     ) -> None:
         self.evacuations = evacuations or Evacuations(None)
+        self.announced_drains = AnnouncedDrains(drain_limit)
         self._known = KnownTargets()
         self.targets_by_id = self._known.targets_by_id
         self.leaving_since_by_id = self._known.leaving_since_by_id
@@ -163,6 +166,7 @@
     def set_drain_limit(self, drain_limit: float) -> None:
         """Set the seconds for which a leaving target may get requests."""
         self._drain_limit = drain_limit
+        self.announced_drains.set_drain_limit(drain_limit)
 
     @callback
     def serving_targets(self, service: str, now: float) -> list[Target]:
@@ -170,9 +174,7 @@
         return [
             target
             for target in self.targets_by_id.values()
-            if target.service == service
-            and target.id not in self.leaving_since_by_id
-            and not self.evacuations.is_evacuated(target.zone)
+            if target.service == service and not self._is_retiring(target)
         ]
 
     @callback
@@ -185,10 +187,7 @@
             target
             for target in self.targets_by_id.values()
             if target.service == service
-            and (
-                target.id in self.leaving_since_by_id
-                or self.evacuations.is_evacuated(target.zone)
-            )
+            and self._is_retiring(target)
             and self.may_send(target.id, now)
         ]
 
@@ -201,6 +200,8 @@
         since = self.leaving_since_by_id.get(target_id)
         if since is not None and now - since >= self._drain_limit - DRAIN_MARGIN:
             return False
+        if not self.announced_drains.may_send(target_id, now):
+            return False
         return self.evacuations.may_send(target.zone, now)
 
     @callback
@@ -231,9 +232,14 @@
     def is_leaving(self, target_id: str) -> bool:
         """Return whether a target is leaving, evacuated or unknown."""
         target = self.targets_by_id.get(target_id)
+        return target is None or self._is_retiring(target)
+
+    @callback
+    def _is_retiring(self, target: Target) -> bool:
+        """Return whether a target gets no new work, by whatever told so first."""
         return (
-            target is None
-            or target_id in self.leaving_since_by_id
+            target.id in self.leaving_since_by_id
+            or target.id in self.announced_drains.confirmed_ids
             or self.evacuations.is_evacuated(target.zone)
         )
 
--- a/swiftpin/notices/answer_listener.py
+++ b/swiftpin/notices/answer_listener.py
@@ -52,5 +52,7 @@
             self._rate_reports.add(target.id, report, now, source="answer")
         if head.is_draining:
             self._drains.record_announcement(target.id, now)
+        elif head.is_signed:
+            self._drains.record_absence(target.id, asked_at)
         if head.status in BACKOFF_STATUSES and head.retry_after:
             self._backoffs.record(target.id, head.retry_after, now)
--- /dev/null
+++ b/swiftpin/notices/send_gate.py
@@ -0,0 +1,38 @@
+"""Last check before a request is written to its target."""
+
+from __future__ import annotations
+
+from swiftpin.core import callback
+from swiftpin.discovery.target_directory import TargetDirectory
+from swiftpin.exceptions import SendNotAllowedError
+from swiftpin.permits.rate_reports import RateReports
+
+
+class SendGate:
+    """Decides whether a target may get a request at the moment of its write.
+
+    The request may have waited for a slot, a connection or a relay since the target was
+    chosen. Times are suspend-aware.
+    """
+
+    def __init__(
+        self, *, directory: TargetDirectory, rate_reports: RateReports
+    ) -> None:
+        self._directory = directory
+        self._rate_reports = rate_reports
+
+    @callback
+    def check(self, target_id: str, now: float, permit_until: float | None) -> None:
+        """Raise `SendNotAllowedError` if a request must not be sent.
+
+        `permit_until` is the time until which its permit is valid for a target with a
+        rate limit, None if the permit took no limit into account.
+        """
+        if not self._directory.may_send(target_id, now):
+            raise SendNotAllowedError(f"{target_id} has left")
+        if target_id not in self._rate_reports.limited_targets:
+            return
+        if permit_until is None or now > permit_until:
+            raise SendNotAllowedError(
+                f"{target_id} has a rate limit and the permit has expired"
+            )
--- a/swiftpin/permits/permit_broker.py
+++ b/swiftpin/permits/permit_broker.py
@@ -131,19 +131,19 @@
         """
         if permit.target not in self.rate_reports.limited_targets:
             return True
-        age = now - permit.granted_at
-        return permit.is_rate_limited and age <= MAX_LIMITED_PERMIT_AGE
+        valid_until = self.valid_until(permit)
+        return valid_until is not None and now <= valid_until
 
     @callback
-    def time_left(self, permit: Permit, now: float) -> float | None:
-        """Return the seconds for which a permit for a limited target is valid.
+    def valid_until(self, permit: Permit) -> float | None:
+        """Return the time until which a permit is valid for a limited target.
 
-        Return None if the permit did not take a rate limit into account. `now` is on
+        Return None if the permit did not take a rate limit into account. The time is on
         the suspend-aware clock.
         """
         if not permit.is_rate_limited:
             return None
-        return permit.granted_at + MAX_LIMITED_PERMIT_AGE - now
+        return permit.granted_at + MAX_LIMITED_PERMIT_AGE
 
     @callback
     def release(
--- a/swiftpin/platform/request_head.py
+++ b/swiftpin/platform/request_head.py
@@ -92,6 +92,11 @@
     retry_after: float | None = None
     """Seconds for which the target asks not to be called, None if it doesn't."""
 
+    @property
+    def is_healthy(self) -> bool:
+        """Return whether this answer of a health endpoint reports no problem."""
+        return self.status == HTTPStatus.OK
+
 
 def decode_request_head(headers: Mapping[str, str]) -> RequestHead:
     """Decode a request's headers; raise `ValueError` if a value is malformed."""
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -10,7 +10,6 @@
 from eliot import log_message
 
 from swiftpin.core import callback
-from swiftpin.discovery.announced_drains import AnnouncedDrains
 from swiftpin.discovery.evacuations import Evacuations
 from swiftpin.discovery.store_follower import StoreFollower
 from swiftpin.discovery.store_health import StoreHealth
@@ -23,8 +22,6 @@
 from swiftpin.model.instance_settings import InstanceSettings
 from swiftpin.model.service_spec import ServiceSpec
 from swiftpin.model.target import Target
-from swiftpin.notices.answer_listener import AnswerListener
-from swiftpin.notices.target_backoffs import TargetBackoffs
 from swiftpin.permits.cold_targets import ColdTargets
 from swiftpin.permits.permit_broker import PermitBroker
 from swiftpin.platform.names import (
@@ -35,7 +32,6 @@
 from swiftpin.platform.store_client import StoreClient
 from swiftpin.relays.relay import Relay
 from swiftpin.relays.relay_choice import RelayChoice
-from swiftpin.relays.relay_client import RelayClient
 from swiftpin.relays.silence_watch import SilenceWatch
 from swiftpin.relays.target_links import TargetLinks
 from swiftpin.router.assigner_factory import AssignerFactory
@@ -58,6 +54,7 @@
 from swiftpin.router.request_log import RequestLog
 from swiftpin.router.request_sender import RequestSender
 from swiftpin.router.status_endpoints import StatusEndpoints
+from swiftpin.router.target_notices import TargetNotices
 from swiftpin.router.target_ways import TargetWays
 
 HOUSEKEEPING_INTERVAL: Final = 1.0
@@ -100,13 +97,6 @@
         self._permits = PermitBroker(
             incarnation, settings.zone, self._metrics.record_turnaround
         )
-        self._drains = AnnouncedDrains()
-        self._backoffs = TargetBackoffs()
-        listener = AnswerListener(
-            rate_reports=self._permits.rate_reports,
-            drains=self._drains,
-            backoffs=self._backoffs,
-        )
         self._lease = LeaseElection(
             name=settings.name,
             incarnation=incarnation,
@@ -140,6 +130,14 @@
             relays=self._relays,
         )
         self._metrics.set_link_traffic(self._fleet.links.traffic)
+        self._notices = TargetNotices(
+            clients=self._clients,
+            configuration=self._configuration,
+            directory=self._directory,
+            rate_reports=self._permits.rate_reports,
+            drain_reports=self._fleet.drain_reports,
+            on_drain=self._update_permit_targets,
+        )
         self._lease.on_record = self._fleet.known_leader.adopt_record
         link_check = HolderLinkCheck(
             directory=self._directory,
@@ -158,7 +156,7 @@
             permits=self._permits,
             key_maps=self._fleet.key_maps,
             may_plan=link_check.may_plan,
-            listener=listener,
+            listener=self._notices.listener,
         )
         self._leader = Leader(
             lease=self._lease,
@@ -168,21 +166,18 @@
         )
         self._fleet.load_reports.on_load = self._leader.handle_load_report
         ways = TargetWays(
-            client=self._clients.targets,
-            relay_client=RelayClient(self._clients.relays),
+            client=self._notices.client,
             links=self._target_links,
             watch=self._silence_watch,
             relays=self._relays,
         )
         ways.on_relays_needed = self._request_relays
         self._relay_handler = RelayHandler(
-            client=self._clients.targets,
+            client=self._notices.client,
             configuration=self._configuration,
             directory=self._directory,
-            rate_reports=self._permits.rate_reports,
             lifecycle=self._lifecycle,
             links=self._target_links,
-            listener=listener,
         )
         self._link_probes = LinkProbes(
             client=self._clients.targets,
@@ -201,7 +196,7 @@
             poison=self._poison,
             fleet_size=self._fleet_size,
             links=self._target_links,
-            listener=listener,
+            may_move_keys=self._fleet.holder_reaches_store,
         )
         request_log = RequestLog(
             destination=logging.destination,
@@ -299,6 +294,7 @@
     async def async_unload(self) -> None:
         """Stop all tasks and close all listeners, links and clients."""
         await self._tasks.async_unload()
+        self._notices.unload()
         await self._listeners.async_unload()
         await self._fleet.links.async_unload()
         self._handler.unload()
@@ -360,22 +356,6 @@
             log_message(message_type="retry_members_changed", members=members)
         self._metrics.retry_members = members
 
-    @callback
-    def _update_rate_limits(self) -> None:
-        """Drop the rate limits of targets that are gone and update their metric."""
-        rate_reports = self._permits.rate_reports
-        rate_reports.retain_targets(self._directory.targets_by_id.keys())
-        self._metrics.limited_targets = len(rate_reports.limited_targets)
-
-    @callback
-    def _update_notices(self, now: float) -> None:
-        """Drop the statements of targets that are gone and update their metrics."""
-        targets = self._directory.targets_by_id.keys()
-        self._drains.retain_targets(targets)
-        self._backoffs.retain_targets(targets, now)
-        self._metrics.announced_drains = self._drains.count()
-        self._metrics.backoff_targets = self._backoffs.count(now)
-
     @callback
     def _request_relays(self) -> None:
         """Learn which instances can pass requests on."""
@@ -445,8 +425,7 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL)
             self._directory.expire_targets(suspend_aware_now())
-            self._update_rate_limits()
-            self._update_notices(suspend_aware_now())
+            self._notices.update(self._metrics, suspend_aware_now())
             self._update_target_links(suspend_aware_now())
             self._evacuations.end_unconfirmed(suspend_aware_now())
             # No change event marks the end of a target's drain time.
--- a/swiftpin/router/fleet_coordinator.py
+++ b/swiftpin/router/fleet_coordinator.py
@@ -22,6 +22,7 @@
 from swiftpin.relays.relay_choice import RelayChoice
 from swiftpin.relays.target_links import TargetLinks
 from swiftpin.router.configuration_holder import ConfigurationHolder
+from swiftpin.router.drain_reports import DrainReports
 from swiftpin.router.extension_votes import ExtensionVotes
 from swiftpin.router.fleet_messages import (
     LoadReport,
@@ -85,12 +86,14 @@
         self._seeds = seeds
         self._lease = lease
         self._permits = permits
+        self._health = health
         self._maps = maps
         self.known_leader = KnownLeader(links)
         self.key_maps = KeyMapSharing(links, maps, self._request_key_maps)
         self.load_reports = LoadReports(
             links, self.known_leader, lease, permits.rate_reports
         )
+        self.drain_reports = DrainReports(links, directory.announced_drains)
         self._poison_reports = PoisonReports(links, self.known_leader, poison)
         self._fleet_size = fleet_size
         self._is_list_confirmed = False
@@ -197,6 +200,8 @@
                 self.relay_directory.handle_ask(link)
             case "relay_list":
                 self.relay_directory.handle_list(item.relay_list)
+            case "drain_reports":
+                self.drain_reports.handle(item.drain_reports)
             case "issuers":
                 self._issuer_list.adopt(decode_issuers(item.issuers))
                 self._permits.authority.record_list(
@@ -218,6 +223,14 @@
         """Return the heartbeat to send on a link."""
         return self._heartbeats.make(link, suspend_aware_now())
 
+    @callback
+    def holder_reaches_store(self) -> bool:
+        """Return False if the lease holder is known not to reach the store."""
+        if self._lease.is_held(suspend_aware_now()):
+            return not self._health.is_lost
+        link = self.links.outgoing_by_peer.get(self.known_leader.record.peer)
+        return link is None or link.heartbeat is None or not link.heartbeat.store_lost
+
     @callback
     def _handle_hello(self, link: PeerLink, hello: Item) -> None:
         """Record the identity of the peer and send it the current state."""
@@ -227,6 +240,7 @@
         link.relay = hello.relay
         link.zone = hello.zone
         self._permits.add_link(link)
+        self.drain_reports.send_all(link)
         log_message(
             message_type="peer_linked",
             peer=link.incarnation,
--- a/swiftpin/router/owner_finder.py
+++ b/swiftpin/router/owner_finder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Final
 
 from swiftpin.core import callback
@@ -36,10 +37,13 @@
         configuration: ConfigurationHolder,
         directory: TargetDirectory,
         maps: KeyMaps,
+        may_move_keys: Callable[[], bool],
     ) -> None:
         self._configuration = configuration
         self._directory = directory
         self._maps = maps
+        self._may_move_keys = may_move_keys
+        """Returns whether keys can get a new owner at present."""
 
     @callback
     def is_keyed(self, service_name: str) -> bool:
@@ -78,7 +82,7 @@
             owner = self._maps.owner_of(call.service, key)
             if self._can_send(call.service, key, owner):
                 return owner
-            if loop.time() >= until:
+            if loop.time() >= until or not self._may_get_owner(owner):
                 failure = StepFailure.OWNER_AWAY if owner else StepFailure.ON_THE_MOVE
                 call.record_failure(failure, f"no owner: {owner or 'on the move'}")
                 raise NoOwnerError(
@@ -86,6 +90,16 @@
                 )
             await self._async_wait_map_change(call, until)
 
+    @callback
+    def _may_get_owner(self, owner: str) -> bool:
+        """Return whether waiting may help a request whose key has a certain owner.
+
+        The keys of a target that has left need another owner, and moves are recorded in
+        the store first.
+        """
+        has_left = owner and not self._directory.may_send(owner, suspend_aware_now())
+        return not has_left or self._may_move_keys()
+
     @callback
     def _can_send(self, service: str, key: int, owner: str) -> bool:
         """Return whether a request for the key may be sent to its owner now."""
--- a/swiftpin/router/relay_handler.py
+++ b/swiftpin/router/relay_handler.py
@@ -15,7 +15,6 @@
 from swiftpin.core import callback
 from swiftpin.discovery.target_directory import TargetDirectory
 from swiftpin.dispatch.http_answer import HttpAnswer
-from swiftpin.dispatch.http_client import HttpClient
 from swiftpin.dispatch.http_request import HttpRequest
 from swiftpin.dispatch.http_send_state import HttpSendState
 from swiftpin.exceptions import (
@@ -31,11 +30,8 @@
 from swiftpin.gateway.lifecycle import Lifecycle
 from swiftpin.gateway.request_body import RequestBody
 from swiftpin.helpers.clock import suspend_aware_now
-from swiftpin.notices.answer_listener import AnswerListener
-from swiftpin.permits.rate_reports import RateReports
 from swiftpin.platform.request_head import (
     RequestHead,
-    decode_answer_head,
     decode_request_head,
     encode_request_headers,
     is_answer_to,
@@ -52,6 +48,7 @@
 from swiftpin.router.caller_answer import CallerAnswer
 from swiftpin.router.configuration_holder import ConfigurationHolder
 from swiftpin.router.connection_limit import MAX_IDLE_FOR_ONCE, connection_limit
+from swiftpin.router.target_client import TargetClient, TargetSend
 
 MAX_RELAYED_REQUESTS: Final = 128
 """Maximum requests of other instances at a time, so that they leave room for those of
@@ -68,13 +65,11 @@
     def __init__(
         self,
         *,
-        client: HttpClient,
+        client: TargetClient,
         configuration: ConfigurationHolder,
         directory: TargetDirectory,
-        rate_reports: RateReports,
         lifecycle: Lifecycle,
         links: TargetLinks,
-        listener: AnswerListener,
     ) -> None:
         self.in_flight = 0
         """Number of requests that are being passed on."""
@@ -85,10 +80,8 @@
         self._client = client
         self._configuration = configuration
         self._directory = directory
-        self._rate_reports = rate_reports
         self._lifecycle = lifecycle
         self._links = links
-        self._listener = listener
         self._deadline_watch = DeadlineWatch()
 
     @callback
@@ -162,8 +155,17 @@
         remaining = head.deadline - (suspend_aware_now() - started_at)
         service = configuration.services_by_name.get(target.service)
         try:
-            answer = await self._client.async_exchange(
-                target.address,
+            answer = await self._client.async_send(
+                TargetSend(
+                    target=target,
+                    state=state,
+                    check=partial(is_answer_to, head.id),
+                    permit_until=(
+                        None
+                        if terms.permit_left is None
+                        else started_at + terms.permit_left
+                    ),
+                ),
                 HttpRequest(
                     method=request.method,
                     path=request.raw_path,
@@ -175,10 +177,7 @@
                     ),
                     body=body,
                 ),
-                state,
-                partial(self._check_send, terms, started_at),
                 connections=connection_limit(service),
-                check=partial(is_answer_to, head.id),
                 max_idle=MAX_IDLE_FOR_ONCE if terms.is_once else math.inf,
                 may_connect=not is_lost,
             )
@@ -191,28 +190,8 @@
             if not is_lost:
                 raise
             raise ConnectionFailedError(f"the link is lost here too; {err}") from err
-        now = suspend_aware_now()
-        self._links.record_answer(target.id, now)
-        self._listener.hear(
-            target,
-            decode_answer_head(answer.status, answer.headers),
-            asked_at=started_at,
-            now=now,
-        )
-        return answer
-
-    @callback
-    def _check_send(self, terms: RelayTerms, started_at: float, now: float) -> None:
-        """Raise `SendNotAllowedError` if the request must not be sent any more."""
-        sent_at = suspend_aware_now()
-        if not self._directory.may_send(terms.target, sent_at):
-            raise SendNotAllowedError(f"{terms.target} has left")
-        if terms.target not in self._rate_reports.limited_targets:
-            return
-        if terms.permit_left is None or sent_at - started_at > terms.permit_left:
-            raise SendNotAllowedError(
-                f"{terms.target} has a rate limit and the permit has expired"
-            )
+        self._links.record_answer(target.id, suspend_aware_now())
+        return answer.http
 
 
 def _target_headers(headers: Mapping[str, str]) -> list[tuple[str, str]]:
--- a/swiftpin/router/request_sender.py
+++ b/swiftpin/router/request_sender.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from functools import partial
 from typing import Final
 
@@ -11,7 +12,6 @@
 from swiftpin.exceptions import AnswerLostError, NotRunError, QueueFullError
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.model.bounds import Bounds
-from swiftpin.notices.answer_listener import AnswerListener
 from swiftpin.permits.permit import Permit
 from swiftpin.permits.permit_broker import PermitBroker
 from swiftpin.permits.permit_decision import PermitDecision
@@ -56,12 +56,15 @@
         poison: PoisonDetector,
         fleet_size: FleetSize,
         links: TargetLinks,
-        listener: AnswerListener,
+        may_move_keys: Callable[[], bool],
     ) -> None:
         self.retries = RetryPolicy(bounds, fleet_size)
         self.transfer_times = TransferTimes()
         self._owners = OwnerFinder(
-            configuration=configuration, directory=directory, maps=maps
+            configuration=configuration,
+            directory=directory,
+            maps=maps,
+            may_move_keys=may_move_keys,
         )
         self._exchange = TargetExchange(
             ways=ways,
@@ -72,7 +75,6 @@
             poison=poison,
             retries=self.retries,
             links=links,
-            listener=listener,
         )
         self._directory = directory
         self._maps = maps
--- /dev/null
+++ b/swiftpin/router/target_client.py
@@ -0,0 +1,184 @@
+"""Exchanges with targets: checked before each write, and each answer heard."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+
+from aiohttp.hdrs import HOST, METH_GET
+from multidict import CIMultiDict
+
+from swiftpin.core import callback, monotonic_now
+from swiftpin.dispatch.http_answer import HttpAnswer
+from swiftpin.dispatch.http_client import AnswerCheck, HttpClient
+from swiftpin.dispatch.http_request import HttpRequest
+from swiftpin.dispatch.http_send_state import HttpSendState
+from swiftpin.helpers.bytes_body import BytesBody
+from swiftpin.helpers.clock import suspend_aware_now
+from swiftpin.model.service_spec import ServiceSpec
+from swiftpin.model.target import Target
+from swiftpin.notices.answer_listener import AnswerListener
+from swiftpin.notices.send_gate import SendGate
+from swiftpin.platform.request_head import (
+    AnswerHead,
+    decode_answer_head,
+    is_answer_to,
+)
+from swiftpin.relays.relay import Relay
+from swiftpin.relays.relay_client import RelayClient
+from swiftpin.relays.relay_terms import RelayTerms
+from swiftpin.router.connection_limit import connection_limit
+
+
+@callback
+def _do_nothing() -> None:
+    """Do nothing."""
+
+
+@callback
+def _allow(now: float) -> None:
+    """Let a request pass that is no caller's."""
+
+
+@callback
+def _ignore_time(written_at: float) -> None:
+    """Do nothing."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TargetAnswer:
+    """A target's answer with its decoded head."""
+
+    http: HttpAnswer
+    head: AnswerHead
+
+
+@dataclass(kw_only=True, slots=True)
+class TargetSend:
+    """One send of a request to a target."""
+
+    target: Target
+    check: AnswerCheck
+    permit_until: float | None
+    """Time until which the permit is valid for a target with a rate limit."""
+
+    on_write: Callable[[], None] = _do_nothing
+    """Called right before the request is written."""
+
+    state: HttpSendState = field(default_factory=HttpSendState)
+    written_at: float = 0.0
+
+
+class TargetClient:
+    """Sends callers' requests to targets; nothing else writes them.
+
+    Each write asks the gate first, with no await in between, and each answer is heard
+    before anyone else gets it. So what a target states in an answer holds for all
+    requests that are written after it was read.
+    """
+
+    def __init__(
+        self,
+        *,
+        client: HttpClient,
+        relay_client: RelayClient,
+        gate: SendGate,
+        listener: AnswerListener,
+    ) -> None:
+        self._client = client
+        self._relay_client = relay_client
+        self._gate = gate
+        self._listener = listener
+
+    async def async_send(
+        self,
+        send: TargetSend,
+        request: HttpRequest,
+        *,
+        connections: int,
+        max_idle: float,
+        may_connect: bool,
+        on_write: Callable[[float], None] = _ignore_time,
+    ) -> TargetAnswer:
+        """Send a request over this instance's own link and return the answer.
+
+        `on_write` is called with the time right before the request is written. Raises
+        the same errors as `HttpClient.async_exchange`.
+        """
+        answer = await self._client.async_exchange(
+            send.target.address,
+            request,
+            send.state,
+            self._make_gate(send, on_write),
+            connections=connections,
+            check=send.check,
+            max_idle=max_idle,
+            may_connect=may_connect,
+        )
+        return self._hear(send, answer)
+
+    async def async_send_through(
+        self, relay: Relay, terms: RelayTerms, send: TargetSend, request: HttpRequest
+    ) -> TargetAnswer:
+        """Send a request through a relay and return the target's answer.
+
+        Raises the same errors as `RelayClient.async_exchange`.
+        """
+        answer = await self._relay_client.async_exchange(
+            relay, terms, request, send.state, self._make_gate(send), send.check
+        )
+        return self._hear(send, answer)
+
+    async def async_check_health(
+        self, target: Target, service: ServiceSpec
+    ) -> AnswerHead:
+        """Return the head of the answer of a target's health endpoint.
+
+        Raises the same errors as `HttpClient.async_exchange`.
+        """
+        asked_at = suspend_aware_now()
+        answer = await self._client.async_exchange(
+            target.address,
+            HttpRequest(
+                method=METH_GET,
+                path=service.health_path,
+                headers=CIMultiDict({HOST: target.address}),
+                body=BytesBody(b""),
+            ),
+            HttpSendState(),
+            _allow,
+            connections=connection_limit(service),
+            check=partial(is_answer_to, ""),
+        )
+        head = decode_answer_head(answer.status, answer.headers)
+        self._listener.hear(target, head, asked_at=asked_at, now=suspend_aware_now())
+        try:
+            await answer.async_read_whole()
+        finally:
+            answer.finish(monotonic_now())
+        return head
+
+    @callback
+    def _make_gate(
+        self, send: TargetSend, on_write: Callable[[float], None] = _ignore_time
+    ) -> Callable[[float], None]:
+        """Return the check to make right before a request is written."""
+
+        def gate(now: float) -> None:
+            sent_at = suspend_aware_now()
+            self._gate.check(send.target.id, sent_at, send.permit_until)
+            send.written_at = sent_at
+            send.on_write()
+            on_write(sent_at)
+
+        return gate
+
+    @callback
+    def _hear(self, send: TargetSend, answer: HttpAnswer) -> TargetAnswer:
+        """Record what the target states in an answer."""
+        head = decode_answer_head(answer.status, answer.headers)
+        self._listener.hear(
+            send.target, head, asked_at=send.written_at, now=suspend_aware_now()
+        )
+        return TargetAnswer(http=answer, head=head)
--- a/swiftpin/router/target_exchange.py
+++ b/swiftpin/router/target_exchange.py
@@ -21,18 +21,14 @@
     ConnectionFailedError,
     ExchangeError,
     RequestNotSentError,
-    SendNotAllowedError,
 )
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.model.request_kind import RequestKind
 from swiftpin.model.service_spec import ServiceSpec
 from swiftpin.model.target import Target
-from swiftpin.notices.answer_listener import AnswerListener
 from swiftpin.permits.permit import Permit
 from swiftpin.permits.permit_broker import PermitBroker
 from swiftpin.platform.request_head import (
-    AnswerHead,
-    decode_answer_head,
     encode_request_headers,
     is_answer_to,
 )
@@ -51,6 +47,7 @@
 from swiftpin.router.retry_policy import RetryPolicy
 from swiftpin.router.silent_link import SilentLinkError, SilentLinkInterrupt
 from swiftpin.router.step_failure import StepFailure
+from swiftpin.router.target_client import TargetAnswer, TargetSend
 from swiftpin.router.target_ways import (
     OutgoingRequest,
     TargetWays,
@@ -80,7 +77,6 @@
         poison: PoisonDetector,
         retries: RetryPolicy,
         links: TargetLinks,
-        listener: AnswerListener,
     ) -> None:
         self.load = LoadReport()
         """Load observed since the last report."""
@@ -93,7 +89,6 @@
         self._poison = poison
         self._retries = retries
         self._links = links
-        self._listener = listener
 
     async def async_exchange(self, call: Call, permit: Permit) -> ReceivedAnswer | None:
         """Return the answer with the start of its body, or None if the send failed."""
@@ -159,16 +154,18 @@
         time_left = call.ends_at - began_at
         if target is None or time_left < MIN_SEND_TIME:
             raise RequestNotSentError(f"{permit.target} is gone, or no time is left")
-        asked_at = suspend_aware_now()
         is_once = call.route.kind is RequestKind.ONCE
         outgoing = OutgoingRequest(
-            target=target,
+            send=TargetSend(
+                target=target,
+                state=state,
+                check=partial(is_answer_to, call.head.id),
+                permit_until=self._permits.valid_until(permit),
+                on_write=partial(self._record_write, call),
+            ),
             make_request=partial(_make_request, call, target),
             can_be_sent=lambda: call.body.can_be_sent,
             terms=partial(self._relay_terms, call, permit),
-            state=state,
-            gate=partial(self._check_target, call, permit),
-            check=partial(is_answer_to, call.head.id),
             connections=connection_limit(self._service(call.service)),
             max_idle=MAX_IDLE_FOR_ONCE if is_once else math.inf,
             on_silent=on_silent,
@@ -177,21 +174,19 @@
             answer = await self._ways.async_exchange(outgoing)
         finally:
             _record_way(call, outgoing)
-        head = decode_answer_head(answer.status, answer.headers)
-        self._listener.hear(target, head, asked_at=asked_at, now=suspend_aware_now())
-        if head.not_executed:
-            return self._handle_refusal(call, use, answer, head)
-        return await self._async_receive(call, use, answer, head, began_at)
+        if answer.head.not_executed:
+            return self._handle_refusal(call, use, answer)
+        return await self._async_receive(call, use, answer, began_at)
 
     async def _async_receive(
         self,
         call: Call,
         use: PermitUse,
-        answer: HttpAnswer,
-        head: AnswerHead,
+        received: TargetAnswer,
         began_at: float,
     ) -> ReceivedAnswer:
         """Read the start of the answer to a request that was executed."""
+        answer = received.http
         failed = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         answered_at = asyncio.get_running_loop().time()
         elapsed = answered_at - began_at
@@ -200,7 +195,10 @@
         # work itself.
         use.release(elapsed, failed=failed)
         try:
-            if not head.is_signed and answer.status < HTTPStatus.MULTIPLE_CHOICES:
+            if (
+                not received.head.is_signed
+                and answer.status < HTTPStatus.MULTIPLE_CHOICES
+            ):
                 raise AnswerBrokenError("a success without the target's signature")
             first_chunks = await _async_read_first_chunks(answer)
         except BaseException:
@@ -216,33 +214,20 @@
         )
 
     @callback
-    def _check_target(self, call: Call, permit: Permit, now: float) -> None:
-        """Raise `SendNotAllowedError` if the request must no longer be sent.
-
-        The request may have waited for a slot and a connection since the target was
-        chosen. A leaving target must not receive requests after its drain time, and the
-        permit for one with a rate limit may have expired.
-        """
-        sent_at = suspend_aware_now()
-        if not self._directory.may_send(permit.target, sent_at):
-            raise SendNotAllowedError(f"{permit.target} has left")
-        if not self._permits.is_valid(permit, sent_at):
-            raise SendNotAllowedError(
-                f"{permit.target} has a rate limit and the permit has expired"
-            )
-        self._retries.record_send(call, sent_at)
+    def _record_write(self, call: Call) -> None:
+        """Record that a request is written to its target now."""
+        self._retries.record_send(call, suspend_aware_now())
         call.is_at_target = True
 
     @callback
-    def _handle_refusal(
-        self, call: Call, use: PermitUse, answer: HttpAnswer, head: AnswerHead
-    ) -> None:
+    def _handle_refusal(self, call: Call, use: PermitUse, answer: TargetAnswer) -> None:
         """Handle a target's refusal to run the request."""
         permit = use.permit
-        answer.abort()
+        head = answer.head
+        answer.http.abort()
         key = call.head.key
         is_key_denied = False
-        if answer.status == HTTPStatus.MISDIRECTED_REQUEST and key is not None:
+        if head.status == HTTPStatus.MISDIRECTED_REQUEST and key is not None:
             is_key_denied = True
             self._maps.record_denial(call.service, key, suspend_aware_now())
         target = self._directory.targets_by_id.get(permit.target)
@@ -252,7 +237,7 @@
             reason = f"replaced by {head.instance}"
             self._record_failed_send(call, use, StepFailure.REPLACED, reason)
             return
-        reason = f"refused: {answer.status}"
+        reason = f"refused: {head.status}"
         if head.retry_after is not None:
             reason = f"{reason}, retry after {head.retry_after:g} s"
         if not is_key_denied:
@@ -340,10 +325,13 @@
     @callback
     def _relay_terms(self, call: Call, permit: Permit) -> RelayTerms:
         """Return the conditions under which a relay may send a request."""
+        valid_until = self._permits.valid_until(permit)
         return RelayTerms(
             target=permit.target,
             is_once=call.route.kind is RequestKind.ONCE,
-            permit_left=self._permits.time_left(permit, suspend_aware_now()),
+            permit_left=(
+                None if valid_until is None else valid_until - suspend_aware_now()
+            ),
         )
 
     @callback
--- a/swiftpin/router/target_ways.py
+++ b/swiftpin/router/target_ways.py
@@ -7,23 +7,20 @@
 from typing import Final
 
 from swiftpin.core import callback
-from swiftpin.dispatch.http_answer import HttpAnswer
-from swiftpin.dispatch.http_client import AnswerCheck, HttpClient, SendGate
 from swiftpin.dispatch.http_request import HttpRequest
-from swiftpin.dispatch.http_send_state import HttpSendState
 from swiftpin.exceptions import (
     ConnectionFailedError,
     RequestNotSentError,
     SendNotAllowedError,
 )
 from swiftpin.helpers.clock import suspend_aware_now
-from swiftpin.model.target import Target
 from swiftpin.relays.relay import Relay
 from swiftpin.relays.relay_choice import RelayChoice
-from swiftpin.relays.relay_client import RelayClient, RelayNotSentError
+from swiftpin.relays.relay_client import RelayNotSentError
 from swiftpin.relays.relay_terms import RelayResult, RelayTerms
 from swiftpin.relays.silence_watch import OpenExchange, SilenceWatch
 from swiftpin.relays.target_links import TargetLinks
+from swiftpin.router.target_client import TargetAnswer, TargetClient, TargetSend
 
 MAX_RELAYS_PER_SEND: Final = 3
 """Maximum number of relays that one send of a request may ask."""
@@ -37,7 +34,7 @@
 class OutgoingRequest:
     """A request to a target, and how it may be sent."""
 
-    target: Target
+    send: TargetSend
     make_request: Callable[[], HttpRequest]
     """Returns the request; headers and time left are set anew for each way."""
 
@@ -45,9 +42,6 @@
     """Returns whether the body, or all of a streamed one, is still available."""
 
     terms: Callable[[], RelayTerms]
-    state: HttpSendState
-    gate: SendGate
-    check: AnswerCheck
     connections: int
     max_idle: float
     on_silent: Callable[[], None]
@@ -71,8 +65,7 @@
     def __init__(
         self,
         *,
-        client: HttpClient,
-        relay_client: RelayClient,
+        client: TargetClient,
         links: TargetLinks,
         watch: SilenceWatch,
         relays: RelayChoice,
@@ -81,7 +74,6 @@
         """Called when a link fails, so that the relays are known in time."""
 
         self._client = client
-        self._relay_client = relay_client
         self._links = links
         self._watch = watch
         self._relays = relays
@@ -91,12 +83,12 @@
         """Let the link to a target be probed soon."""
         self._watch.request_probe(target)
 
-    async def async_exchange(self, outgoing: OutgoingRequest) -> HttpAnswer:
+    async def async_exchange(self, outgoing: OutgoingRequest) -> TargetAnswer:
         """Return the head of the target's answer.
 
         Raises the same errors as `HttpClient.async_exchange`.
         """
-        target_id = outgoing.target.id
+        target_id = outgoing.send.target.id
         now = suspend_aware_now()
         is_lost = self._links.is_lost(target_id, now)
         if is_lost and self._links.is_silent(target_id):
@@ -120,26 +112,23 @@
 
     async def _async_send_directly(
         self, outgoing: OutgoingRequest, *, may_connect: bool
-    ) -> HttpAnswer:
+    ) -> TargetAnswer:
         """Send a request over this instance's own link."""
-        target_id = outgoing.target.id
+        target_id = outgoing.send.target.id
         exchange = OpenExchange(
             target=target_id, written_at=0.0, on_silent=outgoing.on_silent
         )
 
-        def gate(now: float) -> None:
-            outgoing.gate(now)
-            exchange.written_at = suspend_aware_now()
+        def on_write(written_at: float) -> None:
+            exchange.written_at = written_at
             self._watch.begin(exchange)
 
         try:
-            answer = await self._client.async_exchange(
-                outgoing.target.address,
+            answer = await self._client.async_send(
+                outgoing.send,
                 outgoing.make_request(),
-                outgoing.state,
-                gate,
+                on_write=on_write,
                 connections=outgoing.connections,
-                check=outgoing.check,
                 max_idle=outgoing.max_idle,
                 may_connect=may_connect,
             )
@@ -152,9 +141,9 @@
 
     async def _async_send_through_relay(
         self, outgoing: OutgoingRequest, error: RequestNotSentError
-    ) -> HttpAnswer:
+    ) -> TargetAnswer:
         """Send a request through a relay; raise `error` if there is none."""
-        target_id = outgoing.target.id
+        target_id = outgoing.send.target.id
         tried: list[str] = []
         is_confirmed = not self._relays.has_relays or self._relays.is_unreachable(
             target_id, suspend_aware_now()
@@ -169,13 +158,8 @@
             outgoing.relay = relay
             self._relays.begin(relay)
             try:
-                answer = await self._relay_client.async_exchange(
-                    relay,
-                    outgoing.terms(),
-                    outgoing.make_request(),
-                    outgoing.state,
-                    outgoing.gate,
-                    outgoing.check,
+                answer = await self._client.async_send_through(
+                    relay, outgoing.terms(), outgoing.send, outgoing.make_request()
                 )
             except RelayNotSentError as err:
                 now = suspend_aware_now()
--- a/tests/notices/conftest.py
+++ b/tests/notices/conftest.py
@@ -15,6 +15,7 @@
 from swiftpin.platform.request_head import AnswerHead, decode_answer_head
 
 NOW = 100.0
+DRAIN_LIMIT = 2.0
 TARGET = Target(
     life=TargetLife(name="a", started_ms=7),
     service="desk",
@@ -34,7 +35,7 @@
 
     def __init__(self) -> None:
         self.rate_reports = RateReports()
-        self.drains = AnnouncedDrains()
+        self.drains = AnnouncedDrains(DRAIN_LIMIT)
         self.backoffs = TargetBackoffs()
         self.listener = AnswerListener(
             rate_reports=self.rate_reports, drains=self.drains, backoffs=self.backoffs
--- a/tests/router/notice_site.py
+++ b/tests/router/notice_site.py
@@ -88,6 +88,11 @@
         (found,) = (target for target in self.targets if target.name == name)
         return found
 
+    def key_of(self, target: str) -> int:
+        """Return a key that a target owns."""
+        key_map = self.routers_by_name["i0"]._maps.maps_by_service["desk"]
+        return key_map.firsts[key_map.owners.index(target)]
+
     def backoffs(self) -> list[Backoff]:
         """Return all back-off periods that targets asked for."""
         return [backoff for it in self.targets for backoff in it.record.backoffs]
@@ -206,9 +211,9 @@
         return reply
 
     def _record_announcement(self, instance: str, request_id: str, now: float) -> None:
-        """Record that an instance passed an announcement on."""
+        """Record that an instance passed on that a target leaves, if it does."""
         for target in self.targets:
-            if request_id in target.runs:
+            if target.is_leaving and request_id in target.runs:
                 self._announced_at.setdefault((target.name, instance), now)
 
 
--- a/tests/router/test_owner_finder.py
+++ b/tests/router/test_owner_finder.py
@@ -38,10 +38,12 @@
     def __init__(self) -> None:
         self.directory = Directory()
         self.maps = KeyMaps()
+        self.may_move_keys = True
         self.finder = OwnerFinder(
             configuration=ConfigurationHolder(),
             directory=cast("Any", self.directory),
             maps=self.maps,
+            may_move_keys=lambda: self.may_move_keys,
         )
 
     def set_owner(self, owner: str, number: int) -> None:
@@ -119,6 +121,31 @@
     assert await task == "b"
 
 
+async def test_request_does_not_wait_for_an_owner_that_can_not_come(
+    found: FinderSetup,
+) -> None:
+    """Guards against callers that wait although the key's owner left for good."""
+    found.set_owner("a", 1)
+    found.directory.reachable.remove("a")
+    found.may_move_keys = False
+    async with asyncio.timeout(1.0):
+        with pytest.raises(NoOwnerError) as caught:
+            await found.finder.async_find(make_call())
+    assert caught.value.retry_after == owner_finder.NO_OWNER_RETRY_AFTER
+
+
+async def test_request_waits_while_its_key_moves_without_the_store(
+    found: FinderSetup,
+) -> None:
+    """Guards against rejections while a move that was recorded ends."""
+    found.set_owner("", 1)
+    found.may_move_keys = False
+    task = asyncio.ensure_future(found.finder.async_find(make_call()))
+    await asyncio.sleep(0)
+    found.set_owner("b", 2)
+    assert await task == "b"
+
+
 async def test_wait_for_an_owner_is_limited(
     found: FinderSetup, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/router/test_target_exchange.py
+++ b/tests/router/test_target_exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from http import HTTPStatus
 from typing import Any, cast
 from unittest.mock import Mock
@@ -16,6 +17,7 @@
 from swiftpin.router.call import Call
 from swiftpin.router.key_maps import KeyMaps
 from swiftpin.router.permit_use import PermitUse
+from swiftpin.router.target_client import TargetAnswer
 from swiftpin.router.target_exchange import TargetExchange
 
 PERMIT = Permit(number=1, service="desk", target="a", issuer=None)
@@ -54,15 +56,16 @@
             poison=cast("Any", None),
             retries=cast("Any", None),
             links=cast("Any", None),
-            listener=cast("Any", None),
         )
 
     def refuse(self, status: int) -> None:
         """Let the target refuse a request with a key."""
         call = cast(Call, Mock(service="desk"))
-        answer = cast(HttpAnswer, Mock(status=status))
+        answer = TargetAnswer(
+            http=cast(HttpAnswer, Mock()), head=replace(REFUSED, status=status)
+        )
         use = PermitUse(self.permits, PERMIT)
-        self.exchange._handle_refusal(call, use, answer, REFUSED)
+        self.exchange._handle_refusal(call, use, answer)
 
     def counts_as_target_failure(self) -> bool:
         """Return whether the refusal counts as a failure of the target."""
--- a/tests/router/test_target_notices.py
+++ b/tests/router/test_target_notices.py
@@ -2,16 +2,23 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator
 
 import pytest
 
+from swiftpin.helpers.clock import suspend_aware_now
+from tests.router.cut_links import CutKind
 from tests.router.cut_site import CutOptions
 from tests.router.notice_site import NoticeSite
+from tests.router.site import BOUNDS
 
 MAX_REQUESTS_IN_BACKOFF = 2
 """Requests that may reach a target within a back-off period that it asked for."""
 
+MAX_REJECTION_TIME = 0.2
+"""Seconds for a rejection that waits for nothing."""
+
 
 @pytest.fixture(name="site")
 async def site_fixture(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[NoticeSite]:
@@ -52,3 +59,83 @@
     assert max(requests, default=0) <= MAX_REQUESTS_IN_BACKOFF
     assert not site.repeated_once_only()
     assert not site.untrue_rejections()
+
+
+async def test_keys_of_a_leaving_target_move_before_its_entry_says_so(
+    site: NoticeSite,
+) -> None:
+    """Guards against a holder that learns from the store only, or its own requests."""
+    callers = sorted({"i0", "i1", "i2"} - {site.leader()})
+    target = site.target("t0")
+    target.is_leaving = True
+    for number in range(60):
+        key = number * 1000
+        await site.async_call("/read/x", via=callers[number % 2], key=key)
+    await site.async_wait(lambda: not site.is_owner("t0"))
+    site.store.put("servers", "t0", target.entry("desk"))
+    await site.async_play(1.0)
+    await site.async_settle()
+    assert not site.is_owner("t0")
+    assert all(attempt.is_served for attempt in site.attempts)
+
+
+async def test_other_targets_without_keys_serve_when_one_leaves(
+    site: NoticeSite,
+) -> None:
+    """Guards against requests without a key that wait for a target that leaves."""
+    site.store.is_silent = True
+    site.target("v0").is_leaving = True
+    for _ in range(3):
+        await asyncio.gather(
+            *(site.async_call("/files/x", key=None) for _ in range(20))
+        )
+        await asyncio.sleep(1.0)
+    arrivals = len(site.target("v0").record.arrivals)
+    replies = await asyncio.gather(
+        *(site.async_call("/files/x", key=None) for _ in range(20))
+    )
+    assert all(reply.status == 200 for reply in replies)
+    assert len(site.target("v0").record.arrivals) == arrivals
+
+
+async def test_callers_are_rejected_at_once_while_keys_can_not_move(
+    site: NoticeSite,
+) -> None:
+    """Guards against callers that wait for an owner that a silent store rules out."""
+    key = site.key_of("t0")
+    site.store.is_silent = True
+    site.target("t0").is_leaving = True
+    loop = asyncio.get_running_loop()
+    await asyncio.gather(*(site.async_call("/read/x", key=key) for _ in range(3)))
+    await asyncio.sleep(BOUNDS.drain_limit)
+    began_at = loop.time()
+    reply = await site.async_call("/book/x", key=key, method="POST")
+    assert loop.time() - began_at < MAX_REJECTION_TIME
+    assert reply.status == 503
+    assert float(reply.headers["Retry-After"]) > 0
+    assert not site.count_runs(reply.headers["id"])
+
+
+async def test_spoilt_answer_takes_a_target_from_nobody(site: NoticeSite) -> None:
+    """Guards against one spoilt answer that takes a sound target from all for good."""
+    for name in ("t0", "v0"):
+        site.target(name).spoilt_answers = 1
+    await site.async_play(4.0)
+    await site.async_settle()
+    assert site.is_owner("t0")
+    for router in site.routers_by_name.values():
+        assert not router._directory.announced_drains.count()
+        assert router._directory.may_send("t0", suspend_aware_now())
+    late_runs = site.target("v0").record.arrivals
+    assert late_runs[-1].at > asyncio.get_running_loop().time() - 2.0
+
+
+async def test_relay_and_sender_both_keep_to_an_announcement(site: NoticeSite) -> None:
+    """Guards against requests that reach a leaving target on the way round a cut."""
+    cut = min({"i0", "i1", "i2"} - {site.leader()})
+    site.cuts.cut(cut, CutKind.RESET)
+    await site.async_play(2.0)
+    await async_leave(site)
+    await site.async_settle()
+    assert sum(it._relay_handler.relayed for it in site.routers_by_name.values())
+    assert not site.late_sends()
--- a/tests/router/test_transfer_times.py
+++ b/tests/router/test_transfer_times.py
@@ -73,7 +73,7 @@
         poison=parts,
         fleet_size=parts,
         links=parts,
-        listener=parts,
+        may_move_keys=lambda: True,
     )
     await sender._async_permit(make_call(), "")
     sender.transfer_times.record("vault", RequestKind.IDEMPOTENT, 0.1)
