Don't count withheld sends as failures of their target

What callers saw: a target could be avoided, and lose keys, since requests for it were held back right before their write (it had left, its zone was evacuated, a permit for its rate limit had expired). Cause: SendNotAllowedError counted like a failed connection, at issuer and assigner. Why it holds: the error is raised by this instance alone, before anything was written.

--- a/swiftpin/router/target_exchange.py
+++ b/swiftpin/router/target_exchange.py
@@ -21,6 +21,7 @@
     ConnectionFailedError,
     ExchangeError,
     RequestNotSentError,
+    SendNotAllowedError,
 )
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.model.request_kind import RequestKind
@@ -290,6 +291,9 @@
         fail behind which the target is well.
         """
         match err:
+            case SendNotAllowedError():
+                # This instance withheld the request; the target knows nothing of it.
+                return False
             case RelayedAnswerBrokenError() | UnconfirmedConnectionError():
                 return False
             case ConnectionFailedError() | AnswerBrokenError():
--- a/tests/router/test_target_exchange.py
+++ b/tests/router/test_target_exchange.py
@@ -10,6 +10,7 @@
 import pytest
 
 from swiftpin.dispatch.http_answer import HttpAnswer
+from swiftpin.exceptions import SendNotAllowedError
 from swiftpin.model.target import Target
 from swiftpin.model.target_life import TargetLife
 from swiftpin.permits.permit import Permit
@@ -92,6 +93,11 @@
     assert not exchange.counts_as_target_failure()
 
 
+def test_request_that_was_withheld_is_no_failure(exchange: Exchange) -> None:
+    """Guards against targets that are avoided since an instance must not call them."""
+    assert not exchange.exchange._counts_against("a", SendNotAllowedError("left"))
+
+
 def test_refusal_of_a_full_target_is_a_failure(exchange: Exchange) -> None:
     """A target that rejects requests has less capacity than its slots indicate."""
     exchange.refuse(HTTPStatus.SERVICE_UNAVAILABLE)
