Tell connections apart by both ends in the fleet that counts requests

Cause: the bed knew the instance behind a connection by its local port alone. The same port is used towards several targets, so requests of one instance were counted as another's: traced in a play that showed 10 requests in a pause, nine of them sent by another instance. Change: the key is the target's address and the local port. Besides, the four ports of an instance are chosen together; one by one the same port could be drawn twice (seen once in 32 plays: "address already in use" in the set-up).

--- a/tests/router/cut_links.py
+++ b/tests/router/cut_links.py
@@ -38,8 +38,8 @@
 
     def __init__(self) -> None:
         self._cuts: dict[str, tuple[CutKind, frozenset[str] | None]] = {}
-        self.instances_by_port: dict[int, str] = {}
-        """Instances by the local port of the connections that they opened."""
+        self.instances_by_connection: dict[tuple[str, int], str] = {}
+        """Instances by the remote address and local port of their connections."""
 
         self._transports: dict[str, list[CutTransport]] = {}
 
@@ -113,7 +113,7 @@
         protocol = connection.protocol
         assert protocol.transport is not None
         port = protocol.transport.get_extra_info("sockname")[1]
-        self.cuts.instances_by_port[port] = self.instance
+        self.cuts.instances_by_connection[address, port] = self.instance
         transport = CutTransport(self.cuts, self.instance, address, protocol)
         self.cuts.add(self.instance, transport)
         return connection
--- a/tests/router/notice_site.py
+++ b/tests/router/notice_site.py
@@ -70,7 +70,7 @@
         return NoticeTarget(
             name,
             is_keyed=is_keyed,
-            instances_by_port=self.cuts.instances_by_port,
+            instances_by_connection=self.cuts.instances_by_connection,
             random=self.random,
         )
 
--- a/tests/router/notice_target.py
+++ b/tests/router/notice_target.py
@@ -66,7 +66,7 @@
         name: str,
         *,
         is_keyed: bool,
-        instances_by_port: dict[int, str],
+        instances_by_connection: dict[tuple[str, int], str],
         random: Random,
     ) -> None:
         super().__init__(name, is_keyed=is_keyed)
@@ -76,7 +76,7 @@
 
         self.load = Load()
         self.record = NoticeRecord()
-        self._instances_by_port = instances_by_port
+        self._instances_by_connection = instances_by_connection
         self._random = random
 
     async def async_prepare_answer(
@@ -108,7 +108,7 @@
         assert request.transport is not None
         port = request.transport.get_extra_info("peername")[1]
         return Arrival(
-            instance=self._instances_by_port[port],
+            instance=self._instances_by_connection[self.address, port],
             request_id=request.headers["Swiftpin-Request-Id"],
             at=now,
         )
--- a/tests/router/site.py
+++ b/tests/router/site.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 from dataclasses import dataclass
 from io import BytesIO
 from itertools import count
@@ -62,11 +63,13 @@
     return f"127.{1 + pid // 250 % 250}.{pid % 250}.{10 + number}"
 
 
-def free_port(host: str) -> int:
-    """Return a port that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return int(probe.getsockname()[1])
+def free_ports(host: str, count: int) -> list[int]:
+    """Return different ports that nobody listens on."""
+    with contextlib.ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind((host, 0))
+        return [int(probe.getsockname()[1]) for probe in probes]
 
 
 def configuration(version: int, routes: list[dict[str, Any]]) -> dict[str, Any]:
@@ -178,13 +181,16 @@
     ) -> Router:
         """Start an instance."""
         host = own_host(next(self._hosts))
+        callers, readiness, peers, relays = (
+            Address(host=host, port=port) for port in free_ports(host, 4)
+        )
         settings = InstanceSettings(
             name=name,
             zone="z1",
-            caller_address=Address(host=host, port=free_port(host)),
-            readiness_address=Address(host=host, port=free_port(host)),
-            peer_address=Address(host=host, port=free_port(host)),
-            relay_address=Address(host=host, port=free_port(host)),
+            caller_address=callers,
+            readiness_address=readiness,
+            peer_address=peers,
+            relay_address=relays,
             seeds=(),
             store_address=Address(
                 host="127.0.0.1", port=int(self.store.address.rpartition(":")[2])
