Hear the answers to requests that nobody awaits any more

What callers saw: nothing by itself. A target that rejected a request and asked for a pause was not heard if the caller left, or the request's time ended, in the moments until the answer came: targets reject what waited for them just when its deadline passes. Cause: a cancelled exchange closed its connection unread. Change: for 0.1 s after the write, or after the deadline, the connection is kept until the head of the answer has come, and the listener hears it; then it is closed as before. A caller that leaves later stops the target at once, as before.

--- a/swiftpin/dispatch/http_client.py
+++ b/swiftpin/dispatch/http_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from http import HTTPStatus
 import math
 from typing import Final
@@ -39,6 +40,19 @@
 AnswerCheck = Callable[[Mapping[str, str]], bool]
 """Called with an answer's headers; tells whether it answers the request sent."""
 
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LateAnswers:
+    """What becomes of the answer to a request whose exchange was cancelled."""
+
+    time_left: Callable[[], float]
+    """Called on the cancellation; returns for how many seconds the answer is awaited
+    before the connection is closed."""
+
+    on_answer: Callable[[HttpAnswer], object]
+    """Called with the head of the answer, if it comes."""
+
+
 MAX_STRAY_ANSWERS: Final = 3
 """Answers to earlier requests that are passed over before a connection is given up."""
 
@@ -69,6 +83,7 @@
         self._idle_limit = idle_limit
         self._untaken_limit = untaken_limit
         self._pools_by_address: dict[str, HttpPool] = {}
+        self._late_tasks: set[asyncio.Task[None]] = set()
 
     async def async_exchange(
         self,
@@ -81,6 +96,7 @@
         check: AnswerCheck | None = None,
         max_idle: float = math.inf,
         may_connect: bool = True,
+        late: LateAnswers | None = None,
     ) -> HttpAnswer:
         """Send the request and return the head of its answer.
 
@@ -90,7 +106,8 @@
 
         Raises `RequestNotSentError` when no byte was written, `AnswerBrokenError`
         when the answer's head did not come, and whatever `gate` or the request's
-        body raise. A cancelled exchange closes its connection.
+        body raise. A cancelled exchange closes its connection, with `late` once the
+        answer to a request that was written has come or is not awaited any more.
         """
         connection = await self.async_connection(
             address,
@@ -99,7 +116,7 @@
             may_connect=may_connect,
         )
         return await self.async_exchange_over(
-            connection, request, state, gate, check=check
+            connection, request, state, gate, check=check, late=late
         )
 
     async def async_connection(
@@ -147,6 +164,7 @@
         gate: SendGate,
         *,
         check: AnswerCheck | None = None,
+        late: LateAnswers | None = None,
     ) -> HttpAnswer:
         """Send the request over one connection; else as `async_exchange`."""
         try:
@@ -154,10 +172,35 @@
             if request.body.whole is None:
                 return await _async_stream(connection, request, state, gate, check)
             return await _async_send_whole(connection, request, state, gate, check)
+        except asyncio.CancelledError:
+            if late is None or not state.written:
+                connection.abort()
+            else:
+                self._await_late_answer(connection, request, check, late)
+            raise
         except BaseException:
             connection.abort()
             raise
 
+    @callback
+    def _await_late_answer(
+        self,
+        connection: HttpConnection,
+        request: HttpRequest,
+        check: AnswerCheck | None,
+        late: LateAnswers,
+    ) -> None:
+        """Await the answer to a cancelled exchange, then close its connection."""
+        seconds = late.time_left()
+        if seconds <= 0:
+            connection.abort()
+            return
+        task = connection.loop.create_task(
+            _async_read_late(connection, request, check, late.on_answer, seconds)
+        )
+        self._late_tasks.add(task)
+        task.add_done_callback(self._late_tasks.discard)
+
     @callback
     def close_idle(self, now: float) -> None:
         """Close idle connections, and forget addresses that have none left."""
@@ -169,6 +212,8 @@
     @callback
     def unload(self) -> None:
         """Close every connection."""
+        for task in self._late_tasks:
+            task.cancel()
         for pool in self._pools_by_address.values():
             pool.unload()
         self._pools_by_address.clear()
@@ -342,6 +387,24 @@
     return HttpAnswer(message, content, connection, length=length, upload=upload)
 
 
+async def _async_read_late(
+    connection: HttpConnection,
+    request: HttpRequest,
+    check: AnswerCheck | None,
+    on_answer: Callable[[HttpAnswer], object],
+    seconds: float,
+) -> None:
+    """Read the head of an answer that nobody awaits any more."""
+    try:
+        async with asyncio.timeout(seconds):
+            on_answer(await _async_read_head(connection, request, None, check))
+    except (AnswerBrokenError, TimeoutError):
+        # Nobody needs the answer.
+        return
+    finally:
+        connection.abort()
+
+
 @callback
 def _length(
     message: RawResponseMessage, connection: HttpConnection, request: HttpRequest
--- a/swiftpin/router/relay_handler.py
+++ b/swiftpin/router/relay_handler.py
@@ -165,6 +165,7 @@
                         if terms.permit_left is None
                         else started_at + terms.permit_left
                     ),
+                    ends_at=asyncio.get_running_loop().time() + remaining,
                 ),
                 HttpRequest(
                     method=request.method,
--- a/swiftpin/router/target_client.py
+++ b/swiftpin/router/target_client.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
+from typing import Final
 
 from aiohttp.hdrs import HOST, METH_GET
 from multidict import CIMultiDict
 
 from swiftpin.core import callback, monotonic_now
 from swiftpin.dispatch.http_answer import HttpAnswer
-from swiftpin.dispatch.http_client import AnswerCheck, HttpClient
+from swiftpin.dispatch.http_client import AnswerCheck, HttpClient, LateAnswers
 from swiftpin.dispatch.http_request import HttpRequest
 from swiftpin.dispatch.http_send_state import HttpSendState
 from swiftpin.helpers.bytes_body import BytesBody
@@ -30,6 +32,10 @@
 from swiftpin.relays.relay_terms import RelayTerms
 from swiftpin.router.connection_limit import connection_limit
 
+LATE_ANSWER_TIME: Final = 0.1
+"""Seconds after the write or the deadline of an abandoned request in which a rejection
+is still heard: a few round trips between zones, and delays of a busy event loop."""
+
 
 @callback
 def _do_nothing() -> None:
@@ -66,10 +72,25 @@
     on_write: Callable[[], None] = _do_nothing
     """Called right before the request is written."""
 
+    ends_at: float
+    """Deadline of the request on the event loop's clock; the target knows it too."""
+
     state: HttpSendState = field(default_factory=HttpSendState)
     written_at: float = 0.0
 
 
+@callback
+def _late_answer_time(send: TargetSend) -> float:
+    """Return the seconds for which the answer to an abandoned request is awaited.
+
+    A target rejects a request at once, or when its deadline passes in the queue. At
+    other times it may be at work, and is told by the closed connection to stop.
+    """
+    written_for = suspend_aware_now() - send.written_at
+    is_over = asyncio.get_running_loop().time() >= send.ends_at
+    return LATE_ANSWER_TIME if is_over else LATE_ANSWER_TIME - written_for
+
+
 class TargetClient:
     """Sends callers' requests to targets; nothing else writes them.
 
@@ -115,6 +136,10 @@
             check=send.check,
             max_idle=max_idle,
             may_connect=may_connect,
+            late=LateAnswers(
+                time_left=partial(_late_answer_time, send),
+                on_answer=partial(self._hear, send),
+            ),
         )
         return self._hear(send, answer)
 
--- a/swiftpin/router/target_exchange.py
+++ b/swiftpin/router/target_exchange.py
@@ -162,6 +162,7 @@
                 state=state,
                 check=partial(is_answer_to, call.head.id),
                 permit_until=self._permits.valid_until(permit),
+                ends_at=call.ends_at,
                 on_write=partial(self._record_write, call),
             ),
             make_request=partial(_make_request, call, target),
--- a/tests/router/notice_target.py
+++ b/tests/router/notice_target.py
@@ -48,6 +48,8 @@
     reject_share: float = 0.0
     retry_after: float = 3.0
     until: float = math.inf
+    delay: float = 0.0
+    """Seconds until a rejection is sent."""
 
 
 @dataclass(kw_only=True)
@@ -100,6 +102,7 @@
         self.record.backoffs.append(
             Backoff(instance=arrival.instance, asked_at=now, seconds=seconds)
         )
+        await asyncio.sleep(self.load.delay)
         headers = {"Swiftpin-Not-Executed": "1", "Retry-After": f"{seconds:g}"}
         return Response(status=503, headers=headers)
 
--- a/tests/router/test_target_notices.py
+++ b/tests/router/test_target_notices.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import AsyncIterator
 
 import pytest
@@ -11,6 +12,7 @@
 from tests.router.cut_links import CutKind
 from tests.router.cut_site import CutOptions
 from tests.router.notice_site import NoticeSite
+from tests.router.notice_target import Load
 from tests.router.site import BOUNDS
 
 MAX_REQUESTS_IN_BACKOFF = 2
@@ -139,3 +141,21 @@
     await site.async_settle()
     assert sum(it._relay_handler.relayed for it in site.routers_by_name.values())
     assert not site.late_sends()
+
+
+@pytest.mark.parametrize(
+    ("wait", "deadline"), [(0.02, 2000), (1.0, 60)], ids=["caller-left", "time-over"]
+)
+async def test_rejection_is_heard_although_nobody_awaits_it(
+    site: NoticeSite, wait: float, deadline: int
+) -> None:
+    """Guards against requests in a pause that was asked for too late for a caller."""
+    key = site.key_of("t0")
+    await site.async_call("/read/x", key=key)
+    site.target("t0").load = Load(reject_share=1.0, delay=0.07)
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(wait):
+            await site.async_call("/read/x", key=key, deadline=deadline)
+    await asyncio.sleep(0.2)
+    backoffs = site.routers_by_name["i0"]._notices.backoffs
+    assert backoffs.remaining("t0", suspend_aware_now())
