Keep to the pauses that targets ask an instance for

Cause: nobody read `Retry-After`. A rejection was repeated at the same target, since a key has one owner, and the caller was told to come again after 0.1 s.

TargetBackoffs, which the listener of all answers fills, decides at the gate of each write, direct, relayed and at relays, and before that: - A keyed request waits if the pause ends within its objective, else it is rejected at once, unrun: with 0.1 s, since other instances may call the target; with the rest of the pause and up to half more, by its id, if all targets of the service asked for one. - Permit requests without a key name the targets to pass over (PermitAsk.excluded); those that wait for an owner that asks meanwhile are withdrawn. Neither attempts nor retry budget are spent, and no failure of the target is counted. - Load reports tell the assigner of pauses; it plans with the share of instances that may call a target within the next 2 s.

Why it holds: one writer, a gate in the step of the write, each answer recorded before anyone else sees it, and no pause is shortened. So nothing is written between the reading of the answer and the end of its pause.

--- a/swiftpin/exceptions.py
+++ b/swiftpin/exceptions.py
@@ -95,6 +95,10 @@
     """The request must not be sent to the target any more."""
 
 
+class TargetBackoffError(SendNotAllowedError):
+    """The target asked this instance not to call it for a while."""
+
+
 class AnswerBrokenError(ExchangeError):
     """The request was written but no complete answer arrived; it may have run."""
 
--- a/swiftpin/keyranges/range_assigner.py
+++ b/swiftpin/keyranges/range_assigner.py
@@ -17,6 +17,7 @@
 from swiftpin.keyranges.assignment_loader import AssignmentLoader
 from swiftpin.keyranges.assignment_record import AssignmentRecord
 from swiftpin.keyranges.assignment_state import AssignmentState
+from swiftpin.keyranges.backoff_shares import BackoffShares
 from swiftpin.keyranges.const import CONTROL_TIMEOUT, PLAN_INTERVAL
 from swiftpin.keyranges.fences import Fences
 from swiftpin.keyranges.grant_renewer import GrantRenewer
@@ -94,11 +95,13 @@
     ) -> None:
         self.load = KeyLoad()
         self.speed = TargetSpeed()
+        self.backoffs = BackoffShares()
         self._service = service
         self._get_service_spec = get_service_spec
         self._get_rate_limit = get_rate_limit
         """Returns the requests per second that a target accepts, or infinity."""
 
+        self._count_members = count_members
         self._may_plan = may_plan
         """Returns whether calls that fail show that their targets are lost."""
 
@@ -237,6 +240,7 @@
         self._sessions.prune(involved, now)
         self._state.prune_granted_fences()
         self._granter.prune_handovers(self._state.current)
+        self.backoffs.prune(now)
         self.speed.retain_targets(involved | self._directory.targets_by_id.keys())
 
     async def _async_plan_once(self, now: float) -> None:
@@ -290,6 +294,9 @@
                 capacity = min(
                     capacity * COLD_CAPACITY_SHARE, self._get_service_spec().cold_rate
                 )
+            capacity *= self.backoffs.available_share(
+                target.id, self._count_members(), now
+            )
             capacities[target.id] = min(capacity, self._max_rate(target.id))
         return capacities
 
--- a/swiftpin/notices/send_gate.py
+++ b/swiftpin/notices/send_gate.py
@@ -4,7 +4,8 @@
 
 from swiftpin.core import callback
 from swiftpin.discovery.target_directory import TargetDirectory
-from swiftpin.exceptions import SendNotAllowedError
+from swiftpin.exceptions import SendNotAllowedError, TargetBackoffError
+from swiftpin.notices.target_backoffs import TargetBackoffs
 from swiftpin.permits.rate_reports import RateReports
 
 
@@ -16,10 +17,15 @@
     """
 
     def __init__(
-        self, *, directory: TargetDirectory, rate_reports: RateReports
+        self,
+        *,
+        directory: TargetDirectory,
+        rate_reports: RateReports,
+        backoffs: TargetBackoffs,
     ) -> None:
         self._directory = directory
         self._rate_reports = rate_reports
+        self._backoffs = backoffs
 
     @callback
     def check(self, target_id: str, now: float, permit_until: float | None) -> None:
@@ -30,6 +36,11 @@
         """
         if not self._directory.may_send(target_id, now):
             raise SendNotAllowedError(f"{target_id} has left")
+        remaining = self._backoffs.remaining(target_id, now)
+        if remaining:
+            raise TargetBackoffError(
+                f"{target_id} asked not to be called for another {remaining:.1f} s"
+            )
         if target_id not in self._rate_reports.limited_targets:
             return
         if permit_until is None or now > permit_until:
--- a/swiftpin/notices/target_backoffs.py
+++ b/swiftpin/notices/target_backoffs.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Set
+from collections.abc import Callable, Set
 
 from eliot import log_message
 
@@ -16,6 +16,9 @@
     """
 
     def __init__(self) -> None:
+        self.on_began: Callable[[str, float], None] = _ignore
+        """Called with a target and the seconds of its period when one begins."""
+
         self._until_by_target: dict[str, float] = {}
 
     @callback
@@ -33,6 +36,7 @@
             log_message(
                 message_type="target_backoff_began", target=target, seconds=seconds
             )
+            self.on_began(target, seconds)
 
     @callback
     def remaining(self, target: str, now: float) -> float:
@@ -40,10 +44,17 @@
         until = self._until_by_target.get(target)
         return 0.0 if until is None else max(until - now, 0.0)
 
+    @callback
+    def running(self, now: float) -> frozenset[str]:
+        """Return the targets that must not be called now."""
+        return frozenset(
+            target for target, until in self._until_by_target.items() if now < until
+        )
+
     @callback
     def count(self, now: float) -> int:
         """Return how many targets must not be called now."""
-        return sum(now < until for until in self._until_by_target.values())
+        return len(self.running(now))
 
     @callback
     def retain_targets(self, targets: Set[str], now: float) -> None:
@@ -53,3 +64,8 @@
             for target, until in self._until_by_target.items()
             if target in targets and now < until
         }
+
+
+@callback
+def _ignore(target: str, seconds: float) -> None:
+    """Do nothing."""
--- a/swiftpin/permits/permit_issuer.py
+++ b/swiftpin/permits/permit_issuer.py
@@ -101,6 +101,7 @@
                 service=ask.service,
                 target=ask.target,
                 avoided=ask.avoided,
+                excluded=frozenset(ask.excluded),
                 zone=ask.zone,
                 priority=ask.priority,
                 objective_at=now + ask.objective_left,
--- a/swiftpin/permits/permit_query.py
+++ b/swiftpin/permits/permit_query.py
@@ -33,4 +33,7 @@
     """Time after which the answer is useless."""
 
     is_current: Callable[[], bool] = _always
-    """Returns whether the target still owns the key."""
+    """Returns whether the request may still go to the target."""
+
+    excluded: frozenset[str] = frozenset()
+    """Targets that this instance must not call at present."""
--- a/swiftpin/permits/permit_queue.py
+++ b/swiftpin/permits/permit_queue.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import Final
 
 from swiftpin.core import callback
@@ -89,6 +89,9 @@
     @callback
     def submit(self, request: PermitRequest, now: float) -> None:
         """Grant, queue or reject a request."""
+        if not self._candidates(request):
+            _reject(Rejection(request=request, retry_after=MIN_RETRY_AFTER))
+            return
         target = self._choose_target(request, now)
         if target is not None and now + ANSWER_TRANSFER_TIME <= request.ends_at:
             self._grant(request, target, now)
@@ -193,7 +196,7 @@
     @callback
     def _choose_target(self, request: PermitRequest, now: float) -> str | None:
         """Return the best target that a request may be sent to at once, if any."""
-        names = (request.target,) if request.target else self._eligible_targets
+        names = self._candidates(request)
         rate_limited = self._shared_limits.rate_limited_targets
         slots_by_target = {name: self._get_or_create_slots(name) for name in names}
         candidates = [
@@ -217,6 +220,13 @@
             return None
         return min(candidates, key=lambda target: self._rank(target, request, now))
 
+    @callback
+    def _candidates(self, request: PermitRequest) -> Collection[str]:
+        """Return the targets that a request may be sent to."""
+        if request.target:
+            return (request.target,)
+        return self._eligible_targets - request.excluded
+
     @callback
     def _rank(
         self, target: str, request: PermitRequest, now: float
@@ -349,13 +359,16 @@
         """Grant free slots to the requests for a target, or for any target."""
         self._review(target, now)
         queue = self._queues_by_target.get(target)
-        while queue is not None and queue.requests:
-            request = queue.requests[0]
+        if queue is None:
+            return
+        for request in queue.requests[:]:
             free_target = self._choose_target(request, now)
-            if free_target is None:
+            if free_target is not None:
+                queue.requests.remove(request)
+                self._grant(request, free_target, now)
+            elif not request.excluded:
+                # No target is free for those behind it either.
                 break
-            queue.requests.pop(0)
-            self._grant(request, free_target, now)
 
     @callback
     def _withdraw(self, request_id: tuple[str, int]) -> None:
--- a/swiftpin/permits/permit_request.py
+++ b/swiftpin/permits/permit_request.py
@@ -33,3 +33,5 @@
     """Time after which the answer is useless."""
 
     on_decision: Callable[[PermitDecision], None]
+    excluded: frozenset[str] = frozenset()
+    """Targets that the requesting instance must not call at present."""
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -196,6 +196,7 @@
             poison=self._poison,
             fleet_size=self._fleet_size,
             links=self._target_links,
+            backoffs=self._notices.backoffs,
             may_move_keys=self._fleet.holder_reaches_store,
         )
         request_log = RequestLog(
@@ -238,6 +239,7 @@
             relayed=self._relay_handler,
         )
         # The platform restarts a process that exits.
+        self._notices.backoffs.on_began = self._handle_backoff
         self._tasks = BackgroundTasks(on_failed=self.stop_requested.set)
 
     async def async_setup(self) -> None:
@@ -356,6 +358,15 @@
             log_message(message_type="retry_members_changed", members=members)
         self._metrics.retry_members = members
 
+    @callback
+    def _handle_backoff(self, target_id: str, seconds: float) -> None:
+        """Withdraw permit requests for a target that asked not to be called."""
+        target = self._directory.targets_by_id.get(target_id)
+        if target is None:
+            return
+        self._sender.record_backoff(target.service, target_id, seconds)
+        self._permits.handle_owner_change(target.service)
+
     @callback
     def _request_relays(self) -> None:
         """Learn which instances can pass requests on."""
--- a/swiftpin/router/fleet_messages.py
+++ b/swiftpin/router/fleet_messages.py
@@ -23,6 +23,9 @@
         default_factory=dict
     )
 
+    backoffs_by_target: dict[tuple[str, str], float] = field(default_factory=dict)
+    """Seconds of the back-off periods that targets asked for."""
+
     def add_key(self, service: str, key: int) -> None:
         """Count a request for a key."""
         counts = self.counts_by_service.setdefault(service, {})
@@ -42,6 +45,10 @@
             seconds
         )
 
+    def add_backoff(self, service: str, target: str, seconds: float) -> None:
+        """Record that a target asked not to be called for a number of seconds."""
+        self.backoffs_by_target[service, target] = seconds
+
 
 def encode_load(report: LoadReport, rate_reports: RateReports, now: float) -> Item:
     """Return a load report with the rate limits of its targets as a message."""
@@ -52,6 +59,7 @@
         report.seconds_by_target.keys()
         | report.failures_by_target.keys()
         | report.abandoned_seconds_by_target.keys()
+        | report.backoffs_by_target.keys()
     )
     for service, target in pairs:
         message.times.add(
@@ -61,6 +69,7 @@
             failures=report.failures_by_target.get((service, target), 0),
             cut_seconds=report.abandoned_seconds_by_target.get((service, target), ()),
             rate_report=rate_reports.encode(target, now),
+            backoff=report.backoffs_by_target.get((service, target), 0.0),
         )
     return pb.Item(load=message)
 
--- a/swiftpin/router/leader.py
+++ b/swiftpin/router/leader.py
@@ -99,6 +99,8 @@
                 assigner.speed.add_abandoned(times.target, seconds)
             for _ in range(times.failures):
                 assigner.speed.add(times.target, 0.0, failed=True)
+            if times.backoff:
+                assigner.backoffs.add(times.target, times.backoff, now)
 
     @callback
     def _run_assigners(self) -> None:
--- a/swiftpin/router/owner_finder.py
+++ b/swiftpin/router/owner_finder.py
@@ -10,6 +10,8 @@
 from swiftpin.discovery.target_directory import TargetDirectory
 from swiftpin.exceptions import NoOwnerError
 from swiftpin.helpers.clock import suspend_aware_now
+from swiftpin.notices.target_backoffs import TargetBackoffs
+from swiftpin.router.backoff_waits import BackoffWaits
 from swiftpin.router.call import Call
 from swiftpin.router.configuration_holder import ConfigurationHolder
 from swiftpin.router.key_maps import KeyMaps
@@ -37,11 +39,15 @@
         configuration: ConfigurationHolder,
         directory: TargetDirectory,
         maps: KeyMaps,
+        backoffs: TargetBackoffs,
+        backoff_waits: BackoffWaits,
         may_move_keys: Callable[[], bool],
     ) -> None:
         self._configuration = configuration
         self._directory = directory
         self._maps = maps
+        self._backoffs = backoffs
+        self._backoff_waits = backoff_waits
         self._may_move_keys = may_move_keys
         """Returns whether keys can get a new owner at present."""
 
@@ -56,13 +62,15 @@
 
     @callback
     def is_owner(self, call: Call, target: str) -> bool:
-        """Return whether a target owns the key of a request.
+        """Return whether a target owns the key of a request and may be called.
 
         An empty `target` stands for any target of an unkeyed service.
         """
         key = call.head.key
         if not target or key is None:
             return True
+        if self._backoffs.remaining(target, suspend_aware_now()):
+            return False
         return self._maps.owner_of(call.service, key) == target
 
     async def async_find(self, call: Call) -> str:
@@ -81,7 +89,13 @@
         while True:
             owner = self._maps.owner_of(call.service, key)
             if self._can_send(call.service, key, owner):
-                return owner
+                remaining = self._backoffs.remaining(owner, suspend_aware_now())
+                if not remaining:
+                    return owner
+                wait = self._backoff_waits.wait_or_reject(call, owner, remaining)
+                await self._async_wait_map_change(call, loop.time() + wait)
+                until = min(loop.time() + MAX_OWNER_WAIT, call.ends_at)
+                continue
             if loop.time() >= until or not self._may_get_owner(owner):
                 failure = StepFailure.OWNER_AWAY if owner else StepFailure.ON_THE_MOVE
                 call.record_failure(failure, f"no owner: {owner or 'on the move'}")
--- a/swiftpin/router/request_sender.py
+++ b/swiftpin/router/request_sender.py
@@ -12,11 +12,13 @@
 from swiftpin.exceptions import AnswerLostError, NotRunError, QueueFullError
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.model.bounds import Bounds
+from swiftpin.notices.target_backoffs import TargetBackoffs
 from swiftpin.permits.permit import Permit
 from swiftpin.permits.permit_broker import PermitBroker
 from swiftpin.permits.permit_decision import PermitDecision
 from swiftpin.permits.permit_query import PermitQuery
 from swiftpin.relays.target_links import TargetLinks
+from swiftpin.router.backoff_waits import BackoffWaits
 from swiftpin.router.call import Call
 from swiftpin.router.configuration_holder import ConfigurationHolder
 from swiftpin.router.decision_basis import current_basis
@@ -56,14 +58,18 @@
         poison: PoisonDetector,
         fleet_size: FleetSize,
         links: TargetLinks,
+        backoffs: TargetBackoffs,
         may_move_keys: Callable[[], bool],
     ) -> None:
         self.retries = RetryPolicy(bounds, fleet_size)
         self.transfer_times = TransferTimes()
+        self._backoff_waits = BackoffWaits(directory=directory, backoffs=backoffs)
         self._owners = OwnerFinder(
             configuration=configuration,
             directory=directory,
             maps=maps,
+            backoffs=backoffs,
+            backoff_waits=self._backoff_waits,
             may_move_keys=may_move_keys,
         )
         self._exchange = TargetExchange(
@@ -80,6 +86,12 @@
         self._maps = maps
         self._permits = permits
         self._poison = poison
+        self._backoffs = backoffs
+
+    @callback
+    def record_backoff(self, service: str, target: str, seconds: float) -> None:
+        """Record that a target asked for a back-off period, for the load report."""
+        self._exchange.load.add_backoff(service, target, seconds)
 
     @callback
     def pop_load_report(self) -> LoadReport:
@@ -138,9 +150,10 @@
         owner = ""
         if self._owners.is_keyed(call.service):
             owner = await self._owners.async_find(call)
+        else:
+            await self._backoff_waits.async_wait_for_any(call)
         permit = await self._async_permit(call, owner)
         if permit is None:
-            call.record_failure(StepFailure.MOVED, f"moved from {owner}")
             return None
         call.basis = current_basis(self._maps, self._directory, call.service)
         return await self._exchange.async_exchange(call, permit)
@@ -151,9 +164,13 @@
         Raises `QueueFullError` if no slot will be free in time.
         """
         asked_at = asyncio.get_running_loop().time()
+        excluded: frozenset[str] = frozenset()
+        if not owner:
+            excluded = self._backoff_waits.uncallable_targets(call.service)
         try:
             permit_result = await self._permits.async_request_permit(
                 PermitQuery(
+                    excluded=excluded,
                     service=call.service,
                     target=owner,
                     avoided=call.failed_target,
@@ -168,6 +185,7 @@
             # Also counted when the caller disconnects, for the log line.
             call.waited += asyncio.get_running_loop().time() - asked_at
         if permit_result is None:
+            self._record_withdrawal(call, owner)
             return None
         decision, permit = permit_result
         if permit is None:
@@ -178,6 +196,15 @@
             )
         return permit
 
+    @callback
+    def _record_withdrawal(self, call: Call, owner: str) -> None:
+        """Record why a request no longer waits for a permit."""
+        remaining = self._backoffs.remaining(owner, suspend_aware_now())
+        if remaining:
+            self._backoff_waits.record(call, owner, remaining)
+        else:
+            call.record_failure(StepFailure.MOVED, f"moved from {owner}")
+
     @callback
     def _record_rejection(
         self, call: Call, owner: str, decision: PermitDecision
--- a/swiftpin/router/target_exchange.py
+++ b/swiftpin/router/target_exchange.py
@@ -22,6 +22,7 @@
     ExchangeError,
     RequestNotSentError,
     SendNotAllowedError,
+    TargetBackoffError,
 )
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.model.request_kind import RequestKind
@@ -108,10 +109,11 @@
                     partial(_on_silent, call, use, interrupt),
                 )
         except RequestNotSentError as err:
+            is_backoff = isinstance(err, TargetBackoffError)
             self._record_failed_send(
                 call,
                 use,
-                StepFailure.NOT_SENT,
+                StepFailure.BACKOFF if is_backoff else StepFailure.NOT_SENT,
                 f"not sent: {err}",
                 failed=self._counts_against(permit.target, err),
             )
--- a/swiftpin/router/target_notices.py
+++ b/swiftpin/router/target_notices.py
@@ -47,7 +47,11 @@
         self.client = TargetClient(
             client=clients.targets,
             relay_client=RelayClient(clients.relays),
-            gate=SendGate(directory=directory, rate_reports=rate_reports),
+            gate=SendGate(
+                directory=directory,
+                rate_reports=rate_reports,
+                backoffs=self.backoffs,
+            ),
             listener=self.listener,
         )
         self._checks = DrainChecks(
--- a/tests/permits/requester.py
+++ b/tests/permits/requester.py
@@ -30,6 +30,7 @@
         ends_at: float | None = None,
         zone: str = "z1",
         avoided: str = "",
+        excluded: frozenset[str] = frozenset(),
         requester_id: str = "i1",
         now: float = 0.0,
     ) -> int:
@@ -49,6 +50,7 @@
             objective_at=now + 1.0 if objective_at is None else objective_at,
             ends_at=now + 2.0 if ends_at is None else ends_at,
             on_decision=on_decision,
+            excluded=excluded,
         )
         self.queue.submit(request, now)
         return number
--- a/tests/router/notice_site.py
+++ b/tests/router/notice_site.py
@@ -116,6 +116,15 @@
                     )
         return late
 
+    def outstanding_permits(self) -> list[str]:
+        """Return the targets for which permits are out."""
+        return [
+            target
+            for router in self.routers_by_name.values()
+            for queue in router._permits._local_issuer._queues_by_service.values()
+            for target in queue._target_by_request.values()
+        ]
+
     def announced_pairs(self) -> set[tuple[str, str]]:
         """Return the target and instance of each drain that was passed on."""
         return set(self._announced_at)
--- a/tests/router/test_owner_finder.py
+++ b/tests/router/test_owner_finder.py
@@ -3,20 +3,26 @@
 from __future__ import annotations
 
 import asyncio
+from types import SimpleNamespace
 from typing import Any, cast
 
 import pytest
 
-from swiftpin.exceptions import NoOwnerError
+from swiftpin.exceptions import NoOwnerError, QueueFullError
+from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.keyranges.key_map import KeyMap
 from swiftpin.model.request_kind import RequestKind
 from swiftpin.model.route import Route, WeightedService
+from swiftpin.notices.backoff_decision import ELSEWHERE_RETRY_AFTER
+from swiftpin.notices.target_backoffs import TargetBackoffs
 from swiftpin.platform.request_head import RequestHead
 from swiftpin.router import owner_finder
+from swiftpin.router.backoff_waits import BackoffWaits
 from swiftpin.router.call import Call
 from swiftpin.router.configuration_holder import ConfigurationHolder
 from swiftpin.router.key_maps import KeyMaps
 from swiftpin.router.owner_finder import OwnerFinder
+from swiftpin.router.step_failure import StepFailure
 
 KEY = 7
 
@@ -31,6 +37,10 @@
         """Return whether a request may go to a target."""
         return target_id in self.reachable
 
+    def serving_targets(self, service: str, now: float) -> list[SimpleNamespace]:
+        """Return the targets of a service."""
+        return [SimpleNamespace(id="a"), SimpleNamespace(id="b")]
+
 
 class FinderSetup:
     """An owner finder with its directory and key maps."""
@@ -39,10 +49,15 @@
         self.directory = Directory()
         self.maps = KeyMaps()
         self.may_move_keys = True
+        self.backoffs = TargetBackoffs()
         self.finder = OwnerFinder(
             configuration=ConfigurationHolder(),
             directory=cast("Any", self.directory),
             maps=self.maps,
+            backoffs=self.backoffs,
+            backoff_waits=BackoffWaits(
+                directory=cast("Any", self.directory), backoffs=self.backoffs
+            ),
             may_move_keys=lambda: self.may_move_keys,
         )
 
@@ -157,6 +172,53 @@
     assert caught.value.retry_after == owner_finder.NO_OWNER_RETRY_AFTER
 
 
+async def test_request_waits_for_the_end_of_a_short_backoff(
+    found: FinderSetup,
+) -> None:
+    """Guards against callers that are rejected for a pause of a moment."""
+    found.set_owner("a", 1)
+    found.backoffs.record("a", 0.1, suspend_aware_now())
+    assert await found.finder.async_find(make_call()) == "a"
+    assert not found.backoffs.remaining("a", suspend_aware_now())
+
+
+async def test_request_waiting_for_its_owner_goes_to_the_new_one(
+    found: FinderSetup,
+) -> None:
+    """Guards against waits for a target whose keys have moved."""
+    found.set_owner("a", 1)
+    found.backoffs.record("a", 0.35, suspend_aware_now())
+    task = asyncio.ensure_future(found.finder.async_find(make_call()))
+    await asyncio.sleep(0)
+    found.set_owner("b", 2)
+    assert await task == "b"
+    assert found.backoffs.remaining("a", suspend_aware_now())
+
+
+async def test_request_is_rejected_at_once_during_a_long_backoff(
+    found: FinderSetup,
+) -> None:
+    """Guards against callers that wait while another instance could serve them."""
+    found.set_owner("a", 1)
+    found.backoffs.record("a", 3.0, suspend_aware_now())
+    call = make_call()
+    with pytest.raises(QueueFullError) as caught:
+        await found.finder.async_find(call)
+    assert caught.value.retry_after == ELSEWHERE_RETRY_AFTER
+    assert call.step_failures == [StepFailure.BACKOFF]
+
+
+def test_request_is_withdrawn_when_its_owner_asks_for_a_backoff(
+    found: FinderSetup,
+) -> None:
+    """Guards against permits for a target that must not be called."""
+    found.set_owner("a", 1)
+    call = cast("Any", SimpleNamespace(service="desk", head=SimpleNamespace(key=KEY)))
+    assert found.finder.is_owner(call, "a")
+    found.backoffs.record("a", 3.0, suspend_aware_now())
+    assert not found.finder.is_owner(call, "a")
+
+
 async def test_owner_that_failed_is_tried_again_after_a_pause(
     found: FinderSetup, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/router/test_target_notices.py
+++ b/tests/router/test_target_notices.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from collections.abc import AsyncIterator
+import contextlib
 
 import pytest
 
@@ -159,3 +159,80 @@
     await asyncio.sleep(0.2)
     backoffs = site.routers_by_name["i0"]._notices.backoffs
     assert backoffs.remaining("t0", suspend_aware_now())
+
+
+async def test_backoff_spends_neither_attempts_nor_permits(site: NoticeSite) -> None:
+    """Guards against callers and other instances that pay for a target's pause."""
+    key = site.key_of("t0")
+    target = site.target("t0")
+    target.load = Load(reject_share=1.0)
+    await site.async_call("/read/x", key=key)
+    began_at = asyncio.get_running_loop().time()
+    replies = [await site.async_call("/read/x", key=key) for _ in range(5)]
+    elapsed = asyncio.get_running_loop().time() - began_at
+    arrivals = [it for it in target.record.arrivals if it.instance == "i0"]
+    assert len(arrivals) == 1
+    assert all(reply.status == 503 for reply in replies)
+    assert elapsed < 5 * MAX_REJECTION_TIME
+    budget = site.routers_by_name["i0"]._sender.retries._budget_for("desk")
+    assert not budget._earned_reserved + budget._slack_reserved
+    assert not site.outstanding_permits()
+
+
+async def test_other_instances_and_targets_serve_what_one_must_not_send(
+    site: NoticeSite,
+) -> None:
+    """Guards against a pause for one instance that others keep, too."""
+    key = site.key_of("t0")
+    for name in ("t0", "v0"):
+        site.target(name).load = Load(reject_share=1.0)
+    await asyncio.gather(
+        site.async_call("/read/x", key=key),
+        *(site.async_call("/files/x", key=None) for _ in range(8)),
+    )
+    for name in ("t0", "v0"):
+        site.target(name).load = Load()
+    assert (await site.async_call("/read/x", key=key, via="i1")).status == 200
+    replies = await asyncio.gather(
+        *(site.async_call("/files/x", key=None) for _ in range(20))
+    )
+    assert all(reply.status == 200 for reply in replies)
+    assert not site.outstanding_permits()
+
+
+async def test_callers_of_a_service_that_rejects_all_are_told_when_to_return(
+    site: NoticeSite,
+) -> None:
+    """Guards against callers that wait, or return at once, for nothing."""
+    for name in ("v0", "v1"):
+        site.target(name).load = Load(reject_share=1.0, retry_after=5.0)
+    await asyncio.gather(*(site.async_call("/files/x", key=None) for _ in range(10)))
+    began_at = asyncio.get_running_loop().time()
+    reply = await site.async_call("/files/x", key=None)
+    assert asyncio.get_running_loop().time() - began_at < MAX_REJECTION_TIME
+    assert reply.status == 503
+    assert float(reply.headers["Retry-After"]) > 3.0
+    assert not site.count_runs(reply.headers["id"])
+
+
+@pytest.mark.parametrize("is_cut_one", [True, False], ids=["sender", "relay"])
+async def test_relay_is_no_way_round_a_backoff(
+    site: NoticeSite, *, is_cut_one: bool
+) -> None:
+    """Guards against a pause that an instance evades by sending through another one."""
+    cut, *others = [*sorted({"i0", "i1", "i2"} - {site.leader()}), site.leader()]
+    site.cuts.cut(cut, CutKind.RESET)
+    key = site.key_of("t0")
+    for _ in range(4):
+        await site.async_call("/read/x", key=key, via=cut)
+    target = site.target("t0")
+    target.load = Load(reject_share=1.0)
+    first = [cut] if is_cut_one else others
+    await asyncio.gather(
+        *(site.async_call("/read/x", key=key, via=name) for name in first)
+    )
+    target.load = Load()
+    arrivals = len(target.record.arrivals)
+    for _ in range(3):
+        await site.async_call("/read/x", key=key, via=cut)
+    assert len(target.record.arrivals) == arrivals
--- a/tests/router/test_transfer_times.py
+++ b/tests/router/test_transfer_times.py
@@ -15,6 +15,7 @@
 
 from swiftpin.model.request_kind import RequestKind
 from swiftpin.model.route import Route, WeightedService
+from swiftpin.notices.target_backoffs import TargetBackoffs
 from swiftpin.permits.permit_query import PermitQuery
 from swiftpin.router.call import Call
 from swiftpin.router.request_sender import RequestSender
@@ -73,6 +74,7 @@
         poison=parts,
         fleet_size=parts,
         links=parts,
+        backoffs=TargetBackoffs(),
         may_move_keys=lambda: True,
     )
     await sender._async_permit(make_call(), "")
