Don't check a target's health while it asked not to be called

Found by reading: a target that announces its drain in a rejection with Retry-After was asked for its health at once, and each second, to confirm the announcement, although it had asked this instance for a pause. Callers saw nothing of it. Cause: DrainChecks writes requests of its own, which no caller's gate holds back. Change: a check is passed over while the pause runs; the announcement limits sends meanwhile.

--- a/swiftpin/router/drain_checks.py
+++ b/swiftpin/router/drain_checks.py
@@ -11,6 +11,7 @@
 from swiftpin.exceptions import ExchangeError
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.model.target import Target
+from swiftpin.notices.target_backoffs import TargetBackoffs
 from swiftpin.router.configuration_holder import ConfigurationHolder
 from swiftpin.router.target_client import TargetClient
 
@@ -35,11 +36,13 @@
         configuration: ConfigurationHolder,
         directory: TargetDirectory,
         drains: AnnouncedDrains,
+        backoffs: TargetBackoffs,
     ) -> None:
         self._client = client
         self._configuration = configuration
         self._directory = directory
         self._drains = drains
+        self._backoffs = backoffs
         self._tasks: set[asyncio.Task[None]] = set()
 
     @callback
@@ -61,7 +64,8 @@
             target = self._directory.targets_by_id.get(target_id)
             if target is None or not self._drains.is_unconfirmed(target_id):
                 return
-            await self._async_ask(target)
+            if not self._backoffs.remaining(target_id, suspend_aware_now()):
+                await self._async_ask(target)
             if self._drains.is_unconfirmed(target_id):
                 await asyncio.sleep(RECHECK_INTERVAL)
 
--- a/swiftpin/router/target_notices.py
+++ b/swiftpin/router/target_notices.py
@@ -59,6 +59,7 @@
             configuration=configuration,
             directory=directory,
             drains=drains,
+            backoffs=self.backoffs,
         )
         drains.on_unconfirmed = self._checks.start
         drains.on_confirmed = self._handle_confirmed_drain
