Count late sends by life in the fleet of targets that state things

Change: announcements by name, start and instance, as the service's rule counts; the choice has draws of its own. The bound is as before.

--- a/tests/router/notice_site.py
+++ b/tests/router/notice_site.py
@@ -62,8 +62,8 @@
         self.routes = ROUTES
         self.outcomes: list[Outcome] = []
         self._sent_at_by_request: dict[str, float] = {}
-        self._announced_at: dict[tuple[str, str], float] = {}
-        """First answer passed on that announced a drain, by target and instance."""
+        self._announced_at: dict[tuple[str, int | None, str], float] = {}
+        """First answer passed on that announced a drain, by target, life, instance."""
 
     def make_target(self, name: str, *, is_keyed: bool) -> NoticeTarget:
         """Return a target that records who sends to it."""
@@ -103,7 +103,7 @@
         for target in self.targets:
             for arrival in target.record.arrivals:
                 announced_at = self._announced_at.get(
-                    (target.name, arrival.instance), math.inf
+                    (target.name, arrival.life, arrival.instance), math.inf
                 )
                 seconds = self._sent_at_by_request[arrival.request_id] - announced_at
                 if seconds > BOUNDS.drain_limit:
@@ -125,9 +125,9 @@
             for target in queue._target_by_request.values()
         ]
 
-    def announced_pairs(self) -> set[tuple[str, str]]:
-        """Return the target and instance of each drain that was passed on."""
-        return set(self._announced_at)
+    def announced_drains(self) -> int:
+        """Return how many instances passed on that a target leaves, for all targets."""
+        return len(self._announced_at)
 
     def attempts_per_request(self, start: float, end: float) -> float:
         """Return how often callers sent a request on average."""
@@ -223,7 +223,8 @@
         """Record that an instance passed on that a target leaves, if it does."""
         for target in self.targets:
             if target.is_leaving and request_id in target.runs:
-                self._announced_at.setdefault((target.name, instance), now)
+                announced = (target.name, target.born, instance)
+                self._announced_at.setdefault(announced, now)
 
 
 def _retry_delay(reply: Reply | None, time_left: float) -> float:
--- a/tests/router/notice_target.py
+++ b/tests/router/notice_target.py
@@ -21,6 +21,9 @@
 
     instance: str
     request_id: str
+    life: int | None
+    """Start of the target's process that it reached."""
+
     at: float
 
 
@@ -113,5 +116,6 @@
         return Arrival(
             instance=self._instances_by_connection[self.address, port],
             request_id=request.headers["Swiftpin-Request-Id"],
+            life=self.born,
             at=now,
         )
--- a/tests/router/play_notices.py
+++ b/tests/router/play_notices.py
@@ -12,6 +12,7 @@
 import argparse
 import asyncio
 import math
+from random import Random
 import sys
 
 import pytest
@@ -81,7 +82,7 @@
     began_at = loop.time()
     await site.async_play(SETTLE_TIME)
     stated_at = loop.time()
-    chosen = _start_statements(site, options)
+    chosen = _start_statements(site, options, seed)
     disturbance = asyncio.create_task(_async_disturb(site, options, chosen))
     await site.async_play(options.seconds)
     ended_at = loop.time()
@@ -94,11 +95,12 @@
 
 
 def _start_statements(
-    site: NoticeSite, options: argparse.Namespace
+    site: NoticeSite, options: argparse.Namespace, seed: int
 ) -> list[NoticeTarget]:
     """Let targets leave and reject; return those that leave."""
     targets = sorted(site.targets, key=lambda target: target.name)
-    site.random.shuffle(targets)
+    # The callers' draws depend on what was served, so the choice has draws of its own.
+    Random(seed).shuffle(targets)
     rejecting = targets[: math.ceil(options.reject * len(targets))]
     leaving = targets[len(targets) - math.ceil(options.leave * len(targets)) :]
     until = asyncio.get_running_loop().time() + options.seconds
@@ -195,7 +197,7 @@
         f" leave={options.leave:g} reject={options.reject:g}x{options.reject_share:g}"
         f" retry_after={options.retry_after:g} disturbance={options.disturbance}"
         f" backoffs={len(requests)} broken={broken} worst={max(requests, default=0)}"
-        f" within={sum(requests)} drains={len(site.announced_pairs())}"
+        f" within={sum(requests)} drains={site.announced_drains()}"
         f" late={len(late)} latest={latest:.2f} {served}"
         f" attempts={site.attempts_per_request(stated_at, ended_at):.2f}"
         f" untrue={untrue} repeated={repeated}",
