Let requests wait again while the only targets of a service restart

Callers of a service whose one target restarts got 503 where they had been served before, within about two seconds. Cause: the condition for requests that exclude targets held for empty sets of targets, too. Change: it holds only for requests that exclude some. Seen red: the new case was rejected on; it is granted once the target is back.

--- a/swiftpin/permits/permit_queue.py
+++ b/swiftpin/permits/permit_queue.py
@@ -89,7 +89,7 @@
     @callback
     def submit(self, request: PermitRequest, now: float) -> None:
         """Grant, queue or reject a request."""
-        if not self._candidates(request):
+        if request.excluded and not self._candidates(request):
             _reject(Rejection(request=request, retry_after=MIN_RETRY_AFTER))
             return
         target = self._choose_target(request, now)
--- a/tests/permits/test_excluded_targets.py
+++ b/tests/permits/test_excluded_targets.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from tests.permits.requester import Requester
+from tests.permits.requester import Requester, make_target
 
 NO_A = frozenset({"a"})
 
@@ -43,3 +43,14 @@
     """Guards against keyed requests that are held to the state of other targets."""
     number = requester.submit("b", excluded=NO_A)
     assert requester.decisions_by_number[number].target == "b"
+
+
+def test_request_waits_for_a_replacement_of_lost_targets(
+    requester: Requester,
+) -> None:
+    """Guards against rejections while the only target of a service restarts."""
+    requester.queue.set_targets([], 0.0)
+    number = requester.submit("", objective_at=3.0, ends_at=5.0)
+    assert not requester.is_rejected(number)
+    requester.queue.set_targets([make_target("c")], 1.0)
+    assert requester.decisions_by_number[number].target == "c"
