Name the parts for statements of targets by what they do

Read as a newcomer: two things were called SendGate, the callable that HttpClient asks and the class that decides; "hear" stood for recording an answer's statements, also in names. The class is SendPolicy.check_send_allowed now, like RetryPolicy.check_retry_allowed; the listener and its callers have handle_answer, AnnouncedDrains keeps _announced_at_by_id. A comment in app.py had come to stand over the wrong line. No change of behaviour.

--- a/swiftpin/discovery/announced_drains.py
+++ b/swiftpin/discovery/announced_drains.py
@@ -32,38 +32,38 @@
         """Called with a life whose announcement this instance has confirmed."""
 
         self._drain_limit = drain_limit
-        self._heard_at_by_id: dict[str, float] = {}
+        self._announced_at_by_id: dict[str, float] = {}
 
     @callback
     def set_drain_limit(self, drain_limit: float) -> None:
-        """Set the seconds for which a target may get requests once it was heard."""
+        """Set the seconds for which requests may follow an announcement."""
         self._drain_limit = drain_limit
 
     @callback
     def may_send(self, target_id: str, now: float) -> bool:
         """Return whether this instance may still send requests to a target.
 
-        Other instances may have heard the target earlier or later.
+        Other instances may have got an announcement earlier or later.
         """
-        heard_at = self._heard_at_by_id.get(target_id)
-        return heard_at is None or now - heard_at < self._drain_limit
+        announced_at = self._announced_at_by_id.get(target_id)
+        return announced_at is None or now - announced_at < self._drain_limit
 
     @callback
     def is_unconfirmed(self, target_id: str) -> bool:
-        """Return whether a target was heard once and not again."""
-        return target_id in self._heard_at_by_id.keys() - self.confirmed_ids
+        """Return whether there was one announcement of a target and no second."""
+        return target_id in self._announced_at_by_id.keys() - self.confirmed_ids
 
     @callback
     def count(self) -> int:
-        """Return the number of targets that this instance has heard."""
-        return len(self._heard_at_by_id)
+        """Return the number of targets that announced in answers to this instance."""
+        return len(self._announced_at_by_id)
 
     @callback
     def record_announcement(self, target_id: str, now: float) -> None:
         """Record that a target announced in an answer that it is leaving."""
-        is_first = target_id not in self._heard_at_by_id
+        is_first = target_id not in self._announced_at_by_id
         if is_first:
-            self._heard_at_by_id[target_id] = now
+            self._announced_at_by_id[target_id] = now
             log_message(message_type="target_drain_announced", target=target_id)
         if target_id in self.confirmed_ids:
             return
@@ -80,10 +80,14 @@
         A target that leaves says so in all answers, so an unconfirmed announcement from
         before was spoilt.
         """
-        heard_at = self._heard_at_by_id.get(target_id)
-        if heard_at is None or asked_at <= heard_at or target_id in self.confirmed_ids:
+        announced_at = self._announced_at_by_id.get(target_id)
+        if (
+            announced_at is None
+            or asked_at <= announced_at
+            or target_id in self.confirmed_ids
+        ):
             return
-        del self._heard_at_by_id[target_id]
+        del self._announced_at_by_id[target_id]
         log_message(
             message_type="target_drain_refuted", level="warning", target=target_id
         )
@@ -100,8 +104,8 @@
     def retain_targets(self, target_ids: Set[str]) -> None:
         """Drop the announcements of all other targets."""
         self.confirmed_ids &= target_ids
-        for target_id in self._heard_at_by_id.keys() - target_ids:
-            del self._heard_at_by_id[target_id]
+        for target_id in self._announced_at_by_id.keys() - target_ids:
+            del self._announced_at_by_id[target_id]
 
     @callback
     def _confirm(self, target_id: str, source: str) -> None:
--- a/swiftpin/notices/answer_listener.py
+++ b/swiftpin/notices/answer_listener.py
@@ -35,7 +35,7 @@
         self._backoffs = backoffs
 
     @callback
-    def hear(
+    def handle_answer(
         self, target: Target, head: AnswerHead, *, asked_at: float, now: float
     ) -> None:
         """Record the statements in an answer to a request that went to a target.
--- a/swiftpin/notices/send_gate.py
+++ b/swiftpin/notices/send_policy.py
@@ -9,7 +9,7 @@
 from swiftpin.permits.rate_reports import RateReports
 
 
-class SendGate:
+class SendPolicy:
     """Decides whether a target may get a request at the moment of its write.
 
     The request may have waited for a slot, a connection or a relay since the target was
@@ -28,7 +28,9 @@
         self._backoffs = backoffs
 
     @callback
-    def check(self, target_id: str, now: float, permit_until: float | None) -> None:
+    def check_send_allowed(
+        self, target_id: str, now: float, permit_until: float | None
+    ) -> None:
         """Raise `SendNotAllowedError` if a request must not be sent.
 
         `permit_until` is the time until which its permit is valid for a target with a
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -238,8 +238,8 @@
             handler=self._handler,
             relayed=self._relay_handler,
         )
-        # The platform restarts a process that exits.
         self._notices.backoffs.on_began = self._handle_backoff
+        # The platform restarts a process that exits.
         self._tasks = BackgroundTasks(on_failed=self.stop_requested.set)
 
     async def async_setup(self) -> None:
--- a/swiftpin/router/assigner_factory.py
+++ b/swiftpin/router/assigner_factory.py
@@ -72,7 +72,7 @@
         return RangeAssigner(
             service=service,
             client=self._client,
-            control=TargetControl(self._control_http, gate, self._hear),
+            control=TargetControl(self._control_http, gate, self._handle_answer),
             directory=self._directory,
             lease=self._lease,
             fences=fences,
@@ -90,13 +90,13 @@
         )
 
     @callback
-    def _hear(self, name: str, head: AnswerHead) -> None:
+    def _handle_answer(self, name: str, head: AnswerHead) -> None:
         """Record what a target states in an answer to a grant, release or check."""
         target = self._directory.current_life(name)
         if target is not None:
             now = suspend_aware_now()
             asked_at = now - RELEASE_TIMEOUT
-            self._listener.hear(target, head, asked_at=asked_at, now=now)
+            self._listener.handle_answer(target, head, asked_at=asked_at, now=now)
 
     @callback
     def _current_spec(self, fallback: ServiceSpec) -> ServiceSpec:
--- a/swiftpin/router/drain_reports.py
+++ b/swiftpin/router/drain_reports.py
@@ -15,8 +15,8 @@
     """Tells all linked instances which targets have announced that they are leaving.
 
     The lease holder then moves their keys, and issuers grant no more permits for them.
-    Every instance has links to these. An announcement that was reported is not passed
-    on: whoever hears it reports it itself, also to holders and issuers that come later.
+    Every instance has links to these. A drain that was reported is not passed on:
+    who confirms it reports it, also to holders and issuers that come later.
     """
 
     def __init__(self, links: FleetLinks, drains: AnnouncedDrains) -> None:
--- a/swiftpin/router/target_client.py
+++ b/swiftpin/router/target_client.py
@@ -1,4 +1,4 @@
-"""Exchanges with targets: checked before each write, and each answer heard."""
+"""Exchanges with targets: a check before each write, a record of each answer."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 from swiftpin.model.service_spec import ServiceSpec
 from swiftpin.model.target import Target
 from swiftpin.notices.answer_listener import AnswerListener
-from swiftpin.notices.send_gate import SendGate
+from swiftpin.notices.send_policy import SendPolicy
 from swiftpin.platform.request_head import (
     AnswerHead,
     decode_answer_head,
@@ -34,7 +34,7 @@
 
 LATE_ANSWER_TIME: Final = 0.1
 """Seconds after the write or the deadline of an abandoned request in which a rejection
-is still heard: a few round trips between zones, and delays of a busy event loop."""
+still counts: a few round trips between zones, and delays of a busy event loop."""
 
 
 @callback
@@ -94,9 +94,9 @@
 class TargetClient:
     """Sends callers' requests to targets; nothing else writes them.
 
-    Each write asks the gate first, with no await in between, and each answer is heard
-    before anyone else gets it. So what a target states in an answer holds for all
-    requests that are written after it was read.
+    Each write is checked first, with no await in between, and the statements in each
+    answer are recorded before anyone else gets it. So what a target states in an answer
+    holds for all requests that are written after it was read.
     """
 
     def __init__(
@@ -104,12 +104,12 @@
         *,
         client: HttpClient,
         relay_client: RelayClient,
-        gate: SendGate,
+        policy: SendPolicy,
         listener: AnswerListener,
     ) -> None:
         self._client = client
         self._relay_client = relay_client
-        self._gate = gate
+        self._policy = policy
         self._listener = listener
 
     async def async_send(
@@ -138,10 +138,10 @@
             may_connect=may_connect,
             late=LateAnswers(
                 time_left=partial(_late_answer_time, send),
-                on_answer=partial(self._hear, send),
+                on_answer=partial(self._handle_answer, send),
             ),
         )
-        return self._hear(send, answer)
+        return self._handle_answer(send, answer)
 
     async def async_send_through(
         self, relay: Relay, terms: RelayTerms, send: TargetSend, request: HttpRequest
@@ -153,7 +153,7 @@
         answer = await self._relay_client.async_exchange(
             relay, terms, request, send.state, self._make_gate(send), send.check
         )
-        return self._hear(send, answer)
+        return self._handle_answer(send, answer)
 
     async def async_check_health(
         self, target: Target, service: ServiceSpec
@@ -177,7 +177,9 @@
             check=partial(is_answer_to, ""),
         )
         head = decode_answer_head(answer.status, answer.headers)
-        self._listener.hear(target, head, asked_at=asked_at, now=suspend_aware_now())
+        self._listener.handle_answer(
+            target, head, asked_at=asked_at, now=suspend_aware_now()
+        )
         try:
             await answer.async_read_whole()
         finally:
@@ -192,7 +194,7 @@
 
         def gate(now: float) -> None:
             sent_at = suspend_aware_now()
-            self._gate.check(send.target.id, sent_at, send.permit_until)
+            self._policy.check_send_allowed(send.target.id, sent_at, send.permit_until)
             send.written_at = sent_at
             send.on_write()
             on_write(sent_at)
@@ -200,10 +202,10 @@
         return gate
 
     @callback
-    def _hear(self, send: TargetSend, answer: HttpAnswer) -> TargetAnswer:
+    def _handle_answer(self, send: TargetSend, answer: HttpAnswer) -> TargetAnswer:
         """Record what the target states in an answer."""
         head = decode_answer_head(answer.status, answer.headers)
-        self._listener.hear(
+        self._listener.handle_answer(
             send.target, head, asked_at=send.written_at, now=suspend_aware_now()
         )
         return TargetAnswer(http=answer, head=head)
--- a/swiftpin/router/target_notices.py
+++ b/swiftpin/router/target_notices.py
@@ -7,7 +7,7 @@
 from swiftpin.core import callback
 from swiftpin.discovery.target_directory import TargetDirectory
 from swiftpin.notices.answer_listener import AnswerListener
-from swiftpin.notices.send_gate import SendGate
+from swiftpin.notices.send_policy import SendPolicy
 from swiftpin.notices.target_backoffs import TargetBackoffs
 from swiftpin.permits.rate_reports import RateReports
 from swiftpin.relays.relay_client import RelayClient
@@ -20,7 +20,7 @@
 
 
 class TargetNotices:
-    """Connects the records of statements to those that hear and those that need them.
+    """Connects the records of statements to what fills and what reads them.
 
     `on_drain` is called when a target is found to be leaving.
     """
@@ -47,7 +47,7 @@
         self.client = TargetClient(
             client=clients.targets,
             relay_client=RelayClient(clients.relays),
-            gate=SendGate(
+            policy=SendPolicy(
                 directory=directory,
                 rate_reports=rate_reports,
                 backoffs=self.backoffs,
--- a/tests/discovery/test_announced_drains.py
+++ b/tests/discovery/test_announced_drains.py
@@ -105,7 +105,7 @@
 def test_report_of_another_instance_ends_new_work_but_no_sends(
     directory: TargetDirectory, drains: AnnouncedDrains
 ) -> None:
-    """Guards against keys that nobody serves since one instance heard early."""
+    """Guards against keys that nobody serves since one instance was told early."""
     assert drains.record_report("a")
     assert not drains.record_report("a")
     assert directory.is_leaving("a")
--- a/tests/dispatch/test_late_answers.py
+++ b/tests/dispatch/test_late_answers.py
@@ -79,7 +79,7 @@
     return answers
 
 
-async def test_answer_to_a_cancelled_exchange_is_heard(server: Server) -> None:
+async def test_answer_to_a_cancelled_exchange_is_read(server: Server) -> None:
     """Guards against rejections that nobody reads since the caller has left."""
     client = HttpClient()
     answers = await async_cancel_exchange(server, client, lambda: 1.0)
--- a/tests/notices/conftest.py
+++ b/tests/notices/conftest.py
@@ -30,7 +30,7 @@
 REJECTION = decode_answer_head(503, {"Swiftpin-Not-Executed": "1", "Retry-After": "3"})
 
 
-class Heard:
+class Recorder:
     """A listener and what it has recorded."""
 
     def __init__(self) -> None:
@@ -41,9 +41,9 @@
             rate_reports=self.rate_reports, drains=self.drains, backoffs=self.backoffs
         )
 
-    def hear(self, head: AnswerHead, *, now: float = NOW) -> None:
+    def handle(self, head: AnswerHead, *, now: float = NOW) -> None:
         """Receive an answer of the target."""
-        self.listener.hear(TARGET, head, asked_at=now - 0.1, now=now)
+        self.listener.handle_answer(TARGET, head, asked_at=now - 0.1, now=now)
 
 
 def announcing(head: AnswerHead = ANSWER) -> AnswerHead:
@@ -51,7 +51,7 @@
     return replace(head, is_draining=True)
 
 
-@pytest.fixture(name="heard")
-def heard_fixture() -> Heard:
-    """Return a listener that has heard nothing yet."""
-    return Heard()
+@pytest.fixture(name="recorder")
+def recorder_fixture() -> Recorder:
+    """Return a listener that has recorded nothing yet."""
+    return Recorder()
--- a/tests/router/test_target_client.py
+++ b/tests/router/test_target_client.py
@@ -1,4 +1,4 @@
-"""Tests that every request to a target passes one check and every answer is heard."""
+"""Tests that every request to a target is checked and every answer is recorded."""
 
 from __future__ import annotations
 
--- a/tests/router/test_target_notices.py
+++ b/tests/router/test_target_notices.py
@@ -146,7 +146,7 @@
 @pytest.mark.parametrize(
     ("wait", "deadline"), [(0.02, 2000), (1.0, 60)], ids=["caller-left", "time-over"]
 )
-async def test_rejection_is_heard_although_nobody_awaits_it(
+async def test_rejection_counts_although_nobody_awaits_it(
     site: NoticeSite, wait: float, deadline: int
 ) -> None:
     """Guards against requests in a pause that was asked for too late for a caller."""
