Read late answers in a module of their own

LateReads keeps the tasks and closes the connections; HttpClient says how an answer's head is read. No change of behaviour: tests of dispatch, relays and the fleet of statements pass.

--- a/swiftpin/dispatch/http_client.py
+++ b/swiftpin/dispatch/http_client.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from functools import partial
 from http import HTTPStatus
 import math
 from typing import Final
@@ -20,6 +20,7 @@
 from swiftpin.dispatch.http_pool import IDLE_LIMIT, UNTAKEN_LIMIT, HttpPool
 from swiftpin.dispatch.http_request import HttpRequest
 from swiftpin.dispatch.http_send_state import HttpSendState
+from swiftpin.dispatch.late_answers import LateAnswers, LateReads
 from swiftpin.exceptions import AnswerBrokenError, RequestError, RequestNotSentError
 from swiftpin.helpers.address import Address, parse_address
 from swiftpin.security.client_tls import ClientTls
@@ -40,19 +41,6 @@
 AnswerCheck = Callable[[Mapping[str, str]], bool]
 """Called with an answer's headers; tells whether it answers the request sent."""
 
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class LateAnswers:
-    """What becomes of the answer to a request whose exchange was cancelled."""
-
-    time_left: Callable[[], float]
-    """Called on the cancellation; returns for how many seconds the answer is awaited
-    before the connection is closed."""
-
-    on_answer: Callable[[HttpAnswer], object]
-    """Called with the head of the answer, if it comes."""
-
-
 MAX_STRAY_ANSWERS: Final = 3
 """Answers to earlier requests that are passed over before a connection is given up."""
 
@@ -83,7 +71,7 @@
         self._idle_limit = idle_limit
         self._untaken_limit = untaken_limit
         self._pools_by_address: dict[str, HttpPool] = {}
-        self._late_tasks: set[asyncio.Task[None]] = set()
+        self._late_reads = LateReads()
 
     async def async_exchange(
         self,
@@ -176,31 +164,13 @@
             if late is None or not state.written:
                 connection.abort()
             else:
-                self._await_late_answer(connection, request, check, late)
+                read = partial(_async_read_head, connection, request, None, check)
+                self._late_reads.start(connection, late, read)
             raise
         except BaseException:
             connection.abort()
             raise
 
-    @callback
-    def _await_late_answer(
-        self,
-        connection: HttpConnection,
-        request: HttpRequest,
-        check: AnswerCheck | None,
-        late: LateAnswers,
-    ) -> None:
-        """Await the answer to a cancelled exchange, then close its connection."""
-        seconds = late.time_left()
-        if seconds <= 0:
-            connection.abort()
-            return
-        task = connection.loop.create_task(
-            _async_read_late(connection, request, check, late.on_answer, seconds)
-        )
-        self._late_tasks.add(task)
-        task.add_done_callback(self._late_tasks.discard)
-
     @callback
     def close_idle(self, now: float) -> None:
         """Close idle connections, and forget addresses that have none left."""
@@ -212,8 +182,7 @@
     @callback
     def unload(self) -> None:
         """Close every connection."""
-        for task in self._late_tasks:
-            task.cancel()
+        self._late_reads.unload()
         for pool in self._pools_by_address.values():
             pool.unload()
         self._pools_by_address.clear()
@@ -387,24 +356,6 @@
     return HttpAnswer(message, content, connection, length=length, upload=upload)
 
 
-async def _async_read_late(
-    connection: HttpConnection,
-    request: HttpRequest,
-    check: AnswerCheck | None,
-    on_answer: Callable[[HttpAnswer], object],
-    seconds: float,
-) -> None:
-    """Read the head of an answer that nobody awaits any more."""
-    try:
-        async with asyncio.timeout(seconds):
-            on_answer(await _async_read_head(connection, request, None, check))
-    except (AnswerBrokenError, TimeoutError):
-        # Nobody needs the answer.
-        return
-    finally:
-        connection.abort()
-
-
 @callback
 def _length(
     message: RawResponseMessage, connection: HttpConnection, request: HttpRequest
--- a/swiftpin/router/target_client.py
+++ b/swiftpin/router/target_client.py
@@ -13,9 +13,10 @@
 
 from swiftpin.core import callback, monotonic_now
 from swiftpin.dispatch.http_answer import HttpAnswer
-from swiftpin.dispatch.http_client import AnswerCheck, HttpClient, LateAnswers
+from swiftpin.dispatch.http_client import AnswerCheck, HttpClient
 from swiftpin.dispatch.http_request import HttpRequest
 from swiftpin.dispatch.http_send_state import HttpSendState
+from swiftpin.dispatch.late_answers import LateAnswers
 from swiftpin.helpers.bytes_body import BytesBody
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.model.service_spec import ServiceSpec
--- a/tests/dispatch/test_late_answers.py
+++ b/tests/dispatch/test_late_answers.py
@@ -9,9 +9,10 @@
 import pytest
 
 from swiftpin.dispatch.http_answer import HttpAnswer
-from swiftpin.dispatch.http_client import HttpClient, LateAnswers
+from swiftpin.dispatch.http_client import HttpClient
 from swiftpin.dispatch.http_request import HttpRequest
 from swiftpin.dispatch.http_send_state import HttpSendState
+from swiftpin.dispatch.late_answers import LateAnswers
 from swiftpin.helpers.bytes_body import BytesBody
 
 ANSWER_DELAY = 0.05
