--- a/tests/router/cut_links.py
+++ b/tests/router/cut_links.py
@@ -38,6 +38,7 @@
 
     def __init__(self) -> None:
         self._cuts: dict[str, tuple[CutKind, frozenset[str] | None]] = {}
+        self._silent_addresses: set[str] = set()
         self.instances_by_connection: dict[tuple[str, int], str] = {}
         """Instances by the remote address and local port of their connections."""
 
@@ -60,8 +61,26 @@
         for transport in self._transports.get(instance, []):
             loop.call_later(RETRANSMISSION, transport.deliver_delayed)
 
+    def silence(self, address: str) -> None:
+        """Let a target fall silent for all instances; nobody hears that it ends."""
+        self._silent_addresses.add(address)
+
+    def revive(self, address: str) -> None:
+        """Let an address answer again; connections to what ended there are reset."""
+        self._silent_addresses.discard(address)
+        for transports in self._transports.values():
+            for transport in transports:
+                if transport.address == address and transport.is_closing():
+                    transport.lose_connection()
+
+    def is_silent(self, address: str) -> bool:
+        """Return whether a target is silent."""
+        return address in self._silent_addresses
+
     def kind_of(self, instance: str, address: str) -> CutKind | None:
         """Return how a link is cut, None if it works."""
+        if self.is_silent(address):
+            return CutKind.HANG
         kind, addresses = self._cuts.get(instance, (None, None))
         return kind if addresses is None or address in addresses else None
 
@@ -136,10 +155,13 @@
         self._protocol = protocol
         self._inner = protocol.transport
         self._receive = protocol.data_received
+        self._lose_connection = protocol.connection_lost
+        self._is_closed_here = False
         self._unsent: list[bytes] = []
         self._unreceived: list[bytes] = []
         protocol.transport = self
         protocol.data_received = self._data_received
+        protocol.connection_lost = self._connection_lost
 
     def deliver_delayed(self) -> None:
         """Deliver what was delayed by a cut."""
@@ -151,6 +173,11 @@
         for data in unreceived:
             self._receive(data)
 
+    def lose_connection(self) -> None:
+        """Reset the connection from the other side."""
+        if not self._is_closed_here:
+            self._lose_connection(ConnectionResetError("reset by the target"))
+
     def write(self, data: Any) -> None:  # noqa: ANN401
         """Send data, or keep it while the link is cut."""
         if self._unsent or not self._passes_requests:
@@ -164,15 +191,19 @@
             self.write(data)
 
     def is_closing(self) -> bool:
-        """Return whether the connection is closed or closing."""
+        """Return whether the connection is closed or closing, as far as is known."""
+        if self._cuts.is_silent(self.address) and not self._is_closed_here:
+            return False
         return bool(self._inner.is_closing())
 
     def close(self) -> None:
         """Close the connection."""
+        self._is_closed_here = True
         self._inner.close()
 
     def abort(self) -> None:
         """Reset the connection."""
+        self._is_closed_here = True
         self._inner.abort()
 
     def pause_reading(self) -> None:
@@ -192,6 +223,11 @@
         kind = self._cuts.kind_of(self._instance, self.address)
         return kind in (None, CutKind.REFUSE_NEW, CutKind.NO_ANSWERS)
 
+    def _connection_lost(self, exc: Exception | None) -> None:
+        """Pass on that the connection is closed, unless its target is silent."""
+        if self._is_closed_here or not self._cuts.is_silent(self.address):
+            self._lose_connection(exc)
+
     def _data_received(self, data: bytes) -> None:
         kind = self._cuts.kind_of(self._instance, self.address)
         if self._unreceived or kind not in (None, CutKind.REFUSE_NEW):
--- /dev/null
+++ b/tests/router/poison_site.py
@@ -0,0 +1,228 @@
+"""A fleet whose targets end under certain requests, with callers that resend these."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from itertools import count
+import math
+from typing import Any, Final
+
+from aiohttp import ClientError
+import pytest
+
+from tests.router.cut_site import CutOptions, CutSite
+from tests.router.poison_target import (
+    POISON_SUFFIX,
+    EndKind,
+    PoisonTarget,
+    TargetEvent,
+)
+from tests.router.site import BOUNDS, Reply
+
+ENTRY_LIFETIME: Final = 2.6
+"""Seconds after a target's end until its entry is removed from the store."""
+
+MAX_TARGETS_ENDED: Final = 3
+"""Targets that one request may end."""
+
+MAX_LATE_SENDS: Final = 3
+"""Sends of a request that may arrive later than the stability period after that."""
+
+REFUSALS: Final = (b"QUARANTINED", b"SUSPECTED")
+"""Names of the errors by which instances refuse poison requests."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Ends:
+    """How targets end, and when they are back."""
+
+    kind: EndKind = EndKind.RESET
+    back_after: float = math.inf
+    """Seconds until a new life of an ended target answers."""
+
+    delay: float = 0.0
+    """Seconds from the start of a poison request's run until its target ends."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class PoisonRequest:
+    """A request that ends targets, and how its callers send it."""
+
+    number: int = 0
+    key: int | None = 1
+    method: str = "GET"
+    body: bytes = b""
+    interval: float = 0.5
+    """Seconds between two sends of one caller."""
+
+    callers: int = 1
+    """Callers that send it at the same time, each to another instance."""
+
+    deadline: float = 2.0
+    leaves_after: float = math.inf
+    """Seconds after which a caller leaves."""
+
+    @property
+    def path(self) -> str:
+        """Return its path, which no other request has."""
+        prefix = "/files" if self.key is None else "/read"
+        if self.key is not None and self.method == "POST":
+            prefix = "/book"
+        return f"{prefix}/{self.number}{POISON_SUFFIX}"
+
+
+@dataclass(kw_only=True)
+class PoisonRecord:
+    """What became of the sends of poison requests."""
+
+    sent: int = 0
+    refused: int = 0
+    refused_at: float = math.inf
+    """Time of the first refusal."""
+
+    statuses: dict[int, int] = field(default_factory=dict)
+
+
+class PoisonSite(CutSite):
+    """Counts the targets that requests end, and sound requests that are refused."""
+
+    def __init__(
+        self,
+        monkeypatch: pytest.MonkeyPatch,
+        options: CutOptions,
+        ends: Ends,
+        unkeyed: int = 6,
+    ) -> None:
+        super().__init__(monkeypatch, options)
+        self.ends = ends
+        self.unkeyed = unkeyed
+        self.record = PoisonRecord()
+        self.sound_refused = 0
+        self._lives = count(1)
+        self._returns: set[asyncio.Task[None]] = set()
+
+    async def async_setup_fleet(self) -> None:
+        """Start the fleet of the options."""
+        await super().async_setup_fleet()
+        for number in range(2, self.unkeyed):
+            await self.async_add_target(f"v{number}", "vault")
+
+    async def async_unload(self) -> None:
+        """Stop all components."""
+        for task in self._returns:
+            task.cancel()
+        await super().async_unload()
+
+    def make_target(self, name: str, *, is_keyed: bool) -> PoisonTarget:
+        """Return a target that ends under poison requests."""
+        target = PoisonTarget(
+            name, is_keyed=is_keyed, cuts=self.cuts, on_end=self._handle_end
+        )
+        target.end_kind = self.ends.kind
+        target.end_delay = self.ends.delay
+        return target
+
+    @property
+    def targets(self) -> list[PoisonTarget]:
+        """Return all targets."""
+        return [
+            target
+            for target in self.targets_by_name.values()
+            if isinstance(target, PoisonTarget)
+        ]
+
+    def ended_by(self, path: str) -> list[TargetEvent]:
+        """Return the ends of targets under a request, the earliest first."""
+        return _events((it.poison_ends for it in self.targets), path)
+
+    def late_sends(self, path: str) -> list[TargetEvent]:
+        """Return the arrivals later than the stability period after the third end."""
+        ends = self.ended_by(path)
+        if len(ends) < MAX_TARGETS_ENDED:
+            return []
+        since = ends[MAX_TARGETS_ENDED - 1].at + BOUNDS.stability_period
+        arrivals = _events((it.poison_arrivals for it in self.targets), path)
+        return [arrival for arrival in arrivals if arrival.at > since]
+
+    def last_send_after_third_end(self, path: str) -> float:
+        """Return the seconds from the third end to the last arrival, 0 without one."""
+        ends = self.ended_by(path)
+        arrivals = _events((it.poison_arrivals for it in self.targets), path)
+        if len(ends) < MAX_TARGETS_ENDED:
+            return 0.0
+        return max(arrivals[-1].at - ends[MAX_TARGETS_ENDED - 1].at, 0.0)
+
+    async def async_resend(
+        self, request: PoisonRequest, seconds: float, via: list[str] | None = None
+    ) -> None:
+        """Send a poison request again and again, to the next instances in turn."""
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + seconds
+        sends = set()
+        turn = count(request.number)
+        while loop.time() < ends_at:
+            for _ in range(request.callers):
+                names = via or sorted(self.routers_by_name)
+                name = names[next(turn) % len(names)]
+                sends.add(asyncio.create_task(self._async_send(request, name)))
+            await asyncio.sleep(request.interval)
+        await asyncio.gather(*sends)
+
+    async def async_call(self, path: str, **arguments: Any) -> Reply:  # noqa: ANN401
+        """Send a request and count it if it is sound and refused."""
+        reply = await super().async_call(path, **arguments)
+        is_refused = reply.status == 503 and any(it in reply.body for it in REFUSALS)
+        if is_refused and not path.endswith(POISON_SUFFIX):
+            self.sound_refused += 1
+        return reply
+
+    async def _async_send(self, request: PoisonRequest, name: str) -> None:
+        """Send a poison request once and record its answer."""
+        self.record.sent += 1
+        limit = min(request.deadline + 1.0, request.leaves_after)
+        try:
+            async with asyncio.timeout(limit):
+                reply = await self.async_call(
+                    request.path,
+                    via=name,
+                    key=request.key,
+                    method=request.method,
+                    body=request.body,
+                    deadline=round(request.deadline * 1000),
+                )
+        except (ClientError, TimeoutError):
+            self.record.statuses[0] = self.record.statuses.get(0, 0) + 1
+            return
+        status = reply.status
+        self.record.statuses[status] = self.record.statuses.get(status, 0) + 1
+        if any(it in reply.body for it in REFUSALS):
+            self.record.refused += 1
+            now = asyncio.get_running_loop().time()
+            self.record.refused_at = min(self.record.refused_at, now)
+
+    def _handle_end(self, target: PoisonTarget) -> None:
+        """Remove the entry of a target that has ended, and let it return."""
+        task = asyncio.create_task(self._async_follow_end(target))
+        self._returns.add(task)
+        task.add_done_callback(self._returns.discard)
+
+    async def _async_follow_end(self, target: PoisonTarget) -> None:
+        """Remove the entry of an ended target when it lapses, and let it return."""
+        back_after = self.ends.back_after
+        await asyncio.sleep(min(back_after, ENTRY_LIFETIME))
+        if back_after > ENTRY_LIFETIME:
+            self.store.remove("servers", target.name)
+            if math.isinf(back_after):
+                return
+            await asyncio.sleep(back_after - ENTRY_LIFETIME)
+        await target.async_return(next(self._lives))
+        service = "desk" if target.is_keyed else "vault"
+        self.store.put("servers", target.name, target.entry(service))
+
+
+def _events(lists: Iterable[list[TargetEvent]], path: str) -> list[TargetEvent]:
+    """Return the events of a path in the order of time."""
+    events = [event for it in lists for event in it if event.path == path]
+    return sorted(events, key=lambda event: event.at)
--- a/tests/router/target_standin.py
+++ b/tests/router/target_standin.py
@@ -111,6 +111,12 @@
             )
         ]
 
+    async def async_end(self, request: Request) -> None:
+        """End as a target does that crashes under a request."""
+        assert request.transport is not None
+        request.transport.abort()
+        self.crash()
+
     def crash(self) -> None:
         """Simulate a crash: close all connections without notice."""
         loop = asyncio.get_running_loop()
@@ -217,9 +223,7 @@
         request_id = request.headers["Swiftpin-Request-Id"]
         self.runs.append(request_id)
         if request.path.endswith("/poison"):
-            assert request.transport is not None
-            request.transport.abort()
-            self.crash()
+            await self.async_end(request)
         self.deadlines.append(int(request.headers["Swiftpin-Deadline-Milliseconds"]))
         self.running += 1
         self.max_running = max(self.max_running, self.running)
