Log and count suspicions of requests that may have crashed targets

`request` lines of failures name the request's fingerprint, so that the sends of one request can be found; lines tell that a target counts against a request, and that a suspicion was dropped and why; gauges count suspected and refused requests. No decision is changed: the fingerprint is also kept in the call, for the lines only.

Before, no line told a silent end from no end.

tests/router, tests/deploy and tests/script pass.

--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -383,6 +383,14 @@
         lost = self._target_links.lost_targets(targets, now)
         self._metrics.lost_target_links = len(lost)
 
+    @callback
+    def _update_poison_metrics(self, now: float) -> None:
+        """Update the metrics of requests that crash targets."""
+        self._metrics.suspected_requests = self._poison.count_suspects()
+        self._metrics.quarantined_requests = len(
+            self._poison.quarantined_fingerprints(now)
+        )
+
     @callback
     def _handle_configuration_change(self) -> None:
         """Apply a new configuration to the components that depend on it."""
@@ -437,6 +445,7 @@
             await asyncio.sleep(HOUSEKEEPING_INTERVAL)
             self._directory.expire_targets(suspend_aware_now())
             self._notices.update(self._metrics, suspend_aware_now())
+            self._update_poison_metrics(suspend_aware_now())
             self._update_target_links(suspend_aware_now())
             self._evacuations.end_unconfirmed(suspend_aware_now())
             # No change event marks the end of a target's drain time.
--- a/swiftpin/router/call.py
+++ b/swiftpin/router/call.py
@@ -30,6 +30,9 @@
     ends_at: float
     """Deadline for the final answer to the caller."""
 
+    fingerprint: int = 0
+    """The same for all resends of the request, 0 until it is known."""
+
     sends: int = 0
     is_at_target: bool = False
     """Whether the request is currently at a target."""
--- a/swiftpin/router/metrics.py
+++ b/swiftpin/router/metrics.py
@@ -90,6 +90,12 @@
         self.backoff_targets = 0
         """Targets that asked this instance not to call them for now."""
 
+        self.suspected_requests = 0
+        """Requests that may have crashed targets, as known to this instance."""
+
+        self.quarantined_requests = 0
+        """Requests that this instance refuses since they crashed several targets."""
+
         self.ways: Counter[tuple[str, ...]] = Counter()
         """Requests sent, by service and the way of their last send."""
 
--- a/swiftpin/router/metrics_registry.py
+++ b/swiftpin/router/metrics_registry.py
@@ -82,6 +82,16 @@
             "Targets that asked this instance not to call them for now.",
             value=metrics.backoff_targets,
         )
+        yield GaugeMetricFamily(
+            "swiftpin_router_suspected_requests",
+            "Requests that may have crashed targets, as known to this instance.",
+            value=metrics.suspected_requests,
+        )
+        yield GaugeMetricFamily(
+            "swiftpin_router_quarantined_requests",
+            "Requests that this instance refuses since they crashed several targets.",
+            value=metrics.quarantined_requests,
+        )
         yield _counter(
             "swiftpin_router_sent_requests",
             "Requests that were sent, by the way of their last send: `direct`, or"
--- a/swiftpin/router/poison_detector.py
+++ b/swiftpin/router/poison_detector.py
@@ -30,6 +30,11 @@
     return xxh3_64_intdigest(b"\0".join((f"{host}{path}\0{key}".encode(), body)))
 
 
+def format_fingerprint(fingerprint: int) -> str:
+    """Return a fingerprint as it stands in log lines."""
+    return f"{fingerprint:016x}"
+
+
 class PoisonDetector:
     """Counts the targets that did not answer a request, and quarantines requests.
 
@@ -65,16 +70,28 @@
             log_message(
                 message_type="request_quarantined",
                 level="warning",
-                fingerprint=f"{fingerprint:016x}",
+                fingerprint=format_fingerprint(fingerprint),
+                targets=sorted(self._targets_by_fingerprint.get(fingerprint, {})),
             )
         self._quarantined_until_by_fingerprint[fingerprint] = now + QUARANTINE_TIME
 
+    @callback
+    def count_suspects(self) -> int:
+        """Return the number of requests that may have crashed a target."""
+        return len(self._targets_by_fingerprint)
+
     @callback
     def record_suspect(self, fingerprint: int, target: str, now: float) -> None:
         """Count a target that did not answer a request, and quarantine if needed."""
         if len(self._targets_by_fingerprint) >= MAX_SUSPECTS:
             self._drop_expired_suspects(now)
         targets = self._targets_by_fingerprint.setdefault(fingerprint, {})
+        if target not in targets:
+            log_message(
+                message_type="request_suspected",
+                fingerprint=format_fingerprint(fingerprint),
+                target=target,
+            )
         targets[target] = now
         recent = [at for at in targets.values() if now - at < SUSPECT_LIFETIME]
         if len(recent) >= MIN_CRASHED_TARGETS and not self.is_quarantined(
--- a/swiftpin/router/request_log.py
+++ b/swiftpin/router/request_log.py
@@ -25,6 +25,7 @@
 from swiftpin.router.decision_basis import current_basis
 from swiftpin.router.key_maps import KeyMaps
 from swiftpin.router.metrics import Metrics
+from swiftpin.router.poison_detector import format_fingerprint
 
 MILLISECONDS: Final = 1000.0
 MAX_SERVED_LINES_PER_SECOND: Final = 400
@@ -126,6 +127,10 @@
         if suppressed := rate_limiter.take_suppressed_count():
             outcome = f"{outcome} left_out_before={suppressed}"
         call_fields = "" if call is None else self._format_call(call)
+        if call is not None and (call.notes or level != "info"):
+            # Finds the other sends of a request that is sent again under other ids.
+            fingerprint = format_fingerprint(call.fingerprint)
+            call_fields = f"{call_fields} fingerprint={fingerprint}"
         self._destination.write_line(
             f"time={format_time(time.time())} level={level} event=request{call_fields}"
             f" {outcome} elapsed_ms={elapsed * MILLISECONDS:.1f}",
--- a/swiftpin/router/request_sender.py
+++ b/swiftpin/router/request_sender.py
@@ -105,7 +105,8 @@
         Raises a `RequestError` that states correctly whether the request was executed.
         """
         now = suspend_aware_now()
-        if self._poison.is_quarantined(request_fingerprint(call), now):
+        call.fingerprint = request_fingerprint(call)
+        if self._poison.is_quarantined(call.fingerprint, now):
             raise PoisonRequestError(
                 "the request crashed several targets",
                 retry_after=QUARANTINED_RETRY_AFTER,
--- a/swiftpin/router/target_exchange.py
+++ b/swiftpin/router/target_exchange.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 from aiohttp.hdrs import HOST
+from eliot import log_message
 
 from swiftpin.core import callback
 from swiftpin.discovery.target_directory import TargetDirectory
@@ -44,7 +45,11 @@
 from swiftpin.router.fleet_messages import LoadReport
 from swiftpin.router.key_maps import KeyMaps
 from swiftpin.router.permit_use import PermitUse
-from swiftpin.router.poison_detector import PoisonDetector, compute_fingerprint
+from swiftpin.router.poison_detector import (
+    PoisonDetector,
+    compute_fingerprint,
+    format_fingerprint,
+)
 from swiftpin.router.received_answer import ReceivedAnswer
 from swiftpin.router.retry_policy import RetryPolicy
 from swiftpin.router.silent_link import SilentLinkError, SilentLinkInterrupt
@@ -282,9 +287,18 @@
         """
         now = suspend_aware_now()
         if self._links.has_worked_since(target, broke_at):
-            return
-        if not self._links.is_reached_by_others(target, now):
+            reason = "reached since"
+        elif self._links.is_reached_by_others(target, now):
+            reason = "reached by others"
+        else:
             self._poison.on_suspect(fingerprint, target, now)
+            return
+        log_message(
+            message_type="suspicion_dropped",
+            fingerprint=format_fingerprint(fingerprint),
+            target=target,
+            reason=reason,
+        )
 
     @callback
     def _counts_against(self, target: str, err: ExchangeError) -> bool:
--- a/tests/router/cut_links.py
+++ b/tests/router/cut_links.py
@@ -216,6 +216,9 @@
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:  # noqa: ANN401
         """Return information about the connection."""
+        if name == "socket" and self._inner.is_closing():
+            # A silent target has closed its side, which nobody may see.
+            return None
         return self._inner.get_extra_info(name, default)
 
     @property
