Recognise a request by a fingerprint that is taken once

Callers saw: a request with a body of 200,000 bytes was sent on for ever; ten targets ended in 8 s, and no resend was refused. Cause: the fingerprint was computed again when the suspicion was reported, and the beginning of a streamed body is dropped while it is sent. So the suspicion, and the quarantine that followed, stood under a fingerprint that no resend has, and that every long request on the same path with the same key shares: one crash could refuse others.

The fingerprint is taken once, before the body is sent, and kept in the call; nothing computes another. It names the method too, and hosts in lower case: a GET and a POST of one path are different work. Callers are left out on purpose, since several may send the same request.

Test seen red: test_long_request_is_recognised_again (never refused before, refused after).

--- /dev/null
+++ b/swiftpin/poison/__init__.py
@@ -0,0 +1,1 @@
+"""Poison requests, which crash the targets that run them."""
--- /dev/null
+++ b/swiftpin/poison/fingerprint.py
@@ -0,0 +1,22 @@
+"""Fingerprints of requests, by which resends are recognised."""
+
+from __future__ import annotations
+
+from xxhash import xxh3_64_intdigest
+
+
+def compute_fingerprint(
+    *, method: str, host: str, path: str, key: int | None, body: bytes
+) -> int:
+    """Return a fingerprint that is the same for every resend, whatever its id.
+
+    `path` includes the query, `body` is the beginning of the body. Callers are not told
+    apart: several may send a request that crashes targets.
+    """
+    head = f"{method}\0{host.lower()}\0{path}\0{key}"
+    return xxh3_64_intdigest(b"\0".join((head.encode(), body)))
+
+
+def format_fingerprint(fingerprint: int) -> str:
+    """Return a fingerprint as it stands in log lines."""
+    return f"{fingerprint:016x}"
--- a/swiftpin/router/poison_detector.py
+++ b/swiftpin/router/poison_detector.py
@@ -6,9 +6,9 @@
 from typing import Final
 
 from eliot import log_message
-from xxhash import xxh3_64_intdigest
 
 from swiftpin.core import callback
+from swiftpin.poison.fingerprint import format_fingerprint
 
 MIN_CRASHED_TARGETS: Final = 3
 """Number of different targets that must fail to answer a request before it is
@@ -25,16 +25,6 @@
 """Number of suspected requests at which expired ones are dropped."""
 
 
-def compute_fingerprint(host: str, path: str, key: int | None, body: bytes) -> int:
-    """Return a fingerprint that is the same for every resend, whatever its id."""
-    return xxh3_64_intdigest(b"\0".join((f"{host}{path}\0{key}".encode(), body)))
-
-
-def format_fingerprint(fingerprint: int) -> str:
-    """Return a fingerprint as it stands in log lines."""
-    return f"{fingerprint:016x}"
-
-
 class PoisonDetector:
     """Counts the targets that did not answer a request, and quarantines requests.
 
--- a/swiftpin/router/request_log.py
+++ b/swiftpin/router/request_log.py
@@ -20,12 +20,12 @@
     format_text_cached,
     format_time,
 )
+from swiftpin.poison.fingerprint import format_fingerprint
 from swiftpin.result import ResultCode
 from swiftpin.router.call import Call
 from swiftpin.router.decision_basis import current_basis
 from swiftpin.router.key_maps import KeyMaps
 from swiftpin.router.metrics import Metrics
-from swiftpin.router.poison_detector import format_fingerprint
 
 MILLISECONDS: Final = 1000.0
 MAX_SERVED_LINES_PER_SECOND: Final = 400
--- a/swiftpin/router/request_sender.py
+++ b/swiftpin/router/request_sender.py
@@ -17,6 +17,7 @@
 from swiftpin.permits.permit_broker import PermitBroker
 from swiftpin.permits.permit_decision import PermitDecision
 from swiftpin.permits.permit_query import PermitQuery
+from swiftpin.poison.fingerprint import compute_fingerprint
 from swiftpin.relays.target_links import TargetLinks
 from swiftpin.router.backoff_waits import BackoffWaits
 from swiftpin.router.call import Call
@@ -31,7 +32,7 @@
 from swiftpin.router.received_answer import ReceivedAnswer
 from swiftpin.router.retry_policy import RetryPolicy
 from swiftpin.router.step_failure import StepFailure
-from swiftpin.router.target_exchange import TargetExchange, request_fingerprint
+from swiftpin.router.target_exchange import TargetExchange
 from swiftpin.router.target_ways import TargetWays
 from swiftpin.router.transfer_times import TransferTimes
 
@@ -105,7 +106,7 @@
         Raises a `RequestError` that states correctly whether the request was executed.
         """
         now = suspend_aware_now()
-        call.fingerprint = request_fingerprint(call)
+        call.fingerprint = _compute_fingerprint(call)
         if self._poison.is_quarantined(call.fingerprint, now):
             raise PoisonRequestError(
                 "the request crashed several targets",
@@ -218,3 +219,16 @@
         report = self._permits.rate_reports.report_for(owner)
         limit = "" if report is None else f": {report.describe(suspend_aware_now())}"
         call.record_failure(StepFailure.RATE_LIMITED, f"rate limit of {name}{limit}")
+
+
+@callback
+def _compute_fingerprint(call: Call) -> int:
+    """Return the fingerprint of a request, before a streamed body is sent."""
+    request = call.request
+    return compute_fingerprint(
+        method=request.method,
+        host=request.host,
+        path=request.raw_path,
+        key=call.head.key,
+        body=call.body.head,
+    )
--- a/swiftpin/router/target_exchange.py
+++ b/swiftpin/router/target_exchange.py
@@ -35,6 +35,7 @@
     encode_request_headers,
     is_answer_to,
 )
+from swiftpin.poison.fingerprint import format_fingerprint
 from swiftpin.relays.relay_client import RelayedAnswerBrokenError
 from swiftpin.relays.relay_terms import RelayTerms
 from swiftpin.relays.target_links import TargetLinks
@@ -45,11 +46,7 @@
 from swiftpin.router.fleet_messages import LoadReport
 from swiftpin.router.key_maps import KeyMaps
 from swiftpin.router.permit_use import PermitUse
-from swiftpin.router.poison_detector import (
-    PoisonDetector,
-    compute_fingerprint,
-    format_fingerprint,
-)
+from swiftpin.router.poison_detector import PoisonDetector
 from swiftpin.router.received_answer import ReceivedAnswer
 from swiftpin.router.retry_policy import RetryPolicy
 from swiftpin.router.silent_link import SilentLinkError, SilentLinkInterrupt
@@ -273,7 +270,7 @@
             asyncio.get_running_loop().call_later(
                 SUSPECT_DELAY,
                 self._report_suspect,
-                request_fingerprint(call),
+                call.fingerprint,
                 target,
                 suspend_aware_now(),
             )
@@ -402,15 +399,6 @@
     call.relay_evidence_age = outgoing.link_evidence_age
 
 
-@callback
-def request_fingerprint(call: Call) -> int:
-    """Return a fingerprint that is the same for every resend of the request."""
-    request = call.request
-    return compute_fingerprint(
-        request.host, request.raw_path, call.head.key, call.body.head
-    )
-
-
 async def _async_read_first_chunks(answer: HttpAnswer) -> list[bytes]:
     """Return the complete body if it is short enough to buffer, else its start."""
     chunks = []
--- /dev/null
+++ b/tests/poison/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the detection of poison requests."""
--- /dev/null
+++ b/tests/poison/test_fingerprint.py
@@ -0,0 +1,39 @@
+"""Tests of the fingerprints of requests."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from swiftpin.poison.fingerprint import compute_fingerprint
+
+REQUEST: dict[str, Any] = {
+    "method": "GET",
+    "host": "desk.example",
+    "path": "/read/x?page=1",
+    "key": 7,
+    "body": b"",
+}
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"method": "POST"},
+        {"host": "vault.example"},
+        {"path": "/read/x?page=2"},
+        {"key": 8},
+        {"key": None},
+        {"body": b"x"},
+    ],
+)
+def test_other_requests_have_other_fingerprints(change: dict[str, Any]) -> None:
+    """Guards against sound requests being taken for one that crashes targets."""
+    assert compute_fingerprint(**REQUEST) != compute_fingerprint(**REQUEST | change)
+
+
+def test_resends_have_the_same_fingerprint() -> None:
+    """Host names don't depend on case."""
+    resend = REQUEST | {"host": "Desk.Example"}
+    assert compute_fingerprint(**REQUEST) == compute_fingerprint(**resend)
--- a/tests/router/test_poison_requests.py
+++ b/tests/router/test_poison_requests.py
@@ -65,10 +65,17 @@
 }
 
 
+LONG_CASES = {
+    "long": Case(
+        ends=Ends(back_after=1.5), request=PoisonRequest(method="POST", body=LONG_BODY)
+    )
+}
+
+
 @pytest.fixture(name="case")
 def case_fixture(request: pytest.FixtureRequest) -> Case:
     """Return the case of a test."""
-    return CASES[request.param]
+    return (CASES | LONG_CASES)[request.param]
 
 
 @pytest.fixture(name="site")
@@ -112,3 +119,13 @@
     assert not site.sound_refused
     assert not site.untrue_rejections()
     assert not site.repeated_once_only()
+
+
+@pytest.mark.parametrize("case", LONG_CASES, indirect=True)
+async def test_long_request_is_recognised_again(site: PoisonSite, case: Case) -> None:
+    """Guards against fingerprints that change while a streamed body is sent."""
+    await asyncio.gather(
+        site.async_play(RESEND_TIME), site.async_resend(case.request, RESEND_TIME)
+    )
+    await site.async_settle()
+    assert site.record.refused
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -23,6 +23,17 @@
         "relays",
         "router",
     },
+    "poison": {
+        "discovery",
+        "fleet",
+        "gateway",
+        "keyranges",
+        "notices",
+        "permits",
+        "platform",
+        "relays",
+        "router",
+    },
     "platform": {
         "discovery",
         "fleet",
