--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -130,14 +130,11 @@
         if self._session is not None:
             await self._session.close()
 
-    async def async_add_upstream(
-        self, name: str, *, work: float = 0.05, extra_share: float = 0.0
-    ) -> Upstream:
+    async def async_add_upstream(self, name: str, *, work: float = 0.05) -> Upstream:
         """Start an upstream and register it."""
         host = own_host(UPSTREAM_NUMBER)
         upstream = Upstream(name, KEYED_SERVICE, host, self.record, self.upstreams)
         upstream.work = work
-        upstream.extra_share = extra_share
         await upstream.async_start()
         self.upstreams[name] = upstream
         self.store.put("servers", name, upstream.entry())
--- a/review/standins/upstream.py
+++ b/review/standins/upstream.py
@@ -40,6 +40,24 @@
     """Time at which the last grant runs out, however the hold ended."""
 
 
+@dataclass(kw_only=True)
+class ExtraBudget:
+    """Extra responses that faulty upstreams may send together in one span."""
+
+    share: float
+    """Share of the upstreams' answers in the span."""
+
+    answers: int = 0
+    extras: int = 0
+
+    def take(self) -> bool:
+        """Return whether another extra response may be sent, and count it."""
+        if self.extras + 1 > self.share * self.answers:
+            return False
+        self.extras += 1
+        return True
+
+
 @dataclass(frozen=True, kw_only=True)
 class Run:
     """A request that an upstream began to run."""
@@ -63,9 +81,9 @@
 class Upstream:
     """Runs requests for the keys that it holds and keeps all its holds.
 
-    `others` are all upstreams of the service. With an `extra_share` it also sends late
+    `others` are all upstreams of the service. With an `extra_budget` it also sends late
     extra responses: a copy of the answer to a release, at the point where the next
-    response on the connection is expected. They are at most that share of its answers.
+    response on the connection is expected.
     """
 
     def __init__(
@@ -86,7 +104,7 @@
         self.early_grants: list[EarlyGrant] = []
         """Grants to this upstream of keys on which another was still at work."""
 
-        self.extra_share = 0.0
+        self.extra_budget: ExtraBudget | None = None
         self.answers = 0
         self.extras = 0
         self._others = others
@@ -139,13 +157,15 @@
 
     async def _async_count(self, request: Request, response: StreamResponse) -> None:
         self.answers += 1
+        if self.extra_budget is not None:
+            self.extra_budget.answers += 1
 
     def _send_extra(self, request: Request) -> None:
         """Send a copy of an earlier answer to a release, if it is time for one."""
         transport = request.transport
         assert transport is not None
         answer = self._answered.pop(transport, None)
-        if answer is None or self.extras + 1 > self.extra_share * self.answers:
+        if answer is None or self.extra_budget is None or not self.extra_budget.take():
             return
         self.extras += 1
         assert isinstance(transport, asyncio.WriteTransport)
