Log the store era of the assignment that a successor takes over

Callers of review/1 see two targets that hold the same keys for over 3 s after a restore of the store and a planned restart of the lease holder.

Hypotheses: (1) the successor takes over a record from before the restore, because nobody has written it again; (2) the holder wrote it again, and the write was lost or undone; (3) the record is right, and the targets refused or missed the successor's calls. The line assignment_loaded told the revision of the successor's own write, which is of the new era in all three.

It now tells the era in which the loaded record was written. (2) would show recorded_era=2 or an unsettled write, (3) grant_refused or release_failed.

--- a/swiftpin/keyranges/assignment_loader.py
+++ b/swiftpin/keyranges/assignment_loader.py
@@ -83,6 +83,7 @@
             message_type="assignment_loaded",
             service=self._service,
             revision=self._record.revision,
+            recorded_era=self._record.recorded_era,
             segments=len(assignment.segments),
             longest_hold=hold,
             term=self._term,
--- a/swiftpin/keyranges/assignment_record.py
+++ b/swiftpin/keyranges/assignment_record.py
@@ -39,6 +39,9 @@
 
     def __init__(self, service: str, client: StoreClient, health: StoreHealth) -> None:
         self.revision: int | None = None
+        self.recorded_era = 0
+        """Store era in which the last record that was read or written was written."""
+
         self._service = service
         self._client = client
         self._health = health
@@ -56,6 +59,7 @@
         """
         stored_object = await self._client.async_get(KIND_ASSIGNMENT, self._service)
         recorded = decode_assignment(stored_object.content)
+        self.recorded_era = _read_era(stored_object.content)
         segments = tuple(
             replace(segment, fence=allocate_fence())
             if segment.former_owner
@@ -144,5 +148,10 @@
             return False
         if content.get(ATTR_WRITER) == self._writer:
             return True
-        era = content.get(ATTR_ERA, 0)
-        return isinstance(era, int) and era < self._client.era.newest
+        return _read_era(content) < self._client.era.newest
+
+
+def _read_era(content: object) -> int:
+    """Return the era in which a record was written, 0 if it does not tell."""
+    era = content.get(ATTR_ERA, 0) if isinstance(content, dict) else 0
+    return era if isinstance(era, int) else 0
--- a/tests/keyranges/test_assignment_loader.py
+++ b/tests/keyranges/test_assignment_loader.py
@@ -31,6 +31,7 @@
     """A record that may exist, be missing or be unreadable."""
 
     revision = 1
+    recorded_era = 0
 
     def __init__(self) -> None:
         self.errors: list[Exception] = []
