Play a restore of the store in the model of key ranges

The model had no restore, so it could not show which rule a successor needs after one. It may now come once, at any time, with a copy from before the move; the holder goes on, a successor finds a record that is marked as older.

--- a/spec/cases.py
+++ b/spec/cases.py
@@ -58,7 +58,7 @@
         ),
         ModelCase(
             protocol=key_range("ranges", RangeWeakness()),
-            covers="lease, votes, pause, late grants, lost answers, T restarts",
+            covers="lease, votes, pause, late grants, T restarts, a restored store",
         ),
         ModelCase(
             protocol=cold_permits("cold permits", ColdWeakness()),
--- a/spec/ranges/model.py
+++ b/spec/ranges/model.py
@@ -19,6 +19,7 @@
     FENCES_PER_TERM,
     FIRST,
     HOLD,
+    IN_DOUBT,
     LEASE,
     RECORDED,
     RELEASED,
@@ -63,6 +64,8 @@
         return
     yield "tick", _tick(weakness, world)
     yield "store", world._replace(is_store_up=not world.is_store_up)
+    if not world.was_restored:
+        yield "restore", _restore(world)
     yield "pause", world._replace(is_first_paused=not world.is_first_paused)
     if world.t_life == T_BEFORE:
         yield "T restarts", restart_t(weakness, world)
@@ -76,6 +79,19 @@
         yield from _assigner_steps(weakness, world, SECOND)
 
 
+def _restore(world: RangeWorld) -> RangeWorld:
+    """Return the world after the store came back from a copy without the move.
+
+    A candidate counts the age of the lease anew, as its holder may have renewed it.
+    """
+    return world._replace(
+        was_restored=True,
+        is_record_complete=False,
+        is_move_recorded=False,
+        second_waited=0,
+    )
+
+
 def _first_assigns(world: RangeWorld) -> bool:
     """Return whether the first instance currently acts as the assigner."""
     has_lease = world.first_lease > 0 or world.first_vote > 0
@@ -121,12 +137,15 @@
     has_wait_ended = world.second_waited >= WAIT and not is_bound_by_vote
     if world.is_store_up and (has_wait_ended or world.is_first_resigned):
         possible_hold = 0 if weakness.forgets_earlier_grants else HOLD
+        stage = RECORDED if world.is_move_recorded else UNRECORDED
+        if not world.is_record_complete and not weakness.trusts_restored_record:
+            stage = IN_DOUBT
         yield (
             "take over",
             world._replace(
                 second_leads=True,
                 term=2,
-                second_stage=RECORDED if world.is_move_recorded else UNRECORDED,
+                second_stage=stage,
                 second_possible_hold=possible_hold,
             ),
         )
@@ -140,6 +159,16 @@
     possible_hold = (
         world.first_possible_hold if assigner == FIRST else world.second_possible_hold
     )
+    if stage == IN_DOUBT:
+        yield from _steps_in_doubt(weakness, world)
+        return
+    if world.is_store_up and not world.is_record_complete:
+        yield (
+            "record again",
+            world._replace(
+                is_record_complete=True, is_move_recorded=stage != UNRECORDED
+            ),
+        )
     if stage == UNRECORDED:
         yield from _steps_before_move(weakness, world, assigner)
     elif stage == RECORDED:
@@ -149,6 +178,23 @@
         yield "grant U", acquire_range(world, U, fence)._replace(held_by_u=HOLD)
 
 
+def _steps_in_doubt(weakness: RangeWeakness, world: RangeWorld) -> Iterator[Step]:
+    """Yield how the successor ends all grants but those of the owner it continues with.
+
+    That may be T, as recorded, or U, if it knows a newer key map.
+    """
+    keeps_t = _with_assigner_state(world, SECOND, stage=UNRECORDED)
+    keeps_u = _with_assigner_state(world, SECOND, stage=RELEASED)
+    yield "U releases", keeps_t._replace(held_by_u=0)
+    yield "U releases, answer lost", world._replace(held_by_u=0)
+    fence = _move_fence(SECOND)
+    yield "T releases", release_by_t(keeps_u, fence)
+    yield "T releases, answer lost", release_by_t(world, fence)
+    if world.second_possible_hold == 0 or weakness.skips_silent_target:
+        yield "U silent", keeps_t
+        yield "T silent", keeps_u
+
+
 def _steps_before_move(
     weakness: RangeWeakness, world: RangeWorld, assigner: int
 ) -> Iterator[Step]:
@@ -168,7 +214,7 @@
                     is_first_connected=False
                 ),
             )
-    if world.is_store_up:
+    if world.is_store_up and world.is_record_complete:
         yield (
             "record",
             _with_assigner_state(world, assigner, stage=RECORDED)._replace(
--- a/spec/ranges/weakness.py
+++ b/spec/ranges/weakness.py
@@ -44,3 +44,9 @@
 
     lapsed_lease_counts_again: bool = False
     """A holder that announced the end of its lease continues after a late vote."""
+
+    trusts_restored_record: bool = False
+    """A successor relies on a record from before a restore, which may lack a move."""
+
+    skips_silent_target: bool = False
+    """A successor in doubt grants keys although a target did not answer its release."""
--- a/spec/ranges/world.py
+++ b/spec/ranges/world.py
@@ -17,6 +17,9 @@
 RELEASED: Final = 2
 """Stages of the move from target T to target U, as known to an assigner."""
 
+IN_DOUBT: Final = 3
+"""Stage of a successor whose record may lack a move that the first instance made."""
+
 FENCES_PER_TERM: Final = 4
 """Fences of one assigner: the last one is for the move, the others are for T."""
 
@@ -48,6 +51,10 @@
     second_waited: int = 0
     second_leads: bool = False
     is_move_recorded: bool = False
+    was_restored: bool = False
+    is_record_complete: bool = True
+    """Whether the record is marked as one from after the last restore of the store."""
+
     first_stage: int = UNRECORDED
     second_stage: int = UNRECORDED
     first_possible_hold: int = HOLD
