End unrecorded grants before taking over keys after a restore

Cause: a successor took any record for one that names the holders of all grants. That holds only within an era of the store: the copy lacks the moves since, and the holder, which goes on with its memory, wrote the assignment only for its next move. Ruled out by the log of the era of the loaded record: a lost write of the holder, and calls that targets refused or missed.

Change: records are marked with the newest era in which they are complete. The holder writes its assignment again after a restore and plans no move before. That only shortens the window, so a successor that finds an older mark, or no record where one may be lost, first has each target release all keys that it does not own, under fences above those of earlier holders; a silent target is waited for until its grants must have expired. Until then its writes keep the older mark.

--- a/swiftpin/keyranges/assignment_record.py
+++ b/swiftpin/keyranges/assignment_record.py
@@ -9,6 +9,7 @@
 
 from eliot import log_message
 
+from swiftpin.core import callback
 from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.exceptions import StoreConflictError, StoreError
 from swiftpin.helpers.clock import suspend_aware_now
@@ -27,6 +28,10 @@
 ATTR_ERA: Final = "era"
 """Field with the store era in which the record was written."""
 
+ATTR_COMPLETE_ERA: Final = "complete_era"
+"""Field with the newest store era in which the record is known to contain the holders
+of all grants. A record from before a restore may lack later moves."""
+
 
 class AssignmentRecord:
     """Reads and replaces the record of a service's assignment.
@@ -35,12 +40,19 @@
     still at the expected revision. So a new assigner writes the record before it acts
     on it: this changes the revision, and no pending write of an earlier assigner can
     take effect any more.
+
+    An assigner records a move before it grants the keys. So a record contains the
+    holders of all grants, unless the store was restored since. Only an assigner that
+    knows all grants marks its record as complete in the current era.
     """
 
     def __init__(self, service: str, client: StoreClient, health: StoreHealth) -> None:
         self.revision: int | None = None
-        self.recorded_era = 0
-        """Store era in which the last record that was read or written was written."""
+        self.complete_era = 0
+        """Newest era in which the record that was last read or written is complete."""
+
+        self.is_complete = False
+        """Whether this assigner knows the holders of all grants."""
 
         self._service = service
         self._client = client
@@ -59,7 +71,8 @@
         """
         stored_object = await self._client.async_get(KIND_ASSIGNMENT, self._service)
         recorded = decode_assignment(stored_object.content)
-        self.recorded_era = _read_era(stored_object.content)
+        self.complete_era = _read_era(stored_object.content, ATTR_COMPLETE_ERA)
+        self.is_complete = not self._was_restored_since(self.complete_era)
         segments = tuple(
             replace(segment, fence=allocate_fence())
             if segment.former_owner
@@ -76,14 +89,34 @@
         return assignment
 
     async def async_create(self, assignment: Assignment) -> None:
-        """Create the record."""
+        """Create a complete record."""
+        self.is_complete = True
+        content = self._encode(assignment)
         self.revision = await self._client.async_create(
-            KIND_ASSIGNMENT, self._service, self._encode(assignment)
+            KIND_ASSIGNMENT, self._service, content
         )
+        self.complete_era = content[ATTR_COMPLETE_ERA]
+
+    @callback
+    def must_be_repeated(self) -> bool:
+        """Return whether a restore may have undone the last write of the record."""
+        return self._was_restored_since(self.complete_era)
+
+    @callback
+    def mark_complete(self) -> None:
+        """Note that this assigner knows the holders of all grants from now on."""
+        self.is_complete = True
 
     async def async_replace(self, assignment: Assignment) -> bool:
         """Write an assignment; return True only if it was confirmed as written."""
         content = self._encode(assignment)
+        is_written = await self._async_replace(content)
+        if is_written:
+            self.complete_era = content[ATTR_COMPLETE_ERA]
+        return is_written
+
+    async def _async_replace(self, content: dict[str, Any]) -> bool:
+        """Write the content; return True only if it was confirmed as written."""
         try:
             await self._async_write(content)
         except StoreConflictError as err:
@@ -132,11 +165,18 @@
 
     def _encode(self, assignment: Assignment) -> dict[str, Any]:
         """Return the content of the record."""
+        era = self._client.era.newest
         return encode_assignment(assignment) | {
             ATTR_WRITER: self._writer,
-            ATTR_ERA: self._client.era.newest,
+            ATTR_ERA: era,
+            ATTR_COMPLETE_ERA: era if self.is_complete else self.complete_era,
         }
 
+    @callback
+    def _was_restored_since(self, era: int) -> bool:
+        """Return whether the store was restored after an era."""
+        return era < self._client.era.newest
+
     def _is_replaceable(self, content: object) -> bool:
         """Return whether a record is this assigner's, or from before a restore.
 
@@ -148,10 +188,10 @@
             return False
         if content.get(ATTR_WRITER) == self._writer:
             return True
-        return _read_era(content) < self._client.era.newest
+        return self._was_restored_since(_read_era(content, ATTR_ERA))
 
 
-def _read_era(content: object) -> int:
-    """Return the era in which a record was written, 0 if it does not tell."""
-    era = content.get(ATTR_ERA, 0) if isinstance(content, dict) else 0
+def _read_era(content: object, field: str) -> int:
+    """Return the era in a field of a record, 0 if the record does not tell."""
+    era = content.get(field, 0) if isinstance(content, dict) else 0
     return era if isinstance(era, int) else 0
--- a/swiftpin/keyranges/hold_times.py
+++ b/swiftpin/keyranges/hold_times.py
@@ -58,6 +58,13 @@
         self._note_granted(limit, now)
         return limit
 
+    @callback
+    def note_unrecorded(self, now: float) -> float:
+        """Note that grants may be valid that no record limits; return the limit."""
+        limit = min(MAX_REGULAR_HOLD, self._max_hold)
+        self._note_granted(limit, now)
+        return limit
+
     @callback
     def limit_for_record(
         self, previous_segment_count: int, segment_count: int, now: float
--- a/swiftpin/keyranges/lease_election.py
+++ b/swiftpin/keyranges/lease_election.py
@@ -174,6 +174,13 @@
         """Return the last term that this instance resigned, 0 while it assigns keys."""
         return 0 if self.is_held(now) else self._lapsed_term
 
+    @property
+    def may_have_lost_records(self) -> bool:
+        """Return whether the store may have lost records that it had before."""
+        era = self._store.era
+        is_first_era = era == 0 or self._first_start
+        return self._store.was_restored or not is_first_era
+
     @property
     def term(self) -> int:
         """Return the highest known term; a restored store may have a lower one."""
@@ -305,12 +312,10 @@
 
     def _view(self) -> LeaseView:
         """Return what this instance knows about the lease."""
-        era = self._store.era
-        is_first_era = era == 0 or self._first_start
         return LeaseView(
             record=self.record,
-            era=era,
-            may_have_lost_record=self._store.was_restored or not is_first_era,
+            era=self._store.era,
+            may_have_lost_record=self.may_have_lost_records,
             resigned_term=self.resigned_term,
             unchanged_since=self._store.unchanged_since,
             own_vote_until=self.own_vote_until,
--- a/swiftpin/keyranges/range_assigner.py
+++ b/swiftpin/keyranges/range_assigner.py
@@ -38,6 +38,7 @@
 from swiftpin.keyranges.target_sessions import TargetSessions
 from swiftpin.keyranges.target_speed import CapacityBounds, TargetSpeed
 from swiftpin.keyranges.uneven_planner import UnevenPlanner
+from swiftpin.keyranges.unrecorded_grants import UnrecordedGrants
 from swiftpin.model.service_spec import ServiceSpec
 from swiftpin.model.target import Target
 from swiftpin.platform.store_client import StoreClient
@@ -98,6 +99,7 @@
         may_plan: Callable[[], bool] = _always,
         uneven_planner: UnevenPlanner | None = None,
         known_factors: Mapping[str, float] = MappingProxyType({}),
+        key_map: KeyMap | None = None,
     ) -> None:
         self._uneven_planner = uneven_planner
         """Planner of a service with uneven demand on its keys, otherwise None."""
@@ -134,15 +136,6 @@
             fences=fences,
             term=lease.term,
         )
-        self._loader = AssignmentLoader(
-            service=service,
-            record=self._record,
-            granter=self._granter,
-            sessions=self._sessions,
-            directory=directory,
-            hold_limit=self._hold_limit,
-            term=lease.term,
-        )
         self._publisher = KeyMapPublisher(
             service=service,
             term=lease.term,
@@ -167,16 +160,36 @@
             control=control,
             health_path=health_path,
         )
-        self._moves = MoveRunner(
+        mover = Mover(
+            granter=self._granter,
+            sessions=self._sessions,
+            directory=directory,
+            max_request_time=max_request_time,
+        )
+        self._loader = AssignmentLoader(
             service=service,
-            state=self._state,
+            record=self._record,
             granter=self._granter,
-            mover=Mover(
-                granter=self._granter,
+            sessions=self._sessions,
+            directory=directory,
+            hold_limit=self._hold_limit,
+            term=lease.term,
+            era=client.era,
+            unrecorded_grants=UnrecordedGrants(
+                service=service,
+                mover=mover,
                 sessions=self._sessions,
                 directory=directory,
-                max_request_time=max_request_time,
+                health=health,
             ),
+            may_have_lost_record=lambda: lease.may_have_lost_records,
+            key_map=key_map,
+        )
+        self._moves = MoveRunner(
+            service=service,
+            state=self._state,
+            granter=self._granter,
+            mover=mover,
             publisher=self._publisher,
         )
 
@@ -201,7 +214,7 @@
                 # The previous assigner may have sent a release for this move. It can't
                 # arrive later than the time at which the kernel stops delivering it.
                 self._moves.start(segment, self._took_over_at + CONTROL_TIMEOUT)
-            elif not self._loader.is_new_assignment:
+            elif self._loader.has_granted_keys:
                 self._state.granted_fences.add(segment.fence)
         self._publisher.publish()
 
@@ -223,6 +236,8 @@
             self._prune_state(now)
             if not self._lease.is_held(now) or self._health.is_lost:
                 continue
+            if not await self._async_repeat_record():
+                continue
             if self._may_miss_live_owners(now) or not self._may_plan():
                 continue
             await self._async_plan_once(now)
@@ -230,6 +245,25 @@
                 # The speeds of the targets may have changed without a move.
                 self._publisher.publish()
 
+    async def _async_repeat_record(self) -> bool:
+        """Write the record again if a restore may have undone it.
+
+        Return whether the record contains all grants, so that moves may be planned.
+        """
+        if not self._record.must_be_repeated():
+            return True
+        before = self._record.complete_era
+        if not await self._record.async_replace(self._state.current):
+            return False
+        log_message(
+            message_type="assignment_written_again",
+            service=self._service,
+            era=self._record.complete_era,
+            before=before,
+            revision=self._record.revision,
+        )
+        return True
+
     @callback
     def _may_miss_live_owners(self, now: float) -> bool:
         """Return whether an owner may be alive although its entry is missing.
--- a/swiftpin/model/store_era.py
+++ b/swiftpin/model/store_era.py
@@ -14,6 +14,9 @@
 
     def __init__(self) -> None:
         self._newest: int | None = None
+        self.newest_since = 0.0
+        """Suspend-aware time of the first answer of the newest era."""
+
         self.was_restored = False
         """Whether the store was restored since this instance started."""
 
@@ -23,7 +26,7 @@
         return self._newest or 0
 
     @callback
-    def observe(self, reported: int | None) -> int:
+    def observe(self, reported: int | None, now: float) -> int:
         """Record the era of an answer and return it.
 
         An answer without an era counts as one of the newest era. Raises
@@ -40,6 +43,8 @@
         if newest is not None and reported > newest:
             log_message(message_type="store_restored", era=reported, before=newest)
             self.was_restored = True
+        if reported != newest:
+            self.newest_since = now
         self._newest = reported
         return reported
 
--- a/swiftpin/platform/store_client.py
+++ b/swiftpin/platform/store_client.py
@@ -26,6 +26,7 @@
     StoreUnavailableError,
 )
 from swiftpin.helpers.bytes_body import BytesBody
+from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.model.store_era import StoreEra
 from swiftpin.model.store_revision import era_of, number_of
 from swiftpin.platform.json_fields import FieldError, load_json
@@ -237,7 +238,8 @@
                 try:
                     answer.extend_while_arriving(timeout)
                     era = self.era.observe(
-                        decode_era(answer.headers.get(HEADER_STORE_ERA))
+                        decode_era(answer.headers.get(HEADER_STORE_ERA)),
+                        suspend_aware_now(),
                     )
                     body = await answer.async_read_whole()
                 finally:
--- a/swiftpin/router/assigner_factory.py
+++ b/swiftpin/router/assigner_factory.py
@@ -91,6 +91,7 @@
             may_plan=self._may_plan,
             uneven_planner=self._make_uneven_planner(service, configuration),
             known_factors=self._key_maps.known_factors(service),
+            key_map=self._key_maps.known_map(service),
         )
 
     @callback
--- a/swiftpin/router/key_map_sharing.py
+++ b/swiftpin/router/key_map_sharing.py
@@ -54,6 +54,11 @@
         for link in self._links.incoming:
             link.send_document(partial(self._encode, key_map.service))
 
+    @callback
+    def known_map(self, service: str) -> KeyMap | None:
+        """Return the last key map of a service that an assigner published."""
+        return self._maps.maps_by_service.get(service)
+
     @callback
     def known_factors(self, service: str) -> Mapping[str, float]:
         """Return the factors of the targets that the last assigner published."""
--- a/tests/keyranges/test_assignment_loader.py
+++ b/tests/keyranges/test_assignment_loader.py
@@ -20,6 +20,8 @@
 from swiftpin.keyranges.hold_times import HoldLimit
 from swiftpin.keyranges.segment import Segment
 from swiftpin.keyranges.target_sessions import TargetSessions
+from swiftpin.keyranges.unrecorded_grants import UnrecordedGrants
+from swiftpin.model.store_era import StoreEra
 from swiftpin.platform.target_control import TargetControl
 from swiftpin.store_errors import ObjectMissingError
 from tests.keyranges.targets import make_target
@@ -31,9 +33,10 @@
     """A record that may exist, be missing or be unreadable."""
 
     revision = 1
-    recorded_era = 0
+    complete_era = 0
 
     def __init__(self) -> None:
+        self.is_complete = True
         self.errors: list[Exception] = []
         self.assignment: Assignment | None = None
 
@@ -49,6 +52,15 @@
         """Store the initial assignment."""
         self.assignment = assignment
 
+    async def async_replace(self, assignment: Assignment) -> bool:
+        """Replace the assignment."""
+        self.assignment = assignment
+        return True
+
+    def mark_complete(self) -> None:
+        """Mark the record as complete."""
+        self.is_complete = True
+
 
 @pytest.fixture(name="record")
 def record_fixture() -> FakeRecord:
@@ -97,6 +109,9 @@
         directory=directory,
         hold_limit=HoldLimit(MAX_HOLD),
         term=1,
+        era=StoreEra(),
+        unrecorded_grants=cast(UnrecordedGrants, None),
+        may_have_lost_record=lambda: False,
     )
 
 
@@ -125,7 +140,7 @@
     ends_at = 100.0 + CONTROL_TIMEOUT + hold * CLOCK_DRIFT_FACTOR + HOLD_MARGIN
     assert sessions.get_or_create("a@1").held_until == pytest.approx(ends_at)
     assert sessions.get_or_create("b@1").held_until == pytest.approx(ends_at)
-    assert not loader.is_new_assignment
+    assert loader.has_granted_keys
 
 
 async def test_read_is_retried_while_the_store_is_unavailable(
@@ -148,5 +163,53 @@
     assignment = await loader.async_load(100.0)
     assert {segment.owner for segment in assignment.segments} == {"a@1"}
     assert assignment.max_hold is not None
-    assert loader.is_new_assignment
+    assert not loader.has_granted_keys
     assert record.assignment == assignment
+
+
+class FakeGrants:
+    """Records which targets have to end their unrecorded grants."""
+
+    def __init__(self) -> None:
+        self.revoked: list[tuple[Assignment, set[str]]] = []
+
+    async def async_revoke(
+        self, assignment: Assignment, named_ids: set[str], **kwargs: object
+    ) -> None:
+        """Record the call."""
+        self.revoked.append((assignment, named_ids))
+
+
+async def test_grants_are_ended_before_an_incomplete_record_is_used(
+    record: FakeRecord, make_loader: Callable[[], AssignmentLoader]
+) -> None:
+    """Guards against two targets with the same keys after a restore of the store."""
+    record.is_complete = False
+    record.assignment = Assignment(
+        segments=(
+            Segment(first=0, last=65535, owner="b@1", fence=5, former_owner="a@1"),
+        )
+    )
+    loader, grants = make_loader(), FakeGrants()
+    loader._unrecorded_grants = cast(UnrecordedGrants, grants)
+    loaded = await loader.async_load(100.0)
+    assert [named_ids for _, named_ids in grants.revoked] == [{"a@1", "b@1"}]
+    assert record.assignment == loaded
+    assert record.is_complete
+    assert not loader.has_granted_keys
+    assert not loaded.segments[0].former_owner
+
+
+@pytest.mark.parametrize("may_have_been_lost", [True, False])
+async def test_grants_are_ended_before_a_lost_record_is_replaced(
+    record: FakeRecord,
+    make_loader: Callable[[], AssignmentLoader],
+    *,
+    may_have_been_lost: bool,
+) -> None:
+    """Guards against a division of keys that targets still hold after a restore."""
+    loader, grants = make_loader(), FakeGrants()
+    loader._unrecorded_grants = cast(UnrecordedGrants, grants)
+    loader._may_have_lost_record = lambda: may_have_been_lost
+    assert await loader.async_load(100.0) == record.assignment
+    assert bool(grants.revoked) is may_have_been_lost
--- a/tests/keyranges/test_late_renewals.py
+++ b/tests/keyranges/test_late_renewals.py
@@ -171,7 +171,9 @@
         key_maps=cast(
             KeyMapSharing,
             SimpleNamespace(
-                publish=lambda key_map: None, known_factors=lambda service: {}
+                publish=lambda key_map: None,
+                known_factors=lambda service: {},
+                known_map=lambda service: None,
             ),
         ),
         may_plan=lambda: True,
--- a/tests/keyranges/test_lease_election.py
+++ b/tests/keyranges/test_lease_election.py
@@ -87,7 +87,7 @@
     def _check(self) -> None:
         if self.is_unavailable:
             raise StoreUnavailableError("unavailable")
-        self.era.observe(era_of(self.revision))
+        self.era.observe(era_of(self.revision), 0.0)
 
     def _write(self, content: object) -> int:
         self.content = content
--- a/tests/keyranges/test_restored_assignment.py
+++ b/tests/keyranges/test_restored_assignment.py
@@ -30,12 +30,12 @@
         self.content: object = None
         self.revision = 1
         self.era = StoreEra()
-        self.era.observe(0)
+        self.era.observe(0, 0.0)
 
     def restore(self, content: object) -> None:
         """Restore an older record, or none."""
         self.content = content
-        self.era.observe(self.era.newest + 1)
+        self.era.observe(self.era.newest + 1, 0.0)
         self.revision = make_revision(self.era.newest, 1)
 
     async def async_get(self, kind: str, name: str) -> PlatformObject:
@@ -120,3 +120,58 @@
     for _ in range(2):
         assert not await former.async_replace(make_assignment("moved"))
     assert store.owner == "first"
+
+
+async def test_record_from_before_a_restore_is_taken_over_as_incomplete(
+    store: Store,
+) -> None:
+    """Guards against a successor that trusts a record without the latest moves."""
+    await make_record(store).async_create(make_assignment("before"))
+    store.restore(store.content)
+    successor = make_record(store)
+    await successor.async_take_over(lambda: 9)
+    assert not successor.is_complete
+
+
+async def test_record_stays_incomplete_until_its_writer_knows_all_grants(
+    store: Store,
+) -> None:
+    """Guards against a second successor that trusts the write of the first one."""
+    await make_record(store).async_create(make_assignment("before"))
+    store.restore(store.content)
+    for _ in range(2):
+        successor = make_record(store)
+        await successor.async_take_over(lambda: 9)
+        assert not successor.is_complete
+        assert await successor.async_replace(make_assignment("planned"))
+    successor.mark_complete()
+    assert await successor.async_replace(make_assignment("settled"))
+    last = make_record(store)
+    await last.async_take_over(lambda: 9)
+    assert last.is_complete
+
+
+async def test_holder_must_repeat_its_record_after_each_restore(store: Store) -> None:
+    """Guards against a holder that leaves a restored record to its successor."""
+    holder = make_record(store)
+    await holder.async_create(make_assignment("first"))
+    for _ in range(2):
+        assert not holder.must_be_repeated()
+        store.restore(store.content)
+        assert holder.must_be_repeated()
+        while not await holder.async_replace(make_assignment("first")):
+            assert holder.must_be_repeated()
+
+
+async def test_late_write_of_an_earlier_era_does_not_count_as_complete(
+    store: Store,
+) -> None:
+    """Guards against a late write that meets a revision which was given out again."""
+    holder = make_record(store)
+    await holder.async_create(make_assignment("first"))
+    late_content = holder._encode(make_assignment("moved"))
+    store.restore(store.content)
+    store.content = late_content
+    successor = make_record(store)
+    await successor.async_take_over(lambda: 9)
+    assert not successor.is_complete
--- a/tests/keyranges/test_restored_lease.py
+++ b/tests/keyranges/test_restored_lease.py
@@ -66,7 +66,7 @@
     def _check_connection(self) -> None:
         if self.is_disconnected:
             raise StoreUnavailableError("disconnected")
-        self.era.observe(era_of(self.store.revision))
+        self.era.observe(era_of(self.store.revision), 0.0)
 
     async def async_get(self, kind: str, name: str, **kwargs: object) -> PlatformObject:
         """Return the record."""
--- a/tests/router/site.py
+++ b/tests/router/site.py
@@ -177,7 +177,11 @@
         return target
 
     async def async_add_router(
-        self, name: str, logging: LoggingSetup | None = None
+        self,
+        name: str,
+        logging: LoggingSetup | None = None,
+        *,
+        first_start: bool = True,
     ) -> Router:
         """Start an instance."""
         host = own_host(next(self._hosts))
@@ -199,7 +203,7 @@
             target_heartbeat=0.9,
             cpu_capacity=1.0,
             bandwidth=0.0,
-            first_start=True,
+            first_start=first_start,
         )
         router = Router(settings, logging or LoggingSetup(BytesIO(), "info"))
         self.prepare(name, router)
--- a/tests/router/store_standin.py
+++ b/tests/router/store_standin.py
@@ -36,6 +36,9 @@
         self.revision = 1
         self.is_busy = False
         self.is_silent = False
+        self.refused_kinds: set[str] = set()
+        """Kinds of objects whose calls get 503."""
+
         self.loses_writes = False
         """Whether writes are executed but not answered."""
 
@@ -101,6 +104,15 @@
         self.era = str(int(self.era or 0) + 1)
         self._notify_watches()
 
+    def without_kinds(self, backup: StoreBackup, *kinds: str) -> StoreBackup:
+        """Return a backup from before the first objects of some kinds."""
+        objects_by_path = {
+            path: item
+            for path, item in backup.objects_by_path.items()
+            if path[0] not in kinds
+        }
+        return StoreBackup(objects_by_path=objects_by_path, revision=backup.revision)
+
     def forget_history(self) -> None:
         """Drop the history, so that watches from older revisions get 410."""
         self._oldest_revision = self.revision
@@ -133,16 +145,17 @@
         if self.era is not None:
             response.headers["Store-Era"] = self.era
 
-    async def _async_outage(self) -> Response | None:
+    async def _async_outage(self, kind: str) -> Response | None:
         if self.is_silent:
             await asyncio.sleep(3600)
-        return Response(status=503) if self.is_busy else None
+        is_refused = self.is_busy or kind in self.refused_kinds
+        return Response(status=503) if is_refused else None
 
     async def _async_kind(self, request: Request) -> Response:
         self.calls.append(f"{request.method} {request.path_qs}")
-        if (outage := await self._async_outage()) is not None:
-            return outage
         kind = request.match_info["kind"]
+        if (outage := await self._async_outage(kind)) is not None:
+            return outage
         if request.method == "POST":
             document = await request.json()
             name = document["metadata"]["name"]
@@ -160,9 +173,9 @@
 
     async def _async_object(self, request: Request) -> Response:
         self.calls.append(f"{request.method} {request.path_qs}")
-        if (outage := await self._async_outage()) is not None:
-            return outage
         kind, name = request.match_info["kind"], request.match_info["name"]
+        if (outage := await self._async_outage(kind)) is not None:
+            return outage
         existing = self.objects_by_path.get((kind, name))
         if existing is None:
             return Response(status=404)
@@ -206,5 +219,5 @@
                     await changed.wait()
             except TimeoutError:
                 continue
-            if (outage := await self._async_outage()) is not None:
+            if (outage := await self._async_outage(kind)) is not None:
                 return outage
--- a/tests/router/test_restore_drills.py
+++ b/tests/router/test_restore_drills.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from swiftpin.helpers.clock import suspend_aware_now
 from tests.router.site import Site
 from tests.router.store_standin import StoreBackup
 
@@ -19,6 +20,8 @@
 """Seconds after which operators and targets have rewritten the lost entries."""
 
 RECOVERY_TIMEOUT = 15.0
+SETTLE_TIME = 0.5
+"""Seconds after a takeover in which the successor grants keys and plans moves."""
 
 
 class Drill:
@@ -44,16 +47,60 @@
 
     async def async_restore(self, copy: StoreBackup) -> None:
         """Simulate a store outage followed by a restore from a copy."""
+        await self.async_replace_content(copy)
+        await self.async_write_targets()
+
+    async def async_replace_content(self, copy: StoreBackup) -> None:
+        """Simulate a store outage after which the store has the content of a copy."""
         store = self.site.store
         store.is_silent = True
         await asyncio.sleep(OUTAGE_SECONDS)
         store.restore(copy)
         store.is_silent = False
+
+    async def async_write_targets(self) -> None:
+        """Let the targets write their entries again."""
+        store = self.site.store
         await asyncio.sleep(REWRITE_DELAY)
         for name, target in self.site.targets_by_name.items():
             if target.is_keyed:
                 store.put("servers", name, target.entry("desk"))
 
+    async def async_move_keys(self, *names: str) -> None:
+        """Add empty targets and wait until keys have moved to each of them."""
+        for name in names:
+            target = await self.site.async_add_target(name, "desk")
+            await self.site.async_wait(lambda target=target: bool(target.held))  # type: ignore[misc]
+
+    def holder(self) -> str:
+        """Return the name of the instance that holds the lease, or ""."""
+        now = suspend_aware_now()
+        for name, router in self.site.routers_by_name.items():
+            if router._lease.is_held(now):
+                return name
+        return ""
+
+    def term(self) -> int:
+        """Return the newest term in which a key map was published."""
+        return max(
+            router._maps.version[0] for router in self.site.routers_by_name.values()
+        )
+
+    async def async_stop_holder(self) -> None:
+        """Stop the lease holder as planned."""
+        await self.site.async_wait(lambda: bool(self.holder()))
+        name = self.holder()
+        await self.site.routers_by_name[name].async_stop()
+        await self.site.async_remove_router(name)
+
+    async def async_wait_for_successor(self, term: int) -> None:
+        """Wait until a lease holder of a later term serves all keys."""
+        async with asyncio.timeout(RECOVERY_TIMEOUT):
+            while self.term() <= term:  # noqa: ASYNC110  # no event to wait for
+                await asyncio.sleep(0.02)
+        await self.async_wait_until_served()
+        await asyncio.sleep(SETTLE_TIME)
+
     async def async_all_served(self) -> bool:
         """Return whether every instance serves requests across the key space."""
         for via in list(self.site.routers_by_name):
@@ -157,3 +204,114 @@
     await drill.async_restore(copy)
     await drill.async_restore(copy)
     await drill.async_wait_until_served()
+
+
+async def test_planned_stop_of_the_holder_after_a_restore(drill: Drill) -> None:
+    """Guards against a successor that trusts a record from before the last moves."""
+    site = drill.site
+    copy = site.store.copy()
+    await drill.async_move_keys("joined-1", "joined-2")
+    term = drill.term()
+    await drill.async_restore(copy)
+    await drill.async_stop_holder()
+    await drill.async_wait_for_successor(term)
+
+
+async def test_kill_of_the_holder_before_it_has_recorded_again(drill: Drill) -> None:
+    """Guards against a successor that trusts the record since the lease is new."""
+    site = drill.site
+    copy = site.store.copy()
+    await drill.async_move_keys("joined-1", "joined-2")
+    term = drill.term()
+    site.store.refused_kinds.add("swiftpin-keys")
+    await drill.async_replace_content(copy)
+    holder = drill.holder()
+    revision = site.store.objects_by_path["swiftpin-lease", "assigner"]["metadata"]
+    await site.async_wait(
+        lambda: (
+            site.store.objects_by_path["swiftpin-lease", "assigner"]["metadata"]
+            != revision
+        )
+    )
+    await site.async_remove_router(holder)
+    site.store.refused_kinds.clear()
+    await drill.async_write_targets()
+    await drill.async_wait_for_successor(term)
+
+
+async def test_kill_of_the_holder_while_the_store_is_away(drill: Drill) -> None:
+    """Guards against a successor that trusts the record of a hidden holder."""
+    site = drill.site
+    copy = site.store.copy()
+    await drill.async_move_keys("joined-1", "joined-2")
+    term = drill.term()
+    restore = asyncio.create_task(drill.async_restore(copy))
+    await asyncio.sleep(OUTAGE_SECONDS / 2)
+    await site.async_remove_router(drill.holder())
+    await restore
+    await drill.async_wait_for_successor(term)
+
+
+async def test_copy_from_before_the_first_record(drill: Drill) -> None:
+    """Guards against a successor that divides all keys anew because of a restore."""
+    site = drill.site
+    copy = site.store.without_kinds(
+        site.store.copy(), "swiftpin-keys", "swiftpin-lease"
+    )
+    await drill.async_move_keys("joined-1", "joined-2")
+    term = drill.term()
+    await drill.async_restore(copy)
+    await drill.async_stop_holder()
+    await drill.async_wait_for_successor(term)
+
+
+async def test_copy_from_before_the_first_record_and_a_restarted_holder(
+    drill: Drill,
+) -> None:
+    """Guards against an instance that takes a lost record for a first start."""
+    site = drill.site
+    copy = site.store.without_kinds(
+        site.store.copy(), "swiftpin-keys", "swiftpin-lease"
+    )
+    await drill.async_move_keys("joined-1", "joined-2")
+    term = drill.term()
+    holder = drill.holder()
+    site.store.refused_kinds |= {"swiftpin-keys", "swiftpin-lease"}
+    await drill.async_replace_content(copy)
+    for name in list(site.routers_by_name):
+        await site.async_remove_router(name)
+    site.store.refused_kinds.clear()
+    await site.async_add_router(holder, first_start=False)
+    await drill.async_write_targets()
+    await drill.async_wait_for_successor(term)
+
+
+async def test_restore_while_a_successor_ends_unrecorded_grants(drill: Drill) -> None:
+    """Guards against a record that counts as complete before all grants have ended."""
+    site = drill.site
+    copy = site.store.copy()
+    await drill.async_move_keys("joined-1", "joined-2")
+    term = drill.term()
+    site.store.refused_kinds.add("swiftpin-keys")
+    await drill.async_replace_content(copy)
+    await drill.async_stop_holder()
+    await site.async_add_router("late", first_start=False)
+    site.store.refused_kinds.clear()
+    await asyncio.sleep(0.5)
+    await drill.async_stop_holder()
+    await drill.async_write_targets()
+    await drill.async_wait_for_successor(term)
+
+
+async def test_planned_stops_after_two_restores(drill: Drill) -> None:
+    """Guards against a record of one restored copy that counts as that of another."""
+    site = drill.site
+    copy = site.store.copy()
+    await drill.async_move_keys("joined-1")
+    later_copy = site.store.copy()
+    await drill.async_restore(copy)
+    await drill.async_move_keys("joined-2")
+    term = drill.term()
+    await drill.async_restore(later_copy)
+    await drill.async_stop_holder()
+    await drill.async_wait_for_successor(term)
