Bound what targets may send, in bytes and in time

Callers: a target that sends without end held a request until the caller left, or filled the memory of the instance: 170 to 195 MB within the 1 s of a read with the limit of grants and health checks, until the call timed out. An answer that had started was relayed for ever.

Cause: heads were bounded by line, not in all, so interim answers and blank lines came without end; further answers piled up on a connection that was idle or whose first answer was being read; short answers were read whole, whatever their length; the rest of a caller's answer had no limit in time.

The connection is reset, and so is the caller's if a part was passed on.

--- a/swiftpin/dispatch/http_answer.py
+++ b/swiftpin/dispatch/http_answer.py
@@ -29,6 +29,9 @@
 ARRIVAL_PAUSE: Final = 1.0
 """Seconds between two pieces of a long body after which it counts as broken off."""
 
+MAX_SHORT_ANSWER: Final = 64 * 1024
+"""Maximum length in bytes of an answer to a call of an instance itself."""
+
 
 class HttpAnswer:
     """Head of an answer, and its body as it arrives.
@@ -42,6 +45,9 @@
     __slots__ = (
         "_connection",
         "_content",
+        "_max_length",
+        "_read_length",
+        "_read_until",
         "_upload",
         "headers",
         "length",
@@ -65,6 +71,9 @@
         self._content = content
         self._connection = connection
         self._upload = upload
+        self._max_length = math.inf
+        self._read_length = 0
+        self._read_until: float | None = None
 
     @property
     def is_received(self) -> bool:
@@ -76,15 +85,33 @@
         """Return whether the whole body was read."""
         return self._content.at_eof()
 
+    @callback
+    def limit_body(self, max_length: float, until: float | None = None) -> None:
+        """Bound the body in bytes, and in time by the event loop's clock.
+
+        A faulty server may send without end, and a stated length may be wrong.
+        """
+        self._max_length = max_length
+        self._read_until = until
+
     async def async_read_chunk(self) -> bytes:
         """Return the next piece of the body, empty at its end.
 
-        Raises `AnswerBrokenError` when the body ends before it is whole.
+        Raises `AnswerBrokenError` when the body ends before it is whole, or exceeds its
+        limits.
         """
+        if self.length is not None and self.length > self._max_length:
+            raise AnswerBrokenError(f"the answer has {self.length} bytes")
         try:
-            chunk = await self._content.readany()
+            async with asyncio.timeout_at(self._read_until):
+                chunk = await self._content.readany()
+        except TimeoutError as err:
+            raise AnswerBrokenError("the answer did not end in time") from err
         except (ClientError, OSError) as err:
             raise AnswerBrokenError(f"the answer broke off: {err!r}") from err
+        self._read_length += len(chunk)
+        if self._read_length > self._max_length:
+            raise AnswerBrokenError(f"more than {self._max_length} bytes came")
         if self.on_chunk is not None:
             self.on_chunk(chunk)
         return chunk
--- a/swiftpin/dispatch/http_client.py
+++ b/swiftpin/dispatch/http_client.py
@@ -9,12 +9,12 @@
 import math
 from typing import Final
 
-from aiohttp import ClientError
+from aiohttp import ClientError, StreamReader
 from aiohttp.hdrs import CONTENT_LENGTH, METH_HEAD, TRANSFER_ENCODING
 from aiohttp.http import HttpProcessingError, RawResponseMessage, StreamWriter
 
 from swiftpin.core import callback, monotonic_now
-from swiftpin.dispatch.http_answer import HttpAnswer
+from swiftpin.dispatch.http_answer import MAX_SHORT_ANSWER, HttpAnswer
 from swiftpin.dispatch.http_body import HttpBody
 from swiftpin.dispatch.http_connection import HttpConnection
 from swiftpin.dispatch.http_pool import IDLE_LIMIT, UNTAKEN_LIMIT, HttpPool
@@ -219,6 +219,7 @@
 ) -> None:
     """Make the connection ready to parse the answer."""
     connection.accepts_unframed = accepts_unframed
+    connection.protocol.begin_head()
     connection.protocol.set_response_params(
         skip_payload=request.method == METH_HEAD,
         read_until_eof=accepts_unframed,
@@ -346,7 +347,8 @@
                 strays += 1
                 if strays > MAX_STRAY_ANSWERS:
                     raise AnswerBrokenError("only answers to other requests came")
-                await content.read()
+                await _async_skip(content)
+                connection.protocol.begin_head()
             message, content = await connection.protocol.read()
     except (ClientError, OSError) as err:
         raise AnswerBrokenError(f"no answer: {err!r}") from err
@@ -356,6 +358,15 @@
     return HttpAnswer(message, content, connection, length=length, upload=upload)
 
 
+async def _async_skip(content: StreamReader) -> None:
+    """Read the body of a stray answer, which must be short."""
+    length = 0
+    while chunk := await content.readany():
+        length += len(chunk)
+        if length > MAX_SHORT_ANSWER:
+            raise AnswerBrokenError("a long answer to another request came")
+
+
 @callback
 def _length(
     message: RawResponseMessage, connection: HttpConnection, request: HttpRequest
--- a/swiftpin/dispatch/http_connection.py
+++ b/swiftpin/dispatch/http_connection.py
@@ -16,9 +16,8 @@
 import math
 from typing import Final
 
-from aiohttp.client_proto import ResponseHandler
-
 from swiftpin.core import callback
+from swiftpin.dispatch.server_protocol import ServerProtocol
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.helpers.connection_reset import reset_connection
 
@@ -42,7 +41,7 @@
 
     def __init__(
         self,
-        protocol: ResponseHandler,
+        protocol: ServerProtocol,
         loop: asyncio.AbstractEventLoop,
         on_release: Callable[[HttpConnection, float], None],
     ) -> None:
@@ -72,6 +71,7 @@
     @callback
     def release(self, now: float) -> None:
         """Hand the connection back after a complete exchange."""
+        self.protocol.end_exchange()
         self._on_release(self, now)
 
     @callback
--- a/swiftpin/dispatch/http_pool.py
+++ b/swiftpin/dispatch/http_pool.py
@@ -7,11 +7,11 @@
 import socket
 from typing import Final
 
-from aiohttp import ClientPayloadError
 from aiohttp.client_proto import ResponseHandler
 
 from swiftpin.core import callback
 from swiftpin.dispatch.http_connection import HttpConnection
+from swiftpin.dispatch.server_protocol import ServerProtocol
 from swiftpin.exceptions import ConnectionFailedError, RequestNotSentError
 from swiftpin.helpers.address import Address
 from swiftpin.security.client_tls import CLOSE_TIMEOUT, ClientTls
@@ -31,21 +31,6 @@
 it."""
 
 
-class ServerProtocol(ResponseHandler):
-    """Client side of a connection that tells a reset from an orderly end.
-
-    An answer without a length ends with its connection. The library takes any end for
-    such an answer's end; after a reset a cut-off answer would look whole.
-    """
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Note that the connection ended."""
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(ClientPayloadError(f"the connection broke: {exc!r}"))
-        super().connection_lost(exc)
-
-
 def _watch_for_silence(protocol: ResponseHandler, untaken_limit: float) -> None:
     """Make TCP notice that the other side is gone."""
     transport = protocol.transport
--- a/swiftpin/platform/target_control.py
+++ b/swiftpin/platform/target_control.py
@@ -12,7 +12,7 @@
 import orjson
 
 from swiftpin.core import monotonic_now
-from swiftpin.dispatch.http_answer import HttpAnswer
+from swiftpin.dispatch.http_answer import MAX_SHORT_ANSWER, HttpAnswer
 from swiftpin.dispatch.http_client import HttpClient, SendGate
 from swiftpin.dispatch.http_request import HttpRequest
 from swiftpin.dispatch.http_send_state import HttpSendState
@@ -166,6 +166,7 @@
         if name is not None and self._on_answer is not None:
             self._on_answer(name, head)
         try:
+            answer.limit_body(MAX_SHORT_ANSWER)
             await answer.async_read_whole()
         finally:
             answer.finish(monotonic_now())
--- a/swiftpin/router/caller_answer.py
+++ b/swiftpin/router/caller_answer.py
@@ -34,6 +34,13 @@
     {HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED}
 )
 
+MAX_RELAYED_ANSWER: Final = 256 * 1024 * 1024
+"""Maximum length in bytes of an answer that is relayed."""
+
+MAX_LATE_DELIVERY: Final = 10.0
+"""Seconds after the caller's deadline for which an answer that has started is relayed.
+A target that is still sending then may never end."""
+
 MAX_BUFFERED_ANSWER: Final = 256 * 1024
 """Bytes of an answer that are buffered before any of it is sent to the caller, so that
 the request can still be retried if the target breaks the answer off. Links transfer
--- a/swiftpin/router/relay_handler.py
+++ b/swiftpin/router/relay_handler.py
@@ -45,7 +45,11 @@
     decode_relay_terms,
 )
 from swiftpin.relays.target_links import TargetLinks
-from swiftpin.router.caller_answer import CallerAnswer
+from swiftpin.router.caller_answer import (
+    MAX_LATE_DELIVERY,
+    MAX_RELAYED_ANSWER,
+    CallerAnswer,
+)
 from swiftpin.router.configuration_holder import ConfigurationHolder
 from swiftpin.router.connection_limit import MAX_IDLE_FOR_ONCE, connection_limit
 from swiftpin.router.target_client import TargetClient, TargetSend
@@ -122,6 +126,9 @@
         except (AnswerBrokenError, RequestError, TimeoutError) as err:
             result = RelayResult.BROKEN if state.written else RelayResult.NOT_ALLOWED
             return await _async_refuse(answer, result, repr(err))
+        received.limit_body(
+            MAX_RELAYED_ANSWER, started_at + head.deadline + MAX_LATE_DELIVERY
+        )
         try:
             await answer.async_relay(
                 received, [], {HEADER_RELAY_RESULT: RelayResult.ANSWERED}
--- a/swiftpin/router/target_client.py
+++ b/swiftpin/router/target_client.py
@@ -12,7 +12,7 @@
 from multidict import CIMultiDict
 
 from swiftpin.core import callback, monotonic_now
-from swiftpin.dispatch.http_answer import HttpAnswer
+from swiftpin.dispatch.http_answer import MAX_SHORT_ANSWER, HttpAnswer
 from swiftpin.dispatch.http_client import AnswerCheck, HttpClient
 from swiftpin.dispatch.http_request import HttpRequest
 from swiftpin.dispatch.http_send_state import HttpSendState
@@ -193,6 +193,7 @@
             target, head, asked_at=asked_at, now=suspend_aware_now()
         )
         try:
+            answer.limit_body(MAX_SHORT_ANSWER)
             await answer.async_read_whole()
         finally:
             answer.finish(monotonic_now())
--- a/swiftpin/router/target_exchange.py
+++ b/swiftpin/router/target_exchange.py
@@ -41,7 +41,11 @@
 from swiftpin.relays.relay_terms import RelayTerms
 from swiftpin.relays.target_links import TargetLinks
 from swiftpin.router.call import Call
-from swiftpin.router.caller_answer import MAX_BUFFERED_ANSWER
+from swiftpin.router.caller_answer import (
+    MAX_BUFFERED_ANSWER,
+    MAX_LATE_DELIVERY,
+    MAX_RELAYED_ANSWER,
+)
 from swiftpin.router.configuration_holder import ConfigurationHolder
 from swiftpin.router.connection_limit import MAX_IDLE_FOR_ONCE, connection_limit
 from swiftpin.router.fleet_messages import LoadReport
@@ -204,6 +208,8 @@
         try:
             if is_success and not received.head.is_signed:
                 raise AnswerBrokenError("a success without the target's signature")
+            deadline = max(call.ends_at, call.started_at + call.head.deadline)
+            answer.limit_body(MAX_RELAYED_ANSWER, deadline + MAX_LATE_DELIVERY)
             first_chunks = await _async_read_first_chunks(answer)
         except BaseException:
             answer.abort()
--- a/tests/platform/test_target_control.py
+++ b/tests/platform/test_target_control.py
@@ -44,6 +44,9 @@
         """Return an empty body."""
         return b""
 
+    def limit_body(self, max_length: float) -> None:
+        """Do nothing."""
+
     def finish(self, now: float) -> None:
         """Do nothing."""
 
