--- a/tests/router/test_endless_targets.py
+++ b/tests/router/test_endless_targets.py
@@ -93,7 +93,9 @@
 
 @pytest.mark.usefixtures("bounded")
 @pytest.mark.parametrize("kind", KINDS)
-async def test_grant(control: TargetControl, start: Start, kind: Endless) -> None:
+async def test_endless_answer_to_a_grant(
+    control: TargetControl, start: Start, kind: Endless
+) -> None:
     """Guards against an assigner that fills its memory with the answer to a grant."""
     target = await start(kind, b"")
     call = GrantCall(
@@ -112,7 +114,9 @@
 
 @pytest.mark.usefixtures("bounded")
 @pytest.mark.parametrize("kind", KINDS)
-async def test_release(control: TargetControl, start: Start, kind: Endless) -> None:
+async def test_endless_answer_to_a_release(
+    control: TargetControl, start: Start, kind: Endless
+) -> None:
     """Guards against keys that count as released by an answer without an end."""
     target = await start(kind, HANDOVER)
     grant = KeyGrant(first=0, last=9, fence=1)
@@ -126,7 +130,7 @@
 
 @pytest.mark.usefixtures("bounded")
 @pytest.mark.parametrize("kind", KINDS)
-async def test_identity_check(
+async def test_endless_answer_to_an_identity_check(
     control: TargetControl, start: Start, kind: Endless
 ) -> None:
     """Guards against a target that counts as replaced by an answer without an end."""
@@ -141,7 +145,7 @@
 
 @pytest.mark.usefixtures("bounded")
 @pytest.mark.parametrize("kind", IN_HEAD)
-async def test_head_from_a_relay(
+async def test_endless_head_from_a_relay(
     clients: HttpClients, start: Start, kind: Endless
 ) -> None:
     """Guards against a relay whose answer fills the memory of the sender."""
@@ -195,7 +199,9 @@
 
 @pytest.mark.parametrize("path", ["/files/x", "/once/x"])
 @pytest.mark.parametrize("kind", KINDS)
-async def test_request(site: Site, start: Start, kind: Endless, path: str) -> None:
+async def test_endless_answer_to_a_request(
+    site: Site, start: Start, kind: Endless, path: str
+) -> None:
     """Guards against a caller that waits for, or trusts, an answer without an end."""
     target = await start(kind, SIGNATURE)
     await async_register(site, target)
@@ -220,7 +226,9 @@
 
 
 @pytest.mark.parametrize("kind", KINDS)
-async def test_health_check(site: Site, start: Start, kind: Endless) -> None:
+async def test_endless_answer_to_a_health_check(
+    site: Site, start: Start, kind: Endless
+) -> None:
     """Guards against a health check that never ends or fills the memory."""
     target = await start(kind, b"")
     await async_register(site, target)
@@ -241,7 +249,7 @@
 
 
 @pytest.mark.parametrize("kind", IN_BODY)
-async def test_request_through_a_relay(
+async def test_endless_body_through_a_relay(
     start: Start, kind: Endless, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a relay that passes on an answer for ever."""
@@ -259,11 +267,11 @@
         # After two failed attempts the link counts as lost.
         await asyncio.gather(
             *(site.async_call("/read/x", key=key) for key in range(3)),
-            *(async_ignore_cut(site) for _ in range(3)),
+            *(async_status_of_call(site) for _ in range(3)),
         )
         connections = target.connections
         began_at = time.monotonic()
-        assert await async_ignore_cut(site) not in {200, 429}
+        assert await async_status_of_call(site) not in {200, 429}
         assert time.monotonic() - began_at < 2.0 + MAX_LATE + MARGIN
         assert target.connections > connections
         # The relay notices that the sender has left when it has something to write.
@@ -272,7 +280,7 @@
         await site.async_unload()
 
 
-async def async_ignore_cut(site: CutSite) -> int:
+async def async_status_of_call(site: CutSite) -> int:
     """Send a request; return the status of a complete answer, 0 for another one."""
     try:
         reply = await site.async_call("/files/x", via="i0", key=None)
