Count only connections with a request at the endless server

Traced: 4 connections, 3 requests, 3 closed. The fourth is a probe of the link, which opens a connection and keeps it for the next request; it carries none, so nothing without end comes over it. Ruled out: a relay that reads on (all three connections with a request were closed).

The server now counts connections once a request has arrived. All those must still be closed within the same time.

--- a/tests/dispatch/endless_server.py
+++ b/tests/dispatch/endless_server.py
@@ -110,8 +110,10 @@
         """First line of each request."""
 
         self.connections = 0
+        """Connections that carried a request; a probe of the link carries none."""
+
         self.closed = 0
-        """Connections that the other side has closed."""
+        """Such connections that the other side has closed."""
 
         self.address = ""
         self._server: asyncio.Server | None = None
@@ -136,10 +138,14 @@
     async def _async_serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        self.connections += 1
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+        try:
             head = await reader.readuntil(b"\r\n\r\n")
-            self.requests.append(head.partition(b"\r\n")[0])
+        except (ConnectionError, asyncio.IncompleteReadError):
+            writer.close()
+            return
+        self.connections += 1
+        self.requests.append(head.partition(b"\r\n")[0])
+        with contextlib.suppress(ConnectionError):
             for piece in self._pieces():
                 writer.write(piece)
                 await writer.drain()
