Keep one deeply nested entry from hiding all targets

Cause: the store's answers are parsed whole. Both parsers give up on values nested over about 1,000 deep, Python's also on integers of over 4,300 digits, so the page counted as no answer. Ruled out: an error in the decoding of the entries; it is not reached, the log says "not JSON" at each list.

Change: the second parser leaves out what is nested over 64 deep and reads long integers as floats. The entry is then judged like any other.

Tests: six such entries in a list and in a watch, one of the largest size; all raise FieldError on the code before.

--- a/swiftpin/platform/json_fields.py
+++ b/swiftpin/platform/json_fields.py
@@ -5,12 +5,13 @@
 
 from __future__ import annotations
 
-import json
 import math
 from typing import Any, Final
 
 import orjson
 
+from swiftpin.helpers.tolerant_json import load_tolerantly
+
 MAX_INTEGER: Final = 2**63 - 1
 """Largest integer that all readers of the store's JSON support."""
 
@@ -26,17 +27,16 @@
 def load_json(body: bytes) -> Any:  # noqa: ANN401  # any JSON value
     """Parse a JSON value; raise `FieldError` if the bytes are not JSON.
 
-    orjson rejects a whole page of the store if the text of a single entry is invalid
-    Unicode, which would hide all other entries. The slower `json` parser accepts such a
-    page, and only the invalid entry fails later.
+    orjson rejects a whole page of the store if a single entry contains invalid Unicode
+    or is nested too deeply, which would hide all other entries.
     """
     try:
         return orjson.loads(body)
     except ValueError:
         pass
     try:
-        return json.loads(body.decode("utf-8", "replace"))
-    except (ValueError, RecursionError) as err:
+        return load_tolerantly(body)
+    except ValueError as err:
         raise FieldError(f"not JSON: {err}") from err
 
 
--- a/tests/platform/test_other_writers.py
+++ b/tests/platform/test_other_writers.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
+import json
+from typing import Any, Final
 
 import pytest
 
@@ -14,6 +15,9 @@
 from swiftpin.platform.target_entries import decode_target
 from tests.discovery.conftest import content
 
+MAX_VALUE_BYTES: Final = 1_048_576
+"""Maximum size of an entry that the platform accepts."""
+
 Change = Callable[[dict[str, Any]], object]
 
 
@@ -145,6 +149,45 @@
     assert decode_target(as_object(content("a"))).life.started_ms is None
 
 
+def nested(depth: int) -> str:
+    """Return arrays in arrays."""
+    return "[" * depth + "]" * depth
+
+
+DEEP_TEXTS = {
+    "arrays": nested(2000),
+    "objects": '{"a":' * 2000 + "1" + "}" * 2000,
+    "largest entry": nested(MAX_VALUE_BYTES // 2),
+    "strings with brackets": f'["[[{{", "\\"]", {nested(2000)}, "]]}}"]',
+    "long number": "9" * 5000,
+    "both": f"[{nested(2000)}, {'9' * 5000}]",
+}
+
+
+@pytest.mark.parametrize("text", DEEP_TEXTS.values(), ids=DEEP_TEXTS.keys())
+def test_unusual_json_does_not_hide_the_rest_of_a_page(text: str) -> None:
+    """Guards against one entry of another writer that hides all targets."""
+    items = [json.dumps(item(name)) for name in ("a", "odd", "b")]
+    items[1] = items[1].replace('"information": ', f'"more": {text}, "information": ')
+    assert text in items[1]
+    page = f'{{"items": [{",".join(items)}], "more": false, "at": 7}}'
+    listed = decode_list(load_json(page.encode()), 0)
+    assert [entry.name for entry in listed.objects] == ["a", "odd", "b"]
+    for entry in listed.objects:
+        assert decode_target(entry).address
+    events = ",".join(f'{{"object": {text}, "deleted": false}}' for text in items)
+    watched = f'{{"events": [{events}], "at": 7}}'
+    changes = decode_changes(load_json(watched.encode()), 0)
+    assert [entry.name for entry in changes.objects] == ["a", "odd", "b"]
+
+
+def test_field_that_is_nested_too_deeply_makes_its_entry_unusable() -> None:
+    """Guards against an entry that names a target by what is left of its fields."""
+    entry = as_object(load_json(f'{{"information": {nested(2000)}}}'.encode()))
+    with pytest.raises(UnusableEntryError):
+        decode_target(entry)
+
+
 def test_invalid_unicode_does_not_hide_the_rest_of_a_page() -> None:
     """Guards against losing the store because one entry contains invalid Unicode.
 
