Compare names of targets exactly, and pass on resumed reads

Found by reading the diff. A target whose name has an @ that begins no start time counted as a life of the target named before it, so that one was not asked to release the keys (test: failed before). The library may call data_received without bytes when it resumes reading; an idle connection is not given up for that (read, not seen).

--- a/swiftpin/dispatch/server_protocol.py
+++ b/swiftpin/dispatch/server_protocol.py
@@ -51,7 +51,9 @@
     def data_received(self, data: bytes) -> None:
         """Parse what arrived; give up a connection whose server sends too much."""
         if self._is_idle:
-            self._give_up("bytes arrived without a request")
+            # The library passes no bytes when it resumes reading.
+            if data:
+                self._give_up("bytes arrived without a request")
             return
         super().data_received(data)
         if not self._awaits_head:
--- a/swiftpin/keyranges/restored_assignment.py
+++ b/swiftpin/keyranges/restored_assignment.py
@@ -87,5 +87,7 @@
     """Return whether two ids belong to lives of the same target."""
     if life_id == other_id:
         return True
-    name = life_id.rpartition("@")[0] or life_id
-    return TargetLife(name=name).is_same_target(other_id)
+    name, _, started = life_id.rpartition("@")
+    is_start_known = bool(name) and started.isdecimal()
+    life = TargetLife(name=name if is_start_known else life_id)
+    return life.is_same_target(other_id)
--- a/tests/keyranges/test_assignment_in_doubt.py
+++ b/tests/keyranges/test_assignment_in_doubt.py
@@ -84,6 +84,13 @@
     assert ranges_of_others(assignment, "d") == [KeyRange(first=0, last=399)]
 
 
+def test_target_with_a_similar_name_releases_the_keys() -> None:
+    """Guards against two owners whose names differ by a sign that ends a name."""
+    segment = Segment(first=0, last=65535, owner="a@b", fence=1)
+    assert ranges_of_others(Assignment(segments=(segment,)), "a")
+    assert not ranges_of_others(Assignment(segments=(segment,)), "a@b@7")
+
+
 def test_later_life_is_not_asked_to_release_its_own_keys() -> None:
     """Guards against keys that are lost since their owner had an earlier life."""
     segment = Segment(first=0, last=65535, owner="a@2", fence=1)
