Make the drills notice each rule that a restored store needs

Found by leaving out one rule at a time in scratch copies: of the drills none failed without the release by the successor (it knew the moves from the key map, and continued with them), none without the second write by the holder (the next move wrote the record), and the drill that was to stop a successor in the middle stopped it before it had begun (seen in its log).

The successor now knows no key map, and is killed while it ends grants; two tests of the assigner look at the second write. Added: a holder that is cut off from the store, and writes that are not answered.

One drill was replaced by a stricter one of another name.

--- a/tests/keyranges/test_range_assigner.py
+++ b/tests/keyranges/test_range_assigner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import AsyncIterator
 from dataclasses import replace
 from types import SimpleNamespace
 from typing import cast
@@ -15,7 +16,7 @@
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.keyranges import range_assigner as range_assigner_module
 from swiftpin.keyranges.assignment import Assignment
-from swiftpin.keyranges.const import MIN_REGULAR_HOLD
+from swiftpin.keyranges.const import MIN_REGULAR_HOLD, PLAN_INTERVAL
 from swiftpin.keyranges.fences import Fences
 from swiftpin.keyranges.key_load import KeyLoad
 from swiftpin.keyranges.lease_election import LeaseElection
@@ -38,9 +39,13 @@
         self.may_respond = asyncio.Event()
         self.is_called = asyncio.Event()
         self.era = StoreEra()
+        self.contents: list[object] = []
 
-    async def async_replace(self, *args: object) -> int:
+    async def async_replace(
+        self, kind: str, name: str, content: object, revision: int | None
+    ) -> int:
         """Write a record."""
+        self.contents.append(content)
         self.is_called.set()
         await self.may_respond.wait()
         return 2
@@ -94,7 +99,7 @@
         client=cast(StoreClient, store),
         control=cast(TargetControl, targets),
         directory=directory,
-        lease=cast(LeaseElection, SimpleNamespace(term=3)),
+        lease=cast(LeaseElection, SimpleNamespace(term=3, is_held=lambda now: True)),
         fences=Fences(),
         health=StoreHealth(),
         max_hold=10.0,
@@ -220,3 +225,52 @@
     assert assigner.speed.capacity("a", 2) == usual.capacity("a", 2)
     assert assigner.speed.published_factors() == {}
     assert assigner._uneven_planner is None
+
+
+@pytest.fixture(name="plans")
+async def plans_fixture(
+    assigner: RangeAssigner, store: SlowStore, monkeypatch: pytest.MonkeyPatch
+) -> AsyncIterator[list[float]]:
+    """Run the planning after a restore; return the times at which it planned."""
+    loop = asyncio.get_running_loop()
+    times: list[float] = []
+
+    def plan(*args: object, **kwargs: object) -> list[Move]:
+        times.append(loop.time())
+        return []
+
+    monkeypatch.setattr(range_assigner_module, "plan_moves", plan)
+    assigner._record.mark_complete()
+    for era in (0, 1):
+        store.era.observe(era, 0.0)
+    planning = asyncio.create_task(assigner._async_plan())
+    yield times
+    planning.cancel()
+    await asyncio.gather(planning, return_exceptions=True)
+
+
+async def test_assignment_is_written_again_after_a_restore(
+    store: SlowStore, plans: list[float]
+) -> None:
+    """Guards against a restored copy that stays until the next move is planned."""
+    store.may_respond.set()
+    async with asyncio.timeout(5.0):
+        while not plans:  # noqa: ASYNC110  # no event to wait for
+            await asyncio.sleep(0.01)
+    [content] = store.contents
+    assert isinstance(content, dict)
+    assert content["complete_era"] == 1
+
+
+async def test_no_move_is_planned_before_the_assignment_is_written_again(
+    store: SlowStore, plans: list[float]
+) -> None:
+    """Guards against a move that a successor can't tell from those before a restore."""
+    async with asyncio.timeout(5.0):
+        await store.is_called.wait()
+    await asyncio.sleep(3 * PLAN_INTERVAL)
+    assert not plans
+    store.may_respond.set()
+    async with asyncio.timeout(5.0):
+        while not plans:  # noqa: ASYNC110  # no event to wait for
+            await asyncio.sleep(0.01)
--- a/tests/router/test_restore_drills.py
+++ b/tests/router/test_restore_drills.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from http import HTTPStatus
+from typing import Any
 
 import pytest
 
@@ -72,6 +73,42 @@
             target = await self.site.async_add_target(name, "desk")
             await self.site.async_wait(lambda target=target: bool(target.held))  # type: ignore[misc]
 
+    def recorded(self) -> dict[str, Any]:
+        """Return the recorded assignment."""
+        record = self.site.store.objects_by_path["swiftpin-keys", "desk"]
+        content: dict[str, Any] = record["specification"]
+        return content
+
+    def complete_era(self) -> int:
+        """Return the era in which the recorded assignment is marked as complete."""
+        return int(self.recorded().get("complete_era", 0))
+
+    def era(self) -> int:
+        """Return the era of the store."""
+        return int(self.site.store.era or 0)
+
+    async def async_lose_holder_with_its_moves(self) -> int:
+        """Kill the lease holder after a restore, before it records its moves again.
+
+        No other instance knows the moves. Return the term of the holder.
+        """
+        site = self.site
+        copy = site.store.copy()
+        await self.async_move_keys("joined-1", "joined-2")
+        term = self.term()
+        site.store.refused_kinds.add("swiftpin-keys")
+        await self.async_replace_content(copy)
+        lease = site.store.objects_by_path["swiftpin-lease", "assigner"]
+        await site.async_wait(
+            lambda: (
+                site.store.objects_by_path["swiftpin-lease", "assigner"] is not lease
+            )
+        )
+        await site.async_remove_router(self.holder())
+        for router in site.routers_by_name.values():
+            router._maps.maps_by_service.clear()
+        return term
+
     def holder(self) -> str:
         """Return the name of the instance that holds the lease, or ""."""
         now = suspend_aware_now()
@@ -219,22 +256,8 @@
 
 async def test_kill_of_the_holder_before_it_has_recorded_again(drill: Drill) -> None:
     """Guards against a successor that trusts the record since the lease is new."""
-    site = drill.site
-    copy = site.store.copy()
-    await drill.async_move_keys("joined-1", "joined-2")
-    term = drill.term()
-    site.store.refused_kinds.add("swiftpin-keys")
-    await drill.async_replace_content(copy)
-    holder = drill.holder()
-    revision = site.store.objects_by_path["swiftpin-lease", "assigner"]["metadata"]
-    await site.async_wait(
-        lambda: (
-            site.store.objects_by_path["swiftpin-lease", "assigner"]["metadata"]
-            != revision
-        )
-    )
-    await site.async_remove_router(holder)
-    site.store.refused_kinds.clear()
+    term = await drill.async_lose_holder_with_its_moves()
+    drill.site.store.refused_kinds.clear()
     await drill.async_write_targets()
     await drill.async_wait_for_successor(term)
 
@@ -286,21 +309,19 @@
     await drill.async_wait_for_successor(term)
 
 
-async def test_restore_while_a_successor_ends_unrecorded_grants(drill: Drill) -> None:
+async def test_kill_of_a_successor_that_ends_unrecorded_grants(drill: Drill) -> None:
     """Guards against a record that counts as complete before all grants have ended."""
     site = drill.site
-    copy = site.store.copy()
-    await drill.async_move_keys("joined-1", "joined-2")
-    term = drill.term()
-    site.store.refused_kinds.add("swiftpin-keys")
-    await drill.async_replace_content(copy)
-    await drill.async_stop_holder()
-    await site.async_add_router("late", first_start=False)
+    await site.async_add_router("i2", first_start=False)
+    term = await drill.async_lose_holder_with_its_moves()
+    copied = drill.recorded()
     site.store.refused_kinds.clear()
-    await asyncio.sleep(0.5)
-    await drill.async_stop_holder()
+    await site.async_wait(lambda: drill.recorded() != copied)
+    assert drill.complete_era() < drill.era()
+    await site.async_remove_router(drill.holder())
     await drill.async_write_targets()
     await drill.async_wait_for_successor(term)
+    assert drill.complete_era() == drill.era()
 
 
 async def test_planned_stops_after_two_restores(drill: Drill) -> None:
@@ -315,3 +336,37 @@
     await drill.async_restore(later_copy)
     await drill.async_stop_holder()
     await drill.async_wait_for_successor(term)
+
+
+async def test_restore_while_the_holder_is_cut_off_from_the_store(
+    drill: Drill, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a holder that goes on beside a successor from the copy."""
+    site = drill.site
+    copy = site.store.copy()
+    await drill.async_move_keys("joined-1", "joined-2")
+    term = drill.term()
+
+    async def async_time_out(*args: object) -> None:
+        raise TimeoutError
+
+    store_client = site.routers_by_name[drill.holder()]._store
+    monkeypatch.setattr(store_client, "_async_call", async_time_out)
+    await drill.async_restore(copy)
+    await drill.async_wait_for_successor(term)
+
+
+async def test_restore_while_writes_are_not_answered(drill: Drill) -> None:
+    """Guards against a move whose record was written, but not known as written."""
+    site = drill.site
+    copy = site.store.copy()
+    await drill.async_move_keys("joined-1")
+    term = drill.term()
+    site.store.loses_writes = True
+    await site.async_add_target("joined-2", "desk")
+    await site.async_wait(lambda: "joined-2" in drill.recorded()["targets"])
+    await drill.async_replace_content(copy)
+    site.store.loses_writes = False
+    await drill.async_write_targets()
+    await drill.async_stop_holder()
+    await drill.async_wait_for_successor(term)
