Wait for grants as long as the restored record allows them

Found by reading: a successor in doubt took the longest grants of this version, 5.9 s, for the longest that may be valid, though the record of another version may name longer ones, or none. It now takes the longest of both.

The test failed before for 9.0 s and for a record that names none.

--- a/swiftpin/keyranges/assignment_loader.py
+++ b/swiftpin/keyranges/assignment_loader.py
@@ -130,7 +130,7 @@
             key_map = None
         assignment = with_known_owners(recorded, key_map, self._granter.allocate_fence)
         limit = await self._async_end_unrecorded_grants(
-            assignment, set(named_targets(recorded)), took_over_at
+            assignment, recorded, took_over_at
         )
         assignment = replace(assignment, max_hold=limit)
         self._record.mark_complete()
@@ -140,13 +140,19 @@
             await asyncio.sleep(READ_RETRY_DELAY)
 
     async def _async_end_unrecorded_grants(
-        self, assignment: Assignment, recorded_ids: set[str], took_over_at: float
+        self, assignment: Assignment, recorded: Assignment | None, took_over_at: float
     ) -> float:
         """End all grants that an assignment lacks; return the hold to record."""
         self.has_granted_keys = False
-        known_owners = set() if self._key_map is None else set(self._key_map.owners)
+        named_ids = set() if self._key_map is None else set(self._key_map.owners)
         arrived_at = took_over_at + CONTROL_TIMEOUT
         hold = self._hold_limit.note_unrecorded(arrived_at)
+        if recorded is not None:
+            named_ids.update(named_targets(recorded))
+            recorded_hold = self._hold_limit.note_recorded(
+                recorded.max_hold, arrived_at
+            )
+            hold = max(hold, recorded_hold)
         log_message(
             message_type="assignment_in_doubt",
             level="warning",
@@ -158,7 +164,7 @@
         )
         await self._unrecorded_grants.async_revoke(
             assignment,
-            (recorded_ids | known_owners) - {""},
+            named_ids - {""},
             took_over_at=took_over_at,
             restored_at=self._era.newest_since,
             hold=hold,
@@ -192,7 +198,7 @@
                 assignment, self._key_map, self._granter.allocate_fence
             )
             limit = await self._async_end_unrecorded_grants(
-                assignment, set(), took_over_at
+                assignment, None, took_over_at
             )
             assignment = replace(assignment, max_hold=limit)
         await self._record.async_create(assignment)
--- a/tests/keyranges/test_assignment_loader.py
+++ b/tests/keyranges/test_assignment_loader.py
@@ -17,7 +17,7 @@
 from swiftpin.keyranges.const import CLOCK_DRIFT_FACTOR, CONTROL_TIMEOUT, HOLD_MARGIN
 from swiftpin.keyranges.fences import Fences
 from swiftpin.keyranges.granter import Granter
-from swiftpin.keyranges.hold_times import HoldLimit
+from swiftpin.keyranges.hold_times import MAX_REGULAR_HOLD, HoldLimit
 from swiftpin.keyranges.segment import Segment
 from swiftpin.keyranges.target_sessions import TargetSessions
 from swiftpin.keyranges.unrecorded_grants import UnrecordedGrants
@@ -172,12 +172,19 @@
 
     def __init__(self) -> None:
         self.revoked: list[tuple[Assignment, set[str]]] = []
+        self.holds: list[float] = []
 
     async def async_revoke(
-        self, assignment: Assignment, named_ids: set[str], **kwargs: object
+        self,
+        assignment: Assignment,
+        named_ids: set[str],
+        *,
+        hold: float,
+        **kwargs: object,
     ) -> None:
         """Record the call."""
         self.revoked.append((assignment, named_ids))
+        self.holds.append(hold)
 
 
 async def test_grants_are_ended_before_an_incomplete_record_is_used(
@@ -213,3 +220,25 @@
     loader._may_have_lost_record = lambda: may_have_been_lost
     assert await loader.async_load(100.0) == record.assignment
     assert bool(grants.revoked) is may_have_been_lost
+
+
+@pytest.mark.parametrize(
+    ("recorded", "hold"),
+    [(4.4, MAX_REGULAR_HOLD), (9.0, 9.0), (None, MAX_HOLD)],
+)
+async def test_unrecorded_grants_may_be_as_long_as_recorded_ones(
+    record: FakeRecord,
+    make_loader: Callable[[], AssignmentLoader],
+    recorded: float | None,
+    hold: float,
+) -> None:
+    """Guards against grants of another version that outlast the wait for them."""
+    record.is_complete = False
+    record.assignment = Assignment(
+        segments=(Segment(first=0, last=65535, owner="a@1", fence=5),),
+        max_hold=recorded,
+    )
+    loader, grants = make_loader(), FakeGrants()
+    loader._unrecorded_grants = cast(UnrecordedGrants, grants)
+    await loader.async_load(100.0)
+    assert grants.holds == [hold]
