Keep cancellations that arrive together with an event

Callers saw: nothing; a process or a test could fail to end.

Cause: asyncio.wait_for of Python 3.11 returns the result and drops the cancellation if the awaited event is set in the same turn of the loop as the cancellation. A task that waits for an event in a loop then runs on for ever.

Change: async_wait_event waits for an event with a time limit without wait_for, and every loop that waited for an event with wait_for uses it.

--- a/swiftpin/bench/news/news_run.py
+++ b/swiftpin/bench/news/news_run.py
@@ -15,6 +15,7 @@
 from swiftpin.bench.news.spread_result import SpreadResult
 from swiftpin.bench.news.usage_count import UsageCount
 from swiftpin.bench.news.way import Way
+from swiftpin.helpers.event_wait import async_wait_event
 from swiftpin.membership.cached_object import CachedObject
 from swiftpin.membership.stamp import stamp_of
 from swiftpin.ownership.group_id import GroupId
@@ -144,9 +145,8 @@
 
         unsubscribe = instance.cache.subscribe(name, check)
         try:
-            await asyncio.wait_for(known.wait(), _REACH_LIMIT)
-        except TimeoutError:
-            return None
+            if not await async_wait_event(known, _REACH_LIMIT):
+                return None
         finally:
             unsubscribe()
         return known_at
--- a/swiftpin/gateway/run_counter.py
+++ b/swiftpin/gateway/run_counter.py
@@ -6,6 +6,7 @@
 from collections import Counter
 
 from swiftpin.core import callback
+from swiftpin.helpers.event_wait import async_wait_event
 from swiftpin.ownership.group_id import GroupId
 
 
@@ -42,9 +43,4 @@
         if not self._counts_by_group[group]:
             return True
         idle = self._idle_by_group.setdefault(group, asyncio.Event())
-        try:
-            async with asyncio.timeout(limit):
-                await idle.wait()
-        except TimeoutError:
-            return False
-        return True
+        return await async_wait_event(idle, limit)
--- a/swiftpin/membership/object_fetcher.py
+++ b/swiftpin/membership/object_fetcher.py
@@ -4,13 +4,13 @@
 
 import asyncio
 from collections.abc import Callable
-from contextlib import suppress
 import logging
 from random import Random
 from typing import Final
 
 from swiftpin.core import callback
 from swiftpin.exceptions import StoreError
+from swiftpin.helpers.event_wait import async_wait_event
 from swiftpin.membership.background_task import BackgroundTask
 from swiftpin.membership.backoff import Backoff
 from swiftpin.membership.cached_object import CachedObject
@@ -99,8 +99,7 @@
         otherwise hold all others back for the longest delay.
         """
         if self._versions_by_name:
-            with suppress(TimeoutError):
-                await asyncio.wait_for(self._wake.wait(), self._backoff.next_delay())
+            await async_wait_event(self._wake, self._backoff.next_delay())
         else:
             self._backoff.reset()
             await self._wake.wait()
--- a/swiftpin/ownership/group_holder.py
+++ b/swiftpin/ownership/group_holder.py
@@ -10,6 +10,7 @@
 from swiftpin.config.target_spec import TargetSpec
 from swiftpin.core import callback, monotonic_now
 from swiftpin.exceptions import NoOwnerError, TargetFencedError
+from swiftpin.helpers.event_wait import async_wait_event
 from swiftpin.membership.group_heartbeat import GroupHeartbeat
 from swiftpin.ownership.group_id import GroupId
 from swiftpin.ownership.group_lease import GroupLease
@@ -155,8 +156,7 @@
             woken = self._wake.is_set()
             self._wake.clear()
             await self._async_step(woken)
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._wake.wait(), TICK)
+            await async_wait_event(self._wake, TICK)
 
     async def _async_step(self, woken: bool) -> None:
         """Do what the group needs now, most urgent first."""
--- a/swiftpin/ownership/target_link.py
+++ b/swiftpin/ownership/target_link.py
@@ -14,6 +14,7 @@
     TargetFencedError,
     TargetRestartedError,
 )
+from swiftpin.helpers.event_wait import async_wait_event
 from swiftpin.ownership.clock_reading import ClockReading
 from swiftpin.ownership.lease import Lease
 from swiftpin.ownership.rules import lapsed
@@ -169,10 +170,7 @@
                 self._on_change()
             settled = answered and self.state is not TargetState.NEW
             share = 1.0 if settled else RETRY_SHARE
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(
-                    self._nudged.wait(), self._timing.grant_interval * share
-                )
+            await async_wait_event(self._nudged, self._timing.grant_interval * share)
 
     async def _async_exchange(self) -> bool:
         """Send the message that the state asks for; return whether it was answered.
--- a/swiftpin/standins/store_standin.py
+++ b/swiftpin/standins/store_standin.py
@@ -11,6 +11,7 @@
 
 from swiftpin.core import callback, monotonic_now
 from swiftpin.helpers.address import Address
+from swiftpin.helpers.event_wait import async_wait_event
 from swiftpin.standins.http_standin import (
     ANY_PORT,
     CONTENT_TYPE_JSON,
@@ -188,10 +189,7 @@
 
     async def _async_wait_change(self, timeout: float) -> None:
         """Wait for a change under any name, at most `timeout` seconds."""
-        try:
-            await asyncio.wait_for(self._changed.wait(), timeout)
-        except TimeoutError:
-            return
+        await async_wait_event(self._changed, timeout)
 
     @callback
     def _watch_answer(self, changes: list[StoreChange]) -> Response:
