Take what is not a status of HTTP for a broken answer

Cause: the parser accepts any three digits as a status, and any version.

Change: an answer whose status is not from 100 to 599, or whose version is not HTTP/1.0 or HTTP/1.1, is a broken answer, as bytes that are no HTTP are.

--- a/swiftpin/dispatch/http_client.py
+++ b/swiftpin/dispatch/http_client.py
@@ -11,7 +11,13 @@
 
 from aiohttp import ClientError, StreamReader
 from aiohttp.hdrs import CONTENT_LENGTH, METH_HEAD, TRANSFER_ENCODING
-from aiohttp.http import HttpProcessingError, RawResponseMessage, StreamWriter
+from aiohttp.http import (
+    HttpProcessingError,
+    HttpVersion10,
+    HttpVersion11,
+    RawResponseMessage,
+    StreamWriter,
+)
 
 from swiftpin.core import callback, monotonic_now
 from swiftpin.dispatch.http_answer import MAX_SHORT_ANSWER, HttpAnswer
@@ -33,6 +39,9 @@
 BODILESS_STATUSES: Final = frozenset(
     {HTTPStatus.NO_CONTENT.value, HTTPStatus.NOT_MODIFIED.value}
 )
+MIN_STATUS: Final = 100
+MAX_STATUS: Final = 599
+ACCEPTED_VERSIONS: Final = frozenset({HttpVersion10, HttpVersion11})
 METHODS_WITHOUT_BODY: Final = frozenset({"GET", "HEAD", "OPTIONS", "TRACE"})
 
 SendGate = Callable[[float], None]
@@ -340,6 +349,7 @@
     try:
         message, content = await connection.protocol.read()
         while True:
+            _check_status_line(message)
             if message.code == HTTPStatus.SWITCHING_PROTOCOLS:
                 raise AnswerBrokenError("the server changed the protocol unasked")
             if message.code >= HTTPStatus.OK:
@@ -359,6 +369,20 @@
     return HttpAnswer(message, content, connection, length=length, upload=upload)
 
 
+@callback
+def _check_status_line(message: RawResponseMessage) -> None:
+    """Raise `AnswerBrokenError` unless an answer has a status and a version of HTTP/1.
+
+    The parser accepts any three digits. Those below 200 would pass for the head of an
+    interim answer, and the final one would be awaited until the deadline.
+    """
+    if not MIN_STATUS <= message.code <= MAX_STATUS:
+        raise AnswerBrokenError(f"{message.code:03} is no status of HTTP")
+    if message.version not in ACCEPTED_VERSIONS:
+        version = f"{message.version.major}.{message.version.minor}"
+        raise AnswerBrokenError(f"the answer's version is HTTP/{version}")
+
+
 async def _async_skip(content: StreamReader) -> None:
     """Read the body of a stray answer, which must be short."""
     length = 0
