Bound what a peer of the links may hold

Cause: an announced frame was read in whole whatever its length, fragments of a document were collected without a limit, and links that never said who they are were kept until their timeout.

--- a/swiftpin/fleet/document_channel.py
+++ b/swiftpin/fleet/document_channel.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from typing import Final
 
+from google.protobuf.message import DecodeError
+
 from swiftpin.core import callback
 from swiftpin.fleet.item import Item
 from swiftpin.fleet.link_traffic import LinkTraffic
@@ -23,6 +25,10 @@
 MIN_FRAGMENT_BUDGET: Final = 8
 """Minimum of the limit on all unconfirmed fragments, regardless of the bandwidth."""
 
+MAX_DOCUMENT_SIZE: Final = 16 * 1024 * 1024
+"""Maximum number of bytes of a document that arrives. The store's objects have 1 MiB,
+the list of thousands of targets not much more."""
+
 EMPTY: Final = memoryview(b"")
 
 DocumentFactory = Callable[[], Item | None]
@@ -91,7 +97,7 @@
         """Unsent part of the current document."""
 
         self._unconfirmed = 0
-        self._received: list[bytes] = []
+        self._received = bytearray()
 
     @property
     def is_empty(self) -> bool:
@@ -143,13 +149,15 @@
     def receive_fragment(self, fragment: pb.Fragment) -> Item | None:
         """Confirm a received fragment; return the document if it is complete.
 
-        Raises `DecodeError` if the document is malformed.
+        Raises `DecodeError` if the document is malformed or too long.
         """
         self._send(pb.Item(fragment_taken=pb.FragmentTaken()))
-        self._received.append(fragment.data)
+        self._received += fragment.data
+        if len(self._received) > MAX_DOCUMENT_SIZE:
+            raise DecodeError(f"more than {MAX_DOCUMENT_SIZE} bytes")
         if not fragment.is_last:
             return None
-        encoded, self._received = b"".join(self._received), []
+        encoded, self._received = bytes(self._received), bytearray()
         return pb.Item.FromString(encoded)
 
     @callback
--- a/swiftpin/fleet/frame_stream.py
+++ b/swiftpin/fleet/frame_stream.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable, Iterator
+import contextlib
 from typing import Any, Final
 
 from google.protobuf.message import DecodeError
@@ -15,9 +17,14 @@
 LENGTH_BYTES: Final = 4
 """Size of the length prefix of each frame; the length is big-endian."""
 
-MAX_FRAME_SIZE: Final = 64 * 1024 * 1024
-"""Maximum size of a frame in bytes; the key map of a service with thousands of targets
-takes less than 1 MiB."""
+MAX_FRAME_SIZE: Final = 4 * 1024 * 1024
+"""Maximum size of a frame in bytes. Documents are sent in fragments of 4 KiB."""
+
+MAX_FIRST_FRAME_SIZE: Final = 64 * 1024
+"""Maximum size in bytes of a frame of a peer that has not said who it is."""
+
+MAX_ARRIVING_BYTES: Final = 16 * 1024 * 1024
+"""Maximum size in bytes of all frames together that are being received."""
 
 CLOSE_TIMEOUT: Final = 1.0
 """Seconds to flush the last frames before the connection is aborted; the other side may
@@ -28,6 +35,24 @@
     """The other side sent an invalid frame."""
 
 
+class FrameBudget:
+    """Bounds the memory for frames that are being received on all links."""
+
+    def __init__(self) -> None:
+        self._available = MAX_ARRIVING_BYTES
+
+    @contextlib.contextmanager
+    def reserve(self, length: int) -> Iterator[None]:
+        """Reserve memory for a frame; raise `FrameError` if there is too little."""
+        if length > self._available:
+            raise FrameError(f"no memory for a frame of {length} bytes")
+        self._available -= length
+        try:
+            yield
+        finally:
+            self._available += length
+
+
 class FrameStream:
     """Sends and receives length-prefixed frames.
 
@@ -41,7 +66,13 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         traffic: LinkTraffic | None = None,
+        *,
+        max_size: Callable[[], int] = lambda: MAX_FRAME_SIZE,
+        budget: FrameBudget | None = None,
     ) -> None:
+        """Create a stream; `max_size` returns the maximum size of the next frame."""
+        self._max_size = max_size
+        self._budget = budget or FrameBudget()
         self._reader = reader
         self._writer = writer
         self._traffic = traffic or LinkTraffic()
@@ -65,10 +96,11 @@
                 raise FrameError("connection closed within a length prefix") from err
             return None
         length = int.from_bytes(head, "big")
-        if length > MAX_FRAME_SIZE:
+        if length > self._max_size():
             raise FrameError(f"frame of {length} bytes exceeds the limit")
         try:
-            return pb.Frame.FromString(await self._reader.readexactly(length))
+            with self._budget.reserve(length):
+                return pb.Frame.FromString(await self._reader.readexactly(length))
         except asyncio.IncompleteReadError as err:
             raise FrameError("connection closed within a frame") from err
         except DecodeError as err:
--- a/swiftpin/fleet/link.py
+++ b/swiftpin/fleet/link.py
@@ -37,6 +37,10 @@
 """Maximum number of queued items; a link with a longer queue is closed."""
 
 
+MAX_FRAME_ITEMS: Final = 1000
+"""Maximum number of items in one frame."""
+
+
 class FrameConnection(Protocol):
     """A connection that sends and receives frames."""
 
@@ -159,14 +163,17 @@
             asyncio.create_task(self._async_send_heartbeats()),
         }
         try:
-            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-            for task in done:
-                task.result()
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            _raise_errors(tasks)
         finally:
             self.close()
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
+            # An error's traceback leads to this frame, and with it to the task that
+            # holds the error and to what the connection has read.
+            tasks.clear()
+            del task
 
     async def _async_send(self, stream: FrameConnection) -> None:
         """Send queued items."""
@@ -174,7 +181,8 @@
             await self._queue_filled.wait()
             self._queue_filled.clear()
             while self._queue:
-                items, self._queue = self._queue, []
+                items = self._queue[:MAX_FRAME_ITEMS]
+                self._queue = self._queue[MAX_FRAME_ITEMS:]
                 self._sent_at = asyncio.get_running_loop().time()
                 await stream.send_message(pb.Frame(items=items))
 
@@ -256,3 +264,14 @@
             self._sent_at + HEARTBEAT_INTERVAL,
             self._heartbeat_at + MAX_HEARTBEAT_INTERVAL,
         )
+
+
+def _raise_errors(tasks: set[asyncio.Task[None]]) -> None:
+    """Raise the error with which a task has ended, if any has."""
+    for task in tasks:
+        if task.done() and (err := task.exception()) is not None:
+            try:
+                raise err
+            finally:
+                # The error's traceback leads to this frame.
+                del tasks, task, err
--- a/swiftpin/fleet/links.py
+++ b/swiftpin/fleet/links.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 from typing import Final
 
 from eliot import log_message
@@ -11,7 +12,13 @@
 from swiftpin.core import callback
 from swiftpin.exceptions import ConfigurationError
 from swiftpin.fleet.document_channel import DocumentBudget
-from swiftpin.fleet.frame_stream import FrameError, FrameStream
+from swiftpin.fleet.frame_stream import (
+    MAX_FIRST_FRAME_SIZE,
+    MAX_FRAME_SIZE,
+    FrameBudget,
+    FrameError,
+    FrameStream,
+)
 from swiftpin.fleet.link import LinkHandler, PeerLink
 from swiftpin.fleet.link_traffic import LinkTraffic
 from swiftpin.fleet.proto import fleet_pb2 as pb
@@ -23,6 +30,10 @@
 CONNECT_TIMEOUT: Final = 1.0
 """Timeout in seconds for opening a link; a failed host doesn't refuse connections."""
 
+MAX_UNIDENTIFIED: Final = 512
+"""Maximum number of incoming links whose other side has not said who it is; the oldest
+one is closed for a new one. All instances of a fleet may open theirs at once."""
+
 LINK_ERRORS: Final = (FrameError, OSError, TimeoutError)
 
 
@@ -41,10 +52,16 @@
         zone: str = "",
     ) -> None:
         self.outgoing_by_peer: dict[str, PeerLink] = {}
-        self.incoming: set[PeerLink] = set()
+        self.incoming: dict[PeerLink, None] = {}
+        """Links that others opened, the oldest first."""
+
+        self.max_incoming = math.inf
+        """Maximum number of links that others open; a further one is closed."""
+
         self.on_lost: Callable[[PeerLink], None] = _ignore_lost_link
         self.traffic = LinkTraffic()
         self._document_budget = DocumentBudget(bandwidth)
+        self._frame_budget = FrameBudget()
         self._incarnation = incarnation
         self._own_peer = own_peer
         self._cpu_capacity = cpu_capacity
@@ -93,12 +110,25 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serve a link that another instance opened."""
+        if not self._make_room():
+            writer.transport.abort()
+            return
         link = self._make_link(is_outgoing=False)
-        self.incoming.add(link)
+        self.incoming[link] = None
         try:
-            await self._async_serve(link, FrameStream(reader, writer, self.traffic))
+            await self._async_serve(link, reader, writer)
         finally:
-            self.incoming.discard(link)
+            self.incoming.pop(link, None)
+
+    @callback
+    def _make_room(self) -> bool:
+        """Close the oldest unidentified link if there are many; return if one fits."""
+        unidentified = [link for link in self.incoming if not link.incarnation]
+        if len(unidentified) >= MAX_UNIDENTIFIED:
+            unidentified[0].close()
+            # A closed link is removed when its task has ended.
+            self.incoming.pop(unidentified[0])
+        return len(self.incoming) < self.max_incoming
 
     async def _async_keep_open(self, peer: str) -> None:
         """Keep a link to an address open until cancelled."""
@@ -128,13 +158,27 @@
         link.peer = peer
         self.outgoing_by_peer[peer] = link
         try:
-            await self._async_serve(link, FrameStream(reader, writer, self.traffic))
+            await self._async_serve(link, reader, writer)
         finally:
             if self.outgoing_by_peer.get(peer) is link:
                 del self.outgoing_by_peer[peer]
 
-    async def _async_serve(self, link: PeerLink, stream: FrameStream) -> None:
+    async def _async_serve(
+        self,
+        link: PeerLink,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
         """Serve a link until it is closed or fails."""
+        stream = FrameStream(
+            reader,
+            writer,
+            self.traffic,
+            max_size=lambda: (
+                MAX_FRAME_SIZE if link.incarnation else MAX_FIRST_FRAME_SIZE
+            ),
+            budget=self._frame_budget,
+        )
         self._send_hello(link)
         try:
             await link.async_run(stream)
--- a/tests/fleet/test_document_channel.py
+++ b/tests/fleet/test_document_channel.py
@@ -7,6 +7,7 @@
 from google.protobuf.message import DecodeError
 import pytest
 
+from swiftpin.fleet import document_channel
 from swiftpin.fleet.document_channel import (
     FRAGMENT_SIZE,
     MAX_IN_FLIGHT_SECONDS,
@@ -111,3 +112,14 @@
     """Guards against arbitrary bytes accepted as a document."""
     with pytest.raises(DecodeError):
         LinkEnd().channel.receive_fragment(pb.Fragment(data=b"\xff\xff", is_last=True))
+
+
+def test_document_without_end_is_an_error(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a peer whose fragments fill the memory."""
+    monkeypatch.setattr(document_channel, "MAX_DOCUMENT_SIZE", 2 * FRAGMENT_SIZE)
+    receiver = LinkEnd()
+    fragment = pb.Fragment(data=bytes(FRAGMENT_SIZE))
+    for _ in range(2):
+        assert receiver.channel.receive_fragment(fragment) is None
+    with pytest.raises(DecodeError):
+        receiver.channel.receive_fragment(fragment)
--- a/tests/fleet/test_frame_stream.py
+++ b/tests/fleet/test_frame_stream.py
@@ -4,11 +4,18 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+import contextlib
 
 import pytest
 import uvloop
 
-from swiftpin.fleet.frame_stream import MAX_FRAME_SIZE, FrameError, FrameStream
+from swiftpin.fleet.frame_stream import (
+    MAX_ARRIVING_BYTES,
+    MAX_FRAME_SIZE,
+    FrameBudget,
+    FrameError,
+    FrameStream,
+)
 from swiftpin.fleet.proto import fleet_pb2 as pb
 
 HELLO = pb.Frame(items=[pb.Item(hello=pb.Hello(incarnation="a/1"))])
@@ -93,3 +100,15 @@
             server.close()
 
     uvloop.run(async_send_after_close())
+
+
+async def test_frames_that_arrive_are_bounded_together() -> None:
+    """Guards against many peers that each announce a long frame."""
+    budget = FrameBudget()
+    with contextlib.ExitStack() as arriving:
+        for _ in range(MAX_ARRIVING_BYTES // MAX_FRAME_SIZE):
+            arriving.enter_context(budget.reserve(MAX_FRAME_SIZE))
+        with pytest.raises(FrameError), budget.reserve(1):
+            pass
+    with budget.reserve(MAX_FRAME_SIZE):
+        pass
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -10,8 +10,10 @@
 from eliot import add_destinations, remove_destination
 import pytest
 
+from swiftpin.fleet import links as links_module
+from swiftpin.fleet.frame_stream import MAX_FIRST_FRAME_SIZE
 from swiftpin.fleet.item import Item
-from swiftpin.fleet.link import PeerLink
+from swiftpin.fleet.link import SILENCE_TIMEOUT, PeerLink
 from swiftpin.fleet.links import FleetLinks
 from swiftpin.fleet.proto import fleet_pb2 as pb
 from swiftpin.helpers.address import Address
@@ -113,3 +115,32 @@
         assert await lost.get() is link
     assert not opener.outgoing_by_peer
     await opener.async_unload()
+
+
+async def test_silent_links_make_room(
+    listener: tuple[FleetLinks, Handler, Address], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against connections without a `Hello` that keep instances out."""
+    monkeypatch.setattr(links_module, "MAX_UNIDENTIFIED", 2)
+    links, handler, address = listener
+    silent = [
+        await asyncio.open_connection(address.host, address.port) for _ in range(3)
+    ]
+    opener = make_links("b", Handler())
+    opener.set_peers({str(address)})
+    await asyncio.wait_for(handler.hello_received.wait(), TIMEOUT)
+    assert len([link for link in links.incoming if not link.incarnation]) <= 2
+    await opener.async_unload()
+    for _, writer in silent:
+        writer.transport.abort()
+
+
+async def test_first_frame_is_short(
+    listener: tuple[FleetLinks, Handler, Address],
+) -> None:
+    """Guards against long frames of peers that have not said who they are."""
+    _, _, address = listener
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write((MAX_FIRST_FRAME_SIZE + 1).to_bytes(4, "big"))
+    await asyncio.wait_for(reader.read(), SILENCE_TIMEOUT / 2)
+    writer.close()
