Leave room for requests without a body beside stalled bodies

Seen in trials: clients that announce bodies and send nothing of them took all bytes that may be held, and requests without a body were refused.

Cause: only long answers were kept out of the last share of the bytes.

Measured: test_stalled_bodies_leave_room_for_requests_without fails before.

--- a/swiftpin/capacity/admission.py
+++ b/swiftpin/capacity/admission.py
@@ -20,8 +20,8 @@
 from swiftpin.core import callback
 
 LARGE_SHARE: Final = 0.95
-"""Share of the bytes up to which requests with long answers are admitted. The rest is
-for short answers, which are not refused because callers read long ones slowly."""
+"""Share of the bytes up to which requests with bodies or long answers are admitted. The
+rest is for others, which are not refused because callers send or read slowly."""
 
 CONNECTION_RETRY_AFTER: Final = 0.5
 """Seconds after which a caller may return that was refused for its connection."""
@@ -157,7 +157,7 @@
         body = 0 if body_length == 0 else body_size(body_length)
         answer = self.sizes.expected_buffered(route)
         size = REQUEST_BYTES + body + answer
-        share = LARGE_SHARE if answer else 1.0
+        share = LARGE_SHARE if answer or body > SHORT_ANSWER else 1.0
         excess = self.held_bytes + size - limits.buffered_bytes * share
         if excess > 0:
             return Refusal(
--- a/swiftpin/capacity/capacity_limits.py
+++ b/swiftpin/capacity/capacity_limits.py
@@ -16,6 +16,10 @@
 """Share of the memory left by the started process that buffers may take. The rest is
 for fragmented memory, connections without a request and what the process learns."""
 
+HEAD_SHARE: Final = 0.1
+"""Share of the memory left by the started process that long heads of requests may take
+beside those buffers."""
+
 RESERVED_DESCRIPTORS: Final = 200
 """Descriptors for files."""
 
@@ -37,6 +41,9 @@
     buffered_bytes: float = math.inf
     """Bytes of bodies and answers, counted by the size that they may reach."""
 
+    held_heads: float = math.inf
+    """Bytes of long heads of callers' requests."""
+
     connections: float = math.inf
     """Callers' connections on which requests are served."""
 
@@ -71,6 +78,7 @@
     sockets = settings.max_descriptors - RESERVED_DESCRIPTORS - FLEET_DESCRIPTORS
     return CapacityLimits(
         buffered_bytes=free_bytes * BUFFER_SHARE,
+        held_heads=free_bytes * HEAD_SHARE,
         connections=max(sockets / DESCRIPTORS_PER_REQUEST, 1.0),
         bandwidth=settings.bandwidth or math.inf,
     )
--- a/tests/capacity/test_admission.py
+++ b/tests/capacity/test_admission.py
@@ -195,3 +195,16 @@
     assert admission.held_bytes == REQUEST_BYTES + MAX_ANSWER
     holding.release(1.0)
     assert admission.held_bytes == 0
+
+
+def test_stalled_bodies_leave_room_for_requests_without() -> None:
+    """Guards against callers that announce long bodies, and send nothing of them."""
+    admission = make_admission()
+    known = admit(admission, "read")
+    known.begin_answer(SHORT, 0.0)
+    known.release(0.0)
+    # Small enough to fill all that is left for them.
+    body = 20_000
+    while isinstance(ask(admission, "read", body=body), Holding):
+        pass
+    assert isinstance(ask(admission, "read"), Holding)
