Bound what a client can hold at the HTTP listeners

Callers saw: clients that send heads, blank lines, chunks or bytes without end ended the process or took the memory (459 to 865 MB in 3 s with 40 clients on, where an instance has 300 MB); silent clients took all descriptors; an ordinary request beside them was not served.

Cause: the library's protocol collects a head before its size is checked, parses queued requests ahead without a limit, keeps an error with a traceback that keeps the bytes, and reads on after the last answer. Nothing bounded connections without a request or the time that one connection takes of a turn of the event loop.

Change: one protocol for the listeners of callers, relays, readiness and metrics. It measures input before it is parsed, bounds heads, blank lines, framing of chunks and trailers, queued requests and unread answers, discards a bounded number of bytes after the last answer, hands out turns of the loop, and makes room for new connections at the cost of those without a request. The operator's limits on callers hold from the moment at which they are applied. A listener closes within 0.6 s whatever clients do.

--- a/swiftpin/gateway/http_listener.py
+++ b/swiftpin/gateway/http_listener.py
@@ -4,36 +4,22 @@
 
 import asyncio
 from asyncio import AbstractServer
-from collections.abc import Awaitable, Callable
-import math
-import select
-from typing import Final
-
-from aiohttp.http_exceptions import LineTooLong
-from aiohttp.web import (
-    BaseRequest,
-    Response,
-    Server,
-    StreamResponse,
-)
-from aiohttp.web import (
-    RequestHandler as HttpProtocol,
-)
-
-from swiftpin.const import HEADER_RESULT
+from collections import Counter
+from collections.abc import Callable
+import socket
+from typing import Any, Final
+
 from swiftpin.core import callback
-from swiftpin.exceptions import (
-    MalformedRequestError,
-    RequestError,
-    RequestTooLargeError,
-)
-from swiftpin.gateway.error_answer import error_body, error_headers
+from swiftpin.exceptions import RequestError
+from swiftpin.gateway.bounded_input import BoundedInput
+from swiftpin.gateway.close_reason import CloseReason
+from swiftpin.gateway.http_protocol import GatewayServer, HttpHandler
+from swiftpin.gateway.input_limits import InputLimits
+from swiftpin.gateway.input_turns import InputTurns
 from swiftpin.helpers.address import Address
 from swiftpin.security.client_tls import CLOSE_TIMEOUT
 from swiftpin.security.server_tls import HANDSHAKE_TIMEOUT, ServerTls
 
-HttpHandler = Callable[[BaseRequest], Awaitable[StreamResponse]]
-
 IDLE_LIMIT: Final = 60.0
 """Seconds for which a connection may wait for a request's whole head, the time
 between two requests included; a caller that feeds its head byte by byte gets no
@@ -47,85 +33,26 @@
 """Above the limits for callers, since the entry instance adds headers."""
 
 BACKLOG: Final = 1024
+ACCEPT_HANDLES: Final = 8
+"""Handles of a listening socket. uvloop accepts one connection of each in a turn of the
+event loop."""
 
+CHECK_INTERVAL: Final = 0.25
+"""Seconds between two checks for clients that take too long."""
 
-class GatewayProtocol(HttpProtocol):
-    """Connection whose requests that can't be parsed get a numbered answer too."""
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Serve the connection, or close it if too many are open."""
-        super().connection_made(transport)
-        manager = self._manager
-        if (
-            isinstance(manager, GatewayServer)
-            and manager.open_connections > manager.max_connections
-            and self.transport is not None
-        ):
-            manager.closed_connections += 1
-            self.transport.abort()
+CUT_OFF_TIME: Final = 0.3
+"""Seconds for requests to end by themselves before they are cut off, and as many to end
+then. Zero would be no limit for the library."""
 
-    @callback
-    def set_idle_limit(self, seconds: float) -> None:
-        """Set how long the connection may be idle after the present request."""
-        self._keepalive_timeout = seconds
-
-    @callback
-    def has_caller_left(self) -> bool:
-        """Return whether the caller has closed its side of the connection.
-
-        The event loop reads a request that lay unread before it notices the end of its
-        connection.
-        """
-        if self.transport is None or self.transport.is_closing():
-            return True
-        poll = select.poll()
-        poll.register(
-            self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP
-        )
-        return bool(poll.poll(0))
-
-    def handle_error(
-        self,
-        request: BaseRequest,
-        status: int = 500,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> StreamResponse:
-        """Return the answer to a request that is not HTTP, and end the connection."""
-        err = _parse_error(exc)
-        if isinstance(self._manager, GatewayServer):
-            self._manager.on_unparsed(err)
-        headers = error_headers(err)
-        headers[HEADER_RESULT] = str(err.code.value)
-        response = Response(status=err.status, headers=headers, body=error_body(err))
-        response.force_close()
-        return response
-
-
-class GatewayServer(Server):
-    """Makes a `GatewayProtocol` for each connection."""
-
-    on_unparsed: Callable[[RequestError], None]
-    """Is told of each request that can't be parsed: no handler sees it."""
-
-    max_connections: float = math.inf
-    """Connections that may be open; a further one is closed at once."""
-
-    closed_connections: int = 0
-    """Number of connections that were closed because too many were open."""
-
-    @property
-    def open_connections(self) -> int:
-        """Return the number of open connections."""
-        return len(self._connections)
-
-    def __call__(self) -> HttpProtocol:
-        """Return the protocol of a new connection."""
-        return GatewayProtocol(self, loop=self._loop, **self._kwargs)
+LIBRARY_IDLE_LIMIT: Final = 86_400.0
+"""Seconds for the library's own limit on idle connections, which is not used."""
 
 
 class HttpListener:
-    """A listening socket and the connections that came through it."""
+    """A listening socket and the connections that came through it.
+
+    `turns` is shared by the listeners of a process.
+    """
 
     def __init__(
         self,
@@ -135,78 +62,122 @@
         max_headers: int,
         tls: ServerTls | None = None,
         on_unparsed: Callable[[RequestError], None] | None = None,
+        input_limits: InputLimits | None = None,
+        turns: InputTurns | None = None,
     ) -> None:
         self._tls = tls
+        self._turns = turns or InputTurns()
         self._server = GatewayServer(
             handler,
-            handler_cancellation=True,
+            input_limits=input_limits
+            or InputLimits(head_timeout=IDLE_LIMIT, idle_timeout=IDLE_LIMIT),
+            turns=self._turns,
+            on_unparsed=on_unparsed or _ignore,
             access_log=None,
             auto_decompress=False,
-            keepalive_timeout=IDLE_LIMIT,
+            keepalive_timeout=LIBRARY_IDLE_LIMIT,
             lingering_time=LINGER_LIMIT,
             max_line_size=max_line,
-            max_field_size=max_line,
             max_headers=max_headers,
         )
-        self._server.on_unparsed = on_unparsed or _ignore
-        self._socket_server: AbstractServer | None = None
+        self._socket_servers: list[AbstractServer] = []
+        self._check: asyncio.TimerHandle | None = None
 
     async def async_setup(self, address: Address) -> Address:
         """Listen; return the address with the port that was taken.
 
         Raises `OSError` when the address cannot be used.
         """
-        loop = asyncio.get_running_loop()
-        tls = self._tls
-        server = await loop.create_server(
-            self._server,
-            address.host,
-            address.port,
-            backlog=BACKLOG,
-            ssl=None if tls is None else tls.listen_context,
-            ssl_handshake_timeout=None if tls is None else HANDSHAKE_TIMEOUT,
-            ssl_shutdown_timeout=None if tls is None else CLOSE_TIMEOUT,
-        )
-        self._socket_server = server
-        port = server.sockets[0].getsockname()[1]
-        return Address(host=address.host, port=port)
+        first = await self._async_listen(host=address.host, port=address.port)
+        listening = first.sockets[0]
+        try:
+            await self._async_add_handles(listening)
+        except OSError:
+            self.stop_listening()
+            raise
+        self._check_connections()
+        return Address(host=address.host, port=listening.getsockname()[1])
 
     @callback
-    def count_open_connections(self) -> int:
-        """Return the number of open connections."""
-        return self._server.open_connections
+    def count_requesting_connections(self) -> int:
+        """Return the number of open connections that have sent a request."""
+        return self._server.requesting_connections
+
+    @property
+    def closed(self) -> Counter[CloseReason]:
+        """Return how many connections were closed because of clients, by reason."""
+        return self._server.closed
 
     @callback
-    def count_closed_connections(self) -> int:
-        """Return how many connections were closed because too many were open."""
-        return self._server.closed_connections
+    def set_max_connections(self, served: float, opened: float) -> None:
+        """Set how many connections may be open.
+
+        Above `served` a connection without a request is closed for each new one, above
+        `opened` the new one is closed if there is none.
+        """
+        self._server.served_connections = served
+        self._server.max_connections = opened
+
+    @property
+    def input_limits(self) -> InputLimits:
+        """Return the limits on the input of connections."""
+        return self._server.input_limits
 
     @callback
-    def set_max_connections(self, limit: float) -> None:
-        """Set how many connections may be open."""
-        self._server.max_connections = limit
+    def set_input_limits(self, limits: InputLimits) -> None:
+        """Replace the limits on the input, also of connections that are open."""
+        self._server.input_limits = limits
 
     @callback
     def stop_listening(self) -> None:
         """Take no more connections."""
-        if self._socket_server is not None:
-            self._socket_server.close()
-            self._socket_server = None
+        for server in self._socket_servers:
+            server.close()
+        self._socket_servers.clear()
 
     async def async_unload(self) -> None:
         """Close idle connections, and cut off what is still being served."""
         self.stop_listening()
+        if self._check is not None:
+            self._check.cancel()
+            self._check = None
         self._server.pre_shutdown()
-        await self._server.shutdown(0.0)
+        await self._server.shutdown(CUT_OFF_TIME)
 
+    async def _async_add_handles(self, listening: socket.socket) -> None:
+        """Listen through further handles of a socket that listens already."""
+        for _ in range(ACCEPT_HANDLES - 1):
+            handle = socket.fromfd(listening.fileno(), listening.family, listening.type)
+            await self._async_listen(sock=handle)
 
-def _parse_error(exc: BaseException | None) -> RequestError:
-    """Return the error for a request that could not be parsed."""
-    if isinstance(exc, LineTooLong):
-        err = RequestTooLargeError("a header or the path is too long")
-        err.status = 431
-        return err
-    return MalformedRequestError("the request is not valid HTTP/1.1")
+    async def _async_listen(
+        self,
+        **where: Any,  # noqa: ANN401  # passed on
+    ) -> asyncio.Server:
+        """Serve connections of an address, or of a socket that listens already."""
+        tls = self._tls
+        server = await asyncio.get_running_loop().create_server(
+            self._make_connection,
+            backlog=BACKLOG,
+            ssl=None if tls is None else tls.listen_context,
+            ssl_handshake_timeout=None if tls is None else HANDSHAKE_TIMEOUT,
+            ssl_shutdown_timeout=None if tls is None else CLOSE_TIMEOUT,
+            **where,
+        )
+        self._socket_servers.append(server)
+        return server
+
+    @callback
+    def _make_connection(self) -> BoundedInput:
+        """Return the protocol of a new connection."""
+        return BoundedInput(self._server(), self._turns)
+
+    @callback
+    def _check_connections(self) -> None:
+        """Close the connections of clients that take too long, again and again."""
+        loop = asyncio.get_running_loop()
+        self._server.close_expired(loop.time())
+        self._check = loop.call_later(CHECK_INTERVAL, self._check_connections)
 
 
 @callback
--- a/swiftpin/gateway/request_body.py
+++ b/swiftpin/gateway/request_body.py
@@ -36,7 +36,8 @@
         self._limit = limit
         self._read = 0
         self._streaming = False
-        self._head: list[bytes] = []
+        # One object for each piece would take many times its length.
+        self._head = bytearray()
         self.whole: bytes | None = None
         self.length: int | None = request.content_length
 
@@ -52,10 +53,10 @@
         while self._read <= WHOLE_LIMIT:
             chunk = await self._async_read()
             if not chunk:
-                self.whole = b"".join(self._head)
+                self.whole = bytes(self._head)
                 self._head.clear()
                 return
-            self._head.append(chunk)
+            self._head += chunk
 
     @property
     def known_length(self) -> int | None:
@@ -76,7 +77,7 @@
         """
         if self.whole is not None:
             return self.whole
-        return b"".join(self._head)[:WHOLE_LIMIT]
+        return bytes(self._head[:WHOLE_LIMIT])
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Give the pieces of a body that is not held whole, once.
@@ -85,9 +86,9 @@
         has been sent by then.
         """
         self._streaming = True
-        for chunk in self._head:
-            yield chunk
+        head = bytes(self._head)
         self._head.clear()
+        yield head
         try:
             while chunk := await self._async_read():
                 yield chunk
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -63,6 +63,9 @@
 from swiftpin.router.target_ways import TargetWays
 from swiftpin.router.uneven_services import find_uneven_services
 
+LINK_SHARE: Final = 0.25
+"""Share of the descriptors that links which other instances open may take."""
+
 HOUSEKEEPING_INTERVAL: Final = 1.0
 """Seconds between two runs of the periodic clean-up."""
 
@@ -152,6 +155,7 @@
             relays=self._relays,
         )
         self._metrics.set_link_traffic(self._fleet.links.traffic)
+        self._fleet.links.max_incoming = settings.max_descriptors * LINK_SHARE
         self._notices = TargetNotices(
             clients=self._clients,
             configuration=self._configuration,
@@ -466,6 +470,7 @@
         self._handler.handle_configuration_change()
         configuration = self._configuration.current
         if configuration is not None:
+            self._listeners.set_caller_limits(configuration.limits)
             self._leader.update_candidacy()
             names = configuration.services_by_name.keys()
             self._directory.set_services(names, suspend_aware_now())
@@ -527,3 +532,5 @@
             # No change event marks the end of a target's drain time.
             self._update_permit_targets()
             self._clients.close_idle(loop.time())
+            self._listeners.log_closed()
+            self._metrics.closed_by_reason = self._listeners.count_closed()
--- a/swiftpin/router/metrics.py
+++ b/swiftpin/router/metrics.py
@@ -8,6 +8,7 @@
 
 from swiftpin.core import callback
 from swiftpin.fleet.link_traffic import LinkTraffic
+from swiftpin.gateway.close_reason import CloseReason
 from swiftpin.helpers.logging_writer import LineWriter
 from swiftpin.permits.queue_counts import QueueCounts
 from swiftpin.permits.reservation_counts import ReservationCounts
@@ -82,6 +83,9 @@
         self.retries: Counter[str] = Counter()
         """Sends of requests after the first send, by service."""
 
+        self.closed_by_reason: Mapping[CloseReason, int] = {}
+        """Connections that were closed because of clients, by reason."""
+
         self.retry_members = 0
         """Instances that share the slack of the retry budgets, 0 while this instance
         has no share."""
--- a/swiftpin/router/metrics_registry.py
+++ b/swiftpin/router/metrics_registry.py
@@ -62,6 +62,16 @@
             ("service",),
             {(service,): count for service, count in metrics.retries.items()},
         )
+        yield _counter(
+            "swiftpin_router_client_closes",
+            "Connections of clients that were closed at any listener: `silent` (no"
+            " request in time), `unread` (an answer was not read), `sent_on` (bytes"
+            " without end after the last answer), `replaced` (without a request when"
+            " all places were taken), `crowded` (new when all places had requests),"
+            " `heads` (an incomplete head when these took too much memory).",
+            ("reason",),
+            {(reason,): count for reason, count in metrics.closed_by_reason.items()},
+        )
         yield GaugeMetricFamily(
             "swiftpin_router_retry_members",
             "Instances that share the slack of the budgets of retries, as this one"
@@ -268,7 +278,7 @@
         ),
         (
             "caller_connections",
-            "Open connections of callers.",
+            "Open connections of callers that have sent a request.",
             capacity.connections,
         ),
         (
--- a/swiftpin/router/request_handler.py
+++ b/swiftpin/router/request_handler.py
@@ -18,7 +18,7 @@
     ShuttingDownError,
 )
 from swiftpin.gateway.deadline_watch import Deadline, DeadlineWatch
-from swiftpin.gateway.http_listener import GatewayProtocol
+from swiftpin.gateway.http_protocol import GatewayProtocol
 from swiftpin.gateway.lifecycle import Lifecycle
 from swiftpin.gateway.request_body import RequestBody
 from swiftpin.helpers.clock import suspend_aware_now
@@ -170,8 +170,6 @@
         now = suspend_aware_now()
         if self._configuration.lag.is_refusing(now):
             raise _outdated_error()
-        if isinstance(protocol, GatewayProtocol):
-            protocol.set_idle_limit(configuration.limits.idle_timeout)
         route = configuration.find_route(request.host, request.path)
         if route is None and self._configuration.lag.is_outdated(now):
             raise _outdated_error()
--- a/tests/gateway/test_request_body.py
+++ b/tests/gateway/test_request_body.py
@@ -3,18 +3,33 @@
 from __future__ import annotations
 
 import asyncio
+import tracemalloc
+from unittest.mock import Mock
 
+from aiohttp import StreamReader
+from aiohttp.base_protocol import BaseProtocol
 import pytest
 
 from swiftpin.gateway import request_body
+from swiftpin.gateway.request_body import WHOLE_LIMIT, RequestBody
 from swiftpin.result import ResultCode
 from tests.gateway.gateway_fixture import GatewayFixture
 from tests.gateway.raw_caller import RawCaller
 from tests.gateway.scripted_server import ScriptedServer
 
+READ_LIMIT = 64 * 1024
 HEAD = b"POST /desk/a HTTP/1.1\r\nHost: h\r\nSwiftpin-Key: k1\r\n"
 
 
+class ReadingProtocol(BaseProtocol):
+    """A connection that is open and need not be paused."""
+
+    connected = True
+
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Do nothing."""
+
+
 async def test_body_cut_short_is_not_run(
     caller: RawCaller, target: ScriptedServer, gateway: GatewayFixture
 ) -> None:
@@ -42,6 +57,25 @@
     assert not target.seen
 
 
+async def test_body_in_small_pieces_takes_its_length() -> None:
+    """Guards against bodies sent byte by byte that take many times their length."""
+    protocol = ReadingProtocol(asyncio.get_running_loop())
+    content = StreamReader(protocol, READ_LIMIT)
+    request = Mock(content=content, content_length=None, headers={})
+    body = RequestBody(request, 2 * WHOLE_LIMIT)
+    tracemalloc.start()
+    reading = asyncio.create_task(body.async_prefetch())
+    for _ in range(WHOLE_LIMIT - 1):
+        content.feed_data(b"x")
+        await asyncio.sleep(0)
+    taken = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    content.feed_eof()
+    await reading
+    assert body.whole == b"x" * (WHOLE_LIMIT - 1)
+    assert taken < 4 * WHOLE_LIMIT
+
+
 async def test_broken_chunk_is_not_run(
     caller: RawCaller, target: ScriptedServer
 ) -> None:
--- a/tests/router/small_buffers_router.py
+++ b/tests/router/small_buffers_router.py
@@ -25,7 +25,7 @@
 
     async def async_setup_small(self: HttpListener, address: Address) -> Address:
         listening = await async_setup(self, address)
-        for it in cast(asyncio.Server, self._socket_server).sockets:
+        for it in cast(asyncio.Server, self._socket_servers[0]).sockets:
             it.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
         return listening
 
