Bound the time of a request that another instance passes on

Change: it is at most 60 s, or the longest timeout of a route.

Measured: the new test in tests/router/test_relays.py fails before.

--- a/swiftpin/router/relay_handler.py
+++ b/swiftpin/router/relay_handler.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Mapping
+from dataclasses import replace
 from functools import partial
 from http import HTTPStatus
 import math
@@ -58,6 +59,10 @@
 """Maximum requests of other instances at a time, so that they leave room for those of
 this instance's own callers."""
 
+MIN_TIME_LIMIT: Final = 60.0
+"""Seconds that a relayed request may take even if no route known here has as many; the
+sending instance may have a newer configuration."""
+
 
 class RelayHandler:
     """Sends requests of other instances over this instance's own links.
@@ -115,7 +120,7 @@
         started_at = asyncio.get_running_loop().time()
         try:
             terms = decode_relay_terms(request.headers)
-            head = decode_request_head(request.headers)
+            head = self._limit_time(decode_request_head(request.headers))
             with self._deadline_watch.until(started_at + head.deadline):
                 received = await self._async_send(request, head, terms, state)
         except ConnectionFailedError as err:
@@ -141,6 +146,16 @@
             received.finish(asyncio.get_running_loop().time())
         return answer.response
 
+    @callback
+    def _limit_time(self, head: RequestHead) -> RequestHead:
+        """Bound a deadline, which otherwise lets a request hold its place for ever."""
+        if head.deadline <= MIN_TIME_LIMIT:
+            return head
+        configuration = self._configuration.current
+        longest = 0.0 if configuration is None else configuration.max_route_timeout
+        limit = max(longest, MIN_TIME_LIMIT)
+        return replace(head, deadline=min(head.deadline, limit))
+
     async def _async_send(
         self,
         request: BaseRequest,
--- a/tests/router/test_relays.py
+++ b/tests/router/test_relays.py
@@ -10,10 +10,11 @@
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.permits.rate_report import RateReport
 from swiftpin.relays import relay_client
+from swiftpin.relays.relay_terms import HEADER_RELAY_TARGET, RelayResult
 from swiftpin.router import relay_handler
 from tests.router.cut_links import CutKind
 from tests.router.cut_site import CutOptions, CutSite
-from tests.router.site import Reply
+from tests.router.site import HOST, MAX_WAIT, Reply
 
 LOST_AFTER = 1.2
 """Seconds after which two connection attempts have failed."""
@@ -224,3 +225,25 @@
     assert (await async_book(site)).status == 503
     relays = site.routers_by_name["i0"]._relays
     assert not relays._avoided_until_by_address
+
+
+async def test_time_of_a_relayed_request_is_bounded(
+    site: CutSite, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against requests whose bodies never come and which hold a relay."""
+    monkeypatch.setattr(relay_handler, "MIN_TIME_LIMIT", 0.1)
+    relay = site.routers_by_name["i1"]
+    address = site.settings_by_name["i1"].relay_address
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(
+        f"POST /book/x HTTP/1.1\r\nHost: {HOST}\r\n"
+        f"{HEADER_RELAY_TARGET}: {next(iter(relay._directory.targets_by_id))}\r\n"
+        "Swiftpin-Deadline-Milliseconds: 1e12\r\nContent-Length: 1000\r\n\r\n".encode()
+    )
+    answer = asyncio.create_task(reader.readuntil(b"\r\n\r\n"))
+    async with asyncio.timeout(MAX_WAIT):
+        while not answer.done():
+            writer.write(b"a")
+            await asyncio.sleep(0.1)
+    assert RelayResult.NOT_ALLOWED in answer.result().decode()
+    writer.close()
