Read no target from a string that another writer made unreadable

Cause: invalid bytes were replaced by U+FFFD, which a valid string may contain, and the parser rejected the whole answer for a control character or an unknown escape.

Change: such strings are marked with a lone surrogate, which read_string rejects, so that only their entry is unusable. Not covered: a field that nothing reads, and an answer whose brackets or quotes don't match.

--- a/swiftpin/helpers/tolerant_json.py
+++ b/swiftpin/helpers/tolerant_json.py
@@ -15,24 +15,38 @@
 STRUCTURE: Final = re.compile(r'"(?:[^"\\]|\\.)*+"|[\[\]{}]', re.DOTALL)
 """Brackets, and strings, which may contain brackets."""
 
+ESCAPE_OR_INVALID: Final = re.compile(
+    r'\\(?:["\\/bfnrt]|u[0-9A-Fa-f]{4})|[\x00-\x1f\\]'
+)
+"""Valid escapes, and characters that are invalid in a string unless escaped."""
+
+INVALID_CHARACTER: Final = "\udcff"
+"""What no encoded text contains, so a string with it can't be mistaken for a valid one."""
+
 
 def load_tolerantly(body: bytes) -> Any:  # noqa: ANN401  # any JSON value
     """Parse a JSON value; raise `ValueError` if the bytes are not JSON.
 
-    Bytes that are not UTF-8 are replaced, values that are nested too deeply are null,
-    and integers that are too long are floats. So only the part that contains them is
-    lost. It is slower than other parsers.
+    Strings with bytes that are not UTF-8, with control characters that are not escaped
+    or with unknown escapes get a lone surrogate, which no valid text contains; values
+    that are nested too deeply are null, and integers that are too long are floats. So
+    only the part that contains them is lost. It is slower than other parsers.
     """
-    text = _without_deep_values(body.decode("utf-8", "replace"))
+    text = _without_invalid_values(body.decode("utf-8", "surrogateescape"))
     return json.loads(text, parse_int=_parse_integer)
 
 
-def _without_deep_values(text: str) -> str:
-    """Return JSON in which arrays and objects beyond the maximum depth are null."""
+def _without_invalid_values(text: str) -> str:
+    """Return JSON with marked strings, and null beyond the maximum depth."""
     kept: list[str] = []
     kept_until = depth = 0
     for token in STRUCTURE.finditer(text):
         match token.group()[0]:
+            case '"' if depth <= MAX_DEPTH:
+                marked = ESCAPE_OR_INVALID.sub(_mark_invalid, token.group())
+                if marked != token.group():
+                    kept += (text[kept_until : token.start()], marked)
+                    kept_until = token.end()
             case "[" | "{":
                 if depth == MAX_DEPTH:
                     kept.append(text[kept_until : token.start()])
@@ -47,6 +61,11 @@
     return "".join((*kept, text[kept_until:]))
 
 
+def _mark_invalid(found: re.Match[str]) -> str:
+    """Return a valid escape as it is, and a marker in place of anything else."""
+    return found.group() if len(found.group()) > 1 else INVALID_CHARACTER
+
+
 def _parse_integer(text: str) -> float:
     """Return an integer, as a float if it is too long for one of 64 bits."""
     return int(text) if len(text) <= MAX_DIGITS else float(text)
--- a/swiftpin/platform/json_fields.py
+++ b/swiftpin/platform/json_fields.py
@@ -27,8 +27,8 @@
 def load_json(body: bytes) -> Any:  # noqa: ANN401  # any JSON value
     """Parse a JSON value; raise `FieldError` if the bytes are not JSON.
 
-    orjson rejects a whole page of the store if a single entry contains invalid Unicode
-    or is nested too deeply, which would hide all other entries.
+    orjson rejects a whole page of the store if a single entry contains an invalid
+    string, which `read_string` rejects, or is nested too deeply.
     """
     try:
         return orjson.loads(body)
--- a/tests/platform/test_other_writers.py
+++ b/tests/platform/test_other_writers.py
@@ -198,6 +198,66 @@
     assert page["at"] == 3
 
 
+INVALID_STRINGS: Final = {
+    "bytes that are not UTF-8": b"v\xea1",
+    "a tab": b"v1\tbeta",
+    "a line feed": b"v1\nbeta",
+    "a null": b"v\x001",
+    "an unknown escape": rb"v\x1",
+    "an incomplete escape": rb"v\u12",
+    "an escaped backslash before it": b"v\\\\\t1",
+    "a lone surrogate": rb"v\ud800",
+    "brackets": b'v[\t{"'.replace(b'"', b'\\"'),
+}
+VERSION: Final = b'"version": "%s"'
+
+
+def encode_page(odd: bytes, replaced: bytes, replacement: bytes) -> bytes:
+    """Return a page with the targets a, odd and b; a part of odd is replaced."""
+    items = [json.dumps(item(name)).encode() for name in ("a", "odd", "b")]
+    assert replaced in items[1]
+    items[1] = items[1].replace(replaced, replacement % odd)
+    return b'{"items": [' + b",".join(items) + b'], "more": false, "at": 7}'
+
+
+@pytest.mark.parametrize(
+    "invalid", INVALID_STRINGS.values(), ids=INVALID_STRINGS.keys()
+)
+@pytest.mark.parametrize("field", ["version", "service", "zone", "address", "state"])
+def test_invalid_string_makes_its_entry_unusable(field: str, invalid: bytes) -> None:
+    """Guards against an entry that names a target by a string that can't be read."""
+    written = content("a")
+    parts = (written, written["information"], written["status"])
+    value = next(part[field] for part in parts if field in part)
+    old = json.dumps({field: value}).encode()[1:-1]
+    new = json.dumps({field: "%s"}).encode()[1:-1]
+    page = encode_page(invalid, old, new)
+    first, odd, last = decode_list(load_json(page), 0).objects
+    assert decode_target(first).name == "a"
+    assert decode_target(last).name == "b"
+    assert odd.name == "odd"
+    with pytest.raises(UnusableEntryError):
+        decode_target(odd)
+
+
+@pytest.mark.parametrize(
+    "invalid", INVALID_STRINGS.values(), ids=INVALID_STRINGS.keys()
+)
+def test_invalid_name_hides_no_other_entry(invalid: bytes) -> None:
+    """Guards against an entry whose name can't be read."""
+    page = encode_page(invalid, b'"name": "odd"', b'"name": "%s"')
+    listed = decode_list(load_json(page), 0)
+    assert [entry.is_readable for entry in listed.objects] == [True, False, True]
+
+
+def test_valid_escapes_are_kept_beside_an_invalid_string() -> None:
+    """Guards against sound entries that are changed because of another one."""
+    sound = {"text": 'a"b\\c/\b\f\n\r\té\u20ac\U0001f600[{', "next": "}]"}
+    for is_ascii in (True, False):
+        encoded = json.dumps(sound, ensure_ascii=is_ascii).encode()
+        assert load_json(b'["\t", %s, "\xff"]' % encoded)[1] == sound
+
+
 @pytest.mark.parametrize("body", [b"", b"\xff", b"{", b'{"a":1', b"[" * 100_000])
 def test_invalid_json_is_an_error(body: bytes) -> None:
     """Bytes that are not JSON raise a `FieldError`."""
