--- a/swiftpin/helpers/tolerant_json.py
+++ b/swiftpin/helpers/tolerant_json.py
@@ -21,7 +21,7 @@
 """Valid escapes, and characters that are invalid in a string unless escaped."""
 
 INVALID_CHARACTER: Final = "\udcff"
-"""What no encoded text contains, so a string with it can't be mistaken for a valid one."""
+"""A lone surrogate, which no valid text contains."""
 
 
 def load_tolerantly(body: bytes) -> Any:  # noqa: ANN401  # any JSON value
