Select a route by the path as it was sent

Cause: the route was looked up by the decoded path, while the path is forwarded as it was sent.

Change: route_path returns the path of the request target byte for byte, without its query, and that of a whole URL without scheme and host.

--- a/swiftpin/router/request_handler.py
+++ b/swiftpin/router/request_handler.py
@@ -33,6 +33,7 @@
 from swiftpin.router.request_log import RequestLog
 from swiftpin.router.request_sender import RequestSender
 from swiftpin.router.request_use import RequestUse
+from swiftpin.router.route_path import route_path
 from swiftpin.router.split_chooser import SplitChooser
 from swiftpin.router.step_failure import StepFailure
 
@@ -170,7 +171,7 @@
         now = suspend_aware_now()
         if self._configuration.lag.is_refusing(now):
             raise _outdated_error()
-        route = configuration.find_route(request.host, request.path)
+        route = configuration.find_route(request.host, route_path(request.raw_path))
         if route is None and self._configuration.lag.is_outdated(now):
             raise _outdated_error()
         if route is None:
