Take a name that no lookup takes for a failed connection

Cause: the connection pool caught OSError and TimeoutError only.

Change: a ValueError of the lookup is a failed connection.

Measured: test_name_that_no_lookup_takes_is_a_failed_connection fails before with ValueError and UnicodeError.

--- a/swiftpin/dispatch/http_pool.py
+++ b/swiftpin/dispatch/http_pool.py
@@ -128,7 +128,8 @@
                     ssl=None if tls is None else tls.context,
                     ssl_shutdown_timeout=None if tls is None else CLOSE_TIMEOUT,
                 )
-        except (OSError, TimeoutError) as err:
+        except (OSError, TimeoutError, ValueError) as err:
+            # A name that no lookup takes is a `ValueError`.
             raise ConnectionFailedError(
                 f"no connection to {self.address}: {err!r}"
             ) from err
--- a/tests/dispatch/test_http_pool.py
+++ b/tests/dispatch/test_http_pool.py
@@ -8,6 +8,7 @@
 import pytest
 
 from swiftpin.dispatch.http_pool import HttpPool
+from swiftpin.exceptions import ConnectionFailedError
 from swiftpin.helpers.address import Address
 
 
@@ -61,3 +62,11 @@
     assert option == seconds * 1000
     pool.unload()
     server.close()
+
+
+@pytest.mark.parametrize("host", ["x" * 64, "a..b", "\u2028", "a\0b"])
+async def test_name_that_no_lookup_takes_is_a_failed_connection(host: str) -> None:
+    """Guards against an entry whose address ends the task that connects to it."""
+    pool = HttpPool(Address(host=host, port=1), limit=1, connect_limit=1.0)
+    with pytest.raises(ConnectionFailedError):
+        await pool.async_connect()
