Keep trying other links when a peer's address is none

Cause: an address that can't be parsed or looked up raised ValueError, which ended the task that keeps the link to that peer open.

Change: it is a connection error, reported and tried again like others.

Measured: test_peer_that_is_no_address_is_not_reached fails before with UnicodeError (pytest itself ended with an internal error when it formatted the failure) and passes since.

--- a/swiftpin/fleet/links.py
+++ b/swiftpin/fleet/links.py
@@ -151,9 +151,15 @@
 
     async def _async_open(self, peer: str) -> None:
         """Open a link and serve it until it is closed."""
-        address = parse_address(peer)
-        async with asyncio.timeout(CONNECT_TIMEOUT):
-            reader, writer = await asyncio.open_connection(address.host, address.port)
+        try:
+            address = parse_address(peer)
+            async with asyncio.timeout(CONNECT_TIMEOUT):
+                reader, writer = await asyncio.open_connection(
+                    address.host, address.port
+                )
+        except ValueError as err:
+            # No address, or a name that no lookup takes.
+            raise ConnectionError(f"no link to {peer}: {err}") from err
         link = self._make_link(is_outgoing=True)
         link.peer = peer
         self.outgoing_by_peer[peer] = link
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -14,7 +14,7 @@
 from swiftpin.fleet.frame_stream import MAX_FIRST_FRAME_SIZE
 from swiftpin.fleet.item import Item
 from swiftpin.fleet.link import SILENCE_TIMEOUT, PeerLink
-from swiftpin.fleet.links import FleetLinks
+from swiftpin.fleet.links import RECONNECT_PAUSE, FleetLinks
 from swiftpin.fleet.proto import fleet_pb2 as pb
 from swiftpin.helpers.address import Address
 
@@ -144,3 +144,18 @@
     writer.write((MAX_FIRST_FRAME_SIZE + 1).to_bytes(4, "big"))
     await asyncio.wait_for(reader.read(), SILENCE_TIMEOUT / 2)
     writer.close()
+
+
+@pytest.mark.parametrize("peer", ["nowhere", f"{'x' * 64}:1", "a..b:1", "a:99999"])
+async def test_peer_that_is_no_address_is_not_reached(
+    listener: tuple[FleetLinks, Handler, Address], peer: str
+) -> None:
+    """Guards against a task that ends because of an address of another writer."""
+    _, handler, address = listener
+    opener = make_links("b", Handler())
+    opener.set_peers({peer})
+    await asyncio.sleep(2 * RECONNECT_PAUSE)
+    assert not any(task.done() for task in opener._tasks_by_peer.values())
+    opener.set_peers({peer, str(address)})
+    await asyncio.wait_for(handler.hello_received.wait(), TIMEOUT)
+    await opener.async_unload()
