Move the lists of targets that instances exchange out of the adapter

They are messages between instances and hold nothing of the platform's wire. No behaviour changes; tests/platform, test_layers.py and test_gossip.py pass.

--- a/swiftpin/platform/target_entries.py
+++ b/swiftpin/platform/target_entries.py
@@ -1,13 +1,9 @@
-"""Decoding of targets' entries in the store and encoding of target lists."""
+"""Decoding of targets' entries in the store."""
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-from dataclasses import asdict
 from typing import Any, Final
 
-import orjson
-
 from swiftpin.helpers.address import parse_address
 from swiftpin.model.target import Target
 from swiftpin.model.target_life import TargetLife
@@ -15,11 +11,8 @@
 from swiftpin.platform.json_fields import (
     FieldError,
     FieldRangeError,
-    load_json,
-    read_boolean,
     read_field,
     read_integer,
-    read_list,
     read_mapping,
     read_number,
     read_string,
@@ -51,10 +44,10 @@
     try:
         return _decode_entry(entry)
     except FieldError as err:
-        raise UnusableEntryError(entry.name, _reason(err), str(err)) from err
+        raise UnusableEntryError(entry.name, unusable_reason(err), str(err)) from err
 
 
-def _reason(err: FieldError) -> UnusableReason:
+def unusable_reason(err: FieldError) -> UnusableReason:
     """Return the reason under which an error is counted."""
     match err:
         case _UnknownStateError():
@@ -81,9 +74,9 @@
     return Target(
         life=TargetLife(name=entry.name, started_ms=_read_start(declared)),
         service=read_string(read_field(information, "service"), "service"),
-        address=_read_address(read_field(declared, "address")),
+        address=read_address(read_field(declared, "address")),
         zone=read_string(read_field(information, "zone"), "zone"),
-        slots=_read_slots(read_field(information, "slots")),
+        slots=read_slots(read_field(information, "slots")),
         is_draining=_read_state(read_field(status, "state")) == STATE_DRAINING,
         cold_for=cold / MILLISECONDS_PER_SECOND,
         revision=entry.revision,
@@ -109,12 +102,12 @@
     return state
 
 
-def _read_slots(value: object) -> int:
+def read_slots(value: object) -> int:
     """Return the number of requests that a target processes concurrently."""
     return read_integer(value, "slots", minimum=1, maximum=MAX_SLOTS)
 
 
-def _read_address(value: object) -> str:
+def read_address(value: object) -> str:
     """Return an address that must contain a port."""
     text = read_string(value, "address")
     try:
@@ -124,46 +117,3 @@
     if not port:
         raise FieldRangeError(f"address {text!r} has no port")
     return text
-
-
-def encode_target_list(targets: Iterable[Target]) -> bytes:
-    """Encode targets for a message to another instance."""
-    return orjson.dumps([_encode(target) for target in targets])
-
-
-def decode_target_list(encoded: bytes) -> list[Target]:
-    """Decode targets from a message of another instance.
-
-    Raises `UnusableEntryError` if one of them is malformed: instances send only valid
-    targets, so the rest of such a message can't be trusted either.
-    """
-    try:
-        entries = read_list(load_json(encoded), "the list")
-        return [_decode(read_mapping(entry, "a target")) for entry in entries]
-    except FieldError as err:
-        raise UnusableEntryError("of a neighbour", _reason(err), str(err)) from err
-
-
-def _encode(target: Target) -> dict[str, Any]:
-    """Encode a target as a JSON object."""
-    fields = asdict(target)
-    del fields["life"]
-    return fields | {"name": target.name, "started_ms": target.life.started_ms}
-
-
-def _decode(fields: dict[str, Any]) -> Target:
-    """Decode a target from a JSON object."""
-    started = read_field(fields, "started_ms")
-    return Target(
-        life=TargetLife(
-            name=read_string(read_field(fields, "name"), "name"),
-            started_ms=None if started is None else read_integer(started, "started_ms"),
-        ),
-        service=read_string(read_field(fields, "service"), "service"),
-        address=_read_address(read_field(fields, "address")),
-        zone=read_string(read_field(fields, "zone"), "zone"),
-        slots=_read_slots(read_field(fields, "slots")),
-        is_draining=read_boolean(read_field(fields, "is_draining"), "is_draining"),
-        cold_for=read_number(read_field(fields, "cold_for"), "cold_for"),
-        revision=read_integer(read_field(fields, "revision"), "revision", minimum=1),
-    )
--- a/swiftpin/router/gossip.py
+++ b/swiftpin/router/gossip.py
@@ -13,6 +13,7 @@
 from swiftpin.discovery.const import GOSSIP_LAG
 from swiftpin.discovery.store_health import StoreHealth
 from swiftpin.discovery.target_directory import TargetDirectory
+from swiftpin.discovery.target_list import decode_target_list, encode_target_list
 from swiftpin.fleet.item import Item
 from swiftpin.fleet.link import PeerLink
 from swiftpin.fleet.links import FleetLinks
@@ -21,7 +22,6 @@
 from swiftpin.keyranges.lease_election import LeaseElection
 from swiftpin.model.unusable_entry import UnusableEntryError
 from swiftpin.permits.permit_broker import PermitBroker
-from swiftpin.platform.target_entries import decode_target_list, encode_target_list
 from swiftpin.router.configuration_holder import ConfigurationHolder
 from swiftpin.router.document_ask import DocumentRequester
 from swiftpin.router.holder_view import HolderView
--- a/tests/platform/test_arbitrary_input.py
+++ b/tests/platform/test_arbitrary_input.py
@@ -12,6 +12,7 @@
 import orjson
 import pytest
 
+from swiftpin.discovery.target_list import decode_target_list, encode_target_list
 from swiftpin.exceptions import ConfigurationError, StoreUnavailableError
 from swiftpin.helpers.time_slices import run_to_completion
 from swiftpin.keyranges.assignment import (
@@ -29,11 +30,7 @@
 from swiftpin.platform.request_head import decode_answer_head, decode_request_head
 from swiftpin.platform.settings import decode_settings, read_settings
 from swiftpin.platform.store_answers import decode_changes, decode_list, decode_object
-from swiftpin.platform.target_entries import (
-    decode_target,
-    decode_target_list,
-    encode_target_list,
-)
+from swiftpin.platform.target_entries import decode_target
 from swiftpin.router.configuration_holder import ConfigurationHolder
 from tests.discovery.conftest import content, target
 from tests.router.site import ROUTES, configuration
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from swiftpin.discovery.target_list import decode_target_list, encode_target_list
 from swiftpin.exceptions import ConfigurationError, StoreUnavailableError
 from swiftpin.helpers.time_slices import run_to_completion
 from swiftpin.model.request_kind import RequestKind
@@ -21,11 +22,7 @@
 )
 from swiftpin.platform.settings import decode_settings
 from swiftpin.platform.store_answers import decode_changes, decode_list
-from swiftpin.platform.target_entries import (
-    decode_target,
-    decode_target_list,
-    encode_target_list,
-)
+from swiftpin.platform.target_entries import decode_target
 from tests.router.site import ROUTES, configuration, route
 
 
