Read every sound entry beside content that is not JSON

A draining target got requests on, a new one none, and after a kill of all instances nothing was served.

Cause: an answer was parsed as a whole.

Change: if an answer is no JSON, its objects are found by how the store begins them, and each is parsed by itself. Of one that can't be parsed the metadata are kept, so it is an entry that can't be used, or its removal, not an entry that is gone. The revision of the answer is taken as before, so nothing is read again. An array whose elements can't be found is no answer, not an empty list. A string without an end no longer makes the tolerant parser try each quote in it. The store stand-in hands out bytes as written.

Not covered: two entries whose content forms valid JSON around those between them.

--- a/swiftpin/helpers/tolerant_json.py
+++ b/swiftpin/helpers/tolerant_json.py
@@ -12,8 +12,9 @@
 MAX_DEPTH: Final = 64
 """Maximum nesting of arrays and objects, far more than any document needs."""
 
-STRUCTURE: Final = re.compile(r'"(?:[^"\\]|\\.)*+"|[\[\]{}]', re.DOTALL)
-"""Brackets, and strings, which may contain brackets."""
+STRUCTURE: Final = re.compile(r'"(?:[^"\\]|\\.)*+(?:"|\\?\Z)|[\[\]{}]', re.DOTALL)
+"""Brackets, and strings, which may contain brackets. A string without an end takes the
+rest of the text; otherwise each quote in it would be tried as the start of another."""
 
 ESCAPE_OR_INVALID: Final = re.compile(
     r'\\(?:["\\/bfnrt]|u[0-9A-Fa-f]{4})|[\x00-\x1f\\]'
--- a/swiftpin/platform/store_answers.py
+++ b/swiftpin/platform/store_answers.py
@@ -2,10 +2,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, replace
-from typing import Any
+from typing import Any, Final
 
 from swiftpin.exceptions import AnswerBrokenError, StoreUnavailableError
+from swiftpin.helpers.damaged_json import (
+    decode_damaged,
+    find_flag,
+    find_object,
+    load_array,
+    load_element,
+)
 from swiftpin.model.store_revision import MAX_ERA, REVISIONS_PER_ERA, make_revision
 from swiftpin.platform.json_fields import (
     FieldError,
@@ -18,6 +26,9 @@
 )
 from swiftpin.platform.platform_object import PlatformObject
 
+ITEM_KEYS: Final = ("metadata", "specification", "status")
+EVENT_KEYS: Final = ("object", "deleted")
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ObjectList:
@@ -36,6 +47,51 @@
     revision: int
 
 
+def parse_object(body: bytes, era: int) -> PlatformObject:
+    """Parse an object; raise `StoreUnavailableError` if it is malformed.
+
+    Of an object whose content is not JSON, only the metadata are returned.
+    """
+    return decode_object(_load_object(decode_damaged(body)), era)
+
+
+def parse_list(body: bytes, era: int) -> ObjectList:
+    """Parse one page of a list; objects that are not JSON keep their metadata."""
+    return decode_list(_load_array(body, "items", ITEM_KEYS, _load_object), era)
+
+
+def parse_changes(body: bytes, era: int) -> ObjectChanges:
+    """Parse the answer to a watch; objects that are not JSON keep their metadata."""
+    return decode_changes(_load_array(body, "events", EVENT_KEYS, _load_event), era)
+
+
+def _load_array(
+    body: bytes, name: str, keys: tuple[str, ...], load: Callable[[str], Any]
+) -> Any:  # noqa: ANN401  # any JSON value
+    """Parse an answer of which other writers wrote parts."""
+    try:
+        return load_array(body, name, keys, load)
+    except ValueError as err:
+        raise StoreUnavailableError(f"malformed {name}: {err}") from err
+
+
+def _load_object(text: str) -> Any:  # noqa: ANN401  # any JSON value
+    """Parse an object, or only its metadata."""
+    try:
+        return load_element(text)
+    except ValueError:
+        return {"metadata": find_object(text, "metadata")}
+
+
+def _load_event(text: str) -> Any:  # noqa: ANN401  # any JSON value
+    """Parse an event, or only the metadata of its object and whether it was deleted."""
+    try:
+        return load_element(text)
+    except ValueError:
+        changed = {"metadata": find_object(text, "metadata")}
+        return {"object": changed, "deleted": find_flag(text, "deleted")}
+
+
 def decode_object(entry: object, era: int) -> PlatformObject:
     """Decode an object; raise `StoreUnavailableError` if it is malformed."""
     try:
--- a/swiftpin/platform/store_client.py
+++ b/swiftpin/platform/store_client.py
@@ -29,7 +29,6 @@
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.model.store_era import StoreEra
 from swiftpin.model.store_revision import era_of, number_of
-from swiftpin.platform.json_fields import FieldError, load_json
 from swiftpin.platform.names import (
     CONTENT_TYPE_JSON,
     HEADER_STORE_ERA,
@@ -40,10 +39,10 @@
 from swiftpin.platform.store_answers import (
     ObjectChanges,
     ObjectList,
-    decode_changes,
     decode_era,
-    decode_list,
-    decode_object,
+    parse_changes,
+    parse_list,
+    parse_object,
 )
 from swiftpin.store_errors import HistoryGoneError, ObjectMissingError
 
@@ -84,7 +83,7 @@
         first_revision: int | None = None
         for _ in range(MAX_LIST_PAGES):
             query = f"?after={quote(last_name, safe='')}" if last_name else ""
-            page = decode_list(*await self._async_read(f"{kind}{query}"))
+            page = parse_list(*await self._async_read(f"{kind}{query}"))
             if self.era.is_outdated(first_revision):
                 raise StoreUnavailableError(
                     f"listing {kind}: the store was restored meanwhile"
@@ -106,7 +105,7 @@
     ) -> PlatformObject:
         """Return an object; raise `ObjectMissingError` if it does not exist."""
         path = f"{kind}/{quote(name, safe='')}"
-        return decode_object(*await self._async_read(path, limit))
+        return parse_object(*await self._async_read(path, limit))
 
     async def async_watch(
         self, kind: str, revision: int, wait: float, *, grace: float = WATCH_GRACE
@@ -121,7 +120,7 @@
         if self.era.is_outdated(revision):
             raise HistoryGoneError(f"{kind}{query} of era {era_of(revision)}")
         limit = wait + grace
-        changes = decode_changes(*await self._async_read(f"{kind}{query}", limit))
+        changes = parse_changes(*await self._async_read(f"{kind}{query}", limit))
         if self.era.is_outdated(revision):
             raise HistoryGoneError(f"{kind}{query} of era {era_of(revision)}")
         return changes
@@ -163,14 +162,14 @@
 
     async def _async_read(
         self, path: str, limit: float = CALL_TIMEOUT
-    ) -> tuple[Any, int]:
-        """Send a GET; return the decoded answer and its era."""
+    ) -> tuple[bytes, int]:
+        """Send a GET; return the body of the answer and its era."""
         try:
             status, body, era = await self._async_call("GET", path, b"", limit)
         except (RequestNotSentError, AnswerBrokenError, TimeoutError) as err:
             raise StoreUnavailableError(f"reading {path}: {err!r}") from err
         if status == HTTPStatus.OK:
-            return _decode(path, body), era
+            return body, era
         if status == HTTPStatus.GONE:
             raise HistoryGoneError(path)
         if status == HTTPStatus.NOT_FOUND:
@@ -269,14 +268,6 @@
     """Allow every call."""
 
 
-def _decode(path: str, body: bytes) -> Any:  # noqa: ANN401  # any JSON value
-    """Parse the JSON body of an answer."""
-    try:
-        return load_json(body)
-    except FieldError as err:
-        raise StoreUnavailableError(f"{path}: {err}") from err
-
-
 def _written_revision(path: str, body: bytes, era: int) -> int:
     """Return the revision in the answer to a successful write, 0 if there is none.
 
@@ -286,7 +277,7 @@
     if not body:
         return 0
     try:
-        return decode_object(_decode(path, body), era).revision
+        return parse_object(body, era).revision
     except StoreUnavailableError as err:
         raise StoreOutcomeUnknownError(f"writing {path}: {err}") from err
 
@@ -294,7 +285,7 @@
 def _conflicting_revision(body: bytes, era: int) -> int:
     """Return the object's revision in a conflict answer, 0 if there is none."""
     try:
-        return decode_object(load_json(body), era).revision
-    except (FieldError, StoreError):
+        return parse_object(body, era).revision
+    except StoreError:
         # Some conflict answers lack the object; callers that need it read it again.
         return 0
--- a/tests/router/site.py
+++ b/tests/router/site.py
@@ -147,6 +147,10 @@
     async def async_setup(self, targets: int = 3, routers: int = 2) -> None:
         """Start all components and wait until all keys are served."""
         await self.store.async_setup()
+        await self.async_start(targets, routers)
+
+    async def async_start(self, targets: int, routers: int) -> None:
+        """Start all but the store and wait until all keys are served."""
         self.store.put("config", "main", configuration(1, self.routes))
         for number in range(targets):
             await self.async_add_target(f"t{number}", "desk")
--- a/tests/router/store_standin.py
+++ b/tests/router/store_standin.py
@@ -5,6 +5,7 @@
 import asyncio
 from copy import deepcopy
 from dataclasses import dataclass
+import json
 from typing import Any
 
 from aiohttp.web import (
@@ -14,7 +15,6 @@
     Response,
     StreamResponse,
     TCPSite,
-    json_response,
 )
 
 HISTORY = 1000
@@ -83,6 +83,10 @@
         )
         self._store(kind, name, created, content)
 
+    def put_bytes(self, kind: str, name: str, content: bytes) -> None:
+        """Write an object whose content is handed out byte for byte as written."""
+        self.put(kind, name, content)
+
     def remove(self, kind: str, name: str) -> None:
         """Remove an object."""
         self.revision += 1
@@ -160,7 +164,7 @@
             document = await request.json()
             name = document["metadata"]["name"]
             if (kind, name) in self.objects_by_path:
-                return json_response(self.objects_by_path[kind, name], status=409)
+                return _answer(encode_object(self.objects_by_path[kind, name]), 409)
             return self._write(request, kind, name, document)
         if "watch" in request.query:
             return await self._async_watch(kind, request)
@@ -169,7 +173,10 @@
             for (item_kind, _), item in self.objects_by_path.items()
             if item_kind == kind
         ]
-        return json_response({"items": items, "more": False, "at": self.revision})
+        encoded = b",".join(encode_object(item) for item in items)
+        return _answer(
+            b'{"items":[%s],"more":false,"at":%d}' % (encoded, self.revision)
+        )
 
     async def _async_object(self, request: Request) -> Response:
         self.calls.append(f"{request.method} {request.path_qs}")
@@ -180,11 +187,11 @@
         if existing is None:
             return Response(status=404)
         if request.method == "GET":
-            return json_response(existing)
+            return _answer(encode_object(existing))
         document = await request.json()
         expected = document["metadata"].get("revision")
         if expected not in (None, existing["metadata"]["revision"]):
-            return json_response(existing, status=409)
+            return _answer(encode_object(existing), 409)
         return self._write(request, kind, name, document)
 
     def _write(
@@ -194,7 +201,7 @@
         if self.loses_writes:
             assert request.transport is not None
             request.transport.abort()
-        return json_response(self.objects_by_path[kind, name])
+        return _answer(encode_object(self.objects_by_path[kind, name]))
 
     async def _async_watch(self, kind: str, request: Request) -> Response:
         since = int(request.query["watch"])
@@ -204,7 +211,7 @@
             if since < self._oldest_revision or since > self.revision:
                 return Response(status=410)
             events = [
-                {"object": item, "deleted": deleted}
+                encode_event(item, deleted=deleted)
                 for revision, event_kind, item, deleted in self._events
                 if revision > since and event_kind == kind
             ]
@@ -212,7 +219,8 @@
                 self.lost_watches += 1
                 await asyncio.sleep(3600)
             if events or loop.time() >= until:
-                return json_response({"events": events, "at": self.revision})
+                encoded = b",".join(events)
+                return _answer(b'{"events":[%s],"at":%d}' % (encoded, self.revision))
             changed = self._changed
             try:
                 async with asyncio.timeout_at(until):
@@ -221,3 +229,23 @@
                 continue
             if (outage := await self._async_outage(kind)) is not None:
                 return outage
+
+
+def encode_object(item: dict[str, Any]) -> bytes:
+    """Return an object as JSON; content given as bytes is inserted unchanged."""
+    content = item["specification"]
+    if not isinstance(content, bytes):
+        return json.dumps(item).encode()
+    metadata = json.dumps(item["metadata"]).encode()
+    return b'{"metadata":%s,"specification":%s,"status":null}' % (metadata, content)
+
+
+def encode_event(item: dict[str, Any], *, deleted: bool) -> bytes:
+    """Return a change of an object as JSON."""
+    flag = json.dumps(deleted).encode()
+    return b'{"deleted":%s,"object":%s}' % (flag, encode_object(item))
+
+
+def _answer(body: bytes, status: int = 200) -> Response:
+    """Return an answer with a JSON body."""
+    return Response(body=body, status=status, content_type="application/json")
