Leave out entries whose host no name lookup takes

Cause: an entry's address was read as "host:port" without a look at the host. A name with an empty label, one of more than 63 characters, with a space or with a control character became a target that no connection can be opened to, and requests without a key were sent there.

Change: read_address accepts an IPv4 address or a name of letters, digits, "-" and "_" in labels of 1 to 63 characters. Another host makes the entry unusable, with the reason "range", as a port out of range did before. A line that the formatter wanted in damaged_json.py is in this commit too.

--- a/swiftpin/helpers/damaged_json.py
+++ b/swiftpin/helpers/damaged_json.py
@@ -49,8 +49,7 @@
     if text[opening.end() : ends[0]].strip():
         raise ValueError(f"the first element of {name} begins with another key")
     elements = [
-        load(text[first:end].strip(SEPARATORS))
-        for first, end in pairwise(ends)
+        load(text[first:end].strip(SEPARATORS)) for first, end in pairwise(ends)
     ]
     return fields | {name: elements}
 
--- a/swiftpin/platform/target_entries.py
+++ b/swiftpin/platform/target_entries.py
@@ -4,7 +4,7 @@
 
 from typing import Any, Final
 
-from swiftpin.helpers.address import parse_address
+from swiftpin.helpers.address import is_valid_host, parse_address
 from swiftpin.model.target import Target
 from swiftpin.model.target_life import TargetLife
 from swiftpin.model.unusable_entry import UnusableEntryError, UnusableReason
@@ -111,9 +111,9 @@
     """Return an address that must contain a port."""
     text = read_string(value, "address")
     try:
-        port = parse_address(text).port
+        address = parse_address(text)
     except ValueError as err:
         raise FieldRangeError(str(err)) from err
-    if not port:
-        raise FieldRangeError(f"address {text!r} has no port")
+    if not address.port or not is_valid_host(address.host):
+        raise FieldRangeError(f"address {text!r} has no valid host or port")
     return text
