Send no waiting requests to targets that nobody reaches

Cause: a target that refuses connections, or answers none, always has free slots. While the others were busy for some milliseconds the permits of waiting requests went back to it, until a request had used all its tries (503 TARGET_UNREACHABLE) or its time.

Change: the end of a permit says whether no connection could be opened. After two such ends in a row, with no answer in between, the issuer grants the target no permits for requests without a key but one at a time each 0.5 s, which shows whether it is back. An instance sends a request to each unreachable target once, does not count that as a try, and asks no relay for a target that nobody has ever reached while others can be. The owner of a key is granted as before, since nobody else may run its requests.

--- a/swiftpin/permits/eligible_targets.py
+++ b/swiftpin/permits/eligible_targets.py
@@ -12,11 +12,12 @@
 
 
 class EligibleTargets:
-    """Sorts the eligible targets into ranked, limited and avoided ones.
+    """Sorts the eligible targets into ranked, limited, avoided and unreachable ones.
 
-    A target is limited if it is cold or names a rate limit, and avoided for some time
-    after a failure. Limited and avoided targets are few; the caller evaluates them one
-    by one, since their state depends on the time. All others are ranked.
+    A target is limited if it is cold or names a rate limit, avoided for some time after
+    a failure, and unreachable while no connection to it can be opened. Limited and
+    avoided targets are few; the caller evaluates them one by one, since their state
+    depends on the time. All others are ranked.
     """
 
     def __init__(self, rate_limited_targets: Set[str]) -> None:
@@ -26,6 +27,9 @@
         self.avoided: set[str] = set()
         """Targets that are avoided, also those that are limited too."""
 
+        self.unreachable: set[str] = set()
+        """Targets that get no requests; neither ranked, limited nor avoided."""
+
         self.changes = 0
         """Number of changes of the targets and their slots."""
 
@@ -47,6 +51,12 @@
         """Return all eligible targets."""
         return self._slots_by_target.keys()
 
+    @callback
+    def reachable_names(self, now: float) -> Set[str]:
+        """Return all eligible targets but those that are unreachable."""
+        self.refresh(now)
+        return self.names - self.unreachable
+
     @property
     def unranked(self) -> Collection[str]:
         """Return the limited and the avoided targets."""
@@ -62,6 +72,7 @@
             self.pace.remove(target)
             self.limited.discard(target)
             self.avoided.discard(target)
+            self.unreachable.discard(target)
         for target, slots in slots_by_target.items():
             self._slots_by_target[target] = slots
             self.update(target, now)
@@ -73,6 +84,10 @@
         if slots is None:
             return
         self.changes += 1
+        if slots.is_unreachable(now):
+            self._set_unreachable(target, slots, now)
+            return
+        self.unreachable.discard(target)
         is_limited = target in self._rate_limited_targets or slots.cold.is_cold(now)
         is_avoided = now < slots.avoided_until
         if is_limited:
@@ -97,7 +112,7 @@
         slots = self._slots_by_target.get(target)
         if slots is None:
             return
-        if target in self.limited or target in self.avoided:
+        if target in self.limited or target in self.avoided or slots.failed_connections:
             self.update(target, now)
             return
         self.changes += 1
@@ -114,9 +129,20 @@
                 self.update(target, now)
         if now >= self._next_change_at:
             self._next_change_at = math.inf
-            for target in list(self.unranked):
+            for target in [*self.unranked, *self.unreachable]:
                 self.update(target, now)
 
+    @callback
+    def _set_unreachable(self, target: str, slots: TargetSlots, now: float) -> None:
+        """Give a target no requests until it is tried again."""
+        self.unreachable.add(target)
+        self.ranking.remove(target)
+        self.pace.remove(target)
+        self.limited.discard(target)
+        self.avoided.discard(target)
+        if now < slots.connects_at:
+            self._next_change_at = min(self._next_change_at, slots.connects_at)
+
     @callback
     def _note_next_change(self, slots: TargetSlots, now: float) -> None:
         """Note the time at which the state of a target changes by itself."""
--- a/swiftpin/permits/permit_broker.py
+++ b/swiftpin/permits/permit_broker.py
@@ -183,12 +183,14 @@
         failed: bool,
         abandoned: bool = False,
         is_answered: bool = False,
+        unreachable: bool = False,
     ) -> None:
         """Return a permit to its issuer.
 
         `seconds` is the time that the target took, 0 if it says nothing about the
         target. An `abandoned` request would have taken at least that long. A request
-        `is_answered` if the target ran it and answered without a server error.
+        `is_answered` if the target ran it and answered without a server error. A target
+        is `unreachable` if no connection to it could be opened.
         """
         self._release(
             permit.service,
@@ -198,6 +200,7 @@
             failed=failed,
             abandoned=abandoned,
             is_answered=is_answered,
+            unreachable=unreachable,
             target=permit.target,
         )
 
@@ -384,6 +387,7 @@
         failed: bool,
         abandoned: bool = False,
         is_answered: bool = False,
+        unreachable: bool = False,
         target: str = "",
     ) -> None:
         """Release a permit, or withdraw a request that is no longer pending.
@@ -398,6 +402,7 @@
                 failed=failed,
                 abandoned=abandoned,
                 is_answered=is_answered,
+                unreachable=unreachable,
                 now=asyncio.get_running_loop().time(),
             )
             return
@@ -410,6 +415,7 @@
                     failed=failed,
                     cut=abandoned,
                     answered=is_answered,
+                    unreachable=unreachable,
                     rate_report=self.rate_reports.encode(
                         target, self._suspend_aware_clock()
                     ),
--- a/swiftpin/permits/permit_issuer.py
+++ b/swiftpin/permits/permit_issuer.py
@@ -105,13 +105,19 @@
         abandoned: bool,
         now: float,
         is_answered: bool = False,
+        unreachable: bool = False,
     ) -> None:
         """Release a permit, or withdraw a queued request."""
         if self._competing_callers is not None:
             self._competing_callers.withdraw(service, request_id, now)
         self.hot_keys.release(request_id, 0.0 if failed or abandoned else seconds)
         self._get_or_create_queue(service).release(
-            request_id, seconds, failed=failed, abandoned=abandoned, now=now
+            request_id,
+            seconds,
+            failed=failed,
+            abandoned=abandoned,
+            unreachable=unreachable,
+            now=now,
         )
         if seconds > 0 and not abandoned:
             self.copies.record_life(request_id)
@@ -175,6 +181,7 @@
             abandoned=end.cut,
             now=now,
             is_answered=end.answered,
+            unreachable=end.unreachable,
         )
 
     @callback
--- a/swiftpin/permits/permit_queue.py
+++ b/swiftpin/permits/permit_queue.py
@@ -141,7 +141,7 @@
         names = (
             (request.target,)
             if request.target
-            else self._eligible.names - request.excluded
+            else self._eligible.reachable_names(now) - request.excluded
         )
         allowed = [name for name in names if is_allowed(name)]
         target = self._choose_from(allowed, request, now)
@@ -159,11 +159,13 @@
         failed: bool,
         now: float,
         abandoned: bool = False,
+        unreachable: bool = False,
     ) -> None:
         """Release a permit, or withdraw a queued request.
 
         `seconds` is the time that the target took, 0 if it says nothing about the
-        target. An `abandoned` request would have taken at least that long.
+        target. An `abandoned` request would have taken at least that long. A target is
+        `unreachable` if no connection to it could be opened.
         """
         target = self._target_by_request.pop(request_id, None)
         if target is None:
@@ -171,6 +173,10 @@
             return
         slots = self._get_or_create_slots(target)
         hold = now - slots.granted_at_by_request.pop(request_id)
+        if unreachable:
+            slots.record_failed_connection(now)
+        elif seconds > 0 and not abandoned:
+            slots.record_answer()
         if failed:
             slots.record_failure(now)
         elif seconds > (slots.mean_time if abandoned else 0):
@@ -314,7 +320,7 @@
         targets = set(self._eligible.unranked)
         if request.avoided in self._eligible:
             targets.add(request.avoided)
-        return targets - request.excluded
+        return targets - request.excluded - self._eligible.unreachable
 
     @callback
     def _choose_from(
--- a/swiftpin/permits/target_slots.py
+++ b/swiftpin/permits/target_slots.py
@@ -27,6 +27,13 @@
 """Maximum permits issued beyond a target's slots. Targets reset connections when their
 own queue is full."""
 
+UNREACHABLE_AFTER_FAILURES: Final = 2
+"""Failed connections in a row after which a target counts as unreachable. A single lost
+packet makes a connection attempt fail."""
+
+UNREACHABLE_RETRY_INTERVAL: Final = 0.5
+"""Seconds after which one request is granted a permit for an unreachable target."""
+
 AVOIDANCE_PER_FAILURE: Final = 0.6
 """Seconds per recent failure for which a target is avoided if others are eligible."""
 
@@ -47,6 +54,11 @@
     rate_limiter: RateLimiter = field(default_factory=RateLimiter)
     avoided_until: float = 0.0
     recent_failures: deque[float] = field(default_factory=lambda: deque(maxlen=8))
+    failed_connections: int = 0
+    """Failed connections since the target last answered."""
+
+    connects_at: float = 0.0
+    """Time from which an unreachable target is tried again."""
 
     @property
     def running(self) -> int:
@@ -86,6 +98,25 @@
         mean = seconds if self.mean_hold is None else self.mean_hold
         self.mean_hold = mean + OBSERVATION_WEIGHT * (seconds - mean)
 
+    def record_answer(self) -> None:
+        """Record that the target answered."""
+        self.failed_connections = 0
+
+    def record_failed_connection(self, now: float) -> None:
+        """Record that no connection to the target could be opened."""
+        self.failed_connections += 1
+        self.connects_at = now + UNREACHABLE_RETRY_INTERVAL
+
+    def is_unreachable(self, now: float) -> bool:
+        """Return whether requests without a key must not wait for a connection.
+
+        The slots of an unreachable target are always free, so it would get most
+        requests while others are busy. One at a time shows whether it is back.
+        """
+        if self.failed_connections < UNREACHABLE_AFTER_FAILURES:
+            return False
+        return now < self.connects_at or self.running > 0
+
     def record_failure(self, now: float) -> None:
         """Record a failure; the more there are, the longer the target is avoided."""
         self.recent_failures.append(now)
--- a/swiftpin/relays/target_links.py
+++ b/swiftpin/relays/target_links.py
@@ -215,6 +215,11 @@
             evidence is not None and max(evidence.worked_at, evidence.relayed_at) > at
         )
 
+    @callback
+    def leads_nowhere(self, target: str) -> bool:
+        """Return whether a target was never reached although others can be."""
+        return self.can_reach_targets() and not self.has_worked_since(target, -math.inf)
+
     @callback
     def can_reach_targets(self) -> bool:
         """Return whether the links to targets are not all presumed lost."""
--- a/swiftpin/router/call.py
+++ b/swiftpin/router/call.py
@@ -57,6 +57,9 @@
     failed_target: str = ""
     """Target of the last send that failed."""
 
+    unreachable_targets: set[str] = field(default_factory=set)
+    """Targets to which no connection could be opened for the request."""
+
     notes: list[str] = field(default_factory=list)
     """Descriptions of the failed steps, for the log line."""
 
--- a/swiftpin/router/permit_use.py
+++ b/swiftpin/router/permit_use.py
@@ -61,6 +61,7 @@
         *,
         failed: bool,
         abandoned: bool = False,
+        unreachable: bool = False,
         outcome: SendOutcome = SendOutcome.UNANSWERED,
     ) -> None:
         """Release the permit; see `PermitBroker.release`.
@@ -80,6 +81,7 @@
             failed=failed,
             abandoned=abandoned,
             is_answered=self._is_answer_reported,
+            unreachable=unreachable,
         )
 
     @callback
--- a/swiftpin/router/request_sender.py
+++ b/swiftpin/router/request_sender.py
@@ -47,7 +47,8 @@
 longer, so an earlier retry would be refused as well."""
 
 MAX_TRIES: Final = 6
-"""Maximum tries of one request, including those that reached no target."""
+"""Maximum tries of one request, not including the first at each target to which no
+connection could be opened."""
 
 
 class RequestSender:
@@ -145,11 +146,16 @@
     async def _async_try_repeatedly(self, call: Call) -> ReceivedAnswer:
         """Try until there is an answer or no retry is allowed."""
         loop = asyncio.get_running_loop()
-        for _ in range(MAX_TRIES):
+        tries = 0
+        while tries < MAX_TRIES:
+            unreachable = len(call.unreachable_targets)
             received = await self._async_try(call)
             if received is None:
                 self.retries.check_retry_allowed(call, suspend_aware_now())
+                # A target is found unreachable only once, so these tries end.
+                tries += len(call.unreachable_targets) == unreachable
                 continue
+            tries += 1
             status = received.answer.status
             time_left = call.ends_at - loop.time()
             if not self.retries.should_retry_answer(
@@ -187,7 +193,7 @@
         asked_at = asyncio.get_running_loop().time()
         excluded: frozenset[str] = frozenset()
         if not owner:
-            excluded = self._backoff_waits.uncallable_targets(call.service)
+            excluded = self._excluded_targets(call)
         try:
             permit_result = await self._permits.async_request_permit(
                 PermitQuery(
@@ -226,6 +232,19 @@
             )
         return permit
 
+    @callback
+    def _excluded_targets(self, call: Call) -> frozenset[str]:
+        """Return the targets to which a request without a key must not be sent now.
+
+        If all others could not be reached either, they are tried again.
+        """
+        uncallable = self._backoff_waits.uncallable_targets(call.service)
+        if not call.unreachable_targets:
+            return uncallable
+        excluded = uncallable | call.unreachable_targets
+        targets = self._directory.serving_targets(call.service, suspend_aware_now())
+        return uncallable if excluded.issuperset(it.id for it in targets) else excluded
+
     @callback
     def _record_withdrawal(self, call: Call, owner: str) -> None:
         """Record why a request no longer waits for a permit."""
--- a/swiftpin/router/target_exchange.py
+++ b/swiftpin/router/target_exchange.py
@@ -113,14 +113,7 @@
                     partial(_on_silent, call, use, interrupt),
                 )
         except RequestNotSentError as err:
-            is_backoff = isinstance(err, TargetBackoffError)
-            self._record_failed_send(
-                call,
-                use,
-                StepFailure.BACKOFF if is_backoff else StepFailure.NOT_SENT,
-                f"not sent: {err}",
-                failed=self._counts_against(permit.target, err),
-            )
+            self._record_not_sent(call, use, err)
             return None
         except SilentLinkError as err:
             call.may_have_run = True
@@ -178,6 +171,7 @@
             connections=connection_limit(self._service(call.service)),
             max_idle=MAX_IDLE_FOR_ONCE if is_once else math.inf,
             on_silent=on_silent,
+            has_alternatives=not permit.is_for_owner,
         )
         try:
             answer = await self._ways.async_exchange(outgoing)
@@ -290,6 +284,25 @@
         use.release(0.0, failed=False, outcome=SendOutcome.NOT_RUN)
         self._record_step_failure(call, permit, StepFailure.REFUSED, reason)
 
+    @callback
+    def _record_not_sent(
+        self, call: Call, use: PermitUse, err: RequestNotSentError
+    ) -> None:
+        """Record a request that was not sent."""
+        is_backoff = isinstance(err, TargetBackoffError)
+        is_unreachable = isinstance(err, ConnectionFailedError)
+        counts = self._counts_against(use.permit.target, err)
+        if is_unreachable:
+            call.unreachable_targets.add(use.permit.target)
+        self._record_failed_send(
+            call,
+            use,
+            StepFailure.BACKOFF if is_backoff else StepFailure.NOT_SENT,
+            f"not sent: {err}",
+            failed=counts,
+            unreachable=is_unreachable and counts,
+        )
+
     @callback
     def _record_broken(
         self, call: Call, use: PermitUse, err: AnswerBrokenError
@@ -330,14 +343,16 @@
         reason: str,
         *,
         failed: bool = True,
+        unreachable: bool = False,
         outcome: SendOutcome = SendOutcome.UNANSWERED,
     ) -> None:
         """Record a send that was not served and release its permit.
 
-        `failed` tells whether it counts as a failure of the target.
+        `failed` tells whether it counts as a failure of the target, and `unreachable`
+        whether the target can't be connected to.
         """
         self._record_step_failure(call, use.permit, failure, reason)
-        use.release(0.0, failed=failed, outcome=outcome)
+        use.release(0.0, failed=failed, unreachable=unreachable, outcome=outcome)
         if failed:
             self.load.add_duration(call.service, use.permit.target, None)
 
--- a/swiftpin/router/target_ways.py
+++ b/swiftpin/router/target_ways.py
@@ -47,6 +47,9 @@
     on_silent: Callable[[], None]
     """Called if the request was written to a link that is found lost."""
 
+    has_alternatives: bool = False
+    """Whether the request may be sent to another target instead."""
+
     relay: Relay | None = None
     """The relay that passed the request on, None if it was sent directly."""
 
@@ -107,6 +110,9 @@
                 if not is_lost:
                     raise
                 error = ConnectionFailedError(f"the link is lost; {err}")
+        if outgoing.has_alternatives and self._links.leads_nowhere(target_id):
+            # A relay would take as long to find out that nobody listens.
+            raise error
         self.on_relays_needed()
         return await self._async_send_through_relay(outgoing, error)
 
--- a/tests/permits/requester.py
+++ b/tests/permits/requester.py
@@ -61,11 +61,18 @@
         *,
         requester_id: str = "i1",
         failed: bool = False,
+        unreachable: bool = False,
         seconds: float = 0.1,
         now: float = 0.1,
     ) -> None:
         """Release a permit."""
-        self.queue.release((requester_id, number), seconds, failed=failed, now=now)
+        self.queue.release(
+            (requester_id, number),
+            seconds,
+            failed=failed or unreachable,
+            unreachable=unreachable,
+            now=now,
+        )
 
     def run(self, target: str, *, seconds: float, times: int, now: float) -> float:
         """Run requests one by one at a target; return the end time of the last one."""
