Pass nothing on that could outlast a stopping instance

Cause: a stopping instance decided at the head of a request whether there was time for it. A request whose body was complete later, or that waited for a slot, an owner or a second try, was passed on until shortly before the exit, and its connection was closed without an answer while the target ran it. The same went for requests that other instances passed on.

Change: SendCutoff allows only requests whose deadline is before the exit, from the time at which new ones are refused. It is checked right before each write and before each try; requests that wait are refused at once with 503. At the exit what is still at a target is answered with 502 ANSWER_LOST. Requests that the stop interrupts get the Retry-After of the stop, 0.05 s, instead of that of a missing slot, 0.5 s.

--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -58,6 +58,7 @@
 from swiftpin.router.request_handler import RequestHandler
 from swiftpin.router.request_log import RequestLog
 from swiftpin.router.request_sender import RequestSender
+from swiftpin.router.send_cutoff import SendCutoff
 from swiftpin.router.status_endpoints import StatusEndpoints
 from swiftpin.router.target_notices import TargetNotices
 from swiftpin.router.target_ways import TargetWays
@@ -79,6 +80,7 @@
         incarnation = f"{settings.name}/{os.urandom(4).hex()}"
         self._incarnation = incarnation
         self._lifecycle = Lifecycle()
+        self._send_cutoff = SendCutoff()
         self._metrics = Metrics()
         self._metrics.set_log_writer(logging.writer)
         self._health = StoreHealth()
@@ -164,6 +166,7 @@
             drain_reports=self._fleet.drain_reports,
             on_drain=self._update_permit_targets,
             suspects=self._suspects,
+            cutoff=self._send_cutoff,
             on_life_sign=self._handle_life_sign,
         )
         self._suspects.on_quarantined = self._permits.abort_quarantined
@@ -214,6 +217,7 @@
             directory=self._directory,
             lifecycle=self._lifecycle,
             links=self._target_links,
+            cutoff=self._send_cutoff,
         )
         self._link_probes = LinkProbes(
             client=self._clients.targets,
@@ -236,6 +240,7 @@
             links=self._target_links,
             backoffs=self._notices.backoffs,
             may_move_keys=self._fleet.holder_reaches_store,
+            cutoff=self._send_cutoff,
         )
         request_log = RequestLog(
             destination=logging.destination,
@@ -250,6 +255,7 @@
             configuration=self._configuration,
             sender=self._sender,
             lifecycle=self._lifecycle,
+            cutoff=self._send_cutoff,
             log=request_log,
             capacity=self._capacity,
         )
@@ -281,6 +287,7 @@
             callers=self._listeners.callers,
             handler=self._handler,
             relayed=self._relay_handler,
+            cutoff=self._send_cutoff,
         )
         self._notices.backoffs.on_began = self._handle_backoff
         # The platform restarts a process that exits.
--- a/swiftpin/router/call.py
+++ b/swiftpin/router/call.py
@@ -43,6 +43,9 @@
     is_retry_reserved: bool = False
     """Whether a retry is reserved for the request in the service's budget."""
 
+    is_interrupted_by_stop: bool = False
+    """Whether the stop of this instance ended the work on the request."""
+
     may_have_run: bool = False
     """Whether a target received the request without stating that it did not run it."""
 
--- a/swiftpin/router/planned_stop.py
+++ b/swiftpin/router/planned_stop.py
@@ -15,6 +15,7 @@
 from swiftpin.keyranges.lease_election import LeaseElection
 from swiftpin.router.relay_handler import RelayHandler
 from swiftpin.router.request_handler import RequestHandler
+from swiftpin.router.send_cutoff import SendCutoff
 
 BALANCER_REMOVAL_TIME: Final = 2.4
 """Seconds for which a stopping instance still accepts connections: the load balancer
@@ -31,6 +32,9 @@
 STOP_POLL_INTERVAL: Final = 0.02
 """Seconds between two checks whether a stopping instance may exit."""
 
+LAST_ANSWERS_TIME: Final = 0.2
+"""Maximum seconds in which interrupted requests are answered before the exit."""
+
 
 class PlannedStop:
     """Finishes requests in flight and releases the lease within the grace period."""
@@ -44,6 +48,7 @@
         callers: HttpListener,
         handler: RequestHandler,
         relayed: RelayHandler,
+        cutoff: SendCutoff,
     ) -> None:
         self._lifecycle = lifecycle
         self._lease = lease
@@ -51,6 +56,7 @@
         self._callers = callers
         self._handler = handler
         self._relayed = relayed
+        self._cutoff = cutoff
 
     async def async_run(self, grace: float) -> None:
         """Shut down within `grace` seconds."""
@@ -68,15 +74,30 @@
             if loop.time() >= listen_until:
                 self._callers.stop_listening()
                 handler.refuse_new_requests()
+                self._cutoff.set_exit(exit_at)
+                handler.refuse_long_requests()
+                self._relayed.refuse_long_requests()
             if loop.time() >= queue_until:
                 handler.refuse_waiting_requests()
                 in_flight = handler.in_flight + self._relayed.in_flight
                 if not in_flight and not self._must_keep_lease(suspend_aware_now()):
                     break
             await asyncio.sleep(STOP_POLL_INTERVAL)
+        await self._async_answer_rest()
         await self._lease.async_give_up()
         log_message(message_type="instance_stopped", in_flight=handler.in_flight)
 
+    async def _async_answer_rest(self) -> None:
+        """Answer the requests that could not be finished."""
+        loop = asyncio.get_running_loop()
+        answered_until = loop.time() + LAST_ANSWERS_TIME
+        self._handler.refuse_new_requests()
+        self._handler.interrupt_requests()
+        while self._handler.in_flight:
+            if loop.time() >= answered_until:
+                break
+            await asyncio.sleep(STOP_POLL_INTERVAL)
+
     @callback
     def _must_keep_lease(self, now: float) -> bool:
         """Return whether the lease must be kept because nobody could take it over.
--- a/swiftpin/router/relay_handler.py
+++ b/swiftpin/router/relay_handler.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Mapping
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from functools import partial
 from http import HTTPStatus
 import math
@@ -27,7 +27,7 @@
     RequestNotSentError,
     SendNotAllowedError,
 )
-from swiftpin.gateway.deadline_watch import DeadlineWatch
+from swiftpin.gateway.deadline_watch import Deadline, DeadlineWatch
 from swiftpin.gateway.lifecycle import Lifecycle
 from swiftpin.gateway.request_body import RequestBody
 from swiftpin.helpers.clock import suspend_aware_now
@@ -53,6 +53,7 @@
 )
 from swiftpin.router.configuration_holder import ConfigurationHolder
 from swiftpin.router.connection_limit import MAX_IDLE_FOR_ONCE, connection_limit
+from swiftpin.router.send_cutoff import SendCutoff
 from swiftpin.router.target_client import TargetClient, TargetSend
 
 MAX_RELAYED_REQUESTS: Final = 128
@@ -64,6 +65,15 @@
 sending instance may have a newer configuration."""
 
 
+@dataclass(eq=False, kw_only=True, slots=True)
+class OpenRelay:
+    """Request of another instance that has no answer yet."""
+
+    state: HttpSendState
+    ends_at: float
+    deadline: Deadline
+
+
 class RelayHandler:
     """Sends requests of other instances over this instance's own links.
 
@@ -79,6 +89,7 @@
         directory: TargetDirectory,
         lifecycle: Lifecycle,
         links: TargetLinks,
+        cutoff: SendCutoff,
     ) -> None:
         self.in_flight = 0
         """Number of requests that are being passed on."""
@@ -91,6 +102,8 @@
         self._directory = directory
         self._lifecycle = lifecycle
         self._links = links
+        self._cutoff = cutoff
+        self._open: set[OpenRelay] = set()
         self._deadline_watch = DeadlineWatch()
 
     @callback
@@ -98,6 +111,13 @@
         """Stop the deadline timer."""
         self._deadline_watch.unload()
 
+    @callback
+    def refuse_long_requests(self) -> None:
+        """Interrupt every request that is not at its target and may not be sent."""
+        for relay in self._open:
+            if not relay.state.written and not self._cutoff.allows(relay.ends_at):
+                relay.deadline.interrupt()
+
     async def async_handle(self, request: BaseRequest) -> StreamResponse:
         """Pass one request on and return its finished response."""
         answer = CallerAnswer(request, "")
@@ -121,16 +141,20 @@
         try:
             terms = decode_relay_terms(request.headers)
             head = self._limit_time(decode_request_head(request.headers))
-            with self._deadline_watch.until(started_at + head.deadline):
-                received = await self._async_send(request, head, terms, state)
+            ends_at = started_at + head.deadline
+            with self._deadline_watch.until(ends_at) as deadline:
+                relay = OpenRelay(state=state, ends_at=ends_at, deadline=deadline)
+                self._open.add(relay)
+                try:
+                    received = await self._async_send(request, head, terms, state)
+                finally:
+                    self._open.discard(relay)
         except ConnectionFailedError as err:
             return await _async_refuse(answer, RelayResult.NO_LINK, str(err))
         except (RequestNotSentError, ValueError, CallerMistakeError) as err:
-            result = RelayResult.BROKEN if state.written else RelayResult.NOT_ALLOWED
-            return await _async_refuse(answer, result, str(err))
+            return await _async_refuse(answer, self._failure(state), str(err))
         except (AnswerBrokenError, RequestError, TimeoutError) as err:
-            result = RelayResult.BROKEN if state.written else RelayResult.NOT_ALLOWED
-            return await _async_refuse(answer, result, repr(err))
+            return await _async_refuse(answer, self._failure(state), repr(err))
         received.limit_body(
             MAX_RELAYED_ANSWER, started_at + head.deadline + MAX_LATE_DELIVERY
         )
@@ -146,6 +170,15 @@
             received.finish(asyncio.get_running_loop().time())
         return answer.response
 
+    @callback
+    def _failure(self, state: HttpSendState) -> RelayResult:
+        """Return the result of a request that failed."""
+        if state.written:
+            return RelayResult.BROKEN
+        if self._lifecycle.leaving:
+            return RelayResult.BUSY
+        return RelayResult.NOT_ALLOWED
+
     @callback
     def _limit_time(self, head: RequestHead) -> RequestHead:
         """Bound a deadline, which otherwise lets a request hold its place for ever."""
--- a/swiftpin/router/request_handler.py
+++ b/swiftpin/router/request_handler.py
@@ -9,13 +9,13 @@
 
 from swiftpin.core import callback
 from swiftpin.exceptions import (
+    AnswerLostError,
     CallerLeftError,
     DeadlineExceededError,
     MalformedRequestError,
     NotReadyError,
     QueueFullError,
     RequestError,
-    ShuttingDownError,
 )
 from swiftpin.gateway.deadline_watch import Deadline, DeadlineWatch
 from swiftpin.gateway.http_protocol import GatewayProtocol
@@ -34,6 +34,7 @@
 from swiftpin.router.request_sender import RequestSender
 from swiftpin.router.request_use import RequestUse
 from swiftpin.router.route_path import route_path
+from swiftpin.router.send_cutoff import SendCutoff, shutting_down_error
 from swiftpin.router.split_chooser import SplitChooser
 from swiftpin.router.step_failure import StepFailure
 
@@ -41,10 +42,6 @@
 """Seconds after which a caller may retry a request that was refused by an instance that
 has just started or whose configuration is out of date."""
 
-STOPPING_RETRY_AFTER: Final = 0.05
-"""Seconds after which a caller may retry a request that a stopping instance refused.
-The load balancer sends it to another instance."""
-
 NO_SLOT_RETRY_AFTER: Final = 0.5
 """Seconds after which a caller may retry a request that got no slot in time."""
 
@@ -58,6 +55,7 @@
         configuration: ConfigurationHolder,
         sender: RequestSender,
         lifecycle: Lifecycle,
+        cutoff: SendCutoff,
         log: RequestLog,
         capacity: InstanceCapacity,
     ) -> None:
@@ -69,6 +67,7 @@
         self._configuration = configuration
         self._sender = sender
         self._lifecycle = lifecycle
+        self._cutoff = cutoff
         self._log = log
         self._capacity = capacity
         self._split_chooser = SplitChooser()
@@ -96,7 +95,27 @@
         """
         for call, deadline in self._deadlines_by_call.values():
             if not call.is_at_target:
-                deadline.interrupt()
+                _interrupt(call, deadline)
+
+    @callback
+    def refuse_long_requests(self) -> None:
+        """Interrupt every request that is not at a target and may not be sent to one.
+
+        It can't be served here any more, whatever it waits for.
+        """
+        for call, deadline in self._deadlines_by_call.values():
+            if not call.is_at_target and not self._cutoff.allows(call.ends_at):
+                _interrupt(call, deadline)
+
+    @callback
+    def interrupt_requests(self) -> None:
+        """Interrupt every request whose answer has not started.
+
+        The callers learn whether their requests may have run. The process would close
+        their connections without an answer.
+        """
+        for call, deadline in self._deadlines_by_call.values():
+            _interrupt(call, deadline)
 
     @callback
     def unload(self) -> None:
@@ -159,9 +178,7 @@
         if isinstance(protocol, GatewayProtocol) and protocol.has_caller_left():
             raise CallerLeftError("the caller left before its request was read")
         if self._is_refusing_new_requests:
-            raise ShuttingDownError(
-                "the instance is about to end", retry_after=STOPPING_RETRY_AFTER
-            )
+            raise shutting_down_error()
         configuration = self._configuration.current
         if configuration is None:
             raise NotReadyError(
@@ -207,6 +224,8 @@
                 await call.body.async_prefetch()
                 return await self._sender.async_send(call)
         except TimeoutError as err:
+            if call.is_interrupted_by_stop:
+                raise _interrupted_error(call) from err
             raise _timeout_error(call) from err
         finally:
             self._deadlines_by_call.pop(id(call), None)
@@ -250,6 +269,21 @@
     )
 
 
+@callback
+def _interrupt(call: Call, deadline: Deadline) -> None:
+    """End the work on a request because this instance stops."""
+    call.is_interrupted_by_stop = True
+    deadline.interrupt()
+
+
+@callback
+def _interrupted_error(call: Call) -> RequestError:
+    """Return the error for a request that the stop of this instance interrupted."""
+    if call.may_have_run:
+        return AnswerLostError("the instance ended before the target answered")
+    return shutting_down_error()
+
+
 @callback
 def _timeout_error(call: Call) -> RequestError:
     """Return the error for a request that timed out, and record where it timed out."""
--- a/swiftpin/router/request_sender.py
+++ b/swiftpin/router/request_sender.py
@@ -37,6 +37,7 @@
 from swiftpin.router.owner_finder import OwnerFinder
 from swiftpin.router.received_answer import ReceivedAnswer
 from swiftpin.router.retry_policy import RetryPolicy
+from swiftpin.router.send_cutoff import SendCutoff
 from swiftpin.router.step_failure import StepFailure
 from swiftpin.router.target_exchange import TargetExchange
 from swiftpin.router.target_ways import TargetWays
@@ -70,6 +71,7 @@
         links: TargetLinks,
         backoffs: TargetBackoffs,
         may_move_keys: Callable[[], bool],
+        cutoff: SendCutoff,
     ) -> None:
         self.retries = RetryPolicy(bounds, fleet_size)
         self.transfer_times = TransferTimes()
@@ -96,6 +98,7 @@
         self._maps = maps
         self._permits = permits
         self._suspects = suspects
+        self._cutoff = cutoff
         self._on_refused = on_refused
         """Called with the fingerprint of a quarantined request that was resent."""
 
@@ -172,6 +175,7 @@
     async def _async_try(self, call: Call) -> ReceivedAnswer | None:
         """Try once; return None if the try failed."""
         call.basis = None
+        self._cutoff.check(call.ends_at)
         self._check_quarantine(call, suspend_aware_now())
         owner = ""
         if self._owners.is_keyed(call.service):
--- a/swiftpin/router/target_client.py
+++ b/swiftpin/router/target_client.py
@@ -18,6 +18,7 @@
 from swiftpin.dispatch.http_request import HttpRequest
 from swiftpin.dispatch.http_send_state import HttpSendState
 from swiftpin.dispatch.late_answers import LateAnswers
+from swiftpin.exceptions import SendNotAllowedError
 from swiftpin.helpers.bytes_body import BytesBody
 from swiftpin.helpers.clock import suspend_aware_now
 from swiftpin.model.service_spec import ServiceSpec
@@ -35,6 +36,7 @@
 from swiftpin.relays.relay_client import RelayClient
 from swiftpin.relays.relay_terms import RelayTerms
 from swiftpin.router.connection_limit import connection_limit
+from swiftpin.router.send_cutoff import SendCutoff
 
 LATE_ANSWER_TIME: Final = 0.1
 """Seconds after the write or the deadline of an abandoned request in which a rejection
@@ -112,6 +114,7 @@
         client: HttpClient,
         relay_client: RelayClient,
         policy: SendPolicy,
+        cutoff: SendCutoff,
         suspects: SuspectTable,
         on_life_sign: Callable[[LifeSign], None],
         listener: AnswerListener,
@@ -119,6 +122,7 @@
         self._client = client
         self._relay_client = relay_client
         self._policy = policy
+        self._cutoff = cutoff
         self._suspects = suspects
         self._on_life_sign = on_life_sign
         """Called with answers of targets that may have ended."""
@@ -219,6 +223,8 @@
         """
 
         def gate(now: float) -> None:
+            if not self._cutoff.allows(send.ends_at):
+                raise SendNotAllowedError("the request could outlast this instance")
             sent_at = suspend_aware_now()
             self._policy.check_send_allowed(
                 send.target.id,
--- a/swiftpin/router/target_notices.py
+++ b/swiftpin/router/target_notices.py
@@ -18,6 +18,7 @@
 from swiftpin.router.drain_reports import DrainReports
 from swiftpin.router.http_clients import HttpClients
 from swiftpin.router.metrics import Metrics
+from swiftpin.router.send_cutoff import SendCutoff
 from swiftpin.router.target_client import TargetClient
 
 
@@ -38,6 +39,7 @@
         drain_reports: DrainReports,
         on_drain: Callable[[], None],
         suspects: SuspectTable,
+        cutoff: SendCutoff,
         on_life_sign: Callable[[LifeSign], None],
     ) -> None:
         self.backoffs = TargetBackoffs()
@@ -58,6 +60,7 @@
                 backoffs=self.backoffs,
                 suspects=suspects,
             ),
+            cutoff=cutoff,
             suspects=suspects,
             on_life_sign=on_life_sign,
             listener=self.listener,
--- a/tests/router/test_planned_stop.py
+++ b/tests/router/test_planned_stop.py
@@ -16,6 +16,7 @@
 from swiftpin.router.planned_stop import PlannedStop
 from swiftpin.router.relay_handler import RelayHandler
 from swiftpin.router.request_handler import RequestHandler
+from swiftpin.router.send_cutoff import SendCutoff
 
 GRACE = 0.6
 MARGIN = 0.1
@@ -34,8 +35,11 @@
         handler = SimpleNamespace(
             in_flight=in_flight,
             refuse_new_requests=lambda: self._record("refuse new"),
+            refuse_long_requests=lambda: self._record("refuse long"),
             refuse_waiting_requests=lambda: self._record("refuse waiting"),
+            interrupt_requests=lambda: self._record("interrupt"),
         )
+        relayed = SimpleNamespace(in_flight=0, refuse_long_requests=lambda: None)
         callers = SimpleNamespace(stop_listening=lambda: self._record("stop listening"))
         self.stop = PlannedStop(
             lifecycle=self.lifecycle,
@@ -43,7 +47,8 @@
             health=self.health,
             callers=cast(HttpListener, callers),
             handler=cast(RequestHandler, handler),
-            relayed=cast(RelayHandler, SimpleNamespace(in_flight=0)),
+            relayed=cast(RelayHandler, relayed),
+            cutoff=SendCutoff(),
         )
 
     def _record(self, step: str) -> None:
@@ -70,7 +75,9 @@
         "release the lease",
         "stop listening",
         "refuse new",
+        "refuse long",
         "refuse waiting",
+        "interrupt",
     ]
 
 
--- a/tests/router/test_transfer_times.py
+++ b/tests/router/test_transfer_times.py
@@ -78,6 +78,7 @@
         links=parts,
         backoffs=TargetBackoffs(),
         may_move_keys=lambda: True,
+        cutoff=parts,
     )
     await sender._async_permit(make_call(), "")
     sender.transfer_times.record("vault", RequestKind.IDEMPOTENT, 0.1)
