Let no entry end another target at its address

Cause: the newer of two entries with one address was proof that the target of the older one had ended. Another writer's copy of an entry, also a readable one, took a live target out of service for good, and renewals for it stopped.

Change: KnownTargets marks nothing as replaced by itself. When a new entry names the address of another target, AddressChecks asks the health endpoint there who answers, and the others at the address are marked as replaced. Answers to requests and grants tell the same, as before. TargetDirectory.set_services is gone, since it only served the old rule.

--- a/swiftpin/discovery/known_targets.py
+++ b/swiftpin/discovery/known_targets.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Set
+from collections.abc import Callable
 from typing import Final
 
 from eliot import log_message
 
 from swiftpin.core import callback
-from swiftpin.model.store_revision import era_of
 from swiftpin.model.target import Target
 
 RETENTION_TIME: Final = 120.0
@@ -20,6 +19,9 @@
     """Target lives by id, and the current life of each name."""
 
     def __init__(self) -> None:
+        self.on_shared_address: Callable[[str], None] = _ignore
+        """Called with the address of a new target if others may be at it."""
+
         self.targets_by_id: dict[str, Target] = {}
         self.seen_since_by_id: dict[str, float] = {}
         self.leaving_since_by_id: dict[str, float] = {}
@@ -35,7 +37,6 @@
         self.replaced_ids: set[str] = set()
         """Lives known to have terminated; all their grants ended with them."""
 
-        self._service_names: frozenset[str] = frozenset()
         self._ids_by_name: dict[str, str] = {}
         """Id of the current life of each name."""
 
@@ -61,19 +62,13 @@
         ]
 
     @callback
-    def set_services(self, names: Set[str], now: float) -> bool:
-        """Set the names of the declared services; return whether any is new.
-
-        An entry of an undeclared service replaces no target at its address. Another
-        writer may have created it, and a live target would count as terminated on all
-        instances.
-        """
-        added = names - self._service_names
-        self._service_names = frozenset(names)
-        for target in list(self.targets_by_id.values()):
-            if target.service in added:
-                self._mark_replaced_at_address(target, now)
-        return bool(added)
+    def targets_at(self, address: str) -> list[Target]:
+        """Return the targets at an address that are not known to have terminated."""
+        return [
+            target
+            for target in self.targets_by_id.values()
+            if target.address == address and target.id not in self.replaced_ids
+        ]
 
     @callback
     def put(self, target: Target, now: float) -> None:
@@ -82,7 +77,8 @@
         if previous is not None and previous.id != target.id:
             self._mark_restarted(previous, target, now)
         if target.id not in self.targets_by_id:
-            self._mark_replaced_at_address(target, now)
+            if self.targets_at(target.address):
+                self.on_shared_address(target.address)
             self.seen_since_by_id[target.id] = now
             log_message(
                 message_type="target_found",
@@ -137,7 +133,11 @@
 
     @callback
     def mark_replaced(self, target_id: str, now: float) -> bool:
-        """Mark a life as terminated; return whether this was not known before."""
+        """Mark a life as terminated; return whether this was not known before.
+
+        Only an answer of another target at its address shows that. Another writer's
+        entry may name the address of a live target.
+        """
         if target_id in self.replaced_ids:
             return False
         self.replaced_ids.add(target_id)
@@ -180,23 +180,7 @@
         self.missing_since_by_id.setdefault(previous.id, now)
         self.mark_leaving(previous.id, "started again", now, restarted.revision)
 
-    @callback
-    def _mark_replaced_at_address(self, new_target: Target, now: float) -> None:
-        """Mark the target with the older entry as replaced if two share an address.
 
-        The older entry may belong to the new target: a list is sorted by name, so a
-        crashed target may follow the one that now has its address. Entries of
-        undeclared services are ignored.
-        """
-        if new_target.service not in self._service_names:
-            return
-        for target in list(self.targets_by_id.values()):
-            if target.address != new_target.address or target.id == new_target.id:
-                continue
-            if target.service not in self._service_names:
-                continue
-            if era_of(target.revision) != era_of(new_target.revision):
-                # A restored store may still list the previous target at the address.
-                continue
-            is_older = target.revision < new_target.revision
-            self.mark_replaced(target.id if is_older else new_target.id, now)
+@callback
+def _ignore(address: str) -> None:
+    """Do nothing."""
--- a/swiftpin/discovery/target_directory.py
+++ b/swiftpin/discovery/target_directory.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Set
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Final
 
@@ -156,12 +156,6 @@
             return False
         return now - self._first_updated_at >= FIRST_LIST_SETTLE_TIME
 
-    @callback
-    def set_services(self, names: Set[str], now: float) -> None:
-        """Set the names of the services declared in the configuration."""
-        if self._known.set_services(names, now):
-            self.on_change()
-
     @callback
     def set_drain_limit(self, drain_limit: float) -> None:
         """Set the seconds for which a leaving target may get requests."""
@@ -263,6 +257,16 @@
             or self.evacuations.is_evacuated(target.zone)
         )
 
+    @callback
+    def targets_at(self, address: str) -> list[Target]:
+        """Return the targets at an address that are not known to have terminated."""
+        return self._known.targets_at(address)
+
+    @callback
+    def set_on_shared_address(self, on_shared_address: Callable[[str], None]) -> None:
+        """Set what is called with the address of a new target that others may have."""
+        self._known.on_shared_address = on_shared_address
+
     @callback
     def mark_replaced(self, target_id: str, now: float) -> None:
         """Mark a target as terminated: another one was found at its address."""
--- a/swiftpin/router/app.py
+++ b/swiftpin/router/app.py
@@ -479,8 +479,6 @@
         if configuration is not None:
             self._listeners.set_caller_limits(configuration.limits)
             self._leader.update_candidacy()
-            names = configuration.services_by_name.keys()
-            self._directory.set_services(names, suspend_aware_now())
             if self._settings.expects_overload or self._settings.plans_by_wait:
                 self._permits.hot_keys.set_services(
                     find_uneven_services(
--- a/swiftpin/router/target_notices.py
+++ b/swiftpin/router/target_notices.py
@@ -13,6 +13,7 @@
 from swiftpin.poison.suspect_table import SuspectTable
 from swiftpin.poison.suspicion import LifeSign
 from swiftpin.relays.relay_client import RelayClient
+from swiftpin.router.address_checks import AddressChecks
 from swiftpin.router.configuration_holder import ConfigurationHolder
 from swiftpin.router.drain_checks import DrainChecks
 from swiftpin.router.drain_reports import DrainReports
@@ -72,6 +73,10 @@
             drains=drains,
             backoffs=self.backoffs,
         )
+        self._address_checks = AddressChecks(
+            client=self.client, configuration=configuration, directory=directory
+        )
+        directory.set_on_shared_address(self._address_checks.start)
         drains.on_unconfirmed = self._checks.start
         drains.on_confirmed = self._handle_confirmed_drain
         drain_reports.on_news = on_drain
@@ -80,6 +85,7 @@
     def unload(self) -> None:
         """Cancel the checks of targets."""
         self._checks.unload()
+        self._address_checks.unload()
 
     @callback
     def update(self, metrics: Metrics, now: float) -> None:
--- a/tests/router/test_damaged_entries_site.py
+++ b/tests/router/test_damaged_entries_site.py
@@ -13,6 +13,9 @@
 
 OTHER: Final = "x-other-writer"
 RETRY_DELAY: Final = 0.1
+CALLS: Final = 40
+KEY_STEP: Final = 1600
+"""Distance of the keys that are called; together they cover all key ranges."""
 
 
 def altered_entry(site: Site, name: str, old: bytes, new: bytes) -> bytes:
@@ -23,6 +26,14 @@
     return entry.replace(old, new)
 
 
+def all_know_targets(site: Site, count: int) -> bool:
+    """Return whether all instances know a number of targets."""
+    return all(
+        len(router._directory.targets_by_id) == count
+        for router in site.routers_by_name.values()
+    )
+
+
 async def restart_all(site: Site) -> None:
     """Kill all instances and start others in their place."""
     names = list(site.routers_by_name)
@@ -68,6 +79,44 @@
         assert not router._directory.replaced_ids
 
 
+async def test_readable_copies_of_entries_end_no_live_target(site: Site) -> None:
+    """Guards against live targets that get no requests after a copy of their entry.
+
+    The newer of two entries at an address counted as proof that the other target had
+    ended, although that target answered there.
+    """
+    before = set(site.routers_by_name["i0"]._directory.targets_by_id)
+    for name in list(site.targets_by_name):
+        copy = altered_entry(site, name, b'"v1"', b'"v2"')
+        site.store.put_bytes("servers", f"x-{name}", copy)
+    await site.async_wait(lambda: all_know_targets(site, 2 * len(before)))
+    for number in range(CALLS):
+        key = number * KEY_STEP
+        assert (await site.async_call("/read/a", key=key)).status == 200
+        assert (await site.async_call("/files/a", key=None)).status == 200
+    copies = {f"x-{target}" for target in before}
+    for router in site.routers_by_name.values():
+        assert router._directory.replaced_ids == copies
+
+
+async def test_target_at_the_address_of_a_crashed_one_is_served(site: Site) -> None:
+    """Guards against requests to a target that has ended although it is listed.
+
+    Its successor is asked who it is, so that no caller's request is spent on that.
+    """
+    crashed = site.targets_by_name["v0"]
+    port = int(crashed.address.rpartition(":")[2])
+    await crashed.async_unload()
+    successor = site.make_target("v9", is_keyed=False)
+    await successor.async_setup(port)
+    site.targets_by_name["v9"] = successor
+    site.store.put("servers", "v9", successor.entry("vault"))
+    directory = site.routers_by_name["i0"]._directory
+    await site.async_wait(lambda: directory.replaced_ids == {"v0"})
+    for _ in range(CALLS):
+        assert (await site.async_call("/files/a", key=None)).status == 200
+
+
 async def test_unreadable_address_does_not_end_the_assigner(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
