Bound the answers of the store in bytes and in time

Cause: the time of a call to the store was extended as long as its body kept arriving. A body in chunks counted as long from its first byte, so one byte now and then extended a lease's renewal without end, and no bound in bytes held for any answer of the store.

Change: an answer has 16 MiB and 30 s at most, and one in chunks extends its call only once more than 16 KiB have come.

--- a/script/lost_worth.py
+++ b/script/lost_worth.py
@@ -14,7 +14,7 @@
 from swiftpin.bench.losses.loss_table import PlayedDay, format_table
 from swiftpin.bench.losses.report_decoder import decode_day_report
 from swiftpin.bench.losses.request_outcomes import count_outcomes
-from swiftpin.platform.json_fields import FieldError
+from swiftpin.helpers.json_fields import FieldError
 
 
 def read_day(report: Path, log: Path | None) -> PlayedDay:
--- a/swiftpin/bench/losses/report_decoder.py
+++ b/swiftpin/bench/losses/report_decoder.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from swiftpin.bench.losses.day_report import DayReport, Price, RequestGroup, WorthPart
-from swiftpin.platform.json_fields import (
+from swiftpin.helpers.json_fields import (
     FieldError,
     load_json,
     read_field,
--- a/swiftpin/discovery/target_list.py
+++ b/swiftpin/discovery/target_list.py
@@ -8,10 +8,7 @@
 
 import orjson
 
-from swiftpin.model.target import Target
-from swiftpin.model.target_life import TargetLife
-from swiftpin.model.unusable_entry import UnusableEntryError
-from swiftpin.platform.json_fields import (
+from swiftpin.helpers.json_fields import (
     FieldError,
     load_json,
     read_boolean,
@@ -22,6 +19,9 @@
     read_number,
     read_string,
 )
+from swiftpin.model.target import Target
+from swiftpin.model.target_life import TargetLife
+from swiftpin.model.unusable_entry import UnusableEntryError
 from swiftpin.platform.target_entries import (
     read_address,
     read_slots,
--- a/swiftpin/dispatch/http_answer.py
+++ b/swiftpin/dispatch/http_answer.py
@@ -16,7 +16,7 @@
 
 from swiftpin.core import callback
 from swiftpin.dispatch.http_connection import HttpConnection
-from swiftpin.exceptions import AnswerBrokenError
+from swiftpin.exceptions import AnswerBrokenError, AnswerTooLongError
 
 KEEP_ALIVE_TIMEOUT: Final = re.compile(r"timeout\s*=\s*(\d+)")
 IDLE_MARGIN: Final = 1.0
@@ -101,7 +101,7 @@
         limits.
         """
         if self.length is not None and self.length > self._max_length:
-            raise AnswerBrokenError(f"the answer has {self.length} bytes")
+            raise AnswerTooLongError(f"the answer has {self.length} bytes")
         try:
             async with asyncio.timeout_at(self._read_until):
                 chunk = await self._content.readany()
@@ -111,7 +111,7 @@
             raise AnswerBrokenError(f"the answer broke off: {err!r}") from err
         self._read_length += len(chunk)
         if self._read_length > self._max_length:
-            raise AnswerBrokenError(f"more than {self._max_length} bytes came")
+            raise AnswerTooLongError(f"more than {self._max_length} bytes came")
         if self.on_chunk is not None:
             self.on_chunk(chunk)
         return chunk
@@ -140,7 +140,17 @@
         than the limit.
         """
         if self.length is None or self.length > LONG_BODY:
-            self.on_chunk = partial(_extend, timeout)
+            self.on_chunk = partial(self._extend, timeout)
+
+    @callback
+    def _extend(self, timeout: asyncio.Timeout, chunk: bytes) -> None:
+        """Let a time limit hold until the next piece of a long body is due."""
+        if self.length is None and self._read_length <= LONG_BODY:
+            return
+        due_at = asyncio.get_running_loop().time() + ARRIVAL_PAUSE
+        ends_at = timeout.when()
+        if chunk and ends_at is not None and ends_at < due_at:
+            timeout.reschedule(due_at)
 
     async def async_read_rest(self) -> None:
         """Read what is left of the body and forget it."""
@@ -166,15 +176,6 @@
         self._connection.abort()
 
 
-@callback
-def _extend(timeout: asyncio.Timeout, chunk: bytes) -> None:
-    """Let a time limit hold until the next piece of a body is due."""
-    due_at = asyncio.get_running_loop().time() + ARRIVAL_PAUSE
-    ends_at = timeout.when()
-    if chunk and ends_at is not None and ends_at < due_at:
-        timeout.reschedule(due_at)
-
-
 @callback
 def _idle_limit(text: str | None) -> float:
     """Return the seconds for which a server keeps an idle connection, less a margin."""
--- a/swiftpin/exceptions.py
+++ b/swiftpin/exceptions.py
@@ -103,6 +103,10 @@
     """The request was written but no complete answer arrived; it may have run."""
 
 
+class AnswerTooLongError(AnswerBrokenError):
+    """The answer is longer than its reader accepts."""
+
+
 class RequestError(SwiftpinError):
     """Base class for errors that end a caller's request with a result code.
 
--- a/swiftpin/keyranges/assignment.py
+++ b/swiftpin/keyranges/assignment.py
@@ -8,10 +8,7 @@
 from typing import Any, Final
 
 from swiftpin.exceptions import ConfigurationError
-from swiftpin.keyranges.const import KEY_COUNT
-from swiftpin.keyranges.move import Move
-from swiftpin.keyranges.segment import Segment
-from swiftpin.platform.json_fields import (
+from swiftpin.helpers.json_fields import (
     FieldError,
     read_field,
     read_integer,
@@ -19,6 +16,9 @@
     read_mapping,
     read_string,
 )
+from swiftpin.keyranges.const import KEY_COUNT
+from swiftpin.keyranges.move import Move
+from swiftpin.keyranges.segment import Segment
 from swiftpin.platform.names import MILLISECONDS_PER_SECOND
 
 ROW_LENGTH: Final = 4
--- a/swiftpin/keyranges/lease_record.py
+++ b/swiftpin/keyranges/lease_record.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from swiftpin.exceptions import ConfigurationError
-from swiftpin.platform.json_fields import (
+from swiftpin.helpers.json_fields import (
     FieldError,
     read_field,
     read_integer,
--- a/swiftpin/platform/configuration.py
+++ b/swiftpin/platform/configuration.py
@@ -7,12 +7,7 @@
 from typing import Any, Final
 
 from swiftpin.exceptions import ConfigurationError
-from swiftpin.model.caller_limits import CallerLimits
-from swiftpin.model.configuration import Configuration
-from swiftpin.model.request_kind import RequestKind
-from swiftpin.model.route import Route, WeightedService
-from swiftpin.model.service_spec import ServiceSpec
-from swiftpin.platform.json_fields import (
+from swiftpin.helpers.json_fields import (
     FieldError,
     read_field,
     read_integer,
@@ -21,6 +16,11 @@
     read_number,
     read_string,
 )
+from swiftpin.model.caller_limits import CallerLimits
+from swiftpin.model.configuration import Configuration
+from swiftpin.model.request_kind import RequestKind
+from swiftpin.model.route import Route, WeightedService
+from swiftpin.model.service_spec import ServiceSpec
 from swiftpin.platform.names import MILLISECONDS_PER_SECOND
 
 KINDS_BY_NAME: Final = {
--- a/swiftpin/platform/store_answers.py
+++ b/swiftpin/platform/store_answers.py
@@ -14,8 +14,7 @@
     load_array,
     load_element,
 )
-from swiftpin.model.store_revision import MAX_ERA, REVISIONS_PER_ERA, make_revision
-from swiftpin.platform.json_fields import (
+from swiftpin.helpers.json_fields import (
     FieldError,
     read_boolean,
     read_field,
@@ -24,6 +23,7 @@
     read_mapping,
     read_string,
 )
+from swiftpin.model.store_revision import MAX_ERA, REVISIONS_PER_ERA, make_revision
 from swiftpin.platform.platform_object import PlatformObject
 
 ITEM_KEYS: Final = ("metadata", "specification", "status")
--- a/swiftpin/platform/store_client.py
+++ b/swiftpin/platform/store_client.py
@@ -19,6 +19,7 @@
 from swiftpin.dispatch.http_send_state import HttpSendState
 from swiftpin.exceptions import (
     AnswerBrokenError,
+    AnswerTooLongError,
     RequestNotSentError,
     StoreConflictError,
     StoreError,
@@ -44,7 +45,11 @@
     parse_list,
     parse_object,
 )
-from swiftpin.store_errors import HistoryGoneError, ObjectMissingError
+from swiftpin.store_errors import (
+    HistoryGoneError,
+    ObjectMissingError,
+    StoreAnswerTooLongError,
+)
 
 CALL_TIMEOUT: Final = 1.5
 """Timeout of a call in seconds. An idle store answers in 4 ms, one slowed down 100
@@ -55,6 +60,12 @@
 
 MAX_LIST_PAGES: Final = 1000
 
+MAX_ANSWER: Final = 16 * 1024 * 1024
+"""Maximum length of an answer in bytes. A page or an object has some 1 MiB."""
+
+MAX_READ_TIME: Final = 30.0
+"""Seconds within which an answer that keeps arriving must end."""
+
 
 class StoreClient:
     """Client of the store; its calls count towards limits shared by all instances.
@@ -112,15 +123,20 @@
     ) -> ObjectChanges:
         """Return the changes after a revision, waiting up to `wait` seconds for one.
 
-        Raises `HistoryGoneError` if the store no longer keeps them, and
-        `StoreUnavailableError` if no answer arrives within `grace` seconds of the wait.
+        Raises `HistoryGoneError` if the store no longer keeps them or they are too
+        long, and `StoreUnavailableError` if no answer arrives within `grace` seconds of
+        the wait.
         """
         number = number_of(revision)
         query = f"?watch={number}&wait_ms={int(wait * MILLISECONDS_PER_SECOND)}"
         if self.era.is_outdated(revision):
             raise HistoryGoneError(f"{kind}{query} of era {era_of(revision)}")
         limit = wait + grace
-        changes = parse_changes(*await self._async_read(f"{kind}{query}", limit))
+        try:
+            changes = parse_changes(*await self._async_read(f"{kind}{query}", limit))
+        except StoreAnswerTooLongError as err:
+            # A list has pages, the changes since a revision have none.
+            raise HistoryGoneError(str(err)) from err
         if self.era.is_outdated(revision):
             raise HistoryGoneError(f"{kind}{query} of era {era_of(revision)}")
         return changes
@@ -166,6 +182,8 @@
         """Send a GET; return the body of the answer and its era."""
         try:
             status, body, era = await self._async_call("GET", path, b"", limit)
+        except AnswerTooLongError as err:
+            raise StoreAnswerTooLongError(f"reading {path}: {err}") from err
         except (RequestNotSentError, AnswerBrokenError, TimeoutError) as err:
             raise StoreUnavailableError(f"reading {path}: {err!r}") from err
         if status == HTTPStatus.OK:
@@ -235,6 +253,9 @@
                     self._address, request, HttpSendState(), _allow_call
                 )
                 try:
+                    answer.limit_body(
+                        MAX_ANSWER, asyncio.get_running_loop().time() + MAX_READ_TIME
+                    )
                     answer.extend_while_arriving(timeout)
                     era = self.era.observe(
                         decode_era(answer.headers.get(HEADER_STORE_ERA)),
--- a/swiftpin/platform/target_entries.py
+++ b/swiftpin/platform/target_entries.py
@@ -5,10 +5,7 @@
 from typing import Any, Final
 
 from swiftpin.helpers.address import is_valid_host, parse_address
-from swiftpin.model.target import Target
-from swiftpin.model.target_life import TargetLife
-from swiftpin.model.unusable_entry import UnusableEntryError, UnusableReason
-from swiftpin.platform.json_fields import (
+from swiftpin.helpers.json_fields import (
     FieldError,
     FieldRangeError,
     read_field,
@@ -17,6 +14,9 @@
     read_number,
     read_string,
 )
+from swiftpin.model.target import Target
+from swiftpin.model.target_life import TargetLife
+from swiftpin.model.unusable_entry import UnusableEntryError, UnusableReason
 from swiftpin.platform.names import MILLISECONDS_PER_SECOND
 from swiftpin.platform.platform_object import PlatformObject
 
--- a/swiftpin/router/configuration_holder.py
+++ b/swiftpin/router/configuration_holder.py
@@ -13,10 +13,10 @@
 
 from swiftpin.core import callback
 from swiftpin.exceptions import ConfigurationError
+from swiftpin.helpers.json_fields import FieldError, load_json
 from swiftpin.helpers.time_slices import run_time_slice
 from swiftpin.model.configuration import Configuration
 from swiftpin.platform.configuration import decode_configuration
-from swiftpin.platform.json_fields import FieldError, load_json
 from swiftpin.platform.names import NAME_CONFIGURATION
 from swiftpin.platform.platform_object import PlatformObject
 from swiftpin.router.configuration_lag import ConfigurationLag
--- a/swiftpin/store_errors.py
+++ b/swiftpin/store_errors.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
-from swiftpin.exceptions import StoreError
+from swiftpin.exceptions import StoreError, StoreUnavailableError
 
 
 class HistoryGoneError(StoreError):
     """The store no longer keeps the changes after a revision; list again."""
 
 
+class StoreAnswerTooLongError(StoreUnavailableError):
+    """The store's answer is longer than an instance reads."""
+
+
 class ObjectMissingError(StoreError):
     """The object does not exist."""
--- a/tests/bench/losses/test_report_decoder.py
+++ b/tests/bench/losses/test_report_decoder.py
@@ -8,7 +8,7 @@
 import pytest
 
 from swiftpin.bench.losses.report_decoder import decode_day_report
-from swiftpin.platform.json_fields import FieldError
+from swiftpin.helpers.json_fields import FieldError
 from tests.bench.losses.reports import make_report
 
 
--- a/tests/platform/test_arbitrary_input.py
+++ b/tests/platform/test_arbitrary_input.py
@@ -14,6 +14,7 @@
 
 from swiftpin.discovery.target_list import decode_target_list, encode_target_list
 from swiftpin.exceptions import ConfigurationError, StoreUnavailableError
+from swiftpin.helpers.json_fields import FieldError, load_json
 from swiftpin.helpers.time_slices import run_to_completion
 from swiftpin.keyranges.assignment import (
     Assignment,
@@ -25,7 +26,6 @@
 from swiftpin.keyranges.lease_record import LeaseRecord, decode_lease, encode_lease
 from swiftpin.model.unusable_entry import UnusableEntryError
 from swiftpin.platform.configuration import decode_configuration
-from swiftpin.platform.json_fields import FieldError, load_json
 from swiftpin.platform.platform_object import PlatformObject
 from swiftpin.platform.request_head import decode_answer_head, decode_request_head
 from swiftpin.platform.settings import decode_settings, read_settings
--- a/tests/platform/test_other_writers.py
+++ b/tests/platform/test_other_writers.py
@@ -8,8 +8,8 @@
 
 import pytest
 
+from swiftpin.helpers.json_fields import FieldError, load_json
 from swiftpin.model.unusable_entry import UnusableEntryError, UnusableReason
-from swiftpin.platform.json_fields import FieldError, load_json
 from swiftpin.platform.platform_object import PlatformObject
 from swiftpin.platform.store_answers import decode_changes, decode_list
 from swiftpin.platform.target_entries import decode_target
