Ask relays for the only target of a service

Change: relays are left out only if another target that was not tried yet may run the request, which is looked up when a connection has failed.

--- a/swiftpin/router/target_exchange.py
+++ b/swiftpin/router/target_exchange.py
@@ -171,7 +171,7 @@
             connections=connection_limit(self._service(call.service)),
             max_idle=MAX_IDLE_FOR_ONCE if is_once else math.inf,
             on_silent=on_silent,
-            has_alternatives=not permit.is_for_owner,
+            has_alternatives=partial(self._has_alternatives, call, permit),
         )
         try:
             answer = await self._ways.async_exchange(outgoing)
@@ -356,6 +356,15 @@
         if failed:
             self.load.add_duration(call.service, use.permit.target, None)
 
+    @callback
+    def _has_alternatives(self, call: Call, permit: Permit) -> bool:
+        """Return whether another target may run a request that a target can't get."""
+        if permit.is_for_owner:
+            return False
+        excluded = call.unreachable_targets | {permit.target}
+        targets = self._directory.serving_targets(call.service, suspend_aware_now())
+        return any(target.id not in excluded for target in targets)
+
     @callback
     def _service(self, name: str) -> ServiceSpec | None:
         """Return the specification of a service, None if it is unknown."""
--- a/swiftpin/router/target_ways.py
+++ b/swiftpin/router/target_ways.py
@@ -47,8 +47,8 @@
     on_silent: Callable[[], None]
     """Called if the request was written to a link that is found lost."""
 
-    has_alternatives: bool = False
-    """Whether the request may be sent to another target instead."""
+    has_alternatives: Callable[[], bool]
+    """Returns whether the request may be sent to another target instead."""
 
     relay: Relay | None = None
     """The relay that passed the request on, None if it was sent directly."""
@@ -110,7 +110,7 @@
                 if not is_lost:
                     raise
                 error = ConnectionFailedError(f"the link is lost; {err}")
-        if outgoing.has_alternatives and self._links.leads_nowhere(target_id):
+        if self._links.leads_nowhere(target_id) and outgoing.has_alternatives():
             # A relay would take as long to find out that nobody listens.
             raise error
         self.on_relays_needed()
