Test the sharing of slots apart from pipelined permits

Cause of the known-red test_slots_are_shared_exactly (a target runs 3 requests with 2 slots): not a fault of the code. While no slot is free the issuer grants up to MAX_PIPELINED_PERMITS permits beyond a target's slots, so that the next request is queued there when a slot gets free. The stand-in has no queue and counts such a request as running if it comes before the end of the one before it, as it does beside load.

Change: the test runs without pipelined permits, where it expects exactly 2 as before, and with them, where it expects no more than 2 and these.

--- a/tests/router/test_site.py
+++ b/tests/router/test_site.py
@@ -14,6 +14,7 @@
     KEY_COUNT,
     MIN_REGULAR_HOLD,
 )
+from swiftpin.permits import target_slots
 from swiftpin.permits.permit import Permit
 from swiftpin.router.call import Call
 from tests.router.site import ROUTES, Site, configuration, route
@@ -96,14 +97,22 @@
     assert site.count_runs(reply.headers["id"]) == 2
 
 
-async def test_slots_are_shared_exactly(site: Site) -> None:
-    """Two instances together never send a target more requests than it has slots."""
+@pytest.mark.parametrize("pipelined", [0, target_slots.MAX_PIPELINED_PERMITS])
+async def test_slots_are_shared_exactly(
+    site: Site, monkeypatch: pytest.MonkeyPatch, pipelined: int
+) -> None:
+    """Two instances together send a target no more requests than it has slots.
+
+    Beyond them only so many are sent early as may be queued at the target.
+    """
+    monkeypatch.setattr(target_slots, "MAX_PIPELINED_PERMITS", pipelined)
     for target in site.targets_by_name.values():
         target.work = 0.03
     calls = [site.async_call("/read/x", via=f"i{n % 2}", key=1) for n in range(6)]
     replies = await asyncio.gather(*calls)
     assert {reply.status for reply in replies} == {200}
-    assert max(t.max_running for t in site.targets_by_name.values()) == 2
+    most = max(t.max_running for t in site.targets_by_name.values())
+    assert 2 <= most <= 2 + pipelined
 
 
 async def test_refusal_has_a_retry_after(site: Site) -> None:
