--- a/swiftpin/router/request_sender.py
+++ b/swiftpin/router/request_sender.py
@@ -155,8 +155,9 @@
             received = await self._async_try(call)
             if received is None:
                 self.retries.check_retry_allowed(call, suspend_aware_now())
-                # A target is found unreachable only once, so these tries end.
-                tries += len(call.unreachable_targets) == unreachable
+                if len(call.unreachable_targets) == unreachable:
+                    # The first failure at each unreachable target costs no try.
+                    tries += 1
                 continue
             tries += 1
             status = received.answer.status
