Tell callers when unreachable targets are tried again

Cause: while no target of a service can be connected to, requests without a key were rejected with the retry delay of a full queue, up to 2 s, although one of the targets is tried again within 0.5 s.

Change: such a request is rejected at once, with the time until the next trial as its retry delay, 0.1 s at least. Those that wait when the last target gets unreachable too.

--- a/swiftpin/permits/eligible_targets.py
+++ b/swiftpin/permits/eligible_targets.py
@@ -57,6 +57,21 @@
         self.refresh(now)
         return self.names - self.unreachable
 
+    @callback
+    def reconnect_delay(self, excluded: Set[str], now: float) -> float | None:
+        """Return the seconds until a target is tried again if none can be reached.
+
+        Return None if there is no target but the excluded ones, or if one is reachable.
+        """
+        if not self.unreachable:
+            return None
+        self.refresh(now)
+        names = self.names - excluded
+        if not names or not names <= self.unreachable:
+            return None
+        connects_at = min(self._slots_by_target[name].connects_at for name in names)
+        return max(connects_at - now, 0.0)
+
     @property
     def unranked(self) -> Collection[str]:
         """Return the limited and the avoided targets."""
--- a/swiftpin/permits/permit_queue.py
+++ b/swiftpin/permits/permit_queue.py
@@ -118,6 +118,8 @@
         if self._is_unservable(request):
             self._reject(Rejection(request=request, retry_after=MIN_RETRY_AFTER))
             return
+        if self._reject_if_unreachable(request, now):
+            return
         target = self._choose_target(request, now)
         if target is not None and now + ANSWER_TRANSFER_TIME <= request.ends_at:
             self._grant(request, target, now)
@@ -195,6 +197,10 @@
             self._service_average.record_hold(hold)
         self._eligible.update(target, now)
         self._prune_slots(target)
+        if unreachable and (queue := self._queues_by_target.get("")) is not None:
+            for request in list(queue.waiting):
+                if self._reject_if_unreachable(request, now):
+                    self._withdraw(request.id)
         self._grant_waiting(target, now)
 
     @callback
@@ -513,6 +519,21 @@
             self._queue_by_request.pop(rejection.request.id, None)
             self._reject(rejection)
 
+    @callback
+    def _reject_if_unreachable(self, request: PermitRequest, now: float) -> bool:
+        """Reject a request that could run at unreachable targets only.
+
+        Its caller may retry when one of them is tried again.
+        """
+        if request.target:
+            return False
+        delay = self._eligible.reconnect_delay(request.excluded, now)
+        if delay is None:
+            return False
+        retry_after = max(delay, MIN_RETRY_AFTER)
+        self._reject(Rejection(request=request, retry_after=retry_after))
+        return True
+
     @callback
     def _reject_all(self, target: str) -> None:
         """Reject all requests that wait for a removed target."""
--- a/tests/permits/test_unreachable_targets.py
+++ b/tests/permits/test_unreachable_targets.py
@@ -2,16 +2,22 @@
 
 from __future__ import annotations
 
+import pytest
+
+from swiftpin.permits.retry_spread import MIN_RETRY_AFTER
 from tests.permits.requester import Requester
 
 RETRY_AT = 0.8
 """Time at which a target that failed at 0.1 s may be tried again."""
 
 
-def fail_connections(requester: Requester, count: int = 2) -> None:
-    """Report failed connections to target a."""
+def fail_connections(
+    requester: Requester, count: int = 2, target: str = "a", now: float = 0.1
+) -> None:
+    """Report failed connections to a target."""
     for _ in range(count):
-        requester.release(requester.submit("a"), seconds=0.0, unreachable=True)
+        number = requester.submit(target)
+        requester.release(number, seconds=0.0, unreachable=True, now=now)
 
 
 def test_unreachable_target_gets_no_permits_while_others_are_busy(
@@ -83,3 +89,22 @@
     fail_connections(requester)
     number = requester.submit("a", now=0.2)
     assert requester.is_granted(number)
+
+
+def test_callers_return_when_the_only_targets_are_tried_again(
+    requester: Requester,
+) -> None:
+    """Guards against long retry delays after all targets of a service crashed."""
+    fail_connections(requester, target="b", now=0.2)
+    first, second, waiting = (requester.submit("", now=0.2) for _ in range(3))
+    for number in (first, second):
+        requester.release(number, seconds=0.0, unreachable=True, now=0.3)
+    rejected = requester.submit("", now=0.4)
+    for number, retry_after in ((waiting, 0.4), (rejected, 0.3)):
+        decision = requester.decisions_by_number[number]
+        assert not decision.target
+        assert decision.retry_after == pytest.approx(retry_after)
+    trials = [requester.submit("", now=RETRY_AT) for _ in range(2)]
+    assert all(requester.decisions_by_number[number].target for number in trials)
+    rejected = requester.submit("", now=RETRY_AT)
+    assert requester.decisions_by_number[rejected].retry_after == MIN_RETRY_AFTER
