Parse a sound object of the store in one pass

Cause: a single object was decoded to text and encoded again before it was parsed, also if it was sound.

Change: orjson gets the bytes first, as it does for lists.

--- a/swiftpin/platform/store_answers.py
+++ b/swiftpin/platform/store_answers.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, replace
 from typing import Any, Final
 
+import orjson
+
 from swiftpin.exceptions import AnswerBrokenError, StoreUnavailableError
 from swiftpin.helpers.damaged_json import (
     decode_damaged,
@@ -52,7 +54,11 @@
 
     Of an object whose content is not JSON, only the metadata are returned.
     """
-    return decode_object(_load_object(decode_damaged(body)), era)
+    try:
+        entry = orjson.loads(body)
+    except ValueError:
+        entry = _load_object(decode_damaged(body))
+    return decode_object(entry, era)
 
 
 def parse_list(body: bytes, era: int) -> ObjectList:
