Test a relay that stops under a request that it passed on

Cause: the planned stop was tested for requests that come through a stopping relay late, not for one that is at its target at the exit.

Change: the caller of the sending instance must get 502 ANSWER_LOST.

--- a/tests/router/test_relays.py
+++ b/tests/router/test_relays.py
@@ -14,7 +14,7 @@
 from swiftpin.router import relay_handler
 from tests.router.cut_links import CutKind
 from tests.router.cut_site import CutOptions, CutSite
-from tests.router.site import HOST, MAX_WAIT, Reply
+from tests.router.site import BOUNDS, HOST, MAX_WAIT, Reply
 
 LOST_AFTER = 1.2
 """Seconds after which two connection attempts have failed."""
@@ -247,3 +247,20 @@
             await asyncio.sleep(0.1)
     assert RelayResult.NOT_ALLOWED in answer.result().decode()
     writer.close()
+
+
+async def test_request_through_a_relay_that_stops_gets_a_true_answer(
+    site: CutSite,
+) -> None:
+    """Guards against a caller who hears nothing when a relay ends under a request."""
+    for target in site.targets_by_name.values():
+        target.work = 2 * BOUNDS.shutdown_grace
+    call = asyncio.create_task(
+        site.async_call("/slow/x", method="POST", deadline=9000, request_id="cut")
+    )
+    await site.async_wait(lambda: site.count_runs("cut") == 1)
+    await site.routers_by_name["i1"].async_stop()
+    await site.async_remove_router("i1")
+    reply = await call
+    assert reply.status == 502
+    assert b"ANSWER_LOST" in reply.body
